--- /dev/null
+++ b/features/core.feature
@@ -0,0 +1,12 @@
+Feature: Router leases
+
+  Scenario: A new leader waits out the leases of its predecessor
+    Given a lease table of a leader that took office at 10.0 s
+    Then index 5 is not in force at 12.0 s
+    And index 5 is in force at 12.2 s
+
+  Scenario: A delayed grant does not extend the lease past its bound
+    Given a router that sent a renewal at 10.0 s
+    When the grant of 2.0 s arrives at 11.9 s
+    Then the router holds its lease at 11.95 s
+    And the router does not hold its lease at 12.0 s
--- /dev/null
+++ b/knapweedarch/api.py
@@ -0,0 +1,1 @@
+"""The few verbs of the package."""
--- /dev/null
+++ b/knapweedarch/codec.py
@@ -0,0 +1,51 @@
+"""Data classes to and from `msgpack`, tagged with the class name."""
+
+from collections.abc import Iterable
+
+import cattrs
+import msgpack
+from cattrs.preconf.msgpack import make_converter
+
+from knapweedarch.exceptions import CodecError
+
+
+class Codec:
+    """Encodes and decodes a closed set of `attrs` classes.
+
+    A message is the array `[class name, [field, ...]]`. Unknown names and
+    wrong fields are refused, so a link accepts nothing that it does not know.
+    """
+
+    def __init__(self, classes: Iterable[type]):
+        self._classes = {cls.__name__: cls for cls in classes}
+        self._converter: cattrs.Converter = make_converter(
+            unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE
+        )
+
+    def encode(self, message: object) -> bytes:
+        """Encodes a message.
+
+        Raises:
+            CodecError: The class of the message is not in the set.
+        """
+        name = type(message).__name__
+        if name not in self._classes:
+            raise CodecError(f"message class {name} is not known")
+        return msgpack.packb([name, self._converter.unstructure(message)])
+
+    def decode(self, data: bytes) -> object:
+        """Decodes a message.
+
+        Raises:
+            CodecError: The bytes are malformed or name an unknown class.
+        """
+        try:
+            name, fields = msgpack.unpackb(data, strict_map_key=False)
+            return self._converter.structure(fields, self._classes[name])
+        except Exception as exc:
+            raise CodecError(f"malformed message: {exc!r}") from exc
+
+
+def create_codec(*classes: type) -> Codec:
+    """Creates a codec for the given classes."""
+    return Codec(classes)
--- /dev/null
+++ b/knapweedarch/leases.py
@@ -0,0 +1,85 @@
+"""Router leases: the leader's table and the holder's side.
+
+A router may start new work only while its lease holds. The leader answers a
+change as in force once every router with a running lease has applied it. The
+two ends measure on their own clocks, so the leader counts a little longer
+than the holder.
+"""
+
+import attrs
+
+LEASE_S = 2.0
+RENEW_S = 0.5
+MAX_CLOCK_DRIFT = 0.05
+GRANT_S = LEASE_S * (1 + MAX_CLOCK_DRIFT)
+
+
+@attrs.define
+class _Grant:
+    until: float
+    applied: int
+
+
+class LeaseTable:
+    """Leases granted by one leader in one term."""
+
+    def __init__(self, leader_since: float):
+        self._settled_at = leader_since + GRANT_S
+        self._grants: dict[str, _Grant] = {}
+
+    def grant(self, holder: str, applied: int, now: float) -> None:
+        """Notes a lease granted now to a router that has applied `applied`."""
+        known = self._grants.get(holder)
+        applied = max(applied, known.applied if known else 0)
+        self._grants[holder] = _Grant(now + GRANT_S, applied)
+
+    def holds(self, holder: str, now: float) -> bool:
+        """Tells whether a router may still hold a lease.
+
+        A new leader knows no grants of its predecessor and takes every router
+        for a holder until they must have run out.
+        """
+        if now < self._settled_at:
+            return True
+        known = self._grants.get(holder)
+        return known is not None and now < known.until
+
+    def in_force(self, index: int, now: float) -> bool:
+        """Tells whether each router has applied `index` or has no lease."""
+        return now >= self._settled_at and not self.waiting_for(index, now)
+
+    def waiting_for(self, index: int, now: float) -> list[str]:
+        """Lists routers with a running lease that have not applied `index`."""
+        expired = [h for h, g in self._grants.items() if g.until <= now]
+        for holder in expired:
+            del self._grants[holder]
+        return [h for h, g in self._grants.items() if g.applied < index]
+
+    def next_change(self, now: float) -> float:
+        """Returns when `in_force` may change by time alone, in seconds."""
+        times = [g.until for g in self._grants.values() if g.until > now]
+        if now < self._settled_at:
+            times.append(self._settled_at)
+        return min(times, default=now + GRANT_S)
+
+    def count(self, now: float) -> int:
+        """Counts the routers with a running lease."""
+        return sum(g.until > now for g in self._grants.values())
+
+
+@attrs.define
+class Lease:
+    """The holder's side."""
+
+    until: float = 0.0
+
+    def granted(self, requested_at: float, duration_s: float) -> None:
+        """Extends the lease, counted from when the renewal was sent.
+
+        A grant that was delayed on its way is thereby short or void.
+        """
+        self.until = max(self.until, requested_at + duration_s)
+
+    def holds(self, now: float) -> bool:
+        """Tells whether new work may start now."""
+        return now < self.until
--- /dev/null
+++ b/knapweedarch/links.py
@@ -0,0 +1,329 @@
+"""Framed `msgpack` streams over TCP between the system's own processes.
+
+A frame is a 4-byte length and that many bytes. Both ends prove that they hold
+the shared credential (HMAC-SHA256 over the other end's nonce) before the first
+message. Each end sends a keep-alive when it is idle, and closes a link on
+which nothing arrived for `SILENCE_S`: a connection that a middle box forgot
+stays open for good at both ends.
+"""
+
+import hmac
+import os
+import struct
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+import attrs
+
+from knapweedarch.codec import Codec, create_codec
+from knapweedarch.exceptions import CodecError, CredentialError, LinkError
+
+KEEP_ALIVE_S = 0.3
+SILENCE_S = 1.0
+CONNECT_S = 1.0
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+MAX_QUEUED_FRAMES = 4096
+MAX_QUEUED_BYTES = 32 * 1024 * 1024
+NONCE_BYTES = 16
+
+
+@attrs.frozen
+class Challenge:
+    """First message of each end."""
+
+    nonce: bytes
+
+
+@attrs.frozen
+class Proof:
+    """Answer to a challenge."""
+
+    digest: bytes
+
+
+@attrs.frozen
+class Ping:
+    """Keep-alive."""
+
+
+@attrs.frozen
+class Call:
+    """A message that expects a reply."""
+
+    number: int
+    body: bytes
+
+
+@attrs.frozen
+class Reply:
+    """The reply to the call with the same number."""
+
+    number: int
+    body: bytes
+
+
+@attrs.frozen
+class Send:
+    """A message without a reply."""
+
+    body: bytes
+
+
+_FRAMES = create_codec(Challenge, Proof, Ping, Call, Reply, Send)
+Handler = Callable[["Link", object], Awaitable[object | None]]
+
+
+class Link:
+    """One connection between two processes.
+
+    Create it with `connect` or `serve`, and run it with `run`.
+    """
+
+    def __init__(
+        self, stream: anyio.abc.SocketStream, codec: Codec, handler: Handler
+    ):
+        self.peer = ""
+        self._stream = stream
+        self._codec = codec
+        self._handler = handler
+        self._buffer = bytearray()
+        self._calls: dict[int, list] = {}
+        self._next_call = 0
+        self._queued_bytes = 0
+        self._outbox: list[bytes] = []
+        self._wake = anyio.Event()
+        self.closed = anyio.Event()
+
+    def send(self, message: object) -> None:
+        """Queues a message; drops it when the link is closed.
+
+        Raises:
+            LinkError: The other end reads too slowly.
+        """
+        self._queue(Send(self._codec.encode(message)))
+
+    async def call(self, message: object, timeout_s: float) -> object:
+        """Sends a message and waits for its reply.
+
+        Raises:
+            LinkError: The link closed or no reply came in time; the message
+                may have been acted upon.
+        """
+        if self.closed.is_set():
+            raise LinkError("the link is closed")
+        self._next_call += 1
+        number = self._next_call
+        waiting = [anyio.Event(), None]
+        self._calls[number] = waiting
+        try:
+            self._queue(Call(number, self._codec.encode(message)))
+            with anyio.move_on_after(timeout_s):
+                await waiting[0].wait()
+        finally:
+            del self._calls[number]
+        if waiting[1] is None:
+            raise LinkError(
+                "no reply" if not self.closed.is_set() else "closed"
+            )
+        return self._codec.decode(waiting[1])
+
+    def _queue(self, frame: object) -> None:
+        if self.closed.is_set():
+            return
+        data = _FRAMES.encode(frame)
+        if len(data) > MAX_FRAME_BYTES:
+            raise LinkError(f"frame of {len(data)} bytes is too large")
+        self._queued_bytes += len(data)
+        if (
+            len(self._outbox) >= MAX_QUEUED_FRAMES
+            or self._queued_bytes > MAX_QUEUED_BYTES
+        ):
+            self.close()
+            raise LinkError("the other end reads too slowly")
+        self._outbox.append(struct.pack(">I", len(data)) + data)
+        self._wake.set()
+
+    def close(self) -> None:
+        """Closes the link; pending calls fail."""
+        self.closed.set()
+        self._wake.set()
+        for waiting in self._calls.values():
+            waiting[0].set()
+
+    async def run(self) -> None:
+        """Carries messages until the link closes."""
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._write)
+                group.start_soon(self._read, group)
+                await self.closed.wait()
+                group.cancel_scope.cancel()
+        finally:
+            self.close()
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(self._stream)
+
+    async def _write(self) -> None:
+        try:
+            while not self.closed.is_set():
+                if not self._outbox:
+                    self._wake = anyio.Event()
+                    with anyio.move_on_after(KEEP_ALIVE_S) as scope:
+                        await self._wake.wait()
+                    if scope.cancelled_caught:
+                        self._queue(Ping())
+                frames, self._outbox = self._outbox, []
+                self._queued_bytes = 0
+                with anyio.fail_after(SILENCE_S):
+                    await self._stream.send(b"".join(frames))
+        except (OSError, TimeoutError, anyio.BrokenResourceError, LinkError):
+            self.close()
+        except anyio.ClosedResourceError:
+            self.close()
+
+    async def _read(self, group: anyio.abc.TaskGroup) -> None:
+        try:
+            while not self.closed.is_set():
+                match await self._read_frame(SILENCE_S):
+                    case Send(body=body):
+                        await self._handler(self, self._codec.decode(body))
+                    case Call() as call:
+                        group.start_soon(self._answer, call)
+                    case Reply(number=number, body=body):
+                        # A reply that comes after its timeout has no waiter.
+                        if waiting := self._calls.get(number):
+                            waiting[1] = body
+                            waiting[0].set()
+        except (LinkError, CodecError):
+            self.close()
+
+    async def _answer(self, call: Call) -> None:
+        try:
+            reply = await self._handler(self, self._codec.decode(call.body))
+            if reply is not None:
+                self._queue(Reply(call.number, self._codec.encode(reply)))
+        except (LinkError, CodecError):
+            self.close()
+
+    async def _read_frame(self, timeout_s: float) -> object:
+        (size,) = struct.unpack(">I", await self._read_exactly(4, timeout_s))
+        if size > MAX_FRAME_BYTES:
+            raise LinkError(f"frame of {size} bytes is too large")
+        return _FRAMES.decode(await self._read_exactly(size, timeout_s))
+
+    async def _read_exactly(self, size: int, timeout_s: float) -> bytes:
+        while len(self._buffer) < size:
+            try:
+                with anyio.fail_after(timeout_s):
+                    self._buffer += await self._stream.receive(65536)
+            except TimeoutError as exc:
+                raise LinkError("the link is silent") from exc
+            except (anyio.EndOfStream, OSError) as exc:
+                raise LinkError("the link was closed") from exc
+            except (
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ) as exc:
+                raise LinkError("the link was closed") from exc
+        data = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return data
+
+    async def _write_frame(self, frame: object) -> None:
+        data = _FRAMES.encode(frame)
+        try:
+            with anyio.fail_after(SILENCE_S):
+                await self._stream.send(struct.pack(">I", len(data)) + data)
+        except (TimeoutError, OSError, anyio.BrokenResourceError) as exc:
+            raise LinkError("the link was closed") from exc
+
+    async def handshake(self, credential: bytes, role: bytes) -> None:
+        """Proves both ends to each other.
+
+        Args:
+            credential: The shared credential.
+            role: `b"client"` or `b"server"`; part of the proof, so that a
+                proof cannot be reflected to its sender.
+
+        Raises:
+            CredentialError: The other end does not hold the credential.
+            LinkError: The link failed.
+        """
+        other = b"server" if role == b"client" else b"client"
+        nonce = os.urandom(NONCE_BYTES)
+        await self._write_frame(Challenge(nonce))
+        theirs = await self._read_frame(SILENCE_S)
+        if not isinstance(theirs, Challenge):
+            raise CredentialError("the other end sent no challenge")
+        proof = hmac.digest(credential, role + theirs.nonce, "sha256")
+        await self._write_frame(Proof(proof))
+        answer = await self._read_frame(SILENCE_S)
+        want = hmac.digest(credential, other + nonce, "sha256")
+        if not isinstance(answer, Proof) or not hmac.compare_digest(
+            answer.digest, want
+        ):
+            raise CredentialError("the other end holds another credential")
+
+
+async def connect(
+    host: str, port: int, credential: bytes, codec: Codec, handler: Handler
+) -> Link:
+    """Opens a link; the caller must run it.
+
+    Raises:
+        LinkError: No connection within `CONNECT_S`.
+        CredentialError: The other end holds another credential.
+    """
+    try:
+        with anyio.fail_after(CONNECT_S):
+            stream = await anyio.connect_tcp(host, port)
+    except (OSError, TimeoutError) as exc:
+        raise LinkError(f"cannot connect to {host}:{port}") from exc
+    link = Link(stream, codec, handler)
+    link.peer = f"{host}:{port}"
+    try:
+        await link.handshake(credential, b"client")
+    except BaseException:
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(stream)
+        raise
+    return link
+
+
+async def serve(
+    listener: anyio.abc.Listener,
+    credential: bytes,
+    codec: Codec,
+    handler: Handler,
+    on_refused: Callable[[CredentialError], None],
+    on_closed: Callable[[Link], None] = lambda link: None,
+) -> None:
+    """Accepts links until cancelled.
+
+    Args:
+        listener: TCP listener.
+        credential: The shared credential.
+        codec: Messages that may come.
+        handler: Called with each message; its result is the reply to a call.
+        on_refused: Told of each peer with a wrong credential.
+        on_closed: Told of each link that ended.
+    """
+
+    async def accept(stream: anyio.abc.SocketStream) -> None:
+        link = Link(stream, codec, handler)
+        try:
+            await link.handshake(credential, b"server")
+        except CredentialError as exc:
+            on_refused(exc)
+            await anyio.aclose_forcefully(stream)
+            return
+        except (LinkError, CodecError):
+            await anyio.aclose_forcefully(stream)
+            return
+        try:
+            await link.run()
+        finally:
+            on_closed(link)
+
+    await listener.serve(accept)
--- /dev/null
+++ b/knapweedarch/models.py
@@ -0,0 +1,321 @@
+"""Data classes and enumerations shared by the modules."""
+
+import enum
+
+import attrs
+
+
+class Outcome(str, enum.Enum):
+    """Whether a refused or failed request was run."""
+
+    NOT_RUN = "not_run"
+    RUN = "run"
+    UNKNOWN = "unknown"
+
+
+class RefusalReason(str, enum.Enum):
+    """Machine-readable reason of a refusal; each has its own counter."""
+
+    BAD_BODY = "bad_body"
+    BODY_TOO_LARGE = "body_too_large"
+    UNKNOWN_KEY = "unknown_key"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_PATH = "unknown_path"
+    NOT_ALLOWED = "not_allowed"
+    OVER_LIMIT = "over_limit"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    NO_CAPACITY = "no_capacity"
+    NO_RESUME = "no_resume"
+    RETRIES_EXHAUSTED = "retries_exhausted"
+    LEASE_EXPIRED = "lease_expired"
+    STOPPING = "stopping"
+    KEY_REQUIRED = "key_required"
+    KEY_REUSED = "key_reused"
+    KEY_EXPIRED = "key_expired"
+    IN_PROGRESS = "in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ENDPOINT_FAILED = "endpoint_failed"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    CONTROL_UNAVAILABLE = "control_unavailable"
+    SLOW_CALLER = "slow_caller"
+    BAD_CREDENTIAL = "bad_credential"
+    TOO_MANY_RECORDS = "too_many_records"
+
+
+class RetryReason(str, enum.Enum):
+    """Why an attempt ended without an answer; each has its own counter."""
+
+    CONNECT_REFUSED = "connect_refused"
+    CONNECTION_CLOSED = "connection_closed"
+    FIRST_TOKEN_TIMEOUT = "first_token_timeout"
+    STREAM_SILENT = "stream_silent"
+    STREAM_GAP = "stream_gap"
+    STREAM_TRUNCATED = "stream_truncated"
+    CROSSED_ANSWER = "crossed_answer"
+    WRONG_INCARNATION = "wrong_incarnation"
+    WRONG_VERSION = "wrong_version"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_ERROR = "endpoint_error"
+
+
+class Priority(enum.IntEnum):
+    """Class of a request; a lower value is served first."""
+
+    AVAILABILITY = 0
+    GUEST = 1
+    INTERACTIVE = 2
+    BATCH = 3
+
+
+class EndpointKind(str, enum.Enum):
+    """What an endpoint is."""
+
+    RUNNER = "runner"
+    SERVICE = "service"
+
+
+class EndpointStatus(str, enum.Enum):
+    """Whether an endpoint may get new work."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+
+
+@attrs.frozen
+class Endpoint:
+    """An endpoint as announced.
+
+    Attributes:
+        id: Name chosen by the endpoint, stable over restarts.
+        incarnation: Random text drawn at each start of the endpoint; cache
+            entries of another incarnation do not exist any more.
+        url: Base URL with an IP number.
+        kind: Runner or plain service.
+        serves: Model names of a runner, or the service name of a service.
+        weights_version: Version of the loaded weights; empty for services.
+        data_centre: Data centre of the endpoint.
+        slots: Requests that the endpoint runs at once without queueing.
+        cache_blocks: Capacity of the prefix cache in blocks.
+        checks_fencing: Whether the endpoint refuses old fencing numbers.
+        status: Whether the endpoint may get new work.
+    """
+
+    id: str
+    incarnation: str
+    url: str
+    kind: EndpointKind
+    serves: tuple[str, ...]
+    weights_version: str = ""
+    data_centre: str = ""
+    slots: int = 8
+    cache_blocks: int = 0
+    checks_fencing: bool = False
+    status: EndpointStatus = EndpointStatus.ACTIVE
+
+
+@attrs.frozen
+class LoadReport:
+    """Load of a runner, as it was `age_s` seconds before it arrived.
+
+    Attributes:
+        endpoint_id: Reporting runner.
+        incarnation: Incarnation of the runner.
+        running: Requests in the current batch.
+        queued: Requests that wait for a place in the batch.
+        queued_tokens: Prompt tokens not yet prefilled, cached ones excluded.
+        acknowledged: Highest attempt number of this router that the report
+            includes; 0 if the runner does not tell.
+    """
+
+    endpoint_id: str
+    incarnation: str
+    running: int
+    queued: int
+    queued_tokens: int
+    acknowledged: int = 0
+
+
+class CacheChange(str, enum.Enum):
+    """Kind of a cache event."""
+
+    STORED = "stored"
+    EVICTED = "evicted"
+    CLEARED = "cleared"
+
+
+@attrs.frozen
+class CacheEvent:
+    """A change in the prefix cache of a runner.
+
+    Attributes:
+        endpoint_id: Runner whose cache changed.
+        incarnation: Incarnation of the runner.
+        number: Consecutive number of the event in this incarnation.
+        change: What happened.
+        blocks: Hashes of the blocks concerned, in chain order.
+    """
+
+    endpoint_id: str
+    incarnation: str
+    number: int
+    change: CacheChange
+    blocks: tuple[int, ...] = ()
+
+
+@attrs.frozen
+class Ticket:
+    """A request as the scheduler sees it.
+
+    Attributes:
+        id: Request identity, unique in this router's incarnation.
+        customer: Customer name.
+        model: Model name.
+        priority: Class of the request.
+        blocks: Chained hashes of the prompt's full blocks.
+        prompt_tokens: Length of the prompt in tokens.
+        max_tokens: Most tokens to generate.
+        deadline: Time by which the first token must come, on the router's
+            clock in seconds.
+        weights_version: Version required, when a stream is resumed.
+    """
+
+    id: str
+    customer: str
+    model: str
+    priority: Priority
+    blocks: tuple[int, ...]
+    prompt_tokens: int
+    max_tokens: int
+    deadline: float
+    weights_version: str = ""
+
+
+@attrs.frozen
+class Attempt:
+    """One try of a request at one endpoint.
+
+    Attributes:
+        number: Number of the attempt, unique in this router's incarnation.
+        ticket: The request.
+        endpoint: The endpoint as known at the choice.
+        cached_blocks: Blocks expected to be in the endpoint's cache.
+    """
+
+    number: int
+    ticket: Ticket
+    endpoint: Endpoint
+    cached_blocks: int = 0
+
+
+@attrs.frozen
+class Dispatch:
+    """Decision: send the request now."""
+
+    attempt: Attempt
+
+
+@attrs.frozen
+class Wait:
+    """Decision: the request waits; `Scheduler.poll` returns it later."""
+
+
+@attrs.frozen
+class Refuse:
+    """Decision: the request is refused without having been run.
+
+    Attributes:
+        reason: Why.
+        retry_after_s: When a new try is worth it, in seconds.
+    """
+
+    reason: RefusalReason
+    retry_after_s: float = 1.0
+
+
+Decision = Dispatch | Wait | Refuse
+
+
+@attrs.frozen
+class AttemptResult:
+    """How an attempt ended.
+
+    Attributes:
+        failure: Why it failed; None after a whole answer.
+        cached_tokens: Prompt tokens found in the cache, as the endpoint told;
+            None if it did not.
+        cancelled: Whether the caller left before the end.
+    """
+
+    failure: RetryReason | None = None
+    cached_tokens: int | None = None
+    cancelled: bool = False
+
+
+@attrs.frozen
+class CustomerRule:
+    """Limits and rights of one customer.
+
+    Attributes:
+        name: Customer name.
+        key_digest: SHA-256 of the API key in hexadecimal.
+        priority: Class when the request names none, and the best it may name.
+        rate: Requests per second; 0 means no limit.
+        concurrent: Requests at once; 0 means no limit.
+        share: Weight in the fair sharing of a model.
+        models: Models it may use; empty means all.
+        asked_by: Who asked for the rule.
+    """
+
+    name: str
+    key_digest: str
+    priority: Priority = Priority.INTERACTIVE
+    rate: float = 0.0
+    concurrent: int = 0
+    share: float = 1.0
+    models: tuple[str, ...] = ()
+    asked_by: str = ""
+
+
+@attrs.frozen
+class ModelRule:
+    """How a model is served.
+
+    Attributes:
+        name: Model name.
+        version: Required weights version; empty means any.
+        first_token_s: Bound for the first token in seconds.
+        asked_by: Who asked for the rule.
+    """
+
+    name: str
+    version: str = ""
+    first_token_s: float = 10.0
+    asked_by: str = ""
+
+
+@attrs.frozen
+class ServiceRule:
+    """How a plain service is served.
+
+    Attributes:
+        name: Service name.
+        once: Path prefixes whose calls may not be repeated.
+        timeout_s: Longest wait for an answer in seconds.
+        asked_by: Who asked for the rule.
+    """
+
+    name: str
+    once: tuple[str, ...] = ()
+    timeout_s: float = 5.0
+    asked_by: str = ""
+
+
+@attrs.frozen
+class Rules:
+    """A checked rule file."""
+
+    customers: tuple[CustomerRule, ...] = ()
+    models: tuple[ModelRule, ...] = ()
+    services: tuple[ServiceRule, ...] = ()
--- /dev/null
+++ b/knapweedarch/timers.py
@@ -0,0 +1,107 @@
+"""Timer service that parts of a process subscribe to."""
+
+import heapq
+import itertools
+import time
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+
+class Clock:
+    """Seconds since boot; counts through suspends, unlike `monotonic`."""
+
+    def now(self) -> float:
+        """Returns the time in seconds; its zero has no meaning."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@attrs.define
+class ManualClock:
+    """Clock for tests; time moves only when told."""
+
+    time: float = 0.0
+
+    def now(self) -> float:
+        """Returns the time in seconds."""
+        return self.time
+
+
+@attrs.define(order=True)
+class _Entry:
+    due: float
+    order: int
+    callback: Callable[[float], None] = attrs.field(order=False)
+    period: float | None = attrs.field(order=False, default=None)
+    cancelled: bool = attrs.field(order=False, default=False)
+
+
+class Timers:
+    """Calls subscribers at their times.
+
+    A subscriber that raises ends the service: an error in a periodic task
+    must stop the process and not disappear.
+    """
+
+    def __init__(self, clock: Clock | ManualClock):
+        self.clock = clock
+        self._heap: list[_Entry] = []
+        self._order = itertools.count()
+        self._changed = anyio.Event()
+
+    def after(
+        self, delay_s: float, callback: Callable[[float], None]
+    ) -> Callable[[], None]:
+        """Calls back once after `delay_s` seconds; returns a cancel call."""
+        return self._add(delay_s, None, callback)
+
+    def every(
+        self, period_s: float, callback: Callable[[float], None]
+    ) -> Callable[[], None]:
+        """Calls back each `period_s` seconds; returns a cancel call."""
+        return self._add(period_s, period_s, callback)
+
+    def _add(self, delay_s, period, callback) -> Callable[[], None]:
+        due = self.clock.now() + delay_s
+        entry = _Entry(due, next(self._order), callback, period)
+        heapq.heappush(self._heap, entry)
+        self._changed.set()
+
+        def cancel() -> None:
+            entry.cancelled = True
+
+        return cancel
+
+    def next_due(self) -> float | None:
+        """Returns the time of the next call, or None without subscribers."""
+        while self._heap and self._heap[0].cancelled:
+            heapq.heappop(self._heap)
+        return self._heap[0].due if self._heap else None
+
+    def fire(self) -> int:
+        """Calls every subscriber that is due; returns how many."""
+        now = self.clock.now()
+        fired = 0
+        while (due := self.next_due()) is not None and due <= now:
+            entry = heapq.heappop(self._heap)
+            if entry.period is not None:
+                # A late timer fires once and not once per missed period.
+                entry.due = max(entry.due + entry.period, now)
+                if entry.due <= now:
+                    entry.due = now + entry.period
+                heapq.heappush(self._heap, entry)
+            entry.callback(now)
+            fired += 1
+        return fired
+
+    async def run(self) -> None:
+        """Fires timers until cancelled."""
+        while True:
+            self._changed = anyio.Event()
+            due = self.next_due()
+            delay = 3600.0 if due is None else due - self.clock.now()
+            if delay > 0:
+                with anyio.move_on_after(delay):
+                    await self._changed.wait()
+            self.fire()
--- /dev/null
+++ b/scripts/check_core.py
@@ -0,0 +1,52 @@
+"""Checks that core modules import nothing that does input or output."""
+
+import ast
+import pathlib
+import sys
+
+PACKAGE = pathlib.Path(__file__).resolve().parent.parent / "knapweedarch"
+CORE = (
+    *("exceptions", "models", "codec", "rules", "replica", "state", "leases"),
+    *("prefixes", "index", "placement", "admission", "retries"),
+    *("scheduler", "streams"),
+)
+FORBIDDEN = {
+    *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
+    *("time", "datetime", "threading", "subprocess", "pathlib", "ssl"),
+    *("selectors", "signal", "tempfile", "shutil", "statsd", "logging"),
+}
+RANDOM_ALLOWED = {"Random"}
+
+
+def faults(path: pathlib.Path) -> list[str]:
+    """Lists the forbidden imports and calls of one module."""
+    found = []
+    for node in ast.walk(ast.parse(path.read_text())):
+        match node:
+            case ast.Import(names=names):
+                roots = {alias.name.split(".")[0] for alias in names}
+            case ast.ImportFrom(module=str(module)):
+                roots = {module.split(".")[0]}
+            case ast.Attribute(value=ast.Name(id="random"), attr=attr):
+                if attr not in RANDOM_ALLOWED:
+                    found.append(f"{path.name}:{node.lineno} random.{attr}")
+                continue
+            case _:
+                continue
+        found += [
+            f"{path.name}:{node.lineno} imports {root}"
+            for root in sorted(roots & FORBIDDEN)
+        ]
+    return found
+
+
+def main() -> int:
+    """Checks every core module that exists; returns the exit code."""
+    paths = [PACKAGE / f"{name}.py" for name in CORE]
+    found = [fault for p in paths if p.exists() for fault in faults(p)]
+    print("\n".join(found))
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/run_checks.py
@@ -0,0 +1,102 @@
+"""Runs every check of the repository and prints one verdict."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+SIMPLE_CHECKS = (
+    ("formatter", ["ruff", "format", "--check", "."]),
+    ("linter", ["ruff", "check", "."]),
+    ("core has no input or output", [sys.executable, "scripts/check_core.py"]),
+)
+OPTIONAL_CHECKS = (
+    ("catalogues match the registries", "scripts/check_catalogues.py"),
+    ("model checking", "spec/check.py"),
+)
+
+
+def run_simple(name: str, command: list[str]) -> bool:
+    """Runs one command and prints its output if it fails."""
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    ok = done.returncode == 0
+    print(f"{'ok  ' if ok else 'FAIL'} {name}")
+    if not ok:
+        print(done.stdout[-8000:], done.stderr[-8000:])
+    return ok
+
+
+def known_red_names() -> set[str]:
+    """Reads the scenario names listed in KNOWN-RED.txt, one per 'test:'."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    return {
+        line.removeprefix("test:").strip()
+        for line in lines
+        if line.startswith("test:")
+    }
+
+
+def run_scenarios(arguments: list[str]) -> tuple[int, int, int]:
+    """Runs behave; returns the counts of passed, failed and known red."""
+    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+        done = subprocess.run(
+            [
+                *("behave", "--no-capture", "--format", "json"),
+                *("--outfile", report.name, "--format", "progress"),
+                *arguments,
+            ],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+        )
+        text = pathlib.Path(report.name).read_text()
+    try:
+        features = json.loads(text)
+    except json.JSONDecodeError:
+        print(done.stdout[-8000:], done.stderr[-8000:])
+        return 0, 1, 0
+    red = known_red_names()
+    passed = failed = skipped = 0
+    for feature in features:
+        for element in feature.get("elements", []):
+            if element["type"] != "scenario":
+                continue
+            name = f"{feature['name']}: {element['name']}"
+            status = element.get("status")
+            if status == "passed":
+                passed += 1
+            elif element["name"] in red:
+                skipped += 1
+                print(f"KNOWN RED {name}")
+            elif status != "skipped" or not arguments:
+                failed += 1
+                print(f"FAIL {name} ({status})")
+    if failed or (done.returncode != 0 and not (skipped or passed)):
+        print(done.stdout[-12000:], done.stderr[-4000:])
+        failed = max(failed, 1)
+    print(f"scenarios: {passed} passed, {failed} failed, {skipped} known red")
+    return passed, failed, skipped
+
+
+def main() -> int:
+    """Runs all checks; returns the exit code."""
+    checks = list(SIMPLE_CHECKS)
+    for name, script in OPTIONAL_CHECKS:
+        if (ROOT / script).exists():
+            checks.append((name, [sys.executable, script]))
+    results = [run_simple(name, command) for name, command in checks]
+    passed, failed, _ = run_scenarios(sys.argv[1:])
+    passed += results.count(True)
+    failed += results.count(False)
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
