Add control client, member and router daemons

Cause: the thin path needs the processes that carry the core. Ruled out: members forwarding orders to the leader; a redirect keeps one hop and one outcome. Before: no daemon.

--- /dev/null
+++ b/knapweedarch/control.py
@@ -0,0 +1,412 @@
+"""Client to the control members, and the messages it exchanges with them."""
+
+import random
+from collections.abc import Callable, Sequence
+
+import anyio
+import anyio.abc
+import attrs
+
+from knapweedarch import links
+from knapweedarch.codec import create_codec
+from knapweedarch.exceptions import ControlError, CredentialError, LinkError
+from knapweedarch.state import COMMANDS, RESULTS, EndpointEntry
+from knapweedarch.timers import Clock
+
+RETRY_S = 0.05
+RETRY_LIMIT_S = 0.4
+REPLY_S = 1.0
+
+
+@attrs.frozen
+class MemberAddress:
+    """Where a member listens."""
+
+    name: str
+    host: str
+    port: int
+
+
+@attrs.frozen
+class Renew:
+    """A router asks for a lease.
+
+    Attributes:
+        router: Name of the router.
+        incarnation: Random text drawn at each start of the router.
+        rules_version: Version of the rules that the router applies.
+        revision: Revision of the endpoint table that the router applies.
+        applied: Log index of the last grant that the router applied.
+    """
+
+    router: str
+    incarnation: str
+    rules_version: int
+    revision: int
+    applied: int
+
+
+@attrs.frozen
+class Grant:
+    """The lease and what the router lacks.
+
+    Attributes:
+        duration_s: Length of the lease, from when the renewal was sent.
+        applied: Log index that the content reflects.
+        rules_version: Current version of the rules.
+        rules_text: The rule file, or None if the router has it.
+        revision: Current revision of the endpoint table.
+        endpoints: Endpoints changed after the router's revision.
+    """
+
+    duration_s: float
+    applied: int
+    rules_version: int
+    rules_text: str | None
+    revision: int
+    endpoints: tuple[EndpointEntry, ...]
+
+
+@attrs.frozen
+class Changed:
+    """The leader tells its routers to renew now, since something changed."""
+
+    index: int
+
+
+@attrs.frozen
+class Submit:
+    """An encoded command of `state.COMMANDS`."""
+
+    command: bytes
+
+
+@attrs.frozen
+class Result:
+    """The encoded result of a command."""
+
+    result: bytes
+
+
+@attrs.frozen
+class Redirect:
+    """The member is not the leader and has done nothing.
+
+    Attributes:
+        leader: Name of the leader, or empty if unknown.
+    """
+
+    leader: str
+
+
+@attrs.frozen
+class Refused:
+    """The order was refused or its outcome is not known.
+
+    Attributes:
+        reason: `refused`, `unknown_outcome` or `not_in_force`.
+        message: Text for people.
+    """
+
+    reason: str
+    message: str = ""
+
+
+@attrs.frozen
+class Query:
+    """Asks the leader for its status."""
+
+
+@attrs.frozen
+class MemberStatus:
+    """One member as the leader sees it."""
+
+    name: str
+    identity: str
+    voter: bool
+
+
+@attrs.frozen
+class StatusReply:
+    """Status of the system as the leader sees it.
+
+    Attributes:
+        leader: Name of the leader.
+        term: Term of the leader.
+        commit_index: Highest committed log index.
+        rules_version: Version of the rule file.
+        rules_text: The rule file.
+        endpoints: All known endpoints.
+        members: Members of the replicated log.
+        routers: Names of the routers that hold a lease.
+        records: Number of at-most-once records.
+        fencing_number: Number of the latest holder of orders.
+    """
+
+    leader: str
+    term: int
+    commit_index: int
+    rules_version: int
+    rules_text: str
+    endpoints: tuple[EndpointEntry, ...]
+    members: tuple[MemberStatus, ...]
+    routers: tuple[str, ...]
+    records: int
+    fencing_number: int
+
+
+@attrs.frozen
+class Describe:
+    """Asks any member who it is."""
+
+
+@attrs.frozen
+class Description:
+    """Who a member is.
+
+    Attributes:
+        name: Name from its settings.
+        identity: Identity drawn by its journal.
+        blank: Whether its journal has never held an entry.
+    """
+
+    name: str
+    identity: str
+    blank: bool
+
+
+@attrs.frozen
+class FormMember:
+    """A member of the first group."""
+
+    name: str
+    identity: str
+    host: str
+    port: int
+
+
+@attrs.frozen
+class Form:
+    """Makes a blank member part of the first group."""
+
+    members: tuple[FormMember, ...]
+
+
+@attrs.frozen
+class Formed:
+    """The member is part of the first group."""
+
+
+@attrs.frozen
+class Hello:
+    """A member tells another who it is, as the first message of a link."""
+
+    name: str
+    identity: str
+
+
+@attrs.frozen
+class Peer:
+    """An encoded message of the replicated log.
+
+    Attributes:
+        sender: Name of the sending member.
+        data: The encoded message.
+    """
+
+    sender: str
+    data: bytes
+
+
+CONTROL = create_codec(
+    *(Renew, Grant, Changed, Submit, Result, Redirect, Refused, Query),
+    *(StatusReply, Describe, Description, Form, Formed, Hello, Peer),
+)
+
+
+class Control:
+    """Talks to the leader, finding it anew whenever it changes.
+
+    Use it as an asynchronous context manager; it keeps one link.
+    """
+
+    def __init__(
+        self,
+        members: Sequence[MemberAddress],
+        credential: bytes,
+        clock: Clock,
+        on_changed: Callable[[], None],
+    ):
+        self._members = {m.name: m for m in members}
+        self._credential = credential
+        self._clock = clock
+        self._on_changed = on_changed
+        self._link: links.Link | None = None
+        self._leader = ""
+        self._order = sorted(self._members)
+        # Routers that restart together must not all try the same member.
+        random.Random().shuffle(self._order)
+        self._connecting = anyio.Lock()
+
+    async def __aenter__(self) -> "Control":
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc_info) -> bool | None:
+        self._group.cancel_scope.cancel()
+        return await self._group.__aexit__(*exc_info)
+
+    async def submit(self, command: object, timeout_s: float) -> object:
+        """Submits a command and returns its result.
+
+        Resends until the time is over, which is safe since every command may
+        be applied twice with the effect of one.
+
+        Raises:
+            ControlError: `unreachable` (nothing was sent), `unknown_outcome`
+                or `refused`.
+        """
+        message = Submit(COMMANDS.encode(command))
+        reply = await self.ask(message, timeout_s)
+        return RESULTS.decode(reply.result)
+
+    async def status(self, timeout_s: float = 3.0) -> StatusReply:
+        """Returns the leader's status.
+
+        Raises:
+            ControlError: No leader answered in time.
+        """
+        return await self.ask(Query(), timeout_s)
+
+    async def ask(self, message: object, timeout_s: float) -> object:
+        """Sends a message to the leader until it answers.
+
+        Raises:
+            ControlError: See `submit`.
+        """
+        until = self._clock.now() + timeout_s
+        sent = False
+        pause = RETRY_S
+        while (left := until - self._clock.now()) > 0:
+            try:
+                link = await self._connect()
+                sent = True
+                reply = await link.call(message, left)
+            except LinkError:
+                self.drop_link()
+            else:
+                match reply:
+                    case Redirect(leader=leader):
+                        sent = False
+                        self._follow(leader)
+                    case Refused(reason=reason, message=text):
+                        raise ControlError(reason, text)
+                    case _:
+                        return reply
+            await anyio.sleep(min(pause, max(until - self._clock.now(), 0)))
+            pause = min(pause * 2, RETRY_LIMIT_S)
+        reason = "unknown_outcome" if sent else "unreachable"
+        raise ControlError(reason, "no control member answered in time")
+
+    def _follow(self, leader: str) -> None:
+        self.drop_link()
+        if leader in self._members:
+            self._leader = leader
+
+    def drop_link(self) -> None:
+        """Closes the link; the next message opens a fresh one."""
+        if self._link is not None:
+            self._link.close()
+            self._link = None
+        self._leader = ""
+
+    async def _connect(self) -> links.Link:
+        async with self._connecting:
+            if self._link is not None and not self._link.closed.is_set():
+                return self._link
+            name = self._leader or self._order[0]
+            self._leader = ""
+            if name == self._order[0]:
+                self._order.append(self._order.pop(0))
+            self._link = await self._open(self._members[name])
+            self._group.start_soon(self._link.run)
+            return self._link
+
+    async def _open(self, member: MemberAddress) -> links.Link:
+        try:
+            return await links.connect(
+                *(member.host, member.port, self._credential),
+                *(CONTROL, self._handle),
+            )
+        except CredentialError as exc:
+            raise ControlError("refused", str(exc)) from exc
+
+    async def _handle(self, link: links.Link, message: object) -> None:
+        if isinstance(message, Changed):
+            self._on_changed()
+
+    async def form(self, members: Sequence[MemberAddress]) -> None:
+        """Makes blank members the first group.
+
+        Raises:
+            ControlError: A member is not blank or does not answer.
+        """
+        described = [await self._describe(member) for member in members]
+        for member, found in zip(members, described, strict=True):
+            if not found.blank:
+                raise ControlError(
+                    "refused", f"member {member.name} already has a journal"
+                )
+        group = Form(
+            tuple(
+                FormMember(m.name, d.identity, m.host, m.port)
+                for m, d in zip(members, described, strict=True)
+            )
+        )
+        for member in members:
+            match await self._ask_one(member, group):
+                case Formed():
+                    pass
+                case Refused(message=text):
+                    raise ControlError("refused", text)
+
+    async def _describe(self, member: MemberAddress) -> Description:
+        found = await self._ask_one(member, Describe())
+        if found.name != member.name:
+            raise ControlError(
+                "refused",
+                f"{member.host}:{member.port} is member {found.name}, "
+                f"not {member.name}",
+            )
+        return found
+
+    async def _ask_one(self, member: MemberAddress, message: object):
+        try:
+            link = await self._open(member)
+            self._group.start_soon(link.run)
+            try:
+                return await link.call(message, REPLY_S * 3)
+            finally:
+                link.close()
+        except LinkError as exc:
+            raise ControlError(
+                "unreachable", f"member {member.name} does not answer"
+            ) from exc
+
+
+def create_control(
+    members: Sequence[MemberAddress],
+    credential: bytes,
+    clock: Clock,
+    on_changed: Callable[[], None] = lambda: None,
+) -> Control:
+    """Creates a client to the control members.
+
+    Args:
+        members: Addresses of the members.
+        credential: The shared credential.
+        clock: Time source.
+        on_changed: Called when the leader tells of a change.
+    """
+    return Control(members, credential, clock, on_changed)
--- /dev/null
+++ b/knapweedarch/daemon.py
@@ -0,0 +1,84 @@
+"""Entry point of the daemon; one role per process."""
+
+import pathlib
+import signal
+import sys
+
+import anyio
+import defopt
+
+from knapweedarch import member, router
+from knapweedarch.exceptions import JournalError, SettingsError
+from knapweedarch.logs import log, setup_logging
+from knapweedarch.metrics import Metrics, create_metrics
+from knapweedarch.settings import MemberSettings, RouterSettings, load_settings
+from knapweedarch.timers import Clock
+
+EXIT_SETTINGS = 2
+EXIT_JOURNAL = 3
+
+
+def serve(*, settings: pathlib.Path) -> None:
+    """Runs one role until it is told to stop.
+
+    Args:
+        settings: Settings file, JSON with comments.
+    """
+    try:
+        loaded = load_settings(settings)
+    except SettingsError as exc:
+        print("\n".join(exc.faults), file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    setup_logging(loaded.log_level)
+    try:
+        anyio.run(run, loaded)
+    except* JournalError as group:
+        log("journal_failed", reason=str(group.exceptions[0]))
+        sys.exit(EXIT_JOURNAL)
+
+
+async def run(settings: MemberSettings | RouterSettings) -> None:
+    """Runs the role that the settings name.
+
+    Raises:
+        JournalError: The journal of a member failed; nothing more is answered.
+    """
+    clock = Clock()
+    metrics = _metrics(settings)
+    match settings:
+        case MemberSettings():
+            daemon = member.create_member(settings, clock, metrics)
+        case RouterSettings():
+            daemon = router.create_router(settings, clock, metrics)
+    async with anyio.create_task_group() as group:
+        if isinstance(daemon, member.Member):
+            group.start_soon(_stop_on_signal, group.cancel_scope)
+        port = await group.start(daemon.run)
+        log("started", role=settings.role, name=settings.name, port=port)
+        # Whoever starts the process reads the port that the kernel chose.
+        print(f"ready {port}", flush=True)
+
+
+async def _stop_on_signal(scope: anyio.CancelScope) -> None:
+    """Stops a member; everything it answered is already synced."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            log("stopped")
+            scope.cancel()
+            return
+
+
+def _metrics(settings: MemberSettings | RouterSettings) -> Metrics:
+    address = settings.statsd
+    if address is None:
+        return create_metrics(None, 0, settings.name)
+    return create_metrics(address.host, address.port, settings.name)
+
+
+def main() -> None:
+    """Parses the command line and serves."""
+    defopt.run(serve, cli_options="all")
+
+
+if __name__ == "__main__":
+    main()
--- a/knapweedarch/state.py
+++ b/knapweedarch/state.py
@@ -18,6 +18,7 @@
 MAX_RECORDS = 200_000
 MAX_STORED_ANSWERS = 1_000
 MAX_ENDPOINTS = 5_000
+MAX_SUPERSEDED = 16
 
 
 class RecordStatus(str, enum.Enum):
@@ -34,7 +35,8 @@
 
     Attributes:
         body_digest: SHA-256 of method, path and body.
-        holder: Incarnation of the router entitled to send the call.
+        holder: `incarnation/call` of the router and the one call in it that
+            is entitled to be sent.
         status: Progress.
         reserved_at: Stamp of the reservation in seconds.
         code: HTTP status of the answer when done.
@@ -91,7 +93,14 @@
 
 @attrs.frozen
 class Reserve:
-    """A router asks for the right to send a call that may run at most once."""
+    """A router asks for the right to send a call that may run at most once.
+
+    Attributes:
+        record_key: Customer, service and idempotency key; see `record_key`.
+        body_digest: SHA-256 of method, path and body.
+        holder: `incarnation/call` of the router and this call.
+        at: Stamp of the leader in seconds.
+    """
 
     record_key: str
     body_digest: bytes
@@ -105,7 +114,7 @@
 
     Attributes:
         record_key: Customer, service and idempotency key.
-        holder: Incarnation of the router that sent the call.
+        holder: Holder as in `Reserve`.
         status: `DONE` or `UNKNOWN`; None when the call was not run.
         code: HTTP status of the answer.
         content_type: Media type of the answer.
@@ -122,9 +131,13 @@
 
 @attrs.frozen
 class Abandon:
-    """The leader saw the lease of a router end: its open calls are unknown."""
+    """The leader saw the lease of a router end: its open calls are unknown.
 
-    holder: str
+    Attributes:
+        incarnation: Incarnation of the router.
+    """
+
+    incarnation: str
 
 
 @attrs.frozen
@@ -197,11 +210,20 @@
 
 @attrs.frozen
 class EndpointEntry:
-    """An endpoint and the revision of its last change."""
+    """An endpoint and the revision of its last change.
+
+    Attributes:
+        endpoint: The endpoint as last announced.
+        revision: Revision of the endpoint table at its last change.
+        retired: Whether an operator retired it.
+        superseded: Earlier incarnations, newest last. A delayed announcement
+            of one of them must not replace the current incarnation.
+    """
 
     endpoint: Endpoint
     revision: int
     retired: bool = False
+    superseded: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -274,8 +296,8 @@
                 return self._reserve(command)
             case Settle():
                 return self._settle(command)
-            case Abandon(holder=holder):
-                return self._abandon(holder)
+            case Abandon(incarnation=incarnation):
+                return self._abandon(incarnation)
             case TakeOrders(holder=holder):
                 return self._take_orders(holder)
         raise AssertionError(f"no such command: {command}")
@@ -292,25 +314,26 @@
         known = self.endpoints.get(endpoint.id)
         if known is None and len(self.endpoints) >= MAX_ENDPOINTS:
             return TableFull()
-        retired = bool(known and known.retired) and not command.by_operator
+        if known is None:
+            self._put_endpoint(endpoint, False, ())
+            return EndpointAccepted(self.revision, endpoint.status)
+        if endpoint.incarnation in known.superseded:
+            return EndpointAccepted(self.revision, known.endpoint.status)
+        restarted = known.endpoint.incarnation != endpoint.incarnation
+        retired = known.retired and not command.by_operator
         left = (
-            known is not None
-            and known.endpoint.incarnation == endpoint.incarnation
+            not restarted
             and known.endpoint.status is EndpointStatus.LEAVING
             and not command.by_operator
         )
         if retired or left:
             # An announcement sent before the endpoint left may arrive late.
             endpoint = attrs.evolve(endpoint, status=EndpointStatus.LEAVING)
-        if (
-            known is None
-            or known.endpoint != endpoint
-            or known.retired != retired
-        ):
-            self.revision += 1
-            self.endpoints[endpoint.id] = EndpointEntry(
-                endpoint, self.revision, retired
-            )
+        if known.endpoint != endpoint or known.retired != retired:
+            superseded = known.superseded
+            if restarted:
+                superseded = (*superseded, known.endpoint.incarnation)
+            self._put_endpoint(endpoint, retired, superseded[-MAX_SUPERSEDED:])
         return EndpointAccepted(self.revision, endpoint.status)
 
     def _retire(self, endpoint_id: str) -> EndpointAccepted | EndpointUnknown:
@@ -318,15 +341,20 @@
         if known is None:
             return EndpointUnknown()
         if not known.retired:
-            self.revision += 1
             endpoint = attrs.evolve(
                 known.endpoint, status=EndpointStatus.LEAVING
             )
-            self.endpoints[endpoint_id] = EndpointEntry(
-                endpoint, self.revision, True
-            )
+            self._put_endpoint(endpoint, True, known.superseded)
         return EndpointAccepted(self.revision, EndpointStatus.LEAVING)
 
+    def _put_endpoint(
+        self, endpoint: Endpoint, retired: bool, superseded: tuple[str, ...]
+    ) -> None:
+        self.revision += 1
+        self.endpoints[endpoint.id] = EndpointEntry(
+            endpoint, self.revision, retired, superseded
+        )
+
     def _reserve(self, command: Reserve) -> Reserved | RecordFound | TableFull:
         self._last_stamp = max(self._last_stamp, command.at)
         self._drop_old_records()
@@ -371,10 +399,10 @@
         )
         return Settled()
 
-    def _abandon(self, holder: str) -> Settled:
+    def _abandon(self, incarnation: str) -> Settled:
         for key, record in self.records.items():
             if (
-                record.holder == holder
+                record.holder.partition("/")[0] == incarnation
                 and record.status is RecordStatus.RESERVED
             ):
                 self.records[key] = attrs.evolve(
