--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -1,6 +1,7 @@
 """Router daemon: lease, rules, endpoint feeds and the HTTP server."""
 
 import hashlib
+import random
 import secrets
 import signal
 import socket
@@ -74,6 +75,7 @@
         self._active = 0
         self._idle = anyio.Event()
         self._timers = Timers(clock)
+        self._random = random.Random(self.incarnation)
         self.adapter = create_adapter(settings.endpoint_credential, clock)
         self.scheduler = scheduler.create_scheduler(
             scheduler.SchedulerConfig(
@@ -100,7 +102,9 @@
         """Serves until SIGTERM or SIGINT, then drains and returns."""
         listener = self._listen()
         self.port = listener.getsockname()[1]
-        self._timers.every(RENEW_S, lambda now: self._renew_soon())
+        # Routers that restart together would otherwise renew in step for good.
+        period = RENEW_S * self._random.uniform(0.8, 1.0)
+        self._timers.every(period, lambda now: self._renew_soon())
         self._timers.every(POLL_S, self._poll)
         stop = anyio.Event()
         async with anyio.create_task_group() as group, self._control:
@@ -288,6 +292,7 @@
             except ControlError as exc:
                 self.count("lease.renewal_failed")
                 log("lease_renewal_failed", reason=exc.reason)
+                await anyio.sleep(self._random.uniform(0.02, 0.1))
                 continue
             if not changed:
                 await self._renew_now.wait()
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,226 @@
+"""Starts a small deployment of separate processes on loopback.
+
+Used by the demo and by the scenarios that need real processes. Each
+deployment has a loopback address of its own, so that no outgoing connection
+of another process can take one of its ports.
+"""
+
+import json
+import os
+import pathlib
+import random
+import select
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import attrs
+import httpx
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+CREDENTIAL = "loopback-credential-0001"
+ENDPOINT_CREDENTIAL = "loopback-endpoint-cred-1"
+START_S = 15.0
+STOP_S = 15.0
+
+
+@attrs.define
+class Process:
+    """A started process."""
+
+    name: str
+    popen: subprocess.Popen
+    port: int
+    command: list[str]
+
+
+class Deployment:
+    """Processes of one deployment; use it as a context manager."""
+
+    def __init__(self, members: int = 3):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="knapweedarch-"))
+        octets = random.SystemRandom().sample(range(2, 250), 3)
+        self.host = "127." + ".".join(map(str, octets))
+        self.processes: dict[str, Process] = {}
+        names = [f"member-{i}" for i in range(1, members + 1)]
+        self.members = [
+            {"name": n, "host": self.host, "port": self._free_port()}
+            for n in names
+        ]
+
+    def __enter__(self) -> "Deployment":
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        for name in list(self.processes):
+            self.kill(name)
+
+    def _free_port(self) -> int:
+        with socket.socket() as probe:
+            probe.bind((self.host, 0))
+            return probe.getsockname()[1]
+
+    def _start(self, name: str, command: list[str]) -> Process:
+        environment = dict(os.environ, PYTHONPATH=str(ROOT))
+        with open(self.folder / f"{name}.log", "ab") as log:
+            popen = subprocess.Popen(
+                [sys.executable, *command],
+                cwd=ROOT,
+                env=environment,
+                stdout=subprocess.PIPE,
+                stderr=log,
+            )
+        readable, _, _ = select.select([popen.stdout], [], [], START_S)
+        line = popen.stdout.readline().decode() if readable else ""
+        if not line.startswith("ready "):
+            popen.kill()
+            text = (self.folder / f"{name}.log").read_text()[-2000:]
+            raise RuntimeError(f"{name} did not start: {line} {text}")
+        process = Process(name, popen, int(line.split()[1]), command)
+        self.processes[name] = process
+        return process
+
+    def _settings(self, name: str, content: dict) -> str:
+        path = self.folder / f"{name}.json5"
+        common = {"name": name, "credential": CREDENTIAL}
+        common["members"] = self.members
+        path.write_text(json.dumps({**common, **content}, indent=2))
+        return str(path)
+
+    def _daemon(self, name: str, content: dict) -> Process:
+        path = self._settings(name, content)
+        return self._start(
+            name, ["-m", "knapweedarch.daemon", "--settings", path]
+        )
+
+    def start_member(self, name: str) -> Process:
+        """Starts a member; its journal survives a restart."""
+        own = next(m for m in self.members if m["name"] == name)
+        folder = self.folder / f"data-{name}"
+        folder.mkdir(exist_ok=True)
+        return self._daemon(
+            name,
+            {
+                "role": "member",
+                "data_centre": f"dc-{name[-1]}",
+                "listen": {"host": own["host"], "port": own["port"]},
+                "data_folder": str(folder),
+                "snapshot_every": 200,
+            },
+        )
+
+    def start_router(self, name: str, port: int = 0, **extra) -> Process:
+        """Starts a router; a restart may ask for the port it had."""
+        return self._daemon(
+            name,
+            {
+                "role": "router",
+                "data_centre": f"dc-{name[-1]}",
+                "listen": {"host": self.host, "port": port},
+                "endpoint_credential": ENDPOINT_CREDENTIAL,
+                "distances_ms": {"dc-1": 5, "dc-2": 5, "dc-3": 5},
+                "drain_s": 10,
+                **extra,
+            },
+        )
+
+    def url(self, name: str) -> str:
+        """Returns the base URL of a process."""
+        process = self.processes[name]
+        is_daemon = process.command[1] == "knapweedarch.daemon"
+        host = self.host if is_daemon else "127.0.0.1"
+        return f"http://{host}:{process.port}"
+
+    def _endpoint(self, module: str, name: str, arguments: list[str]):
+        routers = ",".join(
+            self.url(p) for p in self.processes if p.startswith("router")
+        )
+        return self._start(
+            name,
+            [
+                *("-m", f"standins.{module}", "--id", name),
+                *("--routers", routers, "--credential", ENDPOINT_CREDENTIAL),
+                *arguments,
+            ],
+        )
+
+    def start_runner(self, name: str, model: str, **options) -> Process:
+        """Starts a stand-in runner."""
+        arguments = ["--model", model]
+        for key, value in {"version": "w1", **options}.items():
+            arguments += [f"--{key.replace('_', '-')}", str(value)]
+        return self._endpoint("runner", name, arguments)
+
+    def start_desk(self, name: str, service: str, **options) -> Process:
+        """Starts a stand-in plain service."""
+        arguments = ["--service", service]
+        for key, value in options.items():
+            arguments += [f"--{key.replace('_', '-')}", str(value)]
+        return self._endpoint("desk", name, arguments)
+
+    def tool_settings(self) -> str:
+        """Writes settings for the command-line tool; returns their path."""
+        path = self.folder / "tool.json5"
+        content = {"members": self.members, "credential": CREDENTIAL}
+        path.write_text(json.dumps(content))
+        return str(path)
+
+    def tool(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Runs the command-line tool."""
+        return subprocess.run(
+            [
+                *(sys.executable, "-m", "knapweedarch.cli", *arguments),
+                *("--settings", self.tool_settings()),
+            ],
+            cwd=ROOT,
+            env=dict(os.environ, PYTHONPATH=str(ROOT)),
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to one of the deployment's own processes."""
+        os.kill(self.processes[name].popen.pid, number)
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once."""
+        process = self.processes.pop(name)
+        process.popen.kill()
+        process.popen.wait()
+        process.popen.stdout.close()
+
+    def stop(self, name: str) -> int:
+        """Stops a process in the planned way; returns its exit code."""
+        process = self.processes.pop(name)
+        process.popen.send_signal(signal.SIGTERM)
+        code = process.popen.wait(STOP_S)
+        process.popen.stdout.close()
+        return code
+
+    def wait_for(self, what: str, probe, limit_s: float = START_S):
+        """Polls `probe` until it returns something true; returns that.
+
+        Raises:
+            TimeoutError: Nothing true came within the limit.
+        """
+        until = time.monotonic() + limit_s
+        while time.monotonic() < until:
+            try:
+                if found := probe():
+                    return found
+            except httpx.HTTPError:
+                pass
+            time.sleep(0.02)
+        raise TimeoutError(f"{what} did not happen in {limit_s} s")
+
+    def wait_ready(self, router: str, limit_s: float = START_S) -> None:
+        """Waits until a router is ready."""
+        self.wait_for(
+            f"{router} ready",
+            lambda: httpx.get(f"{self.url(router)}/ready").status_code == 200,
+            limit_s,
+        )
