--- /dev/null
+++ b/bench/control_slopes.py
@@ -0,0 +1,214 @@
+"""Measures what control costs, at three sizes each, for docs/CAPACITY.md.
+
+Run `python -m bench.control_slopes`. It starts one member process and opens
+links to it as routers would; everything stays on loopback and ends by itself.
+"""
+
+import os
+import resource
+import sys
+import time
+import tracemalloc
+
+import anyio
+
+from knapweedarch import control, links
+from knapweedarch.control import CONTROL
+from knapweedarch.models import Endpoint, EndpointKind
+from knapweedarch.rules import parse_rules
+from knapweedarch.state import (
+    COMMANDS,
+    Announce,
+    ControlState,
+    PutRules,
+    Reserve,
+    Settle,
+    record_key,
+)
+from knapweedarch.state import RecordStatus as Status
+from standins.deployment import CREDENTIAL, Deployment
+
+RENEWALS_PER_S = 2.0
+WINDOW_S = 5.0
+ROUTER_COUNTS = (35, 100, 350)
+RECORD_COUNTS = (1_000, 10_000, 100_000)
+ENDPOINT_COUNTS = (60, 200, 600)
+CUSTOMER_COUNTS = (230, 1_000, 2_300)
+ANSWER_BYTES = 500
+
+
+def cpu_s(pid: int) -> float:
+    """Returns the processor time that a process has used, in seconds."""
+    with open(f"/proc/{pid}/stat") as stat:
+        fields = stat.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_mb(pid: int) -> float:
+    """Returns the resident memory of a process in MB."""
+    with open(f"/proc/{pid}/statm") as statm:
+        pages = int(statm.read().split()[1])
+    return pages * resource.getpagesize() / 1e6
+
+
+def row(*cells: object) -> None:
+    """Prints one row of the table."""
+    print("| " + " | ".join(str(cell) for cell in cells) + " |", flush=True)
+
+
+async def _router(cluster: Deployment, number: int, stop_at: float) -> None:
+    """Renews a lease as a router does, without serving anybody."""
+    member = cluster.members[0]
+    async with anyio.create_task_group() as group:
+        link = await links.connect(
+            *(member["host"], member["port"], CREDENTIAL.encode()),
+            *(CONTROL, _ignore),
+        )
+        group.start_soon(link.run)
+        await anyio.sleep(number % 100 / 100 / RENEWALS_PER_S)
+        applied = version = revision = 0
+        while time.monotonic() < stop_at:
+            renew = control.Renew(
+                f"r{number}", f"i{number}", version, revision, applied
+            )
+            grant = await link.call(renew, 2.0)
+            if isinstance(grant, control.Grant):
+                applied, version = grant.applied, grant.rules_version
+                revision = grant.revision
+            await anyio.sleep(1 / RENEWALS_PER_S)
+        group.cancel_scope.cancel()
+
+
+async def _ignore(link: links.Link, message: object) -> None:
+    """Takes a message and does nothing."""
+
+
+async def _renewals(cluster: Deployment, count: int) -> tuple[float, float]:
+    """Returns processor share and MB of the member under `count` routers."""
+    pid = cluster.processes[cluster.members[0]["name"]].popen.pid
+    stop_at = time.monotonic() + WINDOW_S + 3
+    share = 0.0
+    async with anyio.create_task_group() as group:
+        for number in range(count):
+            group.start_soon(_router, cluster, number, stop_at)
+        await anyio.sleep(2)
+        before = cpu_s(pid)
+        await anyio.sleep(WINDOW_S)
+        share = (cpu_s(pid) - before) / WINDOW_S
+    return share, resident_mb(pid)
+
+
+def measure_leases() -> None:
+    """Measures the leader's cost of router leases."""
+    print("\n## Leases at the leader")
+    row("routers", "share of a core", "MB", "us per renewal over idle")
+    with Deployment(members=1) as cluster:
+        cluster.start_member("member-1")
+        if cluster.tool("form").returncode:
+            raise SystemExit("the group was not formed")
+        idle, _ = anyio.run(_renewals, cluster, 0)
+        row(0, f"{idle:.4f}", "-", "-")
+        for count in ROUTER_COUNTS:
+            share, megabytes = anyio.run(_renewals, cluster, count)
+            per_renewal = (share - idle) / (count * RENEWALS_PER_S) * 1e6
+            row(
+                *(count, f"{share:.4f}"),
+                *(f"{megabytes:.0f}", f"{per_renewal:.0f}"),
+            )
+
+
+def measure_messages() -> None:
+    """Measures the bytes of one renewal and its answer."""
+    print("\n## Bytes on a router's control link")
+    renew = control.Renew("router-17", "0123456789abcdef", 320, 9000, 10**6)
+    grant = control.Grant(2.0, 10**6, 320, None, 9000, ())
+    sizes = [len(CONTROL.encode(m)) + 20 for m in (renew, grant)]
+    row("renewal", "grant", "bytes/s at 2 renewals/s and keep-alives")
+    keep_alive = 2 * 13 / links.KEEP_ALIVE_S
+    row(*sizes, f"{sum(sizes) * RENEWALS_PER_S + keep_alive:.0f}")
+
+
+def _endpoint(number: int) -> Endpoint:
+    return Endpoint(
+        *(f"runner-{number}", f"{number:016x}"),
+        *(f"http://10.0.0.1:{8000 + number}", EndpointKind.RUNNER),
+        *(("guide",), "w1", "dc-1", 64, 163_000),
+    )
+
+
+def _filled_state(records: int, endpoints: int) -> ControlState:
+    state = ControlState()
+    for number in range(endpoints):
+        state.apply(COMMANDS.encode(Announce(_endpoint(number))))
+    answer = b"x" * ANSWER_BYTES
+    for number in range(records):
+        key = record_key("counter", "booking", f"key-{number}")
+        holder = f"0123456789abcdef/{number}"
+        state.apply(
+            COMMANDS.encode(Reserve(key, b"d" * 32, holder, number * 0.1))
+        )
+        settle = Settle(key, holder, Status.DONE, 200, "a/json", answer)
+        state.apply(COMMANDS.encode(settle))
+    return state
+
+
+def measure_state() -> None:
+    """Measures memory, command and snapshot cost of the control state."""
+    print("\n## Control state")
+    row("records", "endpoints", "us per command", "bytes each", "snapshot ms")
+    sizes = [(n, 0) for n in RECORD_COUNTS] + [(0, n) for n in ENDPOINT_COUNTS]
+    for records, endpoints in sizes:
+        started = time.process_time()
+        _filled_state(records, endpoints)
+        commands = records * 2 + endpoints
+        each_us = (time.process_time() - started) / commands * 1e6
+        tracemalloc.start()
+        state = _filled_state(records, endpoints)
+        size = tracemalloc.get_traced_memory()[0] / (records + endpoints)
+        tracemalloc.stop()
+        started = time.process_time()
+        state.snapshot()
+        snapshot_ms = (time.process_time() - started) * 1e3
+        row(
+            *(records, endpoints, f"{each_us:.0f}"),
+            *(f"{size:.0f}", f"{snapshot_ms:.1f}"),
+        )
+
+
+def rule_text(customers: int) -> str:
+    """Builds a rule file with the given number of customers."""
+    lines = ["model guide version=w1  # asked by bench"]
+    lines += [
+        f"customer c{n} key=sha256:{n:064x} class=guest rate=50 concurrent=20"
+        " share=2  # asked by bench: slope"
+        for n in range(customers)
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def measure_rules() -> None:
+    """Measures parsing and size of a rule file."""
+    print("\n## Rule file")
+    row("customers", "bytes", "parse ms", "command ms")
+    for customers in CUSTOMER_COUNTS:
+        text = rule_text(customers)
+        started = time.process_time()
+        parse_rules(text)
+        parse_ms = (time.process_time() - started) * 1e3
+        started = time.process_time()
+        ControlState().apply(COMMANDS.encode(PutRules("a", 0, text)))
+        command_ms = (time.process_time() - started) * 1e3
+        row(customers, len(text), f"{parse_ms:.1f}", f"{command_ms:.2f}")
+
+
+def main() -> int:
+    """Measures everything; returns the exit code."""
+    measure_messages()
+    measure_rules()
+    measure_state()
+    measure_leases()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
