--- /dev/null
+++ b/features/replication_net.py
@@ -0,0 +1,326 @@
+"""Fake disks, clocks and network that drive replicas, and their invariants."""
+
+import heapq
+import itertools
+import random
+
+import attrs
+
+from knapweedarch.replica import (
+    Entry,
+    EntryKind,
+    HardState,
+    Member,
+    Output,
+    Replica,
+    ReplicaConfig,
+    Restored,
+    Snapshot,
+    initial_members_entry,
+)
+
+STEP_S = 0.025
+MAX_RATE_ERROR = 0.024
+
+
+class BrokenInvariantError(Exception):
+    """A promise of the replicated log does not hold."""
+
+
+@attrs.define
+class Disk:
+    """What a member has synced."""
+
+    identity: str
+    hard_state: HardState = attrs.Factory(HardState)
+    snapshot: Snapshot | None = None
+    entries: list[Entry] = attrs.Factory(list)
+
+    def restored(self) -> Restored:
+        """Returns what a restart finds."""
+        return Restored(
+            self.identity, self.hard_state, self.snapshot, tuple(self.entries)
+        )
+
+    def save(self, output: Output) -> None:
+        """Saves as a journal does."""
+        self.hard_state = output.hard_state or self.hard_state
+        snapshot = output.compacted or output.snapshot
+        if snapshot:
+            self.snapshot, self.entries = snapshot, list(output.tail)
+            return
+        if output.truncate_from is not None:
+            self.entries = [
+                e for e in self.entries if e.index < output.truncate_from
+            ]
+        self.entries += output.entries
+
+
+@attrs.define
+class Node:
+    """A member process, running or not."""
+
+    name: str
+    disk: Disk
+    rate: float = 1.0
+    replica: Replica | None = None
+    frozen_until: float = 0.0
+    state: list[bytes] = attrs.Factory(list)
+    applied: int = 0
+    inbox: list = attrs.Factory(list)
+    crash_before_save: bool = False
+
+    def clock(self, now: float) -> float:
+        """Returns the member's own clock."""
+        return now * self.rate + 100.0
+
+
+class Net:
+    """Members with a lossy network between them; checks after every step."""
+
+    def __init__(
+        self,
+        names: str = "abc",
+        seed: int = 0,
+        replica_class: type[Replica] = Replica,
+        save_before_send: bool = True,
+    ):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.loss = self.duplication = 0.0
+        self.delay = (0.001, 0.005)
+        self.cut: set[frozenset[str]] = set()
+        self.compact_each = 0
+        self.replica_class = replica_class
+        self.save_before_send = save_before_send
+        self.leaders: dict[int, str] = {}
+        self.committed: dict[int, Entry] = {}
+        self.elections = 0
+        self._flying: list = []
+        self._order = itertools.count()
+        self.nodes = {
+            name: Node(
+                name,
+                Disk(self._identity()),
+                1 + self.random.uniform(-MAX_RATE_ERROR, MAX_RATE_ERROR),
+            )
+            for name in names
+        }
+        entry = initial_members_entry(
+            tuple(self._member(n, True) for n in self.nodes.values())
+        )
+        for node in self.nodes.values():
+            node.disk.save(Output(HardState(1), entries=(entry,)))
+            self.start(node.name)
+
+    def _identity(self) -> str:
+        return f"{self.random.getrandbits(64):016x}"
+
+    def _member(self, node: Node, voter: bool) -> Member:
+        return Member(node.name, node.disk.identity, "127.0.0.1", 1, voter)
+
+    # Faults.
+
+    def start(self, name: str) -> None:
+        """Starts a member from its disk; links to the others open."""
+        node = self.nodes[name]
+        restored = node.disk.restored()
+        node.replica = self.replica_class(
+            ReplicaConfig(name, kept_entries=4),
+            restored,
+            self.random.getrandbits(32),
+        )
+        node.state, node.applied, node.inbox = [], 0, []
+        node.frozen_until, node.crash_before_save = 0.0, False
+        if restored.snapshot:
+            self._restore(node, restored.snapshot)
+        for other in self.nodes.values():
+            if other.replica and other is not node:
+                self._greet(node, other)
+                self._greet(other, node)
+
+    def _greet(self, told: Node, teller: Node) -> None:
+        told.replica.note_peer(
+            teller.name, teller.disk.identity, "127.0.0.1", 1
+        )
+
+    def crash(self, name: str) -> None:
+        """Ends a member at once; what is not synced is lost."""
+        self.nodes[name].replica = None
+
+    def lose_disk(self, name: str) -> None:
+        """Ends a member and gives it an empty disk."""
+        self.crash(name)
+        self.nodes[name].disk = Disk(self._identity())
+
+    def add(self, name: str) -> Member:
+        """Starts a blank member; returns it as a learner."""
+        self.nodes[name] = Node(name, Disk(self._identity()))
+        self.start(name)
+        return self._member(self.nodes[name], False)
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Stops a member without ending it; its input queues up."""
+        self.nodes[name].frozen_until = self.now + seconds
+
+    def isolate(self, name: str) -> None:
+        """Cuts a member off without an error at either end."""
+        self.cut |= {frozenset((name, n)) for n in self.nodes if n != name}
+
+    def heal(self) -> None:
+        """Ends all partitions."""
+        self.cut = set()
+
+    # Running.
+
+    def running(self) -> list[Node]:
+        """Lists the members that run and are not frozen."""
+        return [
+            n
+            for n in self.nodes.values()
+            if n.replica and n.frozen_until <= self.now
+        ]
+
+    def leader(self) -> Node | None:
+        """Returns the running member with the newest leadership."""
+        leading = [n for n in self.running() if n.replica.leader_since]
+        return max(leading, key=lambda n: n.replica.term, default=None)
+
+    def lease_holder(self) -> Node | None:
+        """Returns the member whose leader lease holds."""
+        return next((n for n in self.running() if self._leads(n)), None)
+
+    def _leads(self, node: Node) -> bool:
+        own_now = node.clock(self.now)
+        return node.replica.leads_until(own_now) > own_now
+
+    def propose(self, data: bytes) -> int | None:
+        """Proposes at the leader if there is one."""
+        node = self.leader()
+        if node is None:
+            return None
+        return node.replica.propose(data, node.clock(self.now))
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.step()
+
+    def run_until(self, condition, limit_s: float) -> float:
+        """Lets time pass until a condition holds; returns how long it took.
+
+        Raises:
+            AssertionError: The condition did not hold within the limit.
+        """
+        start = self.now
+        while not condition():
+            assert self.now - start < limit_s, f"not within {limit_s} s"
+            self.step()
+        return self.now - start
+
+    def step(self) -> None:
+        """Lets one step pass for every member and checks the invariants."""
+        self.now += STEP_S
+        while self._flying and self._flying[0][0] <= self.now:
+            _, _, sender, receiver, message = heapq.heappop(self._flying)
+            self.nodes[receiver].inbox.append((sender, message))
+        for node in self.running():
+            own_now = node.clock(self.now)
+            inbox, node.inbox = node.inbox, []
+            for sender, message in inbox:
+                node.replica.receive(sender, message, own_now)
+            node.replica.tick(own_now)
+            self._output(node)
+        for node in self.nodes.values():
+            if node.replica is None:
+                node.inbox = []
+        self._check_leaders()
+
+    def _output(self, node: Node) -> None:
+        output = node.replica.take_output()
+        if node.crash_before_save:
+            if not self.save_before_send:
+                self._send(node, output)
+            self.crash(node.name)
+            return
+        node.disk.save(output)
+        self._send(node, output)
+        if output.snapshot:
+            self._restore(node, output.snapshot)
+        for entry in output.committed:
+            self._apply(node, entry)
+        self._compact(node)
+
+    def _send(self, node: Node, output: Output) -> None:
+        for receiver, message in output.messages:
+            if receiver not in self.nodes:
+                continue
+            copies = 1 + (self.random.random() < self.duplication)
+            for _ in range(copies):
+                link = frozenset((node.name, receiver))
+                if link in self.cut or self.random.random() < self.loss:
+                    continue
+                due = self.now + self.random.uniform(*self.delay)
+                heapq.heappush(
+                    self._flying,
+                    (due, next(self._order), node.name, receiver, message),
+                )
+
+    def _compact(self, node: Node) -> None:
+        if (
+            self.compact_each
+            and node.replica.entries_since_snapshot >= self.compact_each
+            and node.applied > (getattr(node.disk.snapshot, "index", 0))
+        ):
+            data = b"\n".join(node.state)
+            own_now = node.clock(self.now)
+            node.replica.compact(node.applied, data, own_now)
+
+    def _restore(self, node: Node, snapshot: Snapshot) -> None:
+        node.state = snapshot.data.split(b"\n") if snapshot.data else []
+        node.applied = snapshot.index
+        expected = [
+            self.committed[i].data
+            for i in range(1, snapshot.index + 1)
+            if self.committed[i].kind is EntryKind.DATA
+        ]
+        if node.state != expected:
+            raise BrokenInvariantError("a snapshot differs from the log")
+
+    # Invariants.
+
+    def _apply(self, node: Node, entry: Entry) -> None:
+        if entry.index != node.applied + 1:
+            raise BrokenInvariantError(f"{entry.index} applied out of order")
+        node.applied = entry.index
+        known = self.committed.setdefault(entry.index, entry)
+        if known != entry:
+            raise BrokenInvariantError(f"committed {entry.index} changed")
+        if entry.kind is EntryKind.DATA:
+            node.state.append(entry.data)
+
+    def _check_leaders(self) -> None:
+        holders = []
+        for node in self.nodes.values():
+            replica = node.replica
+            if replica is None or replica.leader_since is None:
+                continue
+            known = self.leaders.get(replica.term)
+            if known is None:
+                self.leaders[replica.term] = replica.identity
+                self.elections += 1
+                self._check_complete(node)
+            elif known != replica.identity:
+                raise BrokenInvariantError(f"two leaders in {replica.term}")
+            if self._leads(node):
+                holders.append(node.name)
+        if len(holders) > 1:
+            raise BrokenInvariantError(f"two leader leases: {holders}")
+
+    def _check_complete(self, node: Node) -> None:
+        log = {e.index: e for e in node.disk.entries}
+        start = getattr(node.disk.snapshot, "index", 0)
+        for index, entry in self.committed.items():
+            if index > start and log.get(index) != entry:
+                raise BrokenInvariantError(f"new leader lacks {index}")
--- /dev/null
+++ b/knapweedarch/journal_files.py
@@ -0,0 +1,104 @@
+"""File operations of the journal; tests replace them to cause failures."""
+
+import fcntl
+import os
+import pathlib
+
+TEMPORARY = ".tmp"
+
+
+class Files:
+    """Files in one folder; every write is durable when the call returns."""
+
+    def __init__(self, folder: str | os.PathLike):
+        self.folder = pathlib.Path(folder)
+        self._log = -1
+        self._lock = -1
+
+    def lock(self) -> None:
+        """Creates the folder and keeps a second process out of it."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+        self._lock = os.open(self.folder / "lock", flags, 0o600)
+        fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+
+    def close(self) -> None:
+        """Closes the log and lets other processes use the folder."""
+        for descriptor in (self._log, self._lock):
+            if descriptor >= 0:
+                os.close(descriptor)
+        self._log = self._lock = -1
+
+    def names(self) -> set[str]:
+        """Lists the files."""
+        return set(os.listdir(self.folder))
+
+    def matching(self, prefix: str) -> list[str]:
+        """Lists the complete files whose names start with a prefix."""
+        return sorted(
+            name
+            for name in self.names()
+            if name.startswith(prefix) and not name.endswith(TEMPORARY)
+        )
+
+    def random_bytes(self, size: int) -> bytes:
+        """Returns random bytes for an identity."""
+        return os.urandom(size)
+
+    def read(self, name: str) -> bytes:
+        """Reads a whole file."""
+        return (self.folder / name).read_bytes()
+
+    def remove(self, name: str) -> None:
+        """Removes a file."""
+        os.unlink(self.folder / name)
+
+    def remove_temporary(self) -> None:
+        """Removes files that were not complete when a process ended."""
+        for name in self.names():
+            if name.endswith(TEMPORARY):
+                self.remove(name)
+
+    def write_new(self, name: str, data: bytes) -> None:
+        """Writes a file that exists whole or not at all after a crash."""
+        temporary = name + TEMPORARY
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+        descriptor = os.open(self.folder / temporary, flags, 0o600)
+        try:
+            self.write_all(descriptor, data)
+            self.sync(descriptor)
+        finally:
+            os.close(descriptor)
+        os.rename(self.folder / temporary, self.folder / name)
+        self.sync_folder()
+
+    def open_log(self, name: str) -> None:
+        """Opens a file for `append`."""
+        if self._log >= 0:
+            os.close(self._log)
+            self._log = -1
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC
+        self._log = os.open(self.folder / name, flags)
+
+    def append(self, data: bytes) -> None:
+        """Appends to the log and syncs it."""
+        self.write_all(self._log, data)
+        self.sync(self._log)
+
+    def write_all(self, descriptor: int, data: bytes) -> None:
+        """Writes all bytes; a disk may take only a part at a time."""
+        view = memoryview(data)
+        while view:
+            view = view[os.write(descriptor, view) :]
+
+    def sync(self, descriptor: int) -> None:
+        """Waits until the data of a file is on the disk."""
+        os.fdatasync(descriptor)
+
+    def sync_folder(self) -> None:
+        """Waits until the names in the folder are on the disk."""
+        descriptor = os.open(self.folder, os.O_RDONLY | os.O_CLOEXEC)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
--- /dev/null
+++ b/knapweedarch/replica_leadership.py
@@ -0,0 +1,251 @@
+"""What a replica holds only while it leads: peers, lease, promotions."""
+
+import math
+from collections.abc import Iterator
+
+import attrs
+
+from knapweedarch.replica_log import ReplicaLog
+from knapweedarch.replica_messages import (
+    AppendReply,
+    AppendRequest,
+    Member,
+    Message,
+    Snapshot,
+    SnapshotPart,
+    SnapshotReply,
+)
+
+HEARTBEAT_S = 0.1
+MIN_ELECTION_S = 0.6
+MAX_ELECTION_S = 1.2
+# A voter refuses votes for `MIN_ELECTION_S` after it heard the leader. The
+# leader counts 0.9 of that, which covers clocks that drift 5% apart.
+LEADER_LEASE_S = MIN_ELECTION_S * 0.9
+MAX_BATCH_BYTES = 1024 * 1024
+SNAPSHOT_PART_BYTES = 1024 * 1024
+MAX_BATCHES_IN_FLIGHT = 8
+PART_RESEND_S = 0.5
+
+
+@attrs.define
+class Peer:
+    """What the leader knows of another member.
+
+    Attributes:
+        member: The member.
+        next_index: First entry to send.
+        match_index: Last entry known to be in its synced log.
+        probing: Whether the place where the logs agree is still searched.
+        asked: Whether a probe is under way since the last heartbeat.
+        in_flight: Batches sent and not answered.
+        answered: Send time of the newest request that it answered.
+        heartbeat_due: Whether a heartbeat must be sent.
+        snapshot: Snapshot that is being sent; it stays the same until it is
+            installed, else frequent compaction would restart it for ever.
+        offset: Next byte of the snapshot to send.
+        part_sent_at: When the current part was sent.
+    """
+
+    member: Member
+    next_index: int
+    match_index: int = 0
+    probing: bool = True
+    asked: bool = False
+    in_flight: int = 0
+    answered: float = -math.inf
+    heartbeat_due: bool = True
+    snapshot: Snapshot | None = None
+    offset: int = 0
+    part_sent_at: float = -math.inf
+
+
+class Leadership:
+    """Leader's side of one term.
+
+    Attributes:
+        term: Term of the leader.
+        since: When the replica took office.
+        first_index: Index of the first entry of the term.
+    """
+
+    def __init__(self, identity: str, term: int, log: ReplicaLog, now: float):
+        self.term = term
+        self.since = now
+        self.first_index = log.last_index + 1
+        self._identity = identity
+        self._log = log
+        self._heartbeat_at = now
+        self._peers: dict[str, Peer] = {}
+        self.update_members()
+
+    def update_members(self) -> None:
+        """Follows the newest member list."""
+        others = [m for m in self._log.members if m.identity != self._identity]
+        known = self._peers
+        self._peers = {
+            m.identity: known.get(m.identity)
+            or Peer(m, self._log.last_index + 1)
+            for m in others
+        }
+        for member in others:
+            self._peers[member.identity].member = member
+
+    def peer(self, identity: str) -> Peer | None:
+        """Returns what is known of a member."""
+        return self._peers.get(identity)
+
+    def _majority(self, own: float, value) -> float:
+        """Returns the highest value that a majority of voters has reached."""
+        values = sorted(
+            (
+                own if m.identity == self._identity else value(m.identity)
+                for m in self._log.members
+                if m.voter
+            ),
+            reverse=True,
+        )
+        return values[len(values) // 2] if values else -math.inf
+
+    def answered_at(self, now: float) -> float:
+        """Returns the send time of the newest round a majority answered."""
+        return self._majority(now, lambda i: self._peers[i].answered)
+
+    def lease_end(self, now: float) -> float:
+        """Returns until when no other replica can be elected."""
+        return self.answered_at(now) + LEADER_LEASE_S
+
+    def quorum_lost(self, now: float) -> bool:
+        """Tells whether no majority answered for too long."""
+        answered = max(self.answered_at(now), self.since)
+        return now - answered >= MAX_ELECTION_S
+
+    def committable(self) -> int:
+        """Returns the last index that a majority of voters has synced.
+
+        Entries of an earlier term are never committed by counting: a majority
+        may hold one and a later leader may still replace it.
+        """
+        index = self._majority(
+            self._log.last_index, lambda i: self._peers[i].match_index
+        )
+        if index == -math.inf or self._log.term_at(index) != self.term:
+            return 0
+        return index
+
+    def tick(self, now: float) -> None:
+        """Marks heartbeats that are due."""
+        if now < self._heartbeat_at:
+            return
+        self._heartbeat_at = now + HEARTBEAT_S
+        for peer in self._peers.values():
+            peer.heartbeat_due = True
+            peer.asked = False
+
+    def requests(self, now: float) -> Iterator[tuple[str, Message]]:
+        """Yields what must be sent to the other members."""
+        for peer in self._peers.values():
+            if self._log.term_at(peer.next_index - 1) is None:
+                yield from self._snapshot_requests(peer, now)
+            elif peer.probing:
+                yield from self._probe(peer, now)
+            else:
+                yield from self._batches(peer, now)
+            peer.heartbeat_due = False
+
+    def _probe(self, peer: Peer, now: float):
+        if not peer.asked or peer.heartbeat_due:
+            peer.asked = True
+            yield self._append_request(peer, now, peer.next_index)
+
+    def _batches(self, peer: Peer, now: float):
+        sent = False
+        while (
+            peer.next_index <= self._log.last_index
+            and peer.in_flight < MAX_BATCHES_IN_FLIGHT
+        ):
+            _, request = self._append_request(peer, now, peer.next_index)
+            peer.next_index += len(request.entries)
+            peer.in_flight += 1
+            sent = True
+            yield peer.member.name, request
+        if peer.heartbeat_due and not sent:
+            yield self._append_request(peer, now, peer.next_index, False)
+
+    def _append_request(
+        self, peer: Peer, now: float, first: int, with_entries: bool = True
+    ) -> tuple[str, AppendRequest]:
+        entries = (
+            self._log.batch(first, MAX_BATCH_BYTES) if with_entries else ()
+        )
+        return peer.member.name, AppendRequest(
+            self._identity,
+            peer.member.identity,
+            self.term,
+            first - 1,
+            self._log.term_at(first - 1) or 0,
+            entries,
+            self._log.commit_index,
+            now,
+        )
+
+    def _snapshot_requests(self, peer: Peer, now: float):
+        if peer.heartbeat_due:
+            # The receiver lacks these entries and refuses, but it learns that
+            # the leader is alive.
+            yield self._append_request(
+                peer, now, self._log.last_index + 1, False
+            )
+        if peer.snapshot is None:
+            peer.snapshot, peer.offset = self._log.snapshot, 0
+            peer.part_sent_at = -math.inf
+        snapshot = peer.snapshot
+        if now - peer.part_sent_at < PART_RESEND_S:
+            return
+        peer.part_sent_at = now
+        part = snapshot.data[peer.offset :][:SNAPSHOT_PART_BYTES]
+        yield (
+            peer.member.name,
+            SnapshotPart(
+                self._identity,
+                peer.member.identity,
+                self.term,
+                snapshot.index,
+                snapshot.term,
+                snapshot.members,
+                peer.offset,
+                len(snapshot.data),
+                part,
+                now,
+            ),
+        )
+
+    def append_answered(self, reply: AppendReply) -> None:
+        """Notes the answer to an append request."""
+        peer = self._peers.get(reply.identity)
+        if peer is None:
+            return
+        peer.answered = max(peer.answered, reply.sent_at)
+        if reply.accepted:
+            peer.match_index = max(peer.match_index, reply.index)
+            peer.next_index = max(peer.next_index, peer.match_index + 1)
+            peer.probing = False
+            caught_up = peer.match_index + 1 >= peer.next_index
+            peer.in_flight = 0 if caught_up else max(peer.in_flight - 1, 0)
+        elif reply.index > peer.match_index:
+            peer.next_index = min(reply.index, self._log.last_index + 1)
+            peer.probing, peer.asked, peer.in_flight = True, False, 0
+
+    def part_answered(self, reply: SnapshotReply) -> None:
+        """Notes the answer to a part of a snapshot."""
+        peer = self._peers.get(reply.identity)
+        if peer is None:
+            return
+        peer.answered = max(peer.answered, reply.sent_at)
+        if reply.installed:
+            peer.match_index = max(peer.match_index, reply.index)
+            peer.next_index = max(peer.next_index, peer.match_index + 1)
+            peer.snapshot = None
+        elif peer.snapshot and reply.index == peer.snapshot.index:
+            peer.offset = reply.offset
+            peer.part_sent_at = -math.inf
--- /dev/null
+++ b/knapweedarch/replica_membership.py
@@ -0,0 +1,105 @@
+"""Rules of membership changes and the replacement of lost identities."""
+
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from knapweedarch.exceptions import MembershipError
+from knapweedarch.replica_messages import Member
+
+# A voter that answered this recently is alive: another process under its name
+# is then a fault of the settings and must not take its place.
+REPLACE_SILENCE_S = 2.0
+
+
+@attrs.frozen
+class PeerNote:
+    """Identity and address that a member told when its link opened."""
+
+    name: str
+    identity: str
+    host: str
+    port: int
+
+
+def check_change(
+    old: tuple[Member, ...],
+    new: tuple[Member, ...],
+    caught_up: Callable[[str], bool],
+) -> None:
+    """Checks that one voter differs at most, so that majorities overlap.
+
+    Raises:
+        MembershipError: The change is not allowed.
+    """
+    before = {m.identity for m in old if m.voter}
+    after = {m.identity for m in new if m.voter}
+    if not after:
+        raise MembershipError("a group needs a voter")
+    if len({m.identity for m in new}) < len(new):
+        raise MembershipError("an identity is listed twice")
+    voter_names = [m.name for m in new if m.voter]
+    if len(set(voter_names)) < len(voter_names):
+        raise MembershipError("two voters have the same name")
+    if len(before ^ after) > 1:
+        raise MembershipError("more than one voter differs")
+    learners = {m.identity for m in old if not m.voter}
+    for identity in after - before:
+        if identity not in learners or not caught_up(identity):
+            raise MembershipError(
+                f"{identity} is not a learner with all committed entries"
+            )
+
+
+def next_change(
+    members: tuple[Member, ...],
+    notes: Mapping[str, PeerNote],
+    own_identity: str,
+    caught_up: Callable[[str], bool],
+    silence: Callable[[str], float],
+) -> tuple[Member, ...] | None:
+    """Returns the next member list on the way to a complete group.
+
+    Args:
+        members: Current list.
+        notes: Newest identity told under each name.
+        own_identity: Identity of the leader.
+        caught_up: Whether an identity holds every committed entry.
+        silence: Seconds since an identity answered the leader.
+    """
+    for member in members:
+        if member.identity == own_identity:
+            continue
+        note = notes.get(member.name)
+        if member.voter:
+            change = _missing_learner(members, member, note, silence)
+        else:
+            change = _learner_step(members, member, note, caught_up)
+        if change is not None:
+            return change
+    return None
+
+
+def _missing_learner(members, voter, note, silence):
+    """Adds a learner for a voter that came back with another identity."""
+    if (
+        note is None
+        or any(m.identity == note.identity for m in members)
+        or any(m.name == voter.name and not m.voter for m in members)
+        or silence(voter.identity) < REPLACE_SILENCE_S
+    ):
+        return None
+    learner = Member(*attrs.astuple(note), voter=False)
+    return (*members, learner)
+
+
+def _learner_step(members, learner, note, caught_up):
+    """Drops a learner that was lost too, or brings one closer to voting."""
+    if note is not None and note.identity != learner.identity:
+        return tuple(m for m in members if m is not learner)
+    if not caught_up(learner.identity):
+        return None
+    others = tuple(m for m in members if m.name != learner.name)
+    if any(m.name == learner.name and m.voter for m in members):
+        return (*others, learner)
+    return (*others, attrs.evolve(learner, voter=True))
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -8,7 +8,8 @@
 CORE = (
     *("exceptions", "models", "codec", "rules", "replica", "state", "leases"),
     *("prefixes", "index", "placement", "admission", "retries"),
-    *("scheduler", "streams"),
+    *("scheduler", "streams", "replica_messages", "replica_log"),
+    *("replica_leadership", "replica_membership"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
