--- /dev/null
+++ b/knapweedarch/index.py
@@ -0,0 +1,249 @@
+"""Knowledge of what each runner has in its prefix cache.
+
+One table maps a block hash to a bit mask of runners. Its entries come from
+cache events. A second, small table holds what this router's own requests are
+expected to have stored and no event has confirmed yet; its entries expire.
+
+The hash of a block already covers customer, model and weights version. A
+runner owns its bit for one incarnation only: a new incarnation or a gap in
+the event numbers gives it a fresh bit, which drops all of its entries at
+once. The retired bit is cleared from the table in bounded steps and reused
+after that.
+"""
+
+import collections
+
+import attrs
+
+from knapweedarch import models
+
+# Time after which an own request's blocks count as absent unless an event or
+# an answer has confirmed them. Covers prefill and the lag of events.
+ASSUMED_S = 4.0
+
+# Table entries looked at per event while a retired bit is cleared. Bounds
+# the cost of an event.
+SWEEP_STEP = 64
+
+
+@attrs.define
+class Feed:
+    """State of the event feed of one runner.
+
+    Attributes:
+        incarnation: Incarnation that the entries belong to.
+        bit: Bit of the runner in the masks, as a power of two.
+        next_number: Number of the next event; None before the first one.
+        blocks: Number of blocks in the table.
+    """
+
+    incarnation: str
+    bit: int
+    next_number: int | None = None
+    blocks: int = 0
+
+
+class CacheIndex:
+    """Block hashes by runner, with chain look-up."""
+
+    def __init__(self, assumed_s: float = ASSUMED_S):
+        self._assumed_s = assumed_s
+        self._table: dict[int, int] = {}
+        self._assumed: dict[int, int] = {}
+        self._expiry: dict[tuple[int, int], float] = {}
+        self._expiry_queue: collections.deque[tuple[float, int, int]] = (
+            collections.deque()
+        )
+        self._feeds: dict[str, Feed] = {}
+        self._owner_of_bit: dict[int, str] = {}
+        self._live = 0
+        self._used = 0
+        self._retired = 0
+        self._sweep: list[int] = []
+        self._sweep_mask = 0
+        self._gaps: set[str] = set()
+
+    def __len__(self) -> int:
+        """Number of different blocks in the table."""
+        return len(self._table)
+
+    def set_endpoint(self, endpoint_id: str, incarnation: str) -> None:
+        """Adds a runner, or drops its entries if its incarnation is new."""
+        feed = self._feeds.get(endpoint_id)
+        if feed is None or feed.incarnation != incarnation:
+            self._open_feed(endpoint_id, incarnation)
+            self._gaps.add(endpoint_id)
+
+    def drop_endpoint(self, endpoint_id: str) -> None:
+        """Forgets a runner and its entries."""
+        feed = self._feeds.pop(endpoint_id, None)
+        self._gaps.discard(endpoint_id)
+        if feed is not None:
+            self._retire(feed.bit)
+
+    def apply(self, event: models.CacheEvent) -> bool:
+        """Applies a cache event.
+
+        Returns:
+            False if the event was ignored: unknown runner, other
+            incarnation, or a number seen before.
+        """
+        feed = self._feeds.get(event.endpoint_id)
+        if feed is None or feed.incarnation != event.incarnation:
+            return False
+        if feed.next_number is not None and event.number < feed.next_number:
+            return False
+        if feed.next_number is not None and event.number > feed.next_number:
+            feed = self._open_feed(event.endpoint_id, event.incarnation)
+            self._gaps.add(event.endpoint_id)
+        feed.next_number = event.number + 1
+        match event.change:
+            case models.CacheChange.STORED:
+                self._store(feed, event.blocks)
+            case models.CacheChange.EVICTED:
+                self._evict(feed, event.blocks)
+            case models.CacheChange.CLEARED:
+                self._clear(event)
+        if self._retired or self._sweep:
+            self._sweep_step()
+        return True
+
+    def take_gaps(self) -> set[str]:
+        """Returns and forgets the runners that need a snapshot.
+
+        These are new runners, new incarnations, and runners with a gap in
+        their events. A snapshot arrives in the numbered feed itself, as a
+        `CLEARED` event followed by `STORED` events.
+        """
+        gaps, self._gaps = self._gaps, set()
+        return gaps
+
+    def assume(
+        self, endpoint_id: str, blocks: tuple[int, ...], now: float
+    ) -> None:
+        """Notes that a runner has, or is about to have, these blocks."""
+        feed = self._feeds.get(endpoint_id)
+        if feed is None:
+            return
+        until = now + self._assumed_s
+        for block in blocks:
+            if self._table.get(block, 0) & feed.bit:
+                continue
+            self._assumed[block] = self._assumed.get(block, 0) | feed.bit
+            self._expiry[(block, feed.bit)] = until
+            self._expiry_queue.append((until, block, feed.bit))
+
+    def depths(self, blocks: tuple[int, ...], now: float) -> dict[str, int]:
+        """Finds how many leading blocks each runner has.
+
+        Returns:
+            Length of the cached prefix in blocks by runner; runners without
+            the first block are left out.
+        """
+        self._expire(now)
+        found: dict[str, int] = {}
+        table, assumed = self._table, self._assumed
+        held = self._live
+        for depth, block in enumerate(blocks):
+            still = held & (table.get(block, 0) | assumed.get(block, 0))
+            if still != held:
+                self._note(found, held & ~still, depth)
+                held = still
+                if not held:
+                    return found
+        self._note(found, held, len(blocks))
+        return found
+
+    def blocks_of(self, endpoint_id: str) -> int:
+        """Number of confirmed blocks of a runner."""
+        feed = self._feeds.get(endpoint_id)
+        return feed.blocks if feed else 0
+
+    def _note(self, found: dict[str, int], mask: int, depth: int) -> None:
+        while depth and mask:
+            bit = mask & -mask
+            found[self._owner_of_bit[bit]] = depth
+            mask ^= bit
+
+    def _open_feed(self, endpoint_id: str, incarnation: str) -> Feed:
+        old = self._feeds.get(endpoint_id)
+        if old is not None:
+            self._retire(old.bit)
+        bit = ~self._used & (self._used + 1)
+        self._used |= bit
+        self._live |= bit
+        self._owner_of_bit[bit] = endpoint_id
+        feed = self._feeds[endpoint_id] = Feed(incarnation, bit)
+        return feed
+
+    def _retire(self, bit: int) -> None:
+        self._live &= ~bit
+        self._retired |= bit
+
+    def _store(self, feed: Feed, blocks: tuple[int, ...]) -> None:
+        table, bit = self._table, feed.bit
+        for block in blocks:
+            mask = table.get(block, 0)
+            if not mask & bit:
+                table[block] = mask | bit
+                feed.blocks += 1
+
+    def _evict(self, feed: Feed, blocks: tuple[int, ...]) -> None:
+        table, bit = self._table, feed.bit
+        for block in blocks:
+            mask = table.get(block, 0)
+            if not mask & bit:
+                continue
+            feed.blocks -= 1
+            if mask == bit:
+                del table[block]
+            else:
+                table[block] = mask ^ bit
+
+    def _clear(self, event: models.CacheEvent) -> None:
+        feed = self._open_feed(event.endpoint_id, event.incarnation)
+        feed.next_number = event.number + 1
+
+    def _expire(self, now: float) -> None:
+        queue = self._expiry_queue
+        while queue and queue[0][0] <= now:
+            until, block, bit = queue.popleft()
+            if self._expiry.get((block, bit)) != until:
+                continue
+            del self._expiry[(block, bit)]
+            mask = self._assumed.get(block, 0) & ~bit
+            if mask:
+                self._assumed[block] = mask
+            else:
+                self._assumed.pop(block, None)
+
+    def _sweep_step(self) -> None:
+        """Clears retired bits from a bounded number of table entries."""
+        if not self._sweep:
+            self._sweep_mask, self._retired = self._retired, 0
+            self._sweep = list(self._table)
+        keep = ~self._sweep_mask
+        for _ in range(min(SWEEP_STEP, len(self._sweep))):
+            block = self._sweep.pop()
+            mask = self._table.get(block, 0)
+            if mask & self._sweep_mask:
+                mask &= keep
+                if mask:
+                    self._table[block] = mask
+                else:
+                    del self._table[block]
+        if not self._sweep:
+            self._free_bits(self._sweep_mask)
+            self._sweep_mask = 0
+
+    def _free_bits(self, mask: int) -> None:
+        """Makes swept bits available, unless an assumption still uses one."""
+        for _, bit in self._expiry:
+            if mask & bit:
+                self._retired |= bit
+                mask &= ~bit
+        self._used &= ~mask
+        while mask:
+            bit = mask & -mask
+            del self._owner_of_bit[bit]
+            mask ^= bit
