--- /dev/null
+++ b/knapweedarch/events.py
@@ -0,0 +1,108 @@
+"""Registry of numbered log events; `docs/EVENTS.md` is generated from it.
+
+The hundreds group the events: 1xx process, 2xx member and replication, 3xx
+router lease and control, 4xx endpoints, 5xx requests, 6xx links and
+credentials, 7xx operators' orders. A number is never used again for another
+event, since operators filter their logs by number.
+"""
+
+import enum
+
+import attrs
+
+
+class Level(enum.IntEnum):
+    """Severity; the values are those of the standard library's levels."""
+
+    DEBUG = 10
+    INFO = 20
+    WARNING = 30
+    ERROR = 40
+
+
+@attrs.frozen
+class Event:
+    """A kind of log line.
+
+    Attributes:
+        number: Number in the catalogue.
+        name: Name by which code logs the event.
+        level: Severity.
+        text: What happened, as a whole sentence for people.
+    """
+
+    number: int
+    name: str
+    level: Level
+    text: str
+
+
+GROUPS = {
+    1: "Process",
+    2: "Member and replication",
+    3: "Router lease and control",
+    4: "Endpoints",
+    5: "Requests",
+    6: "Links and credentials",
+    7: "Operators' orders",
+}
+
+_D, _I, _W, _E = Level.DEBUG, Level.INFO, Level.WARNING, Level.ERROR
+
+ALL_EVENTS = (
+    Event(101, "started", _I, "The process serves on its port."),
+    Event(102, "stopped", _I, "The process ended in order."),
+    Event(103, "drain_started", _I, "A graceful shutdown began."),
+    Event(104, "drain_ended", _I, "A graceful shutdown ended."),
+    Event(105, "failed", _E, "The process ends because of an error."),
+    Event(201, "leader_started", _I, "This member became the leader."),
+    Event(202, "leader_stopped", _W, "This member is no longer the leader."),
+    Event(203, "journal_failed", _E, "The journal failed; the process ends."),
+    Event(204, "group_formed", _I, "The first group of members was formed."),
+    Event(205, "peer_message_refused", _W, "A member's message is malformed."),
+    Event(206, "journal_truncated", _W, "A torn end of the log was cut off."),
+    Event(207, "snapshot_saved", _I, "The state was saved as a snapshot."),
+    Event(208, "learner_added", _I, "A member with a new disk is a learner."),
+    Event(209, "member_replaced", _I, "A lost identity was replaced."),
+    Event(301, "lease_granted", _I, "The router holds a lease again."),
+    Event(302, "lease_expired", _W, "The lease ended; no new work starts."),
+    Event(303, "lease_renewal_failed", _W, "A renewal got no grant."),
+    Event(304, "rules_applied", _I, "A version of the rules is in use."),
+    Event(305, "rules_unreadable", _E, "The accepted rules do not parse here."),
+    Event(401, "endpoint_announced", _I, "An endpoint announced a change."),
+    Event(402, "endpoint_leaving", _I, "An endpoint gets no new work."),
+    Event(403, "endpoint_ejected", _W, "An endpoint is ejected for a while."),
+    Event(404, "endpoint_returned", _I, "An ejected endpoint gets work again."),
+    Event(405, "feed_opened", _I, "The feed of a runner is followed."),
+    Event(406, "feed_lost", _W, "The feed of a runner broke."),
+    Event(407, "feed_gap", _W, "Events are missing from a runner's feed."),
+    Event(408, "endpoint_refused", _W, "An announcement was refused."),
+    Event(501, "request_refused", _D, "A request was refused."),
+    Event(502, "attempt_failed", _W, "An attempt at an endpoint failed."),
+    Event(503, "stream_resumed", _I, "A stream continues on another runner."),
+    Event(504, "stream_failed", _W, "A stream ended without its end mark."),
+    Event(505, "answer_crossed", _W, "An answer for another call was dropped."),
+    Event(506, "request_failed", _E, "A request failed by a fault in here."),
+    Event(507, "outcome_unknown", _W, "It is unknown whether a call was run."),
+    Event(601, "link_refused", _W, "A peer holds another credential."),
+    Event(602, "link_silent", _W, "A link was closed because it was silent."),
+    Event(701, "rules_accepted", _I, "A rule file was accepted."),
+    Event(702, "rules_conflict", _W, "A rule file has an old base version."),
+    Event(703, "endpoint_retired", _I, "An operator retired an endpoint."),
+    Event(704, "endpoint_restored", _I, "An operator announced an endpoint."),
+)
+
+
+def _index(events: tuple[Event, ...]) -> dict[str, Event]:
+    """Indexes events by name; refuses duplicates and unknown groups."""
+    if len({event.number for event in events}) != len(events):
+        raise ValueError("two events have one number")
+    by_name = {event.name: event for event in events}
+    if len(by_name) != len(events):
+        raise ValueError("two events have one name")
+    if any(event.number // 100 not in GROUPS for event in events):
+        raise ValueError("an event is in no group")
+    return by_name
+
+
+EVENTS = _index(ALL_EVENTS)
--- /dev/null
+++ b/knapweedarch/rules.py
@@ -0,0 +1,333 @@
+"""Rule files: parse, check, compare and format.
+
+A rule file holds one rule a line: a kind, a name, fields `key=value`, and a
+comment that tells who asked for the rule. Names are unique per kind. Blank
+lines and full-line comments are allowed.
+"""
+
+import enum
+import re
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from knapweedarch.exceptions import RuleError
+from knapweedarch.models import Rules
+from knapweedarch.rule_kinds import (
+    KINDS,
+    InvalidValueError,
+    Kind,
+    Rule,
+    read_name,
+    shorten,
+)
+
+MAX_FILE_BYTES = 2 * 1024 * 1024
+MAX_LINES = 20_000
+MAX_LINE_CHARACTERS = 4_096
+
+_ASKED = re.compile(r"#[ \t]*asked by[ \t]+(.+)")
+_TOKEN = re.compile(r"[^ \t]+")
+
+
+@attrs.frozen(order=True)
+class _Fault:
+    line: int
+    column: int
+    reason: str
+
+
+@attrs.frozen
+class _Token:
+    text: str
+    column: int
+
+
+@attrs.frozen
+class _ModelUse:
+    """A customer's mention of a model, checked once all models are known."""
+
+    model: str
+    line: int
+    column: int
+
+
+class _Parser:
+    """Parses one file and collects all its faults."""
+
+    def __init__(self):
+        self.faults: list[_Fault] = []
+        self._rules: dict[str, list[Rule]] = {kind: [] for kind in KINDS}
+        # Names and keys of faulty rules are noted as well, so that one fault
+        # does not cause others on other lines.
+        self._names: dict[tuple[str, str], int] = {}
+        self._digests: dict[str, int] = {}
+        self._uses: list[_ModelUse] = []
+
+    def fault(self, line: int, column: int, reason: str) -> None:
+        """Notes a fault; columns count characters from 1."""
+        self.faults.append(_Fault(line, column, reason))
+
+    def parse(self, text: str) -> Rules:
+        """Parses the whole text; faults are left in `faults`."""
+        for number, line in enumerate(_lines(text), 1):
+            if self._has_rule(number, line):
+                self._parse_line(number, line)
+        for use in self._uses:
+            if ("model", use.model) not in self._names:
+                reason = f"model {use.model!r} has no rule in this file"
+                self.fault(use.line, use.column, reason)
+        return Rules(*(tuple(self._rules[kind]) for kind in KINDS))
+
+    def _has_rule(self, number: int, line: str) -> bool:
+        """Tells whether the line holds a rule, and refuses unreadable ones."""
+        limit = MAX_LINE_CHARACTERS
+        if len(line) > limit:
+            self.fault(number, limit + 1, f"more than {limit} characters")
+            return False
+        printable = line.replace("\t", " ")
+        if not printable.isprintable():
+            column = next(
+                i for i, c in enumerate(printable, 1) if not c.isprintable()
+            )
+            code = f"U+{ord(line[column - 1]):04X}"
+            self.fault(number, column, f"character {code} is not allowed")
+            return False
+        content = line.strip(" \t")
+        return bool(content) and not content.startswith("#")
+
+    def _parse_line(self, number: int, line: str) -> None:
+        body = line.partition("#")[0]
+        asked_by = self._read_comment(number, line, len(body))
+        tokens = [
+            _Token(m.group(), m.start() + 1) for m in _TOKEN.finditer(body)
+        ]
+        kind = KINDS.get(tokens[0].text)
+        if kind is None:
+            known = ", ".join(KINDS)
+            reason = f"unknown kind {shorten(tokens[0].text)}; known: {known}"
+            self.fault(number, tokens[0].column, reason)
+            return
+        self._parse_rule(number, tokens, kind, asked_by)
+
+    def _read_comment(self, number: int, line: str, start: int) -> str:
+        found = _ASKED.fullmatch(line[start:])
+        name = found[1].partition(":")[0].strip(" \t") if found else ""
+        if name:
+            return name
+        column = min(start, len(line.rstrip(" \t"))) + 1
+        self.fault(number, column, "'# asked by NAME' is missing")
+        return ""
+
+    def _parse_rule(
+        self, number: int, tokens: list[_Token], kind: Kind, asked_by: str
+    ) -> None:
+        first = tokens[0]
+        if len(tokens) < 2 or "=" in tokens[1].text:
+            column = first.column + len(first.text)
+            self.fault(number, column, f"the {first.text} has no name")
+            return
+        before = len(self.faults)
+        name = self._convert(number, tokens[1], tokens[1].text, read_name)
+        self._note_name(number, first.text, tokens[1])
+        values = self._read_fields(number, tokens[2:], kind)
+        for key, field in kind.fields.items():
+            if field.required and not any(
+                token.text.partition("=")[0] == key for token in tokens[2:]
+            ):
+                self.fault(number, first.column, f"field {key!r} is missing")
+        if len(self.faults) == before:
+            rule = kind.create(name=name, asked_by=asked_by, **values)
+            self._rules[first.text].append(rule)
+
+    def _note_name(self, number: int, kind: str, token: _Token) -> None:
+        line = self._names.setdefault((kind, token.text), number)
+        if line != number:
+            reason = f"{kind} {token.text!r} already has a rule in line {line}"
+            self.fault(number, token.column, reason)
+
+    def _read_fields(
+        self, number: int, tokens: list[_Token], kind: Kind
+    ) -> dict[str, object]:
+        values: dict[str, object] = {}
+        for token in tokens:
+            key, equals, text = token.text.partition("=")
+            field = kind.fields.get(key)
+            reason = ""
+            if field is None:
+                known = ", ".join(kind.fields)
+                reason = f"unknown field {shorten(key)}; known: {known}"
+            elif not equals:
+                reason = f"field {key!r} has no value"
+            elif field.attribute in values:
+                reason = f"field {key!r} is given twice"
+            if reason:
+                self.fault(number, token.column, reason)
+                continue
+            place = _Token(text, token.column + len(key) + 1)
+            value = self._convert(number, place, text, field.read)
+            values[field.attribute] = value
+            if value is not None:
+                self._note_value(number, place, key, value)
+        return values
+
+    def _convert(
+        self,
+        number: int,
+        token: _Token,
+        text: str,
+        read: Callable[[str], object],
+    ) -> object | None:
+        try:
+            return read(text)
+        except InvalidValueError as exc:
+            self.fault(number, token.column + exc.offset, exc.reason)
+            return None
+
+    def _note_value(
+        self, number: int, token: _Token, key: str, value: object
+    ) -> None:
+        if key == "key":
+            line = self._digests.setdefault(value, number)
+            if line != number:
+                reason = f"the customer in line {line} has the same key"
+                self.fault(number, token.column, reason)
+        if key == "models":
+            column = token.column
+            for model in value:
+                self._uses.append(_ModelUse(model, number, column))
+                column += len(model) + 1
+
+
+def _lines(text: str) -> list[str]:
+    # str.splitlines would also break at form feeds and Unicode separators,
+    # and line numbers would then differ from those in editors.
+    return [line.removesuffix("\r") for line in text.split("\n")]
+
+
+def parse_rules(text: str, name: str = "rules") -> Rules:
+    """Parses and checks a rule file.
+
+    Args:
+        text: Content of the file.
+        name: Name of the file in messages.
+
+    Raises:
+        RuleError: With every fault as `file:line:column: reason`; lines and
+            columns count from 1, columns in characters.
+    """
+    size = len(text.encode("utf-8", "surrogatepass"))
+    if size > MAX_FILE_BYTES:
+        reason = f"{size} bytes are more than {MAX_FILE_BYTES}"
+        raise RuleError([f"{name}:1:1: {reason}"])
+    # A line break at the end does not begin another line.
+    if text.removesuffix("\n").count("\n") >= MAX_LINES:
+        reason = f"more than {MAX_LINES} lines"
+        raise RuleError([f"{name}:{MAX_LINES + 1}:1: {reason}"])
+    parser = _Parser()
+    rules = parser.parse(text)
+    if parser.faults:
+        raise RuleError(
+            [
+                f"{name}:{fault.line}:{fault.column}: {fault.reason}"
+                for fault in sorted(parser.faults)
+            ]
+        )
+    return rules
+
+
+class ChangeKind(str, enum.Enum):
+    """What happened to a rule."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@attrs.frozen
+class FieldChange:
+    """A field whose value differs; an empty text means the default."""
+
+    field: str
+    old: str
+    new: str
+
+
+@attrs.frozen
+class RuleChange:
+    """A difference between two rule files.
+
+    Attributes:
+        change: What happened.
+        kind: Kind of the rule.
+        name: Name of the rule.
+        fields: Fields that differ; all that are set when added or removed.
+    """
+
+    change: ChangeKind
+    kind: str
+    name: str
+    fields: tuple[FieldChange, ...]
+
+
+def diff_rules(old: Rules, new: Rules) -> tuple[RuleChange, ...]:
+    """Lists what differs, by kind and name; order in the files is ignored."""
+    before, after = _by_name(old), _by_name(new)
+    order = list(KINDS)
+    names = sorted(
+        before.keys() | after.keys(), key=lambda k: (order.index(k[0]), k[1])
+    )
+    changes = (_compare(*key, before.get(key), after.get(key)) for key in names)
+    return tuple(change for change in changes if change is not None)
+
+
+def _by_name(rules: Rules) -> dict[tuple[str, str], Rule]:
+    groups = (rules.customers, rules.models, rules.services)
+    return {
+        (kind, rule.name): rule
+        for kind, group in zip(KINDS, groups, strict=True)
+        for rule in group
+    }
+
+
+def _compare(
+    kind: str, name: str, old: Rule | None, new: Rule | None
+) -> RuleChange | None:
+    before, after = _texts(kind, old), _texts(kind, new)
+    fields = tuple(
+        FieldChange(key, before.get(key, ""), after.get(key, ""))
+        for key in (*KINDS[kind].fields, "asked by")
+        if before.get(key) != after.get(key)
+    )
+    if old is None or new is None:
+        change = ChangeKind.ADDED if old is None else ChangeKind.REMOVED
+        return RuleChange(change, kind, name, fields)
+    return (
+        RuleChange(ChangeKind.CHANGED, kind, name, fields) if fields else None
+    )
+
+
+def _texts(kind: str, rule: Rule | None) -> dict[str, str]:
+    """Returns the fields of a rule that differ from their defaults."""
+    if rule is None:
+        return {}
+    defaults = {a.name: a.default for a in attrs.fields(type(rule))}
+    found = {
+        key: field.write(getattr(rule, field.attribute))
+        for key, field in KINDS[kind].fields.items()
+        if getattr(rule, field.attribute) != defaults[field.attribute]
+    }
+    return {**found, "asked by": rule.asked_by}
+
+
+def format_rules(rules: Rules) -> str:
+    """Formats rules as a file that parses to the same rules."""
+    return "".join(f"{line}\n" for line in _format_lines(rules))
+
+
+def _format_lines(rules: Rules) -> Iterator[str]:
+    for (kind, name), rule in _by_name(rules).items():
+        texts = _texts(kind, rule)
+        asked_by = texts.pop("asked by")
+        fields = (f"{key}={value}" for key, value in texts.items())
+        yield f"{' '.join((kind, name, *fields))}  # asked by {asked_by}"
--- /dev/null
+++ b/knapweedarch/settings.py
@@ -0,0 +1,306 @@
+"""Settings files: JSON with comments, checked as a whole.
+
+Every fault of a file is reported at once, each with the path of the setting,
+the value seen and what is allowed. Unknown keys are refused, since a misspelt
+optional key would otherwise be ignored without a word.
+"""
+
+import ipaddress
+import pathlib
+import re
+
+import attrs
+import json5
+
+from knapweedarch.exceptions import SettingsError
+from knapweedarch.logs import LEVELS
+from knapweedarch.settings_reader import Section, shorten
+
+MIN_CREDENTIAL_CHARACTERS = 16
+MAX_CREDENTIAL_CHARACTERS = 1024
+MAX_FILE_BYTES = 1024 * 1024
+GROUP_SIZES = (1, 3, 5)
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,63}")
+NAME_ALLOWED = "1 to 64 of A-Z a-z 0-9 _ -, starting with a letter or digit"
+
+
+@attrs.frozen
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+
+@attrs.frozen
+class MemberAddress:
+    """Where a member listens."""
+
+    name: str
+    host: str
+    port: int
+
+
+@attrs.frozen(kw_only=True)
+class MemberSettings:
+    """Settings of a control member.
+
+    Attributes:
+        role: Always `member`.
+        name: Name of this member; one of `members`.
+        data_centre: Data centre of the instance.
+        credential: Secret shared by the system's own processes and operators.
+        members: All members of the group.
+        statsd: Where metrics go; None keeps them in process.
+        log_level: Lowest level that is logged.
+        listen: Address on which the member accepts links.
+        data_folder: Folder of the journal.
+        snapshot_every: Log entries between two snapshots.
+    """
+
+    role: str = "member"
+    name: str
+    data_centre: str
+    credential: str = attrs.field(repr=False)
+    members: tuple[MemberAddress, ...]
+    statsd: Address | None = None
+    log_level: str = "info"
+    listen: Address
+    data_folder: pathlib.Path
+    snapshot_every: int = 10_000
+
+
+@attrs.frozen(kw_only=True)
+class RouterSettings:
+    """Settings of a router.
+
+    Attributes:
+        role: Always `router`.
+        name: Name of this router.
+        data_centre: Data centre of the instance.
+        credential: Secret shared by the system's own processes and operators.
+        members: All members of the group.
+        statsd: Where metrics go; None keeps them in process.
+        log_level: Lowest level that is logged.
+        listen: Address on which callers and endpoints connect by HTTP.
+        endpoint_credential: Secret that endpoints show in announcements.
+        distances_ms: One-way delay to each data centre in milliseconds.
+        drain_s: Longest graceful shutdown in seconds.
+        max_body_bytes: Largest request body.
+        max_streams: Most requests in progress at once.
+        queue_limit: Most requests that wait for an endpoint.
+    """
+
+    role: str = "router"
+    name: str
+    data_centre: str
+    credential: str = attrs.field(repr=False)
+    members: tuple[MemberAddress, ...]
+    statsd: Address | None = None
+    log_level: str = "info"
+    listen: Address
+    endpoint_credential: str = attrs.field(repr=False)
+    distances_ms: dict[str, float] = attrs.field(factory=dict)
+    drain_s: float = 120.0
+    max_body_bytes: int = 8 * 1024 * 1024
+    max_streams: int = 2_000
+    queue_limit: int = 1_000
+
+
+@attrs.frozen(kw_only=True)
+class ToolSettings:
+    """Settings of the command-line tool.
+
+    Attributes:
+        role: Always `tool`.
+        credential: Secret shared by the system's own processes and operators.
+        members: All members of the group.
+    """
+
+    role: str = "tool"
+    credential: str = attrs.field(repr=False)
+    members: tuple[MemberAddress, ...]
+
+
+Settings = MemberSettings | RouterSettings | ToolSettings
+
+
+def _is_ip(value: object) -> bool:
+    try:
+        ipaddress.ip_address(value if isinstance(value, str) else "")
+    except ValueError:
+        return False
+    return True
+
+
+def _address(section: Section | None, lowest_port: int) -> Address | None:
+    if section is None:
+        return None
+    host = section.get("host", "an IP number", _is_ip)
+    port = section.integer("port", lowest_port, 65535)
+    section.finish()
+    return Address(host, port)
+
+
+def _members(top: Section) -> tuple[MemberAddress, ...]:
+    sizes = " or ".join(map(str, GROUP_SIZES))
+    allowed = f"a list of {sizes} objects with name, host and port"
+    found = []
+    sections = top.sections("members", allowed)
+    if sections and len(sections) not in GROUP_SIZES:
+        top.fault("members", f"{len(sections)} objects", allowed)
+    for section in sections:
+        name = section.text("name", NAME, NAME_ALLOWED)
+        address = _address(section, 1)
+        found.append(MemberAddress(name, address.host, address.port))
+    _check_distinct(top, found)
+    return tuple(found)
+
+
+def _check_distinct(top: Section, found: list[MemberAddress]) -> None:
+    names = [m.name for m in found if m.name]
+    places = [(m.host, m.port) for m in found if m.host and m.port]
+    for label, values in (("name", names), ("host and port", places)):
+        if len(set(values)) != len(values):
+            top.fault("members", f"two with one {label}", "no duplicates")
+
+
+def _credential(top: Section, key: str, folder: pathlib.Path) -> str | None:
+    """Reads a secret given in place or as the name of a file."""
+    low, high = MIN_CREDENTIAL_CHARACTERS, MAX_CREDENTIAL_CHARACTERS
+    allowed = f"{low} to {high} characters without spaces"
+    pattern = re.compile(rf"[!-~]{{{low},{high}}}")
+    file_key = f"{key}_file"
+    if not top.has(file_key):
+        return top.text(key, pattern, allowed, secret=True)
+    name = top.text(file_key, re.compile(".+"), "the name of a file")
+    if top.has(key):
+        top.fault(key, f"given together with {file_key}", "one of the two")
+        top.get(key, allowed, lambda v: True)
+    try:
+        value = (folder / (name or "")).read_text("utf-8").strip()
+    except (OSError, UnicodeDecodeError) as exc:
+        reason = getattr(exc, "strerror", None) or "not UTF-8 text"
+        top.fault(file_key, f"{shorten(name)} ({reason})", "a readable file")
+        return None
+    if not pattern.fullmatch(value):
+        top.fault(file_key, f"content of {shorten(name)}", allowed)
+    return value
+
+
+def _common(top: Section, folder: pathlib.Path) -> dict[str, object]:
+    return {
+        "name": top.text("name", NAME, NAME_ALLOWED),
+        "data_centre": top.text("data_centre", NAME, NAME_ALLOWED),
+        "credential": _credential(top, "credential", folder),
+        "members": _members(top),
+        "statsd": _address(top.section("statsd", default=None), 1),
+        "log_level": top.get(
+            "log_level",
+            ", ".join(LEVELS),
+            lambda v: isinstance(v, str) and v in LEVELS,
+            default="info",
+        ),
+        "listen": _address(top.section("listen"), 0),
+    }
+
+
+def _read_member(top: Section, folder: pathlib.Path) -> MemberSettings:
+    common = _common(top, folder)
+    names = [m.name for m in common["members"]]
+    if names and common["name"] and common["name"] not in names:
+        top.fault("name", repr(common["name"]), f"one of members: {names}")
+    data_folder = top.text("data_folder", re.compile(".+"), "a folder name")
+    return MemberSettings(
+        **common,
+        data_folder=folder / (data_folder or ""),
+        snapshot_every=top.integer(
+            "snapshot_every", 100, 10_000_000, default=10_000
+        ),
+    )
+
+
+def _distances(top: Section) -> dict[str, float]:
+    section = top.section("distances_ms", default=None)
+    if section is None:
+        return {}
+    found = {}
+    for key in section.names():
+        if NAME.fullmatch(key):
+            found[key] = section.number(key, 0, 10_000)
+        else:
+            section.get(key, "", lambda v: True)
+            section.fault(key, "a data centre's name", NAME_ALLOWED)
+    return found
+
+
+def _read_router(top: Section, folder: pathlib.Path) -> RouterSettings:
+    common = _common(top, folder)
+    endpoint_credential = _credential(top, "endpoint_credential", folder)
+    if endpoint_credential and endpoint_credential == common["credential"]:
+        # Endpoints could otherwise act as members or operators.
+        top.fault("endpoint_credential", "a copy of credential", "another one")
+    return RouterSettings(
+        **common,
+        endpoint_credential=endpoint_credential,
+        distances_ms=_distances(top),
+        drain_s=top.number("drain_s", 0, 3600, default=120.0),
+        max_body_bytes=top.integer(
+            "max_body_bytes", 1024, 64 * 1024 * 1024, default=8 * 1024 * 1024
+        ),
+        max_streams=top.integer("max_streams", 1, 100_000, default=2_000),
+        queue_limit=top.integer("queue_limit", 0, 100_000, default=1_000),
+    )
+
+
+def _read_tool(top: Section, folder: pathlib.Path) -> ToolSettings:
+    return ToolSettings(
+        credential=_credential(top, "credential", folder),
+        members=_members(top),
+    )
+
+
+_READERS = {
+    "member": _read_member,
+    "router": _read_router,
+    "tool": _read_tool,
+}
+
+
+def load_settings(path: str | pathlib.Path) -> Settings:
+    """Loads and checks a settings file.
+
+    File names in it are relative to the folder of the settings file.
+
+    Raises:
+        SettingsError: With every fault of the file.
+    """
+    path = pathlib.Path(path)
+    values = _read_object(path)
+    faults: list[str] = []
+    top = Section(values, "", faults)
+    role = top.get("role", ", ".join(_READERS), lambda v: v in _READERS)
+    if role is None:
+        raise SettingsError([f"{path}: {fault}" for fault in faults])
+    settings = _READERS[role](top, path.parent)
+    top.finish()
+    if faults:
+        raise SettingsError([f"{path}: {fault}" for fault in faults])
+    return settings
+
+
+def _read_object(path: pathlib.Path) -> dict:
+    try:
+        data = path.read_bytes()
+        if len(data) > MAX_FILE_BYTES:
+            raise SettingsError(
+                [f"{path}: {len(data)} bytes; allowed: {MAX_FILE_BYTES}"]
+            )
+        values = json5.loads(data.decode(), allow_duplicate_keys=False)
+    except OSError as exc:
+        raise SettingsError([f"{path}: {exc.strerror}"]) from exc
+    except ValueError as exc:
+        raise SettingsError([f"{path}: {exc}"]) from exc
+    if not isinstance(values, dict):
+        raise SettingsError([f"{path}: not an object"])
+    return values
--- /dev/null
+++ b/knapweedarch/settings_reader.py
@@ -0,0 +1,124 @@
+"""Reads checked values from parsed settings and collects every fault."""
+
+import math
+import re
+from collections.abc import Callable
+
+_REQUIRED = object()
+_MAX_SHOWN = 60
+
+
+class Section:
+    """One object of a settings file; collects the faults found in it."""
+
+    def __init__(self, values: dict, path: str, faults: list[str]):
+        self._values = values
+        self._path = path
+        self._faults = faults
+        self._known: set[str] = set()
+
+    def has(self, key: str) -> bool:
+        """Tells whether the object has a key."""
+        return key in self._values
+
+    def names(self) -> list[str]:
+        """Returns the keys of the object."""
+        return list(self._values)
+
+    def fault(self, key: str, seen: str, allowed: str) -> None:
+        """Notes a fault of a value."""
+        self._faults.append(f"{self._join(key)}: {seen}; allowed: {allowed}")
+
+    def get(
+        self,
+        key: str,
+        allowed: str,
+        accepts: Callable[[object], bool],
+        default: object = _REQUIRED,
+        secret: bool = False,
+    ):
+        """Returns a checked value; notes a fault and returns None if wrong."""
+        self._known.add(key)
+        if key not in self._values:
+            if default is not _REQUIRED:
+                return default
+            self.fault(key, "missing", allowed)
+            return None
+        value = self._values[key]
+        if accepts(value):
+            return value
+        seen = "a value not shown" if secret else shorten(value)
+        self.fault(key, seen, allowed)
+        return None
+
+    def text(self, key: str, pattern: re.Pattern, allowed: str, **options):
+        """Returns a text that matches a pattern."""
+        return self.get(
+            key,
+            allowed,
+            lambda v: isinstance(v, str) and bool(pattern.fullmatch(v)),
+            **options,
+        )
+
+    def integer(self, key: str, low: int, high: int, **options):
+        """Returns a whole number within bounds."""
+        return self.get(
+            key,
+            f"a whole number from {low} to {high}",
+            lambda v: type(v) is int and low <= v <= high,
+            **options,
+        )
+
+    def number(self, key: str, low: float, high: float, **options):
+        """Returns a finite number within bounds."""
+        return self.get(
+            key,
+            f"a number from {low:g} to {high:g}",
+            lambda v: _is_number(v) and low <= v <= high,
+            **options,
+        )
+
+    def section(self, key: str, **options) -> "Section | None":
+        """Returns an object, or None if it is missing or wrong."""
+        value = self.get(
+            key, "an object", lambda v: isinstance(v, dict), **options
+        )
+        if value is None:
+            return None
+        return Section(value, self._join(key), self._faults)
+
+    def sections(self, key: str, allowed: str) -> "list[Section]":
+        """Returns the objects of a list."""
+        values = self.get(
+            key,
+            allowed,
+            lambda v: (
+                isinstance(v, list)
+                and all(isinstance(item, dict) for item in v)
+            ),
+        )
+        return [
+            Section(item, f"{self._join(key)}[{i}]", self._faults)
+            for i, item in enumerate(values or [])
+        ]
+
+    def finish(self) -> None:
+        """Notes a fault for each key that no reader asked for."""
+        allowed = ", ".join(sorted(self._known))
+        for key in sorted(set(self._values) - self._known):
+            self.fault(key, "unknown key", allowed)
+
+    def _join(self, key: str) -> str:
+        return f"{self._path}.{key}" if self._path else key
+
+
+def _is_number(value: object) -> bool:
+    return type(value) in (int, float) and math.isfinite(value)
+
+
+def shorten(value: object) -> str:
+    """Formats a value for a message, cut to a bounded length."""
+    seen = repr(value)
+    if len(seen) <= _MAX_SHOWN:
+        return seen
+    return f"{seen[: _MAX_SHOWN - 3]}..."
