--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -61,7 +61,7 @@
         self._clock = clock
         self._metrics = metrics
         self._credential = settings.credential.encode()
-        self._journal = open_journal(settings.data_folder)
+        self._journal = open_journal(str(settings.data_folder))
         self._state = ControlState()
         self._applied = 0
         self._applied_term = 0
@@ -82,10 +82,8 @@
         if restored.snapshot is not None:
             self._state.restore(restored.snapshot.data)
             self._applied = restored.snapshot.index
-        cfg = replica.ReplicaConfig(
-            name=self._settings.name, identity=self._journal.identity
-        )
-        seed = int.from_bytes(self._journal.identity.encode()[:8], "big")
+        cfg = replica.ReplicaConfig(name=self._settings.name)
+        seed = int(self._journal.identity, 16)
         return replica.create_replica(cfg, restored, seed)
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
@@ -150,7 +148,6 @@
             self._replica.tick(self._clock.now())
             output = self._replica.take_output()
             self._journal.save(output)
-            self._replica.saved(output)
             for name, message in output.messages:
                 self._send_peer(name, message)
             self._install(output)
@@ -177,7 +174,7 @@
     def _apply(self, entry: replica.Entry) -> None:
         self._applied, self._applied_term = entry.index, entry.term
         result = None
-        if entry.kind is replica.EntryKind.COMMAND:
+        if entry.kind is replica.EntryKind.DATA:
             before = (self._state.rules_version, self._state.revision)
             result = self._state.apply(entry.data)
             if before != (self._state.rules_version, self._state.revision):
@@ -197,7 +194,7 @@
 
     def _follow_role(self) -> None:
         """Starts and ends the leader's duties."""
-        leads = self._replica.role is replica.Role.LEADER
+        leads = self._replica.leader_since is not None
         if leads and self._table_term != self._replica.term:
             self._table = LeaseTable(self._replica.leader_since)
             self._table_term = self._replica.term
@@ -210,8 +207,8 @@
             self._proposals.clear()
 
     def _compact(self) -> None:
-        every = self._settings.snapshot_every
-        if self._applied - self._replica.snapshot_index >= every:
+        due = self._settings.snapshot_every
+        if self._replica.entries_since_snapshot >= due:
             self._replica.compact(
                 self._applied, self._state.snapshot(), self._clock.now()
             )
@@ -246,7 +243,7 @@
                 return control.Description(
                     self._settings.name,
                     self._journal.identity,
-                    self._journal.blank,
+                    self._replica.blank,
                 )
             case control.Form(members=members):
                 return self._form(members)
@@ -401,8 +398,15 @@
         )
 
     def _form(self, members: tuple[control.FormMember, ...]):
-        if not self._journal.blank:
-            return control.Refused("refused", "the journal is not blank")
+        if not self._replica.blank:
+            same = {m.identity for m in members} == {
+                m.identity for m in self._replica.members
+            }
+            if same:
+                return control.Formed()
+            return control.Refused(
+                "refused", f"member {self._settings.name} is in another group"
+            )
         self._journal.form(
             tuple(
                 replica.Member(m.name, m.identity, m.host, m.port, True)
