Add the relay and the scenarios over real processes

Cause: the promises must be tried on whole processes and links. Ruled out: one deployment for all scenarios, since they change its state.

--- /dev/null
+++ b/features/deployment.feature
@@ -0,0 +1,77 @@
+Feature: The promises over real processes
+  Three members, two routers, two runners and a desk run as separate processes
+  on loopback. Each scenario causes a failure of whole processes or links.
+
+  Background:
+    Given a running deployment
+
+  Scenario: A router frozen during a rule change never applies the older rules
+    Guards against a change that is called in force while a router that was
+    cut off may still act on the older file.
+    Given router-2 is frozen
+    When an operator applies rules without the customer
+    Then the change is in force within 4.0 s
+    When router-2 continues
+    Then no request sent to router-2 is served for the removed customer
+
+  Scenario: A frozen leader gives no orders and serves nothing stale
+    Guards against two members that both answer for the system.
+    Given the leader is frozen
+    When an operator applies rules without the customer
+    Then the change is in force within 4.0 s
+    When the frozen leader continues
+    Then the status shows the new rules and no request is served for the customer
+
+  Scenario: The leader is killed and every deposit is still taken at most once
+    Guards against a reservation that is lost or doubled at a leader change.
+    When 20 deposits are sent, each through both routers, while the leader is killed
+    Then the desk ran no deposit twice
+    And every answered deposit was run exactly once
+
+  Scenario: Every process restarts at once
+    Guards against a cold start and against records or rules that are lost.
+    Given a deposit was taken through router-1
+    When every member and router is killed and started again
+    Then router-1 serves a chat request within 5.0 s of its start
+    And a resend of the deposit through router-2 returns the first answer
+
+  Scenario: A member loses its disk, and another one is lost after the repair
+    Guards against a blank member that votes as if it remembered.
+    Given a deposit was taken through router-1
+    When a follower loses its disk and is replaced
+    And the other follower is killed
+    Then a resend of the deposit through router-2 returns the first answer
+
+  Scenario: A planned stop of a router cuts no stream
+    Guards against streams that break when a router is restarted.
+    Given a stream of 150 tokens runs through router-1
+    When router-1 is stopped in the planned way
+    Then the stream is whole
+    And router-1 exited with code 0
+
+  Scenario: A retired endpoint gets no new work on any router
+    Guards against a router that sends on an old endpoint list.
+    Given router-2 is frozen
+    When an operator retires runner-1
+    And router-2 continues
+    Then 10 requests through each router leave runner-1 without new work
+
+  Scenario: A runner is killed in mid-stream
+    Guards against a cut or doubled text.
+    Given a stream of 150 tokens runs through router-1
+    When the runner that serves the stream is killed
+    Then the stream is whole
+
+  Scenario: Control links go silent while new connections work
+    Guards against a router that waits for good on a forgotten connection.
+    Given a router whose control links pass a relay
+    When the relay forgets its open connections
+    Then that router is ready again within 4.0 s
+
+  Scenario: A router behind a silent partition stops serving
+    Guards against an isolated router that acts on what it last knew.
+    Given a router whose control links pass a relay
+    When the relay lets nothing through
+    Then that router refuses new work as lease_expired within 3.0 s
+    When the relay lets everything through
+    Then that router is ready again within 4.0 s
--- /dev/null
+++ b/features/steps/deployment_steps.py
@@ -0,0 +1,445 @@
+"""Steps over real processes."""
+
+import concurrent.futures
+import hashlib
+import json
+import shutil
+import signal
+import threading
+import time
+
+import anyio
+import httpx
+from behave import given, then, when
+
+from knapweedarch import control
+from knapweedarch.state import PutRules, Retire
+from knapweedarch.timers import Clock
+from standins.deployment import CREDENTIAL, Deployment
+from standins.relay import Relay
+
+KEY = "counter-tablet-key"
+DIGEST = hashlib.sha256(KEY.encode()).hexdigest()
+HEADERS = {"authorization": f"Bearer {KEY}"}
+BASE_RULES = """\
+model guide version=w1 first_token=5.0  # asked by Tesfaye: chat assistant
+service booking once=/deposits timeout=3  # asked by Hirut: deposits
+"""
+CUSTOMER = (
+    f"customer counter key=sha256:{DIGEST} class=guest"
+    "  # asked by Almaz: desk\n"
+)
+CHANGE_LIMIT_S = 15.0
+TOKEN_MS = 10
+
+
+def ask_members(cluster, call):
+    """Runs one call against the control members."""
+    members = [control.MemberAddress(**m) for m in cluster.members]
+
+    async def run():
+        client = control.create_control(members, CREDENTIAL.encode(), Clock())
+        async with client:
+            return await call(client)
+
+    return anyio.run(run)
+
+
+def submit(cluster, command):
+    """Submits an operator's command; returns result and seconds."""
+    started = time.monotonic()
+    result = ask_members(
+        cluster, lambda client: client.submit(command, CHANGE_LIMIT_S)
+    )
+    return result, time.monotonic() - started
+
+
+def status(cluster):
+    """Returns the leader's status."""
+    return ask_members(cluster, lambda client: client.status(10))
+
+
+def chat(cluster, router, max_tokens=5, **options):
+    """Sends one whole chat request."""
+    return httpx.post(
+        f"{cluster.url(router)}/v1/chat/completions",
+        json={
+            "model": "guide",
+            "max_tokens": max_tokens,
+            "messages": [{"role": "user", "content": "Which route? " * 50}],
+            **options,
+        },
+        headers=HEADERS,
+        timeout=20,
+    )
+
+
+def deposit(cluster, router, key):
+    """Takes a deposit."""
+    return httpx.post(
+        f"{cluster.url(router)}/services/booking/deposits",
+        json={"amount": 400, "key": key},
+        headers={**HEADERS, "idempotency-key": key},
+        timeout=30,
+    )
+
+
+def desk_runs(cluster):
+    """Returns how often the desk ran each key."""
+    return httpx.get(f"{cluster.url('desk-1')}/stats").json()["runs"]
+
+
+def start_all(pool, start, names):
+    """Starts several processes side by side."""
+    return list(pool.map(start, names))
+
+
+@given("a running deployment")
+def running_deployment(context):
+    cluster = context.cluster = Deployment()
+    context.closing.append(lambda: cluster.__exit__(None, None, None))
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        start_all(
+            pool, cluster.start_member, [m["name"] for m in cluster.members]
+        )
+        start_all(pool, cluster.start_router, ("router-1", "router-2"))
+        start_endpoints(pool, cluster)
+    members = [control.MemberAddress(**m) for m in cluster.members]
+    ask_members(cluster, lambda client: client.form(members))
+    submit(cluster, PutRules("setup", 0, BASE_RULES + CUSTOMER))
+    for router in ("router-1", "router-2"):
+        cluster.wait_ready(router)
+    cluster.wait_for("endpoints", lambda: len(status(cluster).endpoints) == 3)
+    for router in ("router-1", "router-2"):
+        cluster.wait_for("chat", lambda r=router: chat(cluster, r).is_success)
+        cluster.wait_for(
+            "desk", lambda r=router: deposit(cluster, r, f"warm-{r}").is_success
+        )
+
+
+def start_endpoints(pool, cluster):
+    """Starts two runners and a desk side by side."""
+    runners = [
+        pool.submit(
+            *(cluster.start_runner, f"runner-{i}", "guide"),
+            data_centre=f"dc-{i}",
+            token_ms=TOKEN_MS,
+        )
+        for i in (1, 2)
+    ]
+    desk = pool.submit(
+        cluster.start_desk, "desk-1", "booking", data_centre="dc-1"
+    )
+    for future in (*runners, desk):
+        future.result()
+
+
+@given("{router} is frozen")
+def freeze(context, router):
+    if router == "the leader":
+        router = context.frozen = status(context.cluster).leader
+    context.cluster.signal(router, signal.SIGSTOP)
+
+
+@when("{router} continues")
+def thaw(context, router):
+    if router == "the frozen leader":
+        router = context.frozen
+    context.cluster.signal(router, signal.SIGCONT)
+
+
+@when("an operator applies rules without the customer")
+def apply_without_customer(context):
+    context.result, context.seconds = submit(
+        context.cluster, PutRules("without", 1, BASE_RULES)
+    )
+
+
+@then("the change is in force within {bound:f} s")
+def in_force_within(context, bound):
+    assert context.result.version == 2, context.result
+    assert context.seconds <= bound, context.seconds
+
+
+@then("no request sent to {router} is served for the removed customer")
+def nothing_served(context, router):
+    cluster = context.cluster
+    until = time.monotonic() + 2
+    while time.monotonic() < until:
+        answer = chat(cluster, router)
+        assert answer.status_code in (401, 503), answer.text
+        assert answer.json()["error"]["outcome"] == "not_run"
+        if answer.status_code == 401:
+            return
+    raise AssertionError("the router did not apply the new rules")
+
+
+@then(
+    "the status shows the new rules and no request is served for the customer"
+)
+def status_is_new(context):
+    assert status(context.cluster).rules_version == 2
+    for router in ("router-1", "router-2"):
+        nothing_served(context, router)
+
+
+@when(
+    "{count:d} deposits are sent, each through both routers, while the leader"
+    " is killed"
+)
+def deposits_during_kill(context, count):
+    cluster = context.cluster
+    leader = status(cluster).leader
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        answers = [
+            (f"k{i}", pool.submit(deposit, cluster, router, f"k{i}"))
+            for i in range(count)
+            for router in ("router-1", "router-2")
+        ]
+        answers[0][1].result()
+        cluster.kill(leader)
+        context.answers = [(key, f.result()) for key, f in answers]
+
+
+@then("the desk ran no deposit twice")
+def none_twice(context):
+    runs = desk_runs(context.cluster)
+    assert all(n == 1 for n in runs.values()), runs
+
+
+@then("every answered deposit was run exactly once")
+def answered_once(context):
+    runs = desk_runs(context.cluster)
+    answered = {k for k, answer in context.answers if answer.is_success}
+    assert answered, [a.text for _, a in context.answers]
+    assert all(runs[key] == 1 for key in answered), runs
+    for key, answer in context.answers:
+        if not answer.is_success:
+            outcome = answer.json()["error"]["outcome"]
+            # A refusal marked not_run may still be followed by a resend
+            # through the other router that ran the call.
+            assert outcome in ("not_run", "unknown"), answer.text
+            assert key in answered or outcome == "unknown" or key not in runs
+
+
+@given("a deposit was taken through {router}")
+def deposit_taken(context, router):
+    context.first = deposit(context.cluster, router, "d1")
+    assert context.first.is_success, context.first.text
+
+
+@when("every member and router is killed and started again")
+def restart_all(context):
+    cluster = context.cluster
+    daemons = {
+        name: cluster.processes[name].port
+        for name in list(cluster.processes)
+        if name.startswith(("member", "router"))
+    }
+    for name in daemons:
+        cluster.kill(name)
+    context.restarted_at = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        started = [
+            pool.submit(cluster.start_member, name)
+            if name.startswith("member")
+            else pool.submit(cluster.start_router, name, port)
+            for name, port in daemons.items()
+        ]
+        for future in started:
+            future.result()
+
+
+@then("{router} serves a chat request within {bound:f} s of its start")
+def serves_within(context, router, bound):
+    context.cluster.wait_for(
+        "chat", lambda: chat(context.cluster, router).is_success
+    )
+    taken = time.monotonic() - context.restarted_at
+    assert taken <= bound, taken
+
+
+@then("a resend of the deposit through {router} returns the first answer")
+def resend_same(context, router):
+    context.cluster.wait_ready(router)
+    again = deposit(context.cluster, router, "d1")
+    assert again.content == context.first.content, again.text
+    assert desk_runs(context.cluster)["d1"] == 1
+
+
+@when("a follower loses its disk and is replaced")
+def lose_disk(context):
+    cluster = context.cluster
+    found = status(cluster)
+    context.followers = [m for m in found.members if m.name != found.leader]
+    lost = context.followers[0]
+    cluster.kill(lost.name)
+    shutil.rmtree(cluster.folder / f"data-{lost.name}")
+    cluster.start_member(lost.name)
+
+    def replaced():
+        members = status(cluster).members
+        return (
+            len(members) == 3
+            and all(m.voter for m in members)
+            and lost.identity not in {m.identity for m in members}
+        )
+
+    cluster.wait_for("replacement", replaced)
+
+
+@when("the other follower is killed")
+def kill_other(context):
+    context.cluster.kill(context.followers[1].name)
+
+
+@given("a stream of {tokens:d} tokens runs through {router}")
+def stream_runs(context, tokens, router):
+    whole = chat(context.cluster, router, tokens)
+    context.whole = whole.json()["choices"][0]["message"]["content"]
+    started = threading.Event()
+    context.pool = concurrent.futures.ThreadPoolExecutor(1)
+    context.closing.append(context.pool.shutdown)
+    context.stream = context.pool.submit(
+        read_stream, context.cluster.url(router), tokens, started
+    )
+    assert started.wait(10)
+
+
+def read_stream(url, tokens, started):
+    """Reads a stream; returns its text and whether the end mark came."""
+    text, ended = "", False
+    body = {
+        "model": "guide",
+        "stream": True,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": "Which route? " * 50}],
+    }
+    with httpx.stream(
+        *("POST", f"{url}/v1/chat/completions"),
+        json=body,
+        headers=HEADERS,
+        timeout=20,
+    ) as answer:
+        for line in answer.iter_lines():
+            if line == "data: [DONE]":
+                ended = True
+            elif line.startswith("data: "):
+                for choice in json.loads(line[6:]).get("choices", []):
+                    text += choice.get("delta", {}).get("content") or ""
+            if len(text) > 20:
+                started.set()
+    return text, ended
+
+
+@when("{router} is stopped in the planned way")
+def planned_stop(context, router):
+    context.exit_code = context.cluster.stop(router)
+
+
+@then("the stream is whole")
+def stream_whole(context):
+    text, ended = context.stream.result(30)
+    assert ended, text[-100:]
+    assert text == context.whole, (text, context.whole)
+
+
+@then("{router} exited with code {code:d}")
+def exited(context, router, code):
+    assert context.exit_code == code, context.exit_code
+
+
+@when("an operator retires {endpoint}")
+def retire(context, endpoint):
+    submit(context.cluster, Retire("retire-1", endpoint))
+    context.runs_before = runner_runs(context.cluster, endpoint)
+
+
+def runner_runs(cluster, name):
+    """Returns how many requests a runner has run."""
+    return httpx.get(f"{cluster.url(name)}/stats").json()["runs"]
+
+
+@then(
+    "{count:d} requests through each router leave {endpoint} without new work"
+)
+def no_new_work(context, count, endpoint):
+    cluster = context.cluster
+    for router in ("router-1", "router-2"):
+        for _ in range(count):
+            # A router that was frozen may refuse until it has its lease.
+            assert chat(cluster, router).status_code in (200, 503)
+        cluster.wait_for("chat", lambda r=router: chat(cluster, r).is_success)
+    assert runner_runs(cluster, endpoint) == context.runs_before
+
+
+@when("the runner that serves the stream is killed")
+def kill_serving(context):
+    cluster = context.cluster
+    serving = [
+        name
+        for name in ("runner-1", "runner-2")
+        if httpx.get(f"{cluster.url(name)}/stats").json()["running"]
+    ]
+    assert len(serving) == 1, serving
+    cluster.kill(serving[0])
+
+
+@given("a router whose control links pass a relay")
+def relayed_router(context):
+    cluster = context.cluster
+    context.relays = [
+        Relay(cluster.host, (m["host"], m["port"])) for m in cluster.members
+    ]
+    for relay in context.relays:
+        context.closing.append(lambda r=relay: r.__exit__(None, None, None))
+    through = [
+        {**m, "port": relay.port}
+        for m, relay in zip(cluster.members, context.relays, strict=True)
+    ]
+    cluster.start_router("router-3", members=through)
+    cluster.wait_ready("router-3")
+
+
+@when("the relay forgets its open connections")
+def relay_forgets(context):
+    assert sum(relay.silence() for relay in context.relays) > 0
+    context.silenced_at = time.monotonic()
+
+
+@then("that router is ready again within {bound:f} s")
+def ready_again(context, bound):
+    # The lease outlives the silence only if a fresh link is opened in time,
+    # so readiness is watched over the whole time.
+    until = time.monotonic() + bound
+    cluster = context.cluster
+    cluster.wait_ready("router-3", bound)
+    while time.monotonic() < until:
+        last = httpx.get(f"{cluster.url('router-3')}/ready").status_code
+    assert last == 200, last
+
+
+@when("the relay lets nothing through")
+def relay_cut(context):
+    for relay in context.relays:
+        relay.cut(True)
+
+
+@when("the relay lets everything through")
+def relay_heal(context):
+    for relay in context.relays:
+        relay.cut(False)
+
+
+@then("that router refuses new work as {reason} within {bound:f} s")
+def refuses(context, reason, bound):
+    cluster = context.cluster
+
+    def refused():
+        answer = chat(cluster, "router-3")
+        return (
+            answer.status_code == 503
+            and answer.json()["error"]["reason"] == reason
+        )
+
+    cluster.wait_for(reason, refused, bound)
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,104 @@
+"""TCP relay that can make open connections go silent, for tests.
+
+It runs on a thread of the test process. `silence` stops forwarding on the
+connections open now and keeps them open at both ends, while new connections
+work: this is how a middle box that lost its table looks from outside.
+`cut` lets nothing through, old or new, without closing anything.
+"""
+
+import selectors
+import socket
+import threading
+
+BUFFER_BYTES = 65536
+POLL_S = 0.05
+
+
+class Relay:
+    """Forwards one port to another; use it as a context manager."""
+
+    def __init__(self, host: str, target: tuple[str, int]):
+        self._target = target
+        self._listener = socket.create_server((host, 0))
+        self.port = self._listener.getsockname()[1]
+        self._selector = selectors.DefaultSelector()
+        self._selector.register(self._listener, selectors.EVENT_READ)
+        self._silent: set[socket.socket] = set()
+        self._open: set[socket.socket] = set()
+        self._lock = threading.Lock()
+        self._is_cut = False
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def __enter__(self) -> "Relay":
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self._stop.set()
+        self._thread.join()
+        for sock in (*self._open, self._listener):
+            sock.close()
+        self._selector.close()
+
+    def silence(self) -> int:
+        """Makes the open connections silent for good; returns how many."""
+        with self._lock:
+            silenced = self._open - self._silent
+            self._silent |= silenced
+            return len(silenced) // 2
+
+    def cut(self, is_cut: bool) -> None:
+        """Starts or ends a silent partition."""
+        with self._lock:
+            if is_cut:
+                self._silent |= self._open
+            self._is_cut = is_cut
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            for key, _ in self._selector.select(POLL_S):
+                with self._lock:
+                    self._serve(key)
+
+    def _serve(self, key: selectors.SelectorKey) -> None:
+        if key.fileobj is self._listener:
+            self._accept()
+            return
+        source, other = key.fileobj, key.data
+        if source in self._silent:
+            self._selector.unregister(source)
+            return
+        try:
+            data = source.recv(BUFFER_BYTES)
+            if data:
+                other.sendall(data)
+                return
+        except OSError:
+            pass
+        self._close(source, other)
+
+    def _accept(self) -> None:
+        near, _ = self._listener.accept()
+        self._open.add(near)
+        if self._is_cut:
+            self._silent.add(near)
+            return
+        try:
+            far = socket.create_connection(self._target, timeout=1)
+        except OSError:
+            self._open.discard(near)
+            near.close()
+            return
+        self._open.add(far)
+        self._selector.register(near, selectors.EVENT_READ, far)
+        self._selector.register(far, selectors.EVENT_READ, near)
+
+    def _close(self, *pair: socket.socket) -> None:
+        for sock in pair:
+            if sock in self._open:
+                self._open.discard(sock)
+                self._silent.discard(sock)
+                if sock in self._selector.get_map():
+                    self._selector.unregister(sock)
+                sock.close()
