Add the verbs and the command-line tool

Ruled out: taking the version in force as the base of an order, because a copy made before another operator's change would undo that change unseen. The base is noted beside the file by diff and apply instead. A request id carries a digest of the order, because the members answer a known id with the stored result without comparing the order.

--- a/knapweedarch/api.py
+++ b/knapweedarch/api.py
@@ -1,1 +1,222 @@
-"""The few verbs of the package."""
+"""The few verbs of the package, for programs and for the command line.
+
+The verbs that give orders block until the order is in force everywhere. Each
+order has a request id: a resend under the same id has the effect of one order,
+so an order whose answer was lost is resent and not given again.
+"""
+
+import hashlib
+import pathlib
+import secrets
+from collections.abc import Awaitable, Callable
+
+import anyio
+import attrs
+
+from knapweedarch import control, rule_files
+from knapweedarch import settings as settings_files
+from knapweedarch.exceptions import ControlError, RequestIdError, SettingsError
+from knapweedarch.models import Endpoint
+from knapweedarch.settings import Settings, ToolSettings
+from knapweedarch.state import (
+    Announce,
+    EndpointAccepted,
+    EndpointUnknown,
+    PutRules,
+    Retire,
+    RulesAccepted,
+    RulesConflict,
+    TableFull,
+)
+from knapweedarch.timers import Clock
+
+# A change waits for leases of up to 2.1 s after an election of up to 1.8 s;
+# the rest covers a second election in the meantime.
+ORDER_TIMEOUT_S = 15.0
+STATUS_TIMEOUT_S = 5.0
+_DIGEST_CHARACTERS = 16
+
+
+@attrs.frozen
+class Order:
+    """An order as an operator gives it.
+
+    Attributes:
+        verb: `apply`, `announce` or `retire`.
+        subject: What the order says, so that an id fits only this order.
+    """
+
+    verb: str
+    subject: tuple[str, ...]
+
+
+def create_request_id(order: Order) -> str:
+    """Creates an id that fits only this order."""
+    return f"{secrets.token_hex(8)}-{_digest(order)}"
+
+
+def check_request_id(request_id: str, order: Order) -> None:
+    """Refuses an id that was created for another order.
+
+    The members answer a known id with the stored result without looking at
+    the order, so a wrong id would report an order as done that never was.
+
+    Raises:
+        RequestIdError: The id belongs to another order.
+    """
+    if request_id.partition("-")[2] != _digest(order):
+        raise RequestIdError(
+            f"request id {request_id!r} was not created for this order"
+        )
+
+
+def _digest(order: Order) -> str:
+    digest = hashlib.sha256()
+    for part in (order.verb, *order.subject):
+        data = part.encode("utf-8", "surrogateescape")
+        digest.update(b"%d:%b" % (len(data), data))
+    return digest.hexdigest()[:_DIGEST_CHARACTERS]
+
+
+def apply_order(text: str, base_version: int) -> Order:
+    """Describes the order to put a rule file."""
+    return Order("apply", (str(base_version), text))
+
+
+def retire_order(endpoint_id: str) -> Order:
+    """Describes the order to retire an endpoint."""
+    return Order("retire", (endpoint_id,))
+
+
+def announce_order(endpoint_id: str, *given: str) -> Order:
+    """Describes the order to announce an endpoint."""
+    return Order("announce", (endpoint_id, *given))
+
+
+def load(path: str | pathlib.Path) -> Settings:
+    """Loads a settings file.
+
+    Raises:
+        SettingsError: With every fault of the file.
+    """
+    return settings_files.load_settings(path)
+
+
+def serve(settings: Settings) -> None:
+    """Runs a member or a router until it is told to stop.
+
+    Raises:
+        SettingsError: The settings are those of the command-line tool.
+    """
+    if isinstance(settings, ToolSettings):
+        raise SettingsError(["role: 'tool'; allowed: member, router"])
+    # The daemon imports the HTTP server, which orders do not need.
+    from knapweedarch import daemon
+
+    anyio.run(daemon.run, settings)
+
+
+def apply(
+    settings: Settings,
+    path: str | pathlib.Path,
+    base_version: int | None = None,
+    request_id: str = "",
+) -> RulesAccepted | RulesConflict:
+    """Puts a rule file in force, and notes the version it was given.
+
+    Args:
+        settings: Settings with members and credential.
+        path: The rule file.
+        base_version: Version that the file is based on; None for the version
+            noted by the last `diff` or `apply` of this file.
+        request_id: Id of an earlier order to resend; empty for a new one.
+
+    Raises:
+        RuleError: The file is refused; nothing was sent.
+        RequestIdError: The id belongs to another order; nothing was sent.
+        ControlError: `unreachable`, `unknown_outcome` or `refused`.
+    """
+    text = rule_files.read_rules_text(path)
+    if base_version is None:
+        base_version = rule_files.noted_base(path)
+    request_id = _choose_id(request_id, apply_order(text, base_version))
+    result = _submit(settings, PutRules(request_id, base_version, text))
+    if isinstance(result, RulesAccepted):
+        rule_files.note_base(path, result.version)
+    return result
+
+
+def announce(
+    settings: Settings, endpoint: Endpoint, request_id: str = ""
+) -> EndpointAccepted | TableFull:
+    """Announces an endpoint and ends its retirement.
+
+    Raises:
+        ControlError: `unreachable`, `unknown_outcome` or `refused`.
+    """
+    request_id = request_id or create_request_id(announce_order(endpoint.id))
+    return _submit(settings, Announce(endpoint, True, request_id))
+
+
+def retire(
+    settings: Settings, endpoint_id: str, request_id: str = ""
+) -> EndpointAccepted | EndpointUnknown:
+    """Retires an endpoint until an operator announces it again.
+
+    Raises:
+        ControlError: `unreachable`, `unknown_outcome` or `refused`.
+    """
+    request_id = _choose_id(request_id, retire_order(endpoint_id))
+    return _submit(settings, Retire(request_id, endpoint_id))
+
+
+def status(settings: Settings) -> control.StatusReply:
+    """Returns the system's status as the leader sees it.
+
+    Raises:
+        ControlError: No leader answered, or the credential was refused.
+    """
+    return _talk(settings, lambda client: client.status(STATUS_TIMEOUT_S))
+
+
+def form(settings: Settings) -> None:
+    """Forms the first group from the members of the settings, once.
+
+    Raises:
+        ControlError: A member is not blank or does not answer.
+    """
+    _talk(settings, lambda client: client.form(settings.members))
+
+
+def _choose_id(request_id: str, order: Order) -> str:
+    if not request_id:
+        return create_request_id(order)
+    check_request_id(request_id, order)
+    return request_id
+
+
+def _submit(settings: Settings, command: object):
+    return _talk(
+        settings, lambda client: client.submit(command, ORDER_TIMEOUT_S)
+    )
+
+
+def _talk(
+    settings: Settings,
+    action: Callable[[control.Control], Awaitable[object]],
+):
+    return anyio.run(_talk_async, settings, action)
+
+
+async def _talk_async(settings, action):
+    client = control.create_control(
+        settings.members, settings.credential.encode(), Clock()
+    )
+    failure = None
+    async with client:
+        # Raised below, since the client's task group would wrap it.
+        try:
+            return await action(client)
+        except ControlError as exc:
+            failure = exc
+    raise failure
--- /dev/null
+++ b/knapweedarch/cli.py
@@ -0,0 +1,350 @@
+"""Command-line tool of the operators.
+
+Exit codes: 0 done; 1 refused or in conflict; 2 wrong usage or a faulty file;
+3 the members cannot be reached and nothing was changed; 4 the outcome is
+unknown, and the order must be resent under the same request id.
+"""
+
+import pathlib
+import sys
+from collections.abc import Callable
+from typing import Literal
+
+import attrs
+import defopt
+
+from knapweedarch import api, reports, rule_files
+from knapweedarch.exceptions import (
+    ControlError,
+    RequestIdError,
+    RuleError,
+    SettingsError,
+)
+from knapweedarch.models import Endpoint, EndpointKind, EndpointStatus
+from knapweedarch.rules import diff_rules, parse_rules
+from knapweedarch.state import (
+    EndpointAccepted,
+    EndpointUnknown,
+    RulesAccepted,
+    RulesConflict,
+    TableFull,
+)
+
+DEFAULT_SETTINGS = pathlib.Path("/etc/knapweedarch/tool.json5")
+EXIT_DONE = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+EXIT_UNKNOWN = 4
+
+
+def check(
+    file: pathlib.Path,
+    *,
+    settings: pathlib.Path = DEFAULT_SETTINGS,
+    json: bool = False,
+) -> int:
+    """Check a rule file and print all its faults.
+
+    Args:
+        file: Rule file.
+        settings: Not used; accepted so that all commands take one option.
+        json: Print one JSON document.
+    """
+    text = rule_files.read_rules_text(file)
+    reports.print_checked(file, parse_rules(text), json)
+    return EXIT_DONE
+
+
+def check_settings(file: pathlib.Path, *, json: bool = False) -> int:
+    """Check a settings file of any role and print all its faults.
+
+    Args:
+        file: Settings file.
+        json: Print one JSON document.
+    """
+    reports.print_settings(file, api.load(file).role, json)
+    return EXIT_DONE
+
+
+def diff(
+    file: pathlib.Path,
+    *,
+    settings: pathlib.Path = DEFAULT_SETTINGS,
+    json: bool = False,
+) -> int:
+    """Compare a rule file with the rules in force, and note their version.
+
+    Args:
+        file: Rule file.
+        settings: Settings file with members and credential.
+        json: Print one JSON document.
+    """
+    text = rule_files.read_rules_text(file)
+    found = api.status(api.load(settings))
+    changes = diff_rules(parse_rules(found.rules_text), parse_rules(text))
+    noted = rule_files.note_base(file, found.rules_version)
+    same_text = text == found.rules_text
+    reports.print_diff(found.rules_version, changes, same_text, json)
+    if not noted:
+        reports.warn(f"cannot write {file}.base; give --base to apply")
+    return EXIT_DONE
+
+
+def apply(
+    file: pathlib.Path,
+    *,
+    base: int | None = None,
+    request_id: str = "",
+    settings: pathlib.Path = DEFAULT_SETTINGS,
+    json: bool = False,
+) -> int:
+    """Put a rule file in force at every router.
+
+    Args:
+        file: Rule file.
+        base: Version that the file is based on; by default the version noted
+            by the last diff or apply of this file, or 0 if there is none.
+        request_id: Id of an earlier order, to resend it.
+        settings: Settings file with members and credential.
+        json: Print one JSON document.
+    """
+    text = rule_files.read_rules_text(file)
+    if base is None:
+        base = rule_files.noted_base(file)
+    loaded = api.load(settings)
+    request_id = _announce_id(request_id, api.apply_order(text, base))
+    match api.apply(loaded, file, base, request_id):
+        case RulesAccepted(version=version):
+            return reports.print_done(
+                json, "accepted", request_id, version=version
+            )
+        case RulesConflict(version=version):
+            return reports.print_refused(
+                json,
+                f"conflict: the file is based on version {base}, but version "
+                f"{version} is in force; run diff and merge",
+                request_id,
+                version=version,
+            )
+    raise AssertionError("no such result")
+
+
+def list_all(
+    *,
+    rules: bool = False,
+    settings: pathlib.Path = DEFAULT_SETTINGS,
+    json: bool = False,
+) -> int:
+    """List the endpoints, or print the rule file in force.
+
+    Args:
+        rules: Print the rule file as it was applied, and nothing else.
+        settings: Settings file with members and credential.
+        json: Print one JSON document with endpoints and rule file.
+    """
+    found = api.status(api.load(settings))
+    if rules and not json:
+        sys.stdout.write(found.rules_text)
+    else:
+        reports.print_list(found, json)
+    return EXIT_DONE
+
+
+def announce(
+    endpoint_id: str,
+    *,
+    url: str = "",
+    kind: Literal["runner", "service"] | None = None,
+    serves: str = "",
+    weights_version: str = "",
+    data_centre: str = "",
+    incarnation: str = "",
+    request_id: str = "",
+    settings: pathlib.Path = DEFAULT_SETTINGS,
+    json: bool = False,
+) -> int:
+    """Announce an endpoint, ending its retirement.
+
+    The options are needed only for an endpoint that is not known yet.
+
+    Args:
+        endpoint_id: Name of the endpoint.
+        url: Base URL with an IP number.
+        kind: Runner or service.
+        serves: Models of a runner, separated by commas, or the service.
+        weights_version: Version of the weights that a runner has loaded.
+        data_centre: Data centre of the endpoint.
+        incarnation: Incarnation that the endpoint names in its answers.
+        request_id: Id of an earlier order, to resend it.
+        settings: Settings file with members and credential.
+        json: Print one JSON document.
+    """
+    given = {
+        "url": url,
+        "kind": EndpointKind(kind) if kind else None,
+        "serves": tuple(filter(None, serves.split(","))),
+        "weights_version": weights_version,
+        "data_centre": data_centre,
+        "incarnation": incarnation,
+    }
+    given = {key: value for key, value in given.items() if value}
+    loaded = api.load(settings)
+    order = api.announce_order(endpoint_id, repr(sorted(given.items())))
+    request_id = _announce_id(request_id, order)
+    endpoint = _endpoint(api.status(loaded), endpoint_id, given)
+    if endpoint is None:
+        return reports.print_refused(
+            json,
+            f"endpoint {endpoint_id!r} is not known; give at least --url, "
+            "--kind, --serves and --incarnation",
+            request_id,
+        )
+    return _report_endpoint(
+        json,
+        endpoint_id,
+        request_id,
+        api.announce(loaded, endpoint, request_id),
+    )
+
+
+def _endpoint(found, endpoint_id: str, given: dict) -> Endpoint | None:
+    """Returns the endpoint to announce, or None if too little is known."""
+    for entry in found.endpoints:
+        if entry.endpoint.id == endpoint_id:
+            return attrs.evolve(
+                entry.endpoint, status=EndpointStatus.ACTIVE, **given
+            )
+    if not {"url", "kind", "serves", "incarnation"} <= given.keys():
+        return None
+    return Endpoint(id=endpoint_id, **given)
+
+
+def retire(
+    endpoint_id: str,
+    *,
+    request_id: str = "",
+    settings: pathlib.Path = DEFAULT_SETTINGS,
+    json: bool = False,
+) -> int:
+    """Retire an endpoint until it is announced with this tool again.
+
+    Args:
+        endpoint_id: Name of the endpoint.
+        request_id: Id of an earlier order, to resend it.
+        settings: Settings file with members and credential.
+        json: Print one JSON document.
+    """
+    loaded = api.load(settings)
+    request_id = _announce_id(request_id, api.retire_order(endpoint_id))
+    return _report_endpoint(
+        json,
+        endpoint_id,
+        request_id,
+        api.retire(loaded, endpoint_id, request_id),
+    )
+
+
+def _report_endpoint(
+    json: bool, endpoint_id: str, request_id: str, result: object
+) -> int:
+    match result:
+        case EndpointAccepted(status=status):
+            return reports.print_done(
+                json, f"{endpoint_id} is {status.value}", request_id
+            )
+        case EndpointUnknown():
+            text = f"endpoint {endpoint_id!r} is not known"
+        case TableFull():
+            text = "the table of endpoints is full"
+        case _:
+            raise AssertionError(f"no such result: {result}")
+    return reports.print_refused(json, text, request_id)
+
+
+def status(
+    *, settings: pathlib.Path = DEFAULT_SETTINGS, json: bool = False
+) -> int:
+    """Print leader, members, routers and sizes.
+
+    Args:
+        settings: Settings file with members and credential.
+        json: Print one JSON document.
+    """
+    reports.print_status(api.status(api.load(settings)), json)
+    return EXIT_DONE
+
+
+def form(
+    *, settings: pathlib.Path = DEFAULT_SETTINGS, json: bool = False
+) -> int:
+    """Form the first group from the members of the settings, once.
+
+    Args:
+        settings: Settings file with members and credential.
+        json: Print one JSON document.
+    """
+    loaded = api.load(settings)
+    api.form(loaded)
+    names = ", ".join(member.name for member in loaded.members)
+    return reports.print_done(json, f"formed: {names}", "")
+
+
+COMMANDS: dict[str, Callable[..., int]] = {
+    "check": check,
+    "diff": diff,
+    "apply": apply,
+    "list": list_all,
+    "announce": announce,
+    "retire": retire,
+    "status": status,
+    "form": form,
+    "check-settings": check_settings,
+}
+# A failure of these leaves nothing behind, whatever the members received.
+READ_ONLY = frozenset({"check", "diff", "list", "status", "check-settings"})
+
+
+def _announce_id(request_id: str, order: api.Order) -> str:
+    """Prints the request id before the order is sent, for a resend."""
+    if request_id:
+        api.check_request_id(request_id, order)
+    else:
+        request_id = api.create_request_id(order)
+    reports.warn(f"request id {request_id}")
+    return request_id
+
+
+def run(arguments: list[str]) -> int:
+    """Runs one command; returns the exit code."""
+    json = "--json" in arguments
+    try:
+        return defopt.run(
+            COMMANDS, argv=arguments, short={}, no_negated_flags=True
+        )
+    except (RuleError, SettingsError) as exc:
+        return reports.print_faults(json, exc.faults, EXIT_USAGE)
+    except RequestIdError as exc:
+        return reports.print_faults(json, [str(exc)], EXIT_USAGE)
+    except ControlError as exc:
+        return _report_control(json, exc, arguments[0] in READ_ONLY)
+
+
+def _report_control(json: bool, exc: ControlError, read_only: bool) -> int:
+    code = {"unreachable": EXIT_UNREACHABLE, "unknown_outcome": EXIT_UNKNOWN}
+    found = code.get(exc.reason, EXIT_REFUSED)
+    if found == EXIT_UNKNOWN and read_only:
+        found = EXIT_UNREACHABLE
+    text = str(exc)
+    if found == EXIT_UNKNOWN:
+        text += "; the outcome is unknown: resend with the same request id"
+    return reports.print_faults(json, [text], found)
+
+
+def main() -> None:
+    """Entry point."""
+    sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- a/knapweedarch/exceptions.py
+++ b/knapweedarch/exceptions.py
@@ -89,3 +89,7 @@
         self.reason = reason
         self.written = written
         super().__init__(message or reason)
+
+
+class RequestIdError(KnapweedarchError):
+    """A request id was created for another order."""
--- /dev/null
+++ b/knapweedarch/reports.py
@@ -0,0 +1,187 @@
+"""What the command-line tool prints, as text or as one JSON document.
+
+Results go to standard output; faults and request ids go to standard error.
+"""
+
+import json
+import pathlib
+import sys
+from collections.abc import Sequence
+
+from knapweedarch.control import StatusReply
+from knapweedarch.models import Rules
+from knapweedarch.rules import ChangeKind, RuleChange
+from knapweedarch.state import EndpointEntry
+
+EXIT_DONE = 0
+EXIT_REFUSED = 1
+_SIGNS = {
+    ChangeKind.ADDED: "+",
+    ChangeKind.REMOVED: "-",
+    ChangeKind.CHANGED: "~",
+}
+
+
+def warn(text: str) -> None:
+    """Prints a line on standard error, at once."""
+    print(text, file=sys.stderr, flush=True)
+
+
+def _print(as_json: bool, document: dict, lines: Sequence[str]) -> None:
+    if as_json:
+        print(json.dumps(document))
+    else:
+        print("\n".join(lines))
+
+
+def print_faults(as_json: bool, faults: Sequence[str], code: int) -> int:
+    """Prints faults, one a line; returns the exit code."""
+    for fault in faults:
+        warn(fault)
+    if as_json:
+        print(json.dumps({"result": "failed", "code": code, "faults": faults}))
+    return code
+
+
+def print_done(
+    as_json: bool, text: str, request_id: str, **fields: object
+) -> int:
+    """Prints that an order is in force; returns the exit code."""
+    extra = [f"{key} {value}" for key, value in fields.items()]
+    document = {"result": "done", "text": text, "request_id": request_id}
+    _print(as_json, {**document, **fields}, [", ".join([text, *extra])])
+    return EXIT_DONE
+
+
+def print_refused(
+    as_json: bool, text: str, request_id: str, **fields: object
+) -> int:
+    """Prints that an order was refused; returns the exit code."""
+    warn(text)
+    if as_json:
+        document = {"result": "refused", "text": text}
+        print(json.dumps({**document, "request_id": request_id, **fields}))
+    return EXIT_REFUSED
+
+
+def print_checked(file: pathlib.Path, rules: Rules, as_json: bool) -> None:
+    """Prints the sizes of a correct rule file."""
+    sizes = {
+        "customers": len(rules.customers),
+        "models": len(rules.models),
+        "services": len(rules.services),
+    }
+    text = ", ".join(f"{number} {name}" for name, number in sizes.items())
+    _print(as_json, {"result": "done", **sizes}, [f"{file}: {text}"])
+
+
+def print_settings(file: pathlib.Path, role: str, as_json: bool) -> None:
+    """Prints that a settings file is correct."""
+    document = {"result": "done", "role": role}
+    _print(as_json, document, [f"{file}: correct settings of a {role}"])
+
+
+def print_diff(
+    version: int,
+    changes: Sequence[RuleChange],
+    same_text: bool,
+    as_json: bool,
+) -> None:
+    """Prints the differences from the rules in force."""
+    lines = [f"compared with version {version}"]
+    if not changes:
+        lines.append("no difference" if same_text else "only comments differ")
+    for change in changes:
+        lines += _change_lines(change)
+    document = {
+        "result": "done",
+        "version": version,
+        "same_text": same_text,
+        "changes": [
+            {
+                "change": change.change.value,
+                "kind": change.kind,
+                "name": change.name,
+                "fields": {f.field: [f.old, f.new] for f in change.fields},
+            }
+            for change in changes
+        ],
+    }
+    _print(as_json, document, lines)
+
+
+def _change_lines(change: RuleChange) -> list[str]:
+    lines = [f"{_SIGNS[change.change]} {change.kind} {change.name}"]
+    for field in change.fields:
+        match change.change:
+            case ChangeKind.ADDED:
+                value = field.new
+            case ChangeKind.REMOVED:
+                value = field.old
+            case _:
+                old, new = field.old or "(default)", field.new or "(default)"
+                value = f"{old} -> {new}"
+        lines.append(f"    {field.field}: {value}")
+    return lines
+
+
+def _endpoint_document(entry: EndpointEntry) -> dict:
+    endpoint = entry.endpoint
+    return {
+        "id": endpoint.id,
+        "kind": endpoint.kind.value,
+        "serves": list(endpoint.serves),
+        "weights_version": endpoint.weights_version,
+        "url": endpoint.url,
+        "data_centre": endpoint.data_centre,
+        "incarnation": endpoint.incarnation,
+        "checks_fencing": endpoint.checks_fencing,
+        "status": "retired" if entry.retired else endpoint.status.value,
+    }
+
+
+def print_list(found: StatusReply, as_json: bool) -> None:
+    """Prints the endpoints, and in JSON the rule file as well."""
+    entries = sorted(found.endpoints, key=lambda e: e.endpoint.id)
+    endpoints = [_endpoint_document(entry) for entry in entries]
+    document = {
+        "rules_version": found.rules_version,
+        "rules_text": found.rules_text,
+        "endpoints": endpoints,
+    }
+    shown = ("id", "status", "kind", "weights_version", "data_centre", "url")
+    lines = [
+        "  ".join([*(e[key] or "-" for key in shown), ",".join(e["serves"])])
+        for e in endpoints
+    ]
+    _print(as_json, document, lines or ["no endpoints"])
+
+
+def print_status(found: StatusReply, as_json: bool) -> None:
+    """Prints who leads, who takes part and how much is stored."""
+    members = [
+        {"name": m.name, "identity": m.identity, "voter": m.voter}
+        for m in found.members
+    ]
+    document = {
+        "leader": found.leader,
+        "term": found.term,
+        "commit_index": found.commit_index,
+        "rules_version": found.rules_version,
+        "endpoints": len(found.endpoints),
+        "members": members,
+        "routers": list(found.routers),
+        "records": found.records,
+        "fencing_number": found.fencing_number,
+    }
+    described = [
+        f"{m['name']} ({'voter' if m['voter'] else 'learner'})" for m in members
+    ]
+    texts = {
+        **document,
+        "members": ", ".join(described),
+        "routers": ", ".join(found.routers) or "none",
+    }
+    _print(
+        as_json, document, [f"{key}: {value}" for key, value in texts.items()]
+    )
--- a/knapweedarch/settings.py
+++ b/knapweedarch/settings.py
@@ -12,6 +12,7 @@
 import attrs
 import json5
 
+from knapweedarch.control import MemberAddress
 from knapweedarch.exceptions import SettingsError
 from knapweedarch.logs import LEVELS
 from knapweedarch.settings_reader import Section, shorten
@@ -32,15 +33,6 @@
     port: int
 
 
-@attrs.frozen
-class MemberAddress:
-    """Where a member listens."""
-
-    name: str
-    host: str
-    port: int
-
-
 @attrs.frozen(kw_only=True)
 class MemberSettings:
     """Settings of a control member.
@@ -143,7 +135,7 @@
 
 
 def _members(top: Section) -> tuple[MemberAddress, ...]:
-    sizes = " or ".join(map(str, GROUP_SIZES))
+    sizes = f"{', '.join(map(str, GROUP_SIZES[:-1]))} or {GROUP_SIZES[-1]}"
     allowed = f"a list of {sizes} objects with name, host and port"
     found = []
     sections = top.sections("members", allowed)
@@ -270,7 +262,9 @@
 def load_settings(path: str | pathlib.Path) -> Settings:
     """Loads and checks a settings file.
 
-    File names in it are relative to the folder of the settings file.
+    File names in it are relative to the folder of the settings file. A file
+    with members and credential only is one of the command-line tool and needs
+    no role.
 
     Raises:
         SettingsError: With every fault of the file.
@@ -279,7 +273,13 @@
     values = _read_object(path)
     faults: list[str] = []
     top = Section(values, "", faults)
-    role = top.get("role", ", ".join(_READERS), lambda v: v in _READERS)
+    tool_only = set(values) <= {"credential", "credential_file", "members"}
+    role = top.get(
+        "role",
+        ", ".join(_READERS),
+        lambda v: isinstance(v, str) and v in _READERS,
+        **({"default": "tool"} if tool_only else {}),
+    )
     if role is None:
         raise SettingsError([f"{path}: {fault}" for fault in faults])
     settings = _READERS[role](top, path.parent)
