--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -353,21 +353,21 @@
             ControlError: A member is not blank or does not answer.
         """
         described = [await self._describe(member) for member in members]
-        for member, found in zip(members, described, strict=True):
-            if not found.blank:
-                raise ControlError(
-                    "refused", f"member {member.name} already has a journal"
-                )
         group = Form(
             tuple(
                 FormMember(m.name, d.identity, m.host, m.port)
                 for m, d in zip(members, described, strict=True)
             )
         )
-        for member in members:
+        if not any(found.blank for found in described):
+            raise ControlError("refused", "the members are already formed")
+        # A member that is not blank goes first: it agrees only if an earlier
+        # try formed exactly this group, and else no other member is changed.
+        by_blank = sorted(
+            zip(members, described, strict=True), key=lambda pair: pair[1].blank
+        )
+        for member, _ in by_blank:
             match await self._ask_one(member, group):
-                case Formed():
-                    pass
                 case Refused(message=text):
                     raise ControlError("refused", text)
 
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -12,7 +12,13 @@
 from hypercorn.asyncio import serve as serve_http
 from hypercorn.config import Config
 
-from knapweedarch import control, gateway, scheduler
+from knapweedarch import (
+    admission,
+    control,
+    gateway,
+    placement,
+    scheduler,
+)
 from knapweedarch.adapters import create_adapter
 from knapweedarch.exceptions import ControlError, EndpointError, RuleError
 from knapweedarch.leases import RENEW_S, Lease
@@ -78,14 +84,7 @@
         self._random = random.Random(self.incarnation)
         self.adapter = create_adapter(settings.endpoint_credential, clock)
         self.scheduler = scheduler.create_scheduler(
-            scheduler.SchedulerConfig(
-                data_centre=settings.data_centre,
-                distances_s={
-                    name: ms / 1000
-                    for name, ms in settings.distances_ms.items()
-                },
-                queue_limit=settings.queue_limit,
-            ),
+            _scheduler_config(settings),
             seed=int(self.incarnation, 16),
         )
         self._control = control.create_control(
@@ -365,7 +364,7 @@
                 except EndpointError as exc:
                     self.count("feed.lost")
                     log("feed_lost", endpoint=endpoint.id, reason=exc.reason)
-                    self.scheduler.feed_lost(endpoint.id, self.clock.now())
+                    self.scheduler.endpoint_lost(endpoint.id, self.clock.now())
                 await anyio.sleep(FEED_RETRY_S)
 
     def _take_feed_item(self, item: LoadReport | CacheEvent) -> None:
@@ -383,6 +382,17 @@
     decision: Dispatch | Refuse | None = None
 
 
+def _scheduler_config(settings: RouterSettings) -> scheduler.SchedulerConfig:
+    distance_s = {dc: ms / 1000 for dc, ms in settings.distances_ms.items()}
+    distance_s[settings.data_centre] = 0.0
+    return scheduler.SchedulerConfig(
+        placement_cfg=placement.PlacementConfig(distance_s=distance_s),
+        admission_cfg=admission.AdmissionConfig(
+            queue_limit=settings.queue_limit
+        ),
+    )
+
+
 def create_router(
     settings: RouterSettings, clock: Clock, metrics: Metrics
 ) -> Router:
