Export the verbs from the package

Cause: programs call knapweedarch.apply and the like. The verbs are found at first use, so that core modules are imported without input and output.

--- a/knapweedarch/__init__.py
+++ b/knapweedarch/__init__.py
@@ -3,6 +3,17 @@
 from knapweedarch.exceptions import KnapweedarchError
 
 __version__ = "0.1.0"
-__all__ = [
-    "KnapweedarchError",
-]
+__all__ = ["KnapweedarchError"]
+_VERBS = ("load", "serve", "apply", "announce", "retire", "status")
+
+
+def __getattr__(name: str):
+    """Finds a verb of `api` at its first use.
+
+    The core modules are imported without the ones that do input and output.
+    """
+    if name not in _VERBS:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from knapweedarch import api
+
+    return getattr(api, name)
--- a/knapweedarch/rule_files.py
+++ b/knapweedarch/rule_files.py
@@ -68,9 +68,7 @@
         return 0
     except (OSError, UnicodeDecodeError) as exc:
         raise RuleError([f"{base}: cannot be read"]) from exc
-    if not (
-        text.isascii() and text.isdigit() and len(text) <= _MAX_BASE_DIGITS
-    ):
+    if not _VERSION.fullmatch(text):
         raise RuleError([f"{base}:1:1: not a version number"])
     return int(text)
 
