Show counters to operators and log hypercorn's errors

Cause: the demo's status step found no counters; an unhandled error gave a bare 500 because hypercorn's error log was off. Ruled out: an open counters path; it needs the shared credential. Before: 404 on /counters, no trace of errors. After: shown in the demo.

--- a/knapweedarch/placement.py
+++ b/knapweedarch/placement.py
@@ -254,7 +254,7 @@
         """Relative rank of each runner, 0 for the first and under 1."""
         block = spread_block(ticket.blocks, depths, len(endpoints))
         if block is None:
-            block = xxhash.xxh3_64_intdigest(ticket.id)
+            block = xxhash.xxh3_64_intdigest(ticket.id.encode())
         order = rendezvous_order(block, endpoints)
         return {name: rank / len(order) for rank, name in enumerate(order)}
 
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -1,6 +1,9 @@
 """Router daemon: lease, rules, endpoint feeds and the HTTP server."""
 
 import hashlib
+import hmac
+import json
+import logging
 import random
 import secrets
 import signal
@@ -44,6 +47,7 @@
 from knapweedarch.state import Announce, EndpointEntry
 from knapweedarch.timers import Clock, Timers
 
+COUNTERS_PATH = "/counters"
 POLL_S = 0.02
 FEED_RETRY_S = 0.2
 RENEW_TIMEOUT_S = 1.0
@@ -136,7 +140,8 @@
         cfg.graceful_timeout = SECONDS_OPEN_AFTER_DRAIN
         cfg.h11_max_incomplete_size = MAX_HEADER_BYTES
         cfg.accesslog = None
-        cfg.errorlog = None
+        cfg.errorlog = logging.getLogger("hypercorn.error")
+        cfg.errorlog.setLevel(logging.WARNING)
         return cfg
 
     def _counting(self, app):
@@ -145,6 +150,8 @@
         async def counted(scope, receive, send) -> None:
             if scope["type"] != "http":
                 return await app(scope, receive, send)
+            if scope["path"] == COUNTERS_PATH:
+                return await self._show_counters(scope, send)
             self._active += 1
             try:
                 await app(scope, receive, send)
@@ -155,6 +162,25 @@
 
         return counted
 
+    async def _show_counters(self, scope, send) -> None:
+        """Answers an operator who holds the shared credential."""
+        want = f"Bearer {self._settings.credential}".encode()
+        given = dict(scope["headers"]).get(b"authorization", b"")
+        status, content = 200, dict(sorted(self._metrics.counts.items()))
+        if not hmac.compare_digest(given, want):
+            self.count("credential.refused")
+            status, content = 401, {}
+        headers = [(b"content-type", b"application/json")]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+        body = json.dumps(content).encode()
+        await send({"type": "http.response.body", "body": body})
+
     async def _await_signal(self, stop: anyio.Event) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -8,7 +8,7 @@
 
 import httpx
 
-from standins.deployment import Deployment
+from standins.deployment import CREDENTIAL, Deployment
 
 KEY = "counter-tablet-key"
 DIGEST = hashlib.sha256(KEY.encode()).hexdigest()
@@ -176,11 +176,15 @@
     show_killed_runner(cluster, whole)
     step("Status and counters")
     tool(cluster, "status")
-    metrics = httpx.get(f"{cluster.url('router-1')}/counters").json()
-    print(json.dumps(metrics, indent=1))
+    answer = httpx.get(
+        f"{cluster.url('router-1')}/counters",
+        headers={"authorization": f"Bearer {CREDENTIAL}"},
+    )
+    check(answer.status_code == 200, "the counters were not shown")
+    print(json.dumps(answer.json(), indent=1))
     step("Planned stop")
     codes = {
-        name: cluster.stop(name) for name in ("router-1", "router-2", "desk-1")
+        name: cluster.stop(name) for name in ("desk-1", "router-1", "router-2")
     }
     print(f"exit codes: {codes}")
     check(set(codes.values()) == {0}, "a process did not stop cleanly")
