Add gateway, adapters, streams and stand-in endpoints

Cause: callers need the HTTP side of the router, and scenarios need endpoints.

Ruled out: pooled connections for calls that may run at most once. A pooled connection may be closed by the endpoint at the moment of the send, which makes the outcome unknown; such calls open a connection of their own. Ruled out: httpx.AsyncClient; it keeps cookies of one exchange for the next one. The transport is used directly.

--- /dev/null
+++ b/knapweedarch/adapters.py
@@ -0,0 +1,585 @@
+"""Calls to endpoints over HTTP.
+
+Every exchange that is cancelled, late, crossed or incomplete closes its
+connection, so that no later exchange can read its rest. Calls that may run at
+most once get a connection of their own: a pooled one may be closed by the
+endpoint at the moment of the send, and the outcome would then be unknown.
+"""
+
+import contextlib
+import json
+from collections.abc import AsyncIterator, Callable, Mapping
+
+import anyio
+import attrs
+import httpx
+
+from knapweedarch.exceptions import EndpointError
+from knapweedarch.models import (
+    Attempt,
+    CacheChange,
+    CacheEvent,
+    Endpoint,
+    LoadReport,
+    RefusalReason,
+    RetryReason,
+)
+from knapweedarch.streams import (
+    Done,
+    SseDecoder,
+    StreamEvent,
+    StreamFault,
+    parse_event,
+    parse_load,
+)
+from knapweedarch.timers import Clock, ManualClock
+
+CONNECT_S = 1.0
+FEED_SILENCE_S = 1.0
+STREAM_SILENCE_S = 2.0
+ORDER_S = 5.0
+CANCEL_S = 1.0
+# Time to wait for the end of the body after the end mark, so that the
+# connection can be used again; the caller has its answer by then.
+END_OF_BODY_S = 0.05
+# Below the 5 s after which hypercorn and most servers close idle connections.
+KEEP_ALIVE_S = 2.0
+MAX_CONNECTIONS = 512
+MAX_CLIENTS = 1024
+MAX_ANSWER_BYTES = 1024 * 1024
+MAX_ERROR_BYTES = 16 * 1024
+
+MaySend = Callable[[], RefusalReason | None]
+
+
+class SendRefusedError(EndpointError):
+    """The router may not start work any more; nothing was written.
+
+    Attributes:
+        refusal: Why.
+    """
+
+    def __init__(self, refusal: RefusalReason):
+        self.refusal = refusal
+        super().__init__(refusal.value, written=False)
+
+
+@attrs.frozen
+class ServiceAnswer:
+    """Whole answer of a plain service.
+
+    Attributes:
+        code: HTTP status.
+        content_type: Media type.
+        body: Body; empty if it was too large.
+        too_large: Whether the body exceeded `MAX_ANSWER_BYTES`.
+    """
+
+    code: int
+    content_type: str
+    body: bytes
+    too_large: bool = False
+
+
+@attrs.frozen
+class LoadWeights:
+    """Orders a runner to load a model in a version."""
+
+    model: str
+    version: str
+
+
+@attrs.frozen
+class ChangeRole:
+    """Orders a runner to change its role."""
+
+    role: str
+
+
+Order = LoadWeights | ChangeRole
+
+
+@attrs.define
+class _Exchange:
+    """One request and what is known about its fate."""
+
+    request: httpx.Request
+    response: httpx.Response | None = None
+    written: bool = False
+    complete: bool = False
+
+    def failed(self, reason: RetryReason, message: str) -> EndpointError:
+        """Builds the error for a failure of this exchange."""
+        if not self.written:
+            reason = RetryReason.CONNECT_REFUSED
+        return EndpointError(reason.value, message, self.written)
+
+    def header(self, name: str) -> str:
+        """Returns a header of the answer."""
+        return self.response.headers.get(name, "") if self.response else ""
+
+
+class ChatStream:
+    """Events of one attempt, in batches that arrived together."""
+
+    def __init__(self, exchange: _Exchange, first_event_s: float):
+        self._exchange = exchange
+        self._first_event_s = first_event_s
+
+    async def batches(self) -> AsyncIterator[list[StreamEvent]]:
+        """Yields the events until the end mark or the end of the body.
+
+        Raises:
+            EndpointError: The stream broke or was silent too long.
+        """
+        decoder = SseDecoder()
+        limit, late = self._first_event_s, RetryReason.FIRST_TOKEN_TIMEOUT
+        parts = aiter(self._exchange.response.stream)
+        while True:
+            data = await self._next_part(parts, limit, late)
+            if data is None:
+                return
+            events = [parse_event(item) for item in _feed(decoder, data)]
+            if not events:
+                continue
+            limit, late = STREAM_SILENCE_S, RetryReason.STREAM_SILENT
+            yield events
+            if isinstance(events[-1], Done):
+                await self._finish_body(parts)
+                return
+
+    async def _next_part(self, parts, limit_s: float, late: RetryReason):
+        try:
+            with anyio.fail_after(limit_s):
+                return await anext(parts, None)
+        except TimeoutError as exc:
+            raise self._exchange.failed(
+                late, f"silent for {limit_s} s"
+            ) from exc
+        except httpx.HTTPError as exc:
+            raise self._exchange.failed(
+                RetryReason.CONNECTION_CLOSED, repr(exc)
+            ) from exc
+
+    async def _finish_body(self, parts) -> None:
+        with (
+            contextlib.suppress(httpx.HTTPError),
+            anyio.move_on_after(END_OF_BODY_S),
+        ):
+            rest = await anext(parts, None)
+            self._exchange.complete = rest is None
+
+
+class Adapter:
+    """Calls endpoints; create it with `create_adapter`."""
+
+    def __init__(
+        self, credential: str, clock: Clock | ManualClock, incarnation: str
+    ):
+        self._credential = credential
+        self._clock = clock
+        self._incarnation = incarnation
+        self._pools: dict[str, httpx.AsyncHTTPTransport] = {}
+        self._single = _transport(keep_alive=0)
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        for transport in (*self._pools.values(), self._single):
+            await transport.aclose()
+        self._pools.clear()
+
+    @contextlib.asynccontextmanager
+    async def open_chat(
+        self,
+        attempt: Attempt,
+        body: bytes,
+        request_id: str,
+        attempt_id: str,
+        may_send: MaySend,
+        first_event_s: float,
+    ) -> AsyncIterator[ChatStream]:
+        """Starts an attempt at a runner.
+
+        Args:
+            attempt: The attempt.
+            body: JSON body for the runner.
+            request_id: Echoed by the runner.
+            attempt_id: Echoed by the runner.
+            may_send: Asked right before the first byte is written.
+            first_event_s: Longest wait for the first event in seconds.
+
+        Raises:
+            EndpointError: The runner did not take the request.
+            SendRefusedError: `may_send` refused.
+        """
+        ticket, endpoint = attempt.ticket, attempt.endpoint
+        headers = {
+            "content-type": "application/json",
+            "x-request-id": request_id,
+            "x-attempt-id": attempt_id,
+            "x-cache-salt": ticket.customer,
+            "x-priority": str(int(ticket.priority)),
+            "x-weights-version": endpoint.weights_version,
+            "x-incarnation": endpoint.incarnation,
+        }
+        started = self._clock.now()
+        exchange = self._exchange(
+            "POST", endpoint.url + "/v1/chat/completions", headers, body
+        )
+        transport = await self._pool(endpoint.url)
+        async with self._send(transport, exchange, may_send, first_event_s):
+            await self._check_chat(exchange, request_id, attempt_id)
+            waited = self._clock.now() - started
+            yield ChatStream(exchange, max(0.0, first_event_s - waited))
+
+    async def call_service(
+        self,
+        endpoint: Endpoint,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        timeout_s: float,
+        may_send: MaySend,
+        own_connection: bool = False,
+    ) -> ServiceAnswer:
+        """Calls a plain service and reads its whole answer.
+
+        Args:
+            endpoint: The service.
+            method: HTTP method.
+            path: Path with query, already quoted.
+            headers: Headers; `x-request-id` must come back in the answer.
+            body: Body.
+            timeout_s: Longest wait for the whole answer in seconds.
+            may_send: Asked right before the first byte is written.
+            own_connection: Do not use a pooled connection.
+
+        Raises:
+            EndpointError: There is no whole answer to this request.
+            SendRefusedError: `may_send` refused.
+        """
+        exchange = self._exchange(method, endpoint.url + path, headers, body)
+        transport = self._single
+        if not own_connection:
+            transport = await self._pool(endpoint.url)
+        try:
+            with anyio.fail_after(timeout_s):
+                async with self._send(transport, exchange, may_send, timeout_s):
+                    return await self._read_answer(exchange)
+        except TimeoutError as exc:
+            raise exchange.failed(
+                RetryReason.FIRST_TOKEN_TIMEOUT, f"no answer in {timeout_s} s"
+            ) from exc
+
+    async def follow_feed(
+        self, endpoint: Endpoint
+    ) -> AsyncIterator[LoadReport | CacheEvent]:
+        """Yields load reports and cache events until the feed ends.
+
+        A snapshot is told as a `CLEARED` and a `STORED` event. After a gap in
+        the numbers the event that shows it is yielded, and then the feed
+        fails, since a new one begins with a snapshot.
+
+        Raises:
+            EndpointError: The feed broke, was silent or has a gap.
+        """
+        headers = {"x-router": self._incarnation}
+        exchange = self._exchange("GET", endpoint.url + "/feed", headers, b"")
+        async with self._send(
+            self._single, exchange, lambda: None, FEED_SILENCE_S
+        ):
+            if exchange.response.status_code != 200:
+                raise exchange.failed(
+                    RetryReason.ENDPOINT_REFUSED,
+                    f"status {exchange.response.status_code}",
+                )
+            last_number = None
+            async for item in self._feed_items(exchange, endpoint):
+                if isinstance(item, CacheEvent):
+                    expected, last_number = last_number, item.number
+                    yield item
+                    if expected is not None and item.number != expected + 1:
+                        raise exchange.failed(
+                            RetryReason.STREAM_GAP,
+                            f"event {item.number} follows {expected}",
+                        )
+                else:
+                    yield item
+
+    async def cancel(
+        self, endpoint: Endpoint, request_id: str, attempt_id: str
+    ) -> None:
+        """Tells a runner that an attempt is no longer wanted.
+
+        Raises:
+            EndpointError: The runner did not confirm.
+        """
+        body = {"request_id": request_id, "attempt_id": attempt_id}
+        await self._post(endpoint, "/cancel", {}, body, CANCEL_S)
+
+    async def order(
+        self, endpoint: Endpoint, order: Order, fencing_number: int
+    ) -> None:
+        """Gives an order to a runner.
+
+        Raises:
+            EndpointError: The runner refused or did not confirm.
+        """
+        match order:
+            case LoadWeights(model=model, version=version):
+                body = {"order": "load", "model": model, "version": version}
+            case ChangeRole(role=role):
+                body = {"order": "role", "role": role}
+        headers = {"x-fencing-number": str(fencing_number)}
+        await self._post(endpoint, "/orders", headers, body, ORDER_S)
+
+    async def _post(
+        self, endpoint: Endpoint, path: str, headers, body: dict, limit_s: float
+    ) -> None:
+        answer = await self.call_service(
+            endpoint,
+            "POST",
+            path,
+            {**headers, "content-type": "application/json"},
+            json.dumps(body).encode(),
+            limit_s,
+            lambda: None,
+            own_connection=True,
+        )
+        if answer.code != 200:
+            raise EndpointError(
+                RetryReason.ENDPOINT_REFUSED.value, f"status {answer.code}"
+            )
+
+    def _exchange(
+        self, method: str, url: str, headers: Mapping[str, str], body: bytes
+    ) -> _Exchange:
+        fields = {
+            **headers,
+            "authorization": f"Bearer {self._credential}",
+            "accept-encoding": "identity",
+        }
+        return _Exchange(
+            httpx.Request(method, url, headers=fields, content=body or None)
+        )
+
+    async def _pool(self, url: str) -> httpx.AsyncHTTPTransport:
+        """Returns the connections to an endpoint, most recently used last."""
+        transport = self._pools.pop(url, None) or _transport()
+        self._pools[url] = transport
+        while len(self._pools) > MAX_CLIENTS:
+            await self._pools.pop(next(iter(self._pools))).aclose()
+        return transport
+
+    @contextlib.asynccontextmanager
+    async def _send(
+        self,
+        transport: httpx.AsyncHTTPTransport,
+        exchange: _Exchange,
+        may_send: MaySend,
+        limit_s: float,
+    ) -> AsyncIterator[None]:
+        """Sends a request; on leaving, keeps the connection only if clean."""
+
+        async def trace(name: str, info: dict) -> None:
+            if name == "http11.send_request_headers.started":
+                if refusal := may_send():
+                    raise SendRefusedError(refusal)
+                exchange.written = True
+
+        exchange.request.extensions = {
+            "trace": trace,
+            "timeout": {
+                "connect": min(CONNECT_S, limit_s),
+                "pool": min(CONNECT_S, limit_s),
+                "write": limit_s,
+                "read": None,
+            },
+        }
+        try:
+            with anyio.fail_after(limit_s):
+                exchange.response = await transport.handle_async_request(
+                    exchange.request
+                )
+        except TimeoutError as exc:
+            raise exchange.failed(
+                RetryReason.FIRST_TOKEN_TIMEOUT, f"no answer in {limit_s} s"
+            ) from exc
+        except httpx.HTTPError as exc:
+            raise exchange.failed(
+                RetryReason.CONNECTION_CLOSED, repr(exc)
+            ) from exc
+        try:
+            yield
+        finally:
+            with anyio.CancelScope(shield=True):
+                await _close(exchange)
+
+    async def _check_chat(
+        self, exchange: _Exchange, request_id: str, attempt_id: str
+    ) -> None:
+        """Checks that the answer is a stream for this attempt."""
+        code = exchange.response.status_code
+        told = exchange.header("x-request-id"), exchange.header("x-attempt-id")
+        if code == 200 and told != (request_id, attempt_id):
+            raise exchange.failed(
+                RetryReason.CROSSED_ANSWER, f"an answer for {told} came"
+            )
+        if code == 200:
+            return
+        reason = RetryReason.ENDPOINT_ERROR
+        if 400 <= code < 500:
+            reason = await self._refusal(exchange)
+        raise exchange.failed(reason, f"status {code}")
+
+    async def _refusal(self, exchange: _Exchange) -> RetryReason:
+        told = ""
+        with contextlib.suppress(
+            ValueError, KeyError, TypeError, httpx.HTTPError, TimeoutError
+        ):
+            with anyio.fail_after(CONNECT_S):
+                body = await _read_body(exchange, MAX_ERROR_BYTES)
+            told = json.loads(body or b"{}")["error"]["reason"]
+        if told in (RetryReason.WRONG_INCARNATION, RetryReason.WRONG_VERSION):
+            return RetryReason(told)
+        return RetryReason.ENDPOINT_REFUSED
+
+    async def _read_answer(self, exchange: _Exchange) -> ServiceAnswer:
+        sent_id = exchange.request.headers.get("x-request-id", "")
+        told_id = exchange.header("x-request-id")
+        if sent_id and told_id != sent_id:
+            raise exchange.failed(
+                RetryReason.CROSSED_ANSWER, f"an answer for {told_id!r} came"
+            )
+        if not _framed(exchange.response):
+            raise exchange.failed(
+                RetryReason.STREAM_TRUNCATED, "the answer has no length"
+            )
+        try:
+            body = await _read_body(exchange, MAX_ANSWER_BYTES)
+        except httpx.HTTPError as exc:
+            raise exchange.failed(
+                RetryReason.CONNECTION_CLOSED, repr(exc)
+            ) from exc
+        return ServiceAnswer(
+            exchange.response.status_code,
+            exchange.header("content-type"),
+            body or b"",
+            too_large=body is None,
+        )
+
+    async def _feed_items(
+        self, exchange: _Exchange, endpoint: Endpoint
+    ) -> AsyncIterator[LoadReport | CacheEvent]:
+        decoder = SseDecoder()
+        parts = aiter(exchange.response.stream)
+        while True:
+            try:
+                with anyio.fail_after(FEED_SILENCE_S):
+                    data = await anext(parts, None)
+                if data is None:
+                    return
+                items = [
+                    item
+                    for event in decoder.feed(data)
+                    for item in _parse_feed_event(json.loads(event), endpoint)
+                ]
+            except TimeoutError as exc:
+                raise exchange.failed(
+                    RetryReason.STREAM_SILENT,
+                    f"the feed was silent for {FEED_SILENCE_S} s",
+                ) from exc
+            except httpx.HTTPError as exc:
+                raise exchange.failed(
+                    RetryReason.CONNECTION_CLOSED, repr(exc)
+                ) from exc
+            except (ValueError, KeyError, TypeError, StreamFault) as exc:
+                raise exchange.failed(
+                    RetryReason.ENDPOINT_ERROR, f"unreadable feed: {exc!r}"
+                ) from exc
+            for item in items:
+                yield item
+
+
+def create_adapter(
+    credential: str, clock: Clock | ManualClock, incarnation: str = ""
+) -> Adapter:
+    """Creates an adapter.
+
+    Args:
+        credential: The shared endpoint credential.
+        clock: Clock of the router.
+        incarnation: Incarnation of the router; runners then tell which of its
+            attempts a load report includes.
+    """
+    return Adapter(credential, clock, incarnation)
+
+
+def _transport(keep_alive: int = MAX_CONNECTIONS) -> httpx.AsyncHTTPTransport:
+    limits = httpx.Limits(
+        max_connections=MAX_CONNECTIONS,
+        max_keepalive_connections=keep_alive,
+        keepalive_expiry=KEEP_ALIVE_S,
+    )
+    return httpx.AsyncHTTPTransport(trust_env=False, limits=limits)
+
+
+def _feed(decoder: SseDecoder, data: bytes) -> list[bytes]:
+    try:
+        return decoder.feed(data)
+    except StreamFault as exc:
+        raise EndpointError(exc.reason.value, str(exc)) from exc
+
+
+def _framed(response: httpx.Response) -> bool:
+    """Tells whether a cut-off body would be noticed."""
+    return (
+        response.status_code in (204, 304)
+        or "content-length" in response.headers
+        or "transfer-encoding" in response.headers
+    )
+
+
+async def _read_body(exchange: _Exchange, limit: int) -> bytes | None:
+    """Reads a whole body; returns None if it is longer than the limit."""
+    body = bytearray()
+    async for part in exchange.response.stream:
+        body += part
+        if len(body) > limit:
+            return None
+    exchange.complete = True
+    return bytes(body)
+
+
+async def _close(exchange: _Exchange) -> None:
+    """Returns the connection to its pool, or closes it if not complete."""
+    if not exchange.complete:
+        await exchange.response.extensions["network_stream"].aclose()
+    await exchange.response.stream.aclose()
+
+
+def _parse_feed_event(
+    body: dict, endpoint: Endpoint
+) -> list[LoadReport | CacheEvent]:
+    if body["incarnation"] != endpoint.incarnation:
+        raise ValueError(f"the feed is of incarnation {body['incarnation']}")
+    source = endpoint.id, endpoint.incarnation
+    match body["type"]:
+        case "load":
+            return [parse_load(body, *source)]
+        case "snapshot":
+            number, blocks = int(body["number"]), _blocks(body)
+            return [
+                CacheEvent(*source, number - 1, CacheChange.CLEARED),
+                CacheEvent(*source, number, CacheChange.STORED, blocks),
+            ]
+        case kind:
+            change = CacheChange(kind)
+            return [
+                CacheEvent(*source, int(body["number"]), change, _blocks(body))
+            ]
+
+
+def _blocks(body: dict) -> tuple[int, ...]:
+    return tuple(int(block) for block in body.get("blocks", ()))
--- /dev/null
+++ b/knapweedarch/gateway.py
@@ -0,0 +1,337 @@
+"""ASGI application for callers and endpoints, served by hypercorn."""
+
+import hmac
+import itertools
+import json
+import socket
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Protocol
+
+import anyio
+import anyio.abc
+import cattrs
+
+from knapweedarch.adapters import Adapter
+from knapweedarch.callers import (
+    Call,
+    CallerGoneError,
+    Message,
+    Receive,
+    RefusedError,
+    Send,
+    SlowCallerError,
+    create_call,
+)
+from knapweedarch.chats import ChatHandler
+from knapweedarch.exceptions import ControlError
+from knapweedarch.models import (
+    Attempt,
+    AttemptResult,
+    CustomerRule,
+    Dispatch,
+    Endpoint,
+    Outcome,
+    RefusalReason,
+    Refuse,
+    Rules,
+    Ticket,
+)
+from knapweedarch.services import ServiceHandler
+from knapweedarch.state import TableFull
+from knapweedarch.timers import Clock, ManualClock
+
+MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+MAX_NAME_CHARS = 128
+MAX_SERVED = 64
+# Wait for cancel and settle calls still on their way at shutdown.
+SHUTDOWN_S = 5.0
+# A connection whose peer acknowledges nothing for this long is reset by the
+# kernel. hypercorn waits without limit for a stuck peer when it closes.
+USER_TIMEOUT_MS = 15_000
+
+
+class SchedulerPort(Protocol):
+    """What the gateway uses of the scheduler; see the design page, 5.1."""
+
+    def version_for(self, model: str) -> str:
+        """Returns the weights version to hash a prompt for."""
+
+    def report_load(self, report: object, now: float) -> None:
+        """Takes over a load report."""
+
+    def first_token(self, attempt: Attempt, now: float) -> None:
+        """Notes the first token of an attempt."""
+
+    def finished(
+        self, attempt: Attempt, outcome: AttemptResult, now: float
+    ) -> None:
+        """Notes the end of an attempt."""
+
+
+class RouterPort(Protocol):
+    """What the gateway uses of the router.
+
+    Attributes:
+        clock: Clock of the router.
+        rules: Rules in force.
+        scheduler: Decides about placement.
+        adapter: Calls endpoints.
+        incarnation: Random text drawn at each start of the router.
+        max_body_bytes: Longest body of a request.
+        endpoint_credential: Credential that endpoints announce with.
+    """
+
+    clock: Clock | ManualClock
+    rules: Rules
+    scheduler: SchedulerPort
+    adapter: Adapter
+    incarnation: str
+    max_body_bytes: int
+    endpoint_credential: str
+
+    def customer_for(self, api_key: str) -> CustomerRule | None:
+        """Returns the customer of an API key."""
+
+    def may_start(self) -> RefusalReason | None:
+        """Returns why no new work may start now, or None if it may."""
+
+    async def place(self, ticket: Ticket) -> Dispatch | Refuse:
+        """Waits for the decision on a request."""
+
+    async def place_again(
+        self, ticket: Ticket, failed: Attempt
+    ) -> Dispatch | Refuse:
+        """Waits for the decision on a further attempt."""
+
+    def service_endpoints(self, name: str) -> Sequence[Endpoint]:
+        """Returns the active endpoints of a service, best first."""
+
+    async def submit(self, command: object, timeout_s: float) -> object:
+        """Submits a command to the control members.
+
+        Raises:
+            ControlError: The command was refused or its outcome is unknown.
+        """
+
+    async def announce(self, endpoint: Endpoint) -> object | None:
+        """Passes an announcement on if it says anything new."""
+
+    def ready(self) -> bool:
+        """Tells whether the balancer may send callers here."""
+
+    def count(self, name: str) -> None:
+        """Adds one to a counter."""
+
+    def log(self, event: str, **fields: object) -> None:
+        """Logs an event of the catalogue."""
+
+
+class Background:
+    """Work that outlives the request that caused it.
+
+    It runs in the task group of the server's lifespan; without one it runs
+    at once in the caller's task.
+    """
+
+    def __init__(self):
+        self._group: anyio.abc.TaskGroup | None = None
+        self._running = 0
+        self._idle = anyio.Event()
+
+    async def start(
+        self, function: Callable[..., Awaitable[None]], *arguments: object
+    ) -> None:
+        """Starts a function that raises nothing and ends by itself."""
+        if self._group is None:
+            with anyio.CancelScope(shield=True):
+                return await function(*arguments)
+        self._running += 1
+        self._group.start_soon(self._run, function, arguments)
+
+    async def _run(self, function, arguments) -> None:
+        try:
+            await function(*arguments)
+        finally:
+            self._running -= 1
+            if self._running == 0:
+                self._idle.set()
+
+    async def lifespan(self, receive: Receive, send: Send) -> None:
+        """Answers the lifespan messages of the server."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            while (await receive())["type"] != "lifespan.shutdown":
+                await send({"type": "lifespan.startup.complete"})
+            with anyio.move_on_after(SHUTDOWN_S):
+                while self._running:
+                    self._idle = anyio.Event()
+                    await self._idle.wait()
+            self._group = None
+            group.cancel_scope.cancel()
+        await send({"type": "lifespan.shutdown.complete"})
+
+
+class Gateway:
+    """The ASGI application; create it with `create_app`."""
+
+    def __init__(self, router: RouterPort):
+        self._router = router
+        self._background = Background()
+        self._numbers = itertools.count(1)
+        self._chats = ChatHandler(router, self._background)
+        self._services = ServiceHandler(router, self._background)
+
+    async def __call__(
+        self, scope: Message, receive: Receive, send: Send
+    ) -> None:
+        """Handles the lifespan or one request."""
+        if scope["type"] == "lifespan":
+            return await self._background.lifespan(receive, send)
+        if scope["type"] != "http":
+            raise ValueError(f"scope type {scope['type']} is not served")
+        call = create_call(scope, receive, send)
+        try:
+            await self._handle(call)
+        except RefusedError as refused:
+            await self._refuse(call, refused)
+        except CallerGoneError:
+            self._router.count("cancelled")
+        except SlowCallerError as exc:
+            self._count_refusal(RefusalReason.SLOW_CALLER, str(exc))
+
+    async def _handle(self, call: Call) -> None:
+        match call.method, call.path:
+            case "GET", "/live":
+                await call.answer_json(200, {"live": True})
+            case "GET", "/ready":
+                ready = self._router.ready()
+                await call.answer_json(200 if ready else 503, {"ready": ready})
+            case "POST", "/v1/endpoints":
+                await self._announce(call)
+            case "GET", "/v1/models":
+                await self._list_models(call)
+            case "POST", "/v1/chat/completions":
+                customer = self._customer(call)
+                self._router.count("requests.started")
+                await self._chats.handle(call, customer, self._request_id())
+            case _, path if path.startswith("/services/"):
+                customer = self._customer(call)
+                self._router.count("requests.started")
+                await self._services.handle(call, customer, self._request_id())
+            case _:
+                raise RefusedError(
+                    RefusalReason.UNKNOWN_PATH,
+                    f"nothing answers {call.method} {call.path[:200]}",
+                )
+
+    def _request_id(self) -> str:
+        return f"{self._router.incarnation}-{next(self._numbers)}"
+
+    def _customer(self, call: Call) -> CustomerRule:
+        scheme, _, key = call.header("authorization").partition(" ")
+        key = key.strip() if scheme.lower() == "bearer" else ""
+        customer = self._router.customer_for(key) if key else None
+        if customer is None:
+            raise RefusedError(
+                RefusalReason.UNKNOWN_KEY, "the API key is missing or unknown"
+            )
+        return customer
+
+    async def _refuse(self, call: Call, refused: RefusedError) -> None:
+        self._count_refusal(refused.reason, refused.message)
+        if not call.started:
+            await call.refuse(refused)
+
+    def _count_refusal(self, reason: RefusalReason, message: str) -> None:
+        self._router.count(f"refused.{reason.value}")
+        self._router.log(
+            "request_refused", reason=reason.value, message=message
+        )
+
+    async def _list_models(self, call: Call) -> None:
+        customer = self._customer(call)
+        names = [
+            rule.name
+            for rule in self._router.rules.models
+            if not customer.models or rule.name in customer.models
+        ]
+        data = [{"id": name, "object": "model"} for name in names]
+        await call.answer_json(200, {"object": "list", "data": data})
+
+    async def _announce(self, call: Call) -> None:
+        want = f"Bearer {self._router.endpoint_credential}".encode()
+        told = call.header("authorization").encode("latin1")
+        if not hmac.compare_digest(want, told):
+            self._router.count("credential.refused")
+            raise RefusedError(
+                RefusalReason.BAD_CREDENTIAL, "the endpoint credential is wrong"
+            )
+        body = await call.read_body(MAX_ANNOUNCEMENT_BYTES)
+        endpoint = parse_endpoint(body)
+        self._router.count("endpoints.announced")
+        try:
+            result = await self._router.announce(endpoint)
+        except ControlError as exc:
+            raise RefusedError(
+                RefusalReason.CONTROL_UNAVAILABLE,
+                f"the announcement was not recorded: {exc.reason}",
+                Outcome.UNKNOWN,
+            ) from exc
+        if isinstance(result, TableFull):
+            raise RefusedError(
+                RefusalReason.TOO_MANY_RECORDS, "the endpoint table is full"
+            )
+        await call.answer_json(200, {"accepted": endpoint.id})
+
+
+def parse_endpoint(body: bytes) -> Endpoint:
+    """Parses an announcement.
+
+    Raises:
+        RefusedError: It is malformed or a field is out of bounds.
+    """
+    try:
+        endpoint = cattrs.structure(json.loads(body), Endpoint)
+        _check_endpoint(endpoint)
+    except RefusedError:
+        raise
+    except Exception as exc:
+        raise RefusedError(
+            RefusalReason.BAD_BODY, f"malformed announcement: {exc!r}"
+        ) from exc
+    return endpoint
+
+
+def _check_endpoint(endpoint: Endpoint) -> None:
+    names = (
+        *(endpoint.id, endpoint.incarnation, endpoint.weights_version),
+        *(endpoint.data_centre, endpoint.url, *endpoint.serves),
+    )
+    if any(len(name) > MAX_NAME_CHARS for name in names):
+        raise ValueError(f"a name is longer than {MAX_NAME_CHARS} characters")
+    if not (endpoint.id and endpoint.incarnation and endpoint.serves):
+        raise ValueError("id, incarnation and serves must not be empty")
+    if len(endpoint.serves) > MAX_SERVED:
+        raise ValueError(f"serves has more than {MAX_SERVED} names")
+    if endpoint.slots < 1 or endpoint.cache_blocks < 0:
+        raise ValueError("slots or cache_blocks is out of range")
+    scheme, _, rest = endpoint.url.partition("://")
+    host, _, port = rest.rpartition(":")
+    if scheme != "http" or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError("url is not http://NUMBER:PORT")
+    family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
+    # Only IP numbers: resolving a name would need a thread.
+    socket.inet_pton(family, host.strip("[]"))
+
+
+def tune_listener(listener: socket.socket) -> None:
+    """Sets the options that accepted connections inherit."""
+    listener.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+    )
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def create_app(router: RouterPort) -> Gateway:
+    """Creates the ASGI application of a router."""
+    return Gateway(router)
--- /dev/null
+++ b/knapweedarch/streams.py
@@ -0,0 +1,310 @@
+"""Checks one stream of tokens and keeps what a resume needs.
+
+A runner may break off, repeat, skip or reorder events, or end without its end
+mark. The caller must see each token once and in order, so every event is
+checked against the offset expected next before anything is passed on.
+"""
+
+import json
+
+import attrs
+
+from knapweedarch.exceptions import KnapweedarchError
+from knapweedarch.models import LoadReport, RetryReason
+
+# Longest text kept for a resume. A longer answer is still delivered, but its
+# stream cannot be resumed. 1 MiB is about 260,000 tokens.
+MAX_RESUME_BYTES = 1024 * 1024
+# Longest event accepted from a runner; real ones have a few hundred bytes.
+MAX_EVENT_BYTES = 256 * 1024
+DONE_DATA = b"[DONE]"
+DATA_PREFIX = b"data:"
+
+
+@attrs.frozen
+class Chunk:
+    """Some tokens of the answer.
+
+    Attributes:
+        request_id: Request that the runner says it answers.
+        attempt_id: Attempt that the runner says it answers.
+        offset: Offset of the first token, counted from the answer's start.
+        tokens: Number of tokens.
+        text: Their text.
+        data: The event's data as sent by the runner, without internal fields.
+        cached_tokens: Prompt tokens found in the cache, if told.
+        load: Load of the runner, if told.
+    """
+
+    request_id: str
+    attempt_id: str
+    offset: int
+    tokens: int
+    text: str
+    data: bytes
+    cached_tokens: int | None = None
+    load: LoadReport | None = None
+
+
+@attrs.frozen
+class Finish:
+    """The end of the text, with the reason and the usage.
+
+    Attributes:
+        request_id: Request that the runner says it answers.
+        attempt_id: Attempt that the runner says it answers.
+        offset: Number of tokens of the whole answer.
+        reason: Why the text ends, as sent by the runner.
+        data: The event's data as sent by the runner, without internal fields.
+        usage: Usage as sent by the runner.
+        load: Load of the runner, if told.
+    """
+
+    request_id: str
+    attempt_id: str
+    offset: int
+    reason: str
+    data: bytes
+    usage: dict[str, object] = attrs.field(factory=dict)
+    load: LoadReport | None = None
+
+
+@attrs.frozen
+class Done:
+    """The end mark."""
+
+
+@attrs.frozen
+class Malformed:
+    """An event that is an error of the runner or cannot be read."""
+
+    message: str
+
+
+StreamEvent = Chunk | Finish | Done | Malformed
+
+
+class StreamFault(KnapweedarchError):
+    """An attempt broke the rules of a stream; nothing of the event counts.
+
+    Attributes:
+        reason: Counter and cause for a retry.
+    """
+
+    def __init__(self, reason: RetryReason, message: str):
+        self.reason = reason
+        super().__init__(message)
+
+
+class SseDecoder:
+    """Splits a byte stream into the data of its server-sent events."""
+
+    def __init__(self):
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Returns the data of the events completed by these bytes.
+
+        Only one `data:` line per event is supported; all runners send that.
+
+        Raises:
+            StreamFault: An event is longer than `MAX_EVENT_BYTES`.
+        """
+        if self._rest:
+            data = self._rest + data
+        lines = data.split(b"\n")
+        self._rest = lines.pop()
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise StreamFault(
+                RetryReason.ENDPOINT_ERROR,
+                f"an event is longer than {MAX_EVENT_BYTES} bytes",
+            )
+        return [
+            line[len(DATA_PREFIX) :].strip()
+            for line in lines
+            if line.startswith(DATA_PREFIX)
+        ]
+
+
+def parse_event(data: bytes) -> StreamEvent:
+    """Parses the data of one event of a runner's stream."""
+    if data == DONE_DATA:
+        return Done()
+    try:
+        body = json.loads(data)
+        if "error" in body:
+            return Malformed(f"the runner reports an error: {body['error']!r}")
+        return _parse_chunk(body, data)
+    except (ValueError, KeyError, TypeError, IndexError) as exc:
+        return Malformed(f"unreadable event: {exc!r}")
+
+
+def _parse_chunk(body: dict, data: bytes) -> Chunk | Finish:
+    request_id, attempt_id = str(body["request_id"]), str(body["attempt_id"])
+    offset, tokens = int(body["offset"]), int(body["tokens"])
+    choice = body["choices"][0]
+    reason = choice.get("finish_reason")
+    load = parse_load(body["load"]) if "load" in body else None
+    if load is not None:
+        # The load of a runner is not the caller's business.
+        del body["load"]
+        data = json.dumps(body, separators=(",", ":")).encode()
+    if reason is None:
+        text = choice["delta"].get("content") or ""
+        cached = body.get("cached_tokens")
+        return Chunk(
+            *(request_id, attempt_id, offset, tokens, text, data),
+            *(cached if cached is None else int(cached), load),
+        )
+    usage = body.get("usage") or {}
+    if tokens or choice.get("delta", {}).get("content"):
+        raise ValueError("the finishing event carries text")
+    return Finish(
+        request_id, attempt_id, offset, str(reason), data, dict(usage), load
+    )
+
+
+def parse_load(
+    fields: dict, endpoint_id: str = "", incarnation: str = ""
+) -> LoadReport:
+    """Parses the load fields of an event.
+
+    Raises:
+        ValueError, TypeError, KeyError: Fields are missing or no numbers.
+    """
+    return LoadReport(
+        endpoint_id,
+        incarnation,
+        int(fields["running"]),
+        int(fields["queued"]),
+        int(fields["queued_tokens"]),
+        int(fields.get("acknowledged", 0)),
+    )
+
+
+class StreamState:
+    """What the caller of one stream has been given so far.
+
+    Attributes:
+        offset: Number of tokens accepted; offset of the next token.
+        finish: The finishing event, once its attempt sent the end mark.
+        attempts: Number of attempts begun.
+    """
+
+    def __init__(self, request_id: str):
+        self.offset = 0
+        self.finish: Finish | None = None
+        self.attempts = 0
+        self._request_id = request_id
+        self._attempt_id = ""
+        self._pending: Finish | None = None
+        self._parts: list[str] = []
+        self._kept_bytes = 0
+
+    @property
+    def started(self) -> bool:
+        """Whether any token was accepted."""
+        return self.offset > 0
+
+    @property
+    def resumable(self) -> bool:
+        """Whether the text so far is kept and can be given to a runner."""
+        return self._kept_bytes <= MAX_RESUME_BYTES
+
+    @property
+    def text(self) -> str:
+        """The text accepted so far; incomplete if not `resumable`."""
+        return "".join(self._parts)
+
+    def begin(self, attempt_id: str) -> None:
+        """Starts an attempt that continues at `offset`."""
+        self.attempts += 1
+        self._attempt_id = attempt_id
+        self._pending = None
+
+    def accept(self, event: StreamEvent) -> bool:
+        """Checks an event of the current attempt.
+
+        Returns:
+            Whether the event is a chunk to be passed on.
+
+        Raises:
+            StreamFault: The attempt must be abandoned.
+        """
+        match event:
+            case Chunk():
+                self._accept_chunk(event)
+                return True
+            case Finish():
+                self._accept_finish(event)
+            case Done():
+                if self._pending is None:
+                    raise StreamFault(
+                        RetryReason.STREAM_TRUNCATED,
+                        "the end mark came before the finishing event",
+                    )
+                self.finish = self._pending
+            case Malformed(message=message):
+                raise StreamFault(RetryReason.ENDPOINT_ERROR, message)
+        return False
+
+    def end(self) -> None:
+        """Notes that the attempt sent all it has.
+
+        Raises:
+            StreamFault: The end mark is missing.
+        """
+        if self.finish is None:
+            raise StreamFault(
+                RetryReason.STREAM_TRUNCATED,
+                f"the stream ended after {self.offset} tokens without end mark",
+            )
+
+    def _accept_chunk(self, chunk: Chunk) -> None:
+        self._check_ids(chunk)
+        if self._pending is not None:
+            raise StreamFault(
+                RetryReason.STREAM_GAP, "tokens came after the finishing event"
+            )
+        if chunk.offset != self.offset:
+            raise StreamFault(
+                RetryReason.STREAM_GAP,
+                f"offset {chunk.offset} came instead of {self.offset}",
+            )
+        if chunk.tokens < 0 or (chunk.tokens == 0 and chunk.text):
+            raise StreamFault(
+                RetryReason.STREAM_GAP, "an event has text but no tokens"
+            )
+        self.offset += chunk.tokens
+        self._keep(chunk.text)
+
+    def _accept_finish(self, finish: Finish) -> None:
+        self._check_ids(finish)
+        if self._pending is not None:
+            raise StreamFault(
+                RetryReason.STREAM_GAP, "two finishing events came"
+            )
+        told = finish.usage.get("completion_tokens", self.offset)
+        if finish.offset != self.offset or told != self.offset:
+            raise StreamFault(
+                RetryReason.STREAM_GAP,
+                f"the answer has {told} tokens; {self.offset} came",
+            )
+        self._pending = finish
+
+    def _check_ids(self, event: Chunk | Finish) -> None:
+        if (event.request_id, event.attempt_id) != (
+            self._request_id,
+            self._attempt_id,
+        ):
+            raise StreamFault(
+                RetryReason.CROSSED_ANSWER,
+                f"an event of attempt {event.attempt_id} came",
+            )
+
+    def _keep(self, text: str) -> None:
+        if not text:
+            return
+        self._kept_bytes += len(text.encode())
+        if self.resumable:
+            self._parts.append(text)
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,140 @@
+"""Model of an inference engine: batch slots, prefix cache and cache events."""
+
+import heapq
+import itertools
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable
+
+import anyio
+import attrs
+
+BLOCK_TOKENS = 2048
+MAX_FEED_EVENTS = 10_000
+
+BlockKey = tuple[str, str, int]
+
+
+@attrs.define
+class BlockCache:
+    """Least recently used blocks, kept apart by salt and weights version."""
+
+    capacity: int
+    on_event: Callable[[str, tuple[int, ...]], None]
+    _blocks: OrderedDict[BlockKey, None] = attrs.field(factory=OrderedDict)
+
+    def depth(self, salt: str, version: str, blocks: Iterable[int]) -> int:
+        """Counts the leading blocks that are cached, and marks them used."""
+        count = 0
+        for block in blocks:
+            key = (salt, version, block)
+            if key not in self._blocks:
+                break
+            self._blocks.move_to_end(key)
+            count += 1
+        return count
+
+    def store(self, salt: str, version: str, blocks: Iterable[int]) -> None:
+        """Stores blocks and evicts the least recently used ones."""
+        stored = []
+        for block in blocks:
+            key = (salt, version, block)
+            if key not in self._blocks:
+                stored.append(block)
+            self._blocks[key] = None
+            self._blocks.move_to_end(key)
+        evicted = []
+        while len(self._blocks) > self.capacity:
+            key, _ = self._blocks.popitem(last=False)
+            evicted.append(key[2])
+        if stored:
+            self.on_event("stored", tuple(stored))
+        if evicted:
+            self.on_event("evicted", tuple(evicted))
+
+    def clear(self) -> None:
+        """Drops every block."""
+        self._blocks.clear()
+        self.on_event("cleared", ())
+
+    def hashes(self) -> list[int]:
+        """Lists the hashes of all blocks."""
+        return [key[2] for key in self._blocks]
+
+
+@attrs.define
+class Slots:
+    """Places in the batch; waiting requests get them by priority."""
+
+    size: int
+    running: int = 0
+    _waiting: list[tuple[int, int, anyio.Event]] = attrs.field(factory=list)
+    _order: itertools.count = attrs.field(factory=itertools.count)
+
+    @property
+    def queued(self) -> int:
+        """Number of waiting requests."""
+        return len(self._waiting)
+
+    async def acquire(self, priority: int) -> None:
+        """Waits for a place; a lower priority value comes first."""
+        if self.running < self.size:
+            self.running += 1
+            return
+        entry = (priority, next(self._order), anyio.Event())
+        heapq.heappush(self._waiting, entry)
+        try:
+            await entry[2].wait()
+        except BaseException:
+            if entry in self._waiting:
+                self._waiting.remove(entry)
+                heapq.heapify(self._waiting)
+            else:
+                self.release()
+            raise
+
+    def release(self) -> None:
+        """Gives a place back, to the first waiting request if any."""
+        if self._waiting:
+            heapq.heappop(self._waiting)[2].set()
+        else:
+            self.running -= 1
+
+
+@attrs.define
+class Feed:
+    """Numbered cache events and the connections that follow them.
+
+    The first number is 1, so that a snapshot can be told as a `cleared` event
+    with the number before the last one and a `stored` event with the last.
+    """
+
+    number: int = 1
+    _followers: list[deque] = attrs.field(factory=list)
+    _changed: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def publish(self, kind: str, blocks: tuple[int, ...]) -> None:
+        """Numbers an event and queues it for each follower."""
+        self.number += 1
+        event = {"type": kind, "number": self.number, "blocks": list(blocks)}
+        for queue in self._followers:
+            # A full queue loses its oldest event, as engines do.
+            queue.append(event)
+        self._changed.set()
+
+    def follow(self) -> deque:
+        """Adds a follower; its queue receives the events from now on."""
+        queue: deque = deque(maxlen=MAX_FEED_EVENTS)
+        self._followers.append(queue)
+        return queue
+
+    def unfollow(self, queue: deque) -> None:
+        """Removes a follower."""
+        self._followers = [q for q in self._followers if q is not queue]
+
+    async def wait(self, limit_s: float) -> None:
+        """Waits until an event is published, at most `limit_s` seconds."""
+        self._changed = (
+            anyio.Event() if self._changed.is_set() else (self._changed)
+        )
+        with anyio.move_on_after(limit_s):
+            await self._changed.wait()
--- /dev/null
+++ b/standins/texts.py
@@ -0,0 +1,29 @@
+"""Answers of the stand-in runners, the same on every runner."""
+
+import json
+
+import xxhash
+
+_WORDS = (
+    *("snow", "ridge", "hut", "stove", "cloud", "trail", "path", "wind"),
+    *("stone", "river", "page", "seal", "paper", "thread", "spine", "cover"),
+    *("ink", "fold", "caption", "light", "morning", "evening", "north"),
+)
+
+
+def prompt_digest(messages: object, version: str) -> int:
+    """Digests a prompt together with the weights version."""
+    data = json.dumps([messages, version], sort_keys=True).encode()
+    return xxhash.xxh3_64_intdigest(data)
+
+
+def token(digest: int, offset: int) -> str:
+    """Returns the token at an offset."""
+    value = xxhash.xxh3_64_intdigest(offset.to_bytes(8, "big"), seed=digest)
+    return _WORDS[value % len(_WORDS)] + f"{value % 97} "
+
+
+def text(messages: object, version: str, start: int, end: int) -> str:
+    """Returns the tokens `start` up to `end` of an answer as one text."""
+    digest = prompt_digest(messages, version)
+    return "".join(token(digest, offset) for offset in range(start, end))
