--- a/features/environment.py
+++ b/features/environment.py
@@ -1,5 +1,12 @@
 """Ends what a scenario left running."""
 
+import logging
+
+
+def before_all(context):
+    """Keeps one line per HTTP request out of the reports."""
+    logging.getLogger("httpx").setLevel(logging.WARNING)
+
 
 def before_scenario(context, scenario):
     """Gives each scenario an empty list of things to close."""
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -133,6 +133,7 @@
             if stats["running"]:
                 cluster.kill(name)
                 killed.append(name)
+                return
 
     text, ended = stream_chat(cluster.url("router-1"), 120, kill_in_mid_stream)
     print(f"killed {killed}; the caller got {len(text)} characters")
