Generate and check the catalogues of events and metrics

Cause: operators filter logs by event number, and a misspelt name would only fail when its line runs. Ruled out: matching every text in the package, since names such as 'started' also occur as other values; calls of log, count, gauge and timing are matched instead. Conclusion: names registered for modules that have not landed are listed in NOT_YET_USED and printed as warnings.

--- /dev/null
+++ b/scripts/check_catalogues.py
@@ -0,0 +1,204 @@
+"""Checks events and metrics: registries, catalogues and uses must agree.
+
+With `--write`, writes docs/EVENTS.md and docs/METRICS.md from the registries.
+Without it, fails if a catalogue differs from its registry, if the package logs
+or counts a name that is not registered, or if a registered name is not used.
+"""
+
+import ast
+import pathlib
+import sys
+from collections.abc import Iterator
+
+import attrs
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from knapweedarch.events import ALL_EVENTS, EVENTS, GROUPS  # noqa: E402
+from knapweedarch.metrics import METRICS, MetricKind  # noqa: E402
+from knapweedarch.models import RefusalReason, RetryReason  # noqa: E402
+
+PACKAGE = ROOT / "knapweedarch"
+REGISTRIES = {"events.py", "metrics.py", "logs.py"}
+LOG_CALLS = {"log"}
+METRIC_CALLS = {"count", "gauge", "timing"}
+# Texts and lists have a method `count` as well; only these receivers count
+# metrics.
+METRIC_RECEIVERS = {"metrics", "router", "self"}
+
+# Registered for modules that are not written yet. A name leaves this list when
+# the module that uses it lands.
+NOT_YET_USED = frozenset(
+    {
+        *("answer_crossed", "attempt_failed", "cancelled"),
+        *("crossed.dropped", "endpoint_announced", "endpoint_ejected"),
+        *("endpoint_leaving", "endpoint_refused", "endpoint_restored"),
+        *("endpoint_retired", "endpoint_returned", "endpoints.active"),
+        *("endpoints.announced", "endpoints.ejected", "failed", "feed.gaps"),
+        *("feed_gap", "feed_opened", "first_token", "journal.sync"),
+        *("journal_truncated", "learner_added", "lease.expired"),
+        *("lease.held", "lease.renewed", "lease_expired", "lease_granted"),
+        *("link_silent", "member.commit_index", "member.leads"),
+        *("member.records", "member.routers", "member.term"),
+        *("member.voters", "member_replaced", "outcome_unknown"),
+        *("request_failed", "request_refused", "requests.finished"),
+        *("requests.running", "requests.started", "requests.waiting"),
+        *("rules.version", "rules_accepted", "rules_conflict"),
+        *("snapshot_saved", "stream_failed", "stream_resumed"),
+        *("streams.resumed", "streams.running", "tokens.cached"),
+        *("tokens.computed", "tokens.wasted"),
+        *(f"refused.{reason.value}" for reason in RefusalReason),
+        *(f"retried.{reason.value}" for reason in RetryReason),
+    }
+)
+
+
+@attrs.frozen
+class Use:
+    """A name in a call; `whole` is false for the start of a longer name."""
+
+    place: str
+    call: str
+    receiver: str
+    name: str
+    whole: bool
+
+
+def uses(path: pathlib.Path) -> Iterator[Use]:
+    """Finds the calls of one module that may log or count."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        match node:
+            case ast.Call(
+                func=ast.Name(id=call) | ast.Attribute(attr=call) as func,
+                args=[first, *_],
+            ) if call in LOG_CALLS | METRIC_CALLS:
+                place = f"{path.name}:{node.lineno}"
+                for name, whole in names(first):
+                    yield Use(place, call, receiver(func), name, whole)
+
+
+def receiver(func: ast.expr) -> str:
+    """Returns the last name before the method, without leading underscores."""
+    match func:
+        case ast.Attribute(value=ast.Name(id=name) | ast.Attribute(attr=name)):
+            return name.lstrip("_")
+    return ""
+
+
+def names(node: ast.expr) -> Iterator[tuple[str, bool]]:
+    """Returns the names that an argument can have, as far as it shows."""
+    match node:
+        case ast.Constant(value=str(name)):
+            yield name, True
+        case ast.JoinedStr(values=[ast.Constant(value=str(start)), *_]):
+            yield start, False
+        case ast.IfExp(body=body, orelse=orelse):
+            yield from names(body)
+            yield from names(orelse)
+
+
+def check_uses() -> tuple[list[str], set[str]]:
+    """Returns the faults, and the registered names that are not used."""
+    faults: list[str] = []
+    unused = set(EVENTS) | set(METRICS)
+    for path in sorted(PACKAGE.glob("*.py")):
+        if path.name in REGISTRIES:
+            continue
+        for use in uses(path):
+            known = EVENTS if use.call in LOG_CALLS else METRICS
+            found = {
+                name
+                for name in known
+                if name == use.name
+                or (not use.whole and name.startswith(use.name))
+            }
+            unused -= found
+            counts = use.call in LOG_CALLS or use.receiver in METRIC_RECEIVERS
+            if not found and counts:
+                faults.append(
+                    f"{use.place} uses {use.name!r}, which is not registered"
+                )
+    return faults, unused
+
+
+def events_page() -> str:
+    """Formats the catalogue of events."""
+    lines = [
+        "# Events",
+        "",
+        "Generated by `scripts/check_catalogues.py --write` from",
+        "`knapweedarch/events.py`. Each line of a log is a JSON object with",
+        "`time`, `level`, `event` (the number), `event_name`, `text` and",
+        "`fields` (what is known of the case).",
+    ]
+    for group, title in GROUPS.items():
+        lines += ["", f"## {group}xx {title}", ""]
+        lines += ["| Number | Name | Level | Meaning |", "|---|---|---|---|"]
+        lines += [
+            f"| {e.number} | `{e.name}` | {e.level.name.lower()} | {e.text} |"
+            for e in sorted(ALL_EVENTS, key=lambda e: e.number)
+            if e.number // 100 == group
+        ]
+    return "\n".join(lines) + "\n"
+
+
+def metrics_page() -> str:
+    """Formats the catalogue of metrics."""
+    lines = [
+        "# Metrics",
+        "",
+        "Generated by `scripts/check_catalogues.py --write` from",
+        "`knapweedarch/metrics.py`. Names are sent to statsd with the name of",
+        "the process as prefix; timings are in milliseconds. There is a",
+        "counter for each refusal reason and for each retry reason; see",
+        "[OPERATORS.md](OPERATORS.md) for what to do about them.",
+    ]
+    for kind in MetricKind:
+        lines += ["", f"## {kind.value.capitalize()}s", ""]
+        lines += ["| Name | Meaning |", "|---|---|"]
+        lines += [
+            f"| `{m.name}` | {m.text} |"
+            for m in METRICS.values()
+            if m.kind is kind
+        ]
+    return "\n".join(lines) + "\n"
+
+
+PAGES = {
+    ROOT / "docs" / "EVENTS.md": events_page,
+    ROOT / "docs" / "METRICS.md": metrics_page,
+}
+
+
+def check_pages() -> list[str]:
+    """Lists the catalogues that differ from their registry."""
+    return [
+        f"docs/{path.name} is out of date; run this script with --write"
+        for path, page in PAGES.items()
+        if not path.exists() or path.read_text() != page()
+    ]
+
+
+def main() -> int:
+    """Checks or writes; returns the exit code."""
+    if sys.argv[1:] == ["--write"]:
+        for path, page in PAGES.items():
+            path.write_text(page())
+        return 0
+    faults, unused = check_uses()
+    faults += check_pages()
+    faults += [
+        f"{name} is registered but used nowhere"
+        for name in sorted(unused - NOT_YET_USED)
+    ]
+    for name in sorted(unused & NOT_YET_USED):
+        print(f"warning: {name} is registered and not used yet")
+    for name in sorted(NOT_YET_USED - unused):
+        print(f"warning: {name} is used now; remove it from NOT_YET_USED")
+    print("\n".join(faults))
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
