--- a/features/rules.feature
+++ b/features/rules.feature
@@ -32,6 +32,8 @@
       model name=x  # asked by D
       customer e key=sha256:DIGEST_B concurrent=1.5 class=vip  # asked by E
       service t once=/a//b,b  # asked by F
+      service u once=/deposits/  # asked by F
+      service v once=/deposits,/../x  # asked by F
       """
     Then the rules are refused with exactly
       """
@@ -58,6 +60,8 @@
       test.rules:11:99: '1.5' is not a whole number from 0 to 100000
       test.rules:11:109: 'vip' is not one of availability, guest, interactive, batch
       test.rules:12:16: '/a//b' is not a path such as /deposits or /shop/orders
+      test.rules:13:16: '/deposits/' is not a path such as /deposits or /shop/orders
+      test.rules:14:26: '/../x' is not a path such as /deposits or /shop/orders
       """
 
   Scenario: A key pasted in the clear is not repeated in the message
--- a/knapweedarch/rule_kinds.py
+++ b/knapweedarch/rule_kinds.py
@@ -23,9 +23,10 @@
 _VERSION = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
 _KEY = re.compile(r"sha256:([0-9a-fA-F]{64})")
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?")
-# Segments "", "." and ".." are refused: callers' paths are compared without
-# them, so such a prefix would never match and calls under it could repeat.
-_PATH = re.compile(r"/|(?=.{1,256}$)(/(?!\.{1,2}(/|$))[A-Za-z0-9._~-]+)+/?")
+# Callers' paths are compared without empty or dotted segments, so a prefix
+# with one would never match, and /deposits/ would not cover /deposits itself;
+# calls that the operator meant to protect could then run twice.
+_PATH = re.compile(r"/|(?=.{1,256}$)(/(?!\.{1,2}(/|$))[A-Za-z0-9._~-]+)+")
 Rule = CustomerRule | ModelRule | ServiceRule
 
 
