--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -9,7 +9,7 @@
   Scenario: A correct rule file is checked without the members
     Given the members cannot be reached
     When the tool runs "check FILE"
-    Then it exits with 0 and prints "0 customers, 1 models, 0 services"
+    Then it exits with 0 and prints "customers 0, models 1, services 0"
 
   Scenario: All faults of a rule file are printed and nothing is sent
     Given a rule file with "model a # x" and "modle b  # asked by S"
--- a/knapweedarch/reports.py
+++ b/knapweedarch/reports.py
@@ -71,7 +71,7 @@
         "models": len(rules.models),
         "services": len(rules.services),
     }
-    text = ", ".join(f"{number} {name}" for name, number in sizes.items())
+    text = ", ".join(f"{name} {number}" for name, number in sizes.items())
     _print(as_json, {"result": "done", **sizes}, [f"{file}: {text}"])
 
 
