Let the tool never claim that nothing was done without knowing

Cause: an unhandled error ended the tool with code 1, which promises that nothing was changed, and so did reasons of refusal that the tool does not know. Numbers and texts that msgpack cannot carry raised such errors after the request id was printed. Ruled out: handling only known error classes, because the next unknown one would give the same false promise. Conclusion: code 1 only for a refusal, 4 whenever the tool cannot know; scenarios cover a broken-off order and the refused arguments.

--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -36,6 +36,9 @@
       | status --settings /nonexistent   | No such file              |
       | check-settings FILE              | FILE:                     |
       | apply FILE --base x              | argument --base           |
+      | apply FILE --base -1             | --base: -1                |
+      | apply FILE --base 9223372036854775808 | --base: 9223          |
+      | retire a\udcffb                  | printable characters      |
 
   Scenario: Settings are checked
     When the tool runs "check-settings SETTINGS"
@@ -108,6 +111,12 @@
       | status            |
       | announce runner-1 |
 
+  Scenario: A command that breaks off does not claim that nothing was done
+    # Python ends with code 1 on an error that nobody handles.
+    Given the next answer is lost by a fault in the tool
+    When the tool runs "apply FILE --base 1"
+    Then it exits with 4 and warns "resend with the same request id"
+
   Scenario: An endpoint is retired and announced again
     Given the members know endpoint "runner-1"
     When the tool runs "retire runner-1"
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -30,6 +30,9 @@
         self.state = ControlState()
         self.reachable = True
         self.lose_next = False
+        self.lost_error = ControlError(
+            "unknown_outcome", "no control member answered"
+        )
 
     async def __aenter__(self):
         return self
@@ -67,7 +70,7 @@
         """Fails as the client does after a lost answer."""
         if self.lose_next:
             self.lose_next = False
-            raise ControlError("unknown_outcome", "no control member answered")
+            raise self.lost_error
 
 
 @given('members with the rules "{text}" in version 1')
@@ -109,6 +112,12 @@
     context.fake.lose_next = True
 
 
+@given("the next answer is lost by a fault in the tool")
+def tool_fails(context):
+    context.fake.lose_next = True
+    context.fake.lost_error = RuntimeError("a fault in the tool")
+
+
 @given('the members know endpoint "{name}"')
 def endpoint_known(context, name):
     endpoint = Endpoint(
@@ -131,6 +140,8 @@
         "LAST": getattr(context, "request_id", ""),
     }
     arguments = [names.get(word, word) for word in command.split()]
+    # A byte that is not UTF-8 reaches the tool as a lone surrogate.
+    arguments = [word.replace(r"\udcff", "\udcff") for word in arguments]
     if "--settings" not in arguments and arguments[0] not in (
         *("check", "check-settings", "frobnicate"),
     ):
--- a/knapweedarch/cli.py
+++ b/knapweedarch/cli.py
@@ -8,6 +8,7 @@
 import ipaddress
 import pathlib
 import sys
+import traceback
 import urllib.parse
 from collections.abc import Callable
 from typing import Literal
@@ -19,6 +20,7 @@
 from knapweedarch.control import StatusReply
 from knapweedarch.exceptions import (
     ControlError,
+    KnapweedarchError,
     RequestIdError,
     RuleError,
     SettingsError,
@@ -39,6 +41,24 @@
 EXIT_USAGE = 2
 EXIT_UNREACHABLE = 3
 EXIT_UNKNOWN = 4
+MAX_VERSION = 2**63 - 1
+MAX_ID_CHARACTERS = 128
+INTERRUPTED = (
+    "the command broke off; if it gave an order, the outcome is unknown: "
+    "resend with the same request id"
+)
+
+
+class UsageError(KnapweedarchError):
+    """An argument is out of range.
+
+    Attributes:
+        faults: One text per fault.
+    """
+
+    def __init__(self, *faults: str):
+        self.faults = list(faults)
+        super().__init__("; ".join(faults))
 
 
 def check(
@@ -115,6 +135,8 @@
     text = rule_files.read_rules_text(file)
     if base is None:
         base = rule_files.noted_base(file)
+    if not 0 <= base <= MAX_VERSION:
+        raise UsageError(f"--base: {base}; allowed: 0 to {MAX_VERSION}")
     loaded = api.load(settings)
     request_id = _announce_id(request_id, api.apply_order(text, base))
     match api.apply(loaded, file, base, request_id):
@@ -192,9 +214,11 @@
         "incarnation": incarnation,
     }
     given = {key: value for key, value in given.items() if value}
+    _check_texts(endpoint_id, *map(str, given.values()))
     if url and not _is_url(url):
-        text = f"--url: {url!r}; allowed: http://, an IP number and a port"
-        return reports.print_faults(json, [text], EXIT_USAGE)
+        raise UsageError(
+            f"--url: {url!r}; allowed: http://, an IP number and a port"
+        )
     loaded = api.load(settings)
     order = api.announce_order(endpoint_id, repr(sorted(given.items())))
     request_id = _announce_id(request_id, order)
@@ -214,6 +238,16 @@
     )
 
 
+def _check_texts(*texts: str) -> None:
+    """Refuses texts that no endpoint can have, such as malformed UTF-8."""
+    for text in texts:
+        if not text.isprintable() or len(text) > MAX_ID_CHARACTERS:
+            raise UsageError(
+                f"{text[:MAX_ID_CHARACTERS]!r}; allowed: up to "
+                f"{MAX_ID_CHARACTERS} printable characters"
+            )
+
+
 def _is_url(text: str) -> bool:
     """Tells whether a text is http, an IP number and a port."""
     try:
@@ -257,6 +291,7 @@
         settings: Settings file with members and credential.
         json: Print one JSON document.
     """
+    _check_texts(endpoint_id)
     loaded = api.load(settings)
     request_id = _announce_id(request_id, api.retire_order(endpoint_id))
     return _report_endpoint(
@@ -342,17 +377,23 @@
         return defopt.run(
             COMMANDS, argv=arguments, short={}, no_negated_flags=True
         )
-    except (RuleError, SettingsError) as exc:
+    except (RuleError, SettingsError, UsageError) as exc:
         return reports.print_faults(json, exc.faults, EXIT_USAGE)
     except RequestIdError as exc:
         return reports.print_faults(json, [str(exc)], EXIT_USAGE)
     except ControlError as exc:
         return _report_control(json, exc)
+    except KeyboardInterrupt:
+        return reports.print_faults(json, [INTERRUPTED], EXIT_UNKNOWN)
+    except Exception:
+        # Python would end with code 1, which promises that nothing was done.
+        traceback.print_exc()
+        return reports.print_faults(json, [INTERRUPTED], EXIT_UNKNOWN)
 
 
 def _report_control(json: bool, exc: ControlError) -> int:
-    code = {"unreachable": EXIT_UNREACHABLE, "unknown_outcome": EXIT_UNKNOWN}
-    found = code.get(exc.reason, EXIT_REFUSED)
+    codes = {"refused": EXIT_REFUSED, "unreachable": EXIT_UNREACHABLE}
+    found = codes.get(exc.reason, EXIT_UNKNOWN)
     text = str(exc)
     if found == EXIT_UNKNOWN:
         text += "; the outcome is unknown: resend with the same request id"
