--- a/knapweedarch/cli.py
+++ b/knapweedarch/cli.py
@@ -5,8 +5,11 @@
 unknown, and the order must be resent under the same request id.
 """
 
+import ipaddress
 import pathlib
 import sys
+import traceback
+import urllib.parse
 from collections.abc import Callable
 from typing import Literal
 
@@ -14,8 +17,10 @@
 import defopt
 
 from knapweedarch import api, reports, rule_files
+from knapweedarch.control import StatusReply
 from knapweedarch.exceptions import (
     ControlError,
+    KnapweedarchError,
     RequestIdError,
     RuleError,
     SettingsError,
@@ -36,6 +41,24 @@
 EXIT_USAGE = 2
 EXIT_UNREACHABLE = 3
 EXIT_UNKNOWN = 4
+MAX_VERSION = 2**63 - 1
+MAX_ID_CHARACTERS = 128
+INTERRUPTED = (
+    "the command broke off; if it gave an order, the outcome is unknown: "
+    "resend with the same request id"
+)
+
+
+class UsageError(KnapweedarchError):
+    """An argument is out of range.
+
+    Attributes:
+        faults: One text per fault.
+    """
+
+    def __init__(self, *faults: str):
+        self.faults = list(faults)
+        super().__init__("; ".join(faults))
 
 
 def check(
@@ -112,6 +135,8 @@
     text = rule_files.read_rules_text(file)
     if base is None:
         base = rule_files.noted_base(file)
+    if not 0 <= base <= MAX_VERSION:
+        raise UsageError(f"--base: {base}; allowed: 0 to {MAX_VERSION}")
     loaded = api.load(settings)
     request_id = _announce_id(request_id, api.apply_order(text, base))
     match api.apply(loaded, file, base, request_id):
@@ -189,6 +214,11 @@
         "incarnation": incarnation,
     }
     given = {key: value for key, value in given.items() if value}
+    _check_texts(endpoint_id, *map(str, given.values()))
+    if url and not _is_url(url):
+        raise UsageError(
+            f"--url: {url!r}; allowed: http://, an IP number and a port"
+        )
     loaded = api.load(settings)
     order = api.announce_order(endpoint_id, repr(sorted(given.items())))
     request_id = _announce_id(request_id, order)
@@ -208,7 +238,33 @@
     )
 
 
-def _endpoint(found, endpoint_id: str, given: dict) -> Endpoint | None:
+def _check_texts(*texts: str) -> None:
+    """Refuses texts that no endpoint can have, such as malformed UTF-8."""
+    for text in texts:
+        if not text.isprintable() or len(text) > MAX_ID_CHARACTERS:
+            raise UsageError(
+                f"{text[:MAX_ID_CHARACTERS]!r}; allowed: up to "
+                f"{MAX_ID_CHARACTERS} printable characters"
+            )
+
+
+def _is_url(text: str) -> bool:
+    """Tells whether a text is http, an IP number and a port."""
+    try:
+        parts = urllib.parse.urlsplit(text)
+        ipaddress.ip_address(parts.hostname or "")
+        return (
+            parts.scheme == "http"
+            and parts.port is not None
+            and not parts.query
+        )
+    except ValueError:
+        return False
+
+
+def _endpoint(
+    found: StatusReply, endpoint_id: str, given: dict
+) -> Endpoint | None:
     """Returns the endpoint to announce, or None if too little is known."""
     for entry in found.endpoints:
         if entry.endpoint.id == endpoint_id:
@@ -235,6 +291,7 @@
         settings: Settings file with members and credential.
         json: Print one JSON document.
     """
+    _check_texts(endpoint_id)
     loaded = api.load(settings)
     request_id = _announce_id(request_id, api.retire_order(endpoint_id))
     return _report_endpoint(
@@ -301,8 +358,6 @@
     "form": form,
     "check-settings": check_settings,
 }
-# A failure of these leaves nothing behind, whatever the members received.
-READ_ONLY = frozenset({"check", "diff", "list", "status", "check-settings"})
 
 
 def _announce_id(request_id: str, order: api.Order) -> str:
@@ -322,19 +377,23 @@
         return defopt.run(
             COMMANDS, argv=arguments, short={}, no_negated_flags=True
         )
-    except (RuleError, SettingsError) as exc:
+    except (RuleError, SettingsError, UsageError) as exc:
         return reports.print_faults(json, exc.faults, EXIT_USAGE)
     except RequestIdError as exc:
         return reports.print_faults(json, [str(exc)], EXIT_USAGE)
     except ControlError as exc:
-        return _report_control(json, exc, arguments[0] in READ_ONLY)
-
-
-def _report_control(json: bool, exc: ControlError, read_only: bool) -> int:
-    code = {"unreachable": EXIT_UNREACHABLE, "unknown_outcome": EXIT_UNKNOWN}
-    found = code.get(exc.reason, EXIT_REFUSED)
-    if found == EXIT_UNKNOWN and read_only:
-        found = EXIT_UNREACHABLE
+        return _report_control(json, exc)
+    except KeyboardInterrupt:
+        return reports.print_faults(json, [INTERRUPTED], EXIT_UNKNOWN)
+    except Exception:
+        # Python would end with code 1, which promises that nothing was done.
+        traceback.print_exc()
+        return reports.print_faults(json, [INTERRUPTED], EXIT_UNKNOWN)
+
+
+def _report_control(json: bool, exc: ControlError) -> int:
+    codes = {"refused": EXIT_REFUSED, "unreachable": EXIT_UNREACHABLE}
+    found = codes.get(exc.reason, EXIT_UNKNOWN)
     text = str(exc)
     if found == EXIT_UNKNOWN:
         text += "; the outcome is unknown: resend with the same request id"
