Mend faults found while the command line was written

Cause: a redirect after an unanswered order reported that nothing was sent; a member accepted rules that no router could parse; a request id answered for any order; a full endpoint table never made place; a runner whose models want different versions was reloaded for ever; the daemon took the tool's settings. Ruled out: checking rules only in the tool, since other clients exist. Conclusion: each fault has a scenario in features/control.feature.

--- /dev/null
+++ b/features/control.feature
@@ -0,0 +1,36 @@
+Feature: Control client, control state and member
+
+  Scenario: A redirect after an unanswered order does not make it "not sent"
+    Guards against telling an operator that nothing was sent when it was.
+    Given a member that drops the first order and redirects all later ones
+    When an order is given
+    Then the order ends as unknown_outcome
+
+  Scenario: A request id is bound to one order
+    Guards against answering an order with the result of another one.
+    Given the rules were replaced under request id "a"
+    Then the same order under request id "a" gets the first answer
+    And another order under request id "a" is refused as RequestIdReused
+
+  Scenario: A full endpoint table makes place for new endpoints
+    Guards against a table that fills up with endpoints that left for good.
+    Given a full endpoint table in which two endpoints left
+    When a new endpoint announces itself
+    Then it is accepted and the endpoint that left first is gone
+
+  Scenario: A runner whose models want different versions is not reloaded again
+    Guards against a runner that loads two versions in turn for ever.
+    Given a runner that serves two models and rules that name w2 and w3 for them
+    Then it gets no more than 1 load order
+
+  Scenario: A member refuses rules that do not parse
+    Guards against rules that every router would stop at.
+    Given a deployment of 1 member
+    When an operator submits rules that do not parse
+    Then the order ends as refused
+    And the rules version is still 0
+
+  Scenario: The daemon refuses the settings of the tool
+    Guards against a traceback instead of a message.
+    When the daemon is started with settings of the tool
+    Then it exits with code 2 and names "role"
--- /dev/null
+++ b/features/steps/control_steps.py
@@ -0,0 +1,205 @@
+"""Steps for the control client, the control state and the member."""
+
+import subprocess
+import sys
+
+import anyio
+import attrs
+from behave import given, then, when
+
+from knapweedarch import control, links, state
+from knapweedarch.exceptions import ControlError
+from knapweedarch.models import (
+    Endpoint,
+    EndpointKind,
+    EndpointStatus,
+    ModelRule,
+    Rules,
+)
+from knapweedarch.orders import Rollout
+from knapweedarch.timers import Clock
+from standins.deployment import CREDENTIAL, ROOT, Deployment
+
+ORDER = state.PutRules("a", 0, "model guide  # asked by T: x\n")
+
+
+def submit(members, command, timeout_s):
+    """Submits a command; returns the reason it failed for, or its result."""
+
+    async def run():
+        client = control.create_control(members, CREDENTIAL.encode(), Clock())
+        async with client:
+            try:
+                return await client.submit(command, timeout_s)
+            except ControlError as exc:
+                return exc.reason
+
+    return anyio.run(run)
+
+
+def apply(machine, command):
+    """Applies a command to a control state."""
+    data = machine.apply(state.COMMANDS.encode(command))
+    return state.RESULTS.decode(data)
+
+
+@given("a member that drops the first order and redirects all later ones")
+def dropping_member(context):
+    context.orders = 0
+
+
+@when("an order is given")
+def give_order(context):
+    async def handle(link, message):
+        context.orders += 1
+        if context.orders == 1:
+            link.close()
+            return None
+        return control.Redirect("")
+
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        address = control.MemberAddress("m", "127.0.0.1", port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                *(links.serve, listener, CREDENTIAL.encode()),
+                *(control.CONTROL, handle, print),
+            )
+            client = control.create_control(
+                [address], CREDENTIAL.encode(), Clock()
+            )
+            async with client:
+                try:
+                    await client.submit(ORDER, 1.0)
+                except ControlError as exc:
+                    context.reason = exc.reason
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert context.orders > 1, context.orders
+
+
+@then("the order ends as {reason}")
+def order_ends(context, reason):
+    assert context.reason == reason, context.reason
+
+
+@given('the rules were replaced under request id "a"')
+def rules_replaced(context):
+    context.machine = state.ControlState()
+    assert apply(context.machine, ORDER) == state.RulesAccepted(1)
+
+
+@then('the same order under request id "a" gets the first answer')
+def same_order(context):
+    assert apply(context.machine, ORDER) == state.RulesAccepted(1)
+    assert context.machine.rules_version == 1
+
+
+@then('another order under request id "a" is refused as RequestIdReused')
+def other_order(context):
+    other = attrs.evolve(ORDER, base_version=1)
+    assert apply(context.machine, other) == state.RequestIdReused()
+    assert context.machine.rules_version == 1
+
+
+def endpoint(number, **changes):
+    """Builds an endpoint."""
+    return Endpoint(
+        *(f"r{number}", f"i{number}", "http://127.0.0.1:1"),
+        EndpointKind.RUNNER,
+        **{"serves": ("guide",), **changes},
+    )
+
+
+@given("a full endpoint table in which two endpoints left")
+def full_table(context):
+    context.machine = state.ControlState()
+    for number in range(state.MAX_ENDPOINTS):
+        apply(context.machine, state.Announce(endpoint(number)))
+    for number in (9, 4):
+        apply(context.machine, state.Retire(f"retire-{number}", f"r{number}"))
+
+
+@when("a new endpoint announces itself")
+def announce_new(context):
+    context.result = apply(context.machine, state.Announce(endpoint("new")))
+
+
+@then("it is accepted and the endpoint that left first is gone")
+def first_is_gone(context):
+    assert context.result.status is EndpointStatus.ACTIVE
+    known = context.machine.endpoints
+    assert len(known) == state.MAX_ENDPOINTS
+    assert "rnew" in known and "r4" in known and "r9" not in known
+
+
+@given("a runner that serves two models and rules that name w2 and w3 for them")
+def two_models(context):
+    context.runner = endpoint(1, serves=("guide", "scribe"))
+    context.rules = Rules(
+        models=(ModelRule("guide", "w2"), ModelRule("scribe", "w3"))
+    )
+
+
+@then("it gets no more than {count:d} load order")
+def load_orders(context, count):
+    rollout, given_orders, runner = Rollout(), 0, context.runner
+    for step in range(100):
+        for order in rollout.next_orders(context.rules, [runner], step * 1.0):
+            given_orders += 1
+            runner = attrs.evolve(runner, weights_version=order.version)
+    assert given_orders == count, given_orders
+
+
+@given("a deployment of 1 member")
+def one_member(context):
+    cluster = context.cluster = Deployment(members=1)
+    context.closing.append(lambda: cluster.__exit__(None, None, None))
+    cluster.start_member("member-1")
+    context.members = [control.MemberAddress(**m) for m in cluster.members]
+
+    async def form():
+        client = control.create_control(
+            context.members, CREDENTIAL.encode(), Clock()
+        )
+        async with client:
+            await client.form(context.members)
+
+    anyio.run(form)
+
+
+@when("an operator submits rules that do not parse")
+def submit_faulty(context):
+    order = state.PutRules("b", 0, "modle guide\n")
+    context.reason = submit(context.members, order, 10)
+
+
+@then("the rules version is still {version:d}")
+def still_version(context, version):
+    # Based on `version`, so that it conflicts if the version has moved.
+    order = state.PutRules("c", version, ORDER.text)
+    result = submit(context.members, order, 10)
+    assert result == state.RulesAccepted(version + 1), result
+
+
+@when("the daemon is started with settings of the tool")
+def daemon_with_tool_settings(context):
+    path = Deployment(members=1).tool_settings()
+    context.done = subprocess.run(
+        [
+            *(sys.executable, "-m", "knapweedarch.daemon", "--settings"),
+            path,
+        ],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+    )
+
+
+@then('it exits with code {code:d} and names "{word}"')
+def exits_with(context, code, word):
+    assert context.done.returncode == code, context.done
+    assert word in context.done.stderr
+    assert "Traceback" not in context.done.stderr
--- a/knapweedarch/api.py
+++ b/knapweedarch/api.py
@@ -23,6 +23,7 @@
     EndpointAccepted,
     EndpointUnknown,
     PutRules,
+    RequestIdReused,
     Retire,
     RulesAccepted,
     RulesConflict,
@@ -202,9 +203,12 @@
 
 
 def _submit(settings: Settings, command: object):
-    return _talk(
+    result = _talk(
         settings, lambda client: client.submit(command, ORDER_TIMEOUT_S)
     )
+    if isinstance(result, RequestIdReused):
+        raise ControlError("refused", "the request id is of another order")
+    return result
 
 
 def _talk(
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -286,29 +286,38 @@
             ControlError: See `submit`.
         """
         until = self._clock.now() + timeout_s
-        sent = False
+        unanswered = False
         pause = RETRY_S
         while (left := until - self._clock.now()) > 0:
             try:
                 link = await self._connect()
-                sent = True
+            except LinkError:
+                await self._pause(pause, until)
+                pause = min(pause * 2, RETRY_LIMIT_S)
+                continue
+            try:
                 reply = await link.call(message, left)
             except LinkError:
+                # Never taken back: a later member that has done nothing does
+                # not tell what became of the message sent before.
+                unanswered = True
                 self.drop_link()
             else:
                 match reply:
                     case Redirect(leader=leader):
-                        sent = False
                         self._follow(leader)
                     case Refused(reason=reason, message=text):
                         raise ControlError(reason, text)
                     case _:
                         return reply
-            await anyio.sleep(min(pause, max(until - self._clock.now(), 0)))
+            await self._pause(pause, until)
             pause = min(pause * 2, RETRY_LIMIT_S)
-        reason = "unknown_outcome" if sent else "unreachable"
+        reason = "unknown_outcome" if unanswered else "unreachable"
         raise ControlError(reason, "no control member answered in time")
 
+    async def _pause(self, pause_s: float, until: float) -> None:
+        await anyio.sleep(min(pause_s, max(until - self._clock.now(), 0)))
+
     def _follow(self, leader: str) -> None:
         self.drop_link()
         if leader in self._members:
--- a/knapweedarch/daemon.py
+++ b/knapweedarch/daemon.py
@@ -11,7 +11,12 @@
 from knapweedarch.exceptions import JournalError, SettingsError
 from knapweedarch.logs import log, setup_logging
 from knapweedarch.metrics import Metrics, create_metrics
-from knapweedarch.settings import MemberSettings, RouterSettings, load_settings
+from knapweedarch.settings import (
+    MemberSettings,
+    RouterSettings,
+    ToolSettings,
+    load_settings,
+)
 from knapweedarch.timers import Clock
 
 EXIT_SETTINGS = 2
@@ -26,6 +31,8 @@
     """
     try:
         loaded = load_settings(settings)
+        if isinstance(loaded, ToolSettings):
+            raise SettingsError(["role: 'tool' is not a role of the daemon"])
     except SettingsError as exc:
         print("\n".join(exc.faults), file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -13,12 +13,14 @@
     CredentialError,
     LinkError,
     ReplicaError,
+    RuleError,
 )
 from knapweedarch.journal import open_journal
 from knapweedarch.leases import LEASE_S, LeaseTable
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import EndpointStatus
+from knapweedarch.rules import parse_rules
 from knapweedarch.settings import MemberSettings
 from knapweedarch.state import (
     COMMANDS,
@@ -313,6 +315,12 @@
         command = COMMANDS.decode(data)
         if isinstance(command, Reserve):
             command = attrs.evolve(command, at=time.time())
+        if isinstance(command, PutRules):
+            try:
+                parse_rules(command.text)
+            except RuleError as exc:
+                # Once committed, a faulty file would stop every router.
+                return control.Refused("refused", "; ".join(exc.faults[:5]))
         if self._orders_are_held(command):
             return control.Result(RESULTS.encode(OrdersHeld()))
         result = await self._propose(command)
--- a/knapweedarch/orders.py
+++ b/knapweedarch/orders.py
@@ -85,6 +85,7 @@
     def __init__(self):
         self._loading: dict[str, float] = {}
         self._paused: dict[str, float] = {}
+        self._versions: dict[str, str] = {}
 
     def next_orders(
         self, rules: Rules, endpoints: Sequence[Endpoint], now: float
@@ -96,7 +97,8 @@
             if e.kind is EndpointKind.RUNNER
             and e.status is EndpointStatus.ACTIVE
         ]
-        self._forget_ended(rules, runners, now)
+        self._versions = _versions(rules)
+        self._forget_ended(runners, now)
         orders: list[LoadOrder] = []
         for rule in sorted(rules.models, key=lambda r: r.first_token_s):
             if rule.version:
@@ -113,7 +115,9 @@
         wanted = [
             r
             for r in runners
-            if r.id not in self._loading and self._paused.get(r.id, 0.0) <= now
+            if r.id not in self._loading
+            and self._paused.get(r.id, 0.0) <= now
+            and (r.weights_version == version or _lacks(r, self._versions))
         ]
         chosen = plan_loads(wanted, model, version, len(self._loading))
         by_id = {r.id: r for r in runners}
@@ -121,17 +125,11 @@
             self._loading[endpoint_id] = now
         return [LoadOrder(by_id[i], model, version) for i in chosen]
 
-    def _forget_ended(
-        self, rules: Rules, runners: Sequence[Endpoint], now: float
-    ) -> None:
-        versions = {rule.name: rule.version for rule in rules.models}
+    def _forget_ended(self, runners: Sequence[Endpoint], now: float) -> None:
         known = {r.id: r for r in runners}
         for endpoint_id, started_at in list(self._loading.items()):
             runner = known.get(endpoint_id)
-            done = runner is None or any(
-                versions.get(model) == runner.weights_version
-                for model in runner.serves
-            )
+            done = runner is None or not _lacks(runner, self._versions)
             if done or now >= started_at + LOAD_LIMIT_S:
                 del self._loading[endpoint_id]
 
@@ -142,11 +140,24 @@
 
     def is_needed(self, rules: Rules, endpoints: Sequence[Endpoint]) -> bool:
         """Tells whether any runner lacks the version that the rules name."""
-        versions = {rule.name: rule.version for rule in rules.models}
+        versions = _versions(rules)
         return any(
-            versions.get(model) not in (None, "", endpoint.weights_version)
+            _lacks(endpoint, versions)
             for endpoint in endpoints
             if endpoint.kind is EndpointKind.RUNNER
             and endpoint.status is EndpointStatus.ACTIVE
-            for model in endpoint.serves
         )
+
+
+def _versions(rules: Rules) -> dict[str, str]:
+    return {rule.name: rule.version for rule in rules.models if rule.version}
+
+
+def _lacks(runner: Endpoint, versions: dict[str, str]) -> bool:
+    """Tells whether a runner holds none of the versions wanted of it.
+
+    A runner has one version. If its models want different ones, any of them
+    will do, or it would load one after the other for ever.
+    """
+    wanted = {versions[model] for model in runner.serves if model in versions}
+    return bool(wanted) and runner.weights_version not in wanted
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -59,6 +59,7 @@
 ROLLOUT_S = 0.5
 REPORT_S = 1.0
 FEED_RETRY_S = 0.2
+FEED_RETRY_LIMIT_S = 5.0
 RENEW_TIMEOUT_S = 1.0
 READY_GRACE_S = 1.0
 ANNOUNCE_TIMEOUT_S = 3.0
@@ -488,15 +489,19 @@
         self, endpoint: Endpoint, scope: anyio.CancelScope
     ) -> None:
         with scope:
+            pause = FEED_RETRY_S
             while True:
                 try:
                     async for item in self.adapter.follow_feed(endpoint):
+                        pause = FEED_RETRY_S
                         self._take_feed_item(item)
                 except EndpointError as exc:
                     self.count("feed.lost")
                     log("feed_lost", endpoint=endpoint.id, reason=exc.reason)
                     self.scheduler.endpoint_lost(endpoint.id, self.clock.now())
-                await anyio.sleep(FEED_RETRY_S)
+                # An endpoint that is gone for good costs little to look for.
+                await anyio.sleep(pause * self._random.uniform(0.5, 1.0))
+                pause = min(2 * pause, FEED_RETRY_LIMIT_S)
 
     def _take_feed_item(self, item: LoadReport | CacheEvent) -> None:
         now = self.clock.now()
--- a/knapweedarch/state.py
+++ b/knapweedarch/state.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import hashlib
 from collections import OrderedDict
 
 import attrs
@@ -188,6 +189,11 @@
     """A bounded table has no place left."""
 
 
+@attrs.frozen
+class RequestIdReused:
+    """The request id belongs to another order."""
+
+
 @attrs.frozen
 class Reserved:
     """The router holds the reservation and may send the call once."""
@@ -235,6 +241,14 @@
     superseded: tuple[str, ...] = ()
 
 
+@attrs.frozen
+class _StoredAnswer:
+    """The first answer to an order, and which order it was."""
+
+    order_digest: bytes
+    result: bytes
+
+
 @attrs.frozen
 class _Snapshot:
     rules_version: int
@@ -242,7 +256,7 @@
     revision: int
     endpoints: tuple[EndpointEntry, ...]
     records: dict[str, Record]
-    answers: dict[str, bytes]
+    answers: dict[str, _StoredAnswer]
     last_stamp: float
     orders_holder: str
     fencing_number: int
@@ -253,6 +267,7 @@
 )
 RESULTS = create_codec(
     *(RulesAccepted, RulesConflict, EndpointAccepted, EndpointUnknown),
+    RequestIdReused,
     *(TableFull, Reserved, RecordFound, Settled, OrdersTaken, OrdersHeld),
 )
 _SNAPSHOTS = create_codec(_Snapshot)
@@ -277,18 +292,21 @@
         self.records: OrderedDict[str, Record] = OrderedDict()
         self.orders_holder = ""
         self.fencing_number = 0
-        self._answers: OrderedDict[str, bytes] = OrderedDict()
+        self._answers: OrderedDict[str, _StoredAnswer] = OrderedDict()
         self._last_stamp = 0.0
 
     def apply(self, data: bytes) -> bytes:
         """Applies an encoded command; returns the encoded result."""
         command = COMMANDS.decode(data)
         request_id = getattr(command, "request_id", "")
-        if request_id and (answer := self._answers.get(request_id)):
-            return answer
+        digest = hashlib.sha256(data).digest() if request_id else b""
+        if request_id and (stored := self._answers.get(request_id)):
+            if stored.order_digest != digest:
+                return RESULTS.encode(RequestIdReused())
+            return stored.result
         result = RESULTS.encode(self._apply(command))
         if request_id:
-            self._answers[request_id] = result
+            self._answers[request_id] = _StoredAnswer(digest, result)
             while len(self._answers) > MAX_STORED_ANSWERS:
                 self._answers.popitem(last=False)
         return result
@@ -321,7 +339,7 @@
     def _announce(self, command: Announce) -> EndpointAccepted | TableFull:
         endpoint = command.endpoint
         known = self.endpoints.get(endpoint.id)
-        if known is None and len(self.endpoints) >= MAX_ENDPOINTS:
+        if known is None and not self._make_place():
             return TableFull()
         if known is None:
             self._put_endpoint(endpoint, False, ())
@@ -345,6 +363,21 @@
             self._put_endpoint(endpoint, retired, superseded[-MAX_SUPERSEDED:])
         return EndpointAccepted(self.revision, endpoint.status)
 
+    def _make_place(self) -> bool:
+        """Drops the endpoint that left first if the table is full."""
+        if len(self.endpoints) < MAX_ENDPOINTS:
+            return True
+        left = [
+            entry
+            for entry in self.endpoints.values()
+            if entry.endpoint.status is EndpointStatus.LEAVING
+        ]
+        if not left:
+            return False
+        oldest = min(left, key=lambda entry: entry.revision)
+        del self.endpoints[oldest.endpoint.id]
+        return True
+
     def _retire(self, endpoint_id: str) -> EndpointAccepted | EndpointUnknown:
         known = self.endpoints.get(endpoint_id)
         if known is None:
