Split the request modules and tighten their checks

Conclusion: a 4xx counts as not run only with the ids of this attempt; silence is measured between events; keys are printable ASCII, 1 to 255 characters.

--- a/knapweedarch/adapters.py
+++ b/knapweedarch/adapters.py
@@ -8,20 +8,28 @@
 
 import contextlib
 import json
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Mapping
 
 import anyio
 import attrs
 import httpx
 
 from knapweedarch.exceptions import EndpointError
+from knapweedarch.exchanges import (
+    CONNECT_S,
+    Exchange,
+    MaySend,
+    create_transport,
+    framed,
+    read_body,
+    send,
+)
+from knapweedarch.feeds import parse_feed_event
 from knapweedarch.models import (
     Attempt,
-    CacheChange,
     CacheEvent,
     Endpoint,
     LoadReport,
-    RefusalReason,
     RetryReason,
 )
 from knapweedarch.streams import (
@@ -30,11 +38,9 @@
     StreamEvent,
     StreamFault,
     parse_event,
-    parse_load,
 )
 from knapweedarch.timers import Clock, ManualClock
 
-CONNECT_S = 1.0
 FEED_SILENCE_S = 1.0
 STREAM_SILENCE_S = 2.0
 ORDER_S = 5.0
@@ -42,27 +48,10 @@
 # Time to wait for the end of the body after the end mark, so that the
 # connection can be used again; the caller has its answer by then.
 END_OF_BODY_S = 0.05
-# Below the 5 s after which hypercorn and most servers close idle connections.
-KEEP_ALIVE_S = 2.0
-MAX_CONNECTIONS = 512
 MAX_CLIENTS = 1024
 MAX_ANSWER_BYTES = 1024 * 1024
 MAX_ERROR_BYTES = 16 * 1024
 
-MaySend = Callable[[], RefusalReason | None]
-
-
-class SendRefusedError(EndpointError):
-    """The router may not start work any more; nothing was written.
-
-    Attributes:
-        refusal: Why.
-    """
-
-    def __init__(self, refusal: RefusalReason):
-        self.refusal = refusal
-        super().__init__(refusal.value, written=False)
-
 
 @attrs.frozen
 class ServiceAnswer:
@@ -99,30 +88,10 @@
 Order = LoadWeights | ChangeRole
 
 
-@attrs.define
-class _Exchange:
-    """One request and what is known about its fate."""
-
-    request: httpx.Request
-    response: httpx.Response | None = None
-    written: bool = False
-    complete: bool = False
-
-    def failed(self, reason: RetryReason, message: str) -> EndpointError:
-        """Builds the error for a failure of this exchange."""
-        if not self.written:
-            reason = RetryReason.CONNECT_REFUSED
-        return EndpointError(reason.value, message, self.written)
-
-    def header(self, name: str) -> str:
-        """Returns a header of the answer."""
-        return self.response.headers.get(name, "") if self.response else ""
-
-
 class ChatStream:
     """Events of one attempt, in batches that arrived together."""
 
-    def __init__(self, exchange: _Exchange, first_event_s: float):
+    def __init__(self, exchange: Exchange, first_event_s: float):
         self._exchange = exchange
         self._first_event_s = first_event_s
 
@@ -135,23 +104,23 @@
         decoder = SseDecoder()
         limit, late = self._first_event_s, RetryReason.FIRST_TOKEN_TIMEOUT
         parts = aiter(self._exchange.response.stream)
-        while True:
-            data = await self._next_part(parts, limit, late)
-            if data is None:
-                return
-            events = [parse_event(item) for item in _feed(decoder, data)]
-            if not events:
-                continue
+        while events := await self._next_events(parts, decoder, limit, late):
             limit, late = STREAM_SILENCE_S, RetryReason.STREAM_SILENT
             yield events
             if isinstance(events[-1], Done):
                 await self._finish_body(parts)
                 return
 
-    async def _next_part(self, parts, limit_s: float, late: RetryReason):
+    async def _next_events(
+        self, parts, decoder: SseDecoder, limit_s: float, late: RetryReason
+    ) -> list[StreamEvent]:
+        """Reads until an event is complete; comments do not count."""
         try:
             with anyio.fail_after(limit_s):
-                return await anext(parts, None)
+                async for data in parts:
+                    if items := _feed(decoder, data):
+                        return [parse_event(item) for item in items]
+                return []
         except TimeoutError as exc:
             raise self._exchange.failed(
                 late, f"silent for {limit_s} s"
@@ -180,7 +149,7 @@
         self._clock = clock
         self._incarnation = incarnation
         self._pools: dict[str, httpx.AsyncHTTPTransport] = {}
-        self._single = _transport(keep_alive=0)
+        self._single = create_transport(keep_alive=0)
 
     async def close(self) -> None:
         """Closes every connection."""
@@ -227,7 +196,7 @@
             "POST", endpoint.url + "/v1/chat/completions", headers, body
         )
         transport = await self._pool(endpoint.url)
-        async with self._send(transport, exchange, may_send, first_event_s):
+        async with send(transport, exchange, may_send, first_event_s):
             await self._check_chat(exchange, request_id, attempt_id)
             waited = self._clock.now() - started
             yield ChatStream(exchange, max(0.0, first_event_s - waited))
@@ -265,7 +234,7 @@
             transport = await self._pool(endpoint.url)
         try:
             with anyio.fail_after(timeout_s):
-                async with self._send(transport, exchange, may_send, timeout_s):
+                async with send(transport, exchange, may_send, timeout_s):
                     return await self._read_answer(exchange)
         except TimeoutError as exc:
             raise exchange.failed(
@@ -286,9 +255,7 @@
         """
         headers = {"x-router": self._incarnation}
         exchange = self._exchange("GET", endpoint.url + "/feed", headers, b"")
-        async with self._send(
-            self._single, exchange, lambda: None, FEED_SILENCE_S
-        ):
+        async with send(self._single, exchange, lambda: None, FEED_SILENCE_S):
             if exchange.response.status_code != 200:
                 raise exchange.failed(
                     RetryReason.ENDPOINT_REFUSED,
@@ -354,110 +321,67 @@
 
     def _exchange(
         self, method: str, url: str, headers: Mapping[str, str], body: bytes
-    ) -> _Exchange:
+    ) -> Exchange:
         fields = {
             **headers,
             "authorization": f"Bearer {self._credential}",
             "accept-encoding": "identity",
         }
-        return _Exchange(
+        return Exchange(
             httpx.Request(method, url, headers=fields, content=body or None)
         )
 
     async def _pool(self, url: str) -> httpx.AsyncHTTPTransport:
         """Returns the connections to an endpoint, most recently used last."""
-        transport = self._pools.pop(url, None) or _transport()
+        transport = self._pools.pop(url, None) or create_transport()
         self._pools[url] = transport
         while len(self._pools) > MAX_CLIENTS:
             await self._pools.pop(next(iter(self._pools))).aclose()
         return transport
 
-    @contextlib.asynccontextmanager
-    async def _send(
-        self,
-        transport: httpx.AsyncHTTPTransport,
-        exchange: _Exchange,
-        may_send: MaySend,
-        limit_s: float,
-    ) -> AsyncIterator[None]:
-        """Sends a request; on leaving, keeps the connection only if clean."""
-
-        async def trace(name: str, info: dict) -> None:
-            if name == "http11.send_request_headers.started":
-                if refusal := may_send():
-                    raise SendRefusedError(refusal)
-                exchange.written = True
-
-        exchange.request.extensions = {
-            "trace": trace,
-            "timeout": {
-                "connect": min(CONNECT_S, limit_s),
-                "pool": min(CONNECT_S, limit_s),
-                "write": limit_s,
-                "read": None,
-            },
-        }
-        try:
-            with anyio.fail_after(limit_s):
-                exchange.response = await transport.handle_async_request(
-                    exchange.request
-                )
-        except TimeoutError as exc:
-            raise exchange.failed(
-                RetryReason.FIRST_TOKEN_TIMEOUT, f"no answer in {limit_s} s"
-            ) from exc
-        except httpx.HTTPError as exc:
-            raise exchange.failed(
-                RetryReason.CONNECTION_CLOSED, repr(exc)
-            ) from exc
-        try:
-            yield
-        finally:
-            with anyio.CancelScope(shield=True):
-                await _close(exchange)
-
     async def _check_chat(
-        self, exchange: _Exchange, request_id: str, attempt_id: str
+        self, exchange: Exchange, request_id: str, attempt_id: str
     ) -> None:
         """Checks that the answer is a stream for this attempt."""
         code = exchange.response.status_code
         told = exchange.header("x-request-id"), exchange.header("x-attempt-id")
-        if code == 200 and told != (request_id, attempt_id):
+        if code == 200 and told == (request_id, attempt_id):
+            return
+        if told != (request_id, attempt_id) and (code == 200 or any(told)):
             raise exchange.failed(
                 RetryReason.CROSSED_ANSWER, f"an answer for {told} came"
             )
-        if code == 200:
-            return
         reason = RetryReason.ENDPOINT_ERROR
-        if 400 <= code < 500:
+        # Only a refusal of this very attempt tells that it was not run.
+        if 400 <= code < 500 and any(told):
             reason = await self._refusal(exchange)
         raise exchange.failed(reason, f"status {code}")
 
-    async def _refusal(self, exchange: _Exchange) -> RetryReason:
+    async def _refusal(self, exchange: Exchange) -> RetryReason:
         told = ""
         with contextlib.suppress(
             ValueError, KeyError, TypeError, httpx.HTTPError, TimeoutError
         ):
             with anyio.fail_after(CONNECT_S):
-                body = await _read_body(exchange, MAX_ERROR_BYTES)
+                body = await read_body(exchange, MAX_ERROR_BYTES)
             told = json.loads(body or b"{}")["error"]["reason"]
         if told in (RetryReason.WRONG_INCARNATION, RetryReason.WRONG_VERSION):
             return RetryReason(told)
         return RetryReason.ENDPOINT_REFUSED
 
-    async def _read_answer(self, exchange: _Exchange) -> ServiceAnswer:
+    async def _read_answer(self, exchange: Exchange) -> ServiceAnswer:
         sent_id = exchange.request.headers.get("x-request-id", "")
         told_id = exchange.header("x-request-id")
         if sent_id and told_id != sent_id:
             raise exchange.failed(
                 RetryReason.CROSSED_ANSWER, f"an answer for {told_id!r} came"
             )
-        if not _framed(exchange.response):
+        if not framed(exchange.response):
             raise exchange.failed(
                 RetryReason.STREAM_TRUNCATED, "the answer has no length"
             )
         try:
-            body = await _read_body(exchange, MAX_ANSWER_BYTES)
+            body = await read_body(exchange, MAX_ANSWER_BYTES)
         except httpx.HTTPError as exc:
             raise exchange.failed(
                 RetryReason.CONNECTION_CLOSED, repr(exc)
@@ -470,7 +394,7 @@
         )
 
     async def _feed_items(
-        self, exchange: _Exchange, endpoint: Endpoint
+        self, exchange: Exchange, endpoint: Endpoint
     ) -> AsyncIterator[LoadReport | CacheEvent]:
         decoder = SseDecoder()
         parts = aiter(exchange.response.stream)
@@ -483,7 +407,7 @@
                 items = [
                     item
                     for event in decoder.feed(data)
-                    for item in _parse_feed_event(json.loads(event), endpoint)
+                    for item in parse_feed_event(json.loads(event), endpoint)
                 ]
             except TimeoutError as exc:
                 raise exchange.failed(
@@ -516,70 +440,8 @@
     return Adapter(credential, clock, incarnation)
 
 
-def _transport(keep_alive: int = MAX_CONNECTIONS) -> httpx.AsyncHTTPTransport:
-    limits = httpx.Limits(
-        max_connections=MAX_CONNECTIONS,
-        max_keepalive_connections=keep_alive,
-        keepalive_expiry=KEEP_ALIVE_S,
-    )
-    return httpx.AsyncHTTPTransport(trust_env=False, limits=limits)
-
-
 def _feed(decoder: SseDecoder, data: bytes) -> list[bytes]:
     try:
         return decoder.feed(data)
     except StreamFault as exc:
         raise EndpointError(exc.reason.value, str(exc)) from exc
-
-
-def _framed(response: httpx.Response) -> bool:
-    """Tells whether a cut-off body would be noticed."""
-    return (
-        response.status_code in (204, 304)
-        or "content-length" in response.headers
-        or "transfer-encoding" in response.headers
-    )
-
-
-async def _read_body(exchange: _Exchange, limit: int) -> bytes | None:
-    """Reads a whole body; returns None if it is longer than the limit."""
-    body = bytearray()
-    async for part in exchange.response.stream:
-        body += part
-        if len(body) > limit:
-            return None
-    exchange.complete = True
-    return bytes(body)
-
-
-async def _close(exchange: _Exchange) -> None:
-    """Returns the connection to its pool, or closes it if not complete."""
-    if not exchange.complete:
-        await exchange.response.extensions["network_stream"].aclose()
-    await exchange.response.stream.aclose()
-
-
-def _parse_feed_event(
-    body: dict, endpoint: Endpoint
-) -> list[LoadReport | CacheEvent]:
-    if body["incarnation"] != endpoint.incarnation:
-        raise ValueError(f"the feed is of incarnation {body['incarnation']}")
-    source = endpoint.id, endpoint.incarnation
-    match body["type"]:
-        case "load":
-            return [parse_load(body, *source)]
-        case "snapshot":
-            number, blocks = int(body["number"]), _blocks(body)
-            return [
-                CacheEvent(*source, number - 1, CacheChange.CLEARED),
-                CacheEvent(*source, number, CacheChange.STORED, blocks),
-            ]
-        case kind:
-            change = CacheChange(kind)
-            return [
-                CacheEvent(*source, int(body["number"]), change, _blocks(body))
-            ]
-
-
-def _blocks(body: dict) -> tuple[int, ...]:
-    return tuple(int(block) for block in body.get("blocks", ()))
--- /dev/null
+++ b/knapweedarch/feeds.py
@@ -0,0 +1,41 @@
+"""Events of a runner's feed."""
+
+from knapweedarch.models import (
+    CacheChange,
+    CacheEvent,
+    Endpoint,
+    LoadReport,
+)
+from knapweedarch.streams import parse_load
+
+
+def parse_feed_event(
+    body: dict, endpoint: Endpoint
+) -> list[LoadReport | CacheEvent]:
+    """Parses an event; a snapshot becomes `CLEARED` and `STORED`.
+
+    Raises:
+        ValueError, TypeError, KeyError: The event is malformed or of another
+            incarnation.
+    """
+    if body["incarnation"] != endpoint.incarnation:
+        raise ValueError(f"the feed is of incarnation {body['incarnation']}")
+    source = endpoint.id, endpoint.incarnation
+    match body["type"]:
+        case "load":
+            return [parse_load(body, *source)]
+        case "snapshot":
+            number, blocks = int(body["number"]), _blocks(body)
+            return [
+                CacheEvent(*source, number - 1, CacheChange.CLEARED),
+                CacheEvent(*source, number, CacheChange.STORED, blocks),
+            ]
+        case kind:
+            change = CacheChange(kind)
+            return [
+                CacheEvent(*source, int(body["number"]), change, _blocks(body))
+            ]
+
+
+def _blocks(body: dict) -> tuple[int, ...]:
+    return tuple(int(block) for block in body.get("blocks", ()))
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -198,6 +198,10 @@
             self._router.count("cancelled")
         except SlowCallerError as exc:
             self._count_refusal(RefusalReason.SLOW_CALLER, str(exc))
+        except Exception as exc:
+            # The server answers 500 or cuts the answer off.
+            self._router.log("request_failed", error=repr(exc))
+            raise
 
     async def _handle(self, call: Call) -> None:
         match call.method, call.path:
--- a/knapweedarch/services.py
+++ b/knapweedarch/services.py
@@ -5,7 +5,6 @@
 that a delayed copy of a command can never act on a later call.
 """
 
-import hashlib
 import itertools
 import random
 from typing import TYPE_CHECKING
@@ -14,18 +13,27 @@
 import anyio
 import attrs
 
-from knapweedarch.adapters import SendRefusedError, ServiceAnswer
+from knapweedarch.adapters import ServiceAnswer
 from knapweedarch.callers import JSON_TYPE, Call, RefusedError
 from knapweedarch.exceptions import ControlError, EndpointError
+from knapweedarch.exchanges import SendRefusedError
 from knapweedarch.models import (
     CustomerRule,
     Endpoint,
     Outcome,
     RefusalReason,
     RetryReason,
-    ServiceRule,
 )
 from knapweedarch.retries import RetryBudget, RetryConfig, back_off_s
+from knapweedarch.service_calls import (
+    ServiceCall,
+    idempotency_key,
+    in_progress,
+    split_path,
+    stopped,
+    too_large,
+    unknown,
+)
 from knapweedarch.state import (
     Record,
     RecordFound,
@@ -41,11 +49,8 @@
 
 # Repeating them after bytes were written is harmless by the HTTP standard.
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
-# They change nothing, so that they need no key even on a `once` route.
-SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 METHODS = REPEATABLE_METHODS | {"POST", "PATCH"}
 FORWARDED_HEADERS = ("content-type", "accept", "idempotency-key")
-MAX_KEY_CHARS = 255
 MAX_STORED_BYTES = 64 * 1024
 MAX_CALLS = 256
 MAX_TRIES = 3
@@ -59,39 +64,6 @@
 POLL_MOST_S = 1.0
 
 
-@attrs.frozen
-class ServiceCall:
-    """A checked call to a service.
-
-    Attributes:
-        rule: Rule of the service.
-        request_id: Identity of the request.
-        method: HTTP method.
-        path: Path and query, quoted.
-        headers: Headers for the endpoint.
-        body: Body.
-        deadline: Time by which the caller gets an answer.
-        key: Idempotency key; empty for a repeatable call.
-        record_key: Key of the at-most-once record.
-    """
-
-    rule: ServiceRule
-    request_id: str
-    method: str
-    path: str
-    headers: dict[str, str]
-    body: bytes
-    deadline: float
-    key: str = ""
-    record_key: str = ""
-
-    @property
-    def digest(self) -> bytes:
-        """Digest of all that must be equal in a resend."""
-        head = f"{self.method}\0{self.path}\0".encode()
-        return hashlib.sha256(head + self.body).digest()
-
-
 class ServiceHandler:
     """Handles `/services/{service}/...`."""
 
@@ -158,9 +130,13 @@
                 RefusalReason.NOT_ALLOWED, "this method is not served"
             )
         key = idempotency_key(call, rule, path)
-        deadline = self._router.clock.now() + rule.timeout_s
         body = await call.read_body(self._router.max_body_bytes)
+        deadline = self._router.clock.now() + rule.timeout_s
         headers = {n: call.header(n) for n in FORWARDED_HEADERS}
+        if not "".join(headers.values()).isascii():
+            raise RefusedError(
+                RefusalReason.BAD_BODY, "a header is not plain ASCII"
+            )
         headers |= {"x-request-id": request_id, "x-customer": customer.name}
         return ServiceCall(
             *(rule, request_id, call.method),
@@ -234,7 +210,7 @@
                 )
                 return _bounded(answer)
             except SendRefusedError as exc:
-                raise _stopped(exc, written) from exc
+                raise stopped(exc, written) from exc
             except EndpointError as exc:
                 written = written or exc.written
                 if written and checked.method not in REPEATABLE_METHODS:
@@ -269,7 +245,7 @@
                 return answer
             remaining_s = self._remaining_s(checked)
             if remaining_s <= 0:
-                raise _in_progress()
+                raise in_progress()
             await anyio.sleep(min(poll_s, remaining_s))
             poll_s = min(2 * poll_s, POLL_MOST_S)
 
@@ -279,7 +255,7 @@
             with anyio.move_on_after(self._remaining_s(checked)) as scope:
                 await open_call.wait()
             if scope.cancelled_caught:
-                raise _in_progress()
+                raise in_progress()
 
     async def _reserve_and_send(
         self, checked: ServiceCall
@@ -322,7 +298,7 @@
                 )
             except SendRefusedError as exc:
                 await self._settle_now(settle)
-                raise _stopped(exc, written=False) from exc
+                raise stopped(exc, written=False) from exc
             except EndpointError as exc:
                 if not exc.written:
                     continue
@@ -330,7 +306,7 @@
                     attrs.evolve(settle, status=RecordStatus.UNKNOWN)
                 )
                 self._router.log("outcome_unknown", request=checked.request_id)
-                raise _unknown() from exc
+                raise unknown() from exc
             await self._settle_now(_settle_answer(settle, answer))
             return _bounded(answer)
         await self._settle_now(settle)
@@ -355,48 +331,6 @@
                 await anyio.sleep(SETTLE_RETRY_S)
 
 
-def split_path(path: str) -> tuple[str, str]:
-    """Splits `/services/{service}/...` into the service and its path.
-
-    Paths that an endpoint could read in another way than the rules do are
-    refused, since a `once` route could be reached by them unmarked.
-
-    Raises:
-        RefusedError: The path is not canonical.
-    """
-    _, _, name, *segments = path.split("/")
-    plain = all(part.isprintable() and "\\" not in part for part in segments)
-    empty = any(part in ("", ".", "..") for part in segments[:-1])
-    if not segments or empty or segments[-1] in (".", "..") or not plain:
-        raise RefusedError(
-            RefusalReason.UNKNOWN_PATH,
-            "the path has empty, dotted or unprintable parts",
-        )
-    return name, "/" + "/".join(segments)
-
-
-def idempotency_key(call: Call, rule: ServiceRule, path: str) -> str:
-    """Returns the key of a call that may run at most once, else nothing.
-
-    Raises:
-        RefusedError: The route needs a key, and there is none or a bad one.
-    """
-    once = any(path.startswith(prefix) for prefix in rule.once)
-    if not once or call.method in SAFE_METHODS:
-        return ""
-    key = call.header("idempotency-key")
-    if not key:
-        raise RefusedError(
-            RefusalReason.KEY_REQUIRED, "this route needs an Idempotency-Key"
-        )
-    if len(key) > MAX_KEY_CHARS:
-        raise RefusedError(
-            RefusalReason.KEY_REQUIRED,
-            f"the Idempotency-Key is longer than {MAX_KEY_CHARS} characters",
-        )
-    return key
-
-
 def _recorded(record: Record, checked: ServiceCall) -> ServiceAnswer | None:
     """Returns the recorded answer, or None while the call is running."""
     if record.body_digest != checked.digest:
@@ -410,14 +344,14 @@
                 record.code, record.content_type, record.answer
             )
         case RecordStatus.UNKNOWN:
-            raise _unknown()
+            raise unknown()
     return None
 
 
 def _settle_answer(settle: Settle, answer: ServiceAnswer) -> Settle:
     """Records the answer, or that it was too large to be recorded."""
     if answer.too_large or len(answer.body) > MAX_STORED_BYTES:
-        refused = _too_large(MAX_STORED_BYTES)
+        refused = too_large(MAX_STORED_BYTES)
         answer = ServiceAnswer(refused.code, JSON_TYPE, refused.body())
     return attrs.evolve(
         settle,
@@ -430,38 +364,5 @@
 
 def _bounded(answer: ServiceAnswer) -> ServiceAnswer:
     if answer.too_large:
-        raise _too_large()
+        raise too_large()
     return answer
-
-
-def _too_large(limit: int = 0) -> RefusedError:
-    stored = f"; answers over {limit} bytes are not recorded" if limit else ""
-    return RefusedError(
-        RefusalReason.ANSWER_TOO_LARGE,
-        f"the call was run, but its answer is too large{stored}",
-        Outcome.RUN,
-    )
-
-
-def _in_progress() -> RefusedError:
-    return RefusedError(
-        RefusalReason.IN_PROGRESS,
-        "a call with this key is still running",
-        Outcome.UNKNOWN,
-    )
-
-
-def _unknown() -> RefusedError:
-    return RefusedError(
-        RefusalReason.OUTCOME_UNKNOWN,
-        "it is not known whether the call was run; it is not sent again",
-        Outcome.UNKNOWN,
-    )
-
-
-def _stopped(exc: SendRefusedError, written: bool) -> RefusedError:
-    return RefusedError(
-        exc.refusal,
-        "this router starts no new work now",
-        Outcome.UNKNOWN if written else Outcome.NOT_RUN,
-    )
--- a/knapweedarch/streams.py
+++ b/knapweedarch/streams.py
@@ -12,9 +12,9 @@
 from knapweedarch.exceptions import KnapweedarchError
 from knapweedarch.models import LoadReport, RetryReason
 
-# Longest text kept for a resume. A longer answer is still delivered, but its
-# stream cannot be resumed. 1 MiB is about 260,000 tokens.
-MAX_RESUME_BYTES = 1024 * 1024
+# Longest text kept for a resume, in characters. A longer answer is still
+# delivered, but its stream cannot be resumed. This is about 260,000 tokens.
+MAX_RESUME_CHARS = 1024 * 1024
 # Longest event accepted from a runner; real ones have a few hundred bytes.
 MAX_EVENT_BYTES = 256 * 1024
 DONE_DATA = b"[DONE]"
@@ -199,7 +199,7 @@
         self._attempt_id = ""
         self._pending: Finish | None = None
         self._parts: list[str] = []
-        self._kept_bytes = 0
+        self._kept_chars = 0
 
     @property
     def started(self) -> bool:
@@ -209,7 +209,7 @@
     @property
     def resumable(self) -> bool:
         """Whether the text so far is kept and can be given to a runner."""
-        return self._kept_bytes <= MAX_RESUME_BYTES
+        return self._kept_chars <= MAX_RESUME_CHARS
 
     @property
     def text(self) -> str:
@@ -305,6 +305,6 @@
     def _keep(self, text: str) -> None:
         if not text:
             return
-        self._kept_bytes += len(text.encode())
+        self._kept_chars += len(text)
         if self.resumable:
             self._parts.append(text)
