--- a/features/request_harness.py
+++ b/features/request_harness.py
@@ -1,160 +1,27 @@
 """Gateway with a fake router, and endpoints, on loopback in one event loop."""
 
 import contextlib
-import hashlib
-import itertools
 import json
 import socket
-from collections import Counter
 from collections.abc import AsyncIterator
 
 import anyio
+import anyio.abc
 import attrs
 import httpx
 
-from knapweedarch.adapters import create_adapter
-from knapweedarch.exceptions import ControlError
 from knapweedarch.gateway import create_app, tune_listener
-from knapweedarch.models import (
-    Attempt,
-    AttemptResult,
-    CustomerRule,
-    Dispatch,
-    Endpoint,
-    EndpointKind,
-    ModelRule,
-    RefusalReason,
-    Refuse,
-    Rules,
-    ServiceRule,
-    Ticket,
-)
-from knapweedarch.state import COMMANDS, RESULTS, ControlState
-from knapweedarch.timers import Clock
+from knapweedarch.models import Endpoint
+from knapweedarch.state import ControlState
 from standins import serving
+from standins.fake_router import AUTHORIZATION, FakeRouter, endpoint_of
 
-CREDENTIAL = "endpoint-credential"
-API_KEY = "counter-key"
-SERVICE_TIMEOUT_S = 1.0
 # Longest time of one scenario; a hang then fails instead of blocking the run.
 SCENARIO_S = 20.0
 GRACEFUL_S = 0.2
 STOP_S = 2.0
 
 
-class FakeScheduler:
-    """Records what the gateway reports."""
-
-    def __init__(self):
-        self.results: list[tuple[Attempt, AttemptResult]] = []
-        self.first_tokens: list[Attempt] = []
-        self.loads: list[object] = []
-
-    def version_for(self, model: str) -> str:
-        """Returns the only version."""
-        return "w1"
-
-    def report_load(self, report, now: float) -> None:
-        """Keeps the report."""
-        self.loads.append(report)
-
-    def first_token(self, attempt: Attempt, now: float) -> None:
-        """Keeps the attempt."""
-        self.first_tokens.append(attempt)
-
-    def finished(
-        self, attempt: Attempt, result: AttemptResult, now: float
-    ) -> None:
-        """Keeps the result."""
-        self.results.append((attempt, result))
-
-
-class FakeRouter:
-    """Implements `gateway.RouterPort` over the real state machine."""
-
-    def __init__(self, incarnation: str, state: ControlState):
-        self.clock = Clock()
-        self.incarnation = incarnation
-        self.scheduler = FakeScheduler()
-        self.adapter = create_adapter(CREDENTIAL, self.clock, incarnation)
-        self.max_body_bytes = 256 * 1024
-        self.endpoint_credential = CREDENTIAL
-        self.rules = Rules(
-            (),
-            (ModelRule("guide", "w1", first_token_s=5.0),),
-            (ServiceRule("booking", ("/deposits",), SERVICE_TIMEOUT_S),),
-        )
-        self.customer = CustomerRule("counter", digest(API_KEY))
-        self.runners: list[Endpoint] = []
-        self.desks: list[Endpoint] = []
-        self.announced: list[Endpoint] = []
-        self.counts: Counter[str] = Counter()
-        self.refusal: RefusalReason | None = None
-        self.refuse_after_checks = -1
-        self.retries_left = 3
-        self.fail_submits = 0
-        self.state = state
-        self._numbers = itertools.count(1)
-
-    def customer_for(self, api_key: str) -> CustomerRule | None:
-        """Knows one customer."""
-        same = digest(api_key) == self.customer.key_digest
-        return self.customer if same else None
-
-    def may_start(self) -> RefusalReason | None:
-        """Refuses as told, at once or after some checks."""
-        if self.refuse_after_checks == 0:
-            return RefusalReason.LEASE_EXPIRED
-        self.refuse_after_checks -= 1
-        return self.refusal
-
-    async def place(self, ticket: Ticket) -> Dispatch | Refuse:
-        """Chooses the first runner that fits."""
-        return self._choose(ticket, self.runners)
-
-    async def place_again(
-        self, ticket: Ticket, failed: Attempt
-    ) -> Dispatch | Refuse:
-        """Chooses another runner while retries are left."""
-        if self.retries_left == 0:
-            return Refuse(RefusalReason.RETRIES_EXHAUSTED)
-        self.retries_left -= 1
-        others = [r for r in self.runners if r != failed.endpoint]
-        return self._choose(ticket, others)
-
-    def _choose(self, ticket: Ticket, runners) -> Dispatch | Refuse:
-        for runner in runners:
-            if ticket.weights_version in ("", runner.weights_version):
-                return Dispatch(Attempt(next(self._numbers), ticket, runner))
-        return Refuse(RefusalReason.NO_CAPACITY)
-
-    def service_endpoints(self, name: str) -> list[Endpoint]:
-        """Returns all desks in their order."""
-        return self.desks
-
-    async def submit(self, command: object, timeout_s: float) -> object:
-        """Applies the command to the state that all routers share."""
-        if self.fail_submits:
-            self.fail_submits -= 1
-            raise ControlError("no_leader")
-        return RESULTS.decode(self.state.apply(COMMANDS.encode(command)))
-
-    async def announce(self, endpoint: Endpoint) -> None:
-        """Keeps the announcement."""
-        self.announced.append(endpoint)
-
-    def ready(self) -> bool:
-        """Ready unless it refuses."""
-        return self.refusal is None
-
-    def count(self, name: str) -> None:
-        """Counts."""
-        self.counts[name] += 1
-
-    def log(self, event: str, **fields: object) -> None:
-        """Drops the event."""
-
-
 @attrs.define
 class Answer:
     """What a caller got.
@@ -293,24 +160,6 @@
     return anyio.run(scenario)
 
 
-AUTHORIZATION = {"authorization": f"Bearer {API_KEY}"}
-
-
-def digest(api_key: str) -> str:
-    return hashlib.sha256(api_key.encode()).hexdigest()
-
-
-def endpoint_of(standin) -> Endpoint:
-    """Builds the endpoint that a stand-in announces."""
-    fields = dict(standin.describe())
-    fields |= {
-        "kind": EndpointKind(fields["kind"]),
-        "serves": tuple(fields["serves"]),
-    }
-    del fields["status"]
-    return Endpoint(**fields)
-
-
 MESSAGES = [{"role": "user", "content": "Which way to the plateau?"}]
 
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -140,6 +140,7 @@
     def stats(self) -> dict[str, object]:
         """Counts of requests run, by request and attempt."""
         return {
+            "incarnation": self.incarnation,
             "runs": self.counts["requests"],
             "running": len(self._jobs),
             "attempts": dict(self.attempts),
