--- /dev/null
+++ b/features/steps/stream_steps.py
@@ -0,0 +1,283 @@
+"""Steps for streams."""
+
+import json
+import random
+
+import attrs
+from behave import given, then, when
+
+from knapweedarch.chunks import ChunkDecoder, ChunkError
+from knapweedarch.streams import (
+    MAX_RESUME_CHARS,
+    Chunk,
+    SseDecoder,
+    StreamFault,
+    StreamState,
+    parse_event,
+)
+
+REQUEST_ID = "request-1"
+MAX_ATTEMPTS = 4
+
+
+def token(offset: int) -> str:
+    return f"t{offset} "
+
+
+def whole_text(tokens: int) -> str:
+    return "".join(token(offset) for offset in range(tokens))
+
+
+@attrs.define
+class Caller:
+    """What one caller got."""
+
+    text: str = ""
+    whole: bool = False
+    error: bool = False
+    attempts: int = 0
+    resumed_at: list[int] = attrs.field(factory=list)
+
+
+def event(attempt_id: str, offset: int, tokens: int, **fields) -> dict:
+    text = "".join(token(o) for o in range(offset, offset + tokens))
+    choice = {"delta": {"content": text}, "finish_reason": None}
+    return {
+        "request_id": REQUEST_ID,
+        "attempt_id": attempt_id,
+        "offset": offset,
+        "tokens": tokens,
+        "choices": [choice],
+        **fields,
+    }
+
+
+def clean_events(rng, attempt_id: str, start: int, end: int) -> list[dict]:
+    """Builds the events of a faultless attempt, without the end mark."""
+    events, offset = [], start
+    while offset < end:
+        tokens = min(rng.randint(1, 4), end - offset)
+        events.append(event(attempt_id, offset, tokens))
+        offset += tokens
+    finish = event(attempt_id, end, 0, usage={"completion_tokens": end})
+    finish["choices"] = [{"delta": {}, "finish_reason": "stop"}]
+    return [*events, finish]
+
+
+def faulty_events(rng, events: list[dict], fault: str) -> list:
+    """Applies a fault at a random place; `"DONE"` is the end mark."""
+    items = [*events, "DONE"]
+    last = len(events) - 1
+    place = rng.randrange(max(1, last))
+    match fault:
+        case "break":
+            return items[:place]
+        case "repeat":
+            return [*items[: place + 1], *items[place:]]
+        case "gap":
+            return items[:place] + items[place + 1 :]
+        case "swap" if last > 1:
+            place = min(place, last - 2)
+            pair = [items[place + 1], items[place]]
+            return items[:place] + pair + items[place + 2 :]
+        case "no_finish":
+            return items[:last]
+        case "no_done":
+            return items[:-1]
+        case "early_done":
+            return [*items[:place], "DONE"]
+        case "late_token":
+            late = event(events[0]["attempt_id"], events[last]["offset"], 1)
+            return [*items[:-1], late, "DONE"]
+        case "wrong_usage":
+            wrong = {"completion_tokens": events[last]["offset"] + 1}
+            return [*items[:last], {**events[last], "usage": wrong}, "DONE"]
+        case "crossed":
+            foreign = [
+                {"delta": {"content": "foreign "}, "finish_reason": None}
+            ]
+            crossed = {**items[place], "choices": foreign}
+            crossed["attempt_id"] = "other/9"
+            return [*items[:place], crossed, *items[place + 1 :]]
+        case "error":
+            return [*items[:place], {"error": {"reason": "engine"}}]
+        case "garbage":
+            return [*items[:place], "garbage", *items[place:]]
+    return items
+
+
+def encode(items: list) -> bytes:
+    lines = []
+    for item in items:
+        match item:
+            case "DONE":
+                lines.append(b"data: [DONE]\n\n")
+            case "garbage":
+                lines.append(b'data: {"offset": \n\n')
+            case _:
+                lines.append(b"data: " + json.dumps(item).encode() + b"\n\n")
+    return b"".join(lines)
+
+
+def pieces(rng, data: bytes, most: int) -> list[bytes]:
+    """Splits bytes at random places."""
+    found = []
+    while data:
+        size = rng.randint(1, most)
+        found.append(data[:size])
+        data = data[size:]
+    return found
+
+
+def relay_attempt(rng, state: StreamState, caller: Caller, data: bytes):
+    """Feeds one attempt's bytes; raises StreamFault as the router sees it."""
+    decoder = SseDecoder()
+    for piece in pieces(rng, data, 400):
+        for item in decoder.feed(piece):
+            parsed = parse_event(item)
+            if state.accept(parsed):
+                caller.text += parsed.text
+            if state.finish is not None:
+                return
+    state.end()
+
+
+def relay(seed: int, tokens: int, faults: list[str], healthy: int) -> Caller:
+    """Relays up to `MAX_ATTEMPTS`; those from `healthy` on have no fault."""
+    rng = random.Random(seed)
+    state, caller = StreamState(REQUEST_ID), Caller()
+    for number in range(MAX_ATTEMPTS):
+        attempt_id = f"router/{number}"
+        state.begin(attempt_id)
+        caller.attempts += 1
+        if state.started:
+            caller.resumed_at.append(state.offset)
+        fault = rng.choice(faults) if number < healthy else ""
+        events = clean_events(rng, attempt_id, state.offset, tokens)
+        data = encode(faulty_events(rng, events, fault))
+        try:
+            relay_attempt(rng, state, caller, data)
+        except StreamFault:
+            continue
+        caller.whole = True
+        return caller
+    caller.error = True
+    return caller
+
+
+@given("an answer of {tokens:d} tokens and seeds {first:d} to {last:d}")
+def answer_and_seeds(context, tokens, first, last):
+    context.tokens, context.seeds = tokens, range(first, last + 1)
+
+
+@when('each seed relays attempts with the faults "{faults}"')
+def relay_faults(context, faults):
+    # The third attempt has no fault, so that a resume can be seen to work.
+    context.callers = [
+        relay(seed, context.tokens, faults.split(","), 2)
+        for seed in context.seeds
+    ]
+
+
+@when("each seed relays attempts that all break")
+def relay_all_break(context):
+    context.callers = [
+        relay(seed, context.tokens, ["break"], MAX_ATTEMPTS)
+        for seed in context.seeds
+    ]
+
+
+@when("the first attempt ends without the end mark")
+def relay_no_done(context):
+    context.callers = [relay(1, context.tokens, ["no_done"], 1)]
+
+
+@then("every caller has a whole text or an explicit error")
+def whole_or_error(context):
+    whole = whole_text(context.tokens)
+    for caller in context.callers:
+        assert whole.startswith(caller.text), caller
+        assert caller.whole != caller.error, caller
+        assert not caller.whole or caller.text == whole, caller
+
+
+@then("at least {count:d} callers have a whole text after a resume")
+def resumed(context, count):
+    found = sum(c.whole and bool(c.resumed_at) for c in context.callers)
+    assert found >= count, found
+
+
+@then("no caller has a whole text")
+def none_whole(context):
+    assert not any(caller.whole for caller in context.callers)
+
+
+@then("the second attempt starts at offset {offset:d}")
+def second_starts(context, offset):
+    assert context.callers[0].resumed_at == [offset], context.callers
+
+
+@given("a stream whose text exceeds what is kept")
+def long_stream(context):
+    context.state = state = StreamState(REQUEST_ID)
+    state.begin("router/1")
+    part = "x" * (MAX_RESUME_CHARS // 4)
+    for offset in range(6):
+        state.accept(Chunk(REQUEST_ID, "router/1", offset, 1, part, b""))
+
+
+@then("the stream cannot be resumed")
+def not_resumable(context):
+    assert not context.state.resumable
+
+
+@then("its kept text is within the bound")
+def kept_bounded(context):
+    assert len(context.state.text) <= MAX_RESUME_CHARS
+
+
+def chunked(parts: list[bytes]) -> bytes:
+    chunks = [b"%X\r\n%b\r\n" % (len(part), part) for part in parts]
+    return b"".join(chunks) + b"0\r\n\r\n"
+
+
+@given("a chunked body of {count:d} parts and seeds {first:d} to {last:d}")
+def chunked_body(context, count, first, last):
+    rng = random.Random(0)
+    # Parts with line ends and digits look like chunk sizes.
+    alphabet = b"\r\n0123abc"
+    context.parts = [
+        bytes(rng.choices(alphabet, k=rng.randint(1, 60))) for _ in range(count)
+    ]
+    context.seeds = range(first, last + 1)
+
+
+@when("each seed decodes it in pieces of random size")
+def decode_pieces(context):
+    context.decoded = []
+    for seed in context.seeds:
+        decoder, body = ChunkDecoder(), b""
+        data = chunked(context.parts) + b"stray"
+        for piece in pieces(random.Random(seed), data, 1 + seed % 90):
+            body += decoder.feed(piece)
+        context.decoded.append((body, decoder.done, decoder.rest))
+
+
+@then("every decoded body is equal and ends at its last byte")
+def decoded_equal(context):
+    whole = b"".join(context.parts)
+    assert all(got == (whole, True, b"stray") for got in context.decoded)
+
+
+@then("bytes that are no chunked body are refused")
+def refuse_malformed(context):
+    malformed = (
+        *(b"x\r\n", b"-1\r\nab", b"\r\n\r\n", b"3\r\nabcd\r\n"),
+        *(b"0\r\nname: value\r\n\r\n", b"fffffff\r\n", b"1" * 300),
+    )
+    for data in malformed:
+        try:
+            ChunkDecoder().feed(data)
+        except ChunkError:
+            continue
+        raise AssertionError(f"{data[:20]!r} was accepted")
