--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benches; each prints its figures and the command that gave them."""
+"""Measuring programs; each prints a table and is run by hand."""
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -27,16 +27,20 @@
     Announce,
     ControlState,
     EndpointAccepted,
+    OrdersHeld,
     PutRules,
     RecordFound,
     RecordStatus,
     Reserve,
     Retire,
     RulesAccepted,
+    RulesConflict,
+    TakeOrders,
 )
 from knapweedarch.timers import Clock, Timers
 
 TICK_S = 0.02
+REPORT_S = 1.0
 RECONNECT_S = 0.2
 IN_FORCE_LIMIT_S = 10.0
 ANSWER_LIMIT_S = 10.0
@@ -61,7 +65,7 @@
         self._clock = clock
         self._metrics = metrics
         self._credential = settings.credential.encode()
-        self._journal = open_journal(settings.data_folder)
+        self._journal = open_journal(str(settings.data_folder))
         self._state = ControlState()
         self._applied = 0
         self._applied_term = 0
@@ -82,10 +86,8 @@
         if restored.snapshot is not None:
             self._state.restore(restored.snapshot.data)
             self._applied = restored.snapshot.index
-        cfg = replica.ReplicaConfig(
-            name=self._settings.name, identity=self._journal.identity
-        )
-        seed = int.from_bytes(self._journal.identity.encode()[:8], "big")
+        cfg = replica.ReplicaConfig(name=self._settings.name)
+        seed = int(self._journal.identity, 16)
         return replica.create_replica(cfg, restored, seed)
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
@@ -96,6 +98,7 @@
         )
         self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
         self._timers.every(TICK_S, lambda now: self._work.set())
+        self._timers.every(REPORT_S, self._report)
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._timers.run)
@@ -150,7 +153,6 @@
             self._replica.tick(self._clock.now())
             output = self._replica.take_output()
             self._journal.save(output)
-            self._replica.saved(output)
             for name, message in output.messages:
                 self._send_peer(name, message)
             self._install(output)
@@ -177,7 +179,7 @@
     def _apply(self, entry: replica.Entry) -> None:
         self._applied, self._applied_term = entry.index, entry.term
         result = None
-        if entry.kind is replica.EntryKind.COMMAND:
+        if entry.kind is replica.EntryKind.DATA:
             before = (self._state.rules_version, self._state.revision)
             result = self._state.apply(entry.data)
             if before != (self._state.rules_version, self._state.revision):
@@ -197,7 +199,7 @@
 
     def _follow_role(self) -> None:
         """Starts and ends the leader's duties."""
-        leads = self._replica.role is replica.Role.LEADER
+        leads = self._replica.leader_since is not None
         if leads and self._table_term != self._replica.term:
             self._table = LeaseTable(self._replica.leader_since)
             self._table_term = self._replica.term
@@ -209,9 +211,17 @@
                 proposal.done.set()
             self._proposals.clear()
 
+    def _report(self, now: float) -> None:
+        routers = self._table.count(now) if self._table is not None else 0
+        self._metrics.gauge("member.leads", int(self._table is not None))
+        self._metrics.gauge("member.term", self._replica.term)
+        self._metrics.gauge("member.commit_index", self._replica.commit_index)
+        self._metrics.gauge("member.routers", routers)
+        self._metrics.gauge("member.records", len(self._state.records))
+
     def _compact(self) -> None:
-        every = self._settings.snapshot_every
-        if self._applied - self._replica.snapshot_index >= every:
+        due = self._settings.snapshot_every
+        if self._replica.entries_since_snapshot >= due:
             self._replica.compact(
                 self._applied, self._state.snapshot(), self._clock.now()
             )
@@ -246,7 +256,7 @@
                 return control.Description(
                     self._settings.name,
                     self._journal.identity,
-                    self._journal.blank,
+                    self._replica.blank,
                 )
             case control.Form(members=members):
                 return self._form(members)
@@ -303,11 +313,14 @@
         command = COMMANDS.decode(data)
         if isinstance(command, Reserve):
             command = attrs.evolve(command, at=time.time())
+        if self._orders_are_held(command):
+            return control.Result(RESULTS.encode(OrdersHeld()))
         result = await self._propose(command)
         if result is None:
             return control.Refused(
                 "unknown_outcome", "the leader changed before the commit"
             )
+        _log_order(command, result)
         result = await self._check_holder(command, result)
         if self._needs_force(command, result) and not await self._in_force():
             return control.Refused(
@@ -315,6 +328,15 @@
             )
         return control.Result(RESULTS.encode(result))
 
+    def _orders_are_held(self, command: object) -> bool:
+        """Tells whether another router may still give orders to endpoints."""
+        holder = self._state.orders_holder
+        return (
+            isinstance(command, TakeOrders)
+            and holder not in ("", command.holder)
+            and self._table.holds(holder, self._clock.now())
+        )
+
     async def _propose(self, command: object) -> object | None:
         """Commits a command; returns None if the outcome is not known."""
         try:
@@ -401,8 +423,15 @@
         )
 
     def _form(self, members: tuple[control.FormMember, ...]):
-        if not self._journal.blank:
-            return control.Refused("refused", "the journal is not blank")
+        if not self._replica.blank:
+            same = {m.identity for m in members} == {
+                m.identity for m in self._replica.members
+            }
+            if same:
+                return control.Formed()
+            return control.Refused(
+                "refused", f"member {self._settings.name} is in another group"
+            )
         self._journal.form(
             tuple(
                 replica.Member(m.name, m.identity, m.host, m.port, True)
@@ -414,6 +443,19 @@
         return control.Formed()
 
 
+def _log_order(command: object, result: object) -> None:
+    """Logs operators' orders; a resend is logged again."""
+    match command, result:
+        case PutRules(request_id=request), RulesAccepted(version=version):
+            log("rules_accepted", version=version, request=request)
+        case PutRules(request_id=request), RulesConflict(version=version):
+            log("rules_conflict", version=version, request=request)
+        case Retire(endpoint_id=endpoint), EndpointAccepted():
+            log("endpoint_retired", endpoint=endpoint)
+        case Announce(endpoint=endpoint, by_operator=True), EndpointAccepted():
+            log("endpoint_restored", endpoint=endpoint.id)
+
+
 def create_member(
     settings: MemberSettings, clock: Clock, metrics: Metrics
 ) -> Member:
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -1,6 +1,9 @@
 """Router daemon: lease, rules, endpoint feeds and the HTTP server."""
 
 import hashlib
+import hmac
+import json
+import logging
 import random
 import secrets
 import signal
@@ -12,8 +15,14 @@
 from hypercorn.asyncio import serve as serve_http
 from hypercorn.config import Config
 
-from knapweedarch import control, gateway, scheduler
-from knapweedarch.adapters import create_adapter
+from knapweedarch import (
+    admission,
+    control,
+    gateway,
+    placement,
+    scheduler,
+)
+from knapweedarch.adapters import LoadWeights, create_adapter
 from knapweedarch.exceptions import ControlError, EndpointError, RuleError
 from knapweedarch.leases import RENEW_S, Lease
 from knapweedarch.logs import log
@@ -33,12 +42,21 @@
     Ticket,
     Wait,
 )
+from knapweedarch.orders import Entitlement, LoadOrder, Rollout
 from knapweedarch.rules import parse_rules
 from knapweedarch.settings import RouterSettings
-from knapweedarch.state import Announce, EndpointEntry
+from knapweedarch.state import (
+    Announce,
+    EndpointEntry,
+    OrdersTaken,
+    TakeOrders,
+)
 from knapweedarch.timers import Clock, Timers
 
+COUNTERS_PATH = "/counters"
 POLL_S = 0.02
+ROLLOUT_S = 0.5
+REPORT_S = 1.0
 FEED_RETRY_S = 0.2
 RENEW_TIMEOUT_S = 1.0
 READY_GRACE_S = 1.0
@@ -66,6 +84,10 @@
         self._revision = 0
         self._applied = 0
         self._lease = Lease()
+        self._entitlement = Entitlement()
+        self._rollout = Rollout()
+        self._rolling_out = False
+        self._held_lease = False
         self._stopping = False
         self._endpoints: dict[str, Endpoint] = {}
         self._announced: dict[str, Endpoint] = {}
@@ -78,14 +100,7 @@
         self._random = random.Random(self.incarnation)
         self.adapter = create_adapter(settings.endpoint_credential, clock)
         self.scheduler = scheduler.create_scheduler(
-            scheduler.SchedulerConfig(
-                data_centre=settings.data_centre,
-                distances_s={
-                    name: ms / 1000
-                    for name, ms in settings.distances_ms.items()
-                },
-                queue_limit=settings.queue_limit,
-            ),
+            _scheduler_config(settings),
             seed=int(self.incarnation, 16),
         )
         self._control = control.create_control(
@@ -106,6 +121,9 @@
         period = RENEW_S * self._random.uniform(0.8, 1.0)
         self._timers.every(period, lambda now: self._renew_soon())
         self._timers.every(POLL_S, self._poll)
+        self._timers.every(ROLLOUT_S, self._roll_out)
+        self._timers.every(POLL_S, self._watch_lease)
+        self._timers.every(REPORT_S, self._report)
         stop = anyio.Event()
         async with anyio.create_task_group() as group, self._control:
             self._group = group
@@ -137,7 +155,8 @@
         cfg.graceful_timeout = SECONDS_OPEN_AFTER_DRAIN
         cfg.h11_max_incomplete_size = MAX_HEADER_BYTES
         cfg.accesslog = None
-        cfg.errorlog = None
+        cfg.errorlog = logging.getLogger("hypercorn.error")
+        cfg.errorlog.setLevel(logging.WARNING)
         return cfg
 
     def _counting(self, app):
@@ -146,6 +165,8 @@
         async def counted(scope, receive, send) -> None:
             if scope["type"] != "http":
                 return await app(scope, receive, send)
+            if scope["path"] == COUNTERS_PATH:
+                return await self._show_counters(scope, send)
             self._active += 1
             try:
                 await app(scope, receive, send)
@@ -156,6 +177,25 @@
 
         return counted
 
+    async def _show_counters(self, scope, send) -> None:
+        """Answers an operator who holds the shared credential."""
+        want = f"Bearer {self._settings.credential}".encode()
+        given = dict(scope["headers"]).get(b"authorization", b"")
+        status, content = 200, dict(sorted(self._metrics.counts.items()))
+        if not hmac.compare_digest(given, want):
+            self.count("credential.refused")
+            status, content = 401, {}
+        headers = [(b"content-type", b"application/json")]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+        body = json.dumps(content).encode()
+        await send({"type": "http.response.body", "body": body})
+
     async def _await_signal(self, stop: anyio.Event) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT
@@ -276,11 +316,89 @@
             else:
                 self._release(decision, now)
 
+    def _watch_lease(self, now: float) -> None:
+        held = self._lease.holds(now)
+        if held == self._held_lease:
+            return
+        self._held_lease = held
+        if held:
+            log("lease_granted")
+        else:
+            self.count("lease.expired")
+            log("lease_expired")
+
+    def _report(self, now: float) -> None:
+        active = sum(
+            e.status is EndpointStatus.ACTIVE for e in self._endpoints.values()
+        )
+        self._metrics.gauge("lease.held", int(self._lease.holds(now)))
+        self._metrics.gauge("rules.version", self._rules_version)
+        self._metrics.gauge("endpoints.active", active)
+        self._metrics.gauge("requests.running", self._active)
+        self._metrics.gauge("requests.waiting", len(self._waiting))
+
     def _release(self, decision: object, now: float) -> None:
         """Gives back a dispatch whose caller left at the same moment."""
         if isinstance(decision, Dispatch):
             self.scheduler.withdraw(decision.attempt.ticket.id, now)
 
+    def _roll_out(self, now: float) -> None:
+        """Starts a step of the roll-out if a runner lacks its weights."""
+        endpoints = list(self._endpoints.values())
+        if self._rolling_out or not self._rollout.is_needed(
+            self.rules, endpoints
+        ):
+            return
+        self._rolling_out = True
+        self._group.start_soon(self._give_orders)
+
+    async def _give_orders(self) -> None:
+        try:
+            if await self._take_orders():
+                orders = self._rollout.next_orders(
+                    self.rules, list(self._endpoints.values()), self.clock.now()
+                )
+                async with anyio.create_task_group() as group:
+                    for order in orders:
+                        group.start_soon(self._order_load, order)
+        except ControlError as exc:
+            log("orders_not_taken", reason=exc.reason)
+        finally:
+            self._rolling_out = False
+
+    async def _take_orders(self) -> bool:
+        """Becomes the one router that gives orders, unless another is."""
+        epoch = self._lease.epoch
+        if self._entitlement.is_held(self._lease, self.clock.now()):
+            return True
+        match await self._control.submit(
+            TakeOrders(self.incarnation), ANNOUNCE_TIMEOUT_S
+        ):
+            case OrdersTaken(fencing_number=number):
+                now = self.clock.now()
+                self._entitlement.taken(number, epoch, now)
+                log("orders_taken", fencing_number=number)
+                return self._entitlement.is_held(self._lease, now)
+        return False
+
+    async def _order_load(self, order: LoadOrder) -> None:
+        if not self._entitlement.may_order(
+            order.endpoint, self._lease, self.clock.now()
+        ):
+            self._rollout.failed(order, self.clock.now())
+            return
+        log("load_ordered", endpoint=order.endpoint.id, version=order.version)
+        try:
+            await self.adapter.order(
+                order.endpoint,
+                LoadWeights(order.model, order.version),
+                self._entitlement.fencing_number,
+            )
+        except EndpointError as exc:
+            self.count("orders.failed")
+            log("order_failed", endpoint=order.endpoint.id, reason=exc.reason)
+            self._rollout.failed(order, self.clock.now())
+
     def _renew_soon(self) -> None:
         self._renew_now.set()
 
@@ -317,7 +435,8 @@
             self._set_endpoints(grant.endpoints)
         self._revision = grant.revision
         self._applied = grant.applied
-        self._lease.granted(sent_at, grant.duration_s)
+        self._lease.granted(sent_at, grant.duration_s, self.clock.now())
+        self.count("lease.renewed")
         return changed
 
     def _set_rules(self, version: int, text: str) -> None:
@@ -365,7 +484,7 @@
                 except EndpointError as exc:
                     self.count("feed.lost")
                     log("feed_lost", endpoint=endpoint.id, reason=exc.reason)
-                    self.scheduler.feed_lost(endpoint.id, self.clock.now())
+                    self.scheduler.endpoint_lost(endpoint.id, self.clock.now())
                 await anyio.sleep(FEED_RETRY_S)
 
     def _take_feed_item(self, item: LoadReport | CacheEvent) -> None:
@@ -383,6 +502,17 @@
     decision: Dispatch | Refuse | None = None
 
 
+def _scheduler_config(settings: RouterSettings) -> scheduler.SchedulerConfig:
+    distance_s = {dc: ms / 1000 for dc, ms in settings.distances_ms.items()}
+    distance_s[settings.data_centre] = 0.0
+    return scheduler.SchedulerConfig(
+        placement_cfg=placement.PlacementConfig(distance_s=distance_s),
+        admission_cfg=admission.AdmissionConfig(
+            queue_limit=settings.queue_limit
+        ),
+    )
+
+
 def create_router(
     settings: RouterSettings, clock: Clock, metrics: Metrics
 ) -> Router:
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -7,8 +7,9 @@
 PACKAGE = pathlib.Path(__file__).resolve().parent.parent / "knapweedarch"
 CORE = (
     *("exceptions", "models", "codec", "rules", "replica", "state", "leases"),
-    *("prefixes", "index", "placement", "admission", "retries"),
-    *("scheduler", "streams"),
+    *("rule_kinds", "prefixes", "index", "placement", "admission", "retries"),
+    *("scheduler", "streams", "replica_messages", "replica_log"),
+    *("replica_leadership", "replica_membership", "orders"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
