Let a planned stop finish accepted requests; document the endpoints' side

Now only an expired lease stops the send of an accepted request; the router's check names the lease first. The router passes its incarnation to the adapter, so that runners tell which attempts a load report includes, and bounds the sockets of its callers.

Event 506 is registered again, since the gateway logs it.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -69,6 +69,20 @@
     Then the answer is an error "lease_expired" with outcome "not_run"
     And runner "a" ran 0 requests
 
+  # Guards against a planned stop that cuts requests accepted before it.
+  Scenario: A request accepted before a planned stop is resumed during it
+    Given a runner "a" that shows "break" at token 5
+    And a runner "b"
+    And the router stops after 1 check
+    When a caller asks for a stream of 20 tokens
+    Then the caller has the whole text of 20 tokens
+
+  Scenario: A request that comes during a planned stop is not run
+    Given a runner "a"
+    And the router stops after 0 check
+    When a caller asks for a stream of 20 tokens
+    Then the answer is an error "stopping" with outcome "not_run"
+
   # Guards against a false "not_run" and a false "unknown".
   Scenario: A refused connection was not run
     Given a runner on a port that refuses connections
@@ -86,6 +100,13 @@
       | crossed          |
       | refusal_of_other |
 
+  # Guards against an answer to another attempt that passes for a mere break.
+  Scenario: A runner's answer to another attempt is counted as crossed
+    Given a runner on a raw server that shows "crossed"
+    When a caller asks for a stream of 20 tokens
+    Then attempts failed once with "crossed_answer"
+    And counter "crossed.dropped" is 1
+
   # Guards against a request that fails because an idle connection was closed.
   Scenario: A pooled connection closed under the request is retried
     Given a desk on a raw server that shows "close_second"
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -160,6 +160,13 @@
     context.site.routers[0].refuse_after_checks = checks
 
 
+@given("the router stops after {checks:d} check")
+def router_stops(context, checks):
+    router = context.site.routers[0]
+    router.refuse_after_checks = checks
+    router.later_refusal = RefusalReason.STOPPING
+
+
 @when("the lease of router {number:d} has expired")
 def lease_expired(context, number):
     router = context.site.routers[number - 1]
--- a/knapweedarch/callers.py
+++ b/knapweedarch/callers.py
@@ -223,6 +223,17 @@
             raise SlowCallerError(f"the caller took no data for {WRITE_S} s")
 
 
+def may_send(
+    may_start: Callable[[], RefusalReason | None],
+) -> RefusalReason | None:
+    """Returns why an accepted request may not be sent now.
+
+    A planned stop lets accepted requests finish; an expired lease does not.
+    """
+    reason = may_start()
+    return None if reason is RefusalReason.STOPPING else reason
+
+
 def create_call(scope: Message, receive: Receive, send: Send) -> Call:
     """Creates a call from an ASGI scope."""
     return Call(
--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -15,6 +15,7 @@
     CallerGoneError,
     RefusedError,
     SlowCallerError,
+    may_send,
 )
 from knapweedarch.chat_requests import ChatRequest, parse_chat, prompt_bytes
 from knapweedarch.exceptions import EndpointError, KnapweedarchError
@@ -200,8 +201,8 @@
     ) -> None:
         limit_s = max(0.05, self._ticket.deadline - self._router.clock.now())
 
-        def may_send() -> RefusalReason | None:
-            reason = self._router.may_start()
+        def check() -> RefusalReason | None:
+            reason = may_send(self._router.may_start)
             relay.sent = reason is None
             return reason
 
@@ -210,7 +211,7 @@
             self._body(),
             self._ticket.id,
             attempt_id,
-            may_send,
+            check,
             limit_s,
         ) as stream:
             await relay.run(stream)
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -72,6 +72,7 @@
     Event(501, "request_refused", _D, "A request was refused."),
     Event(502, "attempt_failed", _W, "An attempt at an endpoint failed."),
     Event(504, "stream_failed", _W, "A stream ended without its end mark."),
+    Event(506, "request_failed", _E, "A request failed by a fault in here."),
     Event(507, "outcome_unknown", _W, "It is unknown whether a call was run."),
     Event(601, "link_refused", _W, "A peer holds another credential."),
     Event(701, "rules_accepted", _I, "A rule file was accepted."),
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -96,7 +96,11 @@
         """Returns the customer of an API key."""
 
     def may_start(self) -> RefusalReason | None:
-        """Returns why no new work may start now, or None if it may."""
+        """Returns why no new work may start now, or None if it may.
+
+        An expired lease comes before `STOPPING`, which does not stop the
+        sends of requests that were accepted before.
+        """
 
     async def place(self, ticket: Ticket) -> Dispatch | Refuse:
         """Waits for the decision on a request."""
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -98,7 +98,9 @@
         self._idle = anyio.Event()
         self._timers = Timers(clock)
         self._random = random.Random(self.incarnation)
-        self.adapter = create_adapter(settings.endpoint_credential, clock)
+        self.adapter = create_adapter(
+            settings.endpoint_credential, clock, self.incarnation
+        )
         self.scheduler = scheduler.create_scheduler(
             _scheduler_config(settings),
             seed=int(self.incarnation, 16),
@@ -144,6 +146,7 @@
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        gateway.tune_listener(listener)
         listener.bind((host, port))
         listener.setblocking(False)
         return listener
@@ -226,10 +229,12 @@
 
     def may_start(self) -> RefusalReason | None:
         """Returns why no new work may start now, or None if it may."""
-        if self._stopping:
-            return RefusalReason.STOPPING
+        # The lease comes first: requests accepted before a planned stop are
+        # still sent, but never without a lease.
         if not self._lease.holds(self.clock.now()):
             return RefusalReason.LEASE_EXPIRED
+        if self._stopping:
+            return RefusalReason.STOPPING
         return None
 
     def customer_for(self, api_key: str) -> CustomerRule | None:
--- a/knapweedarch/services.py
+++ b/knapweedarch/services.py
@@ -5,6 +5,7 @@
 that a delayed copy of a command can never act on a later call.
 """
 
+import functools
 import itertools
 import random
 from typing import TYPE_CHECKING
@@ -14,7 +15,7 @@
 import attrs
 
 from knapweedarch.adapters import ServiceAnswer
-from knapweedarch.callers import JSON_TYPE, Call, RefusedError
+from knapweedarch.callers import JSON_TYPE, Call, RefusedError, may_send
 from knapweedarch.exceptions import ControlError, EndpointError
 from knapweedarch.exchanges import SendRefusedError
 from knapweedarch.models import (
@@ -172,7 +173,7 @@
                 {**checked.headers, "x-attempt-id": attempt_id},
                 checked.body,
                 limit_s,
-                self._router.may_start,
+                functools.partial(may_send, self._router.may_start),
                 own_connection=bool(checked.key),
             )
         except SendRefusedError:
--- a/standins/fake_router.py
+++ b/standins/fake_router.py
@@ -63,6 +63,7 @@
         refusal: What `may_start` returns.
         refuse_after_checks: Checks that pass before `may_start` refuses;
             negative means that all pass.
+        later_refusal: What it returns after these checks.
         retries_left: Further attempts that `place_again` allows.
         failing: Commands that fail, by class name, and how often.
         submits_twice: Whether each command is applied twice.
@@ -87,6 +88,7 @@
         self.counts: Counter[str] = Counter()
         self.refusal: RefusalReason | None = None
         self.refuse_after_checks = -1
+        self.later_refusal = RefusalReason.LEASE_EXPIRED
         self.retries_left = 3
         self.failing: Counter[str] = Counter()
         self.submits_twice = False
@@ -103,7 +105,7 @@
     def may_start(self) -> RefusalReason | None:
         """Refuses as told, at once or after some checks."""
         if self.refuse_after_checks == 0:
-            return RefusalReason.LEASE_EXPIRED
+            return self.later_refusal
         self.refuse_after_checks -= 1
         return self.refusal
 
