Bound the requests in progress of a router

Cause: max_streams was checked in the settings and used nowhere. Ruled out: counting in the gateway; the count of running requests that a drain waits for already exists in the router. Before: 6 of 6 streams served with max_streams 2, by reading of the code. After: 2 whole, 4 refused as queue_full.

--- a/features/deployment.feature
+++ b/features/deployment.feature
@@ -85,3 +85,9 @@
     When the rules name version w2 and requests go on through both routers
     Then every request was answered
     And every runner announces w2 within 20.0 s
+
+  Scenario: A router takes no more requests at once than its settings allow
+    Guards against a router that runs out of memory under a flood.
+    Given a router that takes 2 requests at once
+    When 6 streams are started through it at once
+    Then 2 of them are whole and 4 are refused as queue_full
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -510,3 +510,29 @@
 def announced(context, version, bound):
     assert versions(context.cluster) == {version}
     assert context.seconds <= bound, context.seconds
+
+
+@given("a router that takes {count:d} requests at once")
+def small_router(context, count):
+    context.cluster.start_router("router-3", max_streams=count)
+    context.cluster.wait_ready("router-3")
+
+
+@when("{count:d} streams are started through it at once")
+def start_streams(context, count):
+    cluster = context.cluster
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        context.answers = list(
+            pool.map(lambda _: chat(cluster, "router-3", 300), range(count))
+        )
+
+
+@then("{whole:d} of them are whole and {refused:d} are refused as {reason}")
+def counted_answers(context, whole, refused, reason):
+    failed = [a for a in context.answers if not a.is_success]
+    assert len(context.answers) - len(failed) == whole, context.answers
+    assert len(failed) == refused, context.answers
+    for answer in failed:
+        error = answer.json()["error"]
+        assert (error["reason"], error["outcome"]) == (reason, "not_run")
+        assert answer.headers["retry-after"]
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -23,6 +23,7 @@
     scheduler,
 )
 from knapweedarch.adapters import LoadWeights, create_adapter
+from knapweedarch.callers import RefusedError, create_call
 from knapweedarch.exceptions import ControlError, EndpointError, RuleError
 from knapweedarch.leases import RENEW_S, Lease
 from knapweedarch.logs import log
@@ -172,6 +173,8 @@
                 return await app(scope, receive, send)
             if scope["path"] == COUNTERS_PATH:
                 return await self._show_counters(scope, send)
+            if self._active >= self._settings.max_streams:
+                return await self._refuse_full(scope, receive, send)
             self._active += 1
             try:
                 await app(scope, receive, send)
@@ -182,6 +185,15 @@
 
         return counted
 
+    async def _refuse_full(self, scope, receive, send) -> None:
+        """Refuses before any byte of the body is read."""
+        self.count(f"refused.{RefusalReason.QUEUE_FULL.value}")
+        await create_call(scope, receive, send).refuse(
+            RefusedError(
+                RefusalReason.QUEUE_FULL, "too many requests are in progress"
+            )
+        )
+
     async def _show_counters(self, scope, send) -> None:
         """Answers an operator who holds the shared credential."""
         want = f"Bearer {self._settings.credential}".encode()
