Add specifications of the log, the once record and the leases

Cause: the protocol needs an exhaustive check before the daemons rely on it. The replay against the code is still a stub.

--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Model checking of the core protocol."""
--- /dev/null
+++ b/spec/check.py
@@ -0,0 +1,68 @@
+"""Checks every specification and every seeded mutation; one command.
+
+Prints states, time and bounds of each run. The exit code is 0 only when every
+invariant holds in the whole state space, every mutation is caught, and the
+code agrees with the traces of the specifications.
+"""
+
+import sys
+import time
+
+from spec import lease_spec, log_spec, once_spec, replay
+from spec.checking import Model, Mutation, explore
+
+MODELS = (*log_spec.MODELS, *once_spec.MODELS, *lease_spec.MODELS)
+
+
+def _verdict(ok: bool) -> str:
+    return "ok  " if ok else "FAIL"
+
+
+def check_model(model: Model) -> bool:
+    """Checks one specification without mutation."""
+    found = explore(model.build(""))
+    ok = found.exhaustive and not found.refuted
+    print(
+        f"{_verdict(ok)} {model.name}: {found.states} states, "
+        f"{found.cpu_s:.1f} s; {model.bounds}",
+        flush=True,
+    )
+    for name, labels in found.refuted.items():
+        print(f"     {name} is violated by: {', '.join(labels)}")
+    return ok
+
+
+def check_mutation(model: Model, mutation: Mutation) -> bool:
+    """Checks that the mutated specification is refuted."""
+    found = explore(model.build(mutation.name), mutation.breaks)
+    ok = all(name in found.refuted for name in mutation.breaks)
+    what = ", ".join(
+        f"{name} in {len(labels)} steps"
+        for name, labels in found.refuted.items()
+    )
+    print(
+        f"{_verdict(ok)} {model.name}, mutation '{mutation.name}': "
+        f"{what or 'not caught'}; {found.states} states, {found.cpu_s:.1f} s",
+        flush=True,
+    )
+    return ok
+
+
+def main() -> int:
+    """Runs everything; returns the exit code."""
+    start = time.process_time()
+    results = [check_model(model) for model in MODELS]
+    results += [
+        check_mutation(model, mutation)
+        for model in MODELS
+        for mutation in model.mutations
+    ]
+    results += [replay.check(MODELS)]
+    failed = results.count(False)
+    cpu_s = time.process_time() - start
+    print(f"{len(results) - failed} passed, {failed} failed, {cpu_s:.1f} s CPU")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/spec/checking.py
@@ -0,0 +1,119 @@
+"""Runs one specification through minicheck, with and without a mutation."""
+
+import gc
+import time
+from collections.abc import Callable
+
+import attrs
+from minicheck import Protocol, check_safety
+from minicheck._core import SearchIncomplete
+
+MAX_STATES = 1_500_000
+
+
+@attrs.frozen
+class Mutation:
+    """A seeded fault of a specification.
+
+    Attributes:
+        name: What the faulty specification does differently.
+        breaks: Invariants that must be refuted.
+    """
+
+    name: str
+    breaks: tuple[str, ...]
+
+
+@attrs.frozen
+class Model:
+    """A specification within stated bounds.
+
+    Attributes:
+        name: Name in the report.
+        bounds: The bounds as text.
+        build: Creates the protocol; the argument is a mutation name or "".
+        mutations: Faults that the checker must find.
+    """
+
+    name: str
+    bounds: str
+    build: Callable[[str], Protocol]
+    mutations: tuple[Mutation, ...] = ()
+
+
+@attrs.frozen
+class Finding:
+    """Result of one run.
+
+    Attributes:
+        states: Reachable states that were visited.
+        exhaustive: Whether every reachable state was visited.
+        refuted: Shortest trace by invariant name, each a list of labels.
+        cpu_s: Processor time in seconds.
+    """
+
+    states: int
+    exhaustive: bool
+    refuted: dict[str, list[str]]
+    cpu_s: float
+
+
+class _Enough(SearchIncomplete):
+    """Every violation that the caller waits for was found."""
+
+
+def _stop_when_refuted(protocol: Protocol, wanted: frozenset[str]) -> None:
+    """Ends the search at the last violation that matters."""
+    missing = set(wanted or protocol.invariants)
+    inner = protocol.transitions
+
+    def watched(name: str, predicate: Callable) -> Callable:
+        def check(state: dict) -> bool:
+            holds = predicate(state)
+            if not holds:
+                missing.discard(name)
+                if not wanted:
+                    missing.clear()
+            return holds
+
+        return check
+
+    def transitions(state: tuple) -> list:
+        if not missing:
+            raise _Enough
+        return inner(state)
+
+    protocol.transitions = transitions
+    protocol.invariants = {
+        name: watched(name, predicate)
+        for name, predicate in protocol.invariants.items()
+    }
+
+
+def explore(protocol: Protocol, wanted: tuple[str, ...] = ()) -> Finding:
+    """Visits the reachable states until each wanted invariant is refuted.
+
+    Without wanted invariants it stops at the first violation of any.
+    """
+    start = time.process_time()
+    _stop_when_refuted(protocol, frozenset(wanted))
+    # Every object made here is kept until the end; collections only cost time.
+    gc.disable()
+    result = check_safety(protocol, MAX_STATES)
+    gc.enable()
+    refuted = {
+        name: [step["label"] for step in found["counterexample"][1:]]
+        for name, found in result["properties"].items()
+        if found["holds"] is False
+    }
+    return Finding(
+        result["reachable_states"],
+        result["exhaustive"],
+        refuted,
+        time.process_time() - start,
+    )
+
+
+def put(items: tuple, index: int, value: object) -> tuple:
+    """Returns a tuple with one item replaced."""
+    return (*items[:index], value, *items[index + 1 :])
--- /dev/null
+++ b/spec/lease_spec.py
@@ -0,0 +1,318 @@
+"""Specification of router leases and of changes answered as in force.
+
+Time is counted in ticks. `GRANT` ticks are the time that the leader counts
+for a lease (2.1 s); the router's clock may be the slowest allowed one, on
+which 2.0 s last as long. A frozen process is one whose steps are all late.
+"""
+
+from functools import partial
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from spec.checking import Model, Mutation, put
+
+GRANT = 2
+LEADER_LEASE = 2
+RENEWAL, ANSWER = "renew", "grant"
+
+
+class Leader(NamedTuple):
+    """A leader in one term.
+
+    `lease` and `wait` are ticks left of the leader lease and of the wait for
+    the predecessor's grants; `applied` is the newest version it has applied;
+    `ready` is set once an entry of its term is committed; `grants` holds for
+    each router (ticks left, applied version).
+    """
+
+    lease: int
+    wait: int
+    applied: int
+    ready: bool
+    grants: tuple[tuple[int, int], ...]
+
+
+class Message(NamedTuple):
+    """A renewal or grant on its way; `left` counts from when it was asked."""
+
+    kind: str
+    left: int
+    version: int
+
+
+class Router(NamedTuple):
+    """A router: version applied, ticks left of its lease, its messages."""
+
+    version: int
+    lease: int
+    messages: tuple[Message, ...]
+
+
+class State(NamedTuple):
+    """Whole system; the last of `leaders` holds the newest term.
+
+    `answered` is the newest version answered as in force; `reverted` is set
+    when a running router goes back to an older version.
+    """
+
+    committed: int
+    answered: int
+    leaders: tuple[Leader, ...]
+    routers: tuple[Router, ...]
+    reverted: bool = False
+
+
+def _less(ticks: int) -> int:
+    return max(0, ticks - 1)
+
+
+class LeaseSpec:
+    """Transitions of leases within bounds."""
+
+    def __init__(
+        self,
+        routers: int,
+        leaders: int,
+        messages: int,
+        versions: int,
+        mutation: str,
+    ):
+        self.routers = routers
+        self.max_leaders = leaders
+        self.max_messages = messages
+        self.max_version = versions
+        self.mutation = mutation
+
+    def initial(self) -> State:
+        """A leader has just taken office; no router has a lease."""
+        leader = Leader(0, GRANT, 0, True, ((0, 0),) * self.routers)
+        router = Router(0, 0, ())
+        return State(0, 0, (leader,), (router,) * self.routers)
+
+    def transitions(self, state: State) -> list:
+        """Lists the successors."""
+        out: list = []
+        self._tick(state, out)
+        self._heartbeat(state, out)
+        self._catch_up(state, out)
+        self._elect(state, out)
+        self._commit(state, out)
+        for n, leader in enumerate(state.leaders):
+            self._answer(state, n, leader, out)
+        for r, router in enumerate(state.routers):
+            self._renew(state, r, router, out)
+            self._restart(state, r, router, out)
+            for m, message in enumerate(router.messages):
+                self._deliver(state, r, m, message, out)
+        return out
+
+    def _tick(self, state: State, out: list) -> None:
+        leaders = tuple(
+            x._replace(
+                lease=_less(x.lease),
+                wait=_less(x.wait),
+                grants=tuple((_less(t), v) for t, v in x.grants),
+            )
+            for x in state.leaders
+        )
+        routers = tuple(
+            Router(
+                x.version,
+                _less(x.lease),
+                tuple(m._replace(left=_less(m.left)) for m in x.messages),
+            )
+            for x in state.routers
+        )
+        after = state._replace(leaders=leaders, routers=routers)
+        if after != state:
+            out.append(("tick", after))
+
+    def _heartbeat(self, state: State, out: list) -> None:
+        newest = state.leaders[-1]
+        if newest.lease < LEADER_LEASE:
+            self._lead(state, newest._replace(lease=LEADER_LEASE), out, "beat")
+
+    def _lead(self, state: State, leader: Leader, out: list, label: str):
+        leaders = put(state.leaders, len(state.leaders) - 1, leader)
+        out.append((label, state._replace(leaders=leaders)))
+
+    def _catch_up(self, state: State, out: list) -> None:
+        newest = state.leaders[-1]
+        if not newest.ready:
+            caught = newest._replace(ready=True, applied=state.committed)
+            self._lead(state, caught, out, "catch up")
+
+    def _elect(self, state: State, out: list) -> None:
+        """A new leader takes office; it may not know the last commits."""
+        if len(state.leaders) >= self.max_leaders:
+            return
+        if state.leaders[-1].lease and self.mutation != "vote under a lease":
+            return
+        wait = 0 if self.mutation == "new leader does not wait" else GRANT
+        for applied in range(state.committed + 1):
+            grants = ((0, 0),) * self.routers
+            leader = Leader(0, wait, applied, False, grants)
+            leaders = (*state.leaders, leader)
+            out.append((f"elect {applied}", state._replace(leaders=leaders)))
+
+    def _commit(self, state: State, out: list) -> None:
+        newest = state.leaders[-1]
+        if state.committed < self.max_version and newest.ready:
+            version = state.committed + 1
+            self._lead(
+                state._replace(committed=version),
+                newest._replace(applied=version),
+                out,
+                "commit",
+            )
+
+    def _answer(self, state: State, n: int, leader: Leader, out: list) -> None:
+        """Any leader, also one that was deposed while it was frozen."""
+        for version in range(state.answered + 1, leader.applied + 1):
+            waiting = any(t and v < version for t, v in leader.grants)
+            if self.mutation == "answer once committed":
+                waiting = False
+            if leader.wait or waiting:
+                return
+            answered = state._replace(answered=version)
+            out.append((f"in force {n} {version}", answered))
+
+    def _renew(self, state: State, r: int, router: Router, out: list) -> None:
+        if len(router.messages) < self.max_messages:
+            asked = Message(RENEWAL, GRANT, router.version)
+            sent = router._replace(messages=(*router.messages, asked))
+            routers = put(state.routers, r, sent)
+            out.append((f"renew {r}", state._replace(routers=routers)))
+
+    def _restart(self, state: State, r: int, router: Router, out: list):
+        """The router comes back without state, under a new incarnation.
+
+        The leader's entry for the old incarnation only delays answers, so it
+        is dropped at once.
+        """
+        if router == Router(0, 0, ()):
+            return
+        leaders = tuple(
+            x._replace(grants=put(x.grants, r, (0, 0))) for x in state.leaders
+        )
+        routers = put(state.routers, r, Router(0, 0, ()))
+        again = state._replace(leaders=leaders, routers=routers)
+        out.append((f"restart {r}", again))
+
+    def _deliver(
+        self, state: State, r: int, m: int, message: Message, out: list
+    ) -> None:
+        router = state.routers[r]
+        others = router.messages[:m] + router.messages[m + 1 :]
+        lost = router._replace(messages=others)
+        label = f"{r} {message.kind} {message.left} {message.version}"
+        routers = put(state.routers, r, lost)
+        out.append((f"lose {label}", state._replace(routers=routers)))
+        if message.kind == ANSWER:
+            self._granted(state, r, lost, message, label, out)
+            return
+        for n, leader in enumerate(state.leaders):
+            if not self._may_grant(leader):
+                continue
+            known = max(leader.grants[r][1], message.version)
+            table = put(leader.grants, r, (GRANT, known))
+            if self.mutation == "grant is not noted":
+                table = leader.grants
+            grant = Message(ANSWER, message.left, leader.applied)
+            answered = router._replace(messages=(*others, grant))
+            after = state._replace(
+                leaders=put(state.leaders, n, leader._replace(grants=table)),
+                routers=put(state.routers, r, answered),
+            )
+            out.append((f"grant {n} {label}", after))
+
+    def _may_grant(self, leader: Leader) -> bool:
+        if not leader.lease and self.mutation != "grant without leader lease":
+            return False
+        return leader.ready or self.mutation == "grant before catching up"
+
+    def _granted(
+        self,
+        state: State,
+        r: int,
+        router: Router,
+        message: Message,
+        label: str,
+        out: list,
+    ) -> None:
+        left, version = message.left, max(router.version, message.version)
+        if self.mutation == "lease counted from receipt":
+            left = GRANT
+        if self.mutation == "older grant replaces newer state":
+            version = message.version
+        granted = Router(version, max(router.lease, left), router.messages)
+        after = state._replace(
+            routers=put(state.routers, r, granted),
+            reverted=state.reverted or version < router.version,
+        )
+        out.append((f"take {label}", after))
+
+
+def in_force_everywhere(state: dict) -> bool:
+    """A router with a lease has every change answered as in force."""
+    return all(
+        router.version >= state["answered"]
+        for router in state["routers"]
+        if router.lease
+    )
+
+
+def never_reverts(state: dict) -> bool:
+    """A running router never goes back to an older version."""
+    return not state["reverted"]
+
+
+def build(
+    routers: int, leaders: int, messages: int, versions: int, mutation: str
+) -> Protocol:
+    """Creates the protocol."""
+    spec = LeaseSpec(routers, leaders, messages, versions, mutation)
+    return Protocol(
+        "lease",
+        False,
+        State._fields,
+        spec.initial(),
+        spec.transitions,
+        {
+            "in force everywhere": in_force_everywhere,
+            "never reverts": never_reverts,
+        },
+    )
+
+
+_FORCE, _REVERT = ("in force everywhere",), ("never reverts",)
+
+MODELS = (
+    Model(
+        "lease, leaders",
+        "1 router, 3 leaders, 2 changes, 1 message in flight",
+        partial(build, 1, 3, 1, 2),
+        (
+            Mutation("vote under a lease", _FORCE),
+            Mutation("new leader does not wait", _FORCE),
+            Mutation("answer once committed", _FORCE),
+            Mutation("grant is not noted", _FORCE),
+            Mutation("grant without leader lease", _FORCE),
+            Mutation("grant before catching up", _FORCE),
+            Mutation("lease counted from receipt", _FORCE),
+        ),
+    ),
+    Model(
+        "lease, crossed grants",
+        "1 router, 2 leaders, 1 change, 2 messages in flight",
+        partial(build, 1, 2, 2, 1),
+        (Mutation("older grant replaces newer state", _REVERT),),
+    ),
+    Model(
+        "lease, two routers",
+        "2 routers, 1 leader, 1 change, 1 message in flight for each",
+        partial(build, 2, 1, 1, 1),
+        (Mutation("answer once committed", _FORCE),),
+    ),
+)
--- /dev/null
+++ b/spec/log_spec.py
@@ -0,0 +1,399 @@
+"""Specification of the replicated log.
+
+Identities 0, 1 and 2 form the group; 3 and 4 are blank replacements. A vote
+or append exchange is one step, because the receiver syncs before it answers
+and a late answer equals a late `win` or `commit` step. An append carries any
+prefix of the leader's log, which covers late and repeated requests.
+"""
+
+from functools import partial
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from spec.checking import Model, Mutation, put
+
+FOLLOWER, CANDIDATE, LEADER, LOST, UNUSED = range(5)
+NOBODY = -1
+FIRST_GROUP = (0, 1, 2)
+
+
+class Entry(NamedTuple):
+    """A log entry; `members` is the new voter list, empty for data."""
+
+    term: int
+    members: tuple[int, ...] = ()
+
+
+class Node(NamedTuple):
+    """One identity.
+
+    `votes` are the identities that granted a vote to this candidate; `match`
+    is what the leader knows of the others' logs. Both are lost on restart.
+    """
+
+    role: int
+    term: int = 0
+    voted: int = NOBODY
+    log: tuple[Entry, ...] = ()
+    votes: frozenset[int] = frozenset()
+    match: tuple[int, ...] = ()
+
+
+class State(NamedTuple):
+    """Whole system.
+
+    `committed` and `commit_term` are what the latest commit covered; `elected`
+    holds the winners of each term; `changed` is set when a commit contradicts
+    an earlier one; `losses` counts lost disks; `repaired` tells whether the
+    latest loss has been repaired.
+    """
+
+    nodes: tuple[Node, ...]
+    committed: tuple[Entry, ...]
+    commit_term: int
+    elected: tuple[frozenset[int], ...]
+    changed: bool = False
+    losses: int = 0
+    repaired: bool = True
+
+
+def members_of(log: tuple[Entry, ...]) -> tuple[int, ...]:
+    """Returns the voters: the latest list in the log, committed or not."""
+    for entry in reversed(log):
+        if entry.members:
+            return entry.members
+    return FIRST_GROUP
+
+
+def _majority(voters: tuple[int, ...], agreed: frozenset[int]) -> bool:
+    return 2 * sum(v in agreed for v in voters) > len(voters)
+
+
+def _last(log: tuple[Entry, ...]) -> tuple[int, int]:
+    return (log[-1].term if log else 0, len(log))
+
+
+def merge(log: tuple, sent: tuple) -> tuple:
+    """Appends what is missing; cuts only at a conflicting entry."""
+    for i, entry in enumerate(sent):
+        if i >= len(log) or log[i] != entry:
+            return sent
+    return log
+
+
+class LogSpec:
+    """Transitions of the log within bounds."""
+
+    def __init__(
+        self, max_term: int, max_log: int, max_losses: int, mutation: str
+    ):
+        self.max_term = max_term
+        self.max_log = max_log
+        self.max_losses = max_losses
+        self.mutation = mutation
+
+    def initial(self) -> State:
+        """Identity 0 leads in term 1; by symmetry the choice is no loss.
+
+        With replacement one entry is already committed, on 0 and 1 only.
+        """
+        done = (Entry(1),) if self.max_losses else ()
+        match = (len(done), len(done), 0, 0, 0)
+        leader = Node(LEADER, 1, 0, done, frozenset(), match)
+        holder, other = Node(FOLLOWER, 1, 0, done), Node(FOLLOWER, 1, 0)
+        unused = Node(UNUSED)
+        elected = (frozenset(), frozenset({0})) + (frozenset(),) * (
+            self.max_term - 1
+        )
+        nodes = (leader, holder, other, unused, unused)
+        return State(nodes, done, len(done), elected)
+
+    def transitions(self, state: State) -> list:
+        """Lists the successors."""
+        out: list = []
+        for n, node in enumerate(state.nodes):
+            if node.role in (LOST, UNUSED):
+                continue
+            self._stand(state, n, node, out)
+            self._restart(state, n, node, out)
+            if node.role == CANDIDATE:
+                self._collect_vote(state, n, node, out)
+                self._win(state, n, node, out)
+            if node.role == LEADER:
+                self._propose(state, n, node, out)
+                self._append(state, n, node, out)
+                self._commit(state, n, node, out)
+                self._change_members(state, n, node, out)
+            if self.max_losses:
+                self._lose_disk(state, n, node, out)
+        return out
+
+    def _stand(self, state: State, n: int, node: Node, out: list) -> None:
+        if node.role == LEADER or node.term >= self.max_term:
+            return
+        if n not in members_of(node.log):
+            return
+        stood = Node(CANDIDATE, node.term + 1, n, node.log, frozenset({n}))
+        nodes = put(state.nodes, n, stood)
+        out.append((f"stand {n}", state._replace(nodes=nodes)))
+
+    def _restart(self, state: State, n: int, node: Node, out: list) -> None:
+        voted = node.voted
+        if self.mutation == "vote not synced":
+            voted = NOBODY
+        log = node.log
+        if self.mutation == "append not synced":
+            log = log[:-1]
+        again = Node(FOLLOWER, node.term, voted, log)
+        if again != node:
+            nodes = put(state.nodes, n, again)
+            out.append((f"restart {n}", state._replace(nodes=nodes)))
+
+    def _collect_vote(self, state: State, n: int, node: Node, out: list):
+        for v in members_of(node.log):
+            voter = state.nodes[v]
+            if v in node.votes or voter.role in (LOST, UNUSED):
+                continue
+            if voter.term > node.term:
+                continue
+            free = voter.term < node.term or voter.voted in (NOBODY, n)
+            if self.mutation == "vote twice in a term":
+                free = True
+            fresh = _last(node.log) >= _last(voter.log)
+            if self.mutation == "vote for a shorter log":
+                fresh = True
+            if not (free and fresh):
+                continue
+            granted = Node(FOLLOWER, node.term, n, voter.log)
+            candidate = node._replace(votes=node.votes | {v})
+            nodes = put(put(state.nodes, v, granted), n, candidate)
+            out.append((f"vote {v} {n}", state._replace(nodes=nodes)))
+
+    def _win(self, state: State, n: int, node: Node, out: list) -> None:
+        if not _majority(members_of(node.log), node.votes):
+            return
+        match = put((0,) * 5, n, len(node.log))
+        leader = Node(LEADER, node.term, n, node.log, frozenset(), match)
+        winners = state.elected[node.term] | {n}
+        out.append(
+            (
+                f"win {n}",
+                state._replace(
+                    nodes=put(state.nodes, n, leader),
+                    elected=put(state.elected, node.term, winners),
+                ),
+            )
+        )
+
+    def _extend(self, state: State, n: int, entry: Entry) -> State:
+        node = state.nodes[n]
+        log = (*node.log, entry)
+        leader = node._replace(log=log, match=put(node.match, n, len(log)))
+        return state._replace(nodes=put(state.nodes, n, leader))
+
+    def _propose(self, state: State, n: int, node: Node, out: list) -> None:
+        if self.max_losses and _last(node.log)[0] == node.term:
+            return  # With replacement, data is one entry for each term.
+        if len(node.log) < self.max_log:
+            extended = self._extend(state, n, Entry(node.term))
+            out.append((f"propose {n}", extended))
+
+    def _append(self, state: State, n: int, node: Node, out: list) -> None:
+        for f, follower in enumerate(state.nodes):
+            if f == n or follower.role in (LOST, UNUSED):
+                continue
+            if follower.term > node.term or (
+                follower.term == node.term and follower.role == LEADER
+            ):
+                continue
+            for size in self._sizes(node):
+                log = merge(follower.log, node.log[:size])
+                voted = follower.voted
+                if follower.term < node.term:
+                    voted = NOBODY
+                told = Node(FOLLOWER, node.term, voted, log)
+                known = max(node.match[f], size)
+                leader = node._replace(match=put(node.match, f, known))
+                nodes = put(put(state.nodes, f, told), n, leader)
+                if nodes != state.nodes:
+                    label = f"append {n} {f} {size}"
+                    out.append((label, state._replace(nodes=nodes)))
+
+    def _sizes(self, node: Node) -> range:
+        """Lengths of the prefix sent; with replacement the whole log."""
+        size = len(node.log)
+        return range(size if self.max_losses else 0, size + 1)
+
+    def _commit(self, state: State, n: int, node: Node, out: list) -> None:
+        voters = members_of(node.log)
+        for size in range(len(node.log), 0, -1):
+            old = node.log[size - 1].term != node.term
+            if old and self.mutation != "commit an older term by counting":
+                return
+            holders = frozenset(v for v in range(5) if node.match[v] >= size)
+            if not _majority(voters, holders):
+                continue
+            done = node.log[:size]
+            both = min(size, len(state.committed))
+            changed = done[:both] != state.committed[:both]
+            if not changed and size <= len(state.committed):
+                return
+            repaired = state.repaired or self._is_repaired(state, done)
+            out.append(
+                (
+                    f"commit {n} {size}",
+                    state._replace(
+                        committed=done,
+                        commit_term=node.term,
+                        changed=state.changed or changed,
+                        repaired=repaired,
+                    ),
+                )
+            )
+            return
+
+    def _is_repaired(self, state: State, done: tuple[Entry, ...]) -> bool:
+        return members_of(done)[-1] == 2 + state.losses
+
+    def _lose_disk(self, state: State, n: int, node: Node, out: list) -> None:
+        if state.losses >= self.max_losses or not state.repaired:
+            return
+        if n not in members_of(state.committed):
+            return
+        if self.mutation == "count the blank member":
+            blank = Node(FOLLOWER)
+            nodes = put(state.nodes, n, blank)
+            lost = state._replace(nodes=nodes, losses=state.losses + 1)
+            out.append((f"lose {n}", lost))
+            return
+        new = 3 + state.losses
+        nodes = put(put(state.nodes, n, Node(LOST)), new, Node(FOLLOWER))
+        lost = state._replace(
+            nodes=nodes, losses=state.losses + 1, repaired=False
+        )
+        out.append((f"lose {n}", lost))
+
+    def _change_members(self, state: State, n: int, node: Node, out: list):
+        """One change at a time, after an entry of the own term committed."""
+        if not state.losses or state.repaired:
+            return
+        if self.mutation != "change members before own commit" and (
+            state.commit_term != node.term
+        ):
+            return
+        voters, size = members_of(node.log), len(state.committed)
+        pending = any(entry.members for entry in node.log[size:])
+        if pending and self.mutation != "two changes at a time":
+            return
+        new = 2 + state.losses
+        lost = [v for v in voters if state.nodes[v].role == LOST]
+        caught_up = node.match[new] >= size
+        if lost and caught_up:
+            kept = tuple(v for v in voters if v != lost[0])
+        elif new not in voters and caught_up:
+            kept = (*voters, new)
+        else:
+            return
+        if len(node.log) < self.max_log:
+            extended = self._extend(state, n, Entry(node.term, kept))
+            label = "remove" if lost else "add"
+            out.append((f"{label} {n}", extended))
+
+
+def one_leader_per_term(state: dict) -> bool:
+    """No term has two winners."""
+    return all(len(winners) <= 1 for winners in state["elected"])
+
+
+def committed_stays(state: dict) -> bool:
+    """Commits agree, and each later leader holds all that was committed."""
+    if state["changed"]:
+        return False
+    done, term = state["committed"], state["commit_term"]
+    return all(
+        node.log[: len(done)] == done
+        for node in state["nodes"]
+        if node.role == LEADER and node.term >= term
+    )
+
+
+def blank_never_counts(state: dict) -> bool:
+    """What an identity granted or acknowledged is still on its disk."""
+    nodes = state["nodes"]
+    for node in nodes:
+        for v in node.votes:
+            if nodes[v].role < LOST and nodes[v].term < node.term:
+                return False
+        for v, size in enumerate(node.match):
+            other = nodes[v]
+            held = len(other.log) >= size or other.term > node.term
+            if other.role < LOST and not held:
+                return False
+    return True
+
+
+def survivors_hold_committed(state: dict) -> bool:
+    """While a majority of the voters lives, one of them holds the commits."""
+    done = state["committed"]
+    voters = members_of(done)
+    alive = [v for v in voters if state["nodes"][v].role < LOST]
+    return 2 * len(alive) <= len(voters) or any(
+        node.log[: len(done)] == done
+        for node in state["nodes"]
+        if node.role < LOST
+    )
+
+
+def build(
+    max_term: int, max_log: int, max_losses: int, mutation: str
+) -> Protocol:
+    """Creates the protocol."""
+    spec = LogSpec(max_term, max_log, max_losses, mutation)
+    return Protocol(
+        "log",
+        False,
+        State._fields,
+        spec.initial(),
+        spec.transitions,
+        {
+            "one leader per term": one_leader_per_term,
+            "committed stays": committed_stays,
+            "blank never counts": blank_never_counts,
+            "survivors hold committed": survivors_hold_committed,
+        },
+    )
+
+
+_TERM, _STAYS = ("one leader per term",), ("committed stays",)
+_BLANK, _HELD = ("blank never counts",), ("survivors hold committed",)
+
+MODELS = (
+    Model(
+        "log, elections",
+        "3 members, 4 terms, 1 entry, any restarts",
+        partial(build, 4, 1, 0),
+        (Mutation("commit an older term by counting", _STAYS),),
+    ),
+    Model(
+        "log, replication",
+        "3 members, 3 terms, 2 entries, any restarts",
+        partial(build, 3, 2, 0),
+        (
+            Mutation("vote twice in a term", _TERM),
+            Mutation("vote not synced", _TERM),
+            Mutation("vote for a shorter log", _STAYS),
+            Mutation("append not synced", _STAYS + _HELD),
+        ),
+    ),
+    Model(
+        "log, replacement",
+        "3 members and 2 replacements, 3 terms, 4 entries, any restarts",
+        partial(build, 3, 4, 2),
+        (
+            Mutation("count the blank member", _BLANK + _STAYS + _HELD),
+            Mutation("two changes at a time", _STAYS),
+            Mutation("change members before own commit", _STAYS),
+        ),
+    ),
+)
--- /dev/null
+++ b/spec/once_spec.py
@@ -0,0 +1,393 @@
+"""Specification of the at-most-once record of one idempotency key.
+
+Attempts 0 and 2 are callers' requests at router 0, attempt 1 is one at
+router 1. Commands to the log may be delayed, overtaken and repeated. A check
+of the lease and the send that follows it are one step.
+"""
+
+from functools import partial
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from spec.checking import Model, Mutation, put
+
+IDLE, RESERVING, HELD, SENT, CLOSED, CRASHED = range(6)
+RESERVED, DONE, UNKNOWN = "reserved", "done", "unknown"
+NOT_RUN, GRANTED, NOTHING = "not_run", "granted", ""
+ABSENT, IN_FLIGHT, RAN, DROPPED = range(4)
+FOREIGN = -1
+ROUTER_OF = (0, 1, 0)
+
+
+class Record(NamedTuple):
+    """Record of the key; `answer` is the attempt whose run it answers."""
+
+    status: str
+    attempt: int
+    answer: int | None = None
+
+
+class Command(NamedTuple):
+    """A command on its way to the log; `status` is what a settle says."""
+
+    verb: str
+    attempt: int
+    status: str = NOTHING
+    answer: int | None = None
+
+
+def _order(command: Command) -> tuple[str, int]:
+    return command[:2]
+
+
+class Attempt(NamedTuple):
+    """A caller's request.
+
+    `reply` is the log's reply on its way, `session` the lease session in
+    which it reserved, `told` and `answer` what the caller was told, `network`
+    where the call to the service is.
+    """
+
+    phase: int = IDLE
+    reply: str = NOTHING
+    reply_answer: int | None = None
+    session: int = 0
+    told: str = NOTHING
+    answer: int | None = None
+    network: int = ABSENT
+
+
+class State(NamedTuple):
+    """Whole system.
+
+    `leases` holds for each router (session, running); `was_unknown` tells
+    whether the record ever said unknown.
+    """
+
+    record: Record | None
+    attempts: tuple[Attempt, ...]
+    commands: frozenset[Command]
+    leases: tuple[tuple[int, bool], ...]
+    repeats: int
+    crashes: int
+    runs: int = 0
+    was_unknown: bool = False
+    sent_after_unknown: bool = False
+
+
+def _note_unknown(state: State) -> State:
+    if state.record is not None and state.record.status == UNKNOWN:
+        return state._replace(was_unknown=True)
+    return state
+
+
+class OnceSpec:
+    """Transitions of the record within bounds."""
+
+    def __init__(self, repeats: int, crashes: int, sessions: int, fault: str):
+        self.repeats = repeats
+        self.crashes = crashes
+        self.sessions = sessions
+        self.mutation = fault
+
+    def initial(self) -> State:
+        """Nothing has been asked yet."""
+        attempts = (Attempt(),) * len(ROUTER_OF)
+        leases = ((0, True),) * 2
+        return State(
+            None, attempts, frozenset(), leases, self.repeats, self.crashes
+        )
+
+    def transitions(self, state: State) -> list:
+        """Lists the successors."""
+        out: list = []
+        for command in sorted(state.commands, key=_order):
+            self._apply(state, command, out)
+        for a, attempt in enumerate(state.attempts):
+            self._ask(state, a, attempt, out)
+            self._read_reply(state, a, attempt, out)
+            self._give_up(state, a, attempt, out)
+            self._send(state, a, attempt, out)
+            self._serve(state, a, attempt, out)
+            self._hear(state, a, attempt, out)
+        for r in range(2):
+            self._change_lease(state, r, out)
+            self._crash(state, r, out)
+        self._abandon(state, out)
+        return out
+
+    # The replicated log.
+
+    def apply_to_record(
+        self, record: Record | None, command: Command
+    ) -> tuple[Record | None, str, int | None]:
+        """Returns the record afterwards and the reply to a reserve."""
+        a = command.attempt
+        if command.verb == "reserve":
+            if record is None:
+                return Record(RESERVED, a), GRANTED, None
+            if record.attempt == a and record.status == RESERVED:
+                return record, GRANTED, None
+            return record, record.status, record.answer
+        if record is None or not self._owns(record, a):
+            return record, NOTHING, None
+        return self._settled(record, command), NOTHING, None
+
+    def _owns(self, record: Record, a: int) -> bool:
+        if self.mutation == "settle matched by router only":
+            return ROUTER_OF[record.attempt] == ROUTER_OF[a]
+        return record.attempt == a
+
+    def _settled(self, record: Record, command: Command) -> Record | None:
+        if record.status == DONE:
+            return record
+        if command.status == NOT_RUN:
+            if (
+                record.status == UNKNOWN
+                and self.mutation != "not_run frees an unknown key"
+            ):
+                return record
+            return None
+        if command.status == UNKNOWN and self.mutation == "free on unknown":
+            return None
+        return record._replace(status=command.status, answer=command.answer)
+
+    def _apply(self, state: State, command: Command, out: list) -> None:
+        record, reply, answer = self.apply_to_record(state.record, command)
+        attempts = state.attempts
+        waiting = attempts[command.attempt]
+        if command.verb == "reserve" and waiting.phase == RESERVING:
+            told = waiting._replace(reply=reply, reply_answer=answer)
+            attempts = put(attempts, command.attempt, told)
+        label = " ".join(["apply", *map(str, command)])
+        rest = state.commands - {command}
+        done = _note_unknown(
+            state._replace(record=record, attempts=attempts, commands=rest)
+        )
+        out.append((label, done))
+        if state.repeats:
+            again = done._replace(
+                commands=state.commands, repeats=state.repeats - 1
+            )
+            out.append((label, again))
+
+    def _abandon(self, state: State, out: list) -> None:
+        record = state.record
+        if record is None or record.status != RESERVED:
+            return
+        holder = state.attempts[record.attempt]
+        running = state.leases[ROUTER_OF[record.attempt]][1]
+        if running and holder.phase != CRASHED:
+            return
+        unknown = record._replace(status=UNKNOWN)
+        if self.mutation == "abandon frees the key":
+            unknown = None
+        after = _note_unknown(state._replace(record=unknown))
+        out.append((f"abandon {record.attempt}", after))
+
+    # A router.
+
+    def _leased(self, state: State, a: int, attempt: Attempt) -> bool:
+        session, running = state.leases[ROUTER_OF[a]]
+        if self.mutation == "send without a lease":
+            return True
+        if self.mutation == "send under a later lease":
+            return running
+        return running and session == attempt.session
+
+    def _ask(self, state: State, a: int, attempt: Attempt, out: list) -> None:
+        session, running = state.leases[ROUTER_OF[a]]
+        if attempt.phase != IDLE or not running:
+            return
+        asked = Attempt(RESERVING, session=session)
+        commands = state.commands | {Command("reserve", a)}
+        out.append((f"reserve {a}", self._with(state, a, asked, commands)))
+
+    def _with(
+        self,
+        state: State,
+        a: int,
+        attempt: Attempt,
+        commands: frozenset[Command],
+    ) -> State:
+        attempts = put(state.attempts, a, attempt)
+        return state._replace(attempts=attempts, commands=commands)
+
+    def _read_reply(self, state: State, a: int, attempt: Attempt, out: list):
+        if attempt.phase != RESERVING or not attempt.reply:
+            return
+        if attempt.reply == GRANTED:
+            read = attempt._replace(phase=HELD, reply=NOTHING)
+        else:
+            told = DONE if attempt.reply == DONE else UNKNOWN
+            answer = attempt.reply_answer
+            read = Attempt(CLOSED, told=told, answer=answer)
+        out.append((f"read {a}", self._with(state, a, read, state.commands)))
+
+    def _close(
+        self,
+        state: State,
+        a: int,
+        told: str,
+        status: str,
+        answer: int | None = None,
+    ) -> State:
+        """Tells the caller, and the log through a settle."""
+        network = state.attempts[a].network
+        closed = Attempt(CLOSED, told=told, answer=answer, network=network)
+        settle = Command("settle", a, status, answer)
+        return self._with(state, a, closed, state.commands | {settle})
+
+    def _give_up(self, state: State, a: int, attempt: Attempt, out: list):
+        """Nothing was written: refused connection, time-out, lost lease."""
+        if attempt.phase in (RESERVING, HELD):
+            out.append((f"give up {a}", self._close(state, a, *[NOT_RUN] * 2)))
+
+    def _send(self, state: State, a: int, attempt: Attempt, out: list) -> None:
+        ready = attempt.phase == HELD
+        if self.mutation == "send before reserve is durable":
+            ready = ready or attempt.phase == RESERVING
+        if not ready or not self._leased(state, a, attempt):
+            return
+        late = state.was_unknown
+        sent = attempt._replace(phase=SENT, network=IN_FLIGHT)
+        after = self._with(state, a, sent, state.commands)
+        out.append(
+            (
+                f"send {a}",
+                after._replace(
+                    sent_after_unknown=state.sent_after_unknown or late
+                ),
+            )
+        )
+
+    def _serve(self, state: State, a: int, attempt: Attempt, out: list):
+        if attempt.network != IN_FLIGHT:
+            return
+        ran = self._with(
+            state, a, attempt._replace(network=RAN), state.commands
+        )
+        out.append((f"run {a}", ran._replace(runs=state.runs + 1)))
+        lost = attempt._replace(network=DROPPED)
+        out.append((f"drop {a}", self._with(state, a, lost, state.commands)))
+
+    def _hear(self, state: State, a: int, attempt: Attempt, out: list) -> None:
+        if attempt.phase != SENT:
+            return
+        if attempt.network == RAN:
+            whole = self._close(state, a, DONE, DONE, a)
+            out.append((f"answer {a}", whole))
+        failed = NOT_RUN if self.mutation == "not_run after a write" else None
+        broken = self._close(state, a, failed or UNKNOWN, failed or UNKNOWN)
+        out.append((f"fail {a}", broken))
+        if self.mutation == "accept a crossed answer":
+            crossed = self._close(state, a, DONE, DONE, FOREIGN)
+            out.append((f"crossed {a}", crossed))
+
+    # Leases and crashes.
+
+    def _change_lease(self, state: State, r: int, out: list) -> None:
+        session, running = state.leases[r]
+        if session >= self.sessions:
+            return
+        change = (session, False) if running else (session + 1, True)
+        leases = put(state.leases, r, change)
+        label = f"{'lease ends' if running else 'lease again'} {r}"
+        out.append((label, state._replace(leases=leases)))
+
+    def _crash(self, state: State, r: int, out: list) -> None:
+        if not state.crashes:
+            return
+        attempts = tuple(
+            Attempt(CRASHED, network=x.network)
+            if ROUTER_OF[a] == r and x.phase in (RESERVING, HELD, SENT)
+            else x
+            for a, x in enumerate(state.attempts)
+        )
+        crashed = state._replace(attempts=attempts, crashes=state.crashes - 1)
+        out.append((f"crash {r}", crashed))
+
+
+def runs_once(state: dict) -> bool:
+    """The service runs the key at most once."""
+    return state["runs"] <= 1
+
+
+def answer_of_its_key(state: dict) -> bool:
+    """Stored and told answers come from a run of this key."""
+    attempts, record = state["attempts"], state["record"]
+    answers = [x.answer for x in attempts if x.told == DONE]
+    if record is not None and record.status == DONE:
+        answers.append(record.answer)
+    return all(
+        x is not None and x != FOREIGN and attempts[x].network == RAN
+        for x in answers
+    )
+
+
+def no_send_after_unknown(state: dict) -> bool:
+    """Nobody sends once the key's outcome is recorded as unknown."""
+    return not state["sent_after_unknown"]
+
+
+def not_run_is_final(state: dict) -> bool:
+    """What was told as not run has not run and cannot run."""
+    return all(
+        x.network in (ABSENT, DROPPED) and x.phase == CLOSED
+        for x in state["attempts"]
+        if x.told == NOT_RUN
+    )
+
+
+def build(repeats: int, crashes: int, sessions: int, mutation: str) -> Protocol:
+    """Creates the protocol."""
+    spec = OnceSpec(repeats, crashes, sessions, mutation)
+    return Protocol(
+        "once",
+        False,
+        State._fields,
+        spec.initial(),
+        spec.transitions,
+        {
+            "runs once": runs_once,
+            "answer of its key": answer_of_its_key,
+            "no send after unknown": no_send_after_unknown,
+            "not_run is final": not_run_is_final,
+        },
+    )
+
+
+_ONCE, _LATE = ("runs once",), ("no send after unknown",)
+_FINAL, _KEY = ("not_run is final",), ("answer of its key",)
+
+MODELS = (
+    Model(
+        "once, leases",
+        "3 attempts at 2 routers, 1 repeated command, each lease lost and "
+        "regained once",
+        partial(build, 1, 0, 1),
+        (
+            Mutation("send before reserve is durable", _ONCE + _LATE),
+            Mutation("settle matched by router only", _LATE),
+            Mutation("free on unknown", _ONCE + _LATE),
+            Mutation("abandon frees the key", _ONCE),
+            Mutation("not_run frees an unknown key", _LATE),
+            Mutation("send without a lease", _LATE),
+            Mutation("send under a later lease", _LATE),
+            Mutation("not_run after a write", _FINAL + _ONCE),
+            Mutation("accept a crossed answer", _KEY),
+        ),
+    ),
+    Model(
+        "once, leases and crash",
+        "3 attempts at 2 routers, 1 crash, each lease lost and regained once",
+        partial(build, 0, 1, 1),
+    ),
+    Model(
+        "once, crash and repeat",
+        "3 attempts at 2 routers, 1 crash, 1 repeated command",
+        partial(build, 1, 1, 0),
+        (Mutation("settle matched by router only", _ONCE),),
+    ),
+)
