--- a/knapweedarch/leases.py
+++ b/knapweedarch/leases.py
@@ -26,12 +26,26 @@
     def __init__(self, leader_since: float):
         self._settled_at = leader_since + GRANT_S
         self._grants: dict[str, _Grant] = {}
+        self._waiting_since: dict[int, float] = {}
+        self._in_force = 0
 
-    def grant(self, holder: str, applied: int, now: float) -> None:
-        """Notes a lease granted now to a router that has applied `applied`."""
+    def grant(self, holder: str, applied: int, now: float) -> float:
+        """Notes a renewal by a router that has applied `applied`.
+
+        A lease does not run past the time by which a waiting change that the
+        router lacks must be in force. Else a router that renews but cannot
+        hear or apply a change would hold it up for ever.
+
+        Returns:
+            Duration of the lease in seconds, at most `LEASE_S`.
+        """
         known = self._grants.get(holder)
         applied = max(applied, known.applied if known else 0)
-        self._grants[holder] = _Grant(now + GRANT_S, applied)
+        since = [t for i, t in self._waiting_since.items() if applied < i]
+        until = min([now, *since]) + GRANT_S
+        noted = max(until, known.until if known else until)
+        self._grants[holder] = _Grant(noted, applied)
+        return max(0.0, until - now) * (LEASE_S / GRANT_S)
 
     def holds(self, holder: str, now: float) -> bool:
         """Tells whether a router may still hold a lease.
@@ -45,8 +59,20 @@
         return known is not None and now < known.until
 
     def in_force(self, index: int, now: float) -> bool:
-        """Tells whether each router has applied `index` or has no lease."""
-        return now >= self._settled_at and not self.waiting_for(index, now)
+        """Tells whether each router has applied `index` or has no lease.
+
+        The caller has committed `index` and asks until the answer is yes. It
+        then stays so, because every later answer to a renewal brings it.
+        """
+        if index <= self._in_force:
+            return True
+        self._waiting_since.setdefault(index, now)
+        if now < self._settled_at or self.waiting_for(index, now):
+            return False
+        for done in [i for i in self._waiting_since if i <= index]:
+            del self._waiting_since[done]
+        self._in_force = index
+        return True
 
     def waiting_for(self, index: int, now: float) -> list[str]:
         """Lists routers with a running lease that have not applied `index`."""
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -1,7 +1,5 @@
 """Member daemon: a replica with its journal, and the leader's duties."""
 
-import time
-
 import anyio
 import anyio.abc
 import attrs
@@ -15,7 +13,7 @@
     ReplicaError,
 )
 from knapweedarch.journal import open_journal
-from knapweedarch.leases import LEASE_S, LeaseTable
+from knapweedarch.leases import LeaseTable
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import EndpointStatus
@@ -35,6 +33,7 @@
     Retire,
     RulesAccepted,
     RulesConflict,
+    Stamper,
     TakeOrders,
 )
 from knapweedarch.timers import Clock, Timers
@@ -72,6 +71,7 @@
         self._replica = self._create_replica()
         self._table: LeaseTable | None = None
         self._table_term = 0
+        self._stamper: Stamper | None = None
         self._proposals: dict[int, _Proposal] = {}
         self._routers: dict[links.Link, str] = {}
         self._names: dict[str, str] = {}
@@ -203,6 +203,7 @@
         if leads and self._table_term != self._replica.term:
             self._table = LeaseTable(self._replica.leader_since)
             self._table_term = self._replica.term
+            self._stamper = None
             log("leader_started", term=self._replica.term)
         if not leads and self._table is not None:
             self._table, self._table_term = None, 0
@@ -289,7 +290,7 @@
         if not self._leading():
             return self._redirect()
         now = self._clock.now()
-        self._table.grant(renew.incarnation, renew.applied, now)
+        duration_s = self._table.grant(renew.incarnation, renew.applied, now)
         self._routers[link] = renew.incarnation
         self._names[renew.incarnation] = renew.router
         self._renewed.set()
@@ -299,7 +300,7 @@
         if renew.rules_version == state.rules_version:
             text = None
         return control.Grant(
-            LEASE_S,
+            duration_s,
             self._applied,
             state.rules_version,
             text,
@@ -312,7 +313,7 @@
             return self._redirect()
         command = COMMANDS.decode(data)
         if isinstance(command, Reserve):
-            command = attrs.evolve(command, at=time.time())
+            command = attrs.evolve(command, at=self._stamp())
         if self._orders_are_held(command):
             return control.Result(RESULTS.encode(OrdersHeld()))
         result = await self._propose(command)
@@ -337,6 +338,13 @@
             and self._table.holds(holder, self._clock.now())
         )
 
+    def _stamp(self) -> float:
+        if self._stamper is None:
+            self._stamper = Stamper(
+                self._state.last_stamp, self._replica.leader_since
+            )
+        return self._stamper.stamp(self._clock.now())
+
     async def _propose(self, command: object) -> object | None:
         """Commits a command; returns None if the outcome is not known."""
         try:
--- a/knapweedarch/state.py
+++ b/knapweedarch/state.py
@@ -427,6 +427,11 @@
         self.orders_holder = holder
         return OrdersTaken(self.fencing_number)
 
+    @property
+    def last_stamp(self) -> float:
+        """Newest stamp of the log in seconds."""
+        return self._last_stamp
+
     def changes_since(self, revision: int) -> tuple[EndpointEntry, ...]:
         """Returns the endpoints changed after a revision."""
         return tuple(
@@ -465,6 +470,27 @@
         self.fencing_number = taken.fencing_number
 
 
+@attrs.frozen
+class Stamper:
+    """Makes the stamps of one leader; they continue those of the log.
+
+    Clocks of different instances are not comparable: a leader whose clock is
+    a day ahead would drop every record, and their calls could run again. Time
+    without a leader is not counted, which only keeps records longer.
+
+    Attributes:
+        last_stamp: Newest stamp of the log when the leader took office.
+        leader_since: When it took office on its own clock, in seconds.
+    """
+
+    last_stamp: float
+    leader_since: float
+
+    def stamp(self, now: float) -> float:
+        """Returns the stamp for a command proposed now."""
+        return self.last_stamp + max(0.0, now - self.leader_since)
+
+
 def record_key(customer: str, service: str, key: str) -> str:
     """Builds the key of an at-most-once record without ambiguity."""
     return msgpack.packb([customer, service, key]).hex()
