Send a reserved call only under the lease in which it was reserved

The gateway checked only that a lease holds. Ruled out: a new reservation after the lapse; the old one may be unknown. Before: the new scenario fails, the desk runs the deposit. After: refused as lease_expired, not run. A router also refuses a grant older than what it has applied, as the lease model's 'never reverts' asks.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -198,6 +198,14 @@
     When the caller deposits with key "k" through router 2
     Then the last answer has status 200
 
+  # In the lapse the leader may have recorded the call as unknown.
+  Scenario: A deposit reserved before a lapse of the lease is not sent after it
+    Given a desk "d"
+    And the lease of router 1 lapses while a call is reserved
+    When the caller deposits with key "k" through router 1
+    Then the answer is an error "lease_expired" with outcome "not_run"
+    And the desks ran key "k" 0 times
+
   # A resend may come after the first call was run.
   Scenario: Without a lease a deposit is not said to be not run
     Given a desk "d"
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -173,6 +173,11 @@
     router.refusal = RefusalReason.LEASE_EXPIRED
 
 
+@given("the lease of router {number:d} lapses while a call is reserved")
+def lease_lapses(context, number):
+    context.site.routers[number - 1].lapses_at_check = 1
+
+
 @given("commands arrive {times}")
 def commands(context, times):
     for router in context.site.routers:
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -62,6 +62,7 @@
     Event(301, "lease_granted", _I, "The router holds a lease again."),
     Event(302, "lease_expired", _W, "The lease ended; no new work starts."),
     Event(303, "lease_renewal_failed", _W, "A renewal got no grant."),
+    Event(306, "grant_older", _E, "The group answers with an older state."),
     Event(304, "rules_applied", _I, "A version of the rules is in use."),
     Event(305, "rules_unreadable", _E, "The accepted rules do not parse here."),
     Event(406, "feed_lost", _W, "The feed of a runner broke."),
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -102,6 +102,9 @@
         sends of requests that were accepted before.
         """
 
+    def lease_epoch(self) -> int:
+        """Returns the number of lapses of the lease so far."""
+
     async def place(self, ticket: Ticket) -> Dispatch | Refuse:
         """Waits for the decision on a request."""
 
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -251,6 +251,10 @@
             return RefusalReason.STOPPING
         return None
 
+    def lease_epoch(self) -> int:
+        """Returns the number of lapses of the lease so far."""
+        return self._lease.epoch
+
     def customer_for(self, api_key: str) -> CustomerRule | None:
         """Returns the customer of an API key."""
         return self._customers.get(hashlib.sha256(api_key.encode()).hexdigest())
@@ -457,6 +461,10 @@
             ),
             RENEW_TIMEOUT_S,
         )
+        if grant.applied < self._applied:
+            # Only a group that lost its log answers so; its state is older.
+            log("grant_older", applied=self._applied, granted=grant.applied)
+            return False
         changed = bool(grant.endpoints) or grant.rules_text is not None
         if grant.rules_text is not None:
             self._set_rules(grant.rules_version, grant.rules_text)
--- a/knapweedarch/services.py
+++ b/knapweedarch/services.py
@@ -8,6 +8,7 @@
 import functools
 import itertools
 import random
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
@@ -163,6 +164,7 @@
         endpoint: Endpoint,
         checked: ServiceCall,
         limit_s: float,
+        may_send_now: Callable[[], RefusalReason | None],
     ) -> ServiceAnswer:
         attempt_id = f"{self._router.incarnation}/s{next(self._numbers)}"
         try:
@@ -173,7 +175,7 @@
                 {**checked.headers, "x-attempt-id": attempt_id},
                 checked.body,
                 limit_s,
-                functools.partial(may_send, self._router.may_start),
+                may_send_now,
                 own_connection=bool(checked.key),
             )
         except SendRefusedError:
@@ -207,7 +209,10 @@
             part = 1.0 if number == MAX_TRIES - 1 else 0.5
             try:
                 answer = await self._send(
-                    endpoint, checked, part * self._remaining_s(checked)
+                    endpoint,
+                    checked,
+                    part * self._remaining_s(checked),
+                    functools.partial(may_send, self._router.may_start),
                 )
                 return _bounded(answer)
             except SendRefusedError as exc:
@@ -263,6 +268,7 @@
     ) -> ServiceAnswer | None:
         """Returns None while another router runs the call."""
         holder = f"{self._router.incarnation}/{next(self._numbers)}"
+        epoch = self._router.lease_epoch()
         reserve = Reserve(checked.record_key, checked.digest, holder, 0.0)
         try:
             result = await self._router.submit(reserve, RESERVE_S)
@@ -278,24 +284,38 @@
             ) from exc
         match result:
             case Reserved():
-                return await self._send_reserved(checked, holder)
+                return await self._send_reserved(checked, holder, epoch)
             case RecordFound(record=record) if record.holder == holder:
                 # The first answer to this reservation was lost.
-                return await self._send_reserved(checked, holder)
+                return await self._send_reserved(checked, holder, epoch)
             case RecordFound(record=record):
                 return _recorded(record, checked)
         raise RefusedError(
             RefusalReason.TOO_MANY_RECORDS, "too many keys are recorded"
         )
 
+    def _may_send_under(self, epoch: int) -> RefusalReason | None:
+        """Checks that the lease has run without a lapse since `epoch`.
+
+        In a lapse the leader may have recorded the call as unknown, after
+        which it must not be sent.
+        """
+        reason = may_send(self._router.may_start)
+        if reason is None and self._router.lease_epoch() != epoch:
+            return RefusalReason.LEASE_EXPIRED
+        return reason
+
     async def _send_reserved(
-        self, checked: ServiceCall, holder: str
+        self, checked: ServiceCall, holder: str, epoch: int
     ) -> ServiceAnswer:
         settle = Settle(checked.record_key, holder, None)
         for endpoint in self._router.service_endpoints(checked.rule.name):
             try:
                 answer = await self._send(
-                    endpoint, checked, checked.rule.timeout_s
+                    endpoint,
+                    checked,
+                    checked.rule.timeout_s,
+                    functools.partial(self._may_send_under, epoch),
                 )
             except SendRefusedError as exc:
                 await self._settle_now(settle)
--- a/standins/fake_router.py
+++ b/standins/fake_router.py
@@ -64,6 +64,8 @@
         refuse_after_checks: Checks that pass before `may_start` refuses;
             negative means that all pass.
         later_refusal: What it returns after these checks.
+        lapses: Lapses of the lease so far.
+        lapses_at_check: Lapses that each question about them adds.
         retries_left: Further attempts that `place_again` allows.
         failing: Commands that fail, by class name, and how often.
         submits_twice: Whether each command is applied twice.
@@ -90,6 +92,8 @@
         self.refuse_after_checks = -1
         self.later_refusal = RefusalReason.LEASE_EXPIRED
         self.retries_left = 3
+        self.lapses = 0
+        self.lapses_at_check = 0
         self.failing: Counter[str] = Counter()
         self.submits_twice = False
         self.state = state
@@ -109,6 +113,11 @@
         self.refuse_after_checks -= 1
         return self.refusal
 
+    def lease_epoch(self) -> int:
+        """Counts the lapses; one comes at the next check if told."""
+        self.lapses += self.lapses_at_check
+        return self.lapses
+
     async def place(self, ticket: Ticket) -> Dispatch | Refuse:
         """Chooses the first runner that fits."""
         return self._choose(ticket, self.runners)
