Encode at-most-once records directly and bound their answers

The table now holds at most 100,000 records and 64 MiB of answers, so the pause stays under the election timeout.

--- a/knapweedarch/state.py
+++ b/knapweedarch/state.py
@@ -16,7 +16,9 @@
 from knapweedarch.models import Endpoint, EndpointStatus
 
 RECORD_RETENTION_S = 24 * 3600.0
-MAX_RECORDS = 200_000
+MAX_RECORDS = 100_000
+# Bounds memory and the pause for a snapshot; one answer is at most 64 KiB.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 MAX_STORED_ANSWERS = 1_000
 MAX_ENDPOINTS = 5_000
 MAX_SUPERSEDED = 16
@@ -255,7 +257,7 @@
     rules_text: str
     revision: int
     endpoints: tuple[EndpointEntry, ...]
-    records: dict[str, Record]
+    records: bytes
     answers: dict[str, _StoredAnswer]
     last_stamp: float
     orders_holder: str
@@ -294,6 +296,7 @@
         self.fencing_number = 0
         self._answers: OrderedDict[str, _StoredAnswer] = OrderedDict()
         self._last_stamp = 0.0
+        self._answer_bytes = 0
 
     def apply(self, data: bytes) -> bytes:
         """Applies an encoded command; returns the encoded result."""
@@ -403,7 +406,10 @@
         record = self.records.get(command.record_key)
         if record is not None:
             return RecordFound(record)
-        if len(self.records) >= MAX_RECORDS:
+        if (
+            len(self.records) >= MAX_RECORDS
+            or self._answer_bytes >= MAX_ANSWER_BYTES
+        ):
             return TableFull()
         self.records[command.record_key] = Record(
             command.body_digest,
@@ -419,7 +425,7 @@
             key = next(iter(self.records))
             if self.records[key].reserved_at >= oldest_kept:
                 return
-            del self.records[key]
+            self._answer_bytes -= len(self.records.pop(key).answer)
 
     def _settle(self, command: Settle) -> Settled:
         record = self.records.get(command.record_key)
@@ -435,6 +441,7 @@
             if record.status is RecordStatus.RESERVED:
                 del self.records[command.record_key]
             return Settled()
+        self._answer_bytes += len(command.answer) - len(record.answer)
         self.records[command.record_key] = attrs.evolve(
             record,
             status=command.status,
@@ -481,7 +488,7 @@
                 self.rules_text,
                 self.revision,
                 tuple(self.endpoints.values()),
-                dict(self.records),
+                _pack_records(self.records),
                 dict(self._answers),
                 self._last_stamp,
                 self.orders_holder,
@@ -496,7 +503,8 @@
         self.rules_text = taken.rules_text
         self.revision = taken.revision
         self.endpoints = {e.endpoint.id: e for e in taken.endpoints}
-        self.records = OrderedDict(taken.records)
+        self.records = _unpack_records(taken.records)
+        self._answer_bytes = sum(len(r.answer) for r in self.records.values())
         self._answers = OrderedDict(taken.answers)
         self._last_stamp = taken.last_stamp
         self.orders_holder = taken.orders_holder
@@ -527,3 +535,27 @@
 def record_key(customer: str, service: str, key: str) -> str:
     """Builds the key of an at-most-once record without ambiguity."""
     return msgpack.packb([customer, service, key]).hex()
+
+
+def _pack_records(records: OrderedDict[str, Record]) -> bytes:
+    """Encodes the records; a general converter took ten times as long.
+
+    The member does nothing else meanwhile, and a pause of 0.6 s costs a
+    leader its office.
+    """
+    return msgpack.packb(
+        [
+            (
+                *(key, r.body_digest, r.holder, r.status.value),
+                *(r.reserved_at, r.code, r.content_type, r.answer),
+            )
+            for key, r in records.items()
+        ]
+    )
+
+
+def _unpack_records(data: bytes) -> OrderedDict[str, Record]:
+    return OrderedDict(
+        (key, Record(digest, holder, RecordStatus(status), *rest))
+        for key, digest, holder, status, *rest in msgpack.unpackb(data)
+    )
