--- a/bench/log_bench.py
+++ b/bench/log_bench.py
@@ -68,7 +68,7 @@
             for seed, (name, journal) in enumerate(self.journals.items())
         }
         self.pool = ThreadPoolExecutor(2)
-        self.syncs = 0
+        self.syncs = self.message_bytes = 0
         self._elect()
 
     def _elect(self) -> None:
@@ -103,6 +103,7 @@
                 if self.replicas[name].leader_since is not None:
                     committed += output.committed
             for sender, receiver, data in inbox:
+                self.message_bytes += len(data)
                 self.replicas[receiver].receive(
                     sender, MESSAGES.decode(data), self.now
                 )
@@ -192,6 +193,27 @@
         )
 
 
+def bench_idle(folder: str, quick: bool) -> None:
+    """Prints processor time and traffic of members without any changes."""
+    seconds = 10 if quick else 60
+    with tempfile.TemporaryDirectory(dir=folder) as place:
+        group = Group(place, UnsyncedFiles)
+        group.message_bytes = 0
+        begin = time.process_time()
+        for _ in range(seconds * 20):
+            group.now += 0.05
+            for replica in group.replicas.values():
+                replica.tick(group.now)
+            group.exchange()
+        spent = time.process_time() - begin
+        sent = group.message_bytes
+        group.close()
+    print(
+        f"\nidle group of three, {seconds} s of virtual time: together"
+        f" {spent / seconds:.2%} of a core, {sent / seconds:.0f} bytes/s"
+    )
+
+
 def flap(replica_class: type[Replica], seed: int) -> tuple[int, float]:
     """Cuts one follower off 15 times in 60 s of virtual time.
 
@@ -335,6 +357,7 @@
     """
     bench_updates(folder or None, quick)
     bench_processor(folder or None, quick)
+    bench_idle(folder or None, quick)
     bench_flapping(quick)
     bench_failover(quick)
     bench_start(folder or None, quick)
