Bound the bodies that a router holds and the time to send one

Cause: each body was bounded, but not their sum; 1,000 waiting manuscripts of 2 MB would hold 2 GB. And the time limit was per part, so that one byte each 9 s held a place for good.

64 MiB of bodies are held at most; a request over it gets 503 queue_full, not_run. A body must arrive within 30 s.

The bench prints how fast the machine is, since other work slows it to a varying degree.

--- a/bench/relay_bench.py
+++ b/bench/relay_bench.py
@@ -181,6 +181,7 @@
     :param latency_requests: Requests for the latency figures.
     :param profile: File for cProfile statistics of the gateway.
     """
+    print_machine()
     processes = []
     try:
         ports = []
@@ -214,6 +215,20 @@
             process.wait()
 
 
+def print_machine() -> None:
+    """Prints how fast this machine is now, to compare runs with each other."""
+    event = json.dumps({"text": "seal34 " * 30})
+    started = time.process_time()
+    for _ in range(20_000):
+        json.loads(event)
+    spent = time.process_time() - started
+    load = os.getloadavg()[0]
+    print(
+        f"json.loads of {len(event)} characters takes "
+        f"{spent / 20_000 * MICROSECONDS:.2f} us here; load average {load:.1f}"
+    )
+
+
 def print_latency(runner_port: int, gateway_port: int, count: int) -> None:
     """Prints the time to the first event, direct and through the gateway."""
     direct = anyio.run(
--- a/features/request_harness.py
+++ b/features/request_harness.py
@@ -10,7 +10,7 @@
 import attrs
 import httpx
 
-from knapweedarch.gateway import create_app, tune_listener
+from knapweedarch.gateway import Gateway, create_app, tune_listener
 from knapweedarch.models import Endpoint
 from knapweedarch.state import ControlState
 from standins import serving
@@ -38,7 +38,7 @@
     text: str = ""
     done: bool = False
     error: dict | None = None
-    body: bytes = b""
+    body: bytes = attrs.field(default=b"", repr=False)
 
 
 class Site:
@@ -49,6 +49,7 @@
         self.client = client
         self.state = ControlState()
         self.routers: list[FakeRouter] = []
+        self.gateways: list[Gateway] = []
         self.urls: list[str] = []
         self._runners: list = []
         self._stops: list[anyio.Event] = []
@@ -70,7 +71,8 @@
         """Starts a gateway."""
         router = FakeRouter(name, self.state)
         self.routers.append(router)
-        self.urls.append(await self.serve(create_app(router)))
+        self.gateways.append(create_app(router))
+        self.urls.append(await self.serve(self.gateways[-1]))
         return router
 
     async def add_runner(self, runner) -> Endpoint:
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -289,6 +289,16 @@
       | a key of 256 characters    | 400    | key_required    |
       | a key outside ASCII        | 400    | key_required    |
 
+  # Guards against memory that grows with the number of waiting requests.
+  Scenario: Bodies that a router holds together have a bound
+    Given routers that hold at most 400 bytes of bodies
+    And a runner "a" that takes 20 ms per token
+    When 9 callers ask together for a stream of 50 tokens
+    Then at least 4 answers are "queue_full" with outcome "not_run"
+    And the other answers are whole
+    When a caller asks for a stream of 20 tokens
+    Then the caller has the whole text of 20 tokens
+
   Scenario: Headers have a bound
     When a caller adds a header of 100000 bytes
     Then the last answer has status 431
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -227,6 +227,39 @@
     context.add_cleanup(context.portal.call, stream.aclose)
 
 
+@given("routers that hold at most {size:d} bytes of bodies")
+def body_budget(context, size):
+    for gateway in context.site.gateways:
+        gateway.budget.limit = size
+
+
+@when("{others:d} callers ask together for a stream of {tokens:d} tokens")
+def ask_together(context, others, tokens):
+    async def one() -> None:
+        context.answers.append(await context.site.chat(max_tokens=tokens))
+
+    async def run() -> None:
+        async with anyio.create_task_group() as group:
+            for _ in range(others):
+                group.start_soon(one)
+
+    call(context, run)
+
+
+@then('at least {count:d} answers are "{reason}" with outcome "{outcome}"')
+def some_refused(context, count, reason, outcome):
+    refused = [answer for answer in context.answers if answer.code != 200]
+    assert len(refused) >= count, context.answers
+    for answer in refused:
+        check_error(answer, reason, outcome)
+
+
+@then("the other answers are whole")
+def others_whole(context):
+    whole = [answer for answer in context.answers if answer.code == 200]
+    assert whole and all(a.done for a in whole), context.answers
+
+
 @when("a caller leaves after {read:d} tokens of {tokens:d}")
 def leave(context, read, tokens):
     async def run() -> None:
--- a/knapweedarch/callers.py
+++ b/knapweedarch/callers.py
@@ -12,8 +12,11 @@
 # A caller that takes nothing for this long loses its stream. Long enough for
 # a mobile link to change cells, short enough to free the runner's slot.
 WRITE_S = 10.0
-# Longest wait for the next part of a request's body.
-READ_S = 10.0
+# Longest time for a whole body, so that a slow sender holds no place for good.
+BODY_S = 30.0
+# Bodies held at once in a router, waiting or running. A router has 256 MB for
+# its own work; parsed bodies take about as much again.
+MAX_HELD_BYTES = 64 * 1024 * 1024
 # A refused body is read on for a while, because closing a connection with
 # unread data resets it and may destroy the refusal on its way.
 DISCARD_BYTES = 8 * 1024 * 1024
@@ -103,6 +106,31 @@
         ).encode()
 
 
+@attrs.define
+class BodyBudget:
+    """Bounds the bodies that a router holds at once.
+
+    Attributes:
+        limit: Bytes that all bodies may take together.
+        held: Bytes that they take now.
+    """
+
+    limit: int = MAX_HELD_BYTES
+    held: int = 0
+
+    def take(self, size: int) -> None:
+        """Reserves room for a part of a body.
+
+        Raises:
+            RefusedError: There is none.
+        """
+        if self.held + size > self.limit:
+            raise RefusedError(
+                RefusalReason.QUEUE_FULL, "the router holds too many requests"
+            )
+        self.held += size
+
+
 @attrs.define
 class Call:
     """One request of a caller and the answer to it.
@@ -112,6 +140,8 @@
         path: Decoded path.
         query: Query as sent.
         headers: Headers by lower-case name; the last of equal names counts.
+        budget: Shared by all calls of the router.
+        held: Bytes that this call has taken from the budget.
         started: Whether the head of the answer was sent.
     """
 
@@ -121,6 +151,8 @@
     headers: dict[str, str]
     receive: Receive
     send: Send
+    budget: BodyBudget
+    held: int = 0
     started: bool = False
 
     def header(self, name: str) -> str:
@@ -131,32 +163,39 @@
         """Reads the whole body.
 
         Raises:
-            RefusedError: The body is longer than `limit` bytes, or its parts
-                come too slowly.
+            RefusedError: The body is longer than `limit` bytes, takes longer
+                than `BODY_S`, or there is no room for it.
             CallerGoneError: The caller left.
         """
         declared = self.header("content-length")
         if declared.isdecimal() and int(declared) > limit:
             await self._refuse_body(limit)
-        parts, size = [], 0
+        with anyio.move_on_after(BODY_S):
+            return await self._read_parts(limit)
+        raise RefusedError(
+            RefusalReason.SLOW_CALLER, f"the body took longer than {BODY_S} s"
+        )
+
+    async def _read_parts(self, limit: int) -> bytes:
+        parts: list[bytes] = []
         while True:
-            with anyio.move_on_after(READ_S) as scope:
-                message = await self.receive()
-            if scope.cancelled_caught:
-                raise RefusedError(
-                    RefusalReason.SLOW_CALLER,
-                    f"no part of the body came for {READ_S} s",
-                )
+            message = await self.receive()
             if message["type"] == "http.disconnect":
                 raise CallerGoneError("the caller left")
             part = message.get("body", b"")
-            size += len(part)
-            if size > limit:
+            self.budget.take(len(part))
+            self.held += len(part)
+            if self.held > limit:
                 await self._refuse_body(limit)
             parts.append(part)
             if not message.get("more_body"):
                 return b"".join(parts)
 
+    def release(self) -> None:
+        """Gives the room of the body back."""
+        self.budget.held -= self.held
+        self.held = 0
+
     async def _refuse_body(self, limit: int) -> None:
         discarded, more = 0, True
         with anyio.move_on_after(DISCARD_S):
@@ -234,7 +273,9 @@
     return None if reason is RefusalReason.STOPPING else reason
 
 
-def create_call(scope: Message, receive: Receive, send: Send) -> Call:
+def create_call(
+    scope: Message, receive: Receive, send: Send, budget: BodyBudget
+) -> Call:
     """Creates a call from an ASGI scope."""
     return Call(
         scope["method"],
@@ -246,4 +287,5 @@
         },
         receive,
         send,
+        budget,
     )
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -13,6 +13,7 @@
 
 from knapweedarch.adapters import Adapter
 from knapweedarch.callers import (
+    BodyBudget,
     Call,
     CallerGoneError,
     Message,
@@ -179,12 +180,17 @@
 
 
 class Gateway:
-    """The ASGI application; create it with `create_app`."""
+    """The ASGI application; create it with `create_app`.
+
+    Attributes:
+        budget: Bounds the bodies that are held at once.
+    """
 
     def __init__(self, router: RouterPort):
         self._router = router
         self._background = Background()
         self._numbers = itertools.count(1)
+        self.budget = BodyBudget()
         self._chats = ChatHandler(router, self._background)
         self._services = ServiceHandler(router, self._background)
 
@@ -196,7 +202,7 @@
             return await self._background.lifespan(receive, send)
         if scope["type"] != "http":
             raise ValueError(f"scope type {scope['type']} is not served")
-        call = create_call(scope, receive, send)
+        call = create_call(scope, receive, send, self.budget)
         try:
             await self._handle(call)
         except RefusedError as refused:
@@ -209,6 +215,8 @@
             # The server answers 500 or cuts the answer off.
             self._router.log("request_failed", error=repr(exc))
             raise
+        finally:
+            call.release()
 
     async def _handle(self, call: Call) -> None:
         match call.method, call.path:
