Complete a deposit although the server cancels its handler

Cause: at the end of a planned stop hypercorn cancels handlers by asyncio. A shielded anyio scope does not stop that, so a deposit in progress stayed reserved and became unknown, although the desk had answered.

Failed try: the shield alone; the new scenario (a router stops while its deposit runs) fails with it: the resend gets 409 in_progress.

--- a/features/request_harness.py
+++ b/features/request_harness.py
@@ -131,6 +131,10 @@
         )
         return read_whole(reply)
 
+    async def stop_router(self, number: int) -> None:
+        """Stops a router's server; running requests get `GRACEFUL_S`."""
+        self._stops[number].set()
+
     async def close(self) -> None:
         """Closes the connections and stops every server."""
         await self.client.aclose()
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -234,6 +234,13 @@
     Then the last answer has status 200
     And the desks ran key "k" 1 times
 
+  Scenario: A router that stops does not leave a deposit open
+    Given a desk "d" that shows "delay" at 0.6
+    When router 1 stops while its deposit with key "k" runs
+    And the caller deposits with key "k" through router 2
+    Then the last answer has status 200
+    And the desks ran key "k" 1 times
+
   Scenario: An answer that is too large to record is an explicit outcome
     Given a desk "d" that shows "big" at 100000
     When the caller deposits with key "k" through router 1
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -1,5 +1,6 @@
 """Steps for requests through a gateway over loopback."""
 
+import contextlib
 import json
 import time
 from hashlib import sha256
@@ -319,6 +320,18 @@
     running.cancel()
 
 
+@when('router 1 stops while its deposit with key "{key:w}" runs')
+def deposit_and_stop(context, key):
+    async def cut_off() -> None:
+        with contextlib.suppress(httpx.HTTPError):
+            await context.site.call("booking/deposits", key)
+
+    running = context.portal.start_task_soon(cut_off)
+    wait_for(lambda: any(d.runs[key] for d in context.desks.values()))
+    call(context, context.site.stop_router, 0)
+    running.result(STEP_S)
+
+
 @when("the caller checks availability {times:d} times")
 def availability(context, times):
     async def one() -> Answer:
--- /dev/null
+++ b/knapweedarch/background.py
@@ -0,0 +1,93 @@
+"""Work that must not end with the request that caused it.
+
+At shutdown the server cancels its handlers by `asyncio`, which no shield of
+`anyio` stops. Work that must be completed therefore runs in the task group of
+the server's lifespan, which ends after all handlers.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import anyio
+import anyio.abc
+import attrs
+
+from knapweedarch.callers import Receive, Send
+
+# Wait for work still running at shutdown. Longer than a service call and its
+# settling usually take; a reservation left open becomes `unknown`.
+SHUTDOWN_S = 15.0
+
+Result = TypeVar("Result")
+
+
+@attrs.define
+class _Outcome:
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+    value: object = None
+    error: Exception | None = None
+
+
+class Background:
+    """Runs work in the task group of the server's lifespan.
+
+    Without a lifespan the work runs in the task that starts it.
+    """
+
+    def __init__(self):
+        self._group: anyio.abc.TaskGroup | None = None
+        self._running = 0
+        self._idle = anyio.Event()
+
+    async def start(
+        self, function: Callable[..., Awaitable[None]], *arguments: object
+    ) -> None:
+        """Starts a function that raises nothing and ends by itself."""
+        if self._group is None:
+            with anyio.CancelScope(shield=True):
+                return await function(*arguments)
+        self._group.start_soon(self._run, _Outcome(), function, arguments)
+
+    async def complete(
+        self, function: Callable[..., Awaitable[Result]], *arguments: object
+    ) -> Result:
+        """Runs a function to its end, even if the waiting task is cancelled.
+
+        Raises:
+            Exception: What the function raised.
+        """
+        if self._group is None:
+            with anyio.CancelScope(shield=True):
+                return await function(*arguments)
+        outcome = _Outcome()
+        self._group.start_soon(self._run, outcome, function, arguments)
+        await outcome.done.wait()
+        if outcome.error is not None:
+            raise outcome.error
+        return outcome.value
+
+    async def _run(self, outcome: _Outcome, function, arguments) -> None:
+        self._running += 1
+        try:
+            outcome.value = await function(*arguments)
+        except Exception as exc:
+            outcome.error = exc
+        finally:
+            outcome.done.set()
+            self._running -= 1
+            if self._running == 0:
+                self._idle.set()
+
+    async def lifespan(self, receive: Receive, send: Send) -> None:
+        """Answers the lifespan messages of the server."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            while (await receive())["type"] != "lifespan.shutdown":
+                await send({"type": "lifespan.startup.complete"})
+            with anyio.move_on_after(SHUTDOWN_S):
+                while self._running:
+                    self._idle = anyio.Event()
+                    await self._idle.wait()
+            self._group = None
+            group.cancel_scope.cancel()
+        await send({"type": "lifespan.shutdown.complete"})
--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -9,6 +9,7 @@
 import attrs
 
 from knapweedarch.adapters import STREAM_SILENCE_S, ChatStream
+from knapweedarch.background import Background
 from knapweedarch.callers import (
     WRITE_S,
     Call,
@@ -37,7 +38,7 @@
 from knapweedarch.watchdogs import Step, Watchdog
 
 if TYPE_CHECKING:
-    from knapweedarch.gateway import Background, RouterPort
+    from knapweedarch.gateway import RouterPort
 
 NO_NEW_WORK = "this router starts no new work now"
 # A runner answers these before it runs anything.
@@ -53,7 +54,7 @@
 class ChatHandler:
     """Handles `POST /v1/chat/completions`."""
 
-    def __init__(self, router: "RouterPort", background: "Background"):
+    def __init__(self, router: "RouterPort", background: Background):
         self._router = router
         self._background = background
 
@@ -133,7 +134,7 @@
     def __init__(
         self,
         router: "RouterPort",
-        background: "Background",
+        background: Background,
         request: ChatRequest,
         ticket: Ticket,
         sink: Sink,
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -4,14 +4,13 @@
 import itertools
 import json
 import socket
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 from typing import Protocol
 
-import anyio
-import anyio.abc
 import cattrs
 
 from knapweedarch.adapters import Adapter
+from knapweedarch.background import Background
 from knapweedarch.callers import (
     BodyBudget,
     Call,
@@ -44,8 +43,6 @@
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
 MAX_NAME_CHARS = 128
 MAX_SERVED = 64
-# Wait for cancel and settle calls still on their way at shutdown.
-SHUTDOWN_S = 5.0
 # A connection whose peer acknowledges nothing for this long is reset by the
 # kernel. hypercorn waits without limit for a stuck peer when it closes.
 USER_TIMEOUT_MS = 15_000
@@ -134,51 +131,6 @@
         """Logs an event of the catalogue."""
 
 
-class Background:
-    """Work that outlives the request that caused it.
-
-    It runs in the task group of the server's lifespan; without one it runs
-    at once in the caller's task.
-    """
-
-    def __init__(self):
-        self._group: anyio.abc.TaskGroup | None = None
-        self._running = 0
-        self._idle = anyio.Event()
-
-    async def start(
-        self, function: Callable[..., Awaitable[None]], *arguments: object
-    ) -> None:
-        """Starts a function that raises nothing and ends by itself."""
-        if self._group is None:
-            with anyio.CancelScope(shield=True):
-                return await function(*arguments)
-        self._running += 1
-        self._group.start_soon(self._run, function, arguments)
-
-    async def _run(self, function, arguments) -> None:
-        try:
-            await function(*arguments)
-        finally:
-            self._running -= 1
-            if self._running == 0:
-                self._idle.set()
-
-    async def lifespan(self, receive: Receive, send: Send) -> None:
-        """Answers the lifespan messages of the server."""
-        async with anyio.create_task_group() as group:
-            self._group = group
-            while (await receive())["type"] != "lifespan.shutdown":
-                await send({"type": "lifespan.startup.complete"})
-            with anyio.move_on_after(SHUTDOWN_S):
-                while self._running:
-                    self._idle = anyio.Event()
-                    await self._idle.wait()
-            self._group = None
-            group.cancel_scope.cancel()
-        await send({"type": "lifespan.shutdown.complete"})
-
-
 class Gateway:
     """The ASGI application; create it with `create_app`.
 
--- a/knapweedarch/services.py
+++ b/knapweedarch/services.py
@@ -15,6 +15,7 @@
 import attrs
 
 from knapweedarch.adapters import ServiceAnswer
+from knapweedarch.background import Background
 from knapweedarch.callers import JSON_TYPE, Call, RefusedError, may_send
 from knapweedarch.exceptions import ControlError, EndpointError
 from knapweedarch.exchanges import SendRefusedError
@@ -46,7 +47,7 @@
 )
 
 if TYPE_CHECKING:
-    from knapweedarch.gateway import Background, RouterPort
+    from knapweedarch.gateway import RouterPort
 
 # Repeating them after bytes were written is harmless by the HTTP standard.
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
@@ -68,7 +69,7 @@
 class ServiceHandler:
     """Handles `/services/{service}/...`."""
 
-    def __init__(self, router: "RouterPort", background: "Background"):
+    def __init__(self, router: "RouterPort", background: Background):
         self._router = router
         self._background = background
         self._running = 0
@@ -90,10 +91,10 @@
         self._running += 1
         try:
             if checked.key:
-                # A call that may run at most once must be settled, even if
-                # the server cancels its handlers at shutdown.
-                with anyio.CancelScope(shield=True):
-                    answer = await self._run_once(checked)
+                # It must be settled even if the server ends its handlers.
+                answer = await self._background.complete(
+                    self._run_once, checked
+                )
             else:
                 answer = await self._run_repeatable(checked)
         finally:
