--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -23,6 +23,7 @@
     scheduler,
 )
 from knapweedarch.adapters import LoadWeights, create_adapter
+from knapweedarch.callers import RefusedError, create_call
 from knapweedarch.exceptions import ControlError, EndpointError, RuleError
 from knapweedarch.leases import RENEW_S, Lease
 from knapweedarch.logs import log
@@ -55,9 +56,11 @@
 
 COUNTERS_PATH = "/counters"
 POLL_S = 0.02
+WATCH_S = 0.2
 ROLLOUT_S = 0.5
 REPORT_S = 1.0
 FEED_RETRY_S = 0.2
+FEED_RETRY_LIMIT_S = 5.0
 RENEW_TIMEOUT_S = 1.0
 READY_GRACE_S = 1.0
 ANNOUNCE_TIMEOUT_S = 3.0
@@ -93,6 +96,7 @@
         self._announced: dict[str, Endpoint] = {}
         self._feeds: dict[str, anyio.CancelScope] = {}
         self._waiting: dict[str, _Waiter] = {}
+        self._polling = False
         self._renew_now = anyio.Event()
         self._active = 0
         self._idle = anyio.Event()
@@ -122,9 +126,8 @@
         # Routers that restart together would otherwise renew in step for good.
         period = RENEW_S * self._random.uniform(0.8, 1.0)
         self._timers.every(period, lambda now: self._renew_soon())
-        self._timers.every(POLL_S, self._poll)
         self._timers.every(ROLLOUT_S, self._roll_out)
-        self._timers.every(POLL_S, self._watch_lease)
+        self._timers.every(WATCH_S, self._watch_lease)
         self._timers.every(REPORT_S, self._report)
         stop = anyio.Event()
         async with anyio.create_task_group() as group, self._control:
@@ -170,6 +173,8 @@
                 return await app(scope, receive, send)
             if scope["path"] == COUNTERS_PATH:
                 return await self._show_counters(scope, send)
+            if self._active >= self._settings.max_streams:
+                return await self._refuse_full(scope, receive, send)
             self._active += 1
             try:
                 await app(scope, receive, send)
@@ -180,6 +185,15 @@
 
         return counted
 
+    async def _refuse_full(self, scope, receive, send) -> None:
+        """Refuses before any byte of the body is read."""
+        self.count(f"refused.{RefusalReason.QUEUE_FULL.value}")
+        await create_call(scope, receive, send).refuse(
+            RefusedError(
+                RefusalReason.QUEUE_FULL, "too many requests are in progress"
+            )
+        )
+
     async def _show_counters(self, scope, send) -> None:
         """Answers an operator who holds the shared credential."""
         want = f"Bearer {self._settings.credential}".encode()
@@ -303,6 +317,7 @@
     async def _decided(self, ticket: Ticket, decision) -> Dispatch | Refuse:
         if not isinstance(decision, Wait):
             return decision
+        self._poll_soon()
         waiter = self._waiting[ticket.id] = _Waiter()
         try:
             await waiter.done.wait()
@@ -313,13 +328,22 @@
             self._waiting.pop(ticket.id, None)
         return waiter.decision
 
+    def _poll_soon(self) -> None:
+        if not self._polling:
+            self._polling = True
+            self._timers.after(POLL_S, self._poll)
+
     def _poll(self, now: float) -> None:
+        """Asks for decisions as long as a request waits for one."""
+        self._polling = False
         for ticket_id, decision in self.scheduler.poll(now):
             if waiter := self._waiting.get(ticket_id):
                 waiter.decision = decision
                 waiter.done.set()
             else:
                 self._release(decision, now)
+        if self._waiting:
+            self._poll_soon()
 
     def _watch_lease(self, now: float) -> None:
         held = self._lease.holds(now)
@@ -482,15 +506,19 @@
         self, endpoint: Endpoint, scope: anyio.CancelScope
     ) -> None:
         with scope:
+            pause = FEED_RETRY_S
             while True:
                 try:
                     async for item in self.adapter.follow_feed(endpoint):
+                        pause = FEED_RETRY_S
                         self._take_feed_item(item)
                 except EndpointError as exc:
                     self.count("feed.lost")
                     log("feed_lost", endpoint=endpoint.id, reason=exc.reason)
                     self.scheduler.endpoint_lost(endpoint.id, self.clock.now())
-                await anyio.sleep(FEED_RETRY_S)
+                # An endpoint that is gone for good costs little to look for.
+                await anyio.sleep(pause * self._random.uniform(0.5, 1.0))
+                pause = min(2 * pause, FEED_RETRY_LIMIT_S)
 
     def _take_feed_item(self, item: LoadReport | CacheEvent) -> None:
         now = self.clock.now()
