--- a/knapweedarch/callers.py
+++ b/knapweedarch/callers.py
@@ -151,7 +151,7 @@
     headers: dict[str, str]
     receive: Receive
     send: Send
-    budget: BodyBudget
+    budget: BodyBudget = attrs.field(factory=BodyBudget)
     held: int = 0
     started: bool = False
 
@@ -274,7 +274,10 @@
 
 
 def create_call(
-    scope: Message, receive: Receive, send: Send, budget: BodyBudget
+    scope: Message,
+    receive: Receive,
+    send: Send,
+    budget: BodyBudget | None = None,
 ) -> Call:
     """Creates a call from an ASGI scope."""
     return Call(
@@ -287,5 +290,5 @@
         },
         receive,
         send,
-        budget,
+        budget or BodyBudget(),
     )
