--- a/features/requests.feature
+++ b/features/requests.feature
@@ -242,6 +242,13 @@
     Then the last answer has status 200
     And the desks ran key "k" 1 times
 
+  Scenario: A router that stops does not leave a deposit open
+    Given a desk "d" that shows "delay" at 0.6
+    When router 1 stops while its deposit with key "k" runs
+    And the caller deposits with key "k" through router 2
+    Then the last answer has status 200
+    And the desks ran key "k" 1 times
+
   Scenario: An answer that is too large to record is an explicit outcome
     Given a desk "d" that shows "big" at 100000
     When the caller deposits with key "k" through router 1
@@ -297,6 +304,16 @@
       | a key of 256 characters    | 400    | key_required    |
       | a key outside ASCII        | 400    | key_required    |
 
+  # Guards against memory that grows with the number of waiting requests.
+  Scenario: Bodies that a router holds together have a bound
+    Given routers that hold at most 400 bytes of bodies
+    And a runner "a" that takes 20 ms per token
+    When 9 callers ask together for a stream of 50 tokens
+    Then at least 4 answers are "queue_full" with outcome "not_run"
+    And the other answers are whole
+    When a caller asks for a stream of 20 tokens
+    Then the caller has the whole text of 20 tokens
+
   Scenario: Headers have a bound
     When a caller adds a header of 100000 bytes
     Then the last answer has status 431
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -1,5 +1,6 @@
 """Steps for requests through a gateway over loopback."""
 
+import contextlib
 import json
 import time
 from hashlib import sha256
@@ -232,6 +233,39 @@
     context.add_cleanup(context.portal.call, stream.aclose)
 
 
+@given("routers that hold at most {size:d} bytes of bodies")
+def body_budget(context, size):
+    for gateway in context.site.gateways:
+        gateway.budget.limit = size
+
+
+@when("{others:d} callers ask together for a stream of {tokens:d} tokens")
+def ask_together(context, others, tokens):
+    async def one() -> None:
+        context.answers.append(await context.site.chat(max_tokens=tokens))
+
+    async def run() -> None:
+        async with anyio.create_task_group() as group:
+            for _ in range(others):
+                group.start_soon(one)
+
+    call(context, run)
+
+
+@then('at least {count:d} answers are "{reason}" with outcome "{outcome}"')
+def some_refused(context, count, reason, outcome):
+    refused = [answer for answer in context.answers if answer.code != 200]
+    assert len(refused) >= count, context.answers
+    for answer in refused:
+        check_error(answer, reason, outcome)
+
+
+@then("the other answers are whole")
+def others_whole(context):
+    whole = [answer for answer in context.answers if answer.code == 200]
+    assert whole and all(a.done for a in whole), context.answers
+
+
 @when("a caller leaves after {read:d} tokens of {tokens:d}")
 def leave(context, read, tokens):
     async def run() -> None:
@@ -291,6 +325,18 @@
     running.cancel()
 
 
+@when('router 1 stops while its deposit with key "{key:w}" runs')
+def deposit_and_stop(context, key):
+    async def cut_off() -> None:
+        with contextlib.suppress(httpx.HTTPError):
+            await context.site.call("booking/deposits", key)
+
+    running = context.portal.start_task_soon(cut_off)
+    wait_for(lambda: any(d.runs[key] for d in context.desks.values()))
+    call(context, context.site.stop_router, 0)
+    running.result(STEP_S)
+
+
 @when("the caller checks availability {times:d} times")
 def availability(context, times):
     async def one() -> Answer:
