--- a/knapweedarch/callers.py
+++ b/knapweedarch/callers.py
@@ -183,12 +183,8 @@
         )
 
     async def write(self, data: bytes) -> None:
-        """Sends a part of the body.
-
-        Raises:
-            SlowCallerError: The caller took nothing for `WRITE_S`.
-        """
-        await self._send(
+        """Sends a part of the body; whoever calls it bounds the time."""
+        await self.send(
             {"type": "http.response.body", "body": data, "more_body": True}
         )
 
@@ -227,6 +223,17 @@
             raise SlowCallerError(f"the caller took no data for {WRITE_S} s")
 
 
+def may_send(
+    may_start: Callable[[], RefusalReason | None],
+) -> RefusalReason | None:
+    """Returns why an accepted request may not be sent now.
+
+    A planned stop lets accepted requests finish; an expired lease does not.
+    """
+    reason = may_start()
+    return None if reason is RefusalReason.STOPPING else reason
+
+
 def create_call(scope: Message, receive: Receive, send: Send) -> Call:
     """Creates a call from an ASGI scope."""
     return Call(
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -48,6 +48,9 @@
 # A connection whose peer acknowledges nothing for this long is reset by the
 # kernel. hypercorn waits without limit for a stuck peer when it closes.
 USER_TIMEOUT_MS = 15_000
+# Kernel buffer for what a slow caller has not read; the kernel doubles it.
+# 64 KiB each millisecond of round trip is far more than a stream needs.
+SEND_BUFFER_BYTES = 64 * 1024
 
 
 class SchedulerPort(Protocol):
@@ -93,7 +96,11 @@
         """Returns the customer of an API key."""
 
     def may_start(self) -> RefusalReason | None:
-        """Returns why no new work may start now, or None if it may."""
+        """Returns why no new work may start now, or None if it may.
+
+        An expired lease comes before `STOPPING`, which does not stop the
+        sends of requests that were accepted before.
+        """
 
     async def place(self, ticket: Ticket) -> Dispatch | Refuse:
         """Waits for the decision on a request."""
@@ -198,6 +205,10 @@
             self._router.count("cancelled")
         except SlowCallerError as exc:
             self._count_refusal(RefusalReason.SLOW_CALLER, str(exc))
+        except Exception as exc:
+            # The server answers 500 or cuts the answer off.
+            self._router.log("request_failed", error=repr(exc))
+            raise
 
     async def _handle(self, call: Call) -> None:
         match call.method, call.path:
@@ -330,6 +341,7 @@
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
     )
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
 
 def create_app(router: RouterPort) -> Gateway:
