Split the router into parts with one job each; log no repeated announcement

Ruled out: dropping every announcement that equals the known endpoint; one that leaves must be answered only when all routers know. Before: one entry per router and endpoint incarnation. After: one per incarnation; a scenario shows it.

--- a/features/control.feature
+++ b/features/control.feature
@@ -34,3 +34,10 @@
     Guards against a traceback instead of a message.
     When the daemon is started with settings of the tool
     Then it exits with code 2 and names "role"
+
+  Scenario: Announcements that say nothing new do not go to the members
+    Guards against a log entry for each endpoint and router, each second.
+    Given a router that knows an active endpoint
+    Then its announcement is no news
+    But its announcement with another incarnation is news
+    And its announcement as leaving is news until the members have it
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from knapweedarch import control, links, state
+from knapweedarch.endpoint_table import EndpointTable
 from knapweedarch.exceptions import ControlError
 from knapweedarch.models import (
     Endpoint,
@@ -108,8 +109,7 @@
     """Builds an endpoint."""
     return Endpoint(
         *(f"r{number}", f"i{number}", "http://127.0.0.1:1"),
-        EndpointKind.RUNNER,
-        **{"serves": ("guide",), **changes},
+        **{"kind": EndpointKind.RUNNER, "serves": ("guide",), **changes},
     )
 
 
@@ -203,3 +203,36 @@
     assert context.done.returncode == code, context.done
     assert word in context.done.stderr
     assert "Traceback" not in context.done.stderr
+
+
+@given("a router that knows an active endpoint")
+def router_knows(context):
+    class NoScheduler:
+        def set_endpoints(self, endpoints, now):
+            """Takes endpoints."""
+
+    context.known = endpoint(1, kind=EndpointKind.SERVICE)
+    context.endpoints = EndpointTable(
+        NoScheduler(), None, Clock(), None, {}, "seed"
+    )
+    context.endpoints.update([state.EndpointEntry(context.known, 1)])
+
+
+@then("its announcement is no news")
+def no_news(context):
+    assert not context.endpoints.is_news(context.known)
+
+
+@then("its announcement with another incarnation is news")
+def incarnation_is_news(context):
+    changed = attrs.evolve(context.known, incarnation="other")
+    assert context.endpoints.is_news(changed)
+
+
+@then("its announcement as leaving is news until the members have it")
+def leaving_is_news(context):
+    leaving = attrs.evolve(context.known, status=EndpointStatus.LEAVING)
+    context.endpoints.update([state.EndpointEntry(leaving, 2)])
+    assert context.endpoints.is_news(leaving)
+    context.endpoints.note_announced(leaving)
+    assert not context.endpoints.is_news(leaving)
--- /dev/null
+++ b/knapweedarch/endpoint_table.py
@@ -0,0 +1,144 @@
+"""Endpoints that a router knows, and the feeds of the runners among them."""
+
+import random
+from collections.abc import Sequence
+
+import anyio
+import anyio.abc
+
+from knapweedarch.adapters import Adapter
+from knapweedarch.exceptions import EndpointError
+from knapweedarch.logs import log
+from knapweedarch.metrics import Metrics
+from knapweedarch.models import (
+    CacheEvent,
+    Endpoint,
+    EndpointKind,
+    EndpointStatus,
+    LoadReport,
+)
+from knapweedarch.scheduler import Scheduler
+from knapweedarch.state import EndpointEntry
+from knapweedarch.timers import Clock
+
+FEED_RETRY_S = 0.2
+FEED_RETRY_LIMIT_S = 5.0
+UNKNOWN_DISTANCE_MS = 1000.0
+
+
+class EndpointTable:
+    """Takes over endpoints from grants and follows the feeds of runners."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        adapter: Adapter,
+        clock: Clock,
+        metrics: Metrics,
+        distances_ms: dict[str, float],
+        seed: str,
+    ):
+        self._scheduler = scheduler
+        self._adapter = adapter
+        self._clock = clock
+        self._metrics = metrics
+        self._distances_ms = distances_ms
+        self._random = random.Random(seed)
+        self._endpoints: dict[str, Endpoint] = {}
+        self._announced: dict[str, Endpoint] = {}
+        self._feeds: dict[str, anyio.CancelScope] = {}
+        self._group: anyio.abc.TaskGroup | None = None
+
+    def start(self, group: anyio.abc.TaskGroup) -> None:
+        """Gives the task group in which feeds are followed."""
+        self._group = group
+
+    def all(self) -> list[Endpoint]:
+        """Returns all endpoints."""
+        return list(self._endpoints.values())
+
+    def active_count(self) -> int:
+        """Counts the endpoints that may get new work."""
+        return sum(
+            e.status is EndpointStatus.ACTIVE for e in self._endpoints.values()
+        )
+
+    def services(self, name: str) -> Sequence[Endpoint]:
+        """Returns the active endpoints of a plain service, nearest first."""
+        found = [
+            e
+            for e in self._endpoints.values()
+            if e.kind is EndpointKind.SERVICE
+            and name in e.serves
+            and e.status is EndpointStatus.ACTIVE
+        ]
+        return sorted(found, key=lambda e: (self._distance_ms(e), e.id))
+
+    def _distance_ms(self, endpoint: Endpoint) -> float:
+        return self._distances_ms.get(endpoint.data_centre, UNKNOWN_DISTANCE_MS)
+
+    def is_news(self, endpoint: Endpoint) -> bool:
+        """Tells whether an announcement must go to the members.
+
+        What this router already applies is none. A leaving endpoint is told
+        only after all routers know, so this router's knowledge is not enough.
+        """
+        if self._announced.get(endpoint.id) == endpoint:
+            return endpoint.id not in self._endpoints
+        known = self._endpoints.get(endpoint.id)
+        return known != endpoint or endpoint.status is EndpointStatus.LEAVING
+
+    def note_announced(self, endpoint: Endpoint) -> None:
+        """Notes that the members have an announcement."""
+        self._announced[endpoint.id] = endpoint
+
+    def update(self, entries: Sequence[EndpointEntry]) -> None:
+        """Takes over changed endpoints."""
+        for entry in entries:
+            endpoint = entry.endpoint
+            before = self._endpoints.get(endpoint.id)
+            self._endpoints[endpoint.id] = endpoint
+            if before is None or (before.incarnation, before.url) != (
+                endpoint.incarnation,
+                endpoint.url,
+            ):
+                self._restart_feed(endpoint)
+        runners = [
+            e for e in self._endpoints.values() if e.kind is EndpointKind.RUNNER
+        ]
+        self._scheduler.set_endpoints(runners, self._clock.now())
+
+    def _restart_feed(self, endpoint: Endpoint) -> None:
+        if scope := self._feeds.pop(endpoint.id, None):
+            scope.cancel()
+        if endpoint.kind is EndpointKind.RUNNER:
+            scope = self._feeds[endpoint.id] = anyio.CancelScope()
+            self._group.start_soon(self._follow_feed, endpoint, scope)
+
+    async def _follow_feed(
+        self, endpoint: Endpoint, scope: anyio.CancelScope
+    ) -> None:
+        with scope:
+            pause = FEED_RETRY_S
+            while True:
+                try:
+                    async for item in self._adapter.follow_feed(endpoint):
+                        pause = FEED_RETRY_S
+                        self._take_feed_item(item)
+                except EndpointError as exc:
+                    self._metrics.count("feed.lost")
+                    log("feed_lost", endpoint=endpoint.id, reason=exc.reason)
+                    self._scheduler.endpoint_lost(
+                        endpoint.id, self._clock.now()
+                    )
+                # An endpoint that is gone for good costs little to look for.
+                await anyio.sleep(pause * self._random.uniform(0.5, 1.0))
+                pause = min(2 * pause, FEED_RETRY_LIMIT_S)
+
+    def _take_feed_item(self, item: LoadReport | CacheEvent) -> None:
+        now = self._clock.now()
+        match item:
+            case LoadReport():
+                self._scheduler.report_load(item, now)
+            case CacheEvent():
+                self._scheduler.cache_event(item, now)
--- /dev/null
+++ b/knapweedarch/http_server.py
@@ -0,0 +1,145 @@
+"""HTTP server of a router: listener, limit of requests, graceful shutdown."""
+
+import hmac
+import json
+import logging
+import signal
+import socket
+
+import anyio
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from knapweedarch import gateway
+from knapweedarch.callers import RefusedError, create_call
+from knapweedarch.logs import log
+from knapweedarch.metrics import Metrics
+from knapweedarch.models import RefusalReason
+from knapweedarch.settings import RouterSettings
+
+COUNTERS_PATH = "/counters"
+# Time in which the balancer sees that this router is no longer ready.
+READY_GRACE_S = 1.0
+OPEN_AFTER_DRAIN_S = 1.0
+MAX_HEADER_BYTES = 32 * 1024
+BACKLOG = 1024
+
+
+class HttpServer:
+    """Serves one application until SIGTERM or SIGINT.
+
+    Attributes:
+        port: Port that the server listens on.
+        active: Requests in progress.
+        draining: Whether a graceful shutdown has begun.
+        stopping: Whether new requests are refused.
+    """
+
+    def __init__(self, settings: RouterSettings, metrics: Metrics):
+        self.active = 0
+        self.draining = False
+        self.stopping = False
+        self._settings = settings
+        self._metrics = metrics
+        self._idle = anyio.Event()
+        self._listener = self._listen()
+        self.port = self._listener.getsockname()[1]
+
+    def _listen(self) -> socket.socket:
+        host, port = self._settings.listen.host, self._settings.listen.port
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        gateway.tune_listener(listener)
+        listener.bind((host, port))
+        listener.setblocking(False)
+        return listener
+
+    def _config(self) -> Config:
+        cfg = Config()
+        cfg.bind = [f"fd://{self._listener.detach()}"]
+        cfg.backlog = BACKLOG
+        cfg.graceful_timeout = OPEN_AFTER_DRAIN_S
+        cfg.h11_max_incomplete_size = MAX_HEADER_BYTES
+        cfg.accesslog = None
+        cfg.errorlog = logging.getLogger("hypercorn.error")
+        cfg.errorlog.setLevel(logging.WARNING)
+        return cfg
+
+    async def run(self, app) -> None:
+        """Serves an ASGI application; returns after the graceful shutdown."""
+        stop = anyio.Event()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._await_signal, stop)
+            await serve(
+                self._counted(app), self._config(), shutdown_trigger=stop.wait
+            )
+            group.cancel_scope.cancel()
+
+    def _counted(self, app):
+        """Wraps the application so that a drain knows what still runs."""
+
+        async def counted(scope, receive, send) -> None:
+            if scope["type"] != "http":
+                return await app(scope, receive, send)
+            if scope["path"] == COUNTERS_PATH:
+                return await self._show_counters(scope, send)
+            if self.active >= self._settings.max_streams:
+                return await self._refuse_full(scope, receive, send)
+            self.active += 1
+            try:
+                await app(scope, receive, send)
+            finally:
+                self.active -= 1
+                if self.active == 0:
+                    self._idle.set()
+
+        return counted
+
+    async def _refuse_full(self, scope, receive, send) -> None:
+        """Refuses before any byte of the body is read."""
+        self._metrics.count(f"refused.{RefusalReason.QUEUE_FULL.value}")
+        await create_call(scope, receive, send).refuse(
+            RefusedError(
+                RefusalReason.QUEUE_FULL, "too many requests are in progress"
+            )
+        )
+
+    async def _show_counters(self, scope, send) -> None:
+        """Answers an operator who holds the shared credential."""
+        want = f"Bearer {self._settings.credential}".encode()
+        given = dict(scope["headers"]).get(b"authorization", b"")
+        status, content = 200, dict(sorted(self._metrics.counts.items()))
+        if not hmac.compare_digest(given, want):
+            self._metrics.count("credential.refused")
+            status, content = 401, {}
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [(b"content-type", b"application/json")],
+            }
+        )
+        body = json.dumps(content).encode()
+        await send({"type": "http.response.body", "body": body})
+
+    async def _await_signal(self, stop: anyio.Event) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                break
+            await self._drain()
+            stop.set()
+
+    async def _drain(self) -> None:
+        """Readiness first, then no new work, then wait for what runs."""
+        log("drain_started", active=self.active)
+        self.draining = True
+        await anyio.sleep(READY_GRACE_S)
+        self.stopping = True
+        with anyio.move_on_after(self._settings.drain_s):
+            while self.active:
+                self._idle = anyio.Event()
+                await self._idle.wait()
+        log("drain_ended", active=self.active)
--- /dev/null
+++ b/knapweedarch/lease_keeper.py
@@ -0,0 +1,121 @@
+"""Keeps a router's lease and takes over what the grants bring."""
+
+import random
+from collections.abc import Callable, Sequence
+
+import anyio
+
+from knapweedarch.control import Control, Grant, Renew
+from knapweedarch.exceptions import ControlError
+from knapweedarch.leases import RENEW_S, Lease
+from knapweedarch.logs import log
+from knapweedarch.metrics import Metrics
+from knapweedarch.state import EndpointEntry
+from knapweedarch.timers import Clock, Timers
+
+RENEW_TIMEOUT_S = 1.0
+WATCH_S = 0.2
+
+
+class LeaseKeeper:
+    """Renews the lease each `RENEW_S`, and at once when something changed.
+
+    Attributes:
+        lease: The lease.
+        rules_version: Version of the rules taken over.
+        on_rules: Called with version and text of new rules; raises
+            `ControlError` if they cannot be applied.
+        on_endpoints: Called with changed endpoints.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        control: Control,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self.lease = Lease()
+        self.rules_version = 0
+        self.on_rules: Callable[[int, str], None]
+        self.on_endpoints: Callable[[Sequence[EndpointEntry]], None]
+        self._name = name
+        self._incarnation = incarnation
+        self._control = control
+        self._clock = clock
+        self._metrics = metrics
+        self._random = random.Random(incarnation)
+        self._revision = 0
+        self._applied = 0
+        self._held = False
+        self._due = anyio.Event()
+
+    def subscribe(self, timers: Timers) -> None:
+        """Subscribes to the timers."""
+        # Routers that restart together would otherwise renew in step for good.
+        period = RENEW_S * self._random.uniform(0.8, 1.0)
+        timers.every(period, lambda now: self.renew_soon())
+        timers.every(WATCH_S, self._watch)
+
+    def renew_soon(self) -> None:
+        """Renews as soon as the running renewal has ended."""
+        self._due.set()
+
+    async def run(self) -> None:
+        """Renews until cancelled."""
+        while True:
+            self._due = anyio.Event()
+            try:
+                changed = await self._renew()
+            except ControlError as exc:
+                self._metrics.count("lease.renewal_failed")
+                log("lease_renewal_failed", reason=exc.reason)
+                await anyio.sleep(self._random.uniform(0.02, 0.1))
+                continue
+            # The leader waits to hear that a change is applied here.
+            if not changed:
+                await self._due.wait()
+
+    async def _renew(self) -> bool:
+        """Renews the lease; tells whether the grant brought changes."""
+        sent_at = self._clock.now()
+        grant = await self._control.ask(
+            Renew(
+                self._name,
+                self._incarnation,
+                self.rules_version,
+                self._revision,
+                self._applied,
+            ),
+            RENEW_TIMEOUT_S,
+        )
+        if grant.applied < self._applied:
+            # Only a group that lost its log answers so; its state is older.
+            log("grant_older", applied=self._applied, granted=grant.applied)
+            return False
+        changed = self._take(grant)
+        self.lease.granted(sent_at, grant.duration_s, self._clock.now())
+        self._metrics.count("lease.renewed")
+        return changed
+
+    def _take(self, grant: Grant) -> bool:
+        if grant.rules_text is not None:
+            self.on_rules(grant.rules_version, grant.rules_text)
+            self.rules_version = grant.rules_version
+        if grant.endpoints:
+            self.on_endpoints(grant.endpoints)
+        self._revision = grant.revision
+        self._applied = grant.applied
+        return grant.rules_text is not None or bool(grant.endpoints)
+
+    def _watch(self, now: float) -> None:
+        held = self.lease.holds(now)
+        if held == self._held:
+            return
+        self._held = held
+        if held:
+            log("lease_granted")
+        else:
+            self._metrics.count("lease.expired")
+            log("lease_expired")
--- /dev/null
+++ b/knapweedarch/order_giver.py
@@ -0,0 +1,95 @@
+"""Gives the orders of a roll-out to runners, when this router may."""
+
+from collections.abc import Sequence
+
+import anyio
+
+from knapweedarch.adapters import Adapter, LoadWeights
+from knapweedarch.control import Control
+from knapweedarch.exceptions import ControlError, EndpointError
+from knapweedarch.leases import Lease
+from knapweedarch.logs import log
+from knapweedarch.metrics import Metrics
+from knapweedarch.models import Endpoint, Rules
+from knapweedarch.orders import Entitlement, LoadOrder, Rollout
+from knapweedarch.state import OrdersTaken, TakeOrders
+from knapweedarch.timers import Clock
+
+TAKE_TIMEOUT_S = 3.0
+
+
+class OrderGiver:
+    """Takes the right to give orders and gives those that are due."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        lease: Lease,
+        control: Control,
+        adapter: Adapter,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self._incarnation = incarnation
+        self._lease = lease
+        self._control = control
+        self._adapter = adapter
+        self._clock = clock
+        self._metrics = metrics
+        self._entitlement = Entitlement()
+        self._rollout = Rollout()
+        self._busy = False
+
+    def is_due(self, rules: Rules, endpoints: Sequence[Endpoint]) -> bool:
+        """Tells whether a runner lacks weights and no step is under way."""
+        return not self._busy and self._rollout.is_needed(rules, endpoints)
+
+    async def give(self, rules: Rules, endpoints: Sequence[Endpoint]) -> None:
+        """Gives the orders that are due now and waits for their answers."""
+        self._busy = True
+        try:
+            if not await self._take_right():
+                return
+            orders = self._rollout.next_orders(
+                rules, endpoints, self._clock.now()
+            )
+            async with anyio.create_task_group() as group:
+                for order in orders:
+                    group.start_soon(self._order_load, order)
+        except ControlError as exc:
+            log("orders_not_taken", reason=exc.reason)
+        finally:
+            self._busy = False
+
+    async def _take_right(self) -> bool:
+        """Becomes the one router that gives orders, unless another is."""
+        epoch = self._lease.epoch
+        if self._entitlement.is_held(self._lease, self._clock.now()):
+            return True
+        match await self._control.submit(
+            TakeOrders(self._incarnation), TAKE_TIMEOUT_S
+        ):
+            case OrdersTaken(fencing_number=number):
+                now = self._clock.now()
+                self._entitlement.taken(number, epoch, now)
+                log("orders_taken", fencing_number=number)
+                return self._entitlement.is_held(self._lease, now)
+        return False
+
+    async def _order_load(self, order: LoadOrder) -> None:
+        if not self._entitlement.may_order(
+            order.endpoint, self._lease, self._clock.now()
+        ):
+            self._rollout.failed(order, self._clock.now())
+            return
+        log("load_ordered", endpoint=order.endpoint.id, version=order.version)
+        try:
+            await self._adapter.order(
+                order.endpoint,
+                LoadWeights(order.model, order.version),
+                self._entitlement.fencing_number,
+            )
+        except EndpointError as exc:
+            self._metrics.count("orders.failed")
+            log("order_failed", endpoint=order.endpoint.id, reason=exc.reason)
+            self._rollout.failed(order, self._clock.now())
