--- /dev/null
+++ b/knapweedarch/leader.py
@@ -0,0 +1,315 @@
+"""Duties of the leading member: leases, commands and status."""
+
+import contextlib
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+from knapweedarch import control, links, replica
+from knapweedarch.exceptions import LinkError, ReplicaError, RuleError
+from knapweedarch.leases import LeaseTable
+from knapweedarch.logs import log
+from knapweedarch.models import EndpointStatus
+from knapweedarch.rules import parse_rules
+from knapweedarch.state import (
+    COMMANDS,
+    RESULTS,
+    Abandon,
+    Announce,
+    ControlState,
+    EndpointAccepted,
+    OrdersHeld,
+    PutRules,
+    RecordFound,
+    RecordStatus,
+    Reserve,
+    Retire,
+    RulesAccepted,
+    RulesConflict,
+    Stamper,
+    TakeOrders,
+)
+from knapweedarch.timers import Clock
+
+IN_FORCE_LIMIT_S = 10.0
+ANSWER_LIMIT_S = 10.0
+
+
+@attrs.define
+class _Proposal:
+    """A command on its way through the log."""
+
+    term: int
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+    result: bytes | None = None
+
+
+class Leader:
+    """What a member does for routers and operators while it leads.
+
+    Attributes:
+        applied: Index of the last entry applied to the state.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        log_replica: replica.Replica,
+        state: ControlState,
+        clock: Clock,
+        wake: Callable[[], None],
+    ):
+        self.applied = 0
+        self._applied_term = 0
+        self._name = name
+        self._replica = log_replica
+        self._state = state
+        self._clock = clock
+        self._wake = wake
+        self._table: LeaseTable | None = None
+        self._table_term = 0
+        self._stamper: Stamper | None = None
+        self._proposals: dict[int, _Proposal] = {}
+        self._routers: dict[links.Link, control.Renew] = {}
+        self._renewed = anyio.Event()
+
+    @property
+    def in_office(self) -> bool:
+        """Whether this member has the duties of the leader."""
+        return self._table is not None
+
+    def router_count(self, now: float) -> int:
+        """Counts the routers with a running lease."""
+        return self._table.count(now) if self._table is not None else 0
+
+    def forget_link(self, link: links.Link) -> None:
+        """Notes that a link has closed."""
+        self._routers.pop(link, None)
+
+    def apply(self, entry: replica.Entry) -> None:
+        """Applies a committed entry and answers its proposal."""
+        self.applied, self._applied_term = entry.index, entry.term
+        result = None
+        if entry.kind is replica.EntryKind.DATA:
+            before = (self._state.rules_version, self._state.revision)
+            result = self._state.apply(entry.data)
+            if before != (self._state.rules_version, self._state.revision):
+                self._tell_routers()
+        proposal = self._proposals.pop(entry.index, None)
+        if proposal is not None:
+            if proposal.term == entry.term:
+                proposal.result = result
+            proposal.done.set()
+
+    def _tell_routers(self) -> None:
+        for link in list(self._routers):
+            try:
+                link.send(control.Changed(self.applied))
+            except LinkError:
+                self._routers.pop(link, None)
+
+    def follow_role(self) -> None:
+        """Starts and ends the leader's duties."""
+        leads = self._replica.leader_since is not None
+        if leads and self._table_term != self._replica.term:
+            self._table = LeaseTable(self._replica.leader_since)
+            self._table_term = self._replica.term
+            self._stamper = None
+            log("leader_started", term=self._replica.term)
+        if not leads and self._table is not None:
+            self._table, self._table_term = None, 0
+            log("leader_stopped", term=self._replica.term)
+            for proposal in self._proposals.values():
+                proposal.done.set()
+            self._proposals.clear()
+
+    def _leading(self) -> bool:
+        """Tells whether this member may answer for the system now.
+
+        A new leader knows all committed entries only once one of its own term
+        is applied.
+        """
+        now = self._clock.now()
+        return (
+            self._table is not None
+            and self._replica.leads_until(now) > now
+            and self._applied_term == self._replica.term
+        )
+
+    def _redirect(self) -> control.Redirect:
+        leader = self._replica.leader or ""
+        if leader == self._name:
+            leader = ""
+        return control.Redirect(leader)
+
+    def renew(self, link: links.Link, renew: control.Renew):
+        """Grants a lease and sends what the router lacks."""
+        if not self._leading():
+            return self._redirect()
+        now = self._clock.now()
+        duration_s = self._table.grant(renew.incarnation, renew.applied, now)
+        self._routers[link] = renew
+        self._renewed.set()
+        self._renewed = anyio.Event()
+        state = self._state
+        text = state.rules_text
+        if renew.rules_version == state.rules_version:
+            text = None
+        return control.Grant(
+            duration_s,
+            self.applied,
+            state.rules_version,
+            text,
+            state.revision,
+            state.changes_since(renew.revision),
+        )
+
+    async def submit(self, data: bytes):
+        """Commits a command; waits until it is in force if it must be."""
+        if not self._leading():
+            return self._redirect()
+        command = COMMANDS.decode(data)
+        if isinstance(command, Reserve):
+            command = attrs.evolve(command, at=self._stamp())
+        if isinstance(command, PutRules):
+            try:
+                parse_rules(command.text)
+            except RuleError as exc:
+                # Once committed, a faulty file would stop every router.
+                return control.Refused("refused", "; ".join(exc.faults[:5]))
+        if self._orders_are_held(command):
+            return control.Result(RESULTS.encode(OrdersHeld()))
+        try:
+            result = await self._propose(command)
+        except ReplicaError:
+            # Nothing was appended, so the order may go to another member.
+            return self._redirect()
+        if result is None:
+            return control.Refused(
+                "unknown_outcome", "the leader changed before the commit"
+            )
+        _log_order(command, result)
+        result = await self._check_holder(command, result)
+        if self._needs_force(command, result) and not await self._in_force():
+            return control.Refused(
+                "unknown_outcome", "the change is not in force everywhere yet"
+            )
+        return control.Result(RESULTS.encode(result))
+
+    def _orders_are_held(self, command: object) -> bool:
+        """Tells whether another router may still give orders to endpoints."""
+        holder = self._state.orders_holder
+        return (
+            isinstance(command, TakeOrders)
+            and holder not in ("", command.holder)
+            and self._table.holds(holder, self._clock.now())
+        )
+
+    def _stamp(self) -> float:
+        if self._stamper is None:
+            self._stamper = Stamper(
+                self._state.last_stamp, self._replica.leader_since
+            )
+        return self._stamper.stamp(self._clock.now())
+
+    async def _propose(self, command: object) -> object | None:
+        """Commits a command; returns None if the outcome is not known.
+
+        Raises:
+            ReplicaError: Nothing was appended to the log.
+        """
+        index = self._replica.propose(
+            COMMANDS.encode(command), self._clock.now()
+        )
+        proposal = _Proposal(self._replica.term)
+        self._proposals[index] = proposal
+        self._wake()
+        with anyio.move_on_after(ANSWER_LIMIT_S):
+            await proposal.done.wait()
+        if proposal.result is None:
+            return None
+        return RESULTS.decode(proposal.result)
+
+    async def _check_holder(self, command: object, result: object) -> object:
+        """Ends a reservation whose router can send no more.
+
+        The holder checks its lease right before it sends. Once the lease is
+        over it has either sent the call or never will, and only it can know.
+        """
+        match result:
+            case RecordFound(record=record) if (
+                record.status is RecordStatus.RESERVED
+            ):
+                incarnation = record.holder.partition("/")[0]
+                if self._table is None or self._table.holds(
+                    incarnation, self._clock.now()
+                ):
+                    return result
+                with contextlib.suppress(ReplicaError):
+                    await self._propose(Abandon(incarnation))
+                found = self._state.records.get(command.record_key)
+                return RecordFound(found) if found else result
+        return result
+
+    def _needs_force(self, command: object, result: object) -> bool:
+        match command, result:
+            case PutRules(), RulesAccepted():
+                return True
+            case Retire(), EndpointAccepted():
+                return True
+            case Announce(), EndpointAccepted(status=EndpointStatus.LEAVING):
+                return True
+        return False
+
+    async def _in_force(self) -> bool:
+        """Waits until each router has applied the log up to now."""
+        index, term = self.applied, self._replica.term
+        with anyio.move_on_after(IN_FORCE_LIMIT_S):
+            while self._leading() and self._replica.term == term:
+                now = self._clock.now()
+                if self._table.in_force(index, now):
+                    return True
+                delay = self._table.next_change(now) - now
+                with anyio.move_on_after(max(delay, 0.001)):
+                    await self._renewed.wait()
+        return False
+
+    def status(self):
+        """Returns the status of the system."""
+        if not self._leading():
+            return self._redirect()
+        now = self._clock.now()
+        names = {
+            renew.router
+            for renew in self._routers.values()
+            if self._table.holds(renew.incarnation, now)
+        }
+        return control.StatusReply(
+            leader=self._name,
+            term=self._replica.term,
+            commit_index=self._replica.commit_index,
+            rules_version=self._state.rules_version,
+            rules_text=self._state.rules_text,
+            endpoints=tuple(self._state.endpoints.values()),
+            members=tuple(
+                control.MemberStatus(m.name, m.identity, m.voter)
+                for m in self._replica.members
+            ),
+            routers=tuple(sorted(names)),
+            records=len(self._state.records),
+            fencing_number=self._state.fencing_number,
+        )
+
+
+def _log_order(command: object, result: object) -> None:
+    """Logs operators' orders; a resend is logged again."""
+    match command, result:
+        case PutRules(request_id=request), RulesAccepted(version=version):
+            log("rules_accepted", version=version, request=request)
+        case PutRules(request_id=request), RulesConflict(version=version):
+            log("rules_conflict", version=version, request=request)
+        case Retire(endpoint_id=endpoint), EndpointAccepted():
+            log("endpoint_retired", endpoint=endpoint)
+        case Announce(endpoint=endpoint, by_operator=True), EndpointAccepted():
+            log("endpoint_restored", endpoint=endpoint.id)
