--- a/knapweedarch/daemon.py
+++ b/knapweedarch/daemon.py
@@ -8,7 +8,11 @@
 import defopt
 
 from knapweedarch import member, router
-from knapweedarch.exceptions import JournalError, SettingsError
+from knapweedarch.exceptions import (
+    JournalError,
+    ReplicaError,
+    SettingsError,
+)
 from knapweedarch.logs import log, setup_logging
 from knapweedarch.metrics import Metrics, create_metrics
 from knapweedarch.settings import (
@@ -39,7 +43,8 @@
     setup_logging(loaded.log_level)
     try:
         anyio.run(run, loaded)
-    except* JournalError as group:
+    except* (JournalError, ReplicaError) as group:
+        # A member that goes on after either could answer with what it lost.
         log("journal_failed", reason=str(group.exceptions[0]))
         sys.exit(EXIT_JOURNAL)
 
