--- a/knapweedarch/state.py
+++ b/knapweedarch/state.py
@@ -5,57 +5,67 @@
 to decide how long records are kept.
 """
 
-import enum
 import hashlib
 from collections import OrderedDict
 
 import attrs
-import msgpack
 
 from knapweedarch.codec import create_codec
 from knapweedarch.models import Endpoint, EndpointStatus
+from knapweedarch.records import (
+    MAX_RECORDS,
+    RECORD_RETENTION_S,
+    Abandon,
+    Record,
+    RecordFound,
+    RecordStatus,
+    RecordTable,
+    Reserve,
+    Reserved,
+    Settle,
+    Settled,
+    Stamper,
+    TableFull,
+    record_key,
+)
+
+__all__ = [
+    "COMMANDS",
+    "MAX_ENDPOINTS",
+    "MAX_RECORDS",
+    "RECORD_RETENTION_S",
+    "RESULTS",
+    "Abandon",
+    "Announce",
+    "ControlState",
+    "EndpointAccepted",
+    "EndpointEntry",
+    "EndpointUnknown",
+    "OrdersHeld",
+    "OrdersTaken",
+    "PutRules",
+    "Record",
+    "RecordFound",
+    "RecordStatus",
+    "RequestIdReused",
+    "Reserve",
+    "Reserved",
+    "Retire",
+    "RulesAccepted",
+    "RulesConflict",
+    "Settle",
+    "Settled",
+    "Stamper",
+    "TableFull",
+    "TakeOrders",
+    "record_key",
+]
 
-RECORD_RETENTION_S = 24 * 3600.0
-MAX_RECORDS = 100_000
-# Bounds memory and the pause for a snapshot; one answer is at most 64 KiB.
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
 MAX_STORED_ANSWERS = 1_000
 MAX_ENDPOINTS = 5_000
 MAX_SUPERSEDED = 16
 
 
-class RecordStatus(str, enum.Enum):
-    """Progress of a call that may run at most once."""
-
-    RESERVED = "reserved"
-    DONE = "done"
-    UNKNOWN = "unknown"
-
-
-@attrs.frozen
-class Record:
-    """At-most-once record of one idempotency key.
-
-    Attributes:
-        body_digest: SHA-256 of method, path and body.
-        holder: `incarnation/call` of the router and the one call in it that
-            is entitled to be sent.
-        status: Progress.
-        reserved_at: Stamp of the reservation in seconds.
-        code: HTTP status of the answer when done.
-        content_type: Media type of the answer when done.
-        answer: Body of the answer when done.
-    """
-
-    body_digest: bytes
-    holder: str
-    status: RecordStatus
-    reserved_at: float
-    code: int = 0
-    content_type: str = ""
-    answer: bytes = b""
-
-
 @attrs.frozen
 class PutRules:
     """Replaces the rule file.
@@ -94,55 +104,6 @@
     endpoint_id: str
 
 
-@attrs.frozen
-class Reserve:
-    """A router asks for the right to send a call that may run at most once.
-
-    Attributes:
-        record_key: Customer, service and idempotency key; see `record_key`.
-        body_digest: SHA-256 of method, path and body.
-        holder: `incarnation/call` of the router and this call.
-        at: Stamp of the leader in seconds.
-    """
-
-    record_key: str
-    body_digest: bytes
-    holder: str
-    at: float
-
-
-@attrs.frozen
-class Settle:
-    """The holder of a reservation tells how the call ended.
-
-    Attributes:
-        record_key: Customer, service and idempotency key.
-        holder: Holder as in `Reserve`.
-        status: `DONE` or `UNKNOWN`; None when the call was not run.
-        code: HTTP status of the answer.
-        content_type: Media type of the answer.
-        answer: Body of the answer.
-    """
-
-    record_key: str
-    holder: str
-    status: RecordStatus | None
-    code: int = 0
-    content_type: str = ""
-    answer: bytes = b""
-
-
-@attrs.frozen
-class Abandon:
-    """The leader saw the lease of a router end: its open calls are unknown.
-
-    Attributes:
-        incarnation: Incarnation of the router.
-    """
-
-    incarnation: str
-
-
 @attrs.frozen
 class TakeOrders:
     """A router asks for the sole right to give orders to endpoints.
@@ -186,33 +147,11 @@
     """No endpoint has this name."""
 
 
-@attrs.frozen
-class TableFull:
-    """A bounded table has no place left."""
-
-
 @attrs.frozen
 class RequestIdReused:
     """The request id belongs to another order."""
 
 
-@attrs.frozen
-class Reserved:
-    """The router holds the reservation and may send the call once."""
-
-
-@attrs.frozen
-class RecordFound:
-    """The key is already in use."""
-
-    record: Record
-
-
-@attrs.frozen
-class Settled:
-    """The outcome is recorded."""
-
-
 @attrs.frozen
 class OrdersTaken:
     """The router is the holder of orders under this fencing number."""
@@ -283,7 +222,6 @@
         rules_text: Text of the rule file.
         revision: Revision of the endpoint table.
         endpoints: Endpoints by name.
-        records: At-most-once records by key, oldest first.
     """
 
     def __init__(self):
@@ -291,12 +229,10 @@
         self.rules_text = ""
         self.revision = 0
         self.endpoints: dict[str, EndpointEntry] = {}
-        self.records: OrderedDict[str, Record] = OrderedDict()
+        self._records = RecordTable()
         self.orders_holder = ""
         self.fencing_number = 0
         self._answers: OrderedDict[str, _StoredAnswer] = OrderedDict()
-        self._last_stamp = 0.0
-        self._answer_bytes = 0
 
     def apply(self, data: bytes) -> bytes:
         """Applies an encoded command; returns the encoded result."""
@@ -323,7 +259,7 @@
             case Retire(endpoint_id=endpoint_id):
                 return self._retire(endpoint_id)
             case Reserve():
-                return self._reserve(command)
+                return self._records.reserve(command)
             case Settle():
                 return self._settle(command)
             case Abandon(incarnation=incarnation):
@@ -400,67 +336,11 @@
             endpoint, self.revision, retired, superseded
         )
 
-    def _reserve(self, command: Reserve) -> Reserved | RecordFound | TableFull:
-        self._last_stamp = max(self._last_stamp, command.at)
-        self._drop_old_records()
-        record = self.records.get(command.record_key)
-        if record is not None:
-            return RecordFound(record)
-        if (
-            len(self.records) >= MAX_RECORDS
-            or self._answer_bytes >= MAX_ANSWER_BYTES
-        ):
-            return TableFull()
-        self.records[command.record_key] = Record(
-            command.body_digest,
-            command.holder,
-            RecordStatus.RESERVED,
-            self._last_stamp,
-        )
-        return Reserved()
-
-    def _drop_old_records(self) -> None:
-        oldest_kept = self._last_stamp - RECORD_RETENTION_S
-        while self.records:
-            key = next(iter(self.records))
-            if self.records[key].reserved_at >= oldest_kept:
-                return
-            self._answer_bytes -= len(self.records.pop(key).answer)
-
     def _settle(self, command: Settle) -> Settled:
-        record = self.records.get(command.record_key)
-        if (
-            record is None
-            or record.holder != command.holder
-            or record.status is RecordStatus.DONE
-        ):
-            return Settled()
-        if command.status is None:
-            # A resend may already have been told that the outcome is unknown;
-            # such a key is never sent again.
-            if record.status is RecordStatus.RESERVED:
-                del self.records[command.record_key]
-            return Settled()
-        self._answer_bytes += len(command.answer) - len(record.answer)
-        self.records[command.record_key] = attrs.evolve(
-            record,
-            status=command.status,
-            code=command.code,
-            content_type=command.content_type,
-            answer=command.answer,
-        )
-        return Settled()
+        return self._records.settle(command)
 
     def _abandon(self, incarnation: str) -> Settled:
-        for key, record in self.records.items():
-            if (
-                record.holder.partition("/")[0] == incarnation
-                and record.status is RecordStatus.RESERVED
-            ):
-                self.records[key] = attrs.evolve(
-                    record, status=RecordStatus.UNKNOWN
-                )
-        return Settled()
+        return self._records.abandon(incarnation)
 
     def _take_orders(self, holder: str) -> OrdersTaken:
         self.fencing_number += 1
@@ -470,7 +350,12 @@
     @property
     def last_stamp(self) -> float:
         """Newest stamp of the log in seconds."""
-        return self._last_stamp
+        return self._records.last_stamp
+
+    @property
+    def records(self) -> OrderedDict[str, Record]:
+        """At-most-once records by key, oldest first."""
+        return self._records.records
 
     def changes_since(self, revision: int) -> tuple[EndpointEntry, ...]:
         """Returns the endpoints changed after a revision."""
@@ -488,9 +373,9 @@
                 self.rules_text,
                 self.revision,
                 tuple(self.endpoints.values()),
-                _pack_records(self.records),
+                self._records.pack(),
                 dict(self._answers),
-                self._last_stamp,
+                self._records.last_stamp,
                 self.orders_holder,
                 self.fencing_number,
             )
@@ -503,59 +388,7 @@
         self.rules_text = taken.rules_text
         self.revision = taken.revision
         self.endpoints = {e.endpoint.id: e for e in taken.endpoints}
-        self.records = _unpack_records(taken.records)
-        self._answer_bytes = sum(len(r.answer) for r in self.records.values())
+        self._records.unpack(taken.records, taken.last_stamp)
         self._answers = OrderedDict(taken.answers)
-        self._last_stamp = taken.last_stamp
         self.orders_holder = taken.orders_holder
         self.fencing_number = taken.fencing_number
-
-
-@attrs.frozen
-class Stamper:
-    """Makes the stamps of one leader; they continue those of the log.
-
-    Clocks of different instances are not comparable: a leader whose clock is
-    a day ahead would drop every record, and their calls could run again. Time
-    without a leader is not counted, which only keeps records longer.
-
-    Attributes:
-        last_stamp: Newest stamp of the log when the leader took office.
-        leader_since: When it took office on its own clock, in seconds.
-    """
-
-    last_stamp: float
-    leader_since: float
-
-    def stamp(self, now: float) -> float:
-        """Returns the stamp for a command proposed now."""
-        return self.last_stamp + max(0.0, now - self.leader_since)
-
-
-def record_key(customer: str, service: str, key: str) -> str:
-    """Builds the key of an at-most-once record without ambiguity."""
-    return msgpack.packb([customer, service, key]).hex()
-
-
-def _pack_records(records: OrderedDict[str, Record]) -> bytes:
-    """Encodes the records; a general converter took ten times as long.
-
-    The member does nothing else meanwhile, and a pause of 0.6 s costs a
-    leader its office.
-    """
-    return msgpack.packb(
-        [
-            (
-                *(key, r.body_digest, r.holder, r.status.value),
-                *(r.reserved_at, r.code, r.content_type, r.answer),
-            )
-            for key, r in records.items()
-        ]
-    )
-
-
-def _unpack_records(data: bytes) -> OrderedDict[str, Record]:
-    return OrderedDict(
-        (key, Record(digest, holder, RecordStatus(status), *rest))
-        for key, digest, holder, status, *rest in msgpack.unpackb(data)
-    )
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -7,6 +7,7 @@
 PACKAGE = pathlib.Path(__file__).resolve().parent.parent / "knapweedarch"
 CORE = (
     *("exceptions", "models", "codec", "rules", "replica", "state", "leases"),
+    *("records",),
     *("rule_kinds", "prefixes", "index", "placement", "admission", "retries"),
     *("scheduler", "streams", "replica_messages", "replica_log"),
     *("replica_leadership", "replica_membership", "replica_election"),
