Name the rule text of a scenario apart from behave's own attribute

Cause: behave sets context.text for each step, so the new scenario read None. Before: 11 passed, 1 error in rules.feature. After: 12 passed.

--- a/features/steps/rule_steps.py
+++ b/features/steps/rule_steps.py
@@ -171,7 +171,7 @@
 
 @given("a rule file with {count:d} customers")
 def large_file(context, count):
-    context.text = "".join(
+    context.large_text = "".join(
         f"customer c{n} key=sha256:{n:064x}  # asked by T\n"
         for n in range(count)
     )
@@ -179,7 +179,7 @@
 
 @when("it is parsed in steps")
 def parse_in_steps(context):
-    steps, context.count = parse_steps(context.text), 0
+    steps, context.count = parse_steps(context.large_text), 0
     while True:
         try:
             next(steps)
@@ -192,4 +192,4 @@
 @then("it takes at least {count:d} steps and gives the same rules")
 def same_rules(context, count):
     assert context.count >= count, context.count
-    assert context.rules == parse_rules(context.text)
+    assert context.rules == parse_rules(context.large_text)
