--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -26,10 +26,13 @@
     record_key,
 )
 from knapweedarch.state import RecordStatus as Status
+from knapweedarch.timers import Clock
 from standins.deployment import CREDENTIAL, Deployment
 
 RENEWALS_PER_S = 2.0
 WINDOW_S = 5.0
+CHANGE_WINDOW_S = 6.0
+FEED_COUNTS = (0, 3, 9)
 ROUTER_COUNTS = (35, 100, 350)
 RECORD_COUNTS = (1_000, 10_000, 100_000)
 ENDPOINT_COUNTS = (60, 200, 600)
@@ -59,10 +62,15 @@
 async def _router(cluster: Deployment, number: int, stop_at: float) -> None:
     """Renews a lease as a router does, without serving anybody."""
     member = cluster.members[0]
+    news = anyio.Event()
+
+    async def on_message(link: links.Link, message: object) -> None:
+        news.set()
+
     async with anyio.create_task_group() as group:
         link = await links.connect(
             *(member["host"], member["port"], CREDENTIAL.encode()),
-            *(CONTROL, _ignore),
+            *(CONTROL, on_message),
         )
         group.start_soon(link.run)
         await anyio.sleep(number % 100 / 100 / RENEWALS_PER_S)
@@ -72,17 +80,19 @@
                 f"r{number}", f"i{number}", version, revision, applied
             )
             grant = await link.call(renew, 2.0)
+            changed = False
             if isinstance(grant, control.Grant):
+                changed = grant.rules_text is not None
                 applied, version = grant.applied, grant.rules_version
                 revision = grant.revision
-            await anyio.sleep(1 / RENEWALS_PER_S)
+            # A router tells at once that it has applied a change.
+            if not changed:
+                with anyio.move_on_after(1 / RENEWALS_PER_S):
+                    await news.wait()
+                    news = anyio.Event()
         group.cancel_scope.cancel()
 
 
-async def _ignore(link: links.Link, message: object) -> None:
-    """Takes a message and does nothing."""
-
-
 async def _renewals(cluster: Deployment, count: int) -> tuple[float, float]:
     """Returns processor share and MB of the member under `count` routers."""
     pid = cluster.processes[cluster.members[0]["name"]].popen.pid
@@ -117,6 +127,63 @@
             )
 
 
+async def _change(cluster: Deployment, count: int) -> tuple[float, float]:
+    """Returns seconds until a large rule file is in force, and CPU seconds."""
+    address = control.MemberAddress(**cluster.members[0])
+    pid = cluster.processes[address.name].popen.pid
+    stop_at = time.monotonic() + 3 + CHANGE_WINDOW_S
+    taken = spent = 0.0
+    async with anyio.create_task_group() as group:
+        for number in range(count):
+            group.start_soon(_router, cluster, number, stop_at)
+        await anyio.sleep(3)
+        client = control.create_control([address], CREDENTIAL.encode(), Clock())
+        async with client:
+            version = (await client.status()).rules_version
+            text = rule_text(max(CUSTOMER_COUNTS))
+            before, started = cpu_s(pid), time.monotonic()
+            order = PutRules(f"change-{count}", version, text)
+            await client.submit(order, 30.0)
+            taken = time.monotonic() - started
+            spent = cpu_s(pid) - before
+    return taken, spent
+
+
+def measure_changes() -> None:
+    """Measures how long a rule change takes to be in force everywhere."""
+    print("\n## Rule change with 2,300 customers")
+    row("routers", "seconds to in force", "processor seconds at the leader")
+    with Deployment(members=1) as cluster:
+        cluster.start_member("member-1")
+        if cluster.tool("form").returncode:
+            raise SystemExit("the group was not formed")
+        for count in ROUTER_COUNTS:
+            taken, spent = anyio.run(_change, cluster, count)
+            row(count, f"{taken:.2f}", f"{spent:.2f}")
+
+
+def measure_feeds() -> None:
+    """Measures what an idle router spends on lease and feeds."""
+    print("\n## Idle router")
+    row("runners followed", "share of a core", "MB")
+    with Deployment(members=1) as cluster:
+        cluster.start_member("member-1")
+        if cluster.tool("form").returncode:
+            raise SystemExit("the group was not formed")
+        cluster.start_router("router-1")
+        cluster.wait_ready("router-1")
+        pid = cluster.processes["router-1"].popen.pid
+        for wanted in FEED_COUNTS:
+            running = sum(n.startswith("runner") for n in cluster.processes)
+            for number in range(running, wanted):
+                cluster.start_runner(f"runner-{number}", "guide")
+            time.sleep(2)
+            before = cpu_s(pid)
+            time.sleep(WINDOW_S)
+            share = (cpu_s(pid) - before) / WINDOW_S
+            row(wanted, f"{share:.4f}", f"{resident_mb(pid):.0f}")
+
+
 def measure_messages() -> None:
     """Measures the bytes of one renewal and its answer."""
     print("\n## Bytes on a router's control link")
@@ -207,6 +274,8 @@
     measure_rules()
     measure_state()
     measure_leases()
+    measure_changes()
+    measure_feeds()
     return 0
 
 
