--- a/features/requests.feature
+++ b/features/requests.feature
@@ -24,6 +24,19 @@
       | break   | a whole answer | connection_closed  |
       | silent  | a whole answer | stream_silent      |
 
+  # Guards against faults that only show when streams share connections.
+  Scenario Outline: Streams side by side with random faults stay apart
+    Given runners "a", "b" and "c"
+    When 40 callers stream side by side with faults of seed <seed>
+    Then every stream is whole or ends in an explicit error
+    And at least 20 streams are whole
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
   # Guards against a broken stream that looks whole to its caller.
   Scenario Outline: Without another runner the caller gets an explicit error
     Given a runner "a" that shows "break" at token 5
@@ -114,6 +127,13 @@
     Then each answer has status 200
     And attempts failed once with "connection_closed"
 
+  # Guards against retries that multiply the load of a failing service.
+  Scenario: Retries of a service stop when their budget is used up
+    Given a desk on a raw server that shows "close_first"
+    When the caller checks availability 40 times
+    Then each answer is an error "endpoint_failed" with outcome "unknown"
+    And the raw server got at most 55 requests
+
   # Guards against an answer that reaches another caller.
   Scenario: A crossed answer is dropped and its connection closed
     Given a desk on a raw server that shows "crossed"
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import random
 import time
 from hashlib import sha256
 
@@ -234,6 +235,56 @@
         gateway.budget.limit = size
 
 
+@given('runners "a", "b" and "c"')
+def three_runners(context):
+    for name in ("a", "b", "c"):
+        add_runner(context, name, slots=100)
+    router = context.site.routers[0]
+    router.rotate, router.retries_left = True, 1000
+
+
+@when("{callers:d} callers stream side by side with faults of seed {seed:d}")
+def random_faults(context, callers, seed):
+    rng = random.Random(seed)
+    modes = ("break", "gap", "repeat", "no_done", "crossed", "error", "refuse")
+    for runner in context.runners.values():
+        for _ in range(callers // 2):
+            mode = rng.choice(modes) if rng.random() < 0.6 else "none"
+            runner.faults.add(Fault(mode, rng.randrange(30)))
+
+    async def one(number: int) -> None:
+        messages = [{"role": "user", "content": f"question {number}"}]
+        answer = await context.site.chat(messages=messages, max_tokens=30)
+        whole = texts.text(messages, "w1", 0, 30)
+        context.answers.append((answer, whole))
+
+    async def run() -> None:
+        async with anyio.create_task_group() as group:
+            for number in range(callers):
+                group.start_soon(one, number)
+
+    call(context, run)
+
+
+@then("every stream is whole or ends in an explicit error")
+def streams_whole_or_error(context):
+    for answer, whole in context.answers:
+        text = answer.text if answer.code == 200 else ""
+        assert whole.startswith(text), answer
+        assert answer.done == (answer.error is None), answer
+        assert not answer.done or text == whole, answer
+
+
+@then("at least {count:d} streams are whole")
+def count_whole(context, count):
+    assert sum(answer.done for answer, _ in context.answers) >= count
+
+
+@then("the raw server got at most {count:d} requests")
+def raw_requests(context, count):
+    assert context.raw.requests <= count, context.raw.requests
+
+
 @when("{others:d} callers ask together for a stream of {tokens:d} tokens")
 def ask_together(context, others, tokens):
     async def one() -> None:
--- a/knapweedarch/adapters.py
+++ b/knapweedarch/adapters.py
@@ -14,6 +14,7 @@
 import attrs
 import httpx
 
+from knapweedarch.chat_streams import ChatStream
 from knapweedarch.exceptions import EndpointError
 from knapweedarch.exchanges import (
     Exchange,
@@ -32,20 +33,14 @@
 )
 from knapweedarch.streams import (
     SseDecoder,
-    StreamEvent,
     StreamFault,
-    parse_event,
 )
 from knapweedarch.timers import Clock, ManualClock
 from knapweedarch.transports import CONNECT_S, EndpointTransport
 
 FEED_SILENCE_S = 1.0
-STREAM_SILENCE_S = 2.0
 ORDER_S = 5.0
 CANCEL_S = 1.0
-# Time to wait for the end of the body after the end mark, so that the
-# connection can be used again; the caller has its answer by then.
-END_OF_BODY_S = 0.05
 MAX_ANSWER_BYTES = 1024 * 1024
 MAX_ERROR_BYTES = 16 * 1024
 
@@ -85,48 +80,6 @@
 Order = LoadWeights | ChangeRole
 
 
-class ChatStream:
-    """Events of one attempt.
-
-    The reader bounds the time of `read`; see `watchdogs`.
-
-    Attributes:
-        first_event_s: Longest wait for the first event in seconds.
-    """
-
-    def __init__(self, exchange: Exchange, first_event_s: float):
-        self.first_event_s = first_event_s
-        self._exchange = exchange
-        self._body = exchange.response.stream
-        self._decoder = SseDecoder()
-
-    async def read(self) -> list[StreamEvent]:
-        """Reads the events that arrived together; none at the end.
-
-        Raises:
-            EndpointError: The stream broke.
-        """
-        try:
-            async for data in self._body:
-                if items := self._decoder.feed(data):
-                    return [parse_event(item) for item in items]
-        except httpx.HTTPError as exc:
-            raise self.failed(RetryReason.CONNECTION_CLOSED, repr(exc)) from exc
-        return []
-
-    def failed(self, reason: RetryReason, message: str) -> EndpointError:
-        """Builds the error for a failure of this attempt."""
-        return self._exchange.failed(reason, message)
-
-    async def finish_body(self) -> None:
-        """Reads the end of the body, so that the connection can be kept."""
-        with (
-            contextlib.suppress(httpx.HTTPError),
-            anyio.move_on_after(END_OF_BODY_S),
-        ):
-            await anext(self._body, None)
-
-
 class Adapter:
     """Calls endpoints; create it with `create_adapter`."""
 
--- /dev/null
+++ b/knapweedarch/chat_streams.py
@@ -0,0 +1,58 @@
+"""Reads the event stream of one attempt at a runner."""
+
+import contextlib
+
+import anyio
+import httpx
+
+from knapweedarch.exceptions import EndpointError
+from knapweedarch.exchanges import Exchange
+from knapweedarch.models import RetryReason
+from knapweedarch.streams import SseDecoder, StreamEvent, parse_event
+
+STREAM_SILENCE_S = 2.0
+# Time to wait for the end of the body after the end mark, so that the
+# connection can be used again; the caller has its answer by then.
+END_OF_BODY_S = 0.05
+
+
+class ChatStream:
+    """Events of one attempt.
+
+    The reader bounds the time of `read`; see `watchdogs`.
+
+    Attributes:
+        first_event_s: Longest wait for the first event in seconds.
+    """
+
+    def __init__(self, exchange: Exchange, first_event_s: float):
+        self.first_event_s = first_event_s
+        self._exchange = exchange
+        self._body = exchange.response.stream
+        self._decoder = SseDecoder()
+
+    async def read(self) -> list[StreamEvent]:
+        """Reads the events that arrived together; none at the end.
+
+        Raises:
+            EndpointError: The stream broke.
+        """
+        try:
+            async for data in self._body:
+                if items := self._decoder.feed(data):
+                    return [parse_event(item) for item in items]
+        except httpx.HTTPError as exc:
+            raise self.failed(RetryReason.CONNECTION_CLOSED, repr(exc)) from exc
+        return []
+
+    def failed(self, reason: RetryReason, message: str) -> EndpointError:
+        """Builds the error for a failure of this attempt."""
+        return self._exchange.failed(reason, message)
+
+    async def finish_body(self) -> None:
+        """Reads the end of the body, so that the connection can be kept."""
+        with (
+            contextlib.suppress(httpx.HTTPError),
+            anyio.move_on_after(END_OF_BODY_S),
+        ):
+            await anext(self._body, None)
--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -8,7 +8,6 @@
 import anyio.lowlevel
 import attrs
 
-from knapweedarch.adapters import STREAM_SILENCE_S, ChatStream
 from knapweedarch.background import Background
 from knapweedarch.callers import (
     WRITE_S,
@@ -19,6 +18,7 @@
     may_send,
 )
 from knapweedarch.chat_requests import ChatRequest, parse_chat, prompt_bytes
+from knapweedarch.chat_streams import STREAM_SILENCE_S, ChatStream
 from knapweedarch.exceptions import EndpointError, KnapweedarchError
 from knapweedarch.exchanges import SendRefusedError
 from knapweedarch.models import (
