--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Virtual-time bench of the decision core."""
--- /dev/null
+++ b/bench/runners.py
@@ -0,0 +1,260 @@
+"""Small model of a runner: continuous batching and a block cache."""
+
+import collections
+import heapq
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from knapweedarch import models, prefixes
+
+PREFILL_TOKENS_S = 20_000.0
+STEP_S = 0.015
+
+# Part by which a full batch slows down prefill, and each decoding step.
+BATCH_SLOWDOWN = 0.3
+
+# Tokens computed before a request of a higher class can go first.
+CHUNK_TOKENS = 4 * prefixes.BLOCK_TOKENS
+
+
+class Clock(Protocol):
+    """What a runner needs of the virtual time."""
+
+    now: float
+
+    def after(
+        self, delay_s: float, action: Callable[..., None], *args: object
+    ) -> None:
+        """Runs an action after a delay in seconds."""
+
+
+@attrs.define(eq=False)
+class Job:
+    """An attempt at a runner.
+
+    Attributes:
+        attempt: The attempt.
+        router: Number of the sending router.
+        out_tokens: Length of the answer.
+        cached: Leading blocks found in the cache; None before prefill.
+        computed: Prompt tokens computed so far.
+        remaining: Prompt tokens still to compute.
+        cancelled: Whether the router no longer wants the answer.
+        placed: Whether it holds a place in the batch.
+    """
+
+    attempt: models.Attempt
+    router: int
+    out_tokens: int
+    cached: int | None = None
+    computed: int = 0
+    remaining: int = 0
+    cancelled: bool = False
+    placed: bool = False
+
+
+class Observer(Protocol):
+    """What a runner tells the world."""
+
+    def job_first_token(self, runner: "Runner", job: Job) -> None:
+        """The first token left the runner."""
+
+    def job_finished(self, runner: "Runner", job: Job) -> None:
+        """The answer is complete."""
+
+    def cache_changed(
+        self,
+        runner: "Runner",
+        change: models.CacheChange,
+        blocks: tuple[int, ...],
+    ) -> None:
+        """Blocks were stored or evicted."""
+
+    def load_changed(self, runner: "Runner") -> None:
+        """The queue or batch changed."""
+
+
+class Runner:
+    """A runner in virtual time."""
+
+    def __init__(
+        self, endpoint: models.Endpoint, clock: Clock, observer: Observer
+    ):
+        self.endpoint = endpoint
+        self.speed = 1.0
+        self.alive = True
+        self.cache: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self.events = 0
+        self.computed_tokens = 0
+        self.jobs: set[Job] = set()
+        self.acknowledged: dict[int, int] = {}
+        self._clock = clock
+        self._observer = observer
+        self._queue: list[tuple[int, int, Job]] = []
+        self._prefill: list[tuple[int, int, Job]] = []
+        self._placed = 0
+        self._busy = False
+        self._sequence = 0
+
+    def accept(self, job: Job) -> None:
+        """Queues a job."""
+        self.jobs.add(job)
+        number = job.attempt.number
+        self.acknowledged[job.router] = max(
+            number, self.acknowledged.get(job.router, 0)
+        )
+        heapq.heappush(self._queue, self._key(job))
+        self._pump()
+        self._observer.load_changed(self)
+
+    def cancel(self, job: Job) -> None:
+        """Drops a job; its place becomes free at once."""
+        if job in self.jobs:
+            job.cancelled = True
+            self._release(job)
+            self._pump()
+
+    def crash(self) -> list[Job]:
+        """Loses all jobs and the cache; returns the jobs."""
+        jobs = sorted(self.jobs, key=lambda j: (j.router, j.attempt.number))
+        for job in jobs:
+            job.cancelled = True
+        self.jobs.clear()
+        self.cache.clear()
+        self.acknowledged.clear()
+        self._queue, self._prefill = [], []
+        self._placed, self._busy, self.alive = 0, False, False
+        return jobs
+
+    def start(self, incarnation: str) -> None:
+        """Starts empty after a crash."""
+        self.endpoint = attrs.evolve(self.endpoint, incarnation=incarnation)
+        self.alive, self.events = True, 0
+
+    def report(self, router: int) -> models.LoadReport:
+        """Reports the load to one router."""
+        queued = [job for _, _, job in self._queue if not job.cancelled]
+        filling = [job for _, _, job in self._prefill if not job.cancelled]
+        return models.LoadReport(
+            self.endpoint.id,
+            self.endpoint.incarnation,
+            self._placed,
+            len(queued),
+            sum(self._missing(job) for job in (*queued, *filling)),
+            self.acknowledged.get(router, 0),
+        )
+
+    def _missing(self, job: Job) -> int:
+        if job.cached is not None:
+            return job.remaining
+        ticket = job.attempt.ticket
+        hit = 0
+        for block in ticket.blocks:
+            if block not in self.cache:
+                break
+            hit += prefixes.BLOCK_TOKENS
+        return ticket.prompt_tokens - hit
+
+    def _key(self, job: Job) -> tuple[int, int, Job]:
+        self._sequence += 1
+        return (int(job.attempt.ticket.priority), self._sequence, job)
+
+    def _pump(self) -> None:
+        while self._queue and self._placed < self.endpoint.slots:
+            _, _, job = heapq.heappop(self._queue)
+            if not job.cancelled:
+                job.placed = True
+                self._placed += 1
+                heapq.heappush(self._prefill, self._key(job))
+        while not self._busy and self._prefill:
+            key = heapq.heappop(self._prefill)
+            if not key[2].cancelled:
+                self._compute(key)
+
+    def _compute(self, key: tuple[int, int, Job]) -> None:
+        job = key[2]
+        if job.cached is None:
+            self._look_up(job)
+        tokens = min(CHUNK_TOKENS, job.remaining)
+        slowdown = 1 + BATCH_SLOWDOWN * self._placed / self.endpoint.slots
+        span = tokens * slowdown / (PREFILL_TOKENS_S * self.speed)
+        self._busy = True
+        incarnation = self.endpoint.incarnation
+        self._clock.after(span, self._computed, key, tokens, incarnation)
+
+    def _look_up(self, job: Job) -> None:
+        ticket = job.attempt.ticket
+        cached = 0
+        for block in ticket.blocks:
+            if block not in self.cache:
+                break
+            cached += 1
+        # Touched from the end, so that leaves are evicted before roots.
+        for block in reversed(ticket.blocks[:cached]):
+            self.cache.move_to_end(block)
+        job.cached = cached
+        hit = cached * prefixes.BLOCK_TOKENS
+        job.remaining = max(1, ticket.prompt_tokens - hit)
+
+    def _computed(
+        self, key: tuple[int, int, Job], tokens: int, incarnation: str
+    ) -> None:
+        if not self.alive or incarnation != self.endpoint.incarnation:
+            return
+        job = key[2]
+        self._busy = False
+        self.computed_tokens += tokens
+        job.remaining -= tokens
+        job.computed += tokens
+        self._store(job)
+        if job.remaining <= 0 and not job.cancelled:
+            self._decode(job)
+        elif not job.cancelled:
+            heapq.heappush(self._prefill, key)
+        self._pump()
+        self._observer.load_changed(self)
+
+    def _store(self, job: Job) -> None:
+        """Stores the blocks computed so far and evicts the oldest ones."""
+        full = (job.cached or 0) + job.computed // prefixes.BLOCK_TOKENS
+        chain = job.attempt.ticket.blocks[:full]
+        stored = [block for block in chain if block not in self.cache]
+        for block in reversed(chain):
+            self.cache[block] = None
+            self.cache.move_to_end(block)
+        evicted = []
+        while len(self.cache) > self.endpoint.cache_blocks:
+            evicted.append(self.cache.popitem(last=False)[0])
+        notify = self._observer.cache_changed
+        if stored:
+            notify(self, models.CacheChange.STORED, tuple(stored))
+        if evicted:
+            notify(self, models.CacheChange.EVICTED, tuple(evicted))
+
+    def _decode(self, job: Job) -> None:
+        slowdown = 1 + BATCH_SLOWDOWN * self._placed / self.endpoint.slots
+        step = STEP_S * slowdown / self.speed
+        self._clock.after(step, self._first, job)
+        self._clock.after(step * job.out_tokens, self._finish, job)
+
+    def _first(self, job: Job) -> None:
+        if not job.cancelled:
+            self._observer.job_first_token(self, job)
+
+    def _finish(self, job: Job) -> None:
+        if job.cancelled:
+            return
+        self._release(job)
+        self._observer.job_finished(self, job)
+        self._pump()
+        self._observer.load_changed(self)
+
+    def _release(self, job: Job) -> None:
+        self.jobs.discard(job)
+        if job.placed:
+            self._placed -= 1
+            job.placed = False
--- /dev/null
+++ b/bench/workloads.py
@@ -0,0 +1,326 @@
+"""Traffic of the two deployments.
+
+Both are made of nested prefixes: a system prompt, then a fleet or
+manuscript, then a conversation. The cache salt keeps customers apart, so
+every customer has its own chains.
+"""
+
+import itertools
+import random
+from collections.abc import Callable, Iterator, Sequence
+
+import attrs
+import xxhash
+
+from knapweedarch import models, prefixes
+
+# Share of the traffic of each of the eight customers; two are large.
+CUSTOMER_SHARES = (0.3, 0.24, 0.12, 0.1, 0.08, 0.06, 0.05, 0.05)
+
+# Time to the first token that each class accepts, in seconds.
+HUTS_DEADLINES_S = {
+    models.Priority.AVAILABILITY: 1.5,
+    models.Priority.GUEST: 4.0,
+    models.Priority.INTERACTIVE: 10.0,
+    models.Priority.BATCH: 60.0,
+}
+BINDERY_DEADLINES_S = {
+    models.Priority.AVAILABILITY: 1.5,
+    models.Priority.GUEST: 8.0,
+    models.Priority.INTERACTIVE: 20.0,
+    models.Priority.BATCH: 60.0,
+}
+
+
+@attrs.frozen(eq=False)
+class Request:
+    """One request of the trace.
+
+    Attributes:
+        id: Identity, unique in the trace.
+        at: Arrival in seconds.
+        customer: Customer name.
+        priority: Class.
+        blocks: Hashes of the prompt's full blocks.
+        prompt_tokens: Length of the prompt.
+        out_tokens: Length of the answer.
+        deadline_s: Accepted time to the first token in seconds.
+    """
+
+    id: str
+    at: float
+    customer: str
+    priority: models.Priority
+    blocks: tuple[int, ...]
+    prompt_tokens: int
+    out_tokens: int
+    deadline_s: float
+
+
+@attrs.frozen
+class Deployment:
+    """Runners and traffic of one operator.
+
+    Attributes:
+        name: Name in reports.
+        model: The model that the runners serve.
+        one_way_s: Delay between data centres in seconds.
+        slots: Places in the batch of a runner.
+        cache_blocks: Prefix cache of a runner.
+        service_s: Mean time of a request in the batch, for the estimates.
+        eviction_weight: Weight of evicted blocks in the cost.
+        deadlines_s: Accepted time to the first token by class.
+        generate: Makes the requests of a run.
+        steady: Load of the steady scenario as a part of the capacity.
+    """
+
+    name: str
+    model: str
+    one_way_s: float
+    slots: int
+    cache_blocks: int
+    service_s: float
+    eviction_weight: float
+    deadlines_s: dict[models.Priority, float]
+    generate: Callable[["Mix"], None]
+    steady: float = 0.6
+
+
+def extend(parent: tuple[int, ...], label: str, count: int) -> tuple[int, ...]:
+    """Appends `count` chained blocks of the content `label`."""
+    chain = list(parent)
+    for i in range(count):
+        last = chain[-1] if chain else 0
+        chain.append(xxhash.xxh3_64_intdigest(f"{last}/{label}/{i}".encode()))
+    return tuple(chain)
+
+
+class Mix:
+    """Collects the requests of one run."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: int,
+        scale: float,
+        duration_s: float,
+        shift_at: float | None,
+    ):
+        self.deployment = deployment
+        self.rng = random.Random(f"{deployment.name}/{seed}")
+        self.scale = scale
+        self.duration_s = duration_s
+        self.shift_at = shift_at
+        self.requests: list[Request] = []
+        self._ids = itertools.count()
+
+    def add(
+        self,
+        at: float,
+        customer: str,
+        priority: models.Priority,
+        blocks: tuple[int, ...],
+        tail_tokens: int,
+        out_tokens: int,
+    ) -> None:
+        """Adds a request if it arrives within the run."""
+        if not 0 <= at < self.duration_s:
+            return
+        self.requests.append(
+            Request(
+                f"q{next(self._ids)}",
+                at,
+                customer,
+                priority,
+                blocks,
+                len(blocks) * prefixes.BLOCK_TOKENS + tail_tokens,
+                out_tokens,
+                self.deployment.deadlines_s[priority],
+            )
+        )
+
+    def customer(self) -> str:
+        """Draws a customer by share."""
+        names = [f"c{i}" for i in range(len(CUSTOMER_SHARES))]
+        return self.rng.choices(names, CUSTOMER_SHARES)[0]
+
+    def arrivals(
+        self, rate: float, start: float = 0.0, burst: float = 0.0
+    ) -> Iterator[float]:
+        """Poisson arrivals; `burst` times more in 3 s of every 20 s."""
+        now = start
+        most = rate * (1 + burst)
+        while most and now < self.duration_s:
+            now += self.rng.expovariate(most)
+            busy = now % 20.0 >= 17.0
+            if busy or self.rng.random() * (1 + burst) < 1:
+                yield now
+
+    def epoch(self, at: float) -> int:
+        """Number of the hot set: 0 before the shift, 1 after it."""
+        return int(self.shift_at is not None and at >= self.shift_at)
+
+
+def _conversation(
+    mix: Mix,
+    at: float,
+    customer: str,
+    root: tuple[int, ...],
+    label: str,
+    turns: int,
+) -> None:
+    """A guest's chat whose prompt grows with each turn."""
+    tokens = 300
+    for _ in range(turns):
+        full = tokens // prefixes.BLOCK_TOKENS
+        blocks = extend(root, label, full)
+        tail = tokens % prefixes.BLOCK_TOKENS
+        out = 60 + int(mix.rng.expovariate(1 / 60))
+        mix.add(at, customer, models.Priority.GUEST, blocks, tail, out)
+        tokens += out + 150 + int(mix.rng.expovariate(1 / 700))
+        at += 3.0 + mix.rng.expovariate(1 / 5.0)
+
+
+def _turns(rng: random.Random) -> int:
+    return 1 + min(9, int(rng.expovariate(1 / 3.0)))
+
+
+def huts_traffic(mix: Mix) -> None:
+    """Guests' chats and availability checks over overnight summaries."""
+    roots = {}
+    for i in range(len(CUSTOMER_SHARES)):
+        system = extend((), f"huts-system/c{i}", 1)
+        roots[f"c{i}"] = extend(system, "fleet", 2)
+    for n, at in enumerate(mix.arrivals(5.0 * mix.scale, -30.0, burst=1.0)):
+        customer = mix.customer()
+        log = extend(roots[customer], f"weather{mix.epoch(at)}", 5)
+        _conversation(mix, at, customer, log, f"chat{n}", _turns(mix.rng))
+    for at in mix.arrivals(10.0 * mix.scale, burst=1.0):
+        customer = mix.customer()
+        root = roots[customer]
+        mix.add(at, customer, models.Priority.AVAILABILITY, root, 400, 15)
+    for at in mix.arrivals(4.0 * mix.scale):
+        customer = mix.customer()
+        log = extend(roots[customer], f"weather{mix.epoch(at)}", 5)
+        mix.add(at, customer, models.Priority.INTERACTIVE, log, 900, 200)
+    for n, at in enumerate(mix.arrivals(0.7 * mix.scale, -5.0)):
+        customer = mix.customer()
+        size = mix.rng.randint(6, 16)
+        log = extend(roots[customer], f"trail{n}", size)
+        for _ in range(3):
+            mix.add(at, customer, models.Priority.BATCH, log, 500, 250)
+            at += mix.rng.uniform(0.5, 4.0)
+
+
+def bindery_traffic(mix: Mix) -> None:
+    """Page checks against whole manuscripts, and drafts with families."""
+    numbers = itertools.count()
+    for at in mix.arrivals(0.3 * mix.scale, -40.0):
+        _manuscript(mix, at, mix.customer(), f"m{next(numbers)}")
+    _manuscript_under_proof(mix)
+
+
+def _manuscript(mix: Mix, at: float, customer: str, label: str) -> None:
+    """One manuscript: read, checked page by page, drafted with a family."""
+    rng = mix.rng
+    system = extend((), f"bindery-system/{customer}", 1)
+    text = extend(system, label, rng.randint(20, 50))
+    mix.add(at, customer, models.Priority.BATCH, text, 300, 300)
+    page_at = at + 4.0
+    for _ in range(rng.randint(60, 160)):
+        page_at += rng.expovariate(4.0)
+        out = 40 + int(rng.expovariate(1 / 40))
+        mix.add(page_at, customer, models.Priority.INTERACTIVE, text, 700, out)
+    for n in range(rng.randint(2, 6)):
+        begin = at + rng.uniform(6.0, 40.0)
+        _conversation(mix, begin, customer, text, f"{label}/f{n}", _turns(rng))
+
+
+def _manuscript_under_proof(mix: Mix) -> None:
+    """The hot manuscript of the largest customer, for the whole run."""
+    rng = mix.rng
+    system = extend((), "bindery-system/c0", 1)
+    texts = [extend(system, f"proof{e}", 40) for e in (0, 1)]
+    for at in mix.arrivals(9.0 * mix.scale, burst=1.0):
+        text = texts[mix.epoch(at)]
+        out = 40 + int(rng.expovariate(1 / 40))
+        mix.add(at, "c0", models.Priority.INTERACTIVE, text, 700, out)
+    for n, at in enumerate(mix.arrivals(0.8 * mix.scale, burst=1.0)):
+        text = texts[mix.epoch(at)]
+        _conversation(mix, at, "c0", text, f"pf{n}", _turns(rng))
+
+
+HUTS = Deployment(
+    name="huts",
+    model="guide",
+    one_way_s=0.005,
+    slots=16,
+    cache_blocks=80,
+    service_s=2.0,
+    eviction_weight=0.3,
+    deadlines_s=HUTS_DEADLINES_S,
+    generate=huts_traffic,
+)
+BINDERY = Deployment(
+    name="bindery",
+    model="scribe",
+    one_way_s=0.003,
+    slots=16,
+    cache_blocks=120,
+    service_s=1.6,
+    eviction_weight=1.0,
+    deadlines_s=BINDERY_DEADLINES_S,
+    generate=bindery_traffic,
+)
+DEPLOYMENTS = {d.name: d for d in (HUTS, BINDERY)}
+
+
+def first_need_tokens(requests: Sequence[Request]) -> int:
+    """Tokens that any router has to compute: each block once, all tails."""
+    blocks = {block for r in requests for block in r.blocks}
+    tails = sum(
+        r.prompt_tokens - len(r.blocks) * prefixes.BLOCK_TOKENS
+        for r in requests
+    )
+    return len(blocks) * prefixes.BLOCK_TOKENS + tails
+
+
+def utilisation(
+    requests: Sequence[Request],
+    duration_s: float,
+    runners: int,
+    slots: int,
+    prefill_tokens_s: float,
+    step_s: float,
+    slowdown: float,
+) -> float:
+    """Load as a part of the capacity with ideal caches.
+
+    It is the larger of the prefill time and the batch places needed, when
+    every block is computed once and never evicted and all batches are full.
+    """
+    prefill = first_need_tokens(requests) / prefill_tokens_s * slowdown
+    decode = sum(r.out_tokens for r in requests) * step_s * slowdown
+    return max(
+        prefill / (duration_s * runners),
+        (prefill + decode) / (duration_s * runners * slots),
+    )
+
+
+def make_requests(
+    deployment: Deployment,
+    seed: int,
+    load: float,
+    duration_s: float,
+    shift_at: float | None,
+    measure: Callable[[Sequence[Request]], float],
+) -> list[Request]:
+    """Makes a trace whose utilisation is close to `load`."""
+    scale = 1.0
+    for _ in range(3):
+        mix = Mix(deployment, seed, scale, duration_s, shift_at)
+        deployment.generate(mix)
+        scale *= load / measure(mix.requests)
+    mix = Mix(deployment, seed, scale, duration_s, shift_at)
+    deployment.generate(mix)
+    return sorted(mix.requests, key=lambda r: (r.at, r.id))
--- a/knapweedarch/index.py
+++ b/knapweedarch/index.py
@@ -108,14 +108,34 @@
             self._sweep_step()
         return True
 
-    def take_gaps(self) -> set[str]:
+    def apply_snapshot(self, snapshot: models.CacheSnapshot) -> bool:
+        """Replaces the entries of a runner.
+
+        Returns:
+            False if the snapshot was ignored: unknown runner, other
+            incarnation, or older than an event applied before.
+        """
+        feed = self._feeds.get(snapshot.endpoint_id)
+        if feed is None or feed.incarnation != snapshot.incarnation:
+            return False
+        if feed.next_number is not None and (
+            snapshot.number + 1 < feed.next_number
+        ):
+            return False
+        if feed.blocks:
+            feed = self._open_feed(snapshot.endpoint_id, snapshot.incarnation)
+        feed.next_number = snapshot.number + 1
+        self._gaps.discard(snapshot.endpoint_id)
+        self._store(feed, snapshot.blocks)
+        return True
+
+    def take_gaps(self) -> list[str]:
         """Returns and forgets the runners that need a snapshot.
 
         These are new runners, new incarnations, and runners with a gap in
-        their events. A snapshot arrives in the numbered feed itself, as a
-        `CLEARED` event followed by `STORED` events.
+        their events.
         """
-        gaps, self._gaps = self._gaps, set()
+        gaps, self._gaps = sorted(self._gaps), set()
         return gaps
 
     def assume(
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -164,6 +164,24 @@
     blocks: tuple[int, ...] = ()
 
 
+@attrs.frozen
+class CacheSnapshot:
+    """The whole prefix cache of a runner.
+
+    Attributes:
+        endpoint_id: The runner.
+        incarnation: Incarnation of the runner.
+        number: Number of the last event that the snapshot includes; 0
+            before the first one.
+        blocks: Hashes of all cached blocks.
+    """
+
+    endpoint_id: str
+    incarnation: str
+    number: int
+    blocks: tuple[int, ...] = ()
+
+
 @attrs.frozen
 class Ticket:
     """A request as the scheduler sees it.
--- a/knapweedarch/placement.py
+++ b/knapweedarch/placement.py
@@ -13,6 +13,13 @@
 
 from knapweedarch import models, prefixes
 
+# Depths at which the arrival rate of a chain is measured. Few depths bound
+# the cost of a long chain; their spacing grows with the length.
+SAMPLED_DEPTHS = (0, 1, 2, 3, 5, 8, 13, 21, 34, 55)
+
+# Rendezvous orders kept before all are forgotten; one takes about 1 KB.
+REMEMBERED_ORDERS = 4096
+
 
 @attrs.frozen
 class PlacementConfig:
@@ -28,6 +35,9 @@
         spread_s: Largest charge for a low rank in the rendezvous order.
         peer_routers: Routers that choose from the same load reports.
         peer_weight: Part of the peers' expected sends that is counted.
+        balance_s: Charge for a full batch; a half full one costs half.
+        grow_weight: Part of the prefill time that is not charged where a
+            hot prefix needs one more runner.
         hot_window_s: Time over which the rate of a prefix is measured.
         hot_target: Load of one runner, as a part of its capacity, at which a
             prefix gets one more runner.
@@ -41,6 +51,8 @@
     spread_s: float = 0.02
     peer_routers: int = 1
     peer_weight: float = 0.3
+    balance_s: float = 0.3
+    grow_weight: float = 0.8
     hot_window_s: float = 3.0
     hot_target: float = 0.5
 
@@ -93,22 +105,32 @@
 
     def __init__(self, window_s: float):
         self._window_s = window_s
-        self._rates: dict[int, tuple[float, float]] = {}
+        self._counts: dict[int, tuple[float, float]] = {}
         self._next_prune = 0.0
 
-    def note(self, block: int, weight: float, now: float) -> float:
-        """Adds one arrival; returns the decayed weight per second."""
-        value, at = self._rates.get(block, (0.0, now))
-        value = value * math.exp((at - now) / self._window_s) + weight
-        self._rates[block] = (value, now)
+    def note(self, block: int, now: float) -> None:
+        """Adds one arrival."""
+        count = self.rate(block, now) * self._window_s + 1.0
+        self._counts[block] = (count, now)
         if now >= self._next_prune:
             self._prune(now)
-        return value / self._window_s
+
+    def rate(self, block: int, now: float) -> float:
+        """Arrivals per second."""
+        known = self._counts.get(block)
+        if known is None:
+            return 0.0
+        count, at = known
+        return count * math.exp((at - now) / self._window_s) / self._window_s
 
     def _prune(self, now: float) -> None:
         """Drops chains without an arrival for some windows."""
         horizon = now - 4 * self._window_s
-        self._rates = {k: v for k, v in self._rates.items() if v[1] > horizon}
+        self._counts = {
+            block: known
+            for block, known in self._counts.items()
+            if known[1] > horizon
+        }
         self._next_prune = now + self._window_s
 
 
@@ -176,19 +198,27 @@
 
 
 class Placer:
-    """Estimates costs and chooses a runner."""
+    """Estimates costs and chooses a runner.
+
+    Attributes:
+        tries: Cheapest runners tried before a request has to wait. One,
+            because the cost of the first already includes the wait for it.
+    """
+
+    tries = 1
 
     def __init__(self, cfg: PlacementConfig):
         self._cfg = cfg
+        self._peers = 1 + cfg.peer_weight * (cfg.peer_routers - 1)
         self._hot = HotPrefixes(cfg.hot_window_s)
+        self._orders: dict[tuple[int, tuple[str, ...]], dict[str, int]] = {}
 
     def wait_s(
         self, endpoint: models.Endpoint, load: RunnerLoad, now: float
     ) -> float:
         """Expected wait before a new request's prefill starts."""
         cfg = self._cfg
-        own = sum(load.pending.values())
-        hidden = own * (1 + cfg.peer_weight * (cfg.peer_routers - 1))
+        hidden = sum(load.pending.values()) * self._peers
         queued = (load.queued_tokens + hidden) / cfg.prefill_tokens_s
         wait = max(0.0, queued - max(0.0, now - load.reported_at))
         excess = self.occupancy(load) + 1 - endpoint.slots
@@ -198,10 +228,8 @@
 
     def occupancy(self, load: RunnerLoad) -> float:
         """Requests expected in the batch and the queue of a runner."""
-        cfg = self._cfg
-        peers = 1 + cfg.peer_weight * (cfg.peer_routers - 1)
         reported = max(0, load.running + load.queued - load.finished)
-        return reported + len(load.pending) * peers
+        return reported + len(load.pending) * self._peers
 
     def queue_wait_s(self, ahead: int, slots: int) -> float:
         """Expected wait behind requests in this router's queue."""
@@ -210,6 +238,10 @@
 
     def arrived(self, ticket: models.Ticket, now: float) -> None:
         """Notes an arrival for the rates of its prefixes."""
+        for depth in SAMPLED_DEPTHS:
+            if depth >= len(ticket.blocks):
+                break
+            self._hot.note(ticket.blocks[depth], now)
 
     def candidates(
         self,
@@ -230,53 +262,96 @@
             fill: Used part of each runner's cache, 0 to 1.
             now: Seconds on the router's clock.
         """
-        ranks = self._ranks(ticket, endpoints, depths)
-        found = [
-            self._cost(
-                ticket,
-                endpoint,
-                depths.get(endpoint.id, 0),
-                self.wait_s(endpoint, loads[endpoint.id], now),
-                fill.get(endpoint.id, 1.0),
-                ranks.get(endpoint.id, 0.0),
+        block, copies, hot_depth = self._hot_block(ticket, endpoints, now)
+        if copies < 2:
+            block = spread_block(ticket.blocks, depths, len(endpoints))
+        if block is None:
+            block = xxhash.xxh3_64_intdigest(ticket.id.encode())
+        ranks = self._ranks(block, endpoints)
+        found = []
+        for endpoint in endpoints:
+            rank = ranks[endpoint.id]
+            grow = hot_depth if copies > 1 and rank < copies else 0
+            found.append(
+                self._cost(
+                    ticket,
+                    endpoint,
+                    depths.get(endpoint.id, 0),
+                    loads[endpoint.id],
+                    fill.get(endpoint.id, 1.0),
+                    max(0, rank - copies + 1) / len(endpoints),
+                    grow,
+                    now,
+                )
             )
-            for endpoint in endpoints
-        ]
         found.sort(key=lambda c: (c.cost_s, c.endpoint.id))
         return found
 
-    def _ranks(
+    def _hot_block(
         self,
         ticket: models.Ticket,
         endpoints: Sequence[models.Endpoint],
-        depths: Mapping[str, int],
-    ) -> dict[str, float]:
-        """Relative rank of each runner, 0 for the first and under 1."""
-        block = spread_block(ticket.blocks, depths, len(endpoints))
-        if block is None:
-            block = xxhash.xxh3_64_intdigest(ticket.id)
-        order = rendezvous_order(block, endpoints)
-        return {name: rank / len(order) for rank, name in enumerate(order)}
+        now: float,
+    ) -> tuple[int | None, int, int]:
+        """Finds the longest prefix that needs several runners.
+
+        Returns:
+            Its last block, the runners it needs, and its length in blocks.
+        """
+        cfg = self._cfg
+        slots = sum(e.slots for e in endpoints) / len(endpoints)
+        per_runner = cfg.hot_target * slots / cfg.service_s
+        best = (None, 1, 0)
+        for depth in SAMPLED_DEPTHS:
+            if depth >= len(ticket.blocks):
+                break
+            block = ticket.blocks[depth]
+            rate = self._hot.rate(block, now) * cfg.peer_routers
+            copies = min(len(endpoints), math.ceil(rate / per_runner))
+            if copies < 2:
+                break
+            best = (block, copies, depth + 1)
+        return best
+
+    def _ranks(
+        self, block: int, endpoints: Sequence[models.Endpoint]
+    ) -> dict[str, int]:
+        """Rank of each runner in the rendezvous order, remembered."""
+        key = (block, tuple(e.id for e in endpoints))
+        ranks = self._orders.get(key)
+        if ranks is None:
+            if len(self._orders) >= REMEMBERED_ORDERS:
+                self._orders.clear()
+            order = rendezvous_order(block, endpoints)
+            ranks = {name: rank for rank, name in enumerate(order)}
+            self._orders[key] = ranks
+        return ranks
 
     def _cost(
         self,
         ticket: models.Ticket,
         endpoint: models.Endpoint,
         cached: int,
-        wait: float,
+        load: RunnerLoad,
         fill: float,
         rank: float,
+        grow: int,
+        now: float,
     ) -> Candidate:
         cfg = self._cfg
+        wait = self.wait_s(endpoint, load, now)
+        block_s = prefixes.BLOCK_TOKENS / cfg.prefill_tokens_s
         hit = min(cached * prefixes.BLOCK_TOKENS, ticket.prompt_tokens)
         prefill = (ticket.prompt_tokens - hit) / cfg.prefill_tokens_s
         distance = cfg.distance_s.get(endpoint.data_centre, cfg.far_s)
         first_token = wait + prefill + 2 * distance
         new_blocks = max(0, len(ticket.blocks) - cached)
-        evicted = new_blocks * prefixes.BLOCK_TOKENS / cfg.prefill_tokens_s
+        wanted = max(0, grow - cached)
         cost = (
             first_token
-            + cfg.eviction_weight * fill * evicted
+            + cfg.eviction_weight * fill * (new_blocks - wanted) * block_s
+            - cfg.grow_weight * wanted * block_s
+            + cfg.balance_s * self.occupancy(load) / endpoint.slots
             + cfg.spread_s * rank
         )
         return Candidate(endpoint, cached, wait, first_token, cost)
--- a/knapweedarch/scheduler.py
+++ b/knapweedarch/scheduler.py
@@ -89,7 +89,7 @@
         runners = {
             e.id: e for e in endpoints if e.kind is models.EndpointKind.RUNNER
         }
-        for gone in self._endpoints.keys() - runners.keys():
+        for gone in sorted(self._endpoints.keys() - runners.keys()):
             self._index.drop_endpoint(gone)
             self._loads.pop(gone, None)
             self._lost.discard(gone)
@@ -140,7 +140,13 @@
         """Takes over a cache event."""
         self._index.apply(event)
 
-    def take_snapshot_requests(self) -> set[str]:
+    def cache_snapshot(
+        self, snapshot: models.CacheSnapshot, now: float
+    ) -> None:
+        """Takes over the whole cache of a runner."""
+        self._index.apply_snapshot(snapshot)
+
+    def take_snapshot_requests(self) -> list[str]:
         """Returns once each runner whose blocks must be asked for."""
         return self._index.take_gaps()
 
@@ -265,10 +271,15 @@
     ) -> list[tuple[str, models.Decision]]:
         done: list[tuple[str, models.Decision]] = []
         tries = 0
+        space = self._space()
         for entry in room.ranked(now):
             if now >= entry.ticket.deadline:
                 done.append(self._refuse_waiting(room, entry))
-            elif entry.not_before <= now and tries < POLL_TRIES:
+            elif (
+                entry.not_before <= now
+                and tries < POLL_TRIES
+                and space < room.fill_limit(room.rank(entry, now))
+            ):
                 tries += 1
                 decision = self._place(entry, room.rank(entry, now), now)
                 match decision:
@@ -279,6 +290,16 @@
                         done.append(self._refuse_waiting(room, entry))
         return done
 
+    def _space(self) -> float:
+        """Lowest occupancy of a runner as a part of its slots."""
+        return min(
+            (
+                self._placer.occupancy(self._loads[e.id]) / e.slots
+                for e in self._endpoints.values()
+            ),
+            default=0.0,
+        )
+
     def _refuse_waiting(
         self, room: admission.WaitingRoom, entry: admission.Waiting
     ) -> tuple[str, models.Decision]:
@@ -325,8 +346,9 @@
         delay = self._placer.queue_wait_s(ahead, slots)
         if now + soonest + delay > ticket.deadline:
             return models.Refuse(models.RefusalReason.DEADLINE, delay + 1.0)
-        if not ahead and self._has_room(choices[0].endpoint, ticket, rank, now):
-            return self._send(ticket, choices[0], now)
+        for choice in () if ahead else choices[: self._placer.tries]:
+            if self._has_room(choice.endpoint, ticket, rank, now):
+                return self._send(ticket, choice, now)
         return models.Wait()
 
     def _has_room(
