--- a/knapweedarch/admission.py
+++ b/knapweedarch/admission.py
@@ -7,6 +7,7 @@
 starves.
 """
 
+import heapq
 import math
 from collections.abc import Iterator
 
@@ -116,6 +117,8 @@
         not_before: Earliest dispatch, for the back-off of a retry.
         avoid: Runners that failed this request.
         tag: Start tag of the fair queueing.
+        tried_at: When a runner was last looked for.
+        target: Runner that it waits for; empty if none was chosen yet.
     """
 
     ticket: models.Ticket
@@ -123,6 +126,8 @@
     not_before: float = 0.0
     avoid: frozenset[str] = frozenset()
     tag: float = 0.0
+    target: str = ""
+    tried_at: float = 0.0
 
 
 class WaitingRoom:
@@ -168,13 +173,11 @@
         virtual = self._virtual.get(priority, 0.0)
         self._virtual[priority] = max(virtual, entry.tag)
 
-    def ahead_of(self, entry: Waiting, now: float) -> int:
-        """Counts the waiting requests served before a new one."""
-        rank = self.rank(entry, now)
-        return sum(
-            w.not_before <= now and self.rank(w, now) <= rank
-            for w in self._waiting.values()
-        )
+    def least_recently_tried(self, count: int, now: float) -> set[str]:
+        """Ids of the requests that were not tried for the longest time."""
+        ready = (w for w in self._waiting.values() if w.not_before <= now)
+        oldest = heapq.nsmallest(count, ready, key=lambda w: w.tried_at)
+        return {w.ticket.id for w in oldest}
 
     def ranked(self, now: float) -> list[Waiting]:
         """Lists the requests in the order in which they are served."""
--- a/knapweedarch/placement.py
+++ b/knapweedarch/placement.py
@@ -32,12 +32,17 @@
         far_s: One-way delay to a data centre not listed.
         eviction_weight: Charge for a block computed anew, as a part of its
             prefill time, when the runner's cache is full.
+        recompute_weight: Charge for a block computed anew, as a part of its
+            prefill time, for the requests that it delays.
+        spread_weight: Largest charge for a low rank in the rendezvous order,
+            as a part of the prefill time of the blocks computed anew.
         spread_s: Largest charge for a low rank in the rendezvous order.
         peer_routers: Routers that choose from the same load reports.
         peer_weight: Part of the peers' expected sends that is counted.
         balance_s: Charge for a full batch; a half full one costs half.
         grow_weight: Part of the prefill time that is not charged where a
             hot prefix needs one more runner.
+        wait_memory: Weight of the past in the correction of waits.
         hot_window_s: Time over which the rate of a prefix is measured.
         hot_target: Load of one runner, as a part of its capacity, at which a
             prefix gets one more runner.
@@ -48,13 +53,16 @@
     distance_s: Mapping[str, float] = attrs.field(factory=dict)
     far_s: float = 0.005
     eviction_weight: float = 0.5
+    recompute_weight: float = 0.0
+    spread_weight: float = 0.5
     spread_s: float = 0.02
     peer_routers: int = 1
     peer_weight: float = 0.3
     balance_s: float = 0.3
     grow_weight: float = 0.8
+    wait_memory: float = 0.98
     hot_window_s: float = 3.0
-    hot_target: float = 0.5
+    hot_target: float = 1.0
 
 
 @attrs.define
@@ -69,6 +77,8 @@
         finished: Own attempts that the report includes and that ended since.
         pending: Own attempts the report does not include, with the tokens
             that each has to compute.
+        awaiting: Requests by class in this router's queue that wait for this
+            runner.
         ramp_from: When slow start began; minus infinity if it did not.
     """
 
@@ -78,6 +88,9 @@
     reported_at: float = 0.0
     finished: int = 0
     pending: dict[int, int] = attrs.field(factory=dict)
+    awaiting: list[int] = attrs.field(
+        factory=lambda: [0] * len(models.Priority)
+    )
     ramp_from: float = -math.inf
 
 
@@ -89,6 +102,7 @@
         endpoint: The runner.
         cached_blocks: Leading blocks expected in its cache.
         wait_s: Expected wait before prefill starts, in seconds.
+        raw_wait_s: The same without the correction by measured waits.
         first_token_s: Expected time to the first token, in seconds.
         cost_s: First-token time plus the charges, in seconds.
     """
@@ -96,6 +110,7 @@
     endpoint: models.Endpoint
     cached_blocks: int
     wait_s: float
+    raw_wait_s: float
     first_token_s: float
     cost_s: float
 
@@ -123,6 +138,11 @@
         count, at = known
         return count * math.exp((at - now) / self._window_s) / self._window_s
 
+    def sure_rate(self, block: int, now: float) -> float:
+        """Arrivals per second less one standard deviation of the count."""
+        count = self.rate(block, now) * self._window_s
+        return max(0.0, count - math.sqrt(count)) / self._window_s
+
     def _prune(self, now: float) -> None:
         """Drops chains without an arrival for some windows."""
         horizon = now - 4 * self._window_s
@@ -211,17 +231,28 @@
         self._cfg = cfg
         self._peers = 1 + cfg.peer_weight * (cfg.peer_routers - 1)
         self._hot = HotPrefixes(cfg.hot_window_s)
+        self._waits: dict[models.Priority, tuple[float, float]] = {}
+        self._wait_factor: dict[models.Priority, float] = {}
         self._orders: dict[tuple[int, tuple[str, ...]], dict[str, int]] = {}
 
     def wait_s(
-        self, endpoint: models.Endpoint, load: RunnerLoad, now: float
+        self,
+        endpoint: models.Endpoint,
+        load: RunnerLoad,
+        priority: models.Priority,
+        now: float,
     ) -> float:
-        """Expected wait before a new request's prefill starts."""
+        """Expected wait before a new request's prefill starts.
+
+        Requests of the same and higher classes that wait in the routers for
+        this runner are counted as if every router had as many as this one.
+        """
         cfg = self._cfg
         hidden = sum(load.pending.values()) * self._peers
         queued = (load.queued_tokens + hidden) / cfg.prefill_tokens_s
         wait = max(0.0, queued - max(0.0, now - load.reported_at))
-        excess = self.occupancy(load) + 1 - endpoint.slots
+        ahead = sum(load.awaiting[: priority + 1]) * cfg.peer_routers
+        excess = self.occupancy(load) + ahead + 1 - endpoint.slots
         if excess > 0:
             wait += excess * cfg.service_s / endpoint.slots
         return wait
@@ -231,10 +262,21 @@
         reported = max(0, load.running + load.queued - load.finished)
         return reported + len(load.pending) * self._peers
 
-    def queue_wait_s(self, ahead: int, slots: int) -> float:
-        """Expected wait behind requests in this router's queue."""
-        cfg = self._cfg
-        return ahead * cfg.peer_routers * cfg.service_s / max(1, slots)
+    def learn_wait(
+        self, priority: models.Priority, expected_s: float, seen_s: float
+    ) -> None:
+        """Corrects the expected wait of a class by a measured one.
+
+        Runners serve by class and share prefill between requests, so a
+        request waits for only a part of the reported work.
+        """
+        old_expected, old_seen = self._waits.get(priority, (1.0, 1.0))
+        keep = self._cfg.wait_memory
+        expected = keep * old_expected + (1 - keep) * expected_s
+        seen = keep * old_seen + (1 - keep) * max(0.0, seen_s)
+        self._waits[priority] = (expected, seen)
+        factor = seen / max(expected, 0.001)
+        self._wait_factor[priority] = min(1.5, max(0.1, factor))
 
     def arrived(self, ticket: models.Ticket, now: float) -> None:
         """Notes an arrival for the rates of its prefixes."""
@@ -268,10 +310,11 @@
         if block is None:
             block = xxhash.xxh3_64_intdigest(ticket.id.encode())
         ranks = self._ranks(block, endpoints)
+        pays = ticket.priority > models.Priority.GUEST
         found = []
         for endpoint in endpoints:
             rank = ranks[endpoint.id]
-            grow = hot_depth if copies > 1 and rank < copies else 0
+            grow = hot_depth if pays and rank < copies else 0
             found.append(
                 self._cost(
                     ticket,
@@ -306,7 +349,7 @@
             if depth >= len(ticket.blocks):
                 break
             block = ticket.blocks[depth]
-            rate = self._hot.rate(block, now) * cfg.peer_routers
+            rate = self._hot.sure_rate(block, now) * cfg.peer_routers
             copies = min(len(endpoints), math.ceil(rate / per_runner))
             if copies < 2:
                 break
@@ -339,7 +382,8 @@
         now: float,
     ) -> Candidate:
         cfg = self._cfg
-        wait = self.wait_s(endpoint, load, now)
+        raw_wait = self.wait_s(endpoint, load, ticket.priority, now)
+        wait = raw_wait * self._wait_factor.get(ticket.priority, 1.0)
         block_s = prefixes.BLOCK_TOKENS / cfg.prefill_tokens_s
         hit = min(cached * prefixes.BLOCK_TOKENS, ticket.prompt_tokens)
         prefill = (ticket.prompt_tokens - hit) / cfg.prefill_tokens_s
@@ -347,11 +391,13 @@
         first_token = wait + prefill + 2 * distance
         new_blocks = max(0, len(ticket.blocks) - cached)
         wanted = max(0, grow - cached)
+        charge = cfg.recompute_weight + cfg.eviction_weight * fill
+        charge += cfg.spread_weight * rank
         cost = (
             first_token
-            + cfg.eviction_weight * fill * (new_blocks - wanted) * block_s
+            + charge * (new_blocks - wanted) * block_s
             - cfg.grow_weight * wanted * block_s
             + cfg.balance_s * self.occupancy(load) / endpoint.slots
             + cfg.spread_s * rank
         )
-        return Candidate(endpoint, cached, wait, first_token, cost)
+        return Candidate(endpoint, cached, wait, raw_wait, first_token, cost)
--- a/knapweedarch/scheduler.py
+++ b/knapweedarch/scheduler.py
@@ -18,13 +18,13 @@
     retries,
 )
 
-# Waiting requests tried in one poll. Bounds the time of a poll; requests
-# behind them have a lower rank and are tried once these are gone.
-POLL_TRIES = 16
+# Waiting requests of full runners for which one poll looks for another runner,
+# those not tried for longest first. Bounds the time of a poll.
+POLL_TRIES = 4
 
 # Interval in seconds at which waiting requests are tried again, because
 # expected load falls with time and not only with events.
-POLL_S = 0.02
+POLL_S = 0.05
 
 # Own sends older than this count as included in a report of a runner that
 # does not tell which attempts its report includes. Two report intervals.
@@ -49,7 +49,7 @@
 class _Running:
     attempt: models.Attempt
     sent_at: float
-    expected_s: float
+    choice: placement.Candidate
     told: bool = False
     first_at: float | None = None
 
@@ -214,7 +214,11 @@
         if not self._current(attempt):
             return
         self._index.assume(attempt.endpoint.id, attempt.ticket.blocks, now)
-        late = now - running.sent_at - running.expected_s
+        choice = running.choice
+        late = now - running.sent_at - choice.first_token_s
+        self._placer.learn_wait(
+            attempt.ticket.priority, choice.raw_wait_s, late + choice.wait_s
+        )
         peers = self._peers(attempt.ticket.model)
         self._health.succeeded(attempt.endpoint.id, late, peers, now)
 
@@ -250,6 +254,7 @@
         for room in self._rooms.values():
             entry = room.remove(ticket_id)
             if entry is not None:
+                self._aim(entry, "")
                 self._forget(entry.ticket)
 
     def poll(self, now: float) -> list[tuple[str, models.Decision]]:
@@ -270,17 +275,14 @@
         self, room: admission.WaitingRoom, now: float
     ) -> list[tuple[str, models.Decision]]:
         done: list[tuple[str, models.Decision]] = []
-        tries = 0
-        space = self._space()
+        stale = room.least_recently_tried(POLL_TRIES, now)
         for entry in room.ranked(now):
             if now >= entry.ticket.deadline:
                 done.append(self._refuse_waiting(room, entry))
-            elif (
-                entry.not_before <= now
-                and tries < POLL_TRIES
-                and space < room.fill_limit(room.rank(entry, now))
+            elif entry.not_before <= now and (
+                entry.ticket.id in stale or self._target_free(entry, room, now)
             ):
-                tries += 1
+                entry.tried_at = now
                 decision = self._place(entry, room.rank(entry, now), now)
                 match decision:
                     case models.Dispatch():
@@ -290,20 +292,23 @@
                         done.append(self._refuse_waiting(room, entry))
         return done
 
-    def _space(self) -> float:
-        """Lowest occupancy of a runner as a part of its slots."""
-        return min(
-            (
-                self._placer.occupancy(self._loads[e.id]) / e.slots
-                for e in self._endpoints.values()
-            ),
-            default=0.0,
+    def _target_free(
+        self,
+        entry: admission.Waiting,
+        room: admission.WaitingRoom,
+        now: float,
+    ) -> bool:
+        """Tells whether the runner that a request waits for has room."""
+        endpoint = self._endpoints.get(entry.target)
+        return endpoint is None or self._has_room(
+            endpoint, entry.ticket, room.rank(entry, now), now
         )
 
     def _refuse_waiting(
         self, room: admission.WaitingRoom, entry: admission.Waiting
     ) -> tuple[str, models.Decision]:
         room.remove(entry.ticket.id)
+        self._aim(entry, "")
         self._forget(entry.ticket)
         return (
             entry.ticket.id,
@@ -313,10 +318,10 @@
     def _decide(self, entry: admission.Waiting, now: float) -> models.Decision:
         """Decides on an arriving request; queues it if it must wait."""
         room = self._room(entry.ticket.model)
-        ahead = room.ahead_of(entry, now)
-        decision = self._place(entry, room.rank(entry, now), now, ahead)
+        decision = self._place(entry, room.rank(entry, now), now, new=True)
         if isinstance(decision, models.Wait):
             if room.full():
+                self._aim(entry, "")
                 return models.Refuse(models.RefusalReason.QUEUE_FULL)
             room.add(entry, self._limits.share(entry.ticket.customer))
         return decision
@@ -326,10 +331,11 @@
         entry: admission.Waiting,
         rank: int,
         now: float,
-        ahead: int = 0,
+        new: bool = False,
     ) -> models.Decision:
         """Dispatches a request, or tells whether it may wait."""
         ticket = entry.ticket
+        self._aim(entry, "")
         endpoints = self._eligible(ticket, entry.avoid, now)
         if not endpoints:
             return models.Refuse(models.RefusalReason.NO_CAPACITY)
@@ -341,16 +347,29 @@
             {e.id: self._fill(e) for e in endpoints},
             now,
         )
-        soonest = min(c.first_token_s for c in choices)
-        slots = sum(e.slots for e in endpoints)
-        delay = self._placer.queue_wait_s(ahead, slots)
-        if now + soonest + delay > ticket.deadline:
-            return models.Refuse(models.RefusalReason.DEADLINE, delay + 1.0)
-        for choice in () if ahead else choices[: self._placer.tries]:
-            if self._has_room(choice.endpoint, ticket, rank, now):
+        timely = [c for c in choices if now + c.first_token_s < ticket.deadline]
+        if not timely:
+            soonest = min(c.first_token_s for c in choices)
+            return models.Refuse(models.RefusalReason.DEADLINE, soonest)
+        for choice in timely[: self._placer.tries]:
+            queue = self._loads[choice.endpoint.id].awaiting
+            passed = new and any(queue[: rank + 1])
+            if not passed and self._has_room(
+                choice.endpoint, ticket, rank, now
+            ):
                 return self._send(ticket, choice, now)
+        self._aim(entry, timely[0].endpoint.id)
         return models.Wait()
 
+    def _aim(self, entry: admission.Waiting, target: str) -> None:
+        """Moves a waiting request's count to the runner it waits for."""
+        priority = entry.ticket.priority
+        if entry.target in self._loads:
+            self._loads[entry.target].awaiting[priority] -= 1
+        if target:
+            self._loads[target].awaiting[priority] += 1
+        entry.target = target
+
     def _has_room(
         self,
         endpoint: models.Endpoint,
@@ -372,7 +391,7 @@
         hit = choice.cached_blocks * prefixes.BLOCK_TOKENS
         missing = max(0, ticket.prompt_tokens - hit)
         self._loads[endpoint.id].pending[number] = missing
-        self._running[number] = _Running(attempt, now, choice.first_token_s)
+        self._running[number] = _Running(attempt, now, choice)
         self._index.assume(endpoint.id, ticket.blocks, now)
         return models.Dispatch(attempt)
 
@@ -407,6 +426,10 @@
         load = placement.RunnerLoad(reported_at=now)
         if not first:
             load.ramp_from = now
+        for room in self._rooms.values():
+            for entry in room:
+                if entry.target == runner.id:
+                    load.awaiting[entry.ticket.priority] += 1
         self._loads[runner.id] = load
         self._lost.discard(runner.id)
         self._health.reset(runner.id)
