--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,105 @@
+"""Compares the decision core with baselines and a reference.
+
+`python -m bench.decisions` runs everything, prints the tables, and writes
+the plots and the figures in docs/BENCHMARKS.md. `--quick` runs one short
+comparison and checks that two runs of one seed agree.
+"""
+
+import argparse
+import concurrent.futures
+import pathlib
+import sys
+from collections.abc import Sequence
+
+from bench import report, scenarios, variants, workloads
+
+PROCESSES = 3
+SEED = 1
+PAGE = pathlib.Path(__file__).resolve().parent.parent / "docs/BENCHMARKS.md"
+
+# Scenarios in which each group of ablations is compared.
+PLACEMENT_SCENARIOS = ("steady", "overload 1.3", "hot prefix shift")
+FAULT_SCENARIOS = ("overload 1.3", "half of runners dead", "one slow runner")
+FAULT_ABLATIONS = (
+    *("no class limits", "no ageing", "no ejection"),
+    *("no retry budget", "no slow start"),
+)
+
+
+def _variants() -> dict[str, variants.Variant]:
+    every = (*variants.COMPARED, *variants.WAYS, *variants.ABLATIONS)
+    return variants.named(every)
+
+
+def run(case: scenarios.Case) -> scenarios.Figures:
+    """Runs a case by its names; called in worker processes."""
+    scenario = {s.name: s for s in scenarios.SCENARIOS}[case.scenario]
+    return scenarios.run_case(case, _variants()[case.variant], scenario)
+
+
+def compared_cases(seed: int) -> list[scenarios.Case]:
+    """Every compared variant in every scenario."""
+    return [
+        scenarios.Case(deployment, scenario.name, variant.name, seed)
+        for deployment in workloads.DEPLOYMENTS
+        for scenario in scenarios.SCENARIOS
+        for variant in variants.COMPARED
+    ]
+
+
+def ablation_cases(seed: int) -> list[scenarios.Case]:
+    """Each way and ablation in the scenarios that it concerns."""
+    return [
+        scenarios.Case(deployment, scenario, variant.name, seed)
+        for deployment in workloads.DEPLOYMENTS
+        for variant in (*variants.WAYS, *variants.ABLATIONS)
+        for scenario in (
+            FAULT_SCENARIOS
+            if variant.name in FAULT_ABLATIONS
+            else PLACEMENT_SCENARIOS
+        )
+    ]
+
+
+def run_all(cases: Sequence[scenarios.Case]) -> list[scenarios.Figures]:
+    """Runs the cases in a few processes, in a fixed order of results."""
+    with concurrent.futures.ProcessPoolExecutor(PROCESSES) as pool:
+        return list(pool.map(run, cases))
+
+
+def quick(seed: int) -> int:
+    """Runs one case of each deployment twice; returns the exit code."""
+    cases = [
+        scenarios.Case(name, "steady", variants.OURS.name, seed)
+        for name in workloads.DEPLOYMENTS
+    ]
+    first, second = run_all(cases), run_all(cases)
+    print(report.comparison(first))
+    same = first == second
+    print("two runs of one seed agree" if same else "two runs differ")
+    return 0 if same else 1
+
+
+def main() -> int:
+    """Runs the bench; returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=SEED)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--no-ablations", action="store_true")
+    options = parser.parse_args()
+    if options.quick:
+        return quick(options.seed)
+    compared = run_all(compared_cases(options.seed))
+    parts = [report.targets(compared), report.comparison(compared)]
+    if not options.no_ablations:
+        ablated = run_all(ablation_cases(options.seed))
+        parts.append(report.ablations(compared, ablated))
+    text = "\n".join(parts)
+    print(text)
+    report.plot(compared, PAGE.parent)
+    report.write_section(PAGE, "decisions", text)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,265 @@
+"""Scenarios of the bench and what is measured in one run."""
+
+import math
+from collections.abc import Callable, Sequence
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from bench import runners, variants, workloads, world
+from knapweedarch import models
+
+DURATION_S = 60.0
+MEASURED_FROM_S = 15.0
+FAULT_AT_S = 30.0
+
+# Time after the last arrival in which answers still count.
+DRAIN_S = 15.0
+
+# Span of the windows in which recovery is looked for, and the ratio to the
+# time before the fault that counts as recovered.
+WINDOW_S = 3.0
+RECOVERED_RATIO = 1.5
+
+USUAL = world.Lag()
+LATE = world.Lag(base_s=1.0, jitter_s=0.5, loss=0.05)
+SLOW_SPEED = 0.25
+
+# Upper bound of the histograms in microseconds: 2 minutes.
+HISTOGRAM_MAX_US = 120_000_000
+
+
+@attrs.frozen
+class Scenario:
+    """A fault or load condition.
+
+    Attributes:
+        name: Name in reports.
+        load: Load relative to the deployment's steady load, or to its
+            capacity if `of_capacity` is set.
+        of_capacity: What `load` is relative to.
+        shift: Whether the hot prefixes change at `FAULT_AT_S`.
+        lag: Delay and loss of events and reports.
+        fault: Applies the fault at `FAULT_AT_S`.
+    """
+
+    name: str
+    load: float = 1.0
+    of_capacity: bool = False
+    shift: bool = False
+    lag: world.Lag = USUAL
+    fault: Callable[[world.World], None] | None = None
+
+
+def _half_dead(where: world.World) -> None:
+    for i, name in enumerate(sorted(where.runners)[: world.RUNNERS // 2 + 1]):
+        # Weights load on three runners at once, 0.5 s each.
+        where.crash_runner(name, 4.0 + 0.5 * (i // 3 + 1))
+
+
+def _data_centre_gone(where: world.World) -> None:
+    for name, runner in sorted(where.runners.items()):
+        if runner.endpoint.data_centre == "dc0":
+            where.crash_runner(name, 15.0)
+    for router in where.routers:
+        if router.data_centre == "dc0" and len(where.routers) > 1:
+            where.stop_router(router.number, 15.0)
+
+
+def _routers_restart(where: world.World) -> None:
+    for router in where.routers:
+        where.stop_router(router.number, 0.5)
+
+
+def _slow_runner(where: world.World) -> None:
+    where.runners["r0"].speed = SLOW_SPEED
+
+
+SCENARIOS = (
+    Scenario("steady"),
+    Scenario("overload 1.3", load=1.3, of_capacity=True),
+    Scenario("hot prefix shift", shift=True),
+    Scenario("half of runners dead", fault=_half_dead),
+    Scenario("events lost and late", lag=LATE),
+    Scenario("data centre gone", fault=_data_centre_gone),
+    Scenario("all routers restart", fault=_routers_restart),
+    Scenario("one slow runner", fault=_slow_runner),
+)
+
+
+@attrs.frozen
+class Case:
+    """One run."""
+
+    deployment: str
+    scenario: str
+    variant: str
+    seed: int
+    ablation: str = ""
+
+
+@attrs.frozen
+class Figures:
+    """What one run measured.
+
+    Attributes:
+        case: The run.
+        requests: Requests measured.
+        hit_rate: Part of the prompt blocks found in the cache.
+        quantiles: p50, p95, p99 and p99.9 of the time to the first token in
+            seconds by class; a refused request counts as its deadline.
+        wasted_tokens: Tokens computed beyond the first need.
+        needed_tokens: Tokens of the first need.
+        refusals: Requests refused or late, by reason.
+        answered: Part of the requests answered, by class.
+        retries: Retries by routers.
+        resubmits: Resubmissions by callers after a router stopped.
+        recovery_s: Time after the fault until guests' p95 is back within
+            `RECOVERED_RATIO`; None without a fault, infinite if never.
+    """
+
+    case: Case
+    requests: int
+    hit_rate: float
+    quantiles: dict[str, tuple[float, ...]]
+    wasted_tokens: int
+    needed_tokens: int
+    refusals: dict[str, int]
+    answered: dict[str, float]
+    retries: int
+    resubmits: int
+    recovery_s: float | None
+
+
+def measured_load(
+    deployment: workloads.Deployment,
+) -> Callable[[Sequence[workloads.Request]], float]:
+    """Makes the function that measures the load of a trace."""
+
+    def measure(requests: Sequence[workloads.Request]) -> float:
+        return workloads.utilisation(
+            requests,
+            DURATION_S,
+            world.RUNNERS,
+            deployment.slots,
+            runners.PREFILL_TOKENS_S,
+            runners.STEP_S,
+            1 + runners.BATCH_SLOWDOWN,
+        )
+
+    return measure
+
+
+def run_case(
+    case: Case, variant: variants.Variant, scenario: Scenario
+) -> Figures:
+    """Runs one case; equal cases give equal figures."""
+    deployment = workloads.DEPLOYMENTS[case.deployment]
+    base = deployment.capacity if scenario.of_capacity else deployment.steady
+    requests = workloads.make_requests(
+        deployment,
+        case.seed,
+        base * scenario.load,
+        DURATION_S,
+        FAULT_AT_S if scenario.shift else None,
+        measured_load(deployment),
+    )
+    lag = world.NO_LAG if variant.no_lag else scenario.lag
+    if variant.no_events:
+        lag = attrs.evolve(lag, loss=1.0)
+    where = world.World(
+        deployment,
+        requests,
+        variants.maker(variant),
+        lag,
+        case.seed,
+        variant.routers,
+        variant.look_up,
+    )
+    if scenario.fault is not None:
+        where.at(FAULT_AT_S, scenario.fault, where)
+    where.run(DURATION_S + DRAIN_S)
+    faulty = scenario.shift or scenario.fault is not None
+    return _figures(case, where, requests, faulty)
+
+
+def ttft_s(record: world.Record) -> float:
+    """Time to the first token; the deadline for a refused request."""
+    if record.first_at is None or record.refused:
+        return record.request.deadline_s
+    return record.first_at - record.request.at
+
+
+def _figures(
+    case: Case,
+    where: world.World,
+    requests: Sequence[workloads.Request],
+    faulty: bool,
+) -> Figures:
+    records = [r for r in where.records if r.request.at >= MEASURED_FROM_S]
+    answered = [r for r in records if r.cached is not None]
+    computed = sum(r.computed_tokens for r in where.runners.values())
+    needed = workloads.first_need_tokens(requests)
+    refusals: dict[str, int] = {}
+    for record in records:
+        if record.refused:
+            refusals[record.refused] = refusals.get(record.refused, 0) + 1
+    blocks = sum(len(r.request.blocks) for r in answered)
+    by_class = {
+        priority.name.lower(): [
+            r for r in records if r.request.priority is priority
+        ]
+        for priority in models.Priority
+    }
+    return Figures(
+        case=case,
+        requests=len(records),
+        hit_rate=sum(r.cached for r in answered) / max(1, blocks),
+        quantiles={k: _quantiles(v) for k, v in by_class.items() if v},
+        wasted_tokens=computed - needed,
+        needed_tokens=needed,
+        refusals=dict(sorted(refusals.items())),
+        answered={
+            k: sum(r.first_at is not None and not r.refused for r in v) / len(v)
+            for k, v in by_class.items()
+            if v
+        },
+        retries=sum(r.retries for r in records),
+        resubmits=sum(r.resubmits for r in records),
+        recovery_s=_recovery_s(by_class["guest"]) if faulty else None,
+    )
+
+
+def _quantiles(records: Sequence[world.Record]) -> tuple[float, ...]:
+    histogram = HdrHistogram(1, HISTOGRAM_MAX_US, 3)
+    for record in records:
+        histogram.record_value(max(1, int(ttft_s(record) * 1e6)))
+    return tuple(
+        histogram.get_value_at_percentile(p) / 1e6 for p in (50, 95, 99, 99.9)
+    )
+
+
+def _recovery_s(records: Sequence[world.Record]) -> float:
+    """Time after which no later window is much slower than before."""
+    before = [
+        ttft_s(r) for r in records if r.request.at < FAULT_AT_S - WINDOW_S
+    ]
+    bound = RECOVERED_RATIO * _p95(before)
+    start, recovered = FAULT_AT_S, 0.0
+    while start + WINDOW_S <= DURATION_S:
+        window = [
+            ttft_s(r)
+            for r in records
+            if start <= r.request.at < start + WINDOW_S
+        ]
+        if window and _p95(window) > bound:
+            recovered = start + WINDOW_S - FAULT_AT_S
+        start += 1.0
+    if recovered >= DURATION_S - FAULT_AT_S - 1.0:
+        return math.inf
+    return recovered
+
+
+def _p95(values: Sequence[float]) -> float:
+    ordered = sorted(values)
+    return ordered[int(0.95 * (len(ordered) - 1))] if ordered else 0.0
--- a/bench/variants.py
+++ b/bench/variants.py
@@ -83,6 +83,9 @@
         return [by_id[name] for name in ranked]
 
 
+Change = Callable[[scheduler.SchedulerConfig], scheduler.SchedulerConfig]
+
+
 @attrs.frozen
 class Variant:
     """A kind of scheduler.
@@ -92,40 +95,97 @@
         placer: Class of the placer.
         change: Changes the configuration, for ablations.
         no_lag: Whether it sees all caches and queues at once.
+        no_events: Whether no cache event reaches a router.
+        look_up: Whether each request asks the owner of its prefix.
+        routers: Number of routers.
     """
 
     name: str
     placer: type[placement.Placer] = placement.Placer
-    change: Callable[[scheduler.SchedulerConfig], scheduler.SchedulerConfig] = (
-        lambda cfg: cfg
-    )
+    change: Change = lambda cfg: cfg
     no_lag: bool = False
+    no_events: bool = False
+    look_up: bool = False
+    routers: int = world.ROUTERS
+
+
+def _placing(**fields: float) -> Change:
+    return lambda cfg: attrs.evolve(
+        cfg, placement_cfg=attrs.evolve(cfg.placement_cfg, **fields)
+    )
+
+
+def _admitting(**fields: object) -> Change:
+    return lambda cfg: attrs.evolve(
+        cfg, admission_cfg=attrs.evolve(cfg.admission_cfg, **fields)
+    )
+
+
+def _retrying(**fields: float) -> Change:
+    return lambda cfg: attrs.evolve(
+        cfg, retry_cfg=attrs.evolve(cfg.retry_cfg, **fields)
+    )
+
 
+NEVER = 1e9
 
 OURS = Variant("knapweedarch")
-REFERENCE = Variant("reference", no_lag=True)
+REFERENCES = (
+    Variant("reference, 1 router", no_lag=True, routers=1),
+    Variant("reference, 8 routers", no_lag=True),
+)
 BASELINES = (
     Variant("round robin", RoundRobin),
     Variant("least load", LeastLoad),
     Variant("bounded ring", BoundedRing),
 )
-COMPARED = (OURS, REFERENCE, *BASELINES)
+COMPARED = (OURS, *REFERENCES, *BASELINES)
+
+# Ways to know the caches, weighed against the chosen mix.
+WAYS = (
+    Variant("index only", change=_placing(spread_s=0.0)),
+    Variant("index at prefix owner", look_up=True),
+    Variant("mix without events", no_events=True),
+)
+ABLATIONS = (
+    Variant("no recompute charge", change=_placing(recompute_weight=0.0)),
+    Variant("no eviction charge", change=_placing(eviction_weight=0.0)),
+    Variant("no balance charge", change=_placing(balance_s=0.0)),
+    Variant("no rendezvous rank", change=_placing(spread_s=0.0)),
+    Variant("no peer correction", change=_placing(peer_weight=0.0)),
+    Variant("no hot copies", change=_placing(hot_target=NEVER)),
+    Variant(
+        "no assumed entries",
+        change=lambda cfg: attrs.evolve(cfg, assumed_s=0.0),
+    ),
+    Variant(
+        "no class limits",
+        change=_admitting(fill=dict.fromkeys(models.Priority, 2.0)),
+    ),
+    Variant("no ageing", change=_admitting(age_s=NEVER)),
+    Variant(
+        "no ejection", change=_retrying(slow_floor_s=NEVER, failures=10**9)
+    ),
+    Variant("no retry budget", change=_retrying(reserve=NEVER)),
+    Variant("no slow start", change=_retrying(ramp_s=1e-9)),
+)
 
 
 def configure(
-    deployment: workloads.Deployment, data_centre: str, routers: int
+    deployment: workloads.Deployment,
+    data_centre: str,
+    routers: int,
+    one_way_s: float,
 ) -> scheduler.SchedulerConfig:
     """Configuration of a deployment's routers."""
-    distances = {
-        f"dc{i}": deployment.one_way_s for i in range(world.DATA_CENTRES)
-    }
+    distances = {f"dc{i}": one_way_s for i in range(world.DATA_CENTRES)}
     distances[data_centre] = world.SAME_CENTRE_S
     return scheduler.SchedulerConfig(
         placement_cfg=placement.PlacementConfig(
             prefill_tokens_s=runners.PREFILL_TOKENS_S,
             service_s=deployment.service_s,
             distance_s=distances,
-            far_s=deployment.one_way_s,
+            far_s=one_way_s,
             eviction_weight=deployment.eviction_weight,
             peer_routers=routers,
         )
@@ -141,8 +201,12 @@
         data_centre: str, seed: int, where: world.World
     ) -> scheduler.Scheduler:
         deployment = where.deployment
+        # The reference's only router is near every runner.
+        one_way_s = (
+            world.SAME_CENTRE_S if variant.no_lag else deployment.one_way_s
+        )
         cfg = variant.change(
-            configure(deployment, data_centre, len(where.routers))
+            configure(deployment, data_centre, len(where.routers), one_way_s)
         )
         placer = variant.placer(cfg.placement_cfg)
         if isinstance(placer, BoundedRing):
@@ -152,16 +216,6 @@
     return make
 
 
-def rules() -> models.Rules:
-    """Rules of the eight customers, without limits."""
-    return models.Rules(
-        customers=tuple(
-            models.CustomerRule(f"c{i}", "")
-            for i in range(len(workloads.CUSTOMER_SHARES))
-        )
-    )
-
-
 def named(variants: Sequence[Variant]) -> dict[str, Variant]:
     """Variants by name."""
     return {v.name: v for v in variants}
--- a/bench/workloads.py
+++ b/bench/workloads.py
@@ -74,7 +74,10 @@
         eviction_weight: Weight of evicted blocks in the cost.
         deadlines_s: Accepted time to the first token by class.
         generate: Makes the requests of a run.
-        steady: Load of the steady scenario as a part of the capacity.
+        steady: Load of the steady scenario, in parts of the ideal capacity
+            that `utilisation` measures against.
+        capacity: Highest load, in the same parts, at which the reference
+            answers 99 in 100 requests in time; found in steps of 0.05.
     """
 
     name: str
@@ -86,7 +89,8 @@
     eviction_weight: float
     deadlines_s: dict[models.Priority, float]
     generate: Callable[["Mix"], None]
-    steady: float = 0.6
+    steady: float
+    capacity: float
 
 
 def extend(parent: tuple[int, ...], label: str, count: int) -> tuple[int, ...]:
@@ -265,6 +269,8 @@
     eviction_weight=0.3,
     deadlines_s=HUTS_DEADLINES_S,
     generate=huts_traffic,
+    steady=0.41,
+    capacity=0.55,
 )
 BINDERY = Deployment(
     name="bindery",
@@ -276,6 +282,8 @@
     eviction_weight=1.0,
     deadlines_s=BINDERY_DEADLINES_S,
     generate=bindery_traffic,
+    steady=0.3,
+    capacity=0.4,
 )
 DEPLOYMENTS = {d.name: d for d in (HUTS, BINDERY)}
 
--- a/bench/world.py
+++ b/bench/world.py
@@ -91,7 +91,9 @@
         lag: Lag,
         seed: int,
         routers: int = ROUTERS,
+        look_up: bool = False,
     ):
+        self._look_up = look_up
         self.now = 0.0
         self.deployment = deployment
         self.lag = lag
@@ -200,6 +202,17 @@
             self.after(RESUBMIT_S, self._arrive, record)
             return
         router = self.rng.choice(alive)
+        if self._look_up and self.rng.random() > 1 / len(self.routers):
+            # The index part of this prefix is at another router.
+            delay = 2 * self.deployment.one_way_s
+            self.after(delay, self._submit, router, record)
+        else:
+            self._submit(router, record)
+
+    def _submit(self, router: Router, record: Record) -> None:
+        if not router.alive:
+            self._arrive(record)
+            return
         request = record.request
         ticket = models.Ticket(
             request.id,
@@ -426,7 +439,8 @@
         return when
 
     def _distance(self, router: Router, runner: runners.Runner) -> float:
-        if router.data_centre == runner.endpoint.data_centre:
+        near = router.data_centre == runner.endpoint.data_centre
+        if near or not self.lag.base_s:
             return SAME_CENTRE_S
         return self.deployment.one_way_s
 
--- a/knapweedarch/placement.py
+++ b/knapweedarch/placement.py
@@ -4,7 +4,6 @@
 for the cached blocks that the choice is expected to push out.
 """
 
-import collections
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
@@ -34,15 +33,12 @@
             prefill time, when the runner's cache is full.
         recompute_weight: Charge for a block computed anew, as a part of its
             prefill time, for the requests that it delays.
-        spread_weight: Largest charge for a low rank in the rendezvous order,
-            as a part of the prefill time of the blocks computed anew.
         spread_s: Largest charge for a low rank in the rendezvous order.
         peer_routers: Routers that choose from the same load reports.
         peer_weight: Part of the peers' expected sends that is counted.
         balance_s: Charge for a full batch; a half full one costs half.
         grow_weight: Part of the prefill time that is not charged where a
             hot prefix needs one more runner.
-        wait_memory: Weight of the past in the correction of waits.
         hot_window_s: Time over which the rate of a prefix is measured.
         hot_target: Load of one runner, as a part of its capacity, at which a
             prefix gets one more runner.
@@ -53,14 +49,12 @@
     distance_s: Mapping[str, float] = attrs.field(factory=dict)
     far_s: float = 0.005
     eviction_weight: float = 0.5
-    recompute_weight: float = 0.0
-    spread_weight: float = 0.5
+    recompute_weight: float = 3.0
     spread_s: float = 0.02
     peer_routers: int = 1
-    peer_weight: float = 0.3
+    peer_weight: float = 0.1
     balance_s: float = 0.3
     grow_weight: float = 0.8
-    wait_memory: float = 0.98
     hot_window_s: float = 3.0
     hot_target: float = 1.0
 
@@ -102,7 +96,6 @@
         endpoint: The runner.
         cached_blocks: Leading blocks expected in its cache.
         wait_s: Expected wait before prefill starts, in seconds.
-        raw_wait_s: The same without the correction by measured waits.
         first_token_s: Expected time to the first token, in seconds.
         cost_s: First-token time plus the charges, in seconds.
     """
@@ -110,7 +103,6 @@
     endpoint: models.Endpoint
     cached_blocks: int
     wait_s: float
-    raw_wait_s: float
     first_token_s: float
     cost_s: float
 
@@ -170,9 +162,18 @@
     )
 
 
-def spread_block(
+def common_depth(
     blocks: Sequence[int], depths: Mapping[str, int], candidates: int
-) -> int | None:
+) -> int:
+    """Counts the leading blocks that at least half of the candidates have."""
+    order = sorted(depths.values(), reverse=True)
+    needed = (candidates + 1) // 2
+    if len(order) < needed:
+        return 0
+    return min(order[needed - 1], len(blocks))
+
+
+def spread_block(blocks: Sequence[int], common: int) -> int | None:
     """Picks the block whose rendezvous order breaks ties.
 
     It is the first block that fewer than half of the candidates have, so
@@ -180,13 +181,7 @@
     """
     if not blocks:
         return None
-    counts = collections.Counter(depths.values())
-    holders = sum(counts.values())
-    for depth in range(len(blocks)):
-        holders -= counts.get(depth, 0)
-        if holders * 2 < candidates:
-            return blocks[depth]
-    return blocks[-1]
+    return blocks[min(common, len(blocks) - 1)]
 
 
 def plan_loads(
@@ -231,8 +226,6 @@
         self._cfg = cfg
         self._peers = 1 + cfg.peer_weight * (cfg.peer_routers - 1)
         self._hot = HotPrefixes(cfg.hot_window_s)
-        self._waits: dict[models.Priority, tuple[float, float]] = {}
-        self._wait_factor: dict[models.Priority, float] = {}
         self._orders: dict[tuple[int, tuple[str, ...]], dict[str, int]] = {}
 
     def wait_s(
@@ -262,22 +255,6 @@
         reported = max(0, load.running + load.queued - load.finished)
         return reported + len(load.pending) * self._peers
 
-    def learn_wait(
-        self, priority: models.Priority, expected_s: float, seen_s: float
-    ) -> None:
-        """Corrects the expected wait of a class by a measured one.
-
-        Runners serve by class and share prefill between requests, so a
-        request waits for only a part of the reported work.
-        """
-        old_expected, old_seen = self._waits.get(priority, (1.0, 1.0))
-        keep = self._cfg.wait_memory
-        expected = keep * old_expected + (1 - keep) * expected_s
-        seen = keep * old_seen + (1 - keep) * max(0.0, seen_s)
-        self._waits[priority] = (expected, seen)
-        factor = seen / max(expected, 0.001)
-        self._wait_factor[priority] = min(1.5, max(0.1, factor))
-
     def arrived(self, ticket: models.Ticket, now: float) -> None:
         """Notes an arrival for the rates of its prefixes."""
         for depth in SAMPLED_DEPTHS:
@@ -304,9 +281,10 @@
             fill: Used part of each runner's cache, 0 to 1.
             now: Seconds on the router's clock.
         """
+        common = common_depth(ticket.blocks, depths, len(endpoints))
         block, copies, hot_depth = self._hot_block(ticket, endpoints, now)
         if copies < 2:
-            block = spread_block(ticket.blocks, depths, len(endpoints))
+            block = spread_block(ticket.blocks, common)
         if block is None:
             block = xxhash.xxh3_64_intdigest(ticket.id.encode())
         ranks = self._ranks(block, endpoints)
@@ -382,17 +360,15 @@
         now: float,
     ) -> Candidate:
         cfg = self._cfg
-        raw_wait = self.wait_s(endpoint, load, ticket.priority, now)
-        wait = raw_wait * self._wait_factor.get(ticket.priority, 1.0)
+        wait = self.wait_s(endpoint, load, ticket.priority, now)
         block_s = prefixes.BLOCK_TOKENS / cfg.prefill_tokens_s
         hit = min(cached * prefixes.BLOCK_TOKENS, ticket.prompt_tokens)
         prefill = (ticket.prompt_tokens - hit) / cfg.prefill_tokens_s
+        new_blocks = max(0, len(ticket.blocks) - cached)
         distance = cfg.distance_s.get(endpoint.data_centre, cfg.far_s)
         first_token = wait + prefill + 2 * distance
-        new_blocks = max(0, len(ticket.blocks) - cached)
         wanted = max(0, grow - cached)
         charge = cfg.recompute_weight + cfg.eviction_weight * fill
-        charge += cfg.spread_weight * rank
         cost = (
             first_token
             + charge * (new_blocks - wanted) * block_s
@@ -400,4 +376,4 @@
             + cfg.balance_s * self.occupancy(load) / endpoint.slots
             + cfg.spread_s * rank
         )
-        return Candidate(endpoint, cached, wait, raw_wait, first_token, cost)
+        return Candidate(endpoint, cached, wait, first_token, cost)
--- a/knapweedarch/scheduler.py
+++ b/knapweedarch/scheduler.py
@@ -214,11 +214,7 @@
         if not self._current(attempt):
             return
         self._index.assume(attempt.endpoint.id, attempt.ticket.blocks, now)
-        choice = running.choice
-        late = now - running.sent_at - choice.first_token_s
-        self._placer.learn_wait(
-            attempt.ticket.priority, choice.raw_wait_s, late + choice.wait_s
-        )
+        late = now - running.sent_at - running.choice.first_token_s
         peers = self._peers(attempt.ticket.model)
         self._health.succeeded(attempt.endpoint.id, late, peers, now)
 
