--- a/bench/report.py
+++ b/bench/report.py
@@ -35,7 +35,8 @@
     return figures.quantiles["guest"][P99]
 
 
-def _rows(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+def rows_of(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    """A Markdown table."""
     lines = ["| " + " | ".join(head) + " |", "|" + " --- |" * len(head)]
     lines += ["| " + " | ".join(row) + " |" for row in rows]
     return "\n".join(lines) + "\n"
@@ -55,7 +56,7 @@
         rows += _huts_targets(table, name)
     rows += _overload_targets(table)
     head = ("deployment", "scenario", "target", "bound", "measured", "")
-    return "### Targets\n\n" + _rows(head, rows)
+    return "### Targets\n\n" + rows_of(head, rows)
 
 
 def _bindery_targets(table: Table, name: str) -> list[list[str]]:
@@ -145,7 +146,7 @@
         parts.append(
             f"### {deployment.capitalize()}\n\nClass columns: p50/p95/p99/"
             "p99.9 of the time to the first token in seconds.\n\n"
-            + _rows(head, rows)
+            + rows_of(head, rows)
         )
     return "\n".join(parts)
 
@@ -196,7 +197,7 @@
         *("guest p99 s", "interactive p99 s", "batch p99 s"),
         *("refused or late", "retries"),
     )
-    return "### Ways and ablations\n\n" + _rows(head, rows)
+    return "### Ways and ablations\n\n" + rows_of(head, rows)
 
 
 def _ablation_row(f: scenarios.Figures) -> list[str]:
--- /dev/null
+++ b/features/decisions.feature
@@ -0,0 +1,127 @@
+Feature: Placement, admission and retries
+
+  Scenario: Prompts of other customers and versions share no block
+    Given a prompt of 40000 bytes
+    Then its blocks differ between customers "a" and "b"
+    And its blocks differ between versions "v1" and "v2"
+    And it has 4 full blocks
+    And hashing it in pieces of 5000 bytes gives the same blocks
+
+  Scenario: A gap in the events drops what a runner had
+    Given 3 runners
+    And runner r1 has stored the prompt as event 1
+    When event 3 of runner r1 arrives
+    Then no runner is known to have the prompt
+    And a snapshot of runner r1 is asked for
+
+  Scenario: An event of an older incarnation changes nothing
+    Given 3 runners
+    And runner r1 restarts as incarnation "new"
+    When incarnation "i1" of runner r1 tells that it stored the prompt
+    Then no runner is known to have the prompt
+
+  Scenario: A snapshot replaces the entries of a runner
+    Given 3 runners
+    And runner r1 has stored the prompt as event 1
+    When an empty snapshot of runner r1 after event 5 arrives
+    Then no runner is known to have the prompt
+    And event 5 of runner r1 is ignored
+
+  Scenario: A request goes to the runner that has its prefix
+    Given 3 runners
+    And runner r1 has stored the prompt as event 1
+    When a guest request arrives
+    Then it is sent to runner r1 with 4 cached blocks
+
+  Scenario: A restarted runner counts as empty
+    Given 3 runners
+    And runner r1 has stored the prompt as event 1
+    And runner r1 restarts as incarnation "new"
+    When a guest request arrives
+    Then it is sent with 0 cached blocks
+
+  Scenario: A leaving runner gets no new work
+    Given 3 runners
+    And runner r1 has stored the prompt as event 1
+    And runner r1 is leaving
+    When 20 guest requests arrive
+    Then none of them is sent to runner r1
+
+  Scenario: Own sends that no report includes spread a burst
+    Given 3 runners with 4 slots
+    When 12 guest requests arrive
+    Then at least 2 runners get work and none gets more than 6
+
+  Scenario: Work that cannot meet its deadline is refused on arrival
+    Given 3 runners with 4 slots
+    And every runner reports 40 requests and 900000 queued tokens
+    When a guest request arrives
+    Then it is refused with "deadline"
+    And nothing waits
+
+  Scenario: The queue drops what has become too late
+    Given 3 runners with 4 slots
+    And every runner reports 4 requests and 0 queued tokens
+    When a batch request arrives
+    Then it waits
+    And at 60.1 s it is refused with "deadline"
+
+  Scenario: Batch waits for room that a guest may take
+    Given 3 runners with 4 slots
+    And every runner reports 3 requests and 0 queued tokens
+    When a batch request arrives
+    Then it waits
+    When a guest request arrives
+    Then it is sent
+
+  Scenario: A batch request that has waited counts as a higher class
+    Given 3 runners with 4 slots
+    And every runner reports 3 requests and 0 queued tokens
+    When a batch request arrives
+    Then it waits
+    And polls up to 4.9 s return nothing
+    And a poll at 10.2 s sends it
+
+  Scenario: A customer's share decides which of its requests come first
+    Given a queue in which customer "a" with share 3 and "b" with share 1 have 8 requests each
+    Then the first 8 served requests contain 6 of "a"
+
+  Scenario: Limits of a customer are refusals with a time
+    Given 3 runners
+    And customer "a" may send 2 requests per second and 3 at once
+    When 5 guest requests arrive
+    Then 2 of them are refused with "over_limit"
+
+  Scenario: A failed attempt is retried elsewhere after a back-off
+    Given 3 runners
+    When a guest request arrives
+    And its attempt fails at 1.0 s
+    Then it waits
+    And polls up to 1.02 s return nothing
+    And a poll at 1.2 s sends it to another runner
+
+  Scenario: Retries stay within the budget
+    Given 3 runners
+    When 40 guest requests arrive and all attempts fail at once
+    Then at most 14 of them are retried
+
+  Scenario: At most a third of the runners is ejected
+    Given 9 runners
+    When every runner fails 3 times in a row
+    Then 3 runners are ejected
+
+  Scenario: A runner that comes back is loaded slowly
+    Given 3 runners with 8 slots
+    And runner r1 restarts as incarnation "new"
+    And runner r0 is leaving
+    And runner r2 is leaving
+    When 20 batch requests arrive
+    Then at most 2 of them are sent
+
+  Scenario: Weights load on at most three runners at once
+    Given 12 runners
+    Then with 1 load under way the next loads of "v2" are 2 runners
+    And with 3 loads under way the next loads of "v2" are 0 runners
+
+  Scenario: Equal seeds give equal figures
+    Then two bench runs of "huts" in scenario "one slow runner" agree
--- /dev/null
+++ b/features/steps/decision_steps.py
@@ -0,0 +1,387 @@
+"""Steps for placement, admission and retries."""
+
+import attrs
+from behave import given, then, when
+
+from bench import scenarios, variants
+from knapweedarch import (
+    admission,
+    index,
+    models,
+    placement,
+    prefixes,
+    retries,
+    scheduler,
+)
+
+PROMPT = b"page " * 8000
+BLOCKS = prefixes.hash_blocks(prefixes.make_salt("a", "guide", "v1"), PROMPT)
+DEADLINES_S = {"guest": 4.0, "batch": 60.0}
+
+
+def stored(name, number, incarnation=None):
+    """An event that tells of the prompt's blocks."""
+    return models.CacheEvent(
+        name,
+        incarnation or f"i{name[1:]}",
+        number,
+        models.CacheChange.STORED,
+        BLOCKS,
+    )
+
+
+@given("a prompt of {size:d} bytes")
+def prompt_of(context, size):
+    context.prompt = PROMPT[:size]
+
+
+@then('its blocks differ between customers "{one}" and "{other}"')
+def differ_by_customer(context, one, other):
+    salts = [prefixes.make_salt(c, "guide", "v1") for c in (one, other)]
+    first, second = (prefixes.hash_blocks(s, context.prompt) for s in salts)
+    assert not set(first) & set(second)
+
+
+@then('its blocks differ between versions "{one}" and "{other}"')
+def differ_by_version(context, one, other):
+    salts = [prefixes.make_salt("a", "guide", v) for v in (one, other)]
+    first, second = (prefixes.hash_blocks(s, context.prompt) for s in salts)
+    assert not set(first) & set(second)
+
+
+@then("it has {count:d} full blocks")
+def full_blocks(context, count):
+    assert len(prefixes.hash_blocks(b"s", context.prompt)) == count
+
+
+@then("hashing it in pieces of {size:d} bytes gives the same blocks")
+def pieces(context, size):
+    prompt = context.prompt
+    parts = [prompt[i : i + size] for i in range(0, len(prompt), size)]
+    whole = prefixes.hash_blocks(b"s", prompt)
+    assert prefixes.hash_blocks(b"s", parts) == whole
+    hasher = prefixes.BlockHasher(b"s")
+    assert list(prefixes.hash_steps(hasher, prompt)) == [len(prompt)]
+    assert hasher.blocks == whole
+    assert hasher.prompt_tokens == prefixes.count_tokens(prompt)
+
+
+@given("{count:d} runners")
+def some_runners(context, count):
+    runners_with_slots(context, count, 32)
+
+
+@given("{count:d} runners with {slots:d} slots")
+def runners_with_slots(context, count, slots):
+    context.runners = {
+        f"r{i}": models.Endpoint(
+            f"r{i}",
+            f"i{i}",
+            "",
+            models.EndpointKind.RUNNER,
+            ("guide",),
+            "v1",
+            slots=slots,
+            cache_blocks=100,
+        )
+        for i in range(count)
+    }
+    context.sched = scheduler.create_scheduler(scheduler.SchedulerConfig(), 1)
+    context.cache = index.CacheIndex()
+    context.decisions = []
+    announce(context)
+
+
+def announce(context):
+    """Gives the runners to the scheduler and the index."""
+    context.sched.set_endpoints(list(context.runners.values()), 0.0)
+    for runner in context.runners.values():
+        context.cache.set_endpoint(runner.id, runner.incarnation)
+    context.cache.take_gaps()
+
+
+@given("runner {name} has stored the prompt as event {number:d}")
+def has_stored(context, name, number):
+    context.sched.cache_event(stored(name, number), 0.0)
+    assert context.cache.apply(stored(name, number))
+    assert context.cache.depths(BLOCKS, 0.0) == {name: len(BLOCKS)}
+
+
+@given('runner {name} restarts as incarnation "{incarnation}"')
+def restarts(context, name, incarnation):
+    old = context.runners[name]
+    context.runners[name] = attrs.evolve(old, incarnation=incarnation)
+    announce(context)
+
+
+@given("runner {name} is leaving")
+def is_leaving(context, name):
+    context.runners[name] = attrs.evolve(
+        context.runners[name], status=models.EndpointStatus.LEAVING
+    )
+    announce(context)
+
+
+@given("every runner reports {running:d} requests and {tokens:d} queued tokens")
+def report_all(context, running, tokens):
+    for runner in context.runners.values():
+        context.sched.report_load(
+            models.LoadReport(
+                runner.id, runner.incarnation, running, 0, tokens
+            ),
+            0.0,
+        )
+
+
+@given(
+    'customer "a" may send {rate:d} requests per second and {most:d} at once'
+)
+def limit(context, rate, most):
+    rule = models.CustomerRule("a", "", rate=rate, concurrent=most)
+    context.sched.set_limits(models.Rules(customers=(rule,)))
+
+
+@when("event {number:d} of runner {name} arrives")
+def event_arrives(context, number, name):
+    event = attrs.evolve(stored(name, number), blocks=(1,))
+    assert context.cache.apply(event)
+
+
+@when('incarnation "{old}" of runner {name} tells that it stored the prompt')
+def old_event(context, old, name):
+    assert not context.cache.apply(stored(name, 1, old))
+
+
+@when("an empty snapshot of runner {name} after event {number:d} arrives")
+def snapshot_arrives(context, name, number):
+    incarnation = context.runners[name].incarnation
+    snapshot = models.CacheSnapshot(name, incarnation, number)
+    assert context.cache.apply_snapshot(snapshot)
+
+
+@then("event {number:d} of runner {name} is ignored")
+def event_ignored(context, number, name):
+    assert not context.cache.apply(stored(name, number))
+    assert context.cache.apply(stored(name, number + 1))
+
+
+@then("no runner is known to have the prompt")
+def nothing_known(context):
+    assert context.cache.depths(BLOCKS, 0.0) == {}
+
+
+@then("a snapshot of runner {name} is asked for")
+def snapshot_wanted(context, name):
+    assert context.cache.take_gaps() == [name]
+    assert context.cache.take_gaps() == []
+
+
+@when("a {kind} request arrives")
+def one_arrives(context, kind):
+    several_arrive(context, 1, kind)
+
+
+@when("{count:d} {kind} requests arrive")
+def several_arrive(context, count, kind):
+    for _ in range(count):
+        ticket = models.Ticket(
+            f"t{len(context.decisions)}",
+            "a",
+            "guide",
+            models.Priority[kind.upper()],
+            BLOCKS,
+            10_000,
+            100,
+            DEADLINES_S[kind],
+        )
+        decision = context.sched.submit(ticket, 0.0)
+        context.decisions.append(decision)
+        context.last = decision
+
+
+def sent(context):
+    """Ids of the runners that got a request."""
+    return [
+        d.attempt.endpoint.id
+        for d in context.decisions
+        if isinstance(d, models.Dispatch)
+    ]
+
+
+@then("it is sent")
+def is_sent(context):
+    assert isinstance(context.last, models.Dispatch), context.last
+
+
+@then("it is sent to runner {name} with {count:d} cached blocks")
+def is_sent_to(context, name, count):
+    assert context.last.attempt.endpoint.id == name
+    assert context.last.attempt.cached_blocks == count
+
+
+@then("it is sent with {count:d} cached blocks")
+def is_sent_with(context, count):
+    assert context.last.attempt.cached_blocks == count
+
+
+@then("none of them is sent to runner {name}")
+def none_sent_to(context, name):
+    assert len(sent(context)) == len(context.decisions)
+    assert name not in sent(context)
+
+
+@then("at least {count:d} runners get work and none gets more than {most:d}")
+def spread(context, count, most):
+    got = sent(context)
+    assert len(set(got)) >= count, got
+    assert all(got.count(name) <= most for name in got), got
+
+
+@then("at most {count:d} of them are sent")
+def at_most_sent(context, count):
+    assert 1 <= len(sent(context)) <= count, sent(context)
+
+
+@then('it is refused with "{reason}"')
+def is_refused(context, reason):
+    assert isinstance(context.last, models.Refuse), context.last
+    assert context.last.reason.value == reason
+
+
+@then('{count:d} of them are refused with "{reason}"')
+def some_refused(context, count, reason):
+    refused = [d for d in context.decisions if isinstance(d, models.Refuse)]
+    assert [r.reason.value for r in refused] == [reason] * count
+    assert all(0 < r.retry_after_s <= 1 for r in refused)
+
+
+@then("nothing waits")
+def nothing_waits(context):
+    assert context.sched.next_wake(0.0) is None
+
+
+@then("it waits")
+def it_waits(context):
+    assert isinstance(context.last, models.Wait), context.last
+    assert context.sched.next_wake(0.0) is not None
+
+
+@then('at {at:f} s it is refused with "{reason}"')
+def refused_later(context, at, reason):
+    ((_, decision),) = context.sched.poll(at)
+    assert decision.reason.value == reason
+    nothing_waits(context)
+
+
+@then("polls up to {at:f} s return nothing")
+def nothing_until(context, at):
+    assert context.sched.poll(at / 2) == []
+    assert context.sched.poll(at) == []
+
+
+@then("a poll at {at:f} s sends it")
+def sent_later(context, at):
+    ((_, decision),) = context.sched.poll(at)
+    assert isinstance(decision, models.Dispatch), decision
+
+
+@when("its attempt fails at {at:f} s")
+def attempt_fails(context, at):
+    context.tried = context.last.attempt
+    reason = models.RetryReason.CONNECTION_CLOSED
+    result = models.AttemptResult(reason)
+    context.sched.finished(context.tried, result, at)
+    context.last = context.sched.retry(context.tried.ticket, context.tried, at)
+
+
+@then("a poll at {at:f} s sends it to another runner")
+def sent_elsewhere(context, at):
+    ((_, decision),) = context.sched.poll(at)
+    assert decision.attempt.endpoint.id != context.tried.endpoint.id
+    assert decision.attempt.number != context.tried.number
+
+
+@when("{count:d} guest requests arrive and all attempts fail at once")
+def all_fail(context, count):
+    context.retries = 0
+    for _ in range(count):
+        one_arrives(context, "guest")
+        attempt_fails(context, 0.0)
+        context.retries += isinstance(context.last, models.Wait)
+
+
+@then("at most {count:d} of them are retried")
+def retried(context, count):
+    assert 1 <= context.retries <= count, context.retries
+
+
+@when("every runner fails {count:d} times in a row")
+def runners_fail(context, count):
+    cfg = retries.RetryConfig()
+    context.health = retries.HealthTable(cfg, scheduler.random.Random(1))
+    names = list(context.runners)
+    for name in names:
+        for _ in range(count):
+            context.health.failed(name, names, 0.0)
+
+
+@then("{count:d} runners are ejected")
+def ejected(context, count):
+    names = list(context.runners)
+    assert sum(context.health.ejected(n, 1.0) for n in names) == count
+    assert not any(context.health.ejected(n, 10.0) for n in names)
+
+
+@given(
+    'a queue in which customer "{one}" with share {share:d} and "{other}" '
+    "with share {small:d} have {count:d} requests each"
+)
+def shared_queue(context, one, share, other, small, count):
+    context.room = admission.WaitingRoom(admission.AdmissionConfig())
+    for customer, weight in ((one, share), (other, small)):
+        for i in range(count):
+            ticket = models.Ticket(
+                f"{customer}{i}",
+                customer,
+                "guide",
+                models.Priority.BATCH,
+                (),
+                1000,
+                100,
+                60.0,
+            )
+            context.room.add(admission.Waiting(ticket, 0.0), weight)
+
+
+@then('the first {count:d} served requests contain {part:d} of "{customer}"')
+def served_first(context, count, part, customer):
+    served = []
+    for _ in range(count):
+        entry = context.room.ranked(0.0)[0]
+        context.room.served(entry)
+        served.append(entry.ticket.customer)
+    assert served.count(customer) == part, served
+
+
+@then(
+    "with {loading:d} loads under way the next loads of "
+    '"{version}" are {count:d} runners'
+)
+@then(
+    "with {loading:d} load under way the next loads of "
+    '"{version}" are {count:d} runners'
+)
+def next_loads(context, loading, version, count):
+    runners = list(context.runners.values())
+    plan = placement.plan_loads(runners, "guide", version, loading)
+    assert len(plan) == count
+
+
+@then('two bench runs of "{deployment}" in scenario "{name}" agree')
+def runs_agree(context, deployment, name):
+    scenario = {s.name: s for s in scenarios.SCENARIOS}[name]
+    case = scenarios.Case(deployment, name, variants.OURS.name, 7)
+    first, second = (
+        scenarios.run_case(case, variants.OURS, scenario) for _ in range(2)
+    )
+    assert first == second
