Count only urgent work in the wait of guests and availability checks

Cause: load reports did not tell classes apart, so the wait of a guest counted batch prefill that runners serve later; guests were refused by their deadline and sent to cold runners. Load reports may tell urgent_tokens; without it all work counts as before.

--- a/bench/runners.py
+++ b/bench/runners.py
@@ -154,14 +154,17 @@
             self.endpoint.incarnation,
             self._placed,
             len(waiting),
-            self._queued_tokens(),
+            self._queued_tokens(models.Priority.BATCH),
             self.acknowledged.get(router, 0),
+            self._queued_tokens(models.Priority.GUEST),
         )
 
-    def _queued_tokens(self) -> int:
+    def _queued_tokens(self, lowest: models.Priority) -> int:
         """Tokens to compute; blocks that several jobs lack count once."""
         tails, blocks = 0, set()
         for job in self.jobs:
+            if job.attempt.ticket.priority > lowest:
+                continue
             if job.position < job.attempt.ticket.prompt_tokens:
                 tails += job.tail_tokens
                 start = job.position // prefixes.BLOCK_TOKENS
--- a/bench/world.py
+++ b/bench/world.py
@@ -16,6 +16,10 @@
 REPORT_S = 0.25
 SNAPSHOT_CHECK_S = 0.05
 
+# Time that a runner needs to answer with a snapshot. Events sent before may
+# arrive after it; their numbers tell.
+SNAPSHOT_S = 0.02
+
 # Time after which routers notice a broken feed, and after which a restarted
 # runner's announcement has reached the routers through the log.
 FEED_LOST_S = 0.3
@@ -183,6 +187,7 @@
         for name, runner in self.runners.items():
             if not runner.alive:
                 router.scheduler.endpoint_lost(name, self.now)
+        self._ask_snapshots(router)
 
     def _announce(
         self, router: Router, endpoints: Sequence[models.Endpoint]
@@ -398,14 +403,16 @@
         if router.alive and self.runners[report.endpoint_id].alive:
             router.scheduler.report_load(report, self.now)
 
+    def _ask_snapshots(self, router: Router) -> None:
+        for name in router.scheduler.take_snapshot_requests():
+            runner = self.runners[name]
+            delay = self._distance(router, runner)
+            self.after(delay, self._snapshot, router, runner)
+
     def _check_snapshots(self) -> None:
         for router in self.routers:
-            if not router.alive:
-                continue
-            for name in router.scheduler.take_snapshot_requests():
-                runner = self.runners[name]
-                delay = self._distance(router, runner)
-                self.after(delay, self._snapshot, router, runner)
+            if router.alive:
+                self._ask_snapshots(router)
         self.after(SNAPSHOT_CHECK_S, self._check_snapshots)
 
     def _snapshot(self, router: Router, runner: runners.Runner) -> None:
@@ -417,8 +424,8 @@
             runner.events,
             tuple(runner.cache),
         )
-        when = self._feed_time(router, runner)
-        self.at(when, self._take_snapshot, router, snapshot)
+        delay = SNAPSHOT_S + self._distance(router, runner)
+        self.after(delay, self._take_snapshot, router, snapshot)
 
     def _take_snapshot(
         self, router: Router, snapshot: models.CacheSnapshot
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -127,6 +127,8 @@
         queued_tokens: Prompt tokens not yet prefilled, cached ones excluded.
         acknowledged: Highest attempt number of this router that the report
             includes; 0 if the runner does not tell.
+        urgent_tokens: Part of `queued_tokens` that belongs to the classes
+            availability and guest; None if the runner does not tell.
     """
 
     endpoint_id: str
@@ -135,6 +137,7 @@
     queued: int
     queued_tokens: int
     acknowledged: int = 0
+    urgent_tokens: int | None = None
 
 
 class CacheChange(str, enum.Enum):
--- a/knapweedarch/placement.py
+++ b/knapweedarch/placement.py
@@ -20,6 +20,11 @@
 REMEMBERED_ORDERS = 4096
 
 
+def is_urgent(priority: models.Priority) -> bool:
+    """Tells whether runners serve a class before the work of all others."""
+    return priority <= models.Priority.GUEST
+
+
 @attrs.frozen
 class PlacementConfig:
     """Figures that the cost is made of.
@@ -67,10 +72,13 @@
         running: Reported requests in the batch.
         queued: Reported requests waiting.
         queued_tokens: Reported prompt tokens not yet computed.
+        urgent_tokens: The part of them that belongs to guests and
+            availability checks; all of them if the runner does not tell.
         reported_at: Arrival of the report on this router's clock.
         finished: Own attempts that the report includes and that ended since.
         pending: Own attempts the report does not include, with the tokens
             that each has to compute.
+        urgent: Those of them that belong to guests and availability checks.
         awaiting: Requests by class in this router's queue that wait for this
             runner.
         ramp_from: When slow start began; minus infinity if it did not.
@@ -79,9 +87,11 @@
     running: int = 0
     queued: int = 0
     queued_tokens: int = 0
+    urgent_tokens: int = 0
     reported_at: float = 0.0
     finished: int = 0
     pending: dict[int, int] = attrs.field(factory=dict)
+    urgent: set[int] = attrs.field(factory=set)
     awaiting: list[int] = attrs.field(
         factory=lambda: [0] * len(models.Priority)
     )
@@ -241,8 +251,12 @@
         this runner are counted as if every router had as many as this one.
         """
         cfg = self._cfg
-        hidden = sum(load.pending.values()) * self._peers
-        queued = (load.queued_tokens + hidden) / cfg.prefill_tokens_s
+        if is_urgent(priority):
+            own = sum(load.pending.get(number, 0) for number in load.urgent)
+            reported = load.urgent_tokens
+        else:
+            own, reported = sum(load.pending.values()), load.queued_tokens
+        queued = (reported + own * self._peers) / cfg.prefill_tokens_s
         wait = max(0.0, queued - max(0.0, now - load.reported_at))
         ahead = sum(load.awaiting[: priority + 1]) * cfg.peer_routers
         excess = self.occupancy(load) + ahead + 1 - endpoint.slots
@@ -288,7 +302,7 @@
         if block is None:
             block = xxhash.xxh3_64_intdigest(ticket.id.encode())
         ranks = self._ranks(block, endpoints)
-        pays = ticket.priority > models.Priority.GUEST
+        pays = not is_urgent(ticket.priority)
         found = []
         for endpoint in endpoints:
             rank = ranks[endpoint.id]
--- a/knapweedarch/scheduler.py
+++ b/knapweedarch/scheduler.py
@@ -130,9 +130,15 @@
         load = self._loads[endpoint.id]
         load.running, load.queued = report.running, report.queued
         load.queued_tokens, load.reported_at = report.queued_tokens, now
+        load.urgent_tokens = (
+            report.queued_tokens
+            if report.urgent_tokens is None
+            else report.urgent_tokens
+        )
         load.finished = 0
         for number in [n for n in load.pending if self._told(n, report, now)]:
             del load.pending[number]
+            load.urgent.discard(number)
             if number in self._running:
                 self._running[number].told = True
 
@@ -234,6 +240,7 @@
         if not self._current(attempt):
             return
         load = self._loads[attempt.endpoint.id]
+        load.urgent.discard(attempt.number)
         if load.pending.pop(attempt.number, None) is None:
             load.finished += 1
         if outcome.failure is not None:
@@ -386,7 +393,10 @@
         attempt = models.Attempt(number, ticket, endpoint, choice.cached_blocks)
         hit = choice.cached_blocks * prefixes.BLOCK_TOKENS
         missing = max(0, ticket.prompt_tokens - hit)
-        self._loads[endpoint.id].pending[number] = missing
+        load = self._loads[endpoint.id]
+        load.pending[number] = missing
+        if placement.is_urgent(ticket.priority):
+            load.urgent.add(number)
         self._running[number] = _Running(attempt, now, choice)
         self._index.assume(endpoint.id, ticket.blocks, now)
         return models.Dispatch(attempt)
