Keep room for guests: lower fill limits for interactive and batch work

Cause: in overload, runners were filled by interactive and batch requests whose prefill and decoding delayed guests; ageing then raised batch work to the level of guests after 10 s.

Chosen: 0.5/0.3 with 40 s.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -75,12 +75,12 @@
     Then it is sent
 
   Scenario: A batch request that has waited counts as a higher class
-    Given 3 runners with 4 slots
+    Given 3 runners with 8 slots
     And every runner reports 3 requests and 0 queued tokens
     When a batch request arrives
     Then it waits
-    And polls up to 4.9 s return nothing
-    And a poll at 10.2 s sends it
+    And polls up to 39.9 s return nothing
+    And a poll at 40.2 s sends it
 
   Scenario: A customer's share decides which of its requests come first
     Given a queue in which customer "a" with share 3 and "b" with share 1 have 8 requests each
--- a/knapweedarch/admission.py
+++ b/knapweedarch/admission.py
@@ -34,11 +34,11 @@
         factory=lambda: {
             models.Priority.AVAILABILITY: 2.0,
             models.Priority.GUEST: 1.5,
-            models.Priority.INTERACTIVE: 1.0,
-            models.Priority.BATCH: 0.6,
+            models.Priority.INTERACTIVE: 0.5,
+            models.Priority.BATCH: 0.3,
         }
     )
-    age_s: float = 5.0
+    age_s: float = 40.0
     queue_limit: int = 500
 
 
@@ -183,9 +183,20 @@
         """Lists the requests in the order in which they are served."""
         return sorted(
             self._waiting.values(),
-            key=lambda w: (self.rank(w, now), w.tag, w.since),
+            key=lambda w: self._order(w, now),
         )
 
+    def _order(
+        self, entry: Waiting, now: float
+    ) -> tuple[int, bool, float, float]:
+        """Sort key; requests of lower classes come first once raised.
+
+        Tags of different classes cannot be compared.
+        """
+        rank = self.rank(entry, now)
+        raised = rank < entry.ticket.priority
+        return rank, not raised, entry.tag, entry.since
+
     def rank(self, entry: Waiting, now: float) -> int:
         """Class of a request after ageing."""
         priority = int(entry.ticket.priority)
