Move runner loads into a module; keep the reason of late refusals

Ruled out: a change of behaviour by the move; the scenarios pass before and after it. Conclusion: loads.py joins the core modules of the check.

--- a/knapweedarch/placement.py
+++ b/knapweedarch/placement.py
@@ -10,7 +10,7 @@
 import attrs
 import xxhash
 
-from knapweedarch import models, prefixes
+from knapweedarch import loads, models, prefixes
 
 # Depths at which the arrival rate of a chain is measured. Few depths bound
 # the cost of a long chain; their spacing grows with the length.
@@ -20,11 +20,6 @@
 REMEMBERED_ORDERS = 4096
 
 
-def is_urgent(priority: models.Priority) -> bool:
-    """Tells whether runners serve a class before the work of all others."""
-    return priority <= models.Priority.GUEST
-
-
 @attrs.frozen
 class PlacementConfig:
     """Figures that the cost is made of.
@@ -64,40 +59,6 @@
     hot_target: float = 1.0
 
 
-@attrs.define
-class RunnerLoad:
-    """What this router knows about the load of one runner.
-
-    Attributes:
-        running: Reported requests in the batch.
-        queued: Reported requests waiting.
-        queued_tokens: Reported prompt tokens not yet computed.
-        urgent_tokens: The part of them that belongs to guests and
-            availability checks; all of them if the runner does not tell.
-        reported_at: Arrival of the report on this router's clock.
-        finished: Own attempts that the report includes and that ended since.
-        pending: Own attempts the report does not include, with the tokens
-            that each has to compute.
-        urgent: Those of them that belong to guests and availability checks.
-        awaiting: Requests by class in this router's queue that wait for this
-            runner.
-        ramp_from: When slow start began; minus infinity if it did not.
-    """
-
-    running: int = 0
-    queued: int = 0
-    queued_tokens: int = 0
-    urgent_tokens: int = 0
-    reported_at: float = 0.0
-    finished: int = 0
-    pending: dict[int, int] = attrs.field(factory=dict)
-    urgent: set[int] = attrs.field(factory=set)
-    awaiting: list[int] = attrs.field(
-        factory=lambda: [0] * len(models.Priority)
-    )
-    ramp_from: float = -math.inf
-
-
 @attrs.frozen
 class Candidate:
     """A runner considered for a request.
@@ -241,7 +202,7 @@
     def wait_s(
         self,
         endpoint: models.Endpoint,
-        load: RunnerLoad,
+        load: loads.RunnerLoad,
         priority: models.Priority,
         now: float,
     ) -> float:
@@ -251,12 +212,8 @@
         this runner are counted as if every router had as many as this one.
         """
         cfg = self._cfg
-        if is_urgent(priority):
-            own = sum(load.pending.get(number, 0) for number in load.urgent)
-            reported = load.urgent_tokens
-        else:
-            own, reported = sum(load.pending.values()), load.queued_tokens
-        queued = (reported + own * self._peers) / cfg.prefill_tokens_s
+        tokens = load.tokens_before(priority, self._peers)
+        queued = tokens / cfg.prefill_tokens_s
         wait = max(0.0, queued - max(0.0, now - load.reported_at))
         ahead = sum(load.awaiting[: priority + 1]) * cfg.peer_routers
         excess = self.occupancy(load) + ahead + 1 - endpoint.slots
@@ -264,10 +221,9 @@
             wait += excess * cfg.service_s / endpoint.slots
         return wait
 
-    def occupancy(self, load: RunnerLoad) -> float:
+    def occupancy(self, load: loads.RunnerLoad) -> float:
         """Requests expected in the batch and the queue of a runner."""
-        reported = max(0, load.running + load.queued - load.finished)
-        return reported + len(load.pending) * self._peers
+        return load.reported_requests() + len(load.pending) * self._peers
 
     def arrived(self, ticket: models.Ticket, now: float) -> None:
         """Notes an arrival for the rates of its prefixes."""
@@ -280,7 +236,7 @@
         self,
         ticket: models.Ticket,
         endpoints: Sequence[models.Endpoint],
-        loads: Mapping[str, RunnerLoad],
+        runner_loads: Mapping[str, loads.RunnerLoad],
         depths: Mapping[str, int],
         fill: Mapping[str, float],
         now: float,
@@ -290,7 +246,7 @@
         Args:
             ticket: The request.
             endpoints: Runners that may take it.
-            loads: Load by runner.
+            runner_loads: Load by runner.
             depths: Cached leading blocks by runner.
             fill: Used part of each runner's cache, 0 to 1.
             now: Seconds on the router's clock.
@@ -302,7 +258,7 @@
         if block is None:
             block = xxhash.xxh3_64_intdigest(ticket.id.encode())
         ranks = self._ranks(block, endpoints)
-        pays = not is_urgent(ticket.priority)
+        pays = not loads.is_urgent(ticket.priority)
         found = []
         for endpoint in endpoints:
             rank = ranks[endpoint.id]
@@ -312,7 +268,7 @@
                     ticket,
                     endpoint,
                     depths.get(endpoint.id, 0),
-                    loads[endpoint.id],
+                    runner_loads[endpoint.id],
                     fill.get(endpoint.id, 1.0),
                     max(0, rank - copies + 1) / len(endpoints),
                     grow,
@@ -367,7 +323,7 @@
         ticket: models.Ticket,
         endpoint: models.Endpoint,
         cached: int,
-        load: RunnerLoad,
+        load: loads.RunnerLoad,
         fill: float,
         rank: float,
         grow: int,
--- a/knapweedarch/scheduler.py
+++ b/knapweedarch/scheduler.py
@@ -12,6 +12,7 @@
 from knapweedarch import (
     admission,
     index,
+    loads,
     models,
     placement,
     prefixes,
@@ -26,10 +27,6 @@
 # expected load falls with time and not only with events.
 POLL_S = 0.05
 
-# Own sends older than this count as included in a report of a runner that
-# does not tell which attempts its report includes. Two report intervals.
-UNTOLD_LAG_S = 0.5
-
 
 @attrs.frozen
 class SchedulerConfig:
@@ -50,7 +47,6 @@
     attempt: models.Attempt
     sent_at: float
     choice: placement.Candidate
-    told: bool = False
     first_at: float | None = None
 
 
@@ -74,7 +70,7 @@
         self._budget = retries.RetryBudget(cfg.retry_cfg)
         self._health = retries.HealthTable(cfg.retry_cfg, self._rng)
         self._endpoints: dict[str, models.Endpoint] = {}
-        self._loads: dict[str, placement.RunnerLoad] = {}
+        self._loads: dict[str, loads.RunnerLoad] = {}
         self._lost: set[str] = set()
         self._rooms: dict[str, admission.WaitingRoom] = {}
         self._running: dict[int, _Running] = {}
@@ -127,20 +123,7 @@
         if endpoint is None or endpoint.incarnation != report.incarnation:
             return
         self._lost.discard(endpoint.id)
-        load = self._loads[endpoint.id]
-        load.running, load.queued = report.running, report.queued
-        load.queued_tokens, load.reported_at = report.queued_tokens, now
-        load.urgent_tokens = (
-            report.queued_tokens
-            if report.urgent_tokens is None
-            else report.urgent_tokens
-        )
-        load.finished = 0
-        for number in [n for n in load.pending if self._told(n, report, now)]:
-            del load.pending[number]
-            load.urgent.discard(number)
-            if number in self._running:
-                self._running[number].told = True
+        self._loads[endpoint.id].take_report(report, now)
 
     def cache_event(self, event: models.CacheEvent, now: float) -> None:
         """Takes over a cache event."""
@@ -185,7 +168,11 @@
     def retry(
         self, ticket: models.Ticket, failed: models.Attempt, now: float
     ) -> models.Decision:
-        """Decides on a request whose attempt failed."""
+        """Decides on a request whose attempt failed.
+
+        The ticket may differ from the failed attempt's: a resumed stream
+        names its weights version and has a new deadline.
+        """
         if failed.number in self._running:
             self.finished(
                 failed,
@@ -215,8 +202,8 @@
             return
         running.first_at = now
         load = self._loads.get(attempt.endpoint.id)
-        if load is not None and attempt.number in load.pending:
-            load.pending[attempt.number] = 0
+        if load is not None:
+            load.computed(attempt.number)
         if not self._current(attempt):
             return
         self._index.assume(attempt.endpoint.id, attempt.ticket.blocks, now)
@@ -239,10 +226,7 @@
             self._retried.pop(attempt.ticket.id, None)
         if not self._current(attempt):
             return
-        load = self._loads[attempt.endpoint.id]
-        load.urgent.discard(attempt.number)
-        if load.pending.pop(attempt.number, None) is None:
-            load.finished += 1
+        self._loads[attempt.endpoint.id].ended(attempt.number)
         if outcome.failure is not None:
             peers = self._peers(attempt.ticket.model)
             self._health.failed(attempt.endpoint.id, peers, now)
@@ -253,7 +237,8 @@
             )
 
     def withdraw(self, ticket_id: str, now: float) -> None:
-        """Takes a waiting request out, because its caller left."""
+        """Forgets a request: its caller left, or it will not be retried."""
+        self._retried.pop(ticket_id, None)
         for room in self._rooms.values():
             entry = room.remove(ticket_id)
             if entry is not None:
@@ -291,8 +276,8 @@
                     case models.Dispatch():
                         room.served(entry)
                         done.append((entry.ticket.id, decision))
-                    case models.Refuse():
-                        done.append(self._refuse_waiting(room, entry))
+                    case models.Refuse(reason=reason):
+                        done.append(self._refuse_waiting(room, entry, reason))
         return done
 
     def _target_free(
@@ -308,14 +293,17 @@
         )
 
     def _refuse_waiting(
-        self, room: admission.WaitingRoom, entry: admission.Waiting
+        self,
+        room: admission.WaitingRoom,
+        entry: admission.Waiting,
+        reason: models.RefusalReason = models.RefusalReason.DEADLINE,
     ) -> tuple[str, models.Decision]:
         room.remove(entry.ticket.id)
         self._aim(entry, "")
         self._forget(entry.ticket)
         return (
             entry.ticket.id,
-            models.Refuse(models.RefusalReason.DEADLINE),
+            models.Refuse(reason),
         )
 
     def _decide(self, entry: admission.Waiting, now: float) -> models.Decision:
@@ -393,10 +381,8 @@
         attempt = models.Attempt(number, ticket, endpoint, choice.cached_blocks)
         hit = choice.cached_blocks * prefixes.BLOCK_TOKENS
         missing = max(0, ticket.prompt_tokens - hit)
-        load = self._loads[endpoint.id]
-        load.pending[number] = missing
-        if placement.is_urgent(ticket.priority):
-            load.urgent.add(number)
+        urgent = loads.is_urgent(ticket.priority)
+        self._loads[endpoint.id].sent(number, missing, urgent, now)
         self._running[number] = _Running(attempt, now, choice)
         self._index.assume(endpoint.id, ticket.blocks, now)
         return models.Dispatch(attempt)
@@ -429,7 +415,7 @@
     ) -> None:
         """Starts a runner's state; slow start unless the router is new."""
         self._index.set_endpoint(runner.id, runner.incarnation)
-        load = placement.RunnerLoad(reported_at=now)
+        load = loads.RunnerLoad(reported_at=now)
         if not first:
             load.ramp_from = now
         for room in self._rooms.values():
@@ -440,12 +426,6 @@
         self._lost.discard(runner.id)
         self._health.reset(runner.id)
 
-    def _told(self, number: int, report: models.LoadReport, now: float) -> bool:
-        if report.acknowledged:
-            return number <= report.acknowledged
-        running = self._running.get(number)
-        return running is None or running.sent_at < now - UNTOLD_LAG_S
-
     def _current(self, attempt: models.Attempt) -> bool:
         """Tells whether the attempt's incarnation of the runner still runs."""
         known = self._endpoints.get(attempt.endpoint.id)
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -7,7 +7,7 @@
 PACKAGE = pathlib.Path(__file__).resolve().parent.parent / "knapweedarch"
 CORE = (
     *("exceptions", "models", "codec", "rules", "replica", "state", "leases"),
-    *("prefixes", "index", "placement", "admission", "retries"),
+    *("prefixes", "index", "loads", "placement", "admission", "retries"),
     *("scheduler", "streams"),
 )
 FORBIDDEN = {
