--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -357,7 +357,7 @@
 def served_first(context, count, part, customer):
     served = []
     for _ in range(count):
-        entry = context.room.ranked(0.0)[0]
+        entry = context.room.ranked(context.room, 0.0)[0]
         context.room.served(entry)
         served.append(entry.ticket.customer)
     assert served.count(customer) == part, served
--- a/knapweedarch/admission.py
+++ b/knapweedarch/admission.py
@@ -9,7 +9,7 @@
 
 import heapq
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -179,12 +179,9 @@
         oldest = heapq.nsmallest(count, ready, key=lambda w: w.tried_at)
         return {w.ticket.id for w in oldest}
 
-    def ranked(self, now: float) -> list[Waiting]:
-        """Lists the requests in the order in which they are served."""
-        return sorted(
-            self._waiting.values(),
-            key=lambda w: self._order(w, now),
-        )
+    def ranked(self, entries: Iterable[Waiting], now: float) -> list[Waiting]:
+        """Sorts requests into the order in which they are served."""
+        return sorted(entries, key=lambda w: self._order(w, now))
 
     def _order(
         self, entry: Waiting, now: float
--- a/knapweedarch/scheduler.py
+++ b/knapweedarch/scheduler.py
@@ -262,24 +262,40 @@
     def _poll_room(
         self, room: admission.WaitingRoom, now: float
     ) -> list[tuple[str, models.Decision]]:
-        done: list[tuple[str, models.Decision]] = []
+        late = [w for w in room if now >= w.ticket.deadline]
+        done = [self._refuse_waiting(room, entry) for entry in late]
         stale = room.least_recently_tried(POLL_TRIES, now)
-        for entry in room.ranked(now):
-            if now >= entry.ticket.deadline:
-                done.append(self._refuse_waiting(room, entry))
-            elif entry.not_before <= now and (
-                entry.ticket.id in stale or self._target_free(entry, room, now)
+        for entry in room.ranked(self._triable(room, stale, now), now):
+            if entry.ticket.id not in stale and not self._target_free(
+                entry, room, now
             ):
-                entry.tried_at = now
-                decision = self._place(entry, room.rank(entry, now), now)
-                match decision:
-                    case models.Dispatch():
-                        room.served(entry)
-                        done.append((entry.ticket.id, decision))
-                    case models.Refuse(reason=reason):
-                        done.append(self._refuse_waiting(room, entry, reason))
+                continue
+            entry.tried_at = now
+            decision = self._place(entry, room.rank(entry, now), now)
+            match decision:
+                case models.Dispatch():
+                    room.served(entry)
+                    done.append((entry.ticket.id, decision))
+                case models.Refuse(reason=reason):
+                    done.append(self._refuse_waiting(room, entry, reason))
         return done
 
+    def _triable(
+        self, room: admission.WaitingRoom, stale: set[str], now: float
+    ) -> list[admission.Waiting]:
+        """Lists the requests that are stale or whose runner has room now."""
+        free: dict[tuple[str, int], bool] = {}
+        found = []
+        for entry in room:
+            if entry.not_before > now:
+                continue
+            key = (entry.target, room.rank(entry, now))
+            if key not in free:
+                free[key] = self._target_free(entry, room, now)
+            if free[key] or entry.ticket.id in stale:
+                found.append(entry)
+        return found
+
     def _target_free(
         self,
         entry: admission.Waiting,
