--- /dev/null
+++ b/bench/variants.py
@@ -0,0 +1,229 @@
+"""Schedulers compared by the bench."""
+
+import bisect
+import functools
+from collections.abc import Callable, Sequence
+
+import attrs
+import xxhash
+
+from bench import runners, workloads, world
+from knapweedarch import models, placement, scheduler
+
+# Blocks of the prompt that select the ring position in prefix-consistent
+# hashing: system prompt, fleet and the first part of the log or manuscript.
+RING_BLOCKS = {"huts": 4, "bindery": 2}
+
+# Load of a runner relative to the mean above which the ring passes it over.
+RING_BOUND = 1.25
+
+Candidates = list[placement.Candidate]
+
+
+@functools.lru_cache
+def _ring(names: tuple[str, ...], points: int) -> list[tuple[int, str]]:
+    """Points of the given runners in hash order."""
+    return sorted(
+        (xxhash.xxh3_64_intdigest(f"{name}/{i}".encode()), name)
+        for name in names
+        for i in range(points)
+    )
+
+
+@functools.lru_cache(maxsize=4096)
+def _ring_order(
+    names: tuple[str, ...], points: int, point: int
+) -> tuple[str, ...]:
+    """Runners in the order in which the ring meets them from a point."""
+    ring = _ring(names, points)
+    start = bisect.bisect(ring, (point, ""))
+    return tuple(dict.fromkeys(name for _, name in ring[start:] + ring[:start]))
+
+
+class RoundRobin(placement.Placer):
+    """Runners in turn."""
+
+    tries = world.RUNNERS
+    _turn = 0
+
+    def candidates(self, *args) -> Candidates:
+        """Starts with the runner after the last one."""
+        found = sorted(super().candidates(*args), key=lambda c: c.endpoint.id)
+        self._turn += 1
+        turn = self._turn % len(found)
+        return found[turn:] + found[:turn]
+
+
+class LeastLoad(placement.Placer):
+    """Runners by expected occupancy."""
+
+    tries = world.RUNNERS
+
+    def candidates(self, ticket, endpoints, known, *rest) -> Candidates:
+        """Starts with the least occupied runner."""
+        found = super().candidates(ticket, endpoints, known, *rest)
+        return sorted(
+            found,
+            key=lambda c: (
+                self.occupancy(known[c.endpoint.id]),
+                xxhash.xxh3_64_intdigest((ticket.id + c.endpoint.id).encode()),
+            ),
+        )
+
+
+class BoundedRing(placement.Placer):
+    """Prefix-consistent hashing with bounded load."""
+
+    tries = world.RUNNERS
+    ring_blocks = 4
+    points = 100
+
+    def candidates(self, ticket, endpoints, known, *rest) -> Candidates:
+        """Follows the ring; runners over the bound come last."""
+        found = super().candidates(ticket, endpoints, known, *rest)
+        by_id = {c.endpoint.id: c for c in found}
+        key = ticket.blocks[: self.ring_blocks]
+        point = key[-1] if key else xxhash.xxh3_64_intdigest(ticket.id.encode())
+        order = _ring_order(tuple(sorted(by_id)), self.points, point)
+        used = {name: self.occupancy(known[name]) for name in by_id}
+        bound = RING_BOUND * (sum(used.values()) + 1) / len(used)
+        ranked = sorted(order, key=lambda name: used[name] > max(1.0, bound))
+        return [by_id[name] for name in ranked]
+
+
+Change = Callable[[scheduler.SchedulerConfig], scheduler.SchedulerConfig]
+
+
+@attrs.frozen
+class Variant:
+    """A kind of scheduler.
+
+    Attributes:
+        name: Name in reports.
+        placer: Class of the placer.
+        change: Changes the configuration, for ablations.
+        no_lag: Whether it sees all caches and queues at once.
+        no_events: Whether no cache event reaches a router.
+        look_up: Whether each request asks the owner of its prefix.
+        routers: Number of routers.
+    """
+
+    name: str
+    placer: type[placement.Placer] = placement.Placer
+    change: Change = lambda cfg: cfg
+    no_lag: bool = False
+    no_events: bool = False
+    look_up: bool = False
+    routers: int = world.ROUTERS
+
+
+def _placing(**fields: float) -> Change:
+    return lambda cfg: attrs.evolve(
+        cfg, placement_cfg=attrs.evolve(cfg.placement_cfg, **fields)
+    )
+
+
+def _admitting(**fields: object) -> Change:
+    return lambda cfg: attrs.evolve(
+        cfg, admission_cfg=attrs.evolve(cfg.admission_cfg, **fields)
+    )
+
+
+def _retrying(**fields: float) -> Change:
+    return lambda cfg: attrs.evolve(
+        cfg, retry_cfg=attrs.evolve(cfg.retry_cfg, **fields)
+    )
+
+
+NEVER = 1e9
+
+OURS = Variant("knapweedarch")
+REFERENCES = (
+    Variant("reference, 1 router", no_lag=True, routers=1),
+    Variant("reference, 8 routers", no_lag=True),
+)
+BASELINES = (
+    Variant("round robin", RoundRobin),
+    Variant("least load", LeastLoad),
+    Variant("bounded ring", BoundedRing),
+)
+COMPARED = (OURS, *REFERENCES, *BASELINES)
+
+# Ways to know the caches, weighed against the chosen mix.
+WAYS = (
+    Variant("index only", change=_placing(spread_s=0.0)),
+    Variant("index at prefix owner", look_up=True),
+    Variant("mix without events", no_events=True),
+)
+ABLATIONS = (
+    Variant("no recompute charge", change=_placing(recompute_weight=0.0)),
+    Variant("no eviction charge", change=_placing(eviction_weight=0.0)),
+    Variant("no balance charge", change=_placing(balance_s=0.0)),
+    Variant("no rendezvous rank", change=_placing(spread_s=0.0)),
+    Variant("no peer correction", change=_placing(peer_weight=0.0)),
+    Variant("no hot copies", change=_placing(hot_target=NEVER)),
+    Variant(
+        "no assumed entries",
+        change=lambda cfg: attrs.evolve(cfg, assumed_s=0.0),
+    ),
+    Variant(
+        "no class limits",
+        change=_admitting(fill=dict.fromkeys(models.Priority, 2.0)),
+    ),
+    Variant("no ageing", change=_admitting(age_s=NEVER)),
+    Variant(
+        "no ejection", change=_retrying(slow_floor_s=NEVER, failures=10**9)
+    ),
+    Variant("no retry budget", change=_retrying(reserve=NEVER)),
+    Variant("no slow start", change=_retrying(ramp_s=1e-9)),
+)
+
+
+def configure(
+    deployment: workloads.Deployment,
+    data_centre: str,
+    routers: int,
+    one_way_s: float,
+) -> scheduler.SchedulerConfig:
+    """Configuration of a deployment's routers."""
+    distances = {f"dc{i}": one_way_s for i in range(world.DATA_CENTRES)}
+    distances[data_centre] = world.SAME_CENTRE_S
+    return scheduler.SchedulerConfig(
+        placement_cfg=placement.PlacementConfig(
+            prefill_tokens_s=runners.PREFILL_TOKENS_S,
+            service_s=deployment.service_s,
+            distance_s=distances,
+            far_s=one_way_s,
+            eviction_weight=deployment.eviction_weight,
+            peer_routers=routers,
+        )
+    )
+
+
+def maker(
+    variant: Variant,
+) -> Callable[[str, int, world.World], scheduler.Scheduler]:
+    """Makes the function with which a world starts its routers."""
+
+    def make(
+        data_centre: str, seed: int, where: world.World
+    ) -> scheduler.Scheduler:
+        deployment = where.deployment
+        # The reference's only router is near every runner.
+        one_way_s = (
+            world.SAME_CENTRE_S if variant.no_lag else deployment.one_way_s
+        )
+        cfg = variant.change(
+            configure(deployment, data_centre, len(where.routers), one_way_s)
+        )
+        placer = variant.placer(cfg.placement_cfg)
+        if isinstance(placer, BoundedRing):
+            placer.ring_blocks = RING_BLOCKS[deployment.name]
+        return scheduler.Scheduler(cfg, placer, seed)
+
+    return make
+
+
+def named(variants: Sequence[Variant]) -> dict[str, Variant]:
+    """Variants by name."""
+    return {v.name: v for v in variants}
--- a/knapweedarch/admission.py
+++ b/knapweedarch/admission.py
@@ -7,8 +7,9 @@
 starves.
 """
 
+import heapq
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -33,11 +34,11 @@
         factory=lambda: {
             models.Priority.AVAILABILITY: 2.0,
             models.Priority.GUEST: 1.5,
-            models.Priority.INTERACTIVE: 1.0,
-            models.Priority.BATCH: 0.6,
+            models.Priority.INTERACTIVE: 0.5,
+            models.Priority.BATCH: 0.3,
         }
     )
-    age_s: float = 5.0
+    age_s: float = 40.0
     queue_limit: int = 500
 
 
@@ -116,6 +117,8 @@
         not_before: Earliest dispatch, for the back-off of a retry.
         avoid: Runners that failed this request.
         tag: Start tag of the fair queueing.
+        tried_at: When a runner was last looked for.
+        target: Runner that it waits for; empty if none was chosen yet.
     """
 
     ticket: models.Ticket
@@ -123,6 +126,8 @@
     not_before: float = 0.0
     avoid: frozenset[str] = frozenset()
     tag: float = 0.0
+    target: str = ""
+    tried_at: float = 0.0
 
 
 class WaitingRoom:
@@ -168,20 +173,26 @@
         virtual = self._virtual.get(priority, 0.0)
         self._virtual[priority] = max(virtual, entry.tag)
 
-    def ahead_of(self, entry: Waiting, now: float) -> int:
-        """Counts the waiting requests served before a new one."""
-        rank = self.rank(entry, now)
-        return sum(
-            w.not_before <= now and self.rank(w, now) <= rank
-            for w in self._waiting.values()
-        )
+    def least_recently_tried(self, count: int, now: float) -> set[str]:
+        """Ids of the requests that were not tried for the longest time."""
+        ready = (w for w in self._waiting.values() if w.not_before <= now)
+        oldest = heapq.nsmallest(count, ready, key=lambda w: w.tried_at)
+        return {w.ticket.id for w in oldest}
 
-    def ranked(self, now: float) -> list[Waiting]:
-        """Lists the requests in the order in which they are served."""
-        return sorted(
-            self._waiting.values(),
-            key=lambda w: (self.rank(w, now), w.tag, w.since),
-        )
+    def ranked(self, entries: Iterable[Waiting], now: float) -> list[Waiting]:
+        """Sorts requests into the order in which they are served."""
+        return sorted(entries, key=lambda w: self._order(w, now))
+
+    def _order(
+        self, entry: Waiting, now: float
+    ) -> tuple[int, bool, float, float]:
+        """Sort key; requests of lower classes come first once raised.
+
+        Tags of different classes cannot be compared.
+        """
+        rank = self.rank(entry, now)
+        raised = rank < entry.ticket.priority
+        return rank, not raised, entry.tag, entry.since
 
     def rank(self, entry: Waiting, now: float) -> int:
         """Class of a request after ageing."""
--- a/knapweedarch/placement.py
+++ b/knapweedarch/placement.py
@@ -4,14 +4,20 @@
 for the cached blocks that the choice is expected to push out.
 """
 
-import collections
 import math
 from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 import xxhash
 
-from knapweedarch import models, prefixes
+from knapweedarch import loads, models, prefixes
+
+# Depths at which the arrival rate of a chain is measured. Few depths bound
+# the cost of a long chain; their spacing grows with the length.
+SAMPLED_DEPTHS = (0, 1, 2, 3, 5, 8, 13, 21, 34, 55)
+
+# Rendezvous orders kept before all are forgotten; one takes about 1 KB.
+REMEMBERED_ORDERS = 4096
 
 
 @attrs.frozen
@@ -25,9 +31,14 @@
         far_s: One-way delay to a data centre not listed.
         eviction_weight: Charge for a block computed anew, as a part of its
             prefill time, when the runner's cache is full.
+        recompute_weight: Charge for a block computed anew, as a part of its
+            prefill time, for the requests that it delays.
         spread_s: Largest charge for a low rank in the rendezvous order.
         peer_routers: Routers that choose from the same load reports.
         peer_weight: Part of the peers' expected sends that is counted.
+        balance_s: Charge for a full batch; a half full one costs half.
+        grow_weight: Part of the prefill time that is not charged where a
+            hot prefix needs one more runner.
         hot_window_s: Time over which the rate of a prefix is measured.
         hot_target: Load of one runner, as a part of its capacity, at which a
             prefix gets one more runner.
@@ -38,35 +49,14 @@
     distance_s: Mapping[str, float] = attrs.field(factory=dict)
     far_s: float = 0.005
     eviction_weight: float = 0.5
+    recompute_weight: float = 3.0
     spread_s: float = 0.02
     peer_routers: int = 1
-    peer_weight: float = 0.3
+    peer_weight: float = 0.1
+    balance_s: float = 0.3
+    grow_weight: float = 0.8
     hot_window_s: float = 3.0
-    hot_target: float = 0.5
-
-
-@attrs.define
-class RunnerLoad:
-    """What this router knows about the load of one runner.
-
-    Attributes:
-        running: Reported requests in the batch.
-        queued: Reported requests waiting.
-        queued_tokens: Reported prompt tokens not yet computed.
-        reported_at: Arrival of the report on this router's clock.
-        finished: Own attempts that the report includes and that ended since.
-        pending: Own attempts the report does not include, with the tokens
-            that each has to compute.
-        ramp_from: When slow start began; minus infinity if it did not.
-    """
-
-    running: int = 0
-    queued: int = 0
-    queued_tokens: int = 0
-    reported_at: float = 0.0
-    finished: int = 0
-    pending: dict[int, int] = attrs.field(factory=dict)
-    ramp_from: float = -math.inf
+    hot_target: float = 1.0
 
 
 @attrs.frozen
@@ -93,22 +83,37 @@
 
     def __init__(self, window_s: float):
         self._window_s = window_s
-        self._rates: dict[int, tuple[float, float]] = {}
+        self._counts: dict[int, tuple[float, float]] = {}
         self._next_prune = 0.0
 
-    def note(self, block: int, weight: float, now: float) -> float:
-        """Adds one arrival; returns the decayed weight per second."""
-        value, at = self._rates.get(block, (0.0, now))
-        value = value * math.exp((at - now) / self._window_s) + weight
-        self._rates[block] = (value, now)
+    def note(self, block: int, now: float) -> None:
+        """Adds one arrival."""
+        count = self.rate(block, now) * self._window_s + 1.0
+        self._counts[block] = (count, now)
         if now >= self._next_prune:
             self._prune(now)
-        return value / self._window_s
+
+    def rate(self, block: int, now: float) -> float:
+        """Arrivals per second."""
+        known = self._counts.get(block)
+        if known is None:
+            return 0.0
+        count, at = known
+        return count * math.exp((at - now) / self._window_s) / self._window_s
+
+    def sure_rate(self, block: int, now: float) -> float:
+        """Arrivals per second less one standard deviation of the count."""
+        count = self.rate(block, now) * self._window_s
+        return max(0.0, count - math.sqrt(count)) / self._window_s
 
     def _prune(self, now: float) -> None:
         """Drops chains without an arrival for some windows."""
         horizon = now - 4 * self._window_s
-        self._rates = {k: v for k, v in self._rates.items() if v[1] > horizon}
+        self._counts = {
+            block: known
+            for block, known in self._counts.items()
+            if known[1] > horizon
+        }
         self._next_prune = now + self._window_s
 
 
@@ -128,9 +133,18 @@
     )
 
 
-def spread_block(
+def common_depth(
     blocks: Sequence[int], depths: Mapping[str, int], candidates: int
-) -> int | None:
+) -> int:
+    """Counts the leading blocks that at least half of the candidates have."""
+    order = sorted(depths.values(), reverse=True)
+    needed = (candidates + 1) // 2
+    if len(order) < needed:
+        return 0
+    return min(order[needed - 1], len(blocks))
+
+
+def spread_block(blocks: Sequence[int], common: int) -> int | None:
     """Picks the block whose rendezvous order breaks ties.
 
     It is the first block that fewer than half of the candidates have, so
@@ -138,13 +152,7 @@
     """
     if not blocks:
         return None
-    counts = collections.Counter(depths.values())
-    holders = sum(counts.values())
-    for depth in range(len(blocks)):
-        holders -= counts.get(depth, 0)
-        if holders * 2 < candidates:
-            return blocks[depth]
-    return blocks[-1]
+    return blocks[min(common, len(blocks) - 1)]
 
 
 def plan_loads(
@@ -176,46 +184,59 @@
 
 
 class Placer:
-    """Estimates costs and chooses a runner."""
+    """Estimates costs and chooses a runner.
+
+    Attributes:
+        tries: Cheapest runners tried before a request has to wait. One,
+            because the cost of the first already includes the wait for it.
+    """
+
+    tries = 1
 
     def __init__(self, cfg: PlacementConfig):
         self._cfg = cfg
+        self._peers = 1 + cfg.peer_weight * (cfg.peer_routers - 1)
         self._hot = HotPrefixes(cfg.hot_window_s)
+        self._orders: dict[tuple[int, tuple[str, ...]], dict[str, int]] = {}
 
     def wait_s(
-        self, endpoint: models.Endpoint, load: RunnerLoad, now: float
+        self,
+        endpoint: models.Endpoint,
+        load: loads.RunnerLoad,
+        priority: models.Priority,
+        now: float,
     ) -> float:
-        """Expected wait before a new request's prefill starts."""
+        """Expected wait before a new request's prefill starts.
+
+        Requests of the same and higher classes that wait in the routers for
+        this runner are counted as if every router had as many as this one.
+        """
         cfg = self._cfg
-        own = sum(load.pending.values())
-        hidden = own * (1 + cfg.peer_weight * (cfg.peer_routers - 1))
-        queued = (load.queued_tokens + hidden) / cfg.prefill_tokens_s
+        tokens = load.tokens_before(priority, self._peers)
+        queued = tokens / cfg.prefill_tokens_s
         wait = max(0.0, queued - max(0.0, now - load.reported_at))
-        excess = self.occupancy(load) + 1 - endpoint.slots
+        ahead = sum(load.awaiting[: priority + 1]) * cfg.peer_routers
+        excess = self.occupancy(load) + ahead + 1 - endpoint.slots
         if excess > 0:
             wait += excess * cfg.service_s / endpoint.slots
         return wait
 
-    def occupancy(self, load: RunnerLoad) -> float:
+    def occupancy(self, load: loads.RunnerLoad) -> float:
         """Requests expected in the batch and the queue of a runner."""
-        cfg = self._cfg
-        peers = 1 + cfg.peer_weight * (cfg.peer_routers - 1)
-        reported = max(0, load.running + load.queued - load.finished)
-        return reported + len(load.pending) * peers
-
-    def queue_wait_s(self, ahead: int, slots: int) -> float:
-        """Expected wait behind requests in this router's queue."""
-        cfg = self._cfg
-        return ahead * cfg.peer_routers * cfg.service_s / max(1, slots)
+        return load.reported_requests() + len(load.pending) * self._peers
 
     def arrived(self, ticket: models.Ticket, now: float) -> None:
         """Notes an arrival for the rates of its prefixes."""
+        for depth in SAMPLED_DEPTHS:
+            if depth >= len(ticket.blocks):
+                break
+            self._hot.note(ticket.blocks[depth], now)
 
     def candidates(
         self,
         ticket: models.Ticket,
         endpoints: Sequence[models.Endpoint],
-        loads: Mapping[str, RunnerLoad],
+        runner_loads: Mapping[str, loads.RunnerLoad],
         depths: Mapping[str, int],
         fill: Mapping[str, float],
         now: float,
@@ -225,58 +246,104 @@
         Args:
             ticket: The request.
             endpoints: Runners that may take it.
-            loads: Load by runner.
+            runner_loads: Load by runner.
             depths: Cached leading blocks by runner.
             fill: Used part of each runner's cache, 0 to 1.
             now: Seconds on the router's clock.
         """
-        ranks = self._ranks(ticket, endpoints, depths)
-        found = [
-            self._cost(
-                ticket,
-                endpoint,
-                depths.get(endpoint.id, 0),
-                self.wait_s(endpoint, loads[endpoint.id], now),
-                fill.get(endpoint.id, 1.0),
-                ranks.get(endpoint.id, 0.0),
+        common = common_depth(ticket.blocks, depths, len(endpoints))
+        block, copies, hot_depth = self._hot_block(ticket, endpoints, now)
+        if copies < 2:
+            block = spread_block(ticket.blocks, common)
+        if block is None:
+            block = xxhash.xxh3_64_intdigest(ticket.id.encode())
+        ranks = self._ranks(block, endpoints)
+        pays = not loads.is_urgent(ticket.priority)
+        found = []
+        for endpoint in endpoints:
+            rank = ranks[endpoint.id]
+            grow = hot_depth if pays and rank < copies else 0
+            found.append(
+                self._cost(
+                    ticket,
+                    endpoint,
+                    depths.get(endpoint.id, 0),
+                    runner_loads[endpoint.id],
+                    fill.get(endpoint.id, 1.0),
+                    max(0, rank - copies + 1) / len(endpoints),
+                    grow,
+                    now,
+                )
             )
-            for endpoint in endpoints
-        ]
         found.sort(key=lambda c: (c.cost_s, c.endpoint.id))
         return found
 
-    def _ranks(
+    def _hot_block(
         self,
         ticket: models.Ticket,
         endpoints: Sequence[models.Endpoint],
-        depths: Mapping[str, int],
-    ) -> dict[str, float]:
-        """Relative rank of each runner, 0 for the first and under 1."""
-        block = spread_block(ticket.blocks, depths, len(endpoints))
-        if block is None:
-            block = xxhash.xxh3_64_intdigest(ticket.id.encode())
-        order = rendezvous_order(block, endpoints)
-        return {name: rank / len(order) for rank, name in enumerate(order)}
+        now: float,
+    ) -> tuple[int | None, int, int]:
+        """Finds the longest prefix that needs several runners.
+
+        Returns:
+            Its last block, the runners it needs, and its length in blocks.
+        """
+        cfg = self._cfg
+        slots = sum(e.slots for e in endpoints) / len(endpoints)
+        per_runner = cfg.hot_target * slots / cfg.service_s
+        best = (None, 1, 0)
+        for depth in SAMPLED_DEPTHS:
+            if depth >= len(ticket.blocks):
+                break
+            block = ticket.blocks[depth]
+            rate = self._hot.sure_rate(block, now) * cfg.peer_routers
+            copies = min(len(endpoints), math.ceil(rate / per_runner))
+            if copies < 2:
+                break
+            best = (block, copies, depth + 1)
+        return best
+
+    def _ranks(
+        self, block: int, endpoints: Sequence[models.Endpoint]
+    ) -> dict[str, int]:
+        """Rank of each runner in the rendezvous order, remembered."""
+        key = (block, tuple(e.id for e in endpoints))
+        ranks = self._orders.get(key)
+        if ranks is None:
+            if len(self._orders) >= REMEMBERED_ORDERS:
+                self._orders.clear()
+            order = rendezvous_order(block, endpoints)
+            ranks = {name: rank for rank, name in enumerate(order)}
+            self._orders[key] = ranks
+        return ranks
 
     def _cost(
         self,
         ticket: models.Ticket,
         endpoint: models.Endpoint,
         cached: int,
-        wait: float,
+        load: loads.RunnerLoad,
         fill: float,
         rank: float,
+        grow: int,
+        now: float,
     ) -> Candidate:
         cfg = self._cfg
+        wait = self.wait_s(endpoint, load, ticket.priority, now)
+        block_s = prefixes.BLOCK_TOKENS / cfg.prefill_tokens_s
         hit = min(cached * prefixes.BLOCK_TOKENS, ticket.prompt_tokens)
         prefill = (ticket.prompt_tokens - hit) / cfg.prefill_tokens_s
+        new_blocks = max(0, len(ticket.blocks) - cached)
         distance = cfg.distance_s.get(endpoint.data_centre, cfg.far_s)
         first_token = wait + prefill + 2 * distance
-        new_blocks = max(0, len(ticket.blocks) - cached)
-        evicted = new_blocks * prefixes.BLOCK_TOKENS / cfg.prefill_tokens_s
+        wanted = max(0, grow - cached)
+        charge = cfg.recompute_weight + cfg.eviction_weight * fill
         cost = (
             first_token
-            + cfg.eviction_weight * fill * evicted
+            + charge * (new_blocks - wanted) * block_s
+            - cfg.grow_weight * wanted * block_s
+            + cfg.balance_s * self.occupancy(load) / endpoint.slots
             + cfg.spread_s * rank
         )
         return Candidate(endpoint, cached, wait, first_token, cost)
--- a/knapweedarch/scheduler.py
+++ b/knapweedarch/scheduler.py
@@ -12,23 +12,20 @@
 from knapweedarch import (
     admission,
     index,
+    loads,
     models,
     placement,
     prefixes,
     retries,
 )
 
-# Waiting requests tried in one poll. Bounds the time of a poll; requests
-# behind them have a lower rank and are tried once these are gone.
-POLL_TRIES = 16
+# Waiting requests of full runners for which one poll looks for another runner,
+# those not tried for longest first. Bounds the time of a poll.
+POLL_TRIES = 4
 
 # Interval in seconds at which waiting requests are tried again, because
 # expected load falls with time and not only with events.
-POLL_S = 0.02
-
-# Own sends older than this count as included in a report of a runner that
-# does not tell which attempts its report includes. Two report intervals.
-UNTOLD_LAG_S = 0.5
+POLL_S = 0.05
 
 
 @attrs.frozen
@@ -49,8 +46,7 @@
 class _Running:
     attempt: models.Attempt
     sent_at: float
-    expected_s: float
-    told: bool = False
+    choice: placement.Candidate
     first_at: float | None = None
 
 
@@ -74,7 +70,7 @@
         self._budget = retries.RetryBudget(cfg.retry_cfg)
         self._health = retries.HealthTable(cfg.retry_cfg, self._rng)
         self._endpoints: dict[str, models.Endpoint] = {}
-        self._loads: dict[str, placement.RunnerLoad] = {}
+        self._loads: dict[str, loads.RunnerLoad] = {}
         self._lost: set[str] = set()
         self._rooms: dict[str, admission.WaitingRoom] = {}
         self._running: dict[int, _Running] = {}
@@ -89,7 +85,7 @@
         runners = {
             e.id: e for e in endpoints if e.kind is models.EndpointKind.RUNNER
         }
-        for gone in self._endpoints.keys() - runners.keys():
+        for gone in sorted(self._endpoints.keys() - runners.keys()):
             self._index.drop_endpoint(gone)
             self._loads.pop(gone, None)
             self._lost.discard(gone)
@@ -127,20 +123,19 @@
         if endpoint is None or endpoint.incarnation != report.incarnation:
             return
         self._lost.discard(endpoint.id)
-        load = self._loads[endpoint.id]
-        load.running, load.queued = report.running, report.queued
-        load.queued_tokens, load.reported_at = report.queued_tokens, now
-        load.finished = 0
-        for number in [n for n in load.pending if self._told(n, report, now)]:
-            del load.pending[number]
-            if number in self._running:
-                self._running[number].told = True
+        self._loads[endpoint.id].take_report(report, now)
 
     def cache_event(self, event: models.CacheEvent, now: float) -> None:
         """Takes over a cache event."""
         self._index.apply(event)
 
-    def take_snapshot_requests(self) -> set[str]:
+    def cache_snapshot(
+        self, snapshot: models.CacheSnapshot, now: float
+    ) -> None:
+        """Takes over the whole cache of a runner."""
+        self._index.apply_snapshot(snapshot)
+
+    def take_snapshot_requests(self) -> list[str]:
         """Returns once each runner whose blocks must be asked for."""
         return self._index.take_gaps()
 
@@ -173,7 +168,11 @@
     def retry(
         self, ticket: models.Ticket, failed: models.Attempt, now: float
     ) -> models.Decision:
-        """Decides on a request whose attempt failed."""
+        """Decides on a request whose attempt failed.
+
+        The ticket may differ from the failed attempt's: a resumed stream
+        names its weights version and has a new deadline.
+        """
         if failed.number in self._running:
             self.finished(
                 failed,
@@ -203,12 +202,12 @@
             return
         running.first_at = now
         load = self._loads.get(attempt.endpoint.id)
-        if load is not None and attempt.number in load.pending:
-            load.pending[attempt.number] = 0
+        if load is not None:
+            load.computed(attempt.number)
         if not self._current(attempt):
             return
         self._index.assume(attempt.endpoint.id, attempt.ticket.blocks, now)
-        late = now - running.sent_at - running.expected_s
+        late = now - running.sent_at - running.choice.first_token_s
         peers = self._peers(attempt.ticket.model)
         self._health.succeeded(attempt.endpoint.id, late, peers, now)
 
@@ -227,9 +226,7 @@
             self._retried.pop(attempt.ticket.id, None)
         if not self._current(attempt):
             return
-        load = self._loads[attempt.endpoint.id]
-        if load.pending.pop(attempt.number, None) is None:
-            load.finished += 1
+        self._loads[attempt.endpoint.id].ended(attempt.number)
         if outcome.failure is not None:
             peers = self._peers(attempt.ticket.model)
             self._health.failed(attempt.endpoint.id, peers, now)
@@ -240,10 +237,12 @@
             )
 
     def withdraw(self, ticket_id: str, now: float) -> None:
-        """Takes a waiting request out, because its caller left."""
+        """Forgets a request: its caller left, or it will not be retried."""
+        self._retried.pop(ticket_id, None)
         for room in self._rooms.values():
             entry = room.remove(ticket_id)
             if entry is not None:
+                self._aim(entry, "")
                 self._forget(entry.ticket)
 
     def poll(self, now: float) -> list[tuple[str, models.Decision]]:
@@ -263,39 +262,73 @@
     def _poll_room(
         self, room: admission.WaitingRoom, now: float
     ) -> list[tuple[str, models.Decision]]:
-        done: list[tuple[str, models.Decision]] = []
-        tries = 0
-        for entry in room.ranked(now):
-            if now >= entry.ticket.deadline:
-                done.append(self._refuse_waiting(room, entry))
-            elif entry.not_before <= now and tries < POLL_TRIES:
-                tries += 1
-                decision = self._place(entry, room.rank(entry, now), now)
-                match decision:
-                    case models.Dispatch():
-                        room.served(entry)
-                        done.append((entry.ticket.id, decision))
-                    case models.Refuse():
-                        done.append(self._refuse_waiting(room, entry))
+        late = [w for w in room if now >= w.ticket.deadline]
+        done = [self._refuse_waiting(room, entry) for entry in late]
+        stale = room.least_recently_tried(POLL_TRIES, now)
+        for entry in room.ranked(self._triable(room, stale, now), now):
+            if entry.ticket.id not in stale and not self._target_free(
+                entry, room, now
+            ):
+                continue
+            entry.tried_at = now
+            decision = self._place(entry, room.rank(entry, now), now)
+            match decision:
+                case models.Dispatch():
+                    room.served(entry)
+                    done.append((entry.ticket.id, decision))
+                case models.Refuse(reason=reason):
+                    done.append(self._refuse_waiting(room, entry, reason))
         return done
 
+    def _triable(
+        self, room: admission.WaitingRoom, stale: set[str], now: float
+    ) -> list[admission.Waiting]:
+        """Lists the requests that are stale or whose runner has room now."""
+        free: dict[tuple[str, int], bool] = {}
+        found = []
+        for entry in room:
+            if entry.not_before > now:
+                continue
+            key = (entry.target, room.rank(entry, now))
+            if key not in free:
+                free[key] = self._target_free(entry, room, now)
+            if free[key] or entry.ticket.id in stale:
+                found.append(entry)
+        return found
+
+    def _target_free(
+        self,
+        entry: admission.Waiting,
+        room: admission.WaitingRoom,
+        now: float,
+    ) -> bool:
+        """Tells whether the runner that a request waits for has room."""
+        endpoint = self._endpoints.get(entry.target)
+        return endpoint is None or self._has_room(
+            endpoint, entry.ticket, room.rank(entry, now), now
+        )
+
     def _refuse_waiting(
-        self, room: admission.WaitingRoom, entry: admission.Waiting
+        self,
+        room: admission.WaitingRoom,
+        entry: admission.Waiting,
+        reason: models.RefusalReason = models.RefusalReason.DEADLINE,
     ) -> tuple[str, models.Decision]:
         room.remove(entry.ticket.id)
+        self._aim(entry, "")
         self._forget(entry.ticket)
         return (
             entry.ticket.id,
-            models.Refuse(models.RefusalReason.DEADLINE),
+            models.Refuse(reason),
         )
 
     def _decide(self, entry: admission.Waiting, now: float) -> models.Decision:
         """Decides on an arriving request; queues it if it must wait."""
         room = self._room(entry.ticket.model)
-        ahead = room.ahead_of(entry, now)
-        decision = self._place(entry, room.rank(entry, now), now, ahead)
+        decision = self._place(entry, room.rank(entry, now), now, new=True)
         if isinstance(decision, models.Wait):
             if room.full():
+                self._aim(entry, "")
                 return models.Refuse(models.RefusalReason.QUEUE_FULL)
             room.add(entry, self._limits.share(entry.ticket.customer))
         return decision
@@ -305,10 +338,11 @@
         entry: admission.Waiting,
         rank: int,
         now: float,
-        ahead: int = 0,
+        new: bool = False,
     ) -> models.Decision:
         """Dispatches a request, or tells whether it may wait."""
         ticket = entry.ticket
+        self._aim(entry, "")
         endpoints = self._eligible(ticket, entry.avoid, now)
         if not endpoints:
             return models.Refuse(models.RefusalReason.NO_CAPACITY)
@@ -320,15 +354,29 @@
             {e.id: self._fill(e) for e in endpoints},
             now,
         )
-        soonest = min(c.first_token_s for c in choices)
-        slots = sum(e.slots for e in endpoints)
-        delay = self._placer.queue_wait_s(ahead, slots)
-        if now + soonest + delay > ticket.deadline:
-            return models.Refuse(models.RefusalReason.DEADLINE, delay + 1.0)
-        if not ahead and self._has_room(choices[0].endpoint, ticket, rank, now):
-            return self._send(ticket, choices[0], now)
+        timely = [c for c in choices if now + c.first_token_s < ticket.deadline]
+        if not timely:
+            soonest = min(c.first_token_s for c in choices)
+            return models.Refuse(models.RefusalReason.DEADLINE, soonest)
+        for choice in timely[: self._placer.tries]:
+            queue = self._loads[choice.endpoint.id].awaiting
+            passed = new and any(queue[: rank + 1])
+            if not passed and self._has_room(
+                choice.endpoint, ticket, rank, now
+            ):
+                return self._send(ticket, choice, now)
+        self._aim(entry, timely[0].endpoint.id)
         return models.Wait()
 
+    def _aim(self, entry: admission.Waiting, target: str) -> None:
+        """Moves a waiting request's count to the runner it waits for."""
+        priority = entry.ticket.priority
+        if entry.target in self._loads:
+            self._loads[entry.target].awaiting[priority] -= 1
+        if target:
+            self._loads[target].awaiting[priority] += 1
+        entry.target = target
+
     def _has_room(
         self,
         endpoint: models.Endpoint,
@@ -349,8 +397,9 @@
         attempt = models.Attempt(number, ticket, endpoint, choice.cached_blocks)
         hit = choice.cached_blocks * prefixes.BLOCK_TOKENS
         missing = max(0, ticket.prompt_tokens - hit)
-        self._loads[endpoint.id].pending[number] = missing
-        self._running[number] = _Running(attempt, now, choice.first_token_s)
+        urgent = loads.is_urgent(ticket.priority)
+        self._loads[endpoint.id].sent(number, missing, urgent, now)
+        self._running[number] = _Running(attempt, now, choice)
         self._index.assume(endpoint.id, ticket.blocks, now)
         return models.Dispatch(attempt)
 
@@ -386,19 +435,17 @@
     ) -> None:
         """Starts a runner's state; slow start unless the router is new."""
         self._index.set_endpoint(runner.id, runner.incarnation)
-        load = placement.RunnerLoad(reported_at=now)
+        load = loads.RunnerLoad(reported_at=now)
         if not first:
             load.ramp_from = now
+        for room in self._rooms.values():
+            for entry in room:
+                if entry.target == runner.id:
+                    load.awaiting[entry.ticket.priority] += 1
         self._loads[runner.id] = load
         self._lost.discard(runner.id)
         self._health.reset(runner.id)
 
-    def _told(self, number: int, report: models.LoadReport, now: float) -> bool:
-        if report.acknowledged:
-            return number <= report.acknowledged
-        running = self._running.get(number)
-        return running is None or running.sent_at < now - UNTOLD_LAG_S
-
     def _current(self, attempt: models.Attempt) -> bool:
         """Tells whether the attempt's incarnation of the runner still runs."""
         known = self._endpoints.get(attempt.endpoint.id)
