--- a/knapweedarch/transports.py
+++ b/knapweedarch/transports.py
@@ -113,7 +113,7 @@
 
     async def _read_chunks(self, chunks: ChunkDecoder) -> bytes:
         try:
-            part = chunks.feed(b"")
+            part = chunks.feed(b"") if chunks.rest else b""
             while not part and not chunks.done:
                 data = await self._receive()
                 if not data:
