Tell routers how many choose from the same load reports

Ruled out: a number in the settings, which nobody would keep right. Before: always 1. After: the leader counts the leases and each grant tells.

--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -188,7 +188,7 @@
     """Measures the bytes of one renewal and its answer."""
     print("\n## Bytes on a router's control link")
     renew = control.Renew("router-17", "0123456789abcdef", 320, 9000, 10**6)
-    grant = control.Grant(2.0, 10**6, 320, None, 9000, ())
+    grant = control.Grant(2.0, 10**6, 320, None, 9000, (), 350)
     sizes = [len(CONTROL.encode(m)) + 20 for m in (renew, grant)]
     row("renewal", "grant", "bytes/s at 2 renewals/s and keep-alives")
     keep_alive = 2 * 13 / links.KEEP_ALIVE_S
--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -125,3 +125,8 @@
 
   Scenario: Equal seeds give equal figures
     Then two bench runs of "huts" in scenario "one slow runner" agree
+
+  Scenario: A router learns how many others choose from the same reports
+    Guards against many routers that all count only their own requests.
+    Given a runner that a router has sent 4 requests since its last report
+    Then it expects 4 requests there alone and more with 7 other routers
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -7,6 +7,7 @@
 from knapweedarch import (
     admission,
     index,
+    loads,
     models,
     placement,
     prefixes,
@@ -385,3 +386,23 @@
         scenarios.run_case(case, variants.OURS, scenario) for _ in range(2)
     )
     assert first == second
+
+
+@given(
+    "a runner that a router has sent {count:d} requests since its last report"
+)
+def sent_since_report(context, count):
+    context.unreported = loads.RunnerLoad()
+    for number in range(count):
+        context.unreported.pending[number] = 0
+
+
+@then(
+    "it expects {count:d} requests there alone and more with {others:d} other"
+    " routers"
+)
+def expects(context, count, others):
+    placer = placement.Placer(placement.PlacementConfig())
+    assert placer.occupancy(context.unreported) == count
+    placer.set_peer_routers(1 + others)
+    assert placer.occupancy(context.unreported) > count
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -57,6 +57,7 @@
         rules_text: The rule file, or None if the router has it.
         revision: Current revision of the endpoint table.
         endpoints: Endpoints changed after the router's revision.
+        routers: Routers that hold a lease now.
     """
 
     duration_s: float
@@ -65,6 +66,7 @@
     rules_text: str | None
     revision: int
     endpoints: tuple[EndpointEntry, ...]
+    routers: int
 
 
 @attrs.frozen
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -164,6 +164,7 @@
             text,
             state.revision,
             state.changes_since(renew.revision),
+            self._table.count(now),
         )
 
     async def submit(self, data: bytes):
--- a/knapweedarch/lease_keeper.py
+++ b/knapweedarch/lease_keeper.py
@@ -26,6 +26,7 @@
         on_rules: Called with version and text of new rules; raises
             `ControlError` if they cannot be applied.
         on_endpoints: Called with changed endpoints.
+        on_routers: Called with the number of routers that hold a lease.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         self.rules_version = 0
         self.on_rules: Callable[[int, str], Awaitable[None]]
         self.on_endpoints: Callable[[Sequence[EndpointEntry]], None]
+        self.on_routers: Callable[[int], None]
         self._name = name
         self._incarnation = incarnation
         self._control = control
@@ -48,6 +50,7 @@
         self._random = random.Random(incarnation)
         self._revision = 0
         self._applied = 0
+        self._routers = 0
         self._held = False
         self._due = anyio.Event()
 
@@ -105,6 +108,9 @@
             self.rules_version = grant.rules_version
         if grant.endpoints:
             self.on_endpoints(grant.endpoints)
+        if grant.routers != self._routers:
+            self._routers = grant.routers
+            self.on_routers(grant.routers)
         self._revision = grant.revision
         self._applied = grant.applied
         return grant.rules_text is not None or bool(grant.endpoints)
--- a/knapweedarch/placement.py
+++ b/knapweedarch/placement.py
@@ -195,10 +195,15 @@
 
     def __init__(self, cfg: PlacementConfig):
         self._cfg = cfg
-        self._peers = 1 + cfg.peer_weight * (cfg.peer_routers - 1)
+        self.set_peer_routers(cfg.peer_routers)
         self._hot = HotPrefixes(cfg.hot_window_s)
         self._orders: dict[tuple[int, tuple[str, ...]], dict[str, int]] = {}
 
+    def set_peer_routers(self, count: int) -> None:
+        """Tells how many routers choose from the same load reports."""
+        self._cfg = attrs.evolve(self._cfg, peer_routers=max(1, count))
+        self._peers = 1 + self._cfg.peer_weight * (self._cfg.peer_routers - 1)
+
     def wait_s(
         self,
         endpoint: models.Endpoint,
--- a/knapweedarch/scheduler.py
+++ b/knapweedarch/scheduler.py
@@ -101,6 +101,10 @@
         self._limits.set_rules(rules)
         self._versions = {m.name: m.version for m in rules.models}
 
+    def set_peer_routers(self, count: int) -> None:
+        """Tells how many routers choose from the same load reports."""
+        self._placer.set_peer_routers(count)
+
     def version_for(self, model: str) -> str:
         """Weights version to hash a prompt for.
 
