Free the slot of a request that is cancelled as it is decided; keep probes and deposits out of the stream limit

Cause: the dispatcher withdrew a request that was dispatched already, which left its slot taken for good; the limit of requests refused probes, leaving endpoints and deposits too, and told deposits that they were not run. Ruled out: withdrawing running attempts in the scheduler; finished does it.

--- a/features/control.feature
+++ b/features/control.feature
@@ -41,3 +41,9 @@
     Then its announcement is no news
     But its announcement with another incarnation is news
     And its announcement as leaving is news until the members have it
+
+  Scenario: A request whose caller leaves as it is decided holds no slot
+    Guards against slots of runners and customers that leak away.
+    Given a request that waits for its decision
+    When its caller leaves at the moment of the decision
+    Then the attempt is finished as cancelled
--- a/features/deployment.feature
+++ b/features/deployment.feature
@@ -91,3 +91,4 @@
     Given a router that takes 2 requests at once
     When 6 streams are started through it at once
     Then 2 of them are whole and 4 are refused as queue_full
+    And it answered the balancer and took a deposit meanwhile
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -8,17 +8,23 @@
 from behave import given, then, when
 
 from knapweedarch import control, links, state
+from knapweedarch.dispatcher import Dispatcher
 from knapweedarch.endpoint_table import EndpointTable
 from knapweedarch.exceptions import ControlError
 from knapweedarch.models import (
+    Attempt,
+    Dispatch,
     Endpoint,
     EndpointKind,
     EndpointStatus,
     ModelRule,
+    Priority,
     Rules,
+    Ticket,
+    Wait,
 )
 from knapweedarch.orders import Rollout
-from knapweedarch.timers import Clock
+from knapweedarch.timers import Clock, ManualClock, Timers
 from standins.deployment import CREDENTIAL, ROOT, Deployment
 
 ORDER = state.PutRules("a", 0, "model guide  # asked by T: x\n")
@@ -236,3 +242,48 @@
     assert context.endpoints.is_news(leaving)
     context.endpoints.note_announced(leaving)
     assert not context.endpoints.is_news(leaving)
+
+
+@given("a request that waits for its decision")
+def waiting_request(context):
+    ticket = Ticket("t", "c", "guide", Priority.GUEST, (), 10, 10, 9.0)
+    dispatch = Dispatch(Attempt(1, ticket, endpoint(1)))
+
+    class OneDecision:
+        def __init__(self):
+            self.results = []
+
+        def submit(self, ticket, now):
+            """Lets the request wait."""
+            return Wait()
+
+        def poll(self, now):
+            """Decides at the first poll."""
+            return [(ticket.id, dispatch)]
+
+        def finished(self, attempt, result, now):
+            """Keeps the end of an attempt."""
+            self.results.append((attempt.number, result.cancelled))
+
+    context.ticket, context.scheduler = ticket, OneDecision()
+
+
+@when("its caller leaves at the moment of the decision")
+def caller_leaves(context):
+    async def run():
+        clock = ManualClock()
+        timers = Timers(clock)
+        dispatcher = Dispatcher(context.scheduler, timers)
+        async with anyio.create_task_group() as group:
+            group.start_soon(dispatcher.place, context.ticket)
+            await anyio.wait_all_tasks_blocked()
+            clock.time = 1.0
+            group.cancel_scope.cancel()
+            timers.fire()
+
+    anyio.run(run)
+
+
+@then("the attempt is finished as cancelled")
+def finished_as_cancelled(context):
+    assert context.scheduler.results == [(1, True)], context.scheduler.results
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -521,10 +521,16 @@
 @when("{count:d} streams are started through it at once")
 def start_streams(context, count):
     cluster = context.cluster
+    context.probes = []
     with concurrent.futures.ThreadPoolExecutor(count) as pool:
-        context.answers = list(
-            pool.map(lambda _: chat(cluster, "router-3", 300), range(count))
-        )
+        streams = [
+            pool.submit(chat, cluster, "router-3", 300) for _ in range(count)
+        ]
+        while not all(stream.done() for stream in streams):
+            ready = httpx.get(f"{cluster.url('router-3')}/ready")
+            taken = deposit(cluster, "router-3", "during-streams")
+            context.probes += [ready.status_code, taken.status_code]
+    context.answers = [stream.result() for stream in streams]
 
 
 @then("{whole:d} of them are whole and {refused:d} are refused as {reason}")
@@ -536,3 +542,8 @@
         error = answer.json()["error"]
         assert (error["reason"], error["outcome"]) == (reason, "not_run")
         assert answer.headers["retry-after"]
+
+
+@then("it answered the balancer and took a deposit meanwhile")
+def probes_answered(context):
+    assert context.probes and set(context.probes) == {200}, context.probes
--- a/knapweedarch/dispatcher.py
+++ b/knapweedarch/dispatcher.py
@@ -5,6 +5,7 @@
 
 from knapweedarch.models import (
     Attempt,
+    AttemptResult,
     Decision,
     Dispatch,
     Refuse,
@@ -61,12 +62,25 @@
         try:
             await waiter.done.wait()
         except BaseException:
-            self._scheduler.withdraw(ticket.id, self._timers.clock.now())
+            self._give_back(ticket.id, waiter.decision)
             raise
         finally:
             self._waiting.pop(ticket.id, None)
         return waiter.decision
 
+    def _give_back(
+        self, ticket_id: str, decision: Dispatch | Refuse | None
+    ) -> None:
+        """Frees what a request holds whose caller left."""
+        now = self._timers.clock.now()
+        match decision:
+            case None:
+                self._scheduler.withdraw(ticket_id, now)
+            case Dispatch(attempt=attempt):
+                self._scheduler.finished(
+                    attempt, AttemptResult(cancelled=True), now
+                )
+
     def _poll_soon(self) -> None:
         if not self._polling:
             self._polling = True
@@ -79,7 +93,6 @@
                 waiter.decision = decision
                 waiter.done.set()
             else:
-                # The caller left at the same moment.
-                self._scheduler.withdraw(ticket_id, now)
+                self._give_back(ticket_id, decision)
         if self._waiting:
             self._poll_soon()
--- a/knapweedarch/http_server.py
+++ b/knapweedarch/http_server.py
@@ -18,6 +18,7 @@
 from knapweedarch.settings import RouterSettings
 
 COUNTERS_PATH = "/counters"
+CHAT_PATHS = "/v1/chat/"
 # Time in which the balancer sees that this router is no longer ready.
 READY_GRACE_S = 1.0
 OPEN_AFTER_DRAIN_S = 1.0
@@ -84,7 +85,7 @@
                 return await app(scope, receive, send)
             if scope["path"] == COUNTERS_PATH:
                 return await self._show_counters(scope, send)
-            if self.active >= self._settings.max_streams:
+            if self._is_full(scope["path"]):
                 return await self._refuse_full(scope, receive, send)
             self.active += 1
             try:
@@ -96,6 +97,15 @@
 
         return counted
 
+    def _is_full(self, path: str) -> bool:
+        """Tells whether a request finds no place.
+
+        Only chat requests are refused as not run: a deposit may have run
+        before, and a leaving endpoint and the balancer must be answered.
+        """
+        full = self.active >= self._settings.max_streams
+        return full and path.startswith(CHAT_PATHS)
+
     async def _refuse_full(self, scope, receive, send) -> None:
         """Refuses before any byte of the body is read."""
         self._metrics.count(f"refused.{RefusalReason.QUEUE_FULL.value}")
