--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -43,20 +43,20 @@
     return scenarios.run_case(case, _variants()[case.variant], scenario)
 
 
-def compared_cases(seed: int) -> list[scenarios.Case]:
+def compared_cases(seed: int, traces: int) -> list[scenarios.Case]:
     """Every compared variant in every scenario."""
     return [
-        scenarios.Case(deployment, scenario.name, variant.name, seed, TRACES)
+        scenarios.Case(deployment, scenario.name, variant.name, seed, traces)
         for deployment in workloads.DEPLOYMENTS
         for scenario in scenarios.SCENARIOS
         for variant in variants.COMPARED
     ]
 
 
-def ablation_cases(seed: int) -> list[scenarios.Case]:
+def ablation_cases(seed: int, traces: int) -> list[scenarios.Case]:
     """Each way and ablation in the scenarios that it concerns."""
     return [
-        scenarios.Case(deployment, scenario, variant.name, seed, TRACES)
+        scenarios.Case(deployment, scenario, variant.name, seed, traces)
         for deployment in workloads.DEPLOYMENTS
         for variant in (*variants.WAYS, *variants.ABLATIONS)
         for scenario in ABLATION_SCENARIOS.get(
@@ -71,6 +71,21 @@
         return list(pool.map(run, cases))
 
 
+def run_ablations(seed: int, traces: int) -> int:
+    """Runs the ablations beside the whole; returns the exit code."""
+    cases = ablation_cases(seed, traces)
+    pairs = dict.fromkeys((c.deployment, c.scenario) for c in cases)
+    whole = [
+        scenarios.Case(*pair, variants.OURS.name, seed, traces)
+        for pair in pairs
+    ]
+    figures = run_all([*whole, *cases])
+    text = report.ablations(figures[: len(whole)], figures[len(whole) :])
+    print(text)
+    report.write_section(PAGE, "ablations", text)
+    return 0
+
+
 def quick(seed: int) -> int:
     """Runs one case of each deployment twice; returns the exit code."""
     cases = [
@@ -90,21 +105,21 @@
     parser.add_argument("--seed", type=int, default=SEED)
     parser.add_argument("--quick", action="store_true")
     parser.add_argument("--no-ablations", action="store_true")
+    parser.add_argument("--only-ablations", action="store_true")
+    parser.add_argument("--traces", type=int, default=TRACES)
     options = parser.parse_args()
     if options.quick:
         return quick(options.seed)
-    compared = run_all(compared_cases(options.seed))
+    if options.only_ablations:
+        return run_ablations(options.seed, options.traces)
+    compared = run_all(compared_cases(options.seed, options.traces))
     text = report.targets(compared) + "\n" + report.comparison(compared)
     print(text, flush=True)
     report.plot(compared, PAGE.parent)
     report.write_section(PAGE, "decisions", text)
     if options.no_ablations:
         return 0
-    ablated = run_all(ablation_cases(options.seed))
-    text = report.ablations(compared, ablated)
-    print(text)
-    report.write_section(PAGE, "ablations", text)
-    return 0
+    return run_ablations(options.seed, options.traces)
 
 
 if __name__ == "__main__":
