--- a/features/requests.feature
+++ b/features/requests.feature
@@ -363,7 +363,7 @@
   Scenario: A gap in the feed ends the feed after the event that shows it
     Given a runner "a"
     When router 1 follows the feed of runner "a", which loses an event
-    Then the feed ended with "stream_gap" after events 0, 1, 2, 4
+    Then the feed ended with "stream_gap" after events 1, 2, 4
 
   Scenario: A silent feed ends
     Given a runner on a raw server that shows "silent"
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -25,6 +25,7 @@
 from knapweedarch.exceptions import EndpointError
 from knapweedarch.models import (
     CacheEvent,
+    CacheSnapshot,
     Endpoint,
     EndpointKind,
     LoadReport,
@@ -522,8 +523,9 @@
     feed = runner._feed
 
     def publish(item) -> None:
-        # After the snapshot (numbers 0 and 1), 2 is sent, 3 is lost.
-        if isinstance(item, CacheEvent) and item.number == 1:
+        # After the snapshot (number 1), 2 is sent, 3 is lost.
+        if isinstance(item, CacheSnapshot):
+            assert item.number == 1, item
             feed.publish("stored", (1,))
             feed.number += 1
             feed.publish("stored", (2,))
@@ -539,7 +541,8 @@
 
 @then('the feed ended with "{reason}" after events {numbers}')
 def feed_ended(context, reason, numbers):
-    got = [i.number for i in context.items if isinstance(i, CacheEvent)]
+    kinds = CacheEvent | CacheSnapshot
+    got = [i.number for i in context.items if isinstance(i, kinds)]
     assert got == [int(number) for number in numbers.split(",")], got
     assert context.feed_error == reason, context.feed_error
 
--- a/knapweedarch/adapters.py
+++ b/knapweedarch/adapters.py
@@ -23,12 +23,12 @@
     read_body,
     send,
 )
-from knapweedarch.feeds import parse_feed_event
+from knapweedarch.feeds import FeedItem, parse_feed_event
 from knapweedarch.models import (
     Attempt,
     CacheEvent,
+    CacheSnapshot,
     Endpoint,
-    LoadReport,
     RetryReason,
 )
 from knapweedarch.streams import (
@@ -178,14 +178,12 @@
                 RetryReason.FIRST_TOKEN_TIMEOUT, f"no answer in {timeout_s} s"
             ) from exc
 
-    async def follow_feed(
-        self, endpoint: Endpoint
-    ) -> AsyncIterator[LoadReport | CacheEvent]:
+    async def follow_feed(self, endpoint: Endpoint) -> AsyncIterator[FeedItem]:
         """Yields load reports and cache events until the feed ends.
 
-        A snapshot is told as a `CLEARED` and a `STORED` event. After a gap in
-        the numbers the event that shows it is yielded, and then the feed
-        fails, since a new one begins with a snapshot.
+        The first cache item is a snapshot. After a gap in the numbers the
+        event that shows it is yielded, and then the feed fails, since a new
+        one begins with a snapshot.
 
         Raises:
             EndpointError: The feed broke, was silent or has a gap.
@@ -203,7 +201,7 @@
                 )
             last_number = None
             async for item in self._feed_items(exchange, endpoint):
-                if isinstance(item, CacheEvent):
+                if isinstance(item, CacheEvent | CacheSnapshot):
                     expected, last_number = last_number, item.number
                     yield item
                     if expected is not None and item.number != expected + 1:
@@ -327,7 +325,7 @@
 
     async def _feed_items(
         self, exchange: Exchange, endpoint: Endpoint
-    ) -> AsyncIterator[LoadReport | CacheEvent]:
+    ) -> AsyncIterator[FeedItem]:
         decoder = SseDecoder()
         parts = aiter(exchange.response.stream)
         while True:
@@ -337,9 +335,8 @@
                 if data is None:
                     return
                 items = [
-                    item
+                    parse_feed_event(json.loads(event), endpoint)
                     for event in decoder.feed(data)
-                    for item in parse_feed_event(json.loads(event), endpoint)
                 ]
             except TimeoutError as exc:
                 raise exchange.failed(
--- a/knapweedarch/endpoint_table.py
+++ b/knapweedarch/endpoint_table.py
@@ -8,10 +8,12 @@
 
 from knapweedarch.adapters import Adapter
 from knapweedarch.exceptions import EndpointError
+from knapweedarch.feeds import FeedItem
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import (
     CacheEvent,
+    CacheSnapshot,
     Endpoint,
     EndpointKind,
     EndpointStatus,
@@ -135,10 +137,12 @@
                 await anyio.sleep(pause * self._random.uniform(0.5, 1.0))
                 pause = min(2 * pause, FEED_RETRY_LIMIT_S)
 
-    def _take_feed_item(self, item: LoadReport | CacheEvent) -> None:
+    def _take_feed_item(self, item: FeedItem) -> None:
         now = self._clock.now()
         match item:
             case LoadReport():
                 self._scheduler.report_load(item, now)
             case CacheEvent():
                 self._scheduler.cache_event(item, now)
+            case CacheSnapshot():
+                self._scheduler.cache_snapshot(item, now)
--- a/knapweedarch/feeds.py
+++ b/knapweedarch/feeds.py
@@ -3,16 +3,17 @@
 from knapweedarch.models import (
     CacheChange,
     CacheEvent,
+    CacheSnapshot,
     Endpoint,
     LoadReport,
 )
 from knapweedarch.streams import parse_load
 
+FeedItem = LoadReport | CacheEvent | CacheSnapshot
 
-def parse_feed_event(
-    body: dict, endpoint: Endpoint
-) -> list[LoadReport | CacheEvent]:
-    """Parses an event; a snapshot becomes `CLEARED` and `STORED`.
+
+def parse_feed_event(body: dict, endpoint: Endpoint) -> FeedItem:
+    """Parses one event.
 
     Raises:
         ValueError, TypeError, KeyError: The event is malformed or of another
@@ -23,18 +24,14 @@
     source = endpoint.id, endpoint.incarnation
     match body["type"]:
         case "load":
-            return [parse_load(body, *source)]
+            return parse_load(body, *source)
         case "snapshot":
-            number, blocks = int(body["number"]), _blocks(body)
-            return [
-                CacheEvent(*source, number - 1, CacheChange.CLEARED),
-                CacheEvent(*source, number, CacheChange.STORED, blocks),
-            ]
+            return CacheSnapshot(*source, int(body["number"]), _blocks(body))
         case kind:
             change = CacheChange(kind)
-            return [
-                CacheEvent(*source, int(body["number"]), change, _blocks(body))
-            ]
+            return CacheEvent(
+                *source, int(body["number"]), change, _blocks(body)
+            )
 
 
 def _blocks(body: dict) -> tuple[int, ...]:
--- a/knapweedarch/streams.py
+++ b/knapweedarch/streams.py
@@ -180,6 +180,7 @@
         int(fields["queued"]),
         int(fields["queued_tokens"]),
         int(fields.get("acknowledged", 0)),
+        int(fields["urgent_tokens"]) if "urgent_tokens" in fields else None,
     )
 
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -15,6 +15,7 @@
 import attrs
 import defopt
 
+from knapweedarch.models import Priority
 from standins import serving, texts
 from standins.engine import BLOCK_TOKENS, BlockCache, Feed, Slots
 from standins.faults import Fault, Faults, parse_fault
@@ -81,7 +82,7 @@
         self._cache = BlockCache(cfg.cache_blocks, self._feed.publish)
         self._slots = Slots(cfg.slots)
         self._jobs: dict[str, Job] = {}
-        self._queued_tokens = 0
+        self._queued: Counter[int] = Counter()
         self._fencing_number = 0
         self._highest: dict[str, int] = {}
         self._stopping = anyio.Event()
@@ -153,7 +154,10 @@
         return {
             "running": self._slots.running,
             "queued": self._slots.queued,
-            "queued_tokens": self._queued_tokens,
+            "queued_tokens": sum(self._queued.values()),
+            "urgent_tokens": sum(
+                self._queued[p] for p in Priority if p <= Priority.GUEST
+            ),
             "acknowledged": self._highest.get(router, 0),
         }
 
@@ -217,7 +221,7 @@
         prompt = json.dumps(job.body.get("messages"))
         tokens = -(-len(prompt) // 4)
         self._jobs[job.attempt_id] = job
-        self._queued_tokens += tokens
+        self._queued[job.priority] += tokens
         try:
             await self._slots.acquire(job.priority)
             try:
@@ -227,7 +231,7 @@
             finally:
                 self._slots.release()
         finally:
-            self._queued_tokens -= tokens
+            self._queued[job.priority] -= tokens
             self._jobs.pop(job.attempt_id, None)
 
     async def _prefill(self, job: Job, tokens: int) -> int:
@@ -240,7 +244,7 @@
         missing_blocks = (tokens - cached) / BLOCK_TOKENS
         if self.cfg.prefill_ms:
             await anyio.sleep(missing_blocks * self.cfg.prefill_ms / 1000)
-        self._queued_tokens -= tokens
+        self._queued[job.priority] -= tokens
         self._cache.store(job.salt, version, blocks)
         return cached
 
