Set the runners' prefill rate and request time in the router's settings

Cause: placement estimates waits from two figures that only the operator can measure, and the daemon always took the defaults. Tests: the exact list of allowed keys in a scenario gains the two names.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -51,7 +51,7 @@
       distances_ms.b c: a data centre's name; allowed: 1 to 64 of A-Z a-z 0-9 _ -, starting with a letter or digit
       drain_s: 'x'; allowed: a number from 0 to 3600
       max_streams: True; allowed: a whole number from 1 to 100000
-      que_limit: unknown key; allowed: credential, data_centre, distances_ms, drain_s, endpoint_credential_file, listen, log_level, max_body_bytes, max_streams, members, name, queue_limit, role, statsd
+      que_limit: unknown key; allowed: credential, data_centre, distances_ms, drain_s, endpoint_credential_file, listen, log_level, max_body_bytes, max_streams, members, name, prefill_tokens_s, queue_limit, request_s, role, statsd
       """
 
   Scenario Outline: Files that are no settings are refused
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -216,7 +216,9 @@
 ) -> scheduler.SchedulerConfig:
     return scheduler.SchedulerConfig(
         placement_cfg=placement.PlacementConfig(
-            distance_s={dc: ms / 1000 for dc, ms in distances_ms.items()}
+            distance_s={dc: ms / 1000 for dc, ms in distances_ms.items()},
+            prefill_tokens_s=settings.prefill_tokens_s,
+            service_s=settings.request_s,
         ),
         admission_cfg=admission.AdmissionConfig(
             queue_limit=settings.queue_limit
--- a/knapweedarch/settings.py
+++ b/knapweedarch/settings.py
@@ -78,6 +78,9 @@
         endpoint_credential: Secret that endpoints show in announcements.
         distances_ms: One-way delay to each data centre in milliseconds.
         drain_s: Longest graceful shutdown in seconds.
+        prefill_tokens_s: Prompt tokens that one runner computes per second.
+        request_s: Mean time that a request occupies a place in a runner's
+            batch, in seconds.
         max_body_bytes: Largest request body.
         max_streams: Most requests in progress at once.
         queue_limit: Most requests that wait for an endpoint.
@@ -94,6 +97,8 @@
     endpoint_credential: str = attrs.field(repr=False)
     distances_ms: dict[str, float] = attrs.field(factory=dict)
     drain_s: float = 120.0
+    prefill_tokens_s: float = 20_000.0
+    request_s: float = 3.0
     max_body_bytes: int = 8 * 1024 * 1024
     max_streams: int = 2_000
     queue_limit: int = 1_000
@@ -237,6 +242,8 @@
         endpoint_credential=endpoint_credential,
         distances_ms=_distances(top),
         drain_s=top.number("drain_s", 0, 3600, default=120.0),
+        prefill_tokens_s=top.number("prefill_tokens_s", 1, 1e7, default=2e4),
+        request_s=top.number("request_s", 0.01, 3600, default=3.0),
         max_body_bytes=top.integer(
             "max_body_bytes", 1024, 64 * 1024 * 1024, default=8 * 1024 * 1024
         ),
