--- a/knapweedarch/records.py
+++ b/knapweedarch/records.py
@@ -7,7 +7,7 @@
 import msgpack
 
 RECORD_RETENTION_S = 24 * 3600.0
-MAX_RECORDS = 100_000
+MAX_RECORDS = 50_000
 # Bounds memory and the pause for a snapshot; one answer is at most 64 KiB.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
