--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -21,6 +21,7 @@
     COMMANDS,
     Announce,
     ControlState,
+    EndpointEntry,
     PutRules,
     Reserve,
     Settle,
@@ -219,6 +220,10 @@
     row("renewal", "grant", "bytes/s at 2 renewals/s and keep-alives")
     keep_alive = 2 * 13 / links.KEEP_ALIVE_S
     row(*sizes, f"{sum(sizes) * RENEWALS_PER_S + keep_alive:.0f}")
+    entries = tuple(EndpointEntry(_endpoint(n), n) for n in range(600))
+    full = control.Grant(2.0, 10**6, 320, None, 9000, entries, 350)
+    each = (len(CONTROL.encode(full)) - len(CONTROL.encode(grant))) / 600
+    print(f"{each:.0f} bytes for each endpoint in a grant")
 
 
 def _endpoint(number: int) -> Endpoint:
