--- a/features/deployment.feature
+++ b/features/deployment.feature
@@ -92,3 +92,8 @@
     When 6 streams are started through it at once
     Then 2 of them are whole and 4 are refused as queue_full
     And it answered the balancer and took a deposit meanwhile
+
+  Scenario: A rolling restart of everything cuts no request
+    Guards against planned stops of routers or members that callers notice.
+    When every member and router is stopped and started in turn while requests go on
+    Then every request was answered
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -547,3 +547,61 @@
 @then("it answered the balancer and took a deposit meanwhile")
 def probes_answered(context):
     assert context.probes and set(context.probes) == {200}, context.probes
+
+
+def balanced(cluster, ask):
+    """Sends a request as a balancer would: to a router that is ready."""
+    while True:
+        for router in ("router-1", "router-2"):
+            try:
+                url = cluster.url(router)
+                if httpx.get(f"{url}/ready").status_code != 200:
+                    continue
+            except (KeyError, httpx.TransportError):
+                continue
+            try:
+                return ask(cluster, router)
+            except httpx.ConnectError:
+                # The router is down; nothing was sent to it.
+                continue
+
+
+@when(
+    "every member and router is stopped and started in turn while requests go"
+    " on"
+)
+def rolling_restart(context):
+    cluster, stop = context.cluster, threading.Event()
+    context.answers = []
+
+    def keep_asking(name):
+        number = 0
+        while not stop.is_set():
+            number += 1
+            key = f"{name}-{number}"
+            context.answers += [
+                balanced(cluster, lambda c, r: chat(c, r, 20)),
+                balanced(cluster, lambda c, r, k=key: deposit(c, r, k)),
+            ]
+
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        asking = [pool.submit(keep_asking, name) for name in "ab"]
+        try:
+            restart_in_turn(cluster)
+        finally:
+            stop.set()
+        for future in asking:
+            future.result()
+
+
+def restart_in_turn(cluster):
+    """Stops and starts each router and member, waiting for each."""
+    for router in ("router-1", "router-2"):
+        port = cluster.processes[router].port
+        assert cluster.stop(router) == 0
+        cluster.start_router(router, port)
+        cluster.wait_ready(router)
+    for member in cluster.members:
+        assert cluster.stop(member["name"]) == 0
+        cluster.start_member(member["name"])
+        status(cluster)
