Hand over the leader's office before a planned stop

Ruled out: longer leases (a change may take 4 s at most); waiting longer in the test, as callers would not. Tests: the group that checks invariants counts a lease as over when its holder hands over, and fails if the holder then still claims it. An order whose outcome is unknown is now asked again of the next leader.

--- a/features/checked_group.py
+++ b/features/checked_group.py
@@ -56,6 +56,18 @@
                 )
             self._lease = (identity, end)
 
+    def hand_over(self, name: str) -> bool:
+        """Lets a leader hand over, which ends its lease at once."""
+        node = self.nodes[name]
+        led = node.replica.leader_since is not None
+        gave_up = node.replica.hand_over(node.clock(self.now))
+        if led and gave_up:
+            if node.lease_end(self.now) > self.now:
+                raise BrokenInvariantError("a lease outlasts a hand-over")
+            if self._lease[0] == node.replica.identity:
+                self._lease = (node.replica.identity, self.now)
+        return led and gave_up
+
     def _check_complete(self, node: Node) -> None:
         log = {e.index: e for e in node.disk.entries}
         start = getattr(node.disk.snapshot, "index", 0)
--- a/features/replication.feature
+++ b/features/replication.feature
@@ -8,6 +8,13 @@
   Scenario: A new leader takes over after a crash
     Then after a crash another replica leads within 1.8 s in 99 of 100 runs
 
+  Scenario: A leader that stops hands over without an election timeout
+    Given 3 replicas
+    When 40 log entries are proposed over 2.0 s
+    And the leading replica hands over
+    Then another replica holds the leader lease within 0.3 s
+    And every replica has applied 40 log entries
+
   Scenario: A frozen leader finds its lease expired when it goes on
     Given 3 replicas
     When the leading replica is frozen for 3 s
--- a/features/replication_faults.py
+++ b/features/replication_faults.py
@@ -219,7 +219,7 @@
 def _random_fault(group: CheckedGroup, rng: random.Random) -> None:
     name = rng.choice(list(group.nodes))
     node = group.nodes[name]
-    match rng.randrange(12):
+    match rng.randrange(13):
         case 0:
             group.crash(name)
         case 1 | 2 | 10:
@@ -233,6 +233,9 @@
             group.sever(*rng.sample(list(group.nodes), 2))
         case 6 | 11:
             group.heal()
+        case 12:
+            for running in group.running():
+                group.hand_over(running.name)
         case 7:
             group.freeze(name, rng.uniform(0.1, 2.0))
         case 8:
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -94,6 +94,8 @@
             group.crash(name)
             node.disk = disk
             group.start(name)
+        case "hands over":
+            assert group.hand_over(name)
         case "removes itself from the list":
             members = node.replica.members
             others = tuple(m for m in members if m.name != name)
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -308,6 +308,9 @@
                 match reply:
                     case Redirect(leader=leader):
                         self._follow(leader)
+                    case Refused(reason="unknown_outcome"):
+                        # The next leader knows what became of it.
+                        unanswered = True
                     case Refused(reason=reason, message=text):
                         raise ControlError(reason, text)
                     case _:
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -80,6 +80,11 @@
         """Whether this member has the duties of the leader."""
         return self._table is not None
 
+    @property
+    def idle(self) -> bool:
+        """Whether no command is on its way through the log."""
+        return not self._proposals
+
     def router_count(self, now: float) -> int:
         """Counts the routers with a running lease."""
         return self._table.count(now) if self._table is not None else 0
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -21,6 +21,7 @@
 TICK_S = 0.04
 REPORT_S = 1.0
 RECONNECT_S = 0.2
+HAND_OVER_S = 1.0
 
 
 class Member:
@@ -79,6 +80,17 @@
         finally:
             self._journal.close()
 
+    async def prepare_stop(self) -> None:
+        """Hands the office to another member before a planned stop."""
+        until = self._clock.now() + HAND_OVER_S
+        while self._leader.in_office and self._clock.now() < until:
+            if self._leader.idle and self._replica.hand_over(self._clock.now()):
+                self._work.set()
+                # The driver saves and sends before the process ends.
+                await anyio.sleep(TICK_S)
+                return
+            await anyio.sleep(TICK_S / 2)
+
     async def _accept(self, listener: anyio.abc.Listener) -> None:
         await links.serve(
             *(listener, self._credential, CONTROL, self._handle),
--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -23,6 +23,7 @@
     AppendRequest,
     Entry,
     EntryKind,
+    HandOver,
     HardState,
     Member,
     Message,
@@ -45,6 +46,7 @@
     "AppendRequest",
     "Entry",
     "EntryKind",
+    "HandOver",
     "HardState",
     "Member",
     "Output",
@@ -96,6 +98,8 @@
                 self._on_snapshot_part(sender, message, now)
             case SnapshotReply():
                 self._on_snapshot_reply(message, now)
+            case HandOver():
+                self._on_hand_over(message, now)
 
     def propose(self, data: bytes, now: float) -> int:
         """Appends an entry; returns its index.
@@ -142,6 +146,24 @@
         office.update_members()
         return index
 
+    def hand_over(self, now: float) -> bool:
+        """Gives up the office to a voter that holds the whole log.
+
+        Before a planned stop this spares the others the election timeout.
+
+        Returns:
+            False if no voter holds the whole log yet; call again later.
+        """
+        self._advance(now)
+        if self._leadership is None:
+            return True
+        successor = self._leadership.successor()
+        if successor is None:
+            return False
+        self._follow(self.term, None, now)
+        self._send(successor, HandOver(self.identity, self.term))
+        return True
+
     def note_peer(self, name: str, identity: str, host: str, port: int) -> None:
         """Notes the identity that a member told when its link opened.
 
@@ -236,10 +258,20 @@
         self.role = Role.CANDIDATE
         self._ask_for_votes(now)
 
-    def _ask_for_votes(self, now: float) -> None:
+    def _on_hand_over(self, message: HandOver, now: float) -> None:
+        if (
+            message.term == self.term
+            and message.identity in self._voters()
+            and self._may_campaign()
+            and self._leadership is None
+        ):
+            self.role = Role.CANDIDATE
+            self._ask_for_votes(now, handed_over=True)
+
+    def _ask_for_votes(self, now: float, handed_over: bool = False) -> None:
         self.leader = None
         pre = self.role is Role.PRE_CANDIDATE
-        request = self._election.ask(self._log, pre, now)
+        request = self._election.ask(self._log, pre, now, handed_over)
         for member in self.members:
             if member.voter and member.identity != self.identity:
                 self._send(member.name, request)
@@ -259,7 +291,9 @@
     ) -> None:
         if self.blank:
             return
-        refused = self._refuses_votes(now)
+        # The leader that this voter heard claims no lease any more.
+        released = request.handed_over and self._leadership is None
+        refused = self._refuses_votes(now) and not released
         if not refused and not request.pre and request.term > self.term:
             self._follow(request.term, None, now)
         granted = not refused and self._election.grant(request, self._log, now)
--- a/knapweedarch/replica_election.py
+++ b/knapweedarch/replica_election.py
@@ -59,7 +59,13 @@
         self.hard_state = HardState(term)
         self._votes = {True: set(), False: set()}
 
-    def ask(self, log: ReplicaLog, pre: bool, now: float) -> VoteRequest:
+    def ask(
+        self,
+        log: ReplicaLog,
+        pre: bool,
+        now: float,
+        handed_over: bool = False,
+    ) -> VoteRequest:
         """Begins a round of votes, or of pre-votes; returns the request.
 
         A new round of pre-votes in the same term keeps what was counted: an
@@ -75,6 +81,7 @@
             log.last_index,
             log.last_term,
             pre,
+            handed_over,
         )
 
     def grant(self, request: VoteRequest, log: ReplicaLog, now: float) -> bool:
--- a/knapweedarch/replica_leadership.py
+++ b/knapweedarch/replica_leadership.py
@@ -120,6 +120,17 @@
         """Returns until when no other replica can be elected."""
         return self.answered_at(now) + LEADER_LEASE_S
 
+    def successor(self) -> str | None:
+        """Returns the voter that holds the whole log and answered last."""
+        able = [
+            peer
+            for peer in self._peers.values()
+            if peer.member.voter and peer.match_index == self._log.last_index
+        ]
+        if not able:
+            return None
+        return max(able, key=lambda peer: peer.answered).member.name
+
     def quorum_lost(self, now: float) -> bool:
         """Tells whether no majority answered for too long."""
         answered = max(self.answered_at(now), self.since)
--- a/knapweedarch/replica_messages.py
+++ b/knapweedarch/replica_messages.py
@@ -109,6 +109,8 @@
         last_index: Index of its last entry.
         last_term: Term of its last entry.
         pre: Whether it only asks if it could win.
+        handed_over: Whether the leader gave up its office, and with it the
+            lease that voters keep by their silence.
     """
 
     identity: str
@@ -116,6 +118,20 @@
     last_index: int
     last_term: int
     pre: bool
+    handed_over: bool = False
+
+
+@attrs.frozen
+class HandOver:
+    """A leader that stops asks another voter to take its office at once.
+
+    Attributes:
+        identity: Identity of the leader.
+        term: Term of the leader, in which it claims no lease any more.
+    """
+
+    identity: str
+    term: int
 
 
 @attrs.frozen
@@ -241,7 +257,7 @@
 
 MESSAGES = create_codec(
     *(VoteRequest, VoteReply, AppendRequest, AppendReply),
-    *(SnapshotPart, SnapshotReply),
+    *(SnapshotPart, SnapshotReply, HandOver),
 )
 
 
