--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -195,9 +195,11 @@
 
     def stop(self, name: str) -> int:
         """Stops a process in the planned way; returns its exit code."""
-        process = self.processes.pop(name)
+        process = self.processes[name]
         process.popen.send_signal(signal.SIGTERM)
+        # Its address stays known, since it serves until it has drained.
         code = process.popen.wait(STOP_S)
+        del self.processes[name]
         process.popen.stdout.close()
         return code
 
