--- a/knapweedarch/api.py
+++ b/knapweedarch/api.py
@@ -59,8 +59,8 @@
 def check_request_id(request_id: str, order: Order) -> None:
     """Refuses an id that was created for another order.
 
-    The members answer a known id with the stored result without looking at
-    the order, so a wrong id would report an order as done that never was.
+    The members refuse a known id with another order, but forget ids after 1,000
+    newer orders; a mistake is better found before anything is sent.
 
     Raises:
         RequestIdError: The id belongs to another order.
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -1,231 +1,66 @@
-"""Client to the control members, and the messages it exchanges with them."""
+"""Client to the control members; offers their messages as well."""
 
 import random
 from collections.abc import Callable, Sequence
 
 import anyio
 import anyio.abc
-import attrs
 
 from knapweedarch import links
-from knapweedarch.codec import create_codec
+from knapweedarch.control_messages import (
+    CONTROL,
+    Changed,
+    Describe,
+    Description,
+    Form,
+    Formed,
+    FormMember,
+    Grant,
+    Hello,
+    MemberAddress,
+    MemberStatus,
+    Peer,
+    Query,
+    Redirect,
+    Refused,
+    Renew,
+    Result,
+    StatusReply,
+    Submit,
+)
 from knapweedarch.exceptions import ControlError, CredentialError, LinkError
-from knapweedarch.state import COMMANDS, RESULTS, EndpointEntry
+from knapweedarch.state import COMMANDS, RESULTS
 from knapweedarch.timers import Clock
 
+__all__ = [
+    "CONTROL",
+    "Changed",
+    "Control",
+    "Describe",
+    "Description",
+    "Form",
+    "FormMember",
+    "Formed",
+    "Grant",
+    "Hello",
+    "MemberAddress",
+    "MemberStatus",
+    "Peer",
+    "Query",
+    "Redirect",
+    "Refused",
+    "Renew",
+    "Result",
+    "StatusReply",
+    "Submit",
+    "create_control",
+]
+
 RETRY_S = 0.05
 RETRY_LIMIT_S = 0.4
 REPLY_S = 1.0
 
 
-@attrs.frozen
-class MemberAddress:
-    """Where a member listens."""
-
-    name: str
-    host: str
-    port: int
-
-
-@attrs.frozen
-class Renew:
-    """A router asks for a lease.
-
-    Attributes:
-        router: Name of the router.
-        incarnation: Random text drawn at each start of the router.
-        rules_version: Version of the rules that the router applies.
-        revision: Revision of the endpoint table that the router applies.
-        applied: Log index of the last grant that the router applied.
-    """
-
-    router: str
-    incarnation: str
-    rules_version: int
-    revision: int
-    applied: int
-
-
-@attrs.frozen
-class Grant:
-    """The lease and what the router lacks.
-
-    Attributes:
-        duration_s: Length of the lease, from when the renewal was sent.
-        applied: Log index that the content reflects.
-        rules_version: Current version of the rules.
-        rules_text: The rule file, or None if the router has it.
-        revision: Current revision of the endpoint table.
-        endpoints: Endpoints changed after the router's revision.
-        routers: Routers that hold a lease now.
-    """
-
-    duration_s: float
-    applied: int
-    rules_version: int
-    rules_text: str | None
-    revision: int
-    endpoints: tuple[EndpointEntry, ...]
-    routers: int
-
-
-@attrs.frozen
-class Changed:
-    """The leader tells its routers to renew now, since something changed."""
-
-    index: int
-
-
-@attrs.frozen
-class Submit:
-    """An encoded command of `state.COMMANDS`."""
-
-    command: bytes
-
-
-@attrs.frozen
-class Result:
-    """The encoded result of a command."""
-
-    result: bytes
-
-
-@attrs.frozen
-class Redirect:
-    """The member is not the leader and has done nothing.
-
-    Attributes:
-        leader: Name of the leader, or empty if unknown.
-    """
-
-    leader: str
-
-
-@attrs.frozen
-class Refused:
-    """The order was refused or its outcome is not known.
-
-    Attributes:
-        reason: `refused`, `unknown_outcome` or `not_in_force`.
-        message: Text for people.
-    """
-
-    reason: str
-    message: str = ""
-
-
-@attrs.frozen
-class Query:
-    """Asks the leader for its status."""
-
-
-@attrs.frozen
-class MemberStatus:
-    """One member as the leader sees it."""
-
-    name: str
-    identity: str
-    voter: bool
-
-
-@attrs.frozen
-class StatusReply:
-    """Status of the system as the leader sees it.
-
-    Attributes:
-        leader: Name of the leader.
-        term: Term of the leader.
-        commit_index: Highest committed log index.
-        rules_version: Version of the rule file.
-        rules_text: The rule file.
-        endpoints: All known endpoints.
-        members: Members of the replicated log.
-        routers: Names of the routers that hold a lease.
-        records: Number of at-most-once records.
-        fencing_number: Number of the latest holder of orders.
-    """
-
-    leader: str
-    term: int
-    commit_index: int
-    rules_version: int
-    rules_text: str
-    endpoints: tuple[EndpointEntry, ...]
-    members: tuple[MemberStatus, ...]
-    routers: tuple[str, ...]
-    records: int
-    fencing_number: int
-
-
-@attrs.frozen
-class Describe:
-    """Asks any member who it is."""
-
-
-@attrs.frozen
-class Description:
-    """Who a member is.
-
-    Attributes:
-        name: Name from its settings.
-        identity: Identity drawn by its journal.
-        blank: Whether its journal has never held an entry.
-    """
-
-    name: str
-    identity: str
-    blank: bool
-
-
-@attrs.frozen
-class FormMember:
-    """A member of the first group."""
-
-    name: str
-    identity: str
-    host: str
-    port: int
-
-
-@attrs.frozen
-class Form:
-    """Makes a blank member part of the first group."""
-
-    members: tuple[FormMember, ...]
-
-
-@attrs.frozen
-class Formed:
-    """The member is part of the first group."""
-
-
-@attrs.frozen
-class Hello:
-    """A member tells another who it is, as the first message of a link."""
-
-    name: str
-    identity: str
-
-
-@attrs.frozen
-class Peer:
-    """An encoded message of the replicated log.
-
-    Attributes:
-        sender: Name of the sending member.
-        data: The encoded message.
-    """
-
-    sender: str
-    data: bytes
-
-
-CONTROL = create_codec(
-    *(Renew, Grant, Changed, Submit, Result, Redirect, Refused, Query),
-    *(StatusReply, Describe, Description, Form, Formed, Hello, Peer),
-)
-
-
 class Control:
     """Talks to the leader, finding it anew whenever it changes.
 
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -149,7 +149,9 @@
             leader = ""
         return control.Redirect(leader)
 
-    def renew(self, link: links.Link, renew: control.Renew):
+    def renew(
+        self, link: links.Link, renew: control.Renew
+    ) -> control.Grant | control.Redirect:
         """Grants a lease and sends what the router lacks."""
         if not self._leading():
             return self._redirect()
@@ -172,7 +174,9 @@
             self._table.count(now),
         )
 
-    async def submit(self, data: bytes):
+    async def submit(
+        self, data: bytes
+    ) -> control.Result | control.Refused | control.Redirect:
         """Commits a command; waits until it is in force if it must be."""
         if not self._leading():
             return self._redirect()
@@ -293,7 +297,7 @@
                     await self._renewed.wait()
         return False
 
-    def status(self):
+    def status(self) -> control.StatusReply | control.Redirect:
         """Returns the status of the system."""
         if not self._leading():
             return self._redirect()
