--- a/features/settings.feature
+++ b/features/settings.feature
@@ -27,6 +27,7 @@
         ],
         listen: {host: "::1", port: -1},
         distances_ms: {a: -1, "b c": 2},
+        class_fill: {guest: 0, nobody: 1},
         drain_s: "x",
         que_limit: 3,
         log_level: ["x"],
@@ -49,9 +50,11 @@
       endpoint_credential_file: 'none' (No such file or directory); allowed: a readable file
       distances_ms.a: -1; allowed: a number from 0 to 10000
       distances_ms.b c: a data centre's name; allowed: 1 to 64 of A-Z a-z 0-9 _ -, starting with a letter or digit
+      class_fill.guest: 0; allowed: a number from 0.05 to 10
+      class_fill.nobody: unknown key; allowed: availability, batch, guest, interactive
       drain_s: 'x'; allowed: a number from 0 to 3600
       max_streams: True; allowed: a whole number from 1 to 100000
-      que_limit: unknown key; allowed: credential, data_centre, distances_ms, drain_s, endpoint_credential_file, listen, log_level, max_body_bytes, max_streams, members, name, prefill_tokens_s, queue_limit, request_s, role, statsd
+      que_limit: unknown key; allowed: class_fill, credential, data_centre, distances_ms, drain_s, endpoint_credential_file, listen, log_level, max_body_bytes, max_streams, members, name, prefill_tokens_s, queue_limit, request_s, role, statsd
       """
 
   Scenario Outline: Files that are no settings are refused
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 import anyio
+import attrs
 
 from knapweedarch import (
     admission,
@@ -26,6 +27,7 @@
     CustomerRule,
     Dispatch,
     Endpoint,
+    Priority,
     RefusalReason,
     Refuse,
     Rules,
@@ -214,14 +216,21 @@
 def _scheduler_config(
     settings: RouterSettings, distances_ms: dict[str, float]
 ) -> scheduler.SchedulerConfig:
+    fill = {
+        Priority[name.upper()]: part
+        for name, part in settings.class_fill.items()
+    }
+    usual = admission.AdmissionConfig()
     return scheduler.SchedulerConfig(
         placement_cfg=placement.PlacementConfig(
             distance_s={dc: ms / 1000 for dc, ms in distances_ms.items()},
             prefill_tokens_s=settings.prefill_tokens_s,
             service_s=settings.request_s,
         ),
-        admission_cfg=admission.AdmissionConfig(
-            queue_limit=settings.queue_limit
+        admission_cfg=attrs.evolve(
+            usual,
+            fill={**usual.fill, **fill},
+            queue_limit=settings.queue_limit,
         ),
     )
 
--- a/knapweedarch/settings.py
+++ b/knapweedarch/settings.py
@@ -15,12 +15,15 @@
 from knapweedarch.control import MemberAddress
 from knapweedarch.exceptions import SettingsError
 from knapweedarch.logs import LEVELS
+from knapweedarch.models import Priority
 from knapweedarch.settings_reader import Section, shorten
 
 MIN_CREDENTIAL_CHARACTERS = 16
 MAX_CREDENTIAL_CHARACTERS = 1024
 MAX_FILE_BYTES = 1024 * 1024
 GROUP_SIZES = (1, 3, 5)
+CLASS_NAMES = tuple(priority.name.lower() for priority in Priority)
+CLASS_FILL_RANGE = (0.05, 10.0)
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,63}")
 NAME_ALLOWED = "1 to 64 of A-Z a-z 0-9 _ -, starting with a letter or digit"
 
@@ -77,6 +80,8 @@
         listen: Address on which callers and endpoints connect by HTTP.
         endpoint_credential: Secret that endpoints show in announcements.
         distances_ms: One-way delay to each data centre in milliseconds.
+        class_fill: Requests in batch and queue of a runner, as a part of its
+            slots, up to which each class is sent there.
         drain_s: Longest graceful shutdown in seconds.
         prefill_tokens_s: Prompt tokens that one runner computes per second.
         request_s: Mean time that a request occupies a place in a runner's
@@ -96,6 +101,7 @@
     listen: Address
     endpoint_credential: str = attrs.field(repr=False)
     distances_ms: dict[str, float] = attrs.field(factory=dict)
+    class_fill: dict[str, float] = attrs.field(factory=dict)
     drain_s: float = 120.0
     prefill_tokens_s: float = 20_000.0
     request_s: float = 3.0
@@ -231,6 +237,18 @@
     return found
 
 
+def _class_fill(top: Section) -> dict[str, float]:
+    section = top.section("class_fill", default=None)
+    if section is None:
+        return {}
+    found = {
+        name: section.number(name, *CLASS_FILL_RANGE, default=None)
+        for name in CLASS_NAMES
+    }
+    section.finish()
+    return {name: part for name, part in found.items() if part is not None}
+
+
 def _read_router(top: Section, folder: pathlib.Path) -> RouterSettings:
     common = _common(top, folder)
     endpoint_credential = _credential(top, "endpoint_credential", folder)
@@ -241,6 +259,7 @@
         **common,
         endpoint_credential=endpoint_credential,
         distances_ms=_distances(top),
+        class_fill=_class_fill(top),
         drain_s=top.number("drain_s", 0, 3600, default=120.0),
         prefill_tokens_s=top.number("prefill_tokens_s", 1, 1e7, default=2e4),
         request_s=top.number("request_s", 0.01, 3600, default=3.0),
