--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -10,17 +10,23 @@
 from knapweedarch.control_messages import (
     CONTROL,
     Changed,
+    DeploymentDocument,
     Describe,
     Description,
     Form,
     Formed,
     FormMember,
     Grant,
+    Heartbeat,
+    HeartbeatNoted,
     Hello,
+    Join,
+    Joining,
     MemberAddress,
     MemberStatus,
     Peer,
     Query,
+    ReadDeployment,
     Redirect,
     Refused,
     Renew,
@@ -36,17 +42,23 @@
     "CONTROL",
     "Changed",
     "Control",
+    "DeploymentDocument",
     "Describe",
     "Description",
     "Form",
     "FormMember",
     "Formed",
     "Grant",
+    "Heartbeat",
+    "HeartbeatNoted",
     "Hello",
+    "Join",
+    "Joining",
     "MemberAddress",
     "MemberStatus",
     "Peer",
     "Query",
+    "ReadDeployment",
     "Redirect",
     "Refused",
     "Renew",
@@ -94,17 +106,32 @@
         self._group.cancel_scope.cancel()
         return await self._group.__aexit__(*exc_info)
 
-    async def submit(self, command: object, timeout_s: float) -> object:
+    def set_members(self, members: Sequence[MemberAddress]) -> None:
+        """Takes over the addresses of the members."""
+        if not members or list(members) == list(self._members.values()):
+            return
+        self._members = {m.name: m for m in members}
+        self._order = [n for n in self._order if n in self._members]
+        self._order += [n for n in self._members if n not in self._order]
+
+    async def submit(
+        self, command: object, timeout_s: float, in_force: bool = True
+    ) -> object:
         """Submits a command and returns its result.
 
         Resends until the time is over, which is safe since every command may
         be applied twice with the effect of one.
 
+        Args:
+            command: A command of `state.COMMANDS`.
+            timeout_s: Longest wait in seconds.
+            in_force: See `Submit`.
+
         Raises:
             ControlError: `unreachable` (nothing was sent), `unknown_outcome`
                 or `refused`.
         """
-        message = Submit(COMMANDS.encode(command))
+        message = Submit(COMMANDS.encode(command), in_force)
         reply = await self.ask(message, timeout_s)
         return RESULTS.decode(reply.result)
 
@@ -141,8 +168,8 @@
                 self.drop_link()
             else:
                 match reply:
-                    case Redirect(leader=leader):
-                        self._follow(leader)
+                    case Redirect():
+                        self._follow(reply)
                     case Refused(reason="unknown_outcome"):
                         # The next leader knows what became of it.
                         unanswered = True
@@ -158,10 +185,12 @@
     async def _pause(self, pause_s: float, until: float) -> None:
         await anyio.sleep(min(pause_s, max(until - self._clock.now(), 0)))
 
-    def _follow(self, leader: str) -> None:
+    def _follow(self, redirect: Redirect) -> None:
         self.drop_link()
-        if leader in self._members:
-            self._leader = leader
+        if redirect.address is not None:
+            self._members[redirect.leader] = redirect.address
+        if redirect.leader in self._members:
+            self._leader = redirect.leader
 
     def drop_link(self) -> None:
         """Closes the link; the next message opens a fresh one."""
@@ -204,7 +233,7 @@
         described = [await self._describe(member) for member in members]
         group = Form(
             tuple(
-                FormMember(m.name, d.identity, m.host, m.port)
+                FormMember(d.name, d.identity, m.host, m.port)
                 for m, d in zip(members, described, strict=True)
             )
         )
@@ -222,7 +251,7 @@
 
     async def _describe(self, member: MemberAddress) -> Description:
         found = await self._ask_one(member, Describe())
-        if found.name != member.name:
+        if member.name and found.name != member.name:
             raise ControlError(
                 "refused",
                 f"{member.host}:{member.port} is member {found.name}, "
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -3,6 +3,8 @@
 import attrs
 
 from knapweedarch.codec import create_codec
+from knapweedarch.deployments import Deployment
+from knapweedarch.models import Endpoint
 from knapweedarch.state import EndpointEntry
 
 
@@ -25,6 +27,8 @@
         rules_version: Version of the rules that the router applies.
         revision: Revision of the endpoint table that the router applies.
         applied: Log index of the last grant that the router applied.
+        deployment_version: Number of the configuration that it applies; 0
+            before the first one.
     """
 
     router: str
@@ -32,6 +36,7 @@
     rules_version: int
     revision: int
     applied: int
+    deployment_version: int = 0
 
 
 @attrs.frozen
@@ -46,6 +51,8 @@
         revision: Current revision of the endpoint table.
         endpoints: Endpoints changed after the router's revision.
         routers: Routers that hold a lease now.
+        deployment: Routing configuration, or None if the router has it.
+        members: Addresses of the members now.
     """
 
     duration_s: float
@@ -55,6 +62,8 @@
     revision: int
     endpoints: tuple[EndpointEntry, ...]
     routers: int
+    deployment: Deployment | None = None
+    members: tuple[MemberAddress, ...] = ()
 
 
 @attrs.frozen
@@ -66,9 +75,76 @@
 
 @attrs.frozen
 class Submit:
-    """An encoded command of `state.COMMANDS`."""
+    """An encoded command of `state.COMMANDS`.
+
+    Attributes:
+        command: The command.
+        in_force: Whether to answer only once every router applies a change
+            that takes work away from an endpoint or replaces the rules.
+    """
 
     command: bytes
+    in_force: bool = True
+
+
+@attrs.frozen
+class Heartbeat:
+    """An endpoint says that it runs.
+
+    Attributes:
+        endpoint: What it says of itself.
+        number: Number of the heartbeat in its incarnation; a lower one than
+            seen before is late.
+    """
+
+    endpoint: Endpoint
+    number: int
+
+
+@attrs.frozen
+class HeartbeatNoted:
+    """The heartbeat is noted, and what it changed is stored."""
+
+
+@attrs.frozen
+class ReadDeployment:
+    """Asks the leader for the routing configuration in force."""
+
+
+@attrs.frozen
+class DeploymentDocument:
+    """The routing configuration in force, as the operator wrote it.
+
+    Attributes:
+        version: Its number; 0 if there is none.
+        document: Its text.
+    """
+
+    version: int
+    document: bytes
+
+
+@attrs.frozen
+class Join:
+    """A member that is in no group asks the leader to take it in."""
+
+    name: str
+    identity: str
+    host: str
+    port: int
+
+
+@attrs.frozen
+class Joining:
+    """The leader takes the member in as soon as it can.
+
+    Attributes:
+        members: Addresses of the members now.
+        listed: Whether the asking identity is one of them already.
+    """
+
+    members: tuple[MemberAddress, ...]
+    listed: bool
 
 
 @attrs.frozen
@@ -84,9 +160,11 @@
 
     Attributes:
         leader: Name of the leader, or empty if unknown.
+        address: Where the leader listens, if known.
     """
 
     leader: str
+    address: MemberAddress | None = None
 
 
 @attrs.frozen
@@ -211,4 +289,6 @@
 CONTROL = create_codec(
     *(Renew, Grant, Changed, Submit, Result, Redirect, Refused, Query),
     *(StatusReply, Describe, Description, Form, Formed, Hello, Peer),
+    *(Heartbeat, HeartbeatNoted, ReadDeployment, DeploymentDocument),
+    *(Join, Joining),
 )
--- a/knapweedarch/daemon.py
+++ b/knapweedarch/daemon.py
@@ -64,14 +64,14 @@
             daemon = router.create_router(settings, clock, metrics)
     async with anyio.create_task_group() as group:
         if isinstance(daemon, member.Member):
-            group.start_soon(_stop_on_signal, daemon, group.cancel_scope)
+            group.start_soon(stop_on_signal, daemon, group.cancel_scope)
         port = await group.start(daemon.run)
         log("started", role=settings.role, name=settings.name, port=port)
         # Whoever starts the process reads the port that the kernel chose.
         print(f"ready {port}", flush=True)
 
 
-async def _stop_on_signal(
+async def stop_on_signal(
     stopping: member.Member, scope: anyio.CancelScope
 ) -> None:
     """Stops a member; everything it answered is already synced."""
--- /dev/null
+++ b/knapweedarch/endpoint_choice.py
@@ -0,0 +1,223 @@
+"""Chooses the endpoint of a request from what this router has seen itself.
+
+The cost of an endpoint is the expected time to the first byte in seconds,
+plus charges for its load, its recent failures and the parts of the prompt
+that it would have to read again.
+"""
+
+import math
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Sequence
+
+import attrs
+import xxhash
+
+from knapweedarch.models import Endpoint
+from knapweedarch.prompt_parts import Prompt
+
+CACHED_PARTS = 4096
+
+
+@attrs.frozen
+class ChoiceConfig:
+    """Figures that the cost is made of.
+
+    Attributes:
+        distance_s: One-way delay to each data centre in seconds.
+        far_s: One-way delay to a data centre that is not listed.
+        prefill_tokens_s: Prompt tokens that a runner reads per second.
+        full_s: Charge for an endpoint whose slots or memory are all in use.
+        failing_s: Charge for an endpoint at which every request fails.
+        rank_s: Largest charge for a low rank in the rendezvous order.
+        peer_weight: Load by another router per own load.
+        memory_s: Half-life of failures in seconds.
+        refused_s: How long an endpoint that refuses connections is avoided.
+        busy_s: How long an endpoint that has no room is avoided.
+    """
+
+    distance_s: dict[str, float] = attrs.field(factory=dict)
+    far_s: float = 0.005
+    prefill_tokens_s: float = 32_400.0
+    full_s: float = 0.6
+    failing_s: float = 2.0
+    rank_s: float = 0.1
+    peer_weight: float = 0.35
+    memory_s: float = 3.0
+    refused_s: float = 0.7
+    busy_s: float = 0.15
+
+
+@attrs.define
+class _Seen:
+    """What this router has seen of one incarnation of an endpoint."""
+
+    incarnation: str
+    requests: int = 0
+    tokens: int = 0
+    failures: float = 0.0
+    successes: float = 0.0
+    decayed_at: float = 0.0
+    avoided_until: float = -math.inf
+    late_s: float = 0.0
+    cached: OrderedDict[str, int] = attrs.field(factory=OrderedDict)
+
+    def decay(self, now: float, half_life_s: float) -> None:
+        """Lets old outcomes count less."""
+        factor = 0.5 ** ((now - self.decayed_at) / half_life_s)
+        self.failures *= factor
+        self.successes *= factor
+        self.late_s *= factor
+        self.decayed_at = now
+
+    def failing(self) -> float:
+        """Part of the recent requests that failed, one success assumed."""
+        return self.failures / (self.failures + self.successes + 1.0)
+
+
+class EndpointChooser:
+    """Remembers sends and outcomes, and chooses endpoints."""
+
+    def __init__(self, cfg: ChoiceConfig):
+        self._cfg = cfg
+        self._seen: dict[str, _Seen] = {}
+        self._peers = 1.0
+
+    def set_peer_routers(self, count: int) -> None:
+        """Tells how many routers choose among the same endpoints."""
+        self._peers = 1.0 + self._cfg.peer_weight * max(0, count - 1)
+
+    def choose(
+        self,
+        endpoints: Sequence[Endpoint],
+        prompt: Prompt | None,
+        tried: Collection[str],
+        now: float,
+        salt: str = "",
+        memory_tokens: int = 0,
+    ) -> Endpoint | None:
+        """Chooses an endpoint; returns None if there is none to try.
+
+        Args:
+            endpoints: Endpoints that may get the request.
+            prompt: The prompt; None for plain services.
+            tried: Endpoints that this request has been sent to.
+            now: Seconds on the router's clock.
+            salt: Text under which the prompt's parts are cached.
+            memory_tokens: Tokens that each runner's memory holds; 0 for
+                plain services.
+        """
+        fresh = [e for e in endpoints if e.id not in tried]
+        able = [e for e in fresh if self._of(e, now).avoided_until <= now]
+        if not able:
+            return None
+        ranks = _ranks(prompt, able)
+        return min(
+            able,
+            key=lambda e: self._cost(e, prompt, salt, ranks, memory_tokens),
+        )
+
+    def sent(
+        self, endpoint: Endpoint, prompt: Prompt | None, salt: str, now: float
+    ) -> None:
+        """Notes that a request is on its way."""
+        seen = self._of(endpoint, now)
+        seen.requests += 1
+        if prompt is not None:
+            seen.tokens += prompt.tokens + prompt.max_tokens
+            for part in prompt.parts[:-1]:
+                key = f"{salt}/{part.id}"
+                seen.cached[key] = part.tokens
+                seen.cached.move_to_end(key)
+            while len(seen.cached) > CACHED_PARTS:
+                seen.cached.popitem(last=False)
+
+    def ended(self, endpoint: Endpoint, prompt: Prompt | None) -> None:
+        """Notes that a request has left the endpoint."""
+        seen = self._seen.get(endpoint.id)
+        if seen is None or seen.incarnation != endpoint.incarnation:
+            return
+        seen.requests -= 1
+        if prompt is not None:
+            seen.tokens -= prompt.tokens + prompt.max_tokens
+
+    def succeeded(self, endpoint: Endpoint, late_s: float, now: float) -> None:
+        """Notes a success and how far behind the goal it began."""
+        seen = self._of(endpoint, now)
+        seen.successes += 1.0
+        seen.late_s += 0.3 * (max(0.0, late_s) - seen.late_s)
+
+    def failed(self, endpoint: Endpoint, now: float) -> None:
+        """Notes a failure."""
+        self._of(endpoint, now).failures += 1.0
+
+    def refused(self, endpoint: Endpoint, now: float) -> None:
+        """Notes that an endpoint takes no connection."""
+        seen = self._of(endpoint, now)
+        seen.failures += 1.0
+        seen.avoided_until = now + self._cfg.refused_s
+
+    def had_no_room(self, endpoint: Endpoint, now: float) -> None:
+        """Notes that an endpoint is full for a moment."""
+        self._of(endpoint, now).avoided_until = now + self._cfg.busy_s
+
+    def forget(self, kept: Iterable[str]) -> None:
+        """Forgets every endpoint but those named."""
+        keep = set(kept)
+        for gone in [i for i in self._seen if i not in keep]:
+            del self._seen[gone]
+
+    def _of(self, endpoint: Endpoint, now: float) -> _Seen:
+        seen = self._seen.get(endpoint.id)
+        if seen is None or seen.incarnation != endpoint.incarnation:
+            seen = _Seen(endpoint.incarnation, decayed_at=now)
+            self._seen[endpoint.id] = seen
+        seen.decay(now, self._cfg.memory_s)
+        return seen
+
+    def _cost(
+        self,
+        endpoint: Endpoint,
+        prompt: Prompt | None,
+        salt: str,
+        ranks: dict[str, float],
+        memory_tokens: int,
+    ) -> float:
+        cfg, seen = self._cfg, self._seen[endpoint.id]
+        distance = cfg.distance_s.get(endpoint.data_centre, cfg.far_s)
+        load = seen.requests * self._peers / max(1, endpoint.slots)
+        if memory_tokens:
+            load = max(load, seen.tokens * self._peers / memory_tokens)
+        cost = (
+            2 * distance + cfg.full_s * load + cfg.rank_s * ranks[endpoint.id]
+        )
+        cost += cfg.failing_s * seen.failing() + seen.late_s
+        if prompt is not None:
+            missing = prompt.shared_tokens - self._cached(seen, prompt, salt)
+            cost += missing / cfg.prefill_tokens_s
+        return cost
+
+    def _cached(self, seen: _Seen, prompt: Prompt, salt: str) -> int:
+        found = 0
+        for part in prompt.parts[:-1]:
+            if f"{salt}/{part.id}" not in seen.cached:
+                break
+            found += part.tokens
+        return found
+
+
+def _ranks(
+    prompt: Prompt | None, endpoints: Sequence[Endpoint]
+) -> dict[str, float]:
+    """Rank of each endpoint in the prompt's rendezvous order, 0 to 1.
+
+    Every router gets the same order without communication.
+    """
+    if prompt is None or not prompt.home:
+        return {e.id: 0.0 for e in endpoints}
+    key = prompt.home.encode()
+    order = sorted(
+        (e.id for e in endpoints),
+        key=lambda i: xxhash.xxh3_64_intdigest(key + i.encode()),
+        reverse=True,
+    )
+    return {name: rank / len(order) for rank, name in enumerate(order)}
--- /dev/null
+++ b/knapweedarch/event_stream.py
@@ -0,0 +1,53 @@
+"""Cuts a `text/event-stream` body into whole events."""
+
+import re
+
+import attrs
+
+# An event ends with an empty line; lines may end in CR, LF or both.
+EVENT_END = re.compile(rb"(?:\r\n|\r|\n)(?:\r\n|\r|\n)")
+ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)$", re.MULTILINE)
+
+
+@attrs.frozen
+class Events:
+    """Whole events.
+
+    Attributes:
+        data: Their bytes.
+        count: How many there are.
+        last_id: Id of the last one that has one; empty if none has.
+    """
+
+    data: bytes = b""
+    count: int = 0
+    last_id: str = ""
+
+
+class EventSplitter:
+    """Collects bytes until events are whole.
+
+    A stream that breaks off within an event can then go on with the same
+    event from another runner.
+    """
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> Events:
+        """Takes bytes; returns the events that are whole now."""
+        self._buffer += data
+        ends = [m.end() for m in EVENT_END.finditer(self._buffer)]
+        if not ends:
+            return Events()
+        whole, self._buffer = (
+            self._buffer[: ends[-1]],
+            self._buffer[ends[-1] :],
+        )
+        ids = ID_LINE.findall(whole.replace(b"\r", b"\n"))
+        last_id = ids[-1].decode("utf-8", "replace") if ids else ""
+        return Events(whole, len(ends), last_id)
+
+    def rest(self) -> bytes:
+        """Returns the bytes after the last whole event."""
+        return self._buffer
--- a/knapweedarch/exceptions.py
+++ b/knapweedarch/exceptions.py
@@ -29,6 +29,18 @@
         super().__init__("; ".join(faults))
 
 
+class DeploymentError(KnapweedarchError):
+    """A routing configuration is refused.
+
+    Attributes:
+        faults: One text per fault.
+    """
+
+    def __init__(self, faults: list[str]):
+        self.faults = faults
+        super().__init__("; ".join(faults))
+
+
 class CodecError(KnapweedarchError):
     """Bytes do not decode to a known message."""
 
@@ -91,5 +103,23 @@
         super().__init__(message or reason)
 
 
+class ExchangeError(KnapweedarchError):
+    """An exchange with an endpoint brought no whole answer.
+
+    Attributes:
+        reason: Why.
+        written: Whether any byte of the request may have left this process.
+    """
+
+    def __init__(self, reason: str, message: str, written: bool):
+        self.reason = reason
+        self.written = written
+        super().__init__(message)
+
+
+class CallerGoneError(KnapweedarchError):
+    """The caller closed its connection before the whole answer."""
+
+
 class RequestIdError(KnapweedarchError):
     """A request id was created for another order."""
--- /dev/null
+++ b/knapweedarch/http_outbound.py
@@ -0,0 +1,345 @@
+"""HTTP/1.1 client of the proxy, on h11, with one pool per endpoint.
+
+An endpoint may answer twice, late, early, without a length or with bytes that
+are no answer. Each exchange therefore checks which request an answer belongs
+to, and tells exactly what is known about the fate of its own request.
+"""
+
+import contextlib
+import select
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+import attrs
+import h11
+
+from knapweedarch.exceptions import ExchangeError
+from knapweedarch.http_messages import Headers, Request, find_header
+from knapweedarch.models import RetryReason
+from knapweedarch.timers import Clock
+
+READ_BYTES = 65_536
+CONNECT_S = 0.8
+# An endpoint that names no time closes idle connections after some seconds.
+USUAL_IDLE_S = 3.0
+# Taken off the time that an endpoint names: a request may cross its close.
+IDLE_MARGIN_S = 0.6
+MAX_IDLE_PER_ADDRESS = 16
+MAX_STRAY_ANSWERS = 4
+SENT_AT_ONCE_BYTES = 8_192
+STREAM_FAULTS = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+IsOwnAnswer = Callable[[Headers], bool]
+
+
+@attrs.define(eq=False)
+class _Connection:
+    stream: anyio.abc.SocketStream
+    protocol: h11.Connection
+    idle_until: float = 0.0
+
+    def is_silent(self) -> bool:
+        """Tells whether nothing arrived, neither bytes nor an end."""
+        sock = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+
+@attrs.define
+class AnswerHead:
+    """Head of an endpoint's answer.
+
+    Attributes:
+        status: Status code.
+        headers: All headers.
+    """
+
+    status: int
+    headers: Headers
+
+    def header(self, name: bytes) -> bytes:
+        """Returns the first header of a name in lower case, or nothing."""
+        return find_header(self.headers, name)
+
+
+class Exchange:
+    """One request to an endpoint and its answer.
+
+    Attributes:
+        written: Whether any byte of the request may have left this process.
+    """
+
+    def __init__(
+        self, pool: "OutboundPool", address: str, req: Request, own: IsOwnAnswer
+    ):
+        self.written = False
+        self._pool = pool
+        self._address = address
+        self._req = req
+        self._is_own = own
+        self._conn: _Connection | None = None
+        self._sent = False
+        self._sending = anyio.CancelScope()
+        self._complete = False
+
+    async def open(self, may_send: Callable[[], None]) -> None:
+        """Opens or reuses a connection.
+
+        Args:
+            may_send: Called before the first byte; raises to prevent it.
+
+        Raises:
+            ExchangeError: No connection; nothing was written.
+        """
+        try:
+            self._conn = await self._pool.take(self._address)
+        except (OSError, TimeoutError) as exc:
+            raise ExchangeError(
+                RetryReason.CONNECT_REFUSED, repr(exc), written=False
+            ) from exc
+        may_send()
+
+    async def answer(self) -> AnswerHead:
+        """Sends the request and reads the head of its answer.
+
+        Raises:
+            ExchangeError: No answer came.
+        """
+        # The endpoint may answer before it has read a long body.
+        if len(self._req.body) > SENT_AT_ONCE_BYTES:
+            self._pool.spawn(self._send_beside)
+        else:
+            await self._send()
+        for _ in range(MAX_STRAY_ANSWERS):
+            head = await self._read_head()
+            if self._is_own(head.headers):
+                return head
+            await self._skip_stray_answer()
+        raise self._failed(RetryReason.CROSSED_ANSWER, "only stray answers")
+
+    async def _send_beside(self) -> None:
+        with self._sending:
+            await self._send()
+
+    async def _send(self) -> None:
+        protocol = self._conn.protocol
+        head = h11.Request(
+            method=self._req.method,
+            target=self._req.target,
+            headers=list(self._req.headers),
+        )
+        data = protocol.send(head)
+        if self._req.body:
+            data += protocol.send(h11.Data(self._req.body))
+        data += protocol.send(h11.EndOfMessage())
+        self.written = True
+        # A failed write shows as a failed read, with what the endpoint said.
+        with contextlib.suppress(*STREAM_FAULTS):
+            await self._conn.stream.send(data)
+            self._sent = True
+
+    async def _read_head(self) -> AnswerHead:
+        while True:
+            match await self._next_event():
+                case h11.Response(status_code=status, headers=headers):
+                    return AnswerHead(status, tuple(headers))
+                case h11.InformationalResponse():
+                    continue
+                case event:
+                    raise self._failed(
+                        RetryReason.CONNECTION_CLOSED, f"no answer: {event!r}"
+                    )
+
+    async def _skip_stray_answer(self) -> None:
+        """Reads past the answer to another request.
+
+        The protocol object takes it for the answer to this one, so what
+        follows is read by a fresh one that is told of the same request.
+        """
+        while await self.read() is not None:
+            pass
+        trailing, closed = self._conn.protocol.trailing_data
+        if closed or self._conn.protocol.their_state is not h11.DONE:
+            raise self._failed(RetryReason.CROSSED_ANSWER, "a stray answer")
+        fresh = h11.Connection(h11.CLIENT)
+        fresh.send(
+            h11.Request(
+                method=self._req.method,
+                target=self._req.target,
+                headers=[(b"host", b"-")],
+            )
+        )
+        fresh.send(h11.EndOfMessage())
+        if trailing:
+            fresh.receive_data(trailing)
+        self._conn.protocol = fresh
+        self._complete = False
+
+    async def read(self) -> bytes | None:
+        """Reads a part of the body; returns None at its end.
+
+        Raises:
+            ExchangeError: The answer broke off.
+        """
+        if self._complete:
+            return None
+        match await self._next_event():
+            case h11.Data(data=data):
+                return bytes(data)
+            case h11.EndOfMessage():
+                self._complete = True
+                return None
+            case event:
+                raise self._failed(
+                    RetryReason.CONNECTION_CLOSED, f"broke off: {event!r}"
+                )
+
+    async def _next_event(self) -> object:
+        try:
+            while (event := self._conn.protocol.next_event()) is h11.NEED_DATA:
+                self._conn.protocol.receive_data(await self._receive())
+            return event
+        except h11.RemoteProtocolError as exc:
+            raise self._failed(
+                RetryReason.CONNECTION_CLOSED, f"not an answer: {exc}"
+            ) from exc
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self._conn.stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            return b""
+        except STREAM_FAULTS as exc:
+            raise self._failed(
+                RetryReason.CONNECTION_CLOSED, repr(exc)
+            ) from exc
+
+    def _failed(self, reason: RetryReason, message: str) -> ExchangeError:
+        return ExchangeError(reason, message, self.written)
+
+    async def close(self, head: AnswerHead | None) -> None:
+        """Gives the connection back, or closes it unless it is clean."""
+        self._sending.cancel()
+        conn, self._conn = self._conn, None
+        if conn is None:
+            return
+        protocol = conn.protocol
+        clean = (
+            self._complete
+            and self._sent
+            and protocol.our_state is h11.DONE
+            and protocol.their_state is h11.DONE
+            and not protocol.trailing_data[0]
+        )
+        if clean and head is not None:
+            protocol.start_next_cycle()
+            await self._pool.give_back(self._address, conn, head)
+        else:
+            await _close(conn)
+
+
+async def _close(conn: _Connection) -> None:
+    with anyio.CancelScope(shield=True):
+        await anyio.aclose_forcefully(conn.stream)
+
+
+class OutboundPool:
+    """Idle connections to endpoints, by address.
+
+    Use it as an asynchronous context manager; long bodies are sent by tasks
+    of its own.
+
+    Attributes:
+        opened: Connections opened so far.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._idle: dict[str, list[_Connection]] = {}
+        self.opened = 0
+
+    async def __aenter__(self) -> "OutboundPool":
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc_info) -> bool | None:
+        self._group.cancel_scope.cancel()
+        return await self._group.__aexit__(*exc_info)
+
+    def spawn(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Runs a task beside the exchanges."""
+        self._group.start_soon(task)
+
+    def exchange(
+        self, address: str, req: Request, is_own: IsOwnAnswer
+    ) -> Exchange:
+        """Prepares an exchange.
+
+        Args:
+            address: IP number and port of the endpoint.
+            req: The request, with the headers that the endpoint gets.
+            is_own: Tells by its headers whether an answer is to `req`.
+        """
+        return Exchange(self, address, req, is_own)
+
+    async def take(self, address: str) -> _Connection:
+        """Returns an idle connection that is still open, or a new one.
+
+        Raises:
+            OSError: The endpoint accepts no connection.
+            TimeoutError: It did not within `CONNECT_S`.
+        """
+        idle = self._idle.get(address, [])
+        while idle:
+            conn = idle.pop()
+            if self._clock.now() < conn.idle_until and conn.is_silent():
+                return conn
+            await _close(conn)
+        host, _, port = address.rpartition(":")
+        with anyio.fail_after(CONNECT_S):
+            stream = await anyio.connect_tcp(host, int(port))
+        self.opened += 1
+        return _Connection(stream, h11.Connection(h11.CLIENT))
+
+    async def give_back(
+        self, address: str, conn: _Connection, head: AnswerHead
+    ) -> None:
+        """Keeps a connection for the next request."""
+        idle_s = _idle_time(head)
+        idle = self._idle.setdefault(address, [])
+        conn.idle_until = self._clock.now() + idle_s
+        if idle_s > 0 and len(idle) < MAX_IDLE_PER_ADDRESS:
+            idle.append(conn)
+        else:
+            await _close(conn)
+
+    async def drop(self, address: str) -> None:
+        """Closes the idle connections to an endpoint that is gone."""
+        for conn in self._idle.pop(address, ()):
+            await _close(conn)
+
+    async def drop_stale(self) -> None:
+        """Closes connections that were idle for too long."""
+        now = self._clock.now()
+        for address, idle in list(self._idle.items()):
+            for conn in [c for c in idle if c.idle_until <= now]:
+                idle.remove(conn)
+                await _close(conn)
+            if not idle:
+                del self._idle[address]
+
+
+def _idle_time(head: AnswerHead) -> float:
+    """Returns for how many seconds a connection may stay idle."""
+    for part in head.header(b"keep-alive").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.isdigit():
+            return max(0.0, int(value) - IDLE_MARGIN_S)
+    return USUAL_IDLE_S - IDLE_MARGIN_S
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -7,19 +7,25 @@
 import attrs
 
 from knapweedarch import control, links, replica
+from knapweedarch.deployments import Deployment
 from knapweedarch.exceptions import LinkError, ReplicaError, RuleError
-from knapweedarch.leases import LeaseTable
+from knapweedarch.heartbeats import HeartbeatTable
+from knapweedarch.leases import LEASE_S, LeaseTable
 from knapweedarch.logs import log
-from knapweedarch.models import EndpointStatus
+from knapweedarch.models import Endpoint, EndpointStatus
 from knapweedarch.rules import parse_steps
 from knapweedarch.state import (
     COMMANDS,
     RESULTS,
     Abandon,
     Announce,
+    ChangeStatus,
     ControlState,
+    DeploymentAccepted,
     EndpointAccepted,
+    NameWeights,
     OrdersHeld,
+    PutDeployment,
     PutRules,
     RecordFound,
     RecordStatus,
@@ -29,6 +35,8 @@
     RulesConflict,
     Stamper,
     TakeOrders,
+    WeightsNamed,
+    still_loads,
 )
 from knapweedarch.timers import Clock, run_steps
 
@@ -60,7 +68,10 @@
         state: ControlState,
         clock: Clock,
         wake: Callable[[], None],
+        lease_s: float = LEASE_S,
     ):
+        self._lease_s = lease_s
+        self._heartbeats = HeartbeatTable(0.0)
         self.applied = 0
         self._applied_term = 0
         self._name = name
@@ -98,9 +109,9 @@
         self.applied, self._applied_term = entry.index, entry.term
         result = None
         if entry.kind is replica.EntryKind.DATA:
-            before = (self._state.rules_version, self._state.revision)
+            before = self._shown_to_routers()
             result = self._state.apply(entry.data)
-            if before != (self._state.rules_version, self._state.revision):
+            if before != self._shown_to_routers():
                 self._tell_routers()
         proposal = self._proposals.pop(entry.index, None)
         if proposal is not None:
@@ -108,6 +119,10 @@
                 proposal.result = result
             proposal.done.set()
 
+    def _shown_to_routers(self) -> tuple[int, int, Deployment | None]:
+        state = self._state
+        return state.rules_version, state.revision, state.deployment
+
     def _tell_routers(self) -> None:
         for link in list(self._routers):
             try:
@@ -119,7 +134,8 @@
         """Starts and ends the leader's duties."""
         leads = self._replica.leader_since is not None
         if leads and self._table_term != self._replica.term:
-            self._table = LeaseTable(self._replica.leader_since)
+            self._table = LeaseTable(self._replica.leader_since, self._lease_s)
+            self._heartbeats = HeartbeatTable(self._replica.leader_since)
             self._table_term = self._replica.term
             self._stamper = None
             log("leader_started", term=self._replica.term)
@@ -147,7 +163,15 @@
         leader = self._replica.leader or ""
         if leader == self._name:
             leader = ""
-        return control.Redirect(leader)
+        address = next((a for a in self.addresses() if a.name == leader), None)
+        return control.Redirect(leader, address)
+
+    def addresses(self) -> tuple[control.MemberAddress, ...]:
+        """Returns where the members listen."""
+        return tuple(
+            control.MemberAddress(m.name, m.host, m.port)
+            for m in self._replica.members
+        )
 
     def renew(
         self, link: links.Link, renew: control.Renew
@@ -172,10 +196,120 @@
             state.revision,
             state.changes_since(renew.revision),
             self._table.count(now),
+            self._deployment_for(renew),
+            self.addresses(),
+        )
+
+    def _deployment_for(self, renew: control.Renew) -> Deployment | None:
+        deployment = self._state.deployment
+        if deployment and deployment.version == renew.deployment_version:
+            return None
+        return deployment
+
+    def read_deployment(
+        self,
+    ) -> control.DeploymentDocument | control.Redirect:
+        """Returns the routing configuration in force."""
+        if not self._leading():
+            return self._redirect()
+        deployment = self._state.deployment
+        return control.DeploymentDocument(
+            deployment.version if deployment else 0, self._state.document
+        )
+
+    async def heartbeat(
+        self, message: control.Heartbeat
+    ) -> control.HeartbeatNoted | control.Refused | control.Redirect:
+        """Notes a heartbeat and stores what it changes."""
+        if not self._leading():
+            return self._redirect()
+        endpoint = self._heartbeats.note(message, self._clock.now())
+        known = self._state.endpoints.get(message.endpoint.id)
+        if endpoint is None or (known and _is_known(known.endpoint, endpoint)):
+            return control.HeartbeatNoted()
+        try:
+            result = await self._propose(Announce(endpoint))
+        except ReplicaError:
+            return self._redirect()
+        if result is None:
+            return control.Refused("unknown_outcome", "the leader changed")
+        if known is None or known.endpoint.status is not endpoint.status:
+            log(
+                "endpoint_status",
+                endpoint=endpoint.id,
+                incarnation=endpoint.incarnation,
+                address=endpoint.url,
+                status=endpoint.status.value,
+                number=message.number,
+            )
+        return control.HeartbeatNoted()
+
+    async def drop_silent(self) -> None:
+        """Takes endpoints out of use that were not heard for too long."""
+        if not self._leading():
+            return
+        now = self._clock.now()
+        active = [
+            entry.endpoint
+            for entry in self._state.endpoints.values()
+            if entry.endpoint.status
+            in (EndpointStatus.ACTIVE, EndpointStatus.LOADING)
+        ]
+        for endpoint in self._heartbeats.silent(active, now):
+            await self.change_status(endpoint, EndpointStatus.SILENT)
+
+    async def change_status(
+        self, endpoint: Endpoint, status: EndpointStatus
+    ) -> bool:
+        """Changes the status of an endpoint; tells whether it is stored."""
+        command = ChangeStatus(endpoint.id, endpoint.incarnation, status)
+        try:
+            result = await self._propose(command)
+        except ReplicaError as exc:
+            log("proposal_failed", reason=str(exc), endpoint=endpoint.id)
+            return False
+        log(
+            "endpoint_status",
+            endpoint=endpoint.id,
+            incarnation=endpoint.incarnation,
+            address=endpoint.url,
+            status=status.value,
         )
+        return isinstance(result, EndpointAccepted)
+
+    async def loaded(self, endpoint: Endpoint) -> None:
+        """Stores the weights that a runner has loaded."""
+        if self._is_current(endpoint):
+            with contextlib.suppress(ReplicaError):
+                await self._propose(Announce(endpoint))
+            log(
+                "weights_loaded",
+                endpoint=endpoint.id,
+                version=endpoint.weights_version,
+            )
+
+    def _is_current(self, endpoint: Endpoint) -> bool:
+        """Tells whether an endpoint may still be put back into use."""
+        known = self._state.endpoints.get(endpoint.id)
+        return (
+            self._leading()
+            and known is not None
+            and known.endpoint.incarnation == endpoint.incarnation
+            and known.endpoint.status is EndpointStatus.LOADING
+        )
+
+    def note_joining(
+        self, join: control.Join
+    ) -> control.Joining | control.Redirect:
+        """Notes a member that wants to be in the group."""
+        if not self._leading():
+            return self._redirect()
+        self._replica.note_peer(join.name, join.identity, join.host, join.port)
+        listed = any(m.identity == join.identity for m in self._replica.members)
+        return control.Joining(self.addresses(), listed)
 
     async def submit(
-        self, data: bytes
+        self, data: bytes, in_force: bool = True
     ) -> control.Result | control.Refused | control.Redirect:
         """Commits a command; waits until it is in force if it must be."""
         if not self._leading():
@@ -194,7 +328,8 @@
             )
         _log_order(command, result)
         result = await self._check_holder(command, result)
-        if self._needs_force(command, result) and not await self._in_force():
+        needs_force = in_force and self._needs_force(command, result)
+        if needs_force and not await self._in_force():
             return control.Refused(
                 "unknown_outcome", "the change is not in force everywhere yet"
             )
@@ -324,6 +459,14 @@
         )
 
 
+def _is_known(known: Endpoint, told: Endpoint) -> bool:
+    """Tells whether a heartbeat says nothing new."""
+    if known.incarnation != told.incarnation:
+        return False
+    leaves = known.status is EndpointStatus.LEAVING
+    return known == told or leaves or still_loads(known, told)
+
+
 def _log_order(command: object, result: object) -> None:
     """Logs operators' orders; a resend is logged again."""
     match command, result:
@@ -335,3 +478,11 @@
             log("endpoint_retired", endpoint=endpoint)
         case Announce(endpoint=endpoint, by_operator=True), EndpointAccepted():
             log("endpoint_restored", endpoint=endpoint.id)
+        case PutDeployment(deployment=deployment), DeploymentAccepted():
+            log(
+                "deployment_accepted",
+                version=deployment.version,
+                in_force=result.version,
+            )
+        case NameWeights(model=model), WeightsNamed(version=version):
+            log("weights_named", model=model, version=version)
--- a/knapweedarch/lease_keeper.py
+++ b/knapweedarch/lease_keeper.py
@@ -6,6 +6,7 @@
 import anyio
 
 from knapweedarch.control import Control, Grant, Renew
+from knapweedarch.deployments import Deployment
 from knapweedarch.exceptions import ControlError
 from knapweedarch.leases import RENEW_S, Lease
 from knapweedarch.logs import log
@@ -27,6 +28,8 @@
             `ControlError` if they cannot be applied.
         on_endpoints: Called with changed endpoints.
         on_routers: Called with the number of routers that hold a lease.
+        deployment_version: Number of the routing configuration taken over.
+        on_deployment: Called with a new routing configuration.
     """
 
     def __init__(
@@ -39,6 +42,8 @@
     ):
         self.lease = Lease()
         self.rules_version = 0
+        self.deployment_version = 0
+        self.on_deployment: Callable[[Deployment], None] = lambda new: None
         self.on_rules: Callable[[int, str], Awaitable[None]]
         self.on_endpoints: Callable[[Sequence[EndpointEntry]], None]
         self.on_routers: Callable[[int], None]
@@ -90,6 +95,7 @@
                 self.rules_version,
                 self._revision,
                 self._applied,
+                self.deployment_version,
             ),
             RENEW_TIMEOUT_S,
         )
@@ -111,9 +117,15 @@
         if grant.routers != self._routers:
             self._routers = grant.routers
             self.on_routers(grant.routers)
+        if grant.deployment is not None:
+            self.on_deployment(grant.deployment)
+            self.deployment_version = grant.deployment.version
+        self._control.set_members(grant.members)
         self._revision = grant.revision
         self._applied = grant.applied
-        return grant.rules_text is not None or bool(grant.endpoints)
+        return bool(
+            grant.rules_text is not None or grant.endpoints or grant.deployment
+        )
 
     def _watch(self, now: float) -> None:
         held = self.lease.holds(now)
--- a/knapweedarch/leases.py
+++ b/knapweedarch/leases.py
@@ -21,10 +21,17 @@
 
 
 class LeaseTable:
-    """Leases granted by one leader in one term."""
+    """Leases granted by one leader in one term.
 
-    def __init__(self, leader_since: float):
-        self._settled_at = leader_since + GRANT_S
+    Args:
+        leader_since: When the leader took office, in seconds.
+        lease_s: Duration of a lease in seconds; the same at every member.
+    """
+
+    def __init__(self, leader_since: float, lease_s: float = LEASE_S):
+        self._lease_s = lease_s
+        self._grant_s = lease_s * (1 + MAX_CLOCK_DRIFT)
+        self._settled_at = leader_since + self._grant_s
         self._grants: dict[str, _Grant] = {}
         self._waiting_since: dict[int, float] = {}
         self._in_force = 0
@@ -37,15 +44,15 @@
         hear or apply a change would hold it up for ever.
 
         Returns:
-            Duration of the lease in seconds, at most `LEASE_S`.
+            Duration of the lease in seconds, at most `lease_s`.
         """
         known = self._grants.get(holder)
         applied = max(applied, known.applied if known else 0)
         since = [t for i, t in self._waiting_since.items() if applied < i]
-        until = min([now, *since]) + GRANT_S
+        until = min([now, *since]) + self._grant_s
         noted = max(until, known.until if known else until)
         self._grants[holder] = _Grant(noted, applied)
-        return max(0.0, until - now) * (LEASE_S / GRANT_S)
+        return max(0.0, until - now) * (self._lease_s / self._grant_s)
 
     def holds(self, holder: str, now: float) -> bool:
         """Tells whether a router may still hold a lease.
@@ -86,7 +93,7 @@
         times = [g.until for g in self._grants.values() if g.until > now]
         if now < self._settled_at:
             times.append(self._settled_at)
-        return min(times, default=now + GRANT_S)
+        return min(times, default=now + self._grant_s)
 
     def count(self, now: float) -> int:
         """Counts the routers with a running lease."""
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -1,5 +1,7 @@
 """Member daemon: a replica with its journal and its links."""
 
+from collections.abc import Iterable
+
 import anyio
 import anyio.abc
 
@@ -7,6 +9,7 @@
 from knapweedarch.control import CONTROL
 from knapweedarch.exceptions import (
     CodecError,
+    ControlError,
     CredentialError,
     LinkError,
 )
@@ -14,7 +17,7 @@
 from knapweedarch.leader import Leader
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
-from knapweedarch.settings import MemberSettings
+from knapweedarch.settings import Address, MemberSettings
 from knapweedarch.state import ControlState
 from knapweedarch.timers import Clock, Timers
 
@@ -22,6 +25,9 @@
 REPORT_S = 1.0
 RECONNECT_S = 0.2
 HAND_OVER_S = 1.0
+JOIN_S = 0.25
+JOIN_TIMEOUT_S = 1.0
+SILENCE_CHECK_S = 0.5
 
 
 class Member:
@@ -38,8 +44,14 @@
         self._state = ControlState()
         self._open()
         self._peers: dict[str, links.Link] = {}
+        self._peer_tasks: dict[control.MemberAddress, anyio.CancelScope] = {}
+        self._control = control.create_control(
+            settings.members or seed_addresses(settings.seeds),
+            *(self._credential, clock),
+        )
         self._work = anyio.Event()
         self._timers = Timers(clock)
+        self._addresses: tuple[control.MemberAddress, ...] = ()
         self.port = 0
 
     def _open(self) -> None:
@@ -47,13 +59,14 @@
         restored = self._journal.restored
         name = self._settings.name
         self._replica = replica.create_replica(
-            replica.ReplicaConfig(name=name),
+            replica.ReplicaConfig(name=name, voters=self._settings.voters),
             restored,
             seed=int(self._journal.identity, 16),
         )
         self._leader = Leader(
             *(name, self._replica, self._state, self._clock),
             wake=lambda: self._work.set(),
+            lease_s=self._settings.lease_s,
         )
         if restored.snapshot is not None:
             self._state.restore(restored.snapshot.data)
@@ -68,18 +81,120 @@
         self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
         self._timers.every(TICK_S, lambda now: self._work.set())
         self._timers.every(REPORT_S, self._report)
+        self._timers.every(SILENCE_CHECK_S, self._check_silence)
         try:
-            async with anyio.create_task_group() as group:
+            async with self._control, anyio.create_task_group() as group:
+                self._group = group
                 group.start_soon(self._timers.run)
                 group.start_soon(self._drive)
                 group.start_soon(self._accept, listener)
-                for address in self._settings.members:
-                    if address.name != self._settings.name:
-                        group.start_soon(self._keep_peer, address)
+                self._set_peers(self._settings.members)
+                if self._settings.seeds:
+                    group.start_soon(self._find_group)
                 task_status.started(self.port)
         finally:
             self._journal.close()
 
+    async def submit(self, command: object, timeout_s: float) -> object:
+        """Submits a command to the leader, which may be this member.
+
+        Raises:
+            ControlError: See `control.Control.submit`.
+        """
+        return await self._control.submit(command, timeout_s, in_force=False)
+
+    async def ask(self, message: object, timeout_s: float) -> object:
+        """Sends a message of `control_messages` to the leader.
+
+        Raises:
+            ControlError: See `control.Control.ask`.
+        """
+        return await self._control.ask(message, timeout_s)
+
+    @property
+    def leader(self) -> Leader:
+        """Duties of the leader; in office only while this member leads."""
+        return self._leader
+
+    @property
+    def state(self) -> ControlState:
+        """State of the log as far as it is applied here."""
+        return self._state
+
+    @property
+    def term(self) -> int:
+        """Term of this member."""
+        return self._replica.term
+
+    def leads_until(self) -> float:
+        """Returns the end of the leader lease; 0.0 when it does not hold."""
+        return self._replica.leads_until(self._clock.now())
+
+    async def _find_group(self) -> None:
+        """Forms the group, or joins it when this member is in none."""
+        while True:
+            try:
+                if self._should_form():
+                    await self._control.form(
+                        tuple(
+                            control.MemberAddress("", seed.host, seed.port)
+                            for seed in self._settings.seeds
+                        )
+                    )
+                elif self._replica.leader is None or not self._is_listed():
+                    await self._join()
+            except ControlError as exc:
+                log("group_not_found", reason=str(exc))
+            await anyio.sleep(JOIN_S)
+
+    def _should_form(self) -> bool:
+        """Tells whether this member is the first seed of a new deployment.
+
+        Only one of the seeds forms the group, so that it is formed once.
+        """
+        seeds = sorted(self._settings.seeds, key=lambda s: (s.host, s.port))
+        return (
+            self._settings.bootstrap
+            and self._replica.blank
+            and seeds[0] == self._settings.listen
+        )
+
+    def _is_listed(self) -> bool:
+        identity = self._journal.identity
+        return any(m.identity == identity for m in self._replica.members)
+
+    async def _join(self) -> None:
+        listen = self._settings.listen
+        joining = await self._control.ask(
+            control.Join(
+                *(self._settings.name, self._journal.identity),
+                *(listen.host, self.port),
+            ),
+            JOIN_TIMEOUT_S,
+        )
+        self._set_peers(joining.members)
+
+    def _set_peers(self, addresses: Iterable[control.MemberAddress]) -> None:
+        """Keeps links to these members and to no others."""
+        wanted = {a for a in addresses if a.name != self._settings.name}
+        for address in self._peer_tasks.keys() - wanted:
+            self._peer_tasks.pop(address).cancel()
+        for address in wanted - self._peer_tasks.keys():
+            self._peer_tasks[address] = anyio.CancelScope()
+            self._group.start_soon(self._keep_peer, address)
+
+    def _follow_members(self) -> None:
+        """Takes over the addresses of the member list, once there is one."""
+        addresses = self._leader.addresses()
+        if self._settings.seeds and addresses != self._addresses:
+            self._addresses = addresses
+            self._set_peers(addresses)
+            self._control.set_members(addresses)
+            log("members_changed", members=[a.name for a in addresses])
+
+    def _check_silence(self, now: float) -> None:
+        self._group.start_soon(self._leader.drop_silent)
+
     async def prepare_stop(self) -> None:
         """Hands the office to another member before a planned stop."""
         until = self._clock.now() + HAND_OVER_S
@@ -106,6 +221,10 @@
 
     async def _keep_peer(self, address: control.MemberAddress) -> None:
         """Keeps an outgoing link to another member."""
+        with self._peer_tasks[address]:
+            await self._connect_again(address)
+
+    async def _connect_again(self, address: control.MemberAddress) -> None:
         while True:
             try:
                 link = await links.connect(
@@ -121,8 +240,11 @@
                     control.Hello(self._settings.name, self._journal.identity)
                 )
                 self._peers[address.name] = link
-                await link.run()
-                self._peers.pop(address.name, None)
+                try:
+                    await link.run()
+                finally:
+                    if self._peers.get(address.name) is link:
+                        del self._peers[address.name]
             await anyio.sleep(RECONNECT_S)
 
     async def _drive(self) -> None:
@@ -139,6 +261,7 @@
             for entry in output.committed:
                 self._leader.apply(entry)
             self._leader.follow_role()
+            self._follow_members()
             self._compact()
 
     def _send_peer(self, name: str, message: object) -> None:
@@ -182,8 +305,14 @@
                 self._note_peer(name, identity)
             case control.Renew():
                 return self._leader.renew(link, message)
-            case control.Submit(command=data):
-                return await self._leader.submit(data)
+            case control.Submit(command=data, in_force=in_force):
+                return await self._leader.submit(data, in_force)
+            case control.Heartbeat():
+                return await self._leader.heartbeat(message)
+            case control.ReadDeployment():
+                return self._leader.read_deployment()
+            case control.Join():
+                return self._leader.note_joining(message)
             case control.Query():
                 return self._leader.status()
             case control.Describe():
@@ -206,7 +335,7 @@
         self._work.set()
 
     def _note_peer(self, name: str, identity: str) -> None:
-        for address in self._settings.members:
+        for address in self._settings.members or self._leader.addresses():
             if address.name == name:
                 self._replica.note_peer(
                     name, identity, address.host, address.port
@@ -234,6 +363,16 @@
         return control.Formed()
 
 
+def seed_addresses(
+    seeds: Iterable[Address],
+) -> tuple[control.MemberAddress, ...]:
+    """Returns addresses for members whose names are not known yet."""
+    return tuple(
+        control.MemberAddress(f"{s.host}:{s.port}", s.host, s.port)
+        for s in seeds
+    )
+
+
 def create_member(
     settings: MemberSettings, clock: Clock, metrics: Metrics
 ) -> Member:
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -49,6 +49,7 @@
 
     CONNECT_REFUSED = "connect_refused"
     CONNECTION_CLOSED = "connection_closed"
+    ANSWER_TIMEOUT = "answer_timeout"
     FIRST_TOKEN_TIMEOUT = "first_token_timeout"
     STREAM_SILENT = "stream_silent"
     STREAM_GAP = "stream_gap"
@@ -81,6 +82,8 @@
 
     ACTIVE = "active"
     LEAVING = "leaving"
+    LOADING = "loading"
+    SILENT = "silent"
 
 
 @attrs.frozen
@@ -114,6 +117,11 @@
     checks_fencing: bool = False
     status: EndpointStatus = EndpointStatus.ACTIVE
 
+    @property
+    def address(self) -> str:
+        """IP number and port of the URL."""
+        return self.url.removeprefix("http://")
+
 
 @attrs.frozen
 class LoadReport:
--- /dev/null
+++ b/knapweedarch/proxy.py
@@ -0,0 +1,259 @@
+"""Proxy daemon: routes callers' requests to registered endpoints."""
+
+import random
+import secrets
+import signal
+from collections.abc import Sequence
+
+import anyio
+import attrs
+
+from knapweedarch import control
+from knapweedarch.deployments import CallerLimits, Deployment, RouteTable
+from knapweedarch.dialects import Dialect
+from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
+from knapweedarch.http_inbound import InboundServer, Responder
+from knapweedarch.http_messages import Answer, Request
+from knapweedarch.http_outbound import OutboundPool
+from knapweedarch.lease_keeper import LeaseKeeper
+from knapweedarch.logs import log
+from knapweedarch.member import seed_addresses
+from knapweedarch.metrics import Metrics
+from knapweedarch.models import Endpoint, RefusalReason
+from knapweedarch.proxy_calls import Attempts, Call, retry_after
+from knapweedarch.proxy_streams import StreamRelay
+from knapweedarch.proxy_unary import serve_unary
+from knapweedarch.repeat_budget import RepeatLimits
+from knapweedarch.settings import Address
+from knapweedarch.state import EndpointEntry
+from knapweedarch.timers import Clock, Timers
+
+DROP_STALE_S = 0.5
+# The final answer leaves this long before it is due.
+ANSWER_MARGIN_S = 0.03
+
+
+@attrs.frozen(kw_only=True)
+class ProxySettings:
+    """Settings of a proxy.
+
+    Attributes:
+        name: Name of this proxy.
+        data_centre: Data centre of the instance.
+        credential: Secret shared by the system's own processes.
+        seeds: Members to ask for the group.
+        listen: Where callers connect.
+        ready: Where the balancer asks whether to send callers here.
+        ready_path: Path of that question.
+        log_level: Lowest level that is logged.
+        distances_s: One-way delay to each data centre in seconds.
+        repeats: Bound of repeats by all proxies together.
+        stop_s: Time from the order to stop until the process is killed.
+        ready_lag_s: Time until the balancer sends no more callers here.
+    """
+
+    name: str
+    data_centre: str
+    credential: str = attrs.field(repr=False)
+    seeds: tuple[Address, ...]
+    listen: Address
+    ready: Address
+    ready_path: str
+    log_level: str = "info"
+    distances_s: dict[str, float] = attrs.field(factory=dict)
+    repeats: RepeatLimits = attrs.field(factory=RepeatLimits)
+    stop_s: float = 8.0
+    ready_lag_s: float = 2.5
+
+
+class Proxy:
+    """One proxy."""
+
+    def __init__(
+        self,
+        settings: ProxySettings,
+        dialect: Dialect,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self._settings = settings
+        self._dialect = dialect
+        self._clock = clock
+        self._metrics = metrics
+        self._timers = Timers(clock)
+        self._table: RouteTable | None = None
+        self._endpoints: dict[str, Endpoint] = {}
+        self._random = random.Random(secrets.randbits(64))
+        self._draining = False
+        incarnation = secrets.token_hex(8)
+        self._control = control.create_control(
+            seed_addresses(settings.seeds),
+            settings.credential.encode(),
+            clock,
+            on_changed=lambda: self._keeper.renew_soon(),
+        )
+        self._keeper = LeaseKeeper(
+            *(settings.name, incarnation, self._control, clock, metrics)
+        )
+        self._keeper.on_endpoints = self._set_endpoints
+        self._keeper.on_deployment = self._set_deployment
+        self._keeper.on_routers = self._set_routers
+        self._pool = OutboundPool(clock)
+        self._attempts = Attempts(
+            clock=clock,
+            metrics=metrics,
+            dialect=dialect,
+            pool=self._pool,
+            chooser=EndpointChooser(
+                ChoiceConfig(distance_s=settings.distances_s)
+            ),
+            limits=settings.repeats,
+            may_start=self._may_start,
+        )
+        self._server = InboundServer(self._handle, clock, self._limits)
+        self._ready_server = InboundServer(self._answer_ready, clock)
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        """Serves until SIGTERM, then drains and returns."""
+        self._keeper.subscribe(self._timers)
+        self._timers.every(DROP_STALE_S, self._drop_stale)
+        listen, ready = self._settings.listen, self._settings.ready
+        async with (
+            anyio.create_task_group() as group,
+            self._control,
+            self._pool,
+        ):
+            self._group = group
+            group.start_soon(self._timers.run)
+            group.start_soon(self._keeper.run)
+            await group.start(self._server.serve, listen.host, listen.port)
+            await group.start(self._ready_server.serve, ready.host, ready.port)
+            task_status.started(listen.port)
+            await self._await_stop()
+            group.cancel_scope.cancel()
+
+    async def _await_stop(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                break
+            self._draining = True
+            self._server.closing = True
+            log("drain_started", active=self._server.active)
+            await anyio.sleep(self._settings.ready_lag_s)
+            await self._server.drain(
+                self._settings.stop_s - self._settings.ready_lag_s - 0.5
+            )
+            log("drain_ended", active=self._server.active)
+
+    def _drop_stale(self, now: float) -> None:
+        self._group.start_soon(self._pool.drop_stale)
+
+    def _limits(self) -> CallerLimits:
+        if self._table is None:
+            return CallerLimits()
+        return self._table.deployment.limits
+
+    def _set_routers(self, count: int) -> None:
+        self._attempts.routers = count
+        self._attempts.chooser.set_peer_routers(count)
+
+    def _set_endpoints(self, entries: Sequence[EndpointEntry]) -> None:
+        for entry in entries:
+            endpoint = entry.endpoint
+            self._endpoints[endpoint.id] = endpoint
+            log(
+                "endpoint_known",
+                endpoint=endpoint.id,
+                status=endpoint.status.value,
+                weights=endpoint.weights_version,
+                revision=entry.revision,
+            )
+        self._attempts.set_endpoints(list(self._endpoints.values()))
+
+    def _set_deployment(self, deployment: Deployment) -> None:
+        self._table = RouteTable(deployment)
+        self._attempts.set_deployment(deployment)
+        log("deployment_applied", version=deployment.version)
+
+    def _may_start(self) -> RefusalReason | None:
+        """Returns why no new work may start now, or None if it may."""
+        if not self._keeper.lease.holds(self._clock.now()):
+            return RefusalReason.LEASE_EXPIRED
+        if self._table is None:
+            return RefusalReason.CONTROL_UNAVAILABLE
+        return None
+
+    async def _answer_ready(self, req: Request, responder: Responder) -> None:
+        if req.path != self._settings.ready_path:
+            status = 404
+        elif self._draining or self._may_start():
+            status = 503
+        else:
+            status = 200
+        await responder.send(Answer(status=status))
+
+    async def _handle(self, req: Request, responder: Responder) -> None:
+        self._metrics.count("requests.started")
+        if reason := self._may_start():
+            return await self._refuse(req, responder, 503, reason)
+        host = req.header(b"host").decode("latin-1").partition(":")[0]
+        route = self._table.route(host, req.path)
+        if route is None:
+            return await self._refuse(
+                req, responder, 404, RefusalReason.UNKNOWN_PATH
+            )
+        terms = self._dialect.read_terms(req)
+        customer = None
+        if self._table.deployment.customers and not route.public:
+            customer = self._table.customer(terms.key)
+            if customer is None:
+                return await self._refuse(
+                    req, responder, 401, RefusalReason.UNKNOWN_KEY
+                )
+        name = self._table.choose_service(route, self._random.random())
+        limit_s = min(route.timeout_s, terms.limit_s or route.timeout_s)
+        call = Call(
+            req=req,
+            terms=terms,
+            route=route,
+            service=self._table.service(name),
+            customer=customer,
+            deadline=req.began_at + limit_s - ANSWER_MARGIN_S,
+            started_at=req.began_at,
+        )
+        if route.streams:
+            await StreamRelay(self._attempts, call, responder).serve()
+        else:
+            await serve_unary(self._attempts, call, responder)
+        self._metrics.count("requests.finished")
+
+    async def _refuse(
+        self,
+        req: Request,
+        responder: Responder,
+        status: int,
+        reason: RefusalReason,
+    ) -> None:
+        self._metrics.count(f"refused.{reason.value}")
+        version = self._table.deployment.version if self._table else 0
+        log(
+            "request_refused_early",
+            request=self._dialect.read_terms(req).request_id,
+            reason=reason.value,
+            status=status,
+            deployment=version,
+        )
+        headers = ()
+        if status == 503:
+            terms = self._dialect.read_terms(req)
+            headers = (retry_after(terms.limit_s or 1.0),)
+        await responder.send(Answer(status=status, headers=headers))
+
+
+def create_proxy(
+    settings: ProxySettings, dialect: Dialect, clock: Clock, metrics: Metrics
+) -> Proxy:
+    """Creates a proxy."""
+    return Proxy(settings, dialect, clock, metrics)
--- /dev/null
+++ b/knapweedarch/proxy_calls.py
@@ -0,0 +1,342 @@
+"""One proxied request: its attempts, what may be repeated, and its refusals."""
+
+import enum
+import random
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+from knapweedarch.deployments import Customer, Deployment, Route, Service
+from knapweedarch.dialects import CallerTerms, Dialect, SendTerms
+from knapweedarch.endpoint_choice import EndpointChooser
+from knapweedarch.exceptions import ExchangeError
+from knapweedarch.http_messages import Answer, Headers, Request
+from knapweedarch.http_outbound import AnswerHead, Exchange, OutboundPool
+from knapweedarch.logs import log
+from knapweedarch.metrics import Metrics
+from knapweedarch.models import (
+    Endpoint,
+    EndpointStatus,
+    RefusalReason,
+    RetryReason,
+)
+from knapweedarch.repeat_budget import RepeatBudget, RepeatLimits
+from knapweedarch.timers import Clock
+
+# A caller that is told to come back does so within this part of its time.
+COME_BACK_PART = 1 / 3
+RETRY_AFTER_S = 0.3
+RETRY_AFTER_LIMIT_S = 1.0
+
+
+class Fate(str, enum.Enum):
+    """What is known of an attempt that brought no answer."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+@attrs.frozen
+class Failure:
+    """An attempt without an answer.
+
+    Attributes:
+        fate: Whether it may have run.
+        reason: Why it failed.
+    """
+
+    fate: Fate
+    reason: RetryReason
+
+
+@attrs.define
+class Call:
+    """A request and what has become of it.
+
+    Attributes:
+        req: The request as read.
+        terms: What the caller says of it.
+        route: Its route.
+        service: Service that it was assigned to.
+        customer: Its customer; None where no key is needed.
+        deadline: When its final answer is due, on the router's clock.
+        started_at: When its first byte was read.
+        tried: Endpoints that it was sent to.
+        may_have_run: Whether any attempt may have run.
+    """
+
+    req: Request
+    terms: CallerTerms
+    route: Route
+    service: Service
+    customer: Customer | None
+    deadline: float
+    started_at: float
+    tried: list[str] = attrs.field(factory=list)
+    may_have_run: bool = False
+
+    def salt(self, endpoint: Endpoint) -> str:
+        """Text under which its parts are cached at an endpoint.
+
+        It names the weights, so that no request finds parts made under
+        others, and the customer where its parts are its own.
+        """
+        owner = ""
+        if self.customer is not None and self.customer.isolated:
+            owner = self.customer.name
+        return f"{endpoint.weights_version}.{owner}"
+
+
+class Attempts:
+    """Chooses endpoints, opens exchanges and keeps to the budgets."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        dialect: Dialect,
+        pool: OutboundPool,
+        chooser: EndpointChooser,
+        limits: RepeatLimits,
+        may_start: Callable[[], RefusalReason | None],
+    ):
+        self.clock = clock
+        self.metrics = metrics
+        self.dialect = dialect
+        self.chooser = chooser
+        self.routers = 1
+        self._pool = pool
+        self._limits = limits
+        self._may_start = may_start
+        self._budgets: dict[str, RepeatBudget] = {}
+        self._by_service: dict[str, list[Endpoint]] = {}
+        self._store = ""
+
+    def set_endpoints(self, endpoints: list[Endpoint]) -> None:
+        """Takes over the endpoints."""
+        self._by_service = {}
+        for endpoint in endpoints:
+            if endpoint.status is EndpointStatus.ACTIVE:
+                for name in endpoint.serves:
+                    self._by_service.setdefault(name, []).append(endpoint)
+        self.chooser.forget(e.id for e in endpoints)
+
+    def set_deployment(self, deployment: Deployment) -> None:
+        """Takes over the stores of KV cache."""
+        self._store = next((s.address for s in deployment.stores), "")
+
+    def choose(self, call: Call) -> Endpoint | None:
+        """Chooses the next endpoint and counts the send."""
+        now = self.clock.now()
+        endpoints = self._by_service.get(call.service.name, ())
+        able = [e for e in endpoints if _serves_model(e, call.terms.prompt)]
+        salt = call.salt(able[0]) if able else ""
+        engine = call.service.engine
+        endpoint = self.chooser.choose(
+            *(able, call.terms.prompt, call.tried, now, salt),
+            memory_tokens=engine.memory_tokens if engine else 0,
+        )
+        if endpoint is None:
+            return None
+        budget = self._budget(call.service.name)
+        if not call.tried:
+            budget.request(now)
+        elif not budget.take(self.routers, now):
+            self._log_refusal(call, "repeat budget is used up")
+            return None
+        call.tried.append(endpoint.id)
+        return endpoint
+
+    def may_repeat(self, call: Call) -> bool:
+        """Tells whether the route allows another attempt in time."""
+        left = call.deadline - self.clock.now()
+        return len(call.tried) < call.route.attempts and left > 0
+
+    def _budget(self, service: str) -> RepeatBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RepeatBudget(self._limits)
+        return budget
+
+    async def open(
+        self, call: Call, endpoint: Endpoint, last_event_id: str = ""
+    ) -> Exchange:
+        """Opens an exchange with an endpoint.
+
+        Raises:
+            ExchangeError: Nothing was sent.
+        """
+        headers = self._endpoint_headers(call, endpoint, last_event_id)
+        request_id = call.terms.request_id
+        exchange = self._pool.exchange(
+            endpoint.address,
+            attrs.evolve(call.req, headers=headers),
+            lambda found: self.dialect.is_answer_to(found, request_id),
+        )
+        await exchange.open(self._check_start)
+        return exchange
+
+    def _check_start(self) -> None:
+        if reason := self._may_start():
+            raise ExchangeError(
+                RetryReason.CONNECT_REFUSED, reason.value, written=False
+            )
+
+    def _endpoint_headers(
+        self, call: Call, endpoint: Endpoint, last_event_id: str
+    ) -> Headers:
+        terms = SendTerms(
+            instance_id=endpoint.id,
+            limit_s=max(0.001, call.deadline - self.clock.now()),
+            customer=call.customer.name if call.customer else "",
+            last_event_id=last_event_id or call.terms.last_event_id,
+        )
+        if call.terms.prompt is not None:
+            terms = attrs.evolve(
+                terms,
+                weights_version=endpoint.weights_version,
+                cache_salt=call.salt(endpoint),
+                urgency=_urgency(call),
+                fetch_from=self._store,
+                save_to=self._store,
+            )
+        return self.dialect.endpoint_headers(call.req, terms)
+
+    def not_run(
+        self, call: Call, endpoint: Endpoint, head: AnswerHead
+    ) -> Failure:
+        """Notes that an endpoint refused to run a request."""
+        now = self.clock.now()
+        reason = RetryReason.ENDPOINT_REFUSED
+        if self.dialect.is_other_instance(head, endpoint.id):
+            reason = RetryReason.WRONG_INCARNATION
+            self.chooser.refused(endpoint, now)
+        else:
+            self.chooser.had_no_room(endpoint, now)
+        return self.note_failure(
+            call, endpoint, Failure(Fate.NOT_RUN, reason), f"{head.status}"
+        )
+
+    def broken(
+        self, call: Call, endpoint: Endpoint, exc: ExchangeError
+    ) -> Failure:
+        """Notes that an exchange broke off."""
+        now = self.clock.now()
+        fate = Fate.MAY_HAVE_RUN if exc.written else Fate.NOT_RUN
+        if exc.written:
+            self.chooser.failed(endpoint, now)
+        else:
+            self.chooser.refused(endpoint, now)
+        return self.note_failure(
+            call, endpoint, Failure(fate, RetryReason(exc.reason)), str(exc)
+        )
+
+    def note_failure(
+        self, call: Call, endpoint: Endpoint, failure: Failure, detail: str
+    ) -> Failure:
+        """Counts and logs an attempt without an answer."""
+        call.may_have_run |= failure.fate is Fate.MAY_HAVE_RUN
+        self.metrics.count(f"retried.{failure.reason.value}")
+        log(
+            "attempt_ended",
+            request=call.terms.request_id,
+            endpoint=endpoint.id,
+            weights=endpoint.weights_version,
+            fate=failure.fate.value,
+            reason=failure.reason.value,
+            detail=detail,
+            left_ms=round((call.deadline - self.clock.now()) * 1000),
+        )
+        return failure
+
+    def refusal(self, call: Call, reason: RefusalReason) -> Answer:
+        """Makes the final answer to a request that is given up."""
+        if call.may_have_run:
+            reason, status = RefusalReason.OUTCOME_UNKNOWN, 502
+            if call.deadline <= self.clock.now():
+                status = 504
+            headers: Headers = ()
+        else:
+            status = 503
+            headers = (retry_after(call.deadline - self.clock.now()),)
+        self.metrics.count(f"refused.{reason.value}")
+        self._log_refusal(call, reason.value, status)
+        return Answer(status=status, headers=headers)
+
+    def _log_refusal(self, call: Call, reason: str, status: int = 0) -> None:
+        log(
+            "request_given_up",
+            request=call.terms.request_id,
+            route=call.route.name,
+            service=call.service.name,
+            tried=list(call.tried),
+            reason=reason,
+            status=status,
+            left_ms=round((call.deadline - self.clock.now()) * 1000),
+        )
+
+
+def retry_after(left_s: float) -> tuple[bytes, bytes]:
+    """Makes the header that tells a caller when to come back.
+
+    The times are spread, so that refused callers do not return together.
+    """
+    most = min(RETRY_AFTER_LIMIT_S, left_s * COME_BACK_PART)
+    delay = min(most, RETRY_AFTER_S * random.Random().uniform(0.7, 1.6))
+    return b"retry-after", f"{max(0.05, delay):.2f}".encode()
+
+
+def _serves_model(endpoint: Endpoint, prompt: object) -> bool:
+    return prompt is None or prompt.model in endpoint.serves
+
+
+def _urgency(call: Call) -> int:
+    """Rank at the runner; the customer's rank goes before the route's."""
+    rank = call.route.priority
+    if call.customer is not None and call.customer.priority is not None:
+        rank = call.customer.priority
+    return max(0, min(9, 2 + rank))
+
+
+async def read_whole(exchange: Exchange, head: AnswerHead) -> Answer:
+    """Reads the whole body of an answer.
+
+    Raises:
+        ExchangeError: It broke off.
+    """
+    body = bytearray()
+    while (part := await exchange.read()) is not None:
+        body += part
+    return Answer(status=head.status, headers=head.headers, body=bytes(body))
+
+
+def left_s(call: Call, clock: Clock) -> float:
+    """Returns the seconds until the final answer of a request is due."""
+    return max(0.0, call.deadline - clock.now())
+
+
+class AttemptScope:
+    """Counts an attempt at its endpoint and gives up its connection."""
+
+    def __init__(self, attempts: Attempts, call: Call, endpoint: Endpoint):
+        self._attempts = attempts
+        self._call = call
+        self._endpoint = endpoint
+        self.exchange: Exchange | None = None
+        self.head: AnswerHead | None = None
+
+    async def __aenter__(self) -> "AttemptScope":
+        call, endpoint = self._call, self._endpoint
+        now = self._attempts.clock.now()
+        self._attempts.chooser.sent(
+            endpoint, call.terms.prompt, call.salt(endpoint), now
+        )
+        return self
+
+    async def __aexit__(self, *exc_info) -> None:
+        self._attempts.chooser.ended(self._endpoint, self._call.terms.prompt)
+        if self.exchange is not None:
+            with anyio.CancelScope(shield=True):
+                await self.exchange.close(self.head)
--- /dev/null
+++ b/knapweedarch/proxy_streams.py
@@ -0,0 +1,197 @@
+"""Proxied event streams: relay, and resume at another runner."""
+
+import anyio
+
+from knapweedarch.event_stream import EventSplitter
+from knapweedarch.exceptions import ExchangeError
+from knapweedarch.http_inbound import Responder
+from knapweedarch.http_messages import Answer, end_to_end
+from knapweedarch.http_outbound import AnswerHead, Exchange
+from knapweedarch.logs import log
+from knapweedarch.models import Endpoint, RefusalReason, RetryReason
+from knapweedarch.proxy_calls import (
+    Attempts,
+    AttemptScope,
+    Call,
+    Failure,
+    Fate,
+    left_s,
+    read_whole,
+)
+
+# A resumable stream without an event for this long goes on elsewhere. Callers
+# give up after 2 s or more.
+FIRST_EVENT_GOALS = 2.5
+SILENT_GAPS = 3.0
+
+
+class StreamRelay:
+    """Passes one stream on, from as many runners as it takes."""
+
+    def __init__(self, attempts: Attempts, call: Call, responder: Responder):
+        self._attempts = attempts
+        self._call = call
+        self._responder = responder
+        self._last_event_id = ""
+        self._events = 0
+        self._first_at: float | None = None
+        self._status = 0
+
+    async def serve(self) -> None:
+        """Relays the stream to its end, or tells that it failed."""
+        call = self._call
+        outcome = await self._run()
+        log(
+            "stream_ended",
+            request=call.terms.request_id,
+            route=call.route.name,
+            outcome=outcome,
+            status=self._status,
+            events=self._events,
+            tried=list(call.tried),
+            first_ms=self._since_start(self._first_at),
+            ms=self._since_start(self._attempts.clock.now()),
+        )
+
+    def _since_start(self, at: float | None) -> int | None:
+        if at is None:
+            return None
+        return round((at - self._call.started_at) * 1000)
+
+    async def _run(self) -> str:
+        call, attempts = self._call, self._attempts
+        while endpoint := attempts.choose(call):
+            match await self._attempt(endpoint):
+                case None:
+                    return "complete"
+                case Failure(fate=Fate.MAY_HAVE_RUN) if (
+                    not call.route.resumable
+                ):
+                    break
+            if not attempts.may_repeat(call):
+                break
+        if self._responder.started:
+            self._responder.abort()
+            return "broken off"
+        answer = attempts.refusal(call, self._reason())
+        self._status = answer.status
+        await self._responder.send(answer)
+        return "refused"
+
+    def _reason(self) -> RefusalReason:
+        if left_s(self._call, self._attempts.clock) <= 0:
+            return RefusalReason.DEADLINE
+        if self._call.tried:
+            return RefusalReason.RETRIES_EXHAUSTED
+        return RefusalReason.NO_CAPACITY
+
+    async def _attempt(self, endpoint: Endpoint) -> Failure | None:
+        """Relays from one runner; returns None after the stream's end."""
+        call, attempts = self._call, self._attempts
+        async with AttemptScope(attempts, call, endpoint) as scope:
+            with anyio.move_on_after(left_s(call, attempts.clock)):
+                try:
+                    return await self._exchange(endpoint, scope)
+                except ExchangeError as exc:
+                    return attempts.broken(call, endpoint, exc)
+            return attempts.broken(
+                call,
+                endpoint,
+                ExchangeError(
+                    *(RetryReason.ANSWER_TIMEOUT, "the time is over"),
+                    scope.exchange is not None and scope.exchange.written,
+                ),
+            )
+
+    async def _exchange(
+        self, endpoint: Endpoint, scope: AttemptScope
+    ) -> Failure | None:
+        attempts, call = self._attempts, self._call
+        scope.exchange = exchange = await attempts.open(
+            call, endpoint, self._last_event_id
+        )
+        head = await self._head(exchange)
+        if attempts.dialect.was_not_run(head):
+            await read_whole(exchange, head)
+            scope.head = head
+            return attempts.not_run(call, endpoint, head)
+        if head.status != 200:
+            return await self._pass_on(endpoint, exchange, head)
+        await self._relay(endpoint, exchange, head)
+        scope.head = head
+        return None
+
+    async def _head(self, exchange: Exchange) -> AnswerHead:
+        limit_s = self._silence_limit()
+        with anyio.move_on_after(limit_s):
+            return await exchange.answer()
+        raise ExchangeError(
+            RetryReason.FIRST_TOKEN_TIMEOUT, f"silent for {limit_s} s", True
+        )
+
+    def _silence_limit(self) -> float | None:
+        """Longest silence in seconds before another runner is tried."""
+        route = self._call.route
+        if not route.resumable or not self._attempts.may_repeat(self._call):
+            return None
+        if self._events:
+            return max(route.event_gap_s * SILENT_GAPS, 0.5)
+        return max(route.goal_s * FIRST_EVENT_GOALS, 0.5)
+
+    async def _pass_on(
+        self, endpoint: Endpoint, exchange: Exchange, head: AnswerHead
+    ) -> Failure | None:
+        """Passes on a runner's failure."""
+        answer = await read_whole(exchange, head)
+        self._attempts.chooser.failed(endpoint, self._attempts.clock.now())
+        if self._responder.started:
+            return self._attempts.note_failure(
+                self._call,
+                endpoint,
+                Failure(Fate.MAY_HAVE_RUN, RetryReason.ENDPOINT_ERROR),
+                f"status {head.status} to a resumed stream",
+            )
+        self._status = head.status
+        await self._responder.send(
+            Answer(
+                status=answer.status,
+                headers=end_to_end(answer.headers),
+                body=answer.body,
+            )
+        )
+        return None
+
+    async def _relay(
+        self, endpoint: Endpoint, exchange: Exchange, head: AnswerHead
+    ) -> None:
+        splitter = EventSplitter()
+        if not self._responder.started:
+            self._status = head.status
+            await self._responder.start(head.status, end_to_end(head.headers))
+        while (part := await self._read(exchange)) is not None:
+            events = splitter.feed(part)
+            if events.data:
+                self._note_events(endpoint, events.count, events.last_id)
+                await self._responder.write(events.data)
+        if rest := splitter.rest():
+            await self._responder.write(rest)
+        await self._responder.end()
+
+    async def _read(self, exchange: Exchange) -> bytes | None:
+        limit_s = self._silence_limit()
+        with anyio.move_on_after(limit_s):
+            return await exchange.read()
+        raise ExchangeError(
+            RetryReason.STREAM_SILENT, f"silent for {limit_s} s", True
+        )
+
+    def _note_events(
+        self, endpoint: Endpoint, count: int, last_id: str
+    ) -> None:
+        now = self._attempts.clock.now()
+        if self._first_at is None:
+            self._first_at = now
+            late_s = now - self._call.started_at - self._call.route.goal_s
+            self._attempts.chooser.succeeded(endpoint, late_s, now)
+        self._events += count
+        self._last_event_id = last_id or self._last_event_id
--- /dev/null
+++ b/knapweedarch/proxy_unary.py
@@ -0,0 +1,110 @@
+"""Proxied requests whose answers are passed on whole."""
+
+import anyio
+
+from knapweedarch.exceptions import ExchangeError
+from knapweedarch.http_inbound import Responder
+from knapweedarch.http_messages import Answer, end_to_end
+from knapweedarch.logs import log
+from knapweedarch.models import Endpoint, RefusalReason, RetryReason
+from knapweedarch.proxy_calls import (
+    Attempts,
+    AttemptScope,
+    Call,
+    Failure,
+    Fate,
+    left_s,
+    read_whole,
+)
+
+# Part of the time left that an attempt gets while another one may follow.
+ATTEMPT_PART = 0.5
+
+
+async def serve_unary(
+    attempts: Attempts, call: Call, responder: Responder
+) -> None:
+    """Answers a request with an endpoint's answer or a refusal."""
+    answer = await _answer(attempts, call)
+    await responder.send(answer)
+    log(
+        "request_answered",
+        request=call.terms.request_id,
+        route=call.route.name,
+        status=answer.status,
+        tried=list(call.tried),
+        ms=round((attempts.clock.now() - call.started_at) * 1000),
+    )
+
+
+async def _answer(attempts: Attempts, call: Call) -> Answer:
+    kept: Answer | None = None
+    while endpoint := attempts.choose(call):
+        match await _attempt(attempts, call, endpoint):
+            case Answer() as answer if not _is_worth_repeating(call, answer):
+                return answer
+            case Answer() as answer:
+                kept = answer
+            case Failure(fate=Fate.MAY_HAVE_RUN) if not call.route.repeatable:
+                break
+        if not attempts.may_repeat(call):
+            break
+    return kept or attempts.refusal(call, _reason(attempts, call))
+
+
+def _is_worth_repeating(call: Call, answer: Answer) -> bool:
+    return answer.status >= 500 and call.route.repeatable
+
+
+def _reason(attempts: Attempts, call: Call) -> RefusalReason:
+    if left_s(call, attempts.clock) <= 0:
+        return RefusalReason.DEADLINE
+    if call.tried:
+        return RefusalReason.RETRIES_EXHAUSTED
+    return RefusalReason.NO_CAPACITY
+
+
+async def _attempt(
+    attempts: Attempts, call: Call, endpoint: Endpoint
+) -> Answer | Failure:
+    limit_s = left_s(call, attempts.clock)
+    if call.route.repeatable and attempts.may_repeat(call):
+        limit_s *= ATTEMPT_PART
+    async with AttemptScope(attempts, call, endpoint) as scope:
+        with anyio.move_on_after(limit_s):
+            try:
+                return await _exchange(attempts, call, endpoint, scope)
+            except ExchangeError as exc:
+                return attempts.broken(call, endpoint, exc)
+        return attempts.broken(
+            call,
+            endpoint,
+            ExchangeError(
+                RetryReason.ANSWER_TIMEOUT,
+                f"no whole answer in {limit_s:.3f} s",
+                scope.exchange is not None and scope.exchange.written,
+            ),
+        )
+
+
+async def _exchange(
+    attempts: Attempts, call: Call, endpoint: Endpoint, scope: AttemptScope
+) -> Answer | Failure:
+    started_at = attempts.clock.now()
+    scope.exchange = await attempts.open(call, endpoint)
+    head = await scope.exchange.answer()
+    answer = await read_whole(scope.exchange, head)
+    scope.head = head
+    if attempts.dialect.was_not_run(head):
+        return attempts.not_run(call, endpoint, head)
+    now = attempts.clock.now()
+    if head.status >= 500:
+        attempts.chooser.failed(endpoint, now)
+    else:
+        late_s = now - started_at - call.route.goal_s
+        attempts.chooser.succeeded(endpoint, late_s, now)
+    return Answer(
+        status=answer.status,
+        headers=end_to_end(answer.headers),
+        body=answer.body,
+    )
--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -363,6 +363,7 @@
             self.identity,
             self._caught_up,
             lambda i: now - max(office.peer(i).answered, office.since),
+            self._cfg.voters,
         )
         if members is not None:
             self.propose_members(members, now)
--- a/knapweedarch/replica_membership.py
+++ b/knapweedarch/replica_membership.py
@@ -10,6 +10,9 @@
 # A voter that answered this recently is alive: another process under its name
 # is then a fault of the settings and must not take its place.
 REPLACE_SILENCE_S = 2.0
+# A learner that is silent for this long will not come back.
+LEARNER_SILENCE_S = 15.0
+MAX_MEMBERS = 16
 
 Members = tuple[Member, ...]
 
@@ -59,6 +62,7 @@
     own_identity: str,
     caught_up: Callable[[str], bool],
     silence: Callable[[str], float],
+    voters: int = 0,
 ) -> Members | None:
     """Returns the next member list on the way to a complete group.
 
@@ -68,6 +72,8 @@
         own_identity: Identity of the leader.
         caught_up: Whether an identity holds every committed entry.
         silence: Seconds since an identity answered the leader.
+        voters: Voters that the group should have; members that ask to join
+            are taken in if it is not 0.
     """
     for member in members:
         if member.identity == own_identity:
@@ -75,10 +81,57 @@
         note = notes.get(member.name)
         if member.voter:
             change = _missing_learner(members, member, note, silence)
+        elif _is_joining(members, member) and voters:
+            change = _joining_step(
+                members, member, note, caught_up, silence, voters
+            )
         else:
             change = _learner_step(members, member, note, caught_up)
         if change is not None:
             return change
+    return _new_learner(members, notes) if voters else None
+
+
+def _is_joining(members: Members, learner: Member) -> bool:
+    """Tells whether a learner takes no listed voter's place by its name."""
+    return not any(m.name == learner.name and m.voter for m in members)
+
+
+def _new_learner(
+    members: Members, notes: Mapping[str, PeerNote]
+) -> Members | None:
+    """Adds a member that asked to join under a name that is not listed."""
+    if len(members) >= MAX_MEMBERS:
+        return None
+    names = {m.name for m in members}
+    for name in sorted(notes.keys() - names):
+        return (*members, Member(*attrs.astuple(notes[name]), voter=False))
+    return None
+
+
+def _joining_step(
+    members: Members,
+    learner: Member,
+    note: PeerNote | None,
+    caught_up: Callable[[str], bool],
+    silence: Callable[[str], float],
+    voters: int,
+) -> Members | None:
+    """Makes a joining learner a voter, in a silent voter's place if full.
+
+    A voter that is only slow to come back joins again as a learner.
+    """
+    others = tuple(m for m in members if m is not learner)
+    if note is not None and note.identity != learner.identity:
+        return (*others, Member(*attrs.astuple(note), voter=False))
+    if not caught_up(learner.identity):
+        gone = silence(learner.identity) > LEARNER_SILENCE_S
+        return others if gone else None
+    if sum(m.voter for m in members) < voters:
+        return (*others, attrs.evolve(learner, voter=True))
+    for member in members:
+        if member.voter and silence(member.identity) >= REPLACE_SILENCE_S:
+            return tuple(m for m in members if m is not member)
     return None
 
 
--- a/knapweedarch/replica_status.py
+++ b/knapweedarch/replica_status.py
@@ -24,10 +24,14 @@
         name: Name of this member.
         kept_entries: Entries kept in memory before a snapshot, so that a
             member that lags a little does not need the whole snapshot.
+        voters: Voters that the group should have. Members that ask to join
+            become voters up to this number; 0 takes in none but those that
+            come back with a new identity.
     """
 
     name: str
     kept_entries: int = 1000
+    voters: int = 0
 
 
 class ReplicaStatus:
--- a/knapweedarch/settings.py
+++ b/knapweedarch/settings.py
@@ -14,6 +14,7 @@
 
 from knapweedarch.control import MemberAddress
 from knapweedarch.exceptions import SettingsError
+from knapweedarch.leases import LEASE_S
 from knapweedarch.logs import LEVELS
 from knapweedarch.models import Priority
 from knapweedarch.settings_reader import Section, shorten
@@ -51,6 +52,10 @@
         listen: Address on which the member accepts links.
         data_folder: Folder of the journal.
         snapshot_every: Log entries between two snapshots.
+        seeds: Members to ask for the group; with them, `members` may be empty.
+        bootstrap: Whether the seeds form the group when they are blank.
+        voters: Voters that the group should have; 0 takes in no others.
+        lease_s: Duration of a router's lease in seconds; the same everywhere.
     """
 
     role: str = "member"
@@ -63,6 +68,10 @@
     listen: Address
     data_folder: pathlib.Path
     snapshot_every: int = 10_000
+    seeds: tuple[Address, ...] = ()
+    bootstrap: bool = False
+    voters: int = 0
+    lease_s: float = LEASE_S
 
 
 @attrs.frozen(kw_only=True)
--- a/knapweedarch/state.py
+++ b/knapweedarch/state.py
@@ -11,6 +11,7 @@
 import attrs
 
 from knapweedarch.codec import create_codec
+from knapweedarch.deployments import Deployment
 from knapweedarch.models import Endpoint, EndpointStatus
 from knapweedarch.records import (
     MAX_RECORDS,
@@ -37,12 +38,16 @@
     "RESULTS",
     "Abandon",
     "Announce",
+    "ChangeStatus",
     "ControlState",
+    "DeploymentAccepted",
     "EndpointAccepted",
     "EndpointEntry",
     "EndpointUnknown",
+    "NameWeights",
     "OrdersHeld",
     "OrdersTaken",
+    "PutDeployment",
     "PutRules",
     "Record",
     "RecordFound",
@@ -58,7 +63,9 @@
     "Stamper",
     "TableFull",
     "TakeOrders",
+    "WeightsNamed",
     "record_key",
+    "still_loads",
 ]
 
 MAX_STORED_ANSWERS = 1_000
@@ -115,6 +122,67 @@
     holder: str
 
 
+@attrs.frozen
+class PutDeployment:
+    """Submits a whole routing configuration under its number.
+
+    A number that is not above the one in force changes nothing, so a resend
+    and a late order are accepted without effect.
+
+    Attributes:
+        deployment: The checked configuration.
+        document: The configuration as the operator wrote it.
+    """
+
+    deployment: Deployment
+    document: bytes
+
+
+@attrs.frozen
+class NameWeights:
+    """Names the weights version that the runners of a model are to reach."""
+
+    model: str
+    version: int
+
+
+@attrs.frozen
+class ChangeStatus:
+    """Changes the status of an endpoint that is not leaving.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        incarnation: Incarnation that is meant; another one stays as it is.
+        status: The new status.
+    """
+
+    endpoint_id: str
+    incarnation: str
+    status: EndpointStatus
+
+
+@attrs.frozen
+class DeploymentAccepted:
+    """The configuration is stored, or a higher number is in force.
+
+    Attributes:
+        version: Number of the configuration in force.
+    """
+
+    version: int
+
+
+@attrs.frozen
+class WeightsNamed:
+    """The weights version is recorded, or a higher one is.
+
+    Attributes:
+        version: Highest version named for the model.
+    """
+
+    version: int
+
+
 @attrs.frozen
 class RulesAccepted:
     """The rule file is accepted under this version."""
@@ -201,15 +269,20 @@
     last_stamp: float
     orders_holder: str
     fencing_number: int
+    deployment: Deployment | None = None
+    document: bytes = b""
+    weights: dict[str, int] = attrs.field(factory=dict)
 
 
 COMMANDS = create_codec(
-    *(PutRules, Announce, Retire, Reserve, Settle, Abandon, TakeOrders)
+    *(PutRules, Announce, Retire, Reserve, Settle, Abandon, TakeOrders),
+    *(PutDeployment, NameWeights, ChangeStatus),
 )
 RESULTS = create_codec(
     *(RulesAccepted, RulesConflict, EndpointAccepted, EndpointUnknown),
     RequestIdReused,
     *(TableFull, Reserved, RecordFound, Settled, OrdersTaken, OrdersHeld),
+    *(DeploymentAccepted, WeightsNamed),
 )
 _SNAPSHOTS = create_codec(_Snapshot)
 
@@ -222,9 +295,15 @@
         rules_text: Text of the rule file.
         revision: Revision of the endpoint table.
         endpoints: Endpoints by name.
+        deployment: Routing configuration; None before the first one.
+        document: The configuration as the operator wrote it.
+        weights: Highest weights version named, by model.
     """
 
     def __init__(self):
+        self.deployment: Deployment | None = None
+        self.document = b""
+        self.weights: dict[str, int] = {}
         self.rules_version = 0
         self.rules_text = ""
         self.revision = 0
@@ -266,8 +345,41 @@
                 return self._abandon(incarnation)
             case TakeOrders(holder=holder):
                 return self._take_orders(holder)
+            case PutDeployment():
+                return self._put_deployment(command)
+            case NameWeights(model=model, version=version):
+                return self._name_weights(model, version)
+            case ChangeStatus():
+                return self._change_status(command)
         raise AssertionError(f"no such command: {command}")
 
+    def _put_deployment(self, command: PutDeployment) -> DeploymentAccepted:
+        held = self.deployment.version if self.deployment else 0
+        if self.deployment is None or command.deployment.version > held:
+            self.deployment = command.deployment
+            self.document = command.document
+        return DeploymentAccepted(self.deployment.version)
+
+    def _name_weights(self, model: str, version: int) -> WeightsNamed:
+        self.weights[model] = max(version, self.weights.get(model, 0))
+        return WeightsNamed(self.weights[model])
+
+    def _change_status(
+        self, command: ChangeStatus
+    ) -> EndpointAccepted | EndpointUnknown:
+        known = self.endpoints.get(command.endpoint_id)
+        if known is None or known.endpoint.incarnation != command.incarnation:
+            return EndpointUnknown()
+        if known.endpoint.status not in (
+            EndpointStatus.LEAVING,
+            command.status,
+        ):
+            endpoint = attrs.evolve(known.endpoint, status=command.status)
+            self._put_endpoint(endpoint, known.retired, known.superseded)
+        return EndpointAccepted(
+            self.revision, self.endpoints[command.endpoint_id].endpoint.status
+        )
+
     def _put_rules(self, command: PutRules) -> RulesAccepted | RulesConflict:
         if command.base_version != self.rules_version:
             return RulesConflict(self.rules_version)
@@ -295,6 +407,8 @@
         if retired or left:
             # An announcement sent before the endpoint left may arrive late.
             endpoint = attrs.evolve(endpoint, status=EndpointStatus.LEAVING)
+        elif not restarted and still_loads(known.endpoint, endpoint):
+            endpoint = attrs.evolve(endpoint, status=EndpointStatus.LOADING)
         if known.endpoint != endpoint or known.retired != retired:
             superseded = known.superseded
             if restarted:
@@ -309,7 +423,8 @@
         left = [
             entry
             for entry in self.endpoints.values()
-            if entry.endpoint.status is EndpointStatus.LEAVING
+            if entry.endpoint.status
+            in (EndpointStatus.LEAVING, EndpointStatus.SILENT)
         ]
         if not left:
             return False
@@ -381,6 +496,9 @@
                 self._records.last_stamp,
                 self.orders_holder,
                 self.fencing_number,
+                self.deployment,
+                self.document,
+                dict(self.weights),
             )
         )
 
@@ -395,3 +513,18 @@
         self._answers = OrderedDict(taken.answers)
         self.orders_holder = taken.orders_holder
         self.fencing_number = taken.fencing_number
+        self.deployment = taken.deployment
+        self.document = taken.document
+        self.weights = dict(taken.weights)
+
+
+def still_loads(known: Endpoint, told: Endpoint) -> bool:
+    """Tells whether an endpoint that loads weights has not ended that yet.
+
+    It goes on announcing itself as active meanwhile.
+    """
+    return (
+        known.status is EndpointStatus.LOADING
+        and told.status is EndpointStatus.ACTIVE
+        and known.weights_version == told.weights_version
+    )
