--- a/knapweedarch/deployments.py
+++ b/knapweedarch/deployments.py
@@ -33,7 +33,7 @@
     weight: float
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen
 class Route:
     """How the requests of one host and path prefix are served.
 
@@ -76,7 +76,7 @@
         return self.repeatability is Repeatability.STREAM
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen
 class Engine:
     """What the runners of a service have in common.
 
@@ -97,7 +97,7 @@
     models: tuple[str, ...]
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen
 class Service:
     """A service that routes may name.
 
@@ -114,7 +114,7 @@
     engine: Engine | None = None
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen
 class CacheStore:
     """A store of KV cache beside the runners.
 
@@ -131,7 +131,7 @@
     memory_tokens: int
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen
 class CallerLimits:
     """What a caller may send, and how long it may take.
 
@@ -148,7 +148,7 @@
     idle_s: float = 15.0
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen
 class Customer:
     """A customer and its keys.
 
@@ -165,7 +165,7 @@
     isolated: bool = False
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen
 class Deployment:
     """A whole configuration.
 
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -90,6 +90,7 @@
     Event(513, "stream_ended", _I, "A stream ended."),
     Event(601, "link_refused", _W, "A peer holds another credential."),
     Event(707, "control_call", _I, "A call to the control address ended."),
+    Event(602, "link_message_refused", _W, "A message could not be decoded."),
     Event(701, "rules_accepted", _I, "A rule file was accepted."),
     Event(702, "rules_conflict", _W, "A rule file has an old base version."),
     Event(705, "deployment_accepted", _I, "A configuration was accepted."),
--- a/knapweedarch/links.py
+++ b/knapweedarch/links.py
@@ -18,6 +18,7 @@
 
 from knapweedarch.codec import Codec, create_codec
 from knapweedarch.exceptions import CodecError, CredentialError, LinkError
+from knapweedarch.logs import log
 
 KEEP_ALIVE_S = 0.3
 SILENCE_S = 1.0
@@ -220,7 +221,10 @@
                         if waiting := self._calls.get(number):
                             waiting[1] = body
                             waiting[0].set()
-        except (LinkError, CodecError):
+        except LinkError:
+            self.close()
+        except CodecError as exc:
+            log("link_message_refused", peer=self.peer, reason=str(exc))
             self.close()
 
     async def _answer(self, call: Call) -> None:
@@ -228,7 +232,10 @@
             reply = await self._handler(self, self._codec.decode(call.body))
             if reply is not None:
                 self._queue(Reply(call.number, self._codec.encode(reply)))
-        except (LinkError, CodecError):
+        except LinkError:
+            self.close()
+        except CodecError as exc:
+            log("link_message_refused", peer=self.peer, reason=str(exc))
             self.close()
 
     async def _read_frame(self) -> object:
