Drain runners before they load weights; fetch parts from the home runner

Runners now end their work for up to 1 s, 3 draining beside 3 loading; what still runs is reset and resumed on runners with the newest weights.

--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -53,6 +53,7 @@
         routers: Routers that hold a lease now.
         deployment: Routing configuration, or None if the router has it.
         members: Addresses of the members now.
+        weights: Highest weights version named, by model.
     """
 
     duration_s: float
@@ -64,6 +65,7 @@
     routers: int
     deployment: Deployment | None = None
     members: tuple[MemberAddress, ...] = ()
+    weights: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -33,6 +33,9 @@
         memory_s: Half-life of failures in seconds.
         refused_s: How long an endpoint that refuses connections is avoided.
         busy_s: How long an endpoint that has no room is avoided.
+        old_weights_s: Charge for weights that are not the newest.
+        broken_off_s: The same charge for a request that is sent once more: a
+            load may break it off a second time.
     """
 
     distance_s: dict[str, float] = attrs.field(factory=dict)
@@ -45,6 +48,8 @@
     memory_s: float = 3.0
     refused_s: float = 0.7
     busy_s: float = 0.15
+    old_weights_s: float = 0.3
+    broken_off_s: float = 2.0
 
 
 @attrs.define
@@ -81,11 +86,16 @@
         self._cfg = cfg
         self._seen: dict[str, _Seen] = {}
         self._peers = 1.0
+        self._weights: dict[str, int] = {}
 
     def set_peer_routers(self, count: int) -> None:
         """Tells how many routers choose among the same endpoints."""
         self._peers = 1.0 + self._cfg.peer_weight * max(0, count - 1)
 
+    def set_weights(self, weights: dict[str, int]) -> None:
+        """Takes over the weights versions named, by model."""
+        self._weights = weights
+
     def choose(
         self,
         endpoints: Sequence[Endpoint],
@@ -113,9 +123,18 @@
         ranks = _ranks(prompt, able)
         return min(
             able,
-            key=lambda e: self._cost(e, prompt, salt, ranks, memory_tokens),
+            key=lambda e: self._cost(
+                e, prompt, salt, ranks, memory_tokens, bool(tried)
+            ),
         )
 
+    def home(
+        self, endpoints: Sequence[Endpoint], prompt: Prompt
+    ) -> Endpoint | None:
+        """Returns the endpoint that most requests with this prompt go to."""
+        ranks = _ranks(prompt, endpoints)
+        return min(endpoints, key=lambda e: ranks[e.id], default=None)
+
     def sent(
         self, endpoint: Endpoint, prompt: Prompt | None, salt: str, now: float
     ) -> None:
@@ -181,6 +200,7 @@
         salt: str,
         ranks: dict[str, float],
         memory_tokens: int,
+        again: bool,
     ) -> float:
         cfg, seen = self._cfg, self._seen[endpoint.id]
         distance = cfg.distance_s.get(endpoint.data_centre, cfg.far_s)
@@ -192,6 +212,9 @@
         )
         cost += cfg.failing_s * seen.failing() + seen.late_s
         if prompt is not None:
+            named = self._weights.get(prompt.model, 0)
+            if int(endpoint.weights_version or 0) < named:
+                cost += cfg.broken_off_s if again else cfg.old_weights_s
             missing = prompt.shared_tokens - self._cached(seen, prompt, salt)
             cost += missing / cfg.prefill_tokens_s
         return cost
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -119,9 +119,13 @@
                 proposal.result = result
             proposal.done.set()
 
-    def _shown_to_routers(self) -> tuple[int, int, Deployment | None]:
+    def _shown_to_routers(self) -> tuple[int, int, int, int]:
         state = self._state
-        return state.rules_version, state.revision, state.deployment
+        return (
+            *(state.rules_version, state.revision),
+            state.deployment.version if state.deployment else -1,
+            sum(state.weights.values()),
+        )
 
     def _tell_routers(self) -> None:
         for link in list(self._routers):
@@ -198,6 +202,7 @@
             self._table.count(now),
             self._deployment_for(renew),
             self.addresses(),
+            dict(state.weights),
         )
 
     def _deployment_for(self, renew: control.Renew) -> Deployment | None:
--- a/knapweedarch/lease_keeper.py
+++ b/knapweedarch/lease_keeper.py
@@ -30,6 +30,7 @@
         on_routers: Called with the number of routers that hold a lease.
         deployment_version: Number of the routing configuration taken over.
         on_deployment: Called with a new routing configuration.
+        on_weights: Called with the weights versions named, by model.
     """
 
     def __init__(
@@ -43,6 +44,8 @@
         self.lease = Lease()
         self.rules_version = 0
         self.deployment_version = 0
+        self.on_weights: Callable[[dict[str, int]], None] = lambda new: None
+        self._weights: dict[str, int] = {}
         self.on_deployment: Callable[[Deployment], None] = lambda new: None
         self.on_rules: Callable[[int, str], Awaitable[None]]
         self.on_endpoints: Callable[[Sequence[EndpointEntry]], None]
@@ -120,6 +123,9 @@
         if grant.deployment is not None:
             self.on_deployment(grant.deployment)
             self.deployment_version = grant.deployment.version
+        if grant.weights != self._weights:
+            self._weights = grant.weights
+            self.on_weights(grant.weights)
         self._control.set_members(grant.members)
         self._revision = grant.revision
         self._applied = grant.applied
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -98,6 +98,7 @@
         self._keeper.on_endpoints = self._set_endpoints
         self._keeper.on_deployment = self._set_deployment
         self._keeper.on_routers = self._set_routers
+        self._keeper.on_weights = self._set_weights
         self._pool = OutboundPool(clock)
         self._attempts = Attempts(
             clock=clock,
@@ -174,9 +175,12 @@
 
     def _set_deployment(self, deployment: Deployment) -> None:
         self._table = RouteTable(deployment)
-        self._attempts.set_deployment(deployment)
         log("deployment_applied", version=deployment.version)
 
+    def _set_weights(self, weights: dict[str, int]) -> None:
+        self._attempts.chooser.set_weights(weights)
+        log("weights_wanted", weights=weights)
+
     def _may_start(self) -> RefusalReason | None:
         """Returns why no new work may start now, or None if it may."""
         if not self._keeper.lease.holds(self._clock.now()):
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -7,7 +7,7 @@
 import anyio
 import attrs
 
-from knapweedarch.deployments import Customer, Deployment, Route, Service
+from knapweedarch.deployments import Customer, Route, Service
 from knapweedarch.dialects import CallerTerms, Dialect, SendTerms
 from knapweedarch.endpoint_choice import EndpointChooser
 from knapweedarch.exceptions import ExchangeError
@@ -112,7 +112,6 @@
         self._may_start = may_start
         self._budgets: dict[str, RepeatBudget] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
-        self._store = ""
 
     def set_endpoints(self, endpoints: list[Endpoint]) -> None:
         """Takes over the endpoints."""
@@ -123,10 +122,6 @@
                     self._by_service.setdefault(name, []).append(endpoint)
         self.chooser.forget(e.id for e in endpoints)
 
-    def set_deployment(self, deployment: Deployment) -> None:
-        """Takes over the stores of KV cache."""
-        self._store = next((s.address for s in deployment.stores), "")
-
     def choose(self, call: Call) -> Endpoint | None:
         """Chooses the next endpoint and counts the send."""
         now = self.clock.now()
@@ -199,11 +194,25 @@
                 weights_version=endpoint.weights_version,
                 cache_salt=call.salt(endpoint),
                 urgency=_urgency(call),
-                fetch_from=self._store,
-                save_to=self._store,
+                fetch_from=self._holder(call, endpoint),
             )
         return self.dialect.endpoint_headers(call.req, terms)
 
+    def _holder(self, call: Call, endpoint: Endpoint) -> str:
+        """Address of the runner that is likely to hold the shared parts.
+
+        Asking one that holds nothing costs a millisecond.
+        """
+        alike = [
+            e
+            for e in self._by_service.get(call.service.name, ())
+            if e.weights_version == endpoint.weights_version
+        ]
+        home = self.chooser.home(alike, call.terms.prompt)
+        if home is None or home.id == endpoint.id:
+            return ""
+        return home.address
+
     def not_run(
         self, call: Call, endpoint: Endpoint, head: AnswerHead
     ) -> Failure:
@@ -293,7 +302,13 @@
 
 
 def _urgency(call: Call) -> int:
-    """Rank at the runner; the customer's rank goes before the route's."""
+    """Rank at the runner; the customer's rank goes before the route's.
+
+    A stream that goes on after a break comes first, as its caller waits in
+    the middle of it.
+    """
+    if len(call.tried) > 1:
+        return 0
     rank = call.route.priority
     if call.customer is not None and call.customer.priority is not None:
         rank = call.customer.priority
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -18,16 +18,32 @@
 from knapweedarch.models import Endpoint, EndpointKind, EndpointStatus
 from knapweedarch.timers import Clock, Timers
 
-CHECK_S = 0.1
+CHECK_S = 0.05
+# The store of weights is limited: more loads at once take longer each.
 LOADS_AT_ONCE = 3
+# Runners that end their work while others load, so that no load waits.
+DRAINS_AT_ONCE = 3
+# Longest wait for the end of what runs. What then still runs breaks off; a
+# stream that may be resumed goes on elsewhere.
+DRAIN_LIMIT_S = 1.0
 # A runner that did not reach its weights in this time is ordered again.
 LOAD_LIMIT_S = 4.0
-POLL_S = 0.2
+POLL_S = 0.1
 # A load takes about this long; earlier reports tell nothing new.
 FIRST_POLL_S = 0.5
+# Reports show the state of some hundred milliseconds earlier.
+REPORT_LAG_S = 0.3
 FAILED_PAUSE_S = 0.5
 
 
+@attrs.frozen
+class NamedWeights:
+    """Weights that the runners of a model are to reach."""
+
+    model: str
+    version: int
+
+
 @attrs.frozen
 class RunnerState:
     """What a runner reports of itself.
@@ -35,11 +51,13 @@
     Attributes:
         weights: Weights version by model.
         busy: Whether it carries out an order.
+        running: Requests that it runs.
         orders_accepted: Orders accepted since its start.
     """
 
     weights: dict[str, int]
     busy: bool
+    running: int
     orders_accepted: int
 
 
@@ -97,6 +115,8 @@
         self._orders = orders
         self._clock = clock
         self._take_over_s = take_over_s
+        self._drained: set[str] = set()
+        self._load_ended = anyio.Event()
         self._loading: set[str] = set()
         self._paused_until: dict[str, float] = {}
         self._term = 0
@@ -117,16 +137,16 @@
             self._may_order_at = now + self._take_over_s
         if now < self._may_order_at:
             return
+        most = self._loads_at_once() + DRAINS_AT_ONCE
         for endpoint in self._due(now):
-            if len(self._loading) >= self._limit():
+            if len(self._loading) >= most:
                 return
             self._loading.add(endpoint.id)
             self._group.start_soon(self._bring_up, endpoint)
 
-    def _limit(self) -> int:
-        """Most loads at once: the store is limited, and others must serve."""
-        runners = sum(1 for _ in self._runners())
-        return max(1, min(LOADS_AT_ONCE, runners // 3))
+    def _loads_at_once(self) -> int:
+        """Most loads at once; others must serve meanwhile."""
+        return max(1, min(LOADS_AT_ONCE, len(self._runners()) // 3))
 
     def _runners(self) -> list[Endpoint]:
         return [
@@ -143,17 +163,27 @@
             for e in self._runners()
             if e.id not in self._loading
             and self._paused_until.get(e.id, 0.0) <= now
-            and (self._wanted(e) or e.status is EndpointStatus.LOADING)
+            and (self._lacks(e) or e.status is EndpointStatus.LOADING)
         ]
         # Those that were taken out of use come first.
         return sorted(due, key=lambda e: e.status is EndpointStatus.ACTIVE)
 
-    def _wanted(self, endpoint: Endpoint) -> tuple[str, int] | None:
-        """Returns model and version if a runner has older weights."""
+    def _lacks(self, endpoint: Endpoint) -> bool:
+        """Tells whether a runner has older weights than those named."""
+        held = int(endpoint.weights_version or 0)
+        return any(
+            model in endpoint.serves and held < version
+            for model, version in self._member.state.weights.items()
+        )
+
+    def _wanted(
+        self, endpoint: Endpoint, state: RunnerState
+    ) -> NamedWeights | None:
+        """Returns the weights that a runner is to load, if any."""
         for model, version in self._member.state.weights.items():
-            held = int(endpoint.weights_version or 0)
-            if model in endpoint.serves and held < version:
-                return model, version
+            served = model in endpoint.serves
+            if served and state.weights.get(model, 0) < version:
+                return NamedWeights(model, version)
         return None
 
     async def _bring_up(self, endpoint: Endpoint) -> None:
@@ -174,28 +204,43 @@
             pause = self._clock.now() + FAILED_PAUSE_S
             self._paused_until[endpoint.id] = pause
             self._loading.discard(endpoint.id)
+            self._drained.discard(endpoint.id)
+            self._load_ended.set()
 
     async def _load(self, endpoint: Endpoint) -> None:
         await self._member.leader.change_status(
             endpoint, EndpointStatus.LOADING
         )
         term = self._term
-        state = await self._orders.report(endpoint)
-        ordered_at = 0.0
-        while True:
-            wanted = self._wanted(endpoint)
-            if wanted is None or state.weights.get(wanted[0], 0) >= wanted[1]:
-                await self._finish(endpoint, state)
-                return
+        state = await self._drain(endpoint)
+        ordered = False
+        while (wanted := self._wanted(endpoint, state)) or state.busy:
             if not self._may_order(term):
                 return
-            if not state.busy and not ordered_at:
-                ordered_at = self._clock.now()
-                await self._order(endpoint, *wanted, state)
-                await anyio.sleep(FIRST_POLL_S)
-            else:
+            if state.busy or ordered:
                 await anyio.sleep(POLL_S)
+            else:
+                ordered = True
+                await self._order(endpoint, wanted, state)
+                await anyio.sleep(FIRST_POLL_S)
+            state = await self._orders.report(endpoint)
+        await self._finish(endpoint, state)
+
+    async def _drain(self, endpoint: Endpoint) -> RunnerState:
+        """Waits until nothing runs and a load may begin, within a limit."""
+        began_at = self._clock.now()
+        while True:
             state = await self._orders.report(endpoint)
+            waited_s = self._clock.now() - began_at
+            ended = waited_s > REPORT_LAG_S and not state.running
+            if ended or waited_s > DRAIN_LIMIT_S:
+                break
+            await anyio.sleep(POLL_S)
+        while len(self._drained) >= self._loads_at_once():
+            self._load_ended = anyio.Event()
+            await self._load_ended.wait()
+        self._drained.add(endpoint.id)
+        return state
 
     def _may_order(self, term: int) -> bool:
         now = self._clock.now()
@@ -203,18 +248,18 @@
         return leads and term == self._member.term and now > self._may_order_at
 
     async def _order(
-        self, endpoint: Endpoint, model: str, version: int, state: RunnerState
+        self, endpoint: Endpoint, wanted: NamedWeights, state: RunnerState
     ) -> None:
         order = LoadWeightsOrder(
-            *(model, version, self._name, self._member.term),
+            *(wanted.model, wanted.version, self._name, self._member.term),
             state.orders_accepted,
         )
         accepted = await self._orders.load(endpoint, order)
         log(
             "load_ordered",
             endpoint=endpoint.id,
-            model=model,
-            version=version,
+            model=wanted.model,
+            version=wanted.version,
             fencing_number=order.fencing_number,
             expected_orders=order.expected_orders,
             accepted=accepted,
