--- a/knapweedarch/dialects.py
+++ b/knapweedarch/dialects.py
@@ -41,6 +41,7 @@
         cache_salt: Text under which cached parts are found.
         urgency: Rank at the runner, 0 to 9, 0 first; None leaves it out.
         fetch_from: Address that holds cached parts; empty without one.
+        save_to: Address of the store that takes the parts; empty without.
         last_event_id: Last event that the caller has; empty for the whole.
     """
 
@@ -51,6 +52,7 @@
     cache_salt: str = ""
     urgency: int | None = None
     fetch_from: str = ""
+    save_to: str = ""
     last_event_id: str = ""
 
 
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -96,6 +96,11 @@
         """Takes over the weights versions named, by model."""
         self._weights = weights
 
+    def has_newest_weights(self, endpoint: Endpoint, prompt: Prompt) -> bool:
+        """Tells whether a runner has the weights named last."""
+        named = self._weights.get(prompt.model, 0)
+        return int(endpoint.weights_version or 0) >= named
+
     def choose(
         self,
         endpoints: Sequence[Endpoint],
@@ -212,8 +217,7 @@
         )
         cost += cfg.failing_s * seen.failing() + seen.late_s
         if prompt is not None:
-            named = self._weights.get(prompt.model, 0)
-            if int(endpoint.weights_version or 0) < named:
+            if not self.has_newest_weights(endpoint, prompt):
                 cost += cfg.broken_off_s if again else cfg.old_weights_s
             missing = prompt.shared_tokens - self._cached(seen, prompt, salt)
             cost += missing / cfg.prefill_tokens_s
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -72,6 +72,8 @@
     Event(307, "deployment_applied", _I, "A configuration is in use here."),
     Event(414, "weights_loaded", _I, "A runner has loaded its weights."),
     Event(415, "weights_wanted", _I, "A router learned of named weights."),
+    Event(416, "store_found", _I, "A store of KV cache tells its events."),
+    Event(417, "store_lost", _W, "A store of KV cache does not answer."),
     Event(413, "endpoint_known", _I, "A router took over an endpoint."),
     Event(406, "feed_lost", _W, "The feed of a runner broke."),
     Event(409, "orders_taken", _I, "This router may give orders now."),
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -26,6 +26,7 @@
 from knapweedarch.repeat_budget import RepeatLimits
 from knapweedarch.settings import Address
 from knapweedarch.state import EndpointEntry
+from knapweedarch.store_feed import CacheFeed, StoreFeeds
 from knapweedarch.timers import Clock, Timers
 
 DROP_STALE_S = 0.5
@@ -73,9 +74,12 @@
         self,
         settings: ProxySettings,
         dialect: Dialect,
+        pool: OutboundPool,
+        feed: CacheFeed,
         clock: Clock,
         metrics: Metrics,
     ):
+        self._feed = feed
         self._settings = settings
         self._dialect = dialect
         self._clock = clock
@@ -99,7 +103,7 @@
         self._keeper.on_deployment = self._set_deployment
         self._keeper.on_routers = self._set_routers
         self._keeper.on_weights = self._set_weights
-        self._pool = OutboundPool(clock)
+        self._pool = pool
         self._attempts = Attempts(
             clock=clock,
             metrics=metrics,
@@ -125,6 +129,8 @@
             self._pool,
         ):
             self._group = group
+            self._stores = StoreFeeds(self._feed, group)
+            self._attempts.stores = self._stores.parts()
             group.start_soon(self._timers.run)
             group.start_soon(self._keeper.run)
             await group.start(self._server.serve, listen.host, listen.port)
@@ -175,6 +181,7 @@
 
     def _set_deployment(self, deployment: Deployment) -> None:
         self._table = RouteTable(deployment)
+        self._stores.set_stores(deployment.stores)
         log("deployment_applied", version=deployment.version)
 
     def _set_weights(self, weights: dict[str, int]) -> None:
@@ -257,7 +264,21 @@
 
 
 def create_proxy(
-    settings: ProxySettings, dialect: Dialect, clock: Clock, metrics: Metrics
+    settings: ProxySettings,
+    dialect: Dialect,
+    pool: OutboundPool,
+    feed: CacheFeed,
+    clock: Clock,
+    metrics: Metrics,
 ) -> Proxy:
-    """Creates a proxy."""
-    return Proxy(settings, dialect, clock, metrics)
+    """Creates a proxy.
+
+    Args:
+        settings: Settings.
+        dialect: Headers of the platform.
+        pool: Connections to endpoints.
+        feed: Calls for cache events.
+        clock: Time source.
+        metrics: Counters of the process.
+    """
+    return Proxy(settings, dialect, pool, feed, clock, metrics)
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -2,7 +2,7 @@
 
 import enum
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import anyio
 import attrs
@@ -22,6 +22,7 @@
     RetryReason,
 )
 from knapweedarch.repeat_budget import RepeatBudget, RepeatLimits
+from knapweedarch.stored_parts import StoredParts
 from knapweedarch.timers import Clock
 
 # A caller that is told to come back does so within this part of its time.
@@ -107,6 +108,7 @@
         self.dialect = dialect
         self.chooser = chooser
         self.routers = 1
+        self.stores: Mapping[str, StoredParts] = {}
         self._pool = pool
         self._limits = limits
         self._may_start = may_start
@@ -190,14 +192,28 @@
         )
         if call.terms.prompt is not None:
             terms = attrs.evolve(
-                terms,
+                self._with_transfers(call, endpoint, terms),
                 weights_version=endpoint.weights_version,
                 cache_salt=call.salt(endpoint),
                 urgency=_urgency(call),
-                fetch_from=self._holder(call, endpoint),
             )
         return self.dialect.endpoint_headers(call.req, terms)
 
+    def _with_transfers(
+        self, call: Call, endpoint: Endpoint, terms: SendTerms
+    ) -> SendTerms:
+        """Adds where cached parts come from, and where they are saved."""
+        prompt, salt = call.terms.prompt, call.salt(endpoint)
+        for address, parts in self.stores.items():
+            if parts.holds(prompt, salt):
+                return attrs.evolve(terms, fetch_from=address)
+        holder = self._holder(call, endpoint)
+        newest = self.chooser.has_newest_weights(endpoint, prompt)
+        for address, parts in self.stores.items():
+            if newest and parts.should_save(prompt, salt, self.clock.now()):
+                return attrs.evolve(terms, fetch_from=holder, save_to=address)
+        return attrs.evolve(terms, fetch_from=holder)
+
     def _holder(self, call: Call, endpoint: Endpoint) -> str:
         """Address of the runner that is likely to hold the shared parts.
 
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -21,7 +21,7 @@
 
 # A resumable stream without an event for this long goes on elsewhere. Callers
 # give up after 2 s or more.
-FIRST_EVENT_GOALS = 2.5
+FIRST_EVENT_GOALS = 3.5
 SILENT_GAPS = 3.0
 
 
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -22,10 +22,12 @@
 # The store of weights is limited: more loads at once take longer each.
 LOADS_AT_ONCE = 3
 # Runners that end their work while others load, so that no load waits.
-DRAINS_AT_ONCE = 3
+DRAINS_AT_ONCE = 2
 # Longest wait for the end of what runs. What then still runs breaks off; a
-# stream that may be resumed goes on elsewhere.
-DRAIN_LIMIT_S = 1.0
+# stream that may be resumed goes on elsewhere. The first runners get longer,
+# as a stream that goes on with old weights would be broken off again.
+DRAIN_LIMIT_S = 0.45
+FIRST_DRAIN_LIMIT_S = 0.9
 # A runner that did not reach its weights in this time is ordered again.
 LOAD_LIMIT_S = 4.0
 POLL_S = 0.1
@@ -135,6 +137,7 @@
         if self._term != self._member.term:
             self._term = self._member.term
             self._may_order_at = now + self._take_over_s
+            self._group.start_soon(self._release_loading)
         if now < self._may_order_at:
             return
         most = self._loads_at_once() + DRAINS_AT_ONCE
@@ -144,6 +147,18 @@
             self._loading.add(endpoint.id)
             self._group.start_soon(self._bring_up, endpoint)
 
+    async def _release_loading(self) -> None:
+        """Puts runners that an earlier leader took out back into use.
+
+        They are free until this leader may give orders. One that still loads
+        refuses requests, and its heartbeat tells when it has new weights.
+        """
+        for endpoint in self._runners():
+            if endpoint.status is EndpointStatus.LOADING:
+                await self._member.leader.change_status(
+                    endpoint, EndpointStatus.ACTIVE
+                )
+
     def _loads_at_once(self) -> int:
         """Most loads at once; others must serve meanwhile."""
         return max(1, min(LOADS_AT_ONCE, len(self._runners()) // 3))
@@ -226,6 +241,15 @@
             state = await self._orders.report(endpoint)
         await self._finish(endpoint, state)
 
+    def _drain_limit(self, endpoint: Endpoint) -> float:
+        """Longest wait in seconds for the end of what a runner runs."""
+        loaded = any(
+            e.status is EndpointStatus.ACTIVE and not self._lacks(e)
+            for e in self._runners()
+            if e.serves == endpoint.serves
+        )
+        return DRAIN_LIMIT_S if loaded else FIRST_DRAIN_LIMIT_S
+
     async def _drain(self, endpoint: Endpoint) -> RunnerState:
         """Waits until nothing runs and a load may begin, within a limit."""
         began_at = self._clock.now()
@@ -233,7 +257,7 @@
             state = await self._orders.report(endpoint)
             waited_s = self._clock.now() - began_at
             ended = waited_s > REPORT_LAG_S and not state.running
-            if ended or waited_s > DRAIN_LIMIT_S:
+            if ended or waited_s > self._drain_limit(endpoint):
                 break
             await anyio.sleep(POLL_S)
         while len(self._drained) >= self._loads_at_once():
