Share routers' loads through the leader

Cause: each router chose by its own requests only, so several sent long prompts to one runner at once.

--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -22,6 +22,8 @@
     Hello,
     Join,
     Joining,
+    LoadShare,
+    LoadTotals,
     MemberAddress,
     MemberStatus,
     Peer,
@@ -54,6 +56,8 @@
     "Hello",
     "Join",
     "Joining",
+    "LoadShare",
+    "LoadTotals",
     "MemberAddress",
     "MemberStatus",
     "Peer",
@@ -85,7 +89,9 @@
         credential: bytes,
         clock: Clock,
         on_changed: Callable[[], None],
+        on_loads: Callable[[LoadTotals], None],
     ):
+        self._on_loads = on_loads
         self._members = {m.name: m for m in members}
         self._credential = credential
         self._clock = clock
@@ -221,8 +227,19 @@
             raise ControlError("refused", str(exc)) from exc
 
     async def _handle(self, link: links.Link, message: object) -> None:
-        if isinstance(message, Changed):
-            self._on_changed()
+        match message:
+            case Changed():
+                self._on_changed()
+            case LoadTotals():
+                self._on_loads(message)
+
+    def tell(self, message: object) -> None:
+        """Sends a message without a reply, if a link is open now."""
+        if self._link is not None and not self._link.closed.is_set():
+            try:
+                self._link.send(message)
+            except LinkError:
+                self.drop_link()
 
     async def form(self, members: Sequence[MemberAddress]) -> None:
         """Makes blank members the first group.
@@ -278,6 +295,7 @@
     credential: bytes,
     clock: Clock,
     on_changed: Callable[[], None] = lambda: None,
+    on_loads: Callable[[LoadTotals], None] = lambda totals: None,
 ) -> Control:
     """Creates a client to the control members.
 
@@ -286,5 +304,6 @@
         credential: The shared credential.
         clock: Time source.
         on_changed: Called when the leader tells of a change.
+        on_loads: Called when the leader tells the load by other routers.
     """
-    return Control(members, credential, clock, on_changed)
+    return Control(members, credential, clock, on_changed, on_loads)
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -108,6 +108,37 @@
     """The heartbeat is noted, and what it changed is stored."""
 
 
+@attrs.frozen
+class EndpointLoad:
+    """Requests of routers at one endpoint.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        requests: Requests that are not answered in full.
+        unread_tokens: Prompt tokens of those without a first event.
+        held_tokens: Tokens of all of them, prompt and answer.
+    """
+
+    endpoint_id: str
+    requests: int
+    unread_tokens: int
+    held_tokens: int
+
+
+@attrs.frozen
+class LoadShare:
+    """A router tells the leader the load that it causes itself."""
+
+    loads: tuple[EndpointLoad, ...]
+
+
+@attrs.frozen
+class LoadTotals:
+    """The leader tells a router the load that all others cause together."""
+
+    loads: tuple[EndpointLoad, ...]
+
+
 @attrs.frozen
 class ReadDeployment:
     """Asks the leader for the routing configuration in force."""
@@ -292,5 +323,5 @@
     *(Renew, Grant, Changed, Submit, Result, Redirect, Refused, Query),
     *(StatusReply, Describe, Description, Form, Formed, Hello, Peer),
     *(Heartbeat, HeartbeatNoted, ReadDeployment, DeploymentDocument),
-    *(Join, Joining),
+    *(Join, Joining, LoadShare, LoadTotals),
 )
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -12,6 +12,7 @@
 import attrs
 import xxhash
 
+from knapweedarch.control_messages import EndpointLoad, LoadShare, LoadTotals
 from knapweedarch.models import Endpoint
 from knapweedarch.prompt_parts import Prompt
 
@@ -29,7 +30,9 @@
         full_s: Charge for an endpoint whose slots or memory are all in use.
         failing_s: Charge for an endpoint at which every request fails.
         rank_s: Largest charge for a low rank in the rendezvous order.
-        peer_weight: Load by another router per own load.
+        peer_weight: Load by another router per own load, where it is not
+            known.
+        loads_fresh_s: Age up to which the load by other routers counts.
         memory_s: Half-life of failures in seconds.
         refused_s: How long an endpoint that refuses connections is avoided.
         busy_s: How long an endpoint that has no room is avoided.
@@ -45,6 +48,7 @@
     failing_s: float = 2.0
     rank_s: float = 0.1
     peer_weight: float = 0.35
+    loads_fresh_s: float = 0.5
     memory_s: float = 3.0
     refused_s: float = 0.7
     busy_s: float = 0.15
@@ -58,7 +62,8 @@
 
     incarnation: str
     requests: int = 0
-    tokens: int = 0
+    unread_tokens: int = 0
+    held_tokens: int = 0
     failures: float = 0.0
     successes: float = 0.0
     decayed_at: float = 0.0
@@ -85,6 +90,9 @@
     def __init__(self, cfg: ChoiceConfig):
         self._cfg = cfg
         self._seen: dict[str, _Seen] = {}
+        self._others: dict[str, EndpointLoad] = {}
+        self._others_at = -math.inf
+        self._knows_others = False
         self._peers = 1.0
         self._weights: dict[str, int] = {}
 
@@ -126,6 +134,7 @@
         if not able:
             return None
         ranks = _ranks(prompt, able)
+        self._knows_others = now - self._others_at < self._cfg.loads_fresh_s
         return min(
             able,
             key=lambda e: self._cost(
@@ -147,7 +156,8 @@
         seen = self._of(endpoint, now)
         seen.requests += 1
         if prompt is not None:
-            seen.tokens += prompt.tokens + prompt.max_tokens
+            seen.unread_tokens += prompt.tokens
+            seen.held_tokens += prompt.tokens + prompt.max_tokens
             for part in prompt.parts[:-1]:
                 key = f"{salt}/{part.id}"
                 seen.cached[key] = part.tokens
@@ -155,14 +165,42 @@
             while len(seen.cached) > CACHED_PARTS:
                 seen.cached.popitem(last=False)
 
-    def ended(self, endpoint: Endpoint, prompt: Prompt | None) -> None:
+    def was_read(self, endpoint: Endpoint, prompt: Prompt) -> None:
+        """Notes that a runner has read the prompt of a request."""
+        seen = self._seen.get(endpoint.id)
+        if seen is not None and seen.incarnation == endpoint.incarnation:
+            seen.unread_tokens -= prompt.tokens
+
+    def ended(
+        self, endpoint: Endpoint, prompt: Prompt | None, was_read: bool
+    ) -> None:
         """Notes that a request has left the endpoint."""
         seen = self._seen.get(endpoint.id)
         if seen is None or seen.incarnation != endpoint.incarnation:
             return
         seen.requests -= 1
         if prompt is not None:
-            seen.tokens -= prompt.tokens + prompt.max_tokens
+            seen.held_tokens -= prompt.tokens + prompt.max_tokens
+            if not was_read:
+                seen.unread_tokens -= prompt.tokens
+
+    def own_loads(self) -> LoadShare:
+        """Returns the load that this router causes."""
+        return LoadShare(
+            tuple(
+                EndpointLoad(
+                    *(name, seen.requests, seen.unread_tokens),
+                    seen.held_tokens,
+                )
+                for name, seen in self._seen.items()
+                if seen.requests
+            )
+        )
+
+    def set_other_loads(self, totals: LoadTotals, now: float) -> None:
+        """Takes over the load that all other routers cause."""
+        self._others = {load.endpoint_id: load for load in totals.loads}
+        self._others_at = now
 
     def succeeded(self, endpoint: Endpoint, late_s: float, now: float) -> None:
         """Notes a success and how far behind the goal it began."""
@@ -209,12 +247,14 @@
     ) -> float:
         cfg, seen = self._cfg, self._seen[endpoint.id]
         distance = cfg.distance_s.get(endpoint.data_centre, cfg.far_s)
-        load = seen.requests * self._peers / max(1, endpoint.slots)
+        load = self._load(endpoint, seen)
+        full = load.requests / max(1, endpoint.slots)
         if memory_tokens:
-            load = max(load, seen.tokens * self._peers / memory_tokens)
+            full = max(full, load.held_tokens / memory_tokens)
         cost = (
-            2 * distance + cfg.full_s * load + cfg.rank_s * ranks[endpoint.id]
+            2 * distance + cfg.full_s * full + cfg.rank_s * ranks[endpoint.id]
         )
+        cost += load.unread_tokens / cfg.prefill_tokens_s
         cost += cfg.failing_s * seen.failing() + seen.late_s
         if prompt is not None:
             if not self.has_newest_weights(endpoint, prompt):
@@ -223,6 +263,26 @@
             cost += missing / cfg.prefill_tokens_s
         return cost
 
+    def _load(self, endpoint: Endpoint, seen: _Seen) -> EndpointLoad:
+        """Load by all routers, estimated where the others' is not known."""
+        others = self._others.get(endpoint.id)
+        if not self._knows_others:
+            part = self._peers
+            return EndpointLoad(
+                endpoint.id,
+                round(seen.requests * part),
+                round(seen.unread_tokens * part),
+                round(seen.held_tokens * part),
+            )
+        if others is None:
+            others = EndpointLoad(endpoint.id, 0, 0, 0)
+        return EndpointLoad(
+            endpoint.id,
+            seen.requests + others.requests,
+            seen.unread_tokens + others.unread_tokens,
+            seen.held_tokens + others.held_tokens,
+        )
+
     def _cached(self, seen: _Seen, prompt: Prompt, salt: str) -> int:
         found = 0
         for part in prompt.parts[:-1]:
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -11,6 +11,7 @@
 from knapweedarch.exceptions import LinkError, ReplicaError, RuleError
 from knapweedarch.heartbeats import HeartbeatTable
 from knapweedarch.leases import LEASE_S, LeaseTable
+from knapweedarch.load_totals import LoadBoard
 from knapweedarch.logs import log
 from knapweedarch.models import Endpoint, EndpointStatus
 from knapweedarch.rules import parse_steps
@@ -85,6 +86,7 @@
         self._proposals: dict[int, _Proposal] = {}
         self._routers: dict[links.Link, control.Renew] = {}
         self._renewed = anyio.Event()
+        self._loads = LoadBoard()
 
     @property
     def in_office(self) -> bool:
@@ -103,6 +105,21 @@
     def forget_link(self, link: links.Link) -> None:
         """Notes that a link has closed."""
         self._routers.pop(link, None)
+        self._loads.forget(link)
+
+    def note_loads(self, link: links.Link, share: control.LoadShare) -> None:
+        """Notes the load that a router causes."""
+        self._loads.note(link, share)
+
+    def share_loads(self) -> None:
+        """Tells each router the load that the others cause."""
+        if not self.in_office:
+            return
+        for link in self._loads.routers():
+            try:
+                link.send(self._loads.others(link))
+            except LinkError:
+                self.forget_link(link)
 
     def apply(self, entry: replica.Entry) -> None:
         """Applies a committed entry and answers its proposal."""
--- /dev/null
+++ b/knapweedarch/load_totals.py
@@ -0,0 +1,62 @@
+"""Adds up the loads that routers cause at endpoints.
+
+Each router sees only its own requests. Choosing by those alone, several
+routers send long prompts to the same runner at the same time.
+"""
+
+from collections.abc import Hashable
+
+import attrs
+
+from knapweedarch.control_messages import EndpointLoad, LoadShare, LoadTotals
+
+
+@attrs.define
+class _Sum:
+    requests: int = 0
+    unread_tokens: int = 0
+    held_tokens: int = 0
+
+    def add(self, load: EndpointLoad, sign: int) -> None:
+        self.requests += sign * load.requests
+        self.unread_tokens += sign * load.unread_tokens
+        self.held_tokens += sign * load.held_tokens
+
+
+class LoadBoard:
+    """Newest share of each router, and their sums."""
+
+    def __init__(self) -> None:
+        self._shares: dict[Hashable, tuple[EndpointLoad, ...]] = {}
+        self._sums: dict[str, _Sum] = {}
+
+    def note(self, router: Hashable, share: LoadShare) -> None:
+        """Replaces a router's share."""
+        self.forget(router)
+        self._shares[router] = share.loads
+        for load in share.loads:
+            self._sums.setdefault(load.endpoint_id, _Sum()).add(load, 1)
+
+    def forget(self, router: Hashable) -> None:
+        """Takes a router's share out."""
+        for load in self._shares.pop(router, ()):
+            total = self._sums[load.endpoint_id]
+            total.add(load, -1)
+            if not total.requests:
+                del self._sums[load.endpoint_id]
+
+    def routers(self) -> list[Hashable]:
+        """Returns the routers that told their share."""
+        return list(self._shares)
+
+    def others(self, router: Hashable) -> LoadTotals:
+        """Returns the load that all routers but one cause."""
+        own = {load.endpoint_id: load for load in self._shares[router]}
+        found = []
+        for endpoint_id, total in self._sums.items():
+            rest = attrs.evolve(total)
+            if endpoint_id in own:
+                rest.add(own[endpoint_id], -1)
+            if rest.requests:
+                found.append(EndpointLoad(endpoint_id, *attrs.astuple(rest)))
+        return LoadTotals(tuple(found))
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -28,6 +28,7 @@
 JOIN_S = 0.25
 JOIN_TIMEOUT_S = 1.0
 SILENCE_CHECK_S = 0.5
+LOADS_S = 0.1
 
 
 class Member:
@@ -82,6 +83,7 @@
         self._timers.every(TICK_S, lambda now: self._work.set())
         self._timers.every(REPORT_S, self._report)
         self._timers.every(SILENCE_CHECK_S, self._check_silence)
+        self._timers.every(LOADS_S, lambda now: self._leader.share_loads())
         try:
             async with self._control, anyio.create_task_group() as group:
                 self._group = group
@@ -307,6 +309,8 @@
                 return self._leader.renew(link, message)
             case control.Submit(command=data, in_force=in_force):
                 return await self._leader.submit(data, in_force)
+            case control.LoadShare():
+                self._leader.note_loads(link, message)
             case control.Heartbeat():
                 return await self._leader.heartbeat(message)
             case control.ReadDeployment():
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -30,6 +30,7 @@
 from knapweedarch.timers import Clock, Timers
 
 DROP_STALE_S = 0.5
+LOADS_S = 0.1
 # The final answer leaves this long before it is due.
 ANSWER_MARGIN_S = 0.03
 
@@ -95,6 +96,7 @@
             settings.credential.encode(),
             clock,
             on_changed=lambda: self._keeper.renew_soon(),
+            on_loads=self._take_loads,
         )
         self._keeper = LeaseKeeper(
             *(settings.name, incarnation, self._control, clock, metrics)
@@ -122,6 +124,7 @@
         """Serves until SIGTERM, then drains and returns."""
         self._keeper.subscribe(self._timers)
         self._timers.every(DROP_STALE_S, self._drop_stale)
+        self._timers.every(LOADS_S, self._tell_loads)
         listen, ready = self._settings.listen, self._settings.ready
         async with (
             anyio.create_task_group() as group,
@@ -184,6 +187,12 @@
         self._stores.set_stores(deployment.stores)
         log("deployment_applied", version=deployment.version)
 
+    def _tell_loads(self, now: float) -> None:
+        self._control.tell(self._attempts.chooser.own_loads())
+
+    def _take_loads(self, totals: control.LoadTotals) -> None:
+        self._attempts.chooser.set_other_loads(totals, self._clock.now())
+
     def _set_weights(self, weights: dict[str, int]) -> None:
         self._attempts.chooser.set_weights(weights)
         log("weights_wanted", weights=weights)
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -357,6 +357,14 @@
         self._endpoint = endpoint
         self.exchange: Exchange | None = None
         self.head: AnswerHead | None = None
+        self._was_read = False
+
+    def note_read(self) -> None:
+        """Notes that the runner has read the prompt."""
+        prompt = self._call.terms.prompt
+        if prompt is not None and not self._was_read:
+            self._was_read = True
+            self._attempts.chooser.was_read(self._endpoint, prompt)
 
     async def __aenter__(self) -> "AttemptScope":
         call, endpoint = self._call, self._endpoint
@@ -367,7 +375,9 @@
         return self
 
     async def __aexit__(self, *exc_info) -> None:
-        self._attempts.chooser.ended(self._endpoint, self._call.terms.prompt)
+        self._attempts.chooser.ended(
+            self._endpoint, self._call.terms.prompt, self._was_read
+        )
         if self.exchange is not None:
             with anyio.CancelScope(shield=True):
                 await self.exchange.close(self.head)
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -117,7 +117,7 @@
             return attempts.not_run(call, endpoint, head)
         if head.status != 200:
             return await self._pass_on(endpoint, exchange, head)
-        await self._relay(endpoint, exchange, head)
+        await self._relay(endpoint, scope, head)
         scope.head = head
         return None
 
@@ -162,15 +162,16 @@
         return None
 
     async def _relay(
-        self, endpoint: Endpoint, exchange: Exchange, head: AnswerHead
+        self, endpoint: Endpoint, scope: AttemptScope, head: AnswerHead
     ) -> None:
         splitter = EventSplitter()
         if not self._responder.started:
             self._status = head.status
             await self._responder.start(head.status, end_to_end(head.headers))
-        while (part := await self._read(exchange)) is not None:
+        while (part := await self._read(scope.exchange)) is not None:
             events = splitter.feed(part)
             if events.data:
+                scope.note_read()
                 self._note_events(endpoint, events.count, events.last_id)
                 await self._responder.write(events.data)
         if rest := splitter.rest():
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -22,11 +22,11 @@
 # The store of weights is limited: more loads at once take longer each.
 LOADS_AT_ONCE = 3
 # Runners that end their work while others load, so that no load waits.
-DRAINS_AT_ONCE = 2
+DRAINS_AT_ONCE = 1
 # Longest wait for the end of what runs. What then still runs breaks off; a
 # stream that may be resumed goes on elsewhere. The first runners get longer,
 # as a stream that goes on with old weights would be broken off again.
-DRAIN_LIMIT_S = 0.45
+DRAIN_LIMIT_S = 0.6
 FIRST_DRAIN_LIMIT_S = 0.9
 # A runner that did not reach its weights in this time is ordered again.
 LOAD_LIMIT_S = 4.0
