--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -268,7 +268,7 @@
         headers = ()
         if status == 503:
             terms = self._dialect.read_terms(req)
-            headers = (retry_after(terms.limit_s or 1.0),)
+            headers = (retry_after(terms.limit_s or 1.0, reason),)
         await responder.send(Answer(status=status, headers=headers))
 
 
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -27,8 +27,9 @@
 
 # A caller that is told to come back does so within this part of its time.
 COME_BACK_PART = 1 / 3
-RETRY_AFTER_S = 0.3
-RETRY_AFTER_LIMIT_S = 1.0
+RETRY_AFTER_S = 0.4
+# From the start of a router to its first lease, when all start together.
+LEASE_RETRY_AFTER_S = 1.3
 
 
 class Fate(str, enum.Enum):
@@ -285,7 +286,7 @@
             headers: Headers = ()
         else:
             status = 503
-            headers = (retry_after(call.deadline - self.clock.now()),)
+            headers = (retry_after(left_s(call, self.clock), reason),)
         self.metrics.count(f"refused.{reason.value}")
         self._log_refusal(call, reason.value, status)
         return Answer(status=status, headers=headers)
@@ -303,13 +304,20 @@
         )
 
 
-def retry_after(left_s: float) -> tuple[bytes, bytes]:
+def retry_after(left_s: float, reason: RefusalReason) -> tuple[bytes, bytes]:
     """Makes the header that tells a caller when to come back.
 
     The times are spread, so that refused callers do not return together.
+
+    Args:
+        left_s: Time that the caller has left; it comes back in its first
+            third or not at all.
+        reason: Why it is refused.
     """
-    most = min(RETRY_AFTER_LIMIT_S, left_s * COME_BACK_PART)
-    delay = min(most, RETRY_AFTER_S * random.Random().uniform(0.7, 1.6))
+    usual = RETRY_AFTER_S
+    if reason is RefusalReason.LEASE_EXPIRED:
+        usual = LEASE_RETRY_AFTER_S
+    delay = min(left_s * COME_BACK_PART, usual * random.uniform(0.75, 1.25))
     return b"retry-after", f"{max(0.05, delay):.2f}".encode()
 
 
