--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -70,7 +70,7 @@
     Event(304, "rules_applied", _I, "A version of the rules is in use."),
     Event(305, "rules_unreadable", _E, "The accepted rules do not parse here."),
     Event(307, "deployment_applied", _I, "A configuration is in use here."),
-    Event(414, "weights_loaded", _I, "A runner has loaded its weights."),
+    Event(414, "load_not_confirmed", _W, "A runner told no new weights."),
     Event(415, "weights_wanted", _I, "A router learned of named weights."),
     Event(416, "store_found", _I, "A store of KV cache tells its events."),
     Event(417, "store_lost", _W, "A store of KV cache does not answer."),
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -299,27 +299,6 @@
         )
         return isinstance(result, EndpointAccepted)
 
-    async def loaded(self, endpoint: Endpoint) -> None:
-        """Stores the weights that a runner has loaded."""
-        if self._is_current(endpoint):
-            with contextlib.suppress(ReplicaError):
-                await self._propose(Announce(endpoint))
-            log(
-                "weights_loaded",
-                endpoint=endpoint.id,
-                version=endpoint.weights_version,
-            )
-
-    def _is_current(self, endpoint: Endpoint) -> bool:
-        """Tells whether an endpoint may still be put back into use."""
-        known = self._state.endpoints.get(endpoint.id)
-        return (
-            self._leading()
-            and known is not None
-            and known.endpoint.incarnation == endpoint.incarnation
-            and known.endpoint.status is EndpointStatus.LOADING
-        )
-
     def note_joining(
         self, join: control.Join
     ) -> control.Joining | control.Redirect:
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -29,13 +29,12 @@
 DRAIN_LIMIT_S = 0.6
 FIRST_DRAIN_LIMIT_S = 0.9
 # A runner that did not reach its weights in this time is ordered again.
-LOAD_LIMIT_S = 4.0
-POLL_S = 0.1
-# A load takes about this long; earlier reports tell nothing new.
-FIRST_POLL_S = 0.5
+LOAD_LIMIT_S = 2.0
+POLL_S = 0.03
+REPORT_S = 0.1
 # Reports show the state of some hundred milliseconds earlier.
 REPORT_LAG_S = 0.3
-FAILED_PAUSE_S = 0.5
+AGAIN_S = 0.5
 
 
 @attrs.frozen
@@ -180,8 +179,14 @@
             and self._paused_until.get(e.id, 0.0) <= now
             and (self._lacks(e) or e.status is EndpointStatus.LOADING)
         ]
-        # Those that were taken out of use come first.
-        return sorted(due, key=lambda e: e.status is EndpointStatus.ACTIVE)
+        # Those that were taken out of use come first, then the oldest weights.
+        return sorted(
+            due,
+            key=lambda e: (
+                e.status is EndpointStatus.ACTIVE,
+                int(e.weights_version or 0),
+            ),
+        )
 
     def _lacks(self, endpoint: Endpoint) -> bool:
         """Tells whether a runner has older weights than those named."""
@@ -204,19 +209,16 @@
     async def _bring_up(self, endpoint: Endpoint) -> None:
         """Takes a runner out of use, orders the load and waits for its end."""
         try:
-            with anyio.move_on_after(LOAD_LIMIT_S):
-                await self._load(endpoint)
+            await self._load(endpoint)
         except ExchangeError as exc:
             log(
                 "order_failed",
                 endpoint=endpoint.id,
                 reason=f"{exc.reason}: {exc}",
             )
-            await self._member.leader.change_status(
-                endpoint, EndpointStatus.ACTIVE
-            )
+            await self._put_back(endpoint)
         finally:
-            pause = self._clock.now() + FAILED_PAUSE_S
+            pause = self._clock.now() + AGAIN_S
             self._paused_until[endpoint.id] = pause
             self._loading.discard(endpoint.id)
             self._drained.discard(endpoint.id)
@@ -228,18 +230,43 @@
         )
         term = self._term
         state = await self._drain(endpoint)
-        ordered = False
-        while (wanted := self._wanted(endpoint, state)) or state.busy:
-            if not self._may_order(term):
+        wanted = self._wanted(endpoint, state)
+        if wanted is not None and self._may_order(term) and not state.busy:
+            await self._order(endpoint, wanted, state)
+            await self._await_load(endpoint, wanted)
+        await self._put_back(endpoint)
+
+    async def _await_load(
+        self, endpoint: Endpoint, wanted: NamedWeights
+    ) -> None:
+        """Waits until a heartbeat tells of the weights, within a limit.
+
+        A runner sends one as soon as it has loaded them.
+        """
+        until = self._clock.now() + LOAD_LIMIT_S
+        while self._clock.now() < until:
+            held = self._current(endpoint)
+            if held is None or int(held.weights_version) >= wanted.version:
                 return
-            if state.busy or ordered:
-                await anyio.sleep(POLL_S)
-            else:
-                ordered = True
-                await self._order(endpoint, wanted, state)
-                await anyio.sleep(FIRST_POLL_S)
-            state = await self._orders.report(endpoint)
-        await self._finish(endpoint, state)
+            await anyio.sleep(POLL_S)
+        log("load_not_confirmed", endpoint=endpoint.id, version=wanted.version)
+
+    def _current(self, endpoint: Endpoint) -> Endpoint | None:
+        """Returns what is stored of a runner; None if it is gone."""
+        entry = self._member.state.endpoints.get(endpoint.id)
+        if entry is None or (
+            entry.endpoint.incarnation != endpoint.incarnation
+        ):
+            return None
+        return entry.endpoint
+
+    async def _put_back(self, endpoint: Endpoint) -> None:
+        """Puts a runner back into use."""
+        held = self._current(endpoint)
+        if held is not None and held.status is EndpointStatus.LOADING:
+            await self._member.leader.change_status(
+                endpoint, EndpointStatus.ACTIVE
+            )
 
     def _drain_limit(self, endpoint: Endpoint) -> float:
         """Longest wait in seconds for the end of what a runner runs."""
@@ -259,7 +286,7 @@
             ended = waited_s > REPORT_LAG_S and not state.running
             if ended or waited_s > self._drain_limit(endpoint):
                 break
-            await anyio.sleep(POLL_S)
+            await anyio.sleep(REPORT_S)
         while len(self._drained) >= self._loads_at_once():
             self._load_ended = anyio.Event()
             await self._load_ended.wait()
@@ -288,14 +315,3 @@
             expected_orders=order.expected_orders,
             accepted=accepted,
         )
-
-    async def _finish(self, endpoint: Endpoint, state: RunnerState) -> None:
-        """Puts a runner back into use with the weights that it reports."""
-        versions = [str(v) for m, v in state.weights.items()]
-        await self._member.leader.loaded(
-            attrs.evolve(
-                endpoint,
-                weights_version=versions[0] if versions else "",
-                status=EndpointStatus.ACTIVE,
-            )
-        )
