--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -50,7 +50,7 @@
     peer_weight: float = 0.35
     loads_fresh_s: float = 0.5
     memory_s: float = 3.0
-    refused_s: float = 0.7
+    refused_s: float = 2.0
     busy_s: float = 0.15
     old_weights_s: float = 0.3
     broken_off_s: float = 2.0
@@ -218,6 +218,10 @@
         seen.failures += 1.0
         seen.avoided_until = now + self._cfg.refused_s
 
+    def ended_for_good(self, endpoint: Endpoint, now: float) -> None:
+        """Notes that another instance has an endpoint's address now."""
+        self._of(endpoint, now).avoided_until = math.inf
+
     def had_no_room(self, endpoint: Endpoint, now: float) -> None:
         """Notes that an endpoint is full for a moment."""
         self._of(endpoint, now).avoided_until = now + self._cfg.busy_s
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -64,7 +64,8 @@
         customer: Its customer; None where no key is needed.
         deadline: When its final answer is due, on the router's clock.
         started_at: When its first byte was read.
-        tried: Endpoints that it was sent to.
+        tried: Endpoints that were tried, in order.
+        sends: How often any byte of it may have left this process.
         may_have_run: Whether any attempt may have run.
     """
 
@@ -76,6 +77,7 @@
     deadline: float
     started_at: float
     tried: list[str] = attrs.field(factory=list)
+    sends: int = 0
     may_have_run: bool = False
 
     def salt(self, endpoint: Endpoint) -> str:
@@ -113,6 +115,7 @@
         self._pool = pool
         self._limits = limits
         self._may_start = may_start
+        self._since = clock.now()
         self._budgets: dict[str, RepeatBudget] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
 
@@ -138,24 +141,30 @@
         )
         if endpoint is None:
             return None
-        budget = self._budget(call.service.name)
-        if not call.tried:
-            budget.request(now)
-        elif not budget.take(self.routers, now):
-            self._log_refusal(call, "repeat budget is used up")
+        if call.sends and not self._budget(call).take(self.routers, now):
+            self._log_refusal(call, "the repeat budget is used up")
             return None
         call.tried.append(endpoint.id)
         return endpoint
 
+    def note_sent(self, call: Call) -> None:
+        """Notes that a request is written to an endpoint."""
+        if not call.sends:
+            self._budget(call).request(self.clock.now())
+        call.sends += 1
+
     def may_repeat(self, call: Call) -> bool:
         """Tells whether the route allows another attempt in time."""
         left = call.deadline - self.clock.now()
-        return len(call.tried) < call.route.attempts and left > 0
+        return call.sends < call.route.attempts and left > 0
 
-    def _budget(self, service: str) -> RepeatBudget:
+    def _budget(self, call: Call) -> RepeatBudget:
+        service = call.service.name
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = RepeatBudget(self._limits)
+            budget = self._budgets[service] = RepeatBudget(
+                self._limits, self._since
+            )
         return budget
 
     async def open(
@@ -174,6 +183,7 @@
             lambda found: self.dialect.is_answer_to(found, request_id),
         )
         await exchange.open(self._check_start)
+        self.note_sent(call)
         return exchange
 
     def _check_start(self) -> None:
@@ -238,7 +248,7 @@
         reason = RetryReason.ENDPOINT_REFUSED
         if self.dialect.is_other_instance(head, endpoint.id):
             reason = RetryReason.WRONG_INCARNATION
-            self.chooser.refused(endpoint, now)
+            self.chooser.ended_for_good(endpoint, now)
         else:
             self.chooser.had_no_room(endpoint, now)
         return self.note_failure(
@@ -331,7 +341,7 @@
     A stream that goes on after a break comes first, as its caller waits in
     the middle of it.
     """
-    if len(call.tried) > 1:
+    if call.sends > 1:
         return 0
     rank = call.route.priority
     if call.customer is not None and call.customer.priority is not None:
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -81,7 +81,7 @@
     def _reason(self) -> RefusalReason:
         if left_s(self._call, self._attempts.clock) <= 0:
             return RefusalReason.DEADLINE
-        if self._call.tried:
+        if self._call.sends:
             return RefusalReason.RETRIES_EXHAUSTED
         return RefusalReason.NO_CAPACITY
 
--- a/knapweedarch/proxy_unary.py
+++ b/knapweedarch/proxy_unary.py
@@ -59,7 +59,7 @@
 def _reason(attempts: Attempts, call: Call) -> RefusalReason:
     if left_s(call, attempts.clock) <= 0:
         return RefusalReason.DEADLINE
-    if call.tried:
+    if call.sends:
         return RefusalReason.RETRIES_EXHAUSTED
     return RefusalReason.NO_CAPACITY
 
--- a/knapweedarch/repeat_budget.py
+++ b/knapweedarch/repeat_budget.py
@@ -27,14 +27,23 @@
 
 
 # Part of the bound that is used: windows of two routers never agree exactly.
-USED_PART = 0.75
+USED_PART = 0.9
 
 
 class RepeatBudget:
-    """One router's part of the bound for one service."""
+    """One router's part of the bound for one service.
 
-    def __init__(self, limits: RepeatLimits):
+    A router that has just started does not know what it spent before, so its
+    part of the allowance grows over the first window.
+
+    Args:
+        limits: The bound.
+        since: When the router started, in seconds.
+    """
+
+    def __init__(self, limits: RepeatLimits, since: float):
         self._limits = limits
+        self._since = since
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
@@ -52,7 +61,8 @@
         """
         self._expire(now)
         cfg = self._limits
-        own = cfg.allowance / max(1, routers)
+        grown = min(1.0, (now - self._since) / cfg.window_s)
+        own = grown * cfg.allowance / max(1, routers)
         bound = USED_PART * (own + cfg.ratio * len(self._requests))
         if len(self._repeats) + 1 > math.floor(bound):
             return False
