--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -54,6 +54,7 @@
     busy_s: float = 0.15
     old_weights_s: float = 0.3
     broken_off_s: float = 2.0
+    delay_weight: float = 0.1
 
 
 @attrs.define
@@ -263,8 +264,9 @@
         if prompt is not None:
             if not self.has_newest_weights(endpoint, prompt):
                 cost += cfg.broken_off_s if again else cfg.old_weights_s
-            missing = prompt.shared_tokens - self._cached(seen, prompt, salt)
-            cost += missing / cfg.prefill_tokens_s
+            missing = prompt.tokens - self._cached(seen, prompt, salt)
+            prefill_s = missing / cfg.prefill_tokens_s
+            cost += prefill_s * (1 + cfg.delay_weight * load.requests)
         return cost
 
     def _load(self, endpoint: Endpoint, seen: _Seen) -> EndpointLoad:
--- a/knapweedarch/heartbeats.py
+++ b/knapweedarch/heartbeats.py
@@ -44,7 +44,7 @@
         endpoint = heartbeat.endpoint
         known = self._heard.get(endpoint.id)
         if known is not None:
-            if _born(known.incarnation) > _born(endpoint.incarnation):
+            if born(known.incarnation) > born(endpoint.incarnation):
                 return None
             same = known.incarnation == endpoint.incarnation
             if same and heartbeat.number <= known.number:
@@ -71,6 +71,6 @@
         return heard.at
 
 
-def _born(incarnation: str) -> float:
+def born(incarnation: str) -> float:
     """Returns the start that an incarnation names, if it is a number."""
     return float(incarnation) if incarnation.isdecimal() else -math.inf
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -2,7 +2,7 @@
 
 import enum
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import anyio
 import attrs
@@ -11,6 +11,7 @@
 from knapweedarch.dialects import CallerTerms, Dialect, SendTerms
 from knapweedarch.endpoint_choice import EndpointChooser
 from knapweedarch.exceptions import ExchangeError
+from knapweedarch.heartbeats import born
 from knapweedarch.http_messages import Answer, Headers, Request
 from knapweedarch.http_outbound import AnswerHead, Exchange, OutboundPool
 from knapweedarch.logs import log
@@ -122,7 +123,7 @@
     def set_endpoints(self, endpoints: list[Endpoint]) -> None:
         """Takes over the endpoints."""
         self._by_service = {}
-        for endpoint in endpoints:
+        for endpoint in _newest_by_address(endpoints):
             if endpoint.status is EndpointStatus.ACTIVE:
                 for name in endpoint.serves:
                     self._by_service.setdefault(name, []).append(endpoint)
@@ -331,6 +332,21 @@
     return b"retry-after", f"{max(0.05, delay):.2f}".encode()
 
 
+def _newest_by_address(endpoints: Iterable[Endpoint]) -> list[Endpoint]:
+    """Drops endpoints whose address a later start has taken over.
+
+    One that crashed is known for some seconds more.
+    """
+    newest: dict[str, Endpoint] = {}
+    for endpoint in endpoints:
+        known = newest.get(endpoint.url)
+        if known is None or born(endpoint.incarnation) > born(
+            known.incarnation
+        ):
+            newest[endpoint.url] = endpoint
+    return list(newest.values())
+
+
 def _serves_model(endpoint: Endpoint, prompt: object) -> bool:
     return prompt is None or prompt.model in endpoint.serves
 
--- a/knapweedarch/store_feed.py
+++ b/knapweedarch/store_feed.py
@@ -14,7 +14,7 @@
 RETRY_S = 0.3
 # Between two calls, so that events come in groups.
 PAUSE_S = 0.1
-SAVES_S = 0.6
+SAVES_S = 1.2
 
 
 class CacheFeed(Protocol):
