Index cached parts from the feeds of runners and the store

Cause: after each load every runner read the common first parts again, though others held them: the old guess asked one runner by hash only.

--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -6,7 +6,6 @@
 """
 
 import math
-from collections import OrderedDict
 from collections.abc import Collection, Iterable, Sequence
 
 import attrs
@@ -15,8 +14,7 @@
 from knapweedarch.control_messages import EndpointLoad, LoadShare, LoadTotals
 from knapweedarch.models import Endpoint
 from knapweedarch.prompt_parts import Prompt
-
-CACHED_PARTS = 4096
+from knapweedarch.stored_parts import PartsIndex
 
 
 @attrs.frozen
@@ -70,7 +68,6 @@
     decayed_at: float = 0.0
     avoided_until: float = -math.inf
     late_s: float = 0.0
-    cached: OrderedDict[str, int] = attrs.field(factory=OrderedDict)
 
     def decay(self, now: float, half_life_s: float) -> None:
         """Lets old outcomes count less."""
@@ -88,8 +85,9 @@
 class EndpointChooser:
     """Remembers sends and outcomes, and chooses endpoints."""
 
-    def __init__(self, cfg: ChoiceConfig):
+    def __init__(self, cfg: ChoiceConfig, index: PartsIndex):
         self._cfg = cfg
+        self._index = index
         self._seen: dict[str, _Seen] = {}
         self._others: dict[str, EndpointLoad] = {}
         self._others_at = -math.inf
@@ -131,7 +129,7 @@
                 plain services.
         """
         fresh = [e for e in endpoints if e.id not in tried]
-        able = [e for e in fresh if self._of(e, now).avoided_until <= now]
+        able = [e for e in fresh if self.is_usable(e, now)]
         if not able:
             return None
         ranks = _ranks(prompt, able)
@@ -139,19 +137,17 @@
         return min(
             able,
             key=lambda e: self._cost(
-                e, prompt, salt, ranks, memory_tokens, bool(tried)
+                *(e, prompt, salt, ranks, memory_tokens),
+                *(bool(tried), now),
             ),
         )
 
-    def home(
-        self, endpoints: Sequence[Endpoint], prompt: Prompt
-    ) -> Endpoint | None:
-        """Returns the endpoint that most requests with this prompt go to."""
-        ranks = _ranks(prompt, endpoints)
-        return min(endpoints, key=lambda e: ranks[e.id], default=None)
+    def is_usable(self, endpoint: Endpoint, now: float) -> bool:
+        """Tells whether an endpoint is not avoided now."""
+        return self._of(endpoint, now).avoided_until <= now
 
     def sent(
-        self, endpoint: Endpoint, prompt: Prompt | None, salt: str, now: float
+        self, endpoint: Endpoint, prompt: Prompt | None, now: float
     ) -> None:
         """Notes that a request is on its way."""
         seen = self._of(endpoint, now)
@@ -159,12 +155,6 @@
         if prompt is not None:
             seen.unread_tokens += prompt.tokens
             seen.held_tokens += prompt.tokens + prompt.max_tokens
-            for part in prompt.parts[:-1]:
-                key = f"{salt}/{part.id}"
-                seen.cached[key] = part.tokens
-                seen.cached.move_to_end(key)
-            while len(seen.cached) > CACHED_PARTS:
-                seen.cached.popitem(last=False)
 
     def was_read(self, endpoint: Endpoint, prompt: Prompt) -> None:
         """Notes that a runner has read the prompt of a request."""
@@ -249,6 +239,7 @@
         ranks: dict[str, float],
         memory_tokens: int,
         again: bool,
+        now: float,
     ) -> float:
         cfg, seen = self._cfg, self._seen[endpoint.id]
         distance = cfg.distance_s.get(endpoint.data_centre, cfg.far_s)
@@ -264,7 +255,9 @@
         if prompt is not None:
             if not self.has_newest_weights(endpoint, prompt):
                 cost += cfg.broken_off_s if again else cfg.old_weights_s
-            missing = prompt.tokens - self._cached(seen, prompt, salt)
+            missing = prompt.tokens - self._index.of(
+                endpoint.address
+            ).prefix_tokens(prompt, salt, now)
             prefill_s = missing / cfg.prefill_tokens_s
             cost += prefill_s * (1 + cfg.delay_weight * load.requests)
         return cost
@@ -289,14 +282,6 @@
             seen.held_tokens + others.held_tokens,
         )
 
-    def _cached(self, seen: _Seen, prompt: Prompt, salt: str) -> int:
-        found = 0
-        for part in prompt.parts[:-1]:
-            if f"{salt}/{part.id}" not in seen.cached:
-                break
-            found += part.tokens
-        return found
-
 
 def _ranks(
     prompt: Prompt | None, endpoints: Sequence[Endpoint]
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -9,6 +9,7 @@
 import attrs
 
 from knapweedarch import control
+from knapweedarch.cache_feeds import CacheFeed, CacheFeeds
 from knapweedarch.deployments import CallerLimits, Deployment, RouteTable
 from knapweedarch.dialects import Dialect
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
@@ -19,14 +20,19 @@
 from knapweedarch.logs import log
 from knapweedarch.member import seed_addresses
 from knapweedarch.metrics import Metrics
-from knapweedarch.models import Endpoint, RefusalReason
+from knapweedarch.models import (
+    Endpoint,
+    EndpointKind,
+    EndpointStatus,
+    RefusalReason,
+)
 from knapweedarch.proxy_calls import Attempts, Call, retry_after
 from knapweedarch.proxy_streams import StreamRelay
 from knapweedarch.proxy_unary import serve_unary
 from knapweedarch.repeat_budget import RepeatLimits
 from knapweedarch.settings import Address
 from knapweedarch.state import EndpointEntry
-from knapweedarch.store_feed import CacheFeed, StoreFeeds
+from knapweedarch.stored_parts import PartsIndex
 from knapweedarch.timers import Clock, Timers
 
 DROP_STALE_S = 0.5
@@ -106,14 +112,16 @@
         self._keeper.on_routers = self._set_routers
         self._keeper.on_weights = self._set_weights
         self._pool = pool
+        self._index = PartsIndex()
         self._attempts = Attempts(
             clock=clock,
             metrics=metrics,
             dialect=dialect,
             pool=self._pool,
             chooser=EndpointChooser(
-                ChoiceConfig(distance_s=settings.distances_s)
+                ChoiceConfig(distance_s=settings.distances_s), self._index
             ),
+            index=self._index,
             limits=settings.repeats,
             may_start=self._may_start,
         )
@@ -132,8 +140,7 @@
             self._pool,
         ):
             self._group = group
-            self._stores = StoreFeeds(self._feed, group)
-            self._attempts.stores = self._stores.parts()
+            self._feeds = CacheFeeds(self._feed, self._index, group)
             group.start_soon(self._timers.run)
             group.start_soon(self._keeper.run)
             await group.start(self._server.serve, listen.host, listen.port)
@@ -181,10 +188,23 @@
                 revision=entry.revision,
             )
         self._attempts.set_endpoints(list(self._endpoints.values()))
+        self._follow_feeds()
+
+    def _follow_feeds(self) -> None:
+        """Follows the stores and every runner that may serve."""
+        runners = [
+            e.address
+            for e in self._endpoints.values()
+            if e.kind is EndpointKind.RUNNER
+            and e.status in (EndpointStatus.ACTIVE, EndpointStatus.LOADING)
+        ]
+        stores = self._table.deployment.stores if self._table else ()
+        self._feeds.set_sources([*runners, *(s.address for s in stores)])
 
     def _set_deployment(self, deployment: Deployment) -> None:
         self._table = RouteTable(deployment)
-        self._stores.set_stores(deployment.stores)
+        self._attempts.set_stores(deployment.stores)
+        self._follow_feeds()
         log("deployment_applied", version=deployment.version)
 
     def _tell_loads(self, now: float) -> None:
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -2,12 +2,12 @@
 
 import enum
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 import anyio
 import attrs
 
-from knapweedarch.deployments import Customer, Route, Service
+from knapweedarch.deployments import CacheStore, Customer, Route, Service
 from knapweedarch.dialects import CallerTerms, Dialect, SendTerms
 from knapweedarch.endpoint_choice import EndpointChooser
 from knapweedarch.exceptions import ExchangeError
@@ -23,12 +23,14 @@
     RetryReason,
 )
 from knapweedarch.repeat_budget import RepeatBudget, RepeatLimits
-from knapweedarch.stored_parts import StoredParts
+from knapweedarch.stored_parts import PartsIndex, SaveLimit
 from knapweedarch.timers import Clock
 
 # A caller that is told to come back does so within this part of its time.
 COME_BACK_PART = 1 / 3
 RETRY_AFTER_S = 0.4
+# Saves of one router in a second; its link is shared by all fetches.
+SAVES_S = 1.2
 # From the start of a router to its first lease, when all start together.
 LEASE_RETRY_AFTER_S = 1.3
 
@@ -104,6 +106,7 @@
         dialect: Dialect,
         pool: OutboundPool,
         chooser: EndpointChooser,
+        index: PartsIndex,
         limits: RepeatLimits,
         may_start: Callable[[], RefusalReason | None],
     ):
@@ -112,7 +115,8 @@
         self.dialect = dialect
         self.chooser = chooser
         self.routers = 1
-        self.stores: Mapping[str, StoredParts] = {}
+        self.index = index
+        self._saves: dict[str, SaveLimit] = {}
         self._pool = pool
         self._limits = limits
         self._may_start = may_start
@@ -129,6 +133,13 @@
                     self._by_service.setdefault(name, []).append(endpoint)
         self.chooser.forget(e.id for e in endpoints)
 
+    def set_stores(self, stores: Iterable[CacheStore]) -> None:
+        """Takes over the stores of KV cache."""
+        self._saves = {
+            store.address: self._saves.get(store.address, SaveLimit(SAVES_S))
+            for store in stores
+        }
+
     def choose(self, call: Call) -> Endpoint | None:
         """Chooses the next endpoint and counts the send."""
         now = self.clock.now()
@@ -176,7 +187,8 @@
         Raises:
             ExchangeError: Nothing was sent.
         """
-        headers = self._endpoint_headers(call, endpoint, last_event_id)
+        terms = self._send_terms(call, endpoint, last_event_id)
+        headers = self.dialect.endpoint_headers(call.req, terms)
         request_id = call.terms.request_id
         exchange = self._pool.exchange(
             endpoint.address,
@@ -185,6 +197,17 @@
         )
         await exchange.open(self._check_start)
         self.note_sent(call)
+        log(
+            "request_sent",
+            request=request_id,
+            endpoint=endpoint.id,
+            weights=endpoint.weights_version,
+            sends=call.sends,
+            fetch=terms.fetch_from,
+            save=terms.save_to,
+            resume=last_event_id,
+            left_ms=round(terms.limit_s * 1000),
+        )
         return exchange
 
     def _check_start(self) -> None:
@@ -193,9 +216,9 @@
                 RetryReason.CONNECT_REFUSED, reason.value, written=False
             )
 
-    def _endpoint_headers(
+    def _send_terms(
         self, call: Call, endpoint: Endpoint, last_event_id: str
-    ) -> Headers:
+    ) -> SendTerms:
         terms = SendTerms(
             instance_id=endpoint.id,
             limit_s=max(0.001, call.deadline - self.clock.now()),
@@ -209,37 +232,44 @@
                 cache_salt=call.salt(endpoint),
                 urgency=_urgency(call),
             )
-        return self.dialect.endpoint_headers(call.req, terms)
+        return terms
 
     def _with_transfers(
         self, call: Call, endpoint: Endpoint, terms: SendTerms
     ) -> SendTerms:
         """Adds where cached parts come from, and where they are saved."""
-        prompt, salt = call.terms.prompt, call.salt(endpoint)
-        for address, parts in self.stores.items():
-            if parts.holds(prompt, salt):
-                return attrs.evolve(terms, fetch_from=address)
-        holder = self._holder(call, endpoint)
-        newest = self.chooser.has_newest_weights(endpoint, prompt)
-        for address, parts in self.stores.items():
-            if newest and parts.should_save(prompt, salt, self.clock.now()):
-                return attrs.evolve(terms, fetch_from=holder, save_to=address)
-        return attrs.evolve(terms, fetch_from=holder)
-
-    def _holder(self, call: Call, endpoint: Endpoint) -> str:
-        """Address of the runner that is likely to hold the shared parts.
-
-        Asking one that holds nothing costs a millisecond.
-        """
+        prompt, salt, now = call.terms.prompt, call.salt(endpoint), self.now()
+        held = self.index.of(endpoint.address)
+        source = self.index.best_source(
+            self._sources(call, endpoint),
+            *(prompt, salt, held.prefix_tokens(prompt, salt, now), now),
+        )
+        held.assume(prompt, salt, now)
+        save_to = ""
+        if self.chooser.has_newest_weights(endpoint, prompt):
+            for address, limit in self._saves.items():
+                stored = self.index.of(address)
+                known = stored.prefix_tokens(prompt, salt, now)
+                missing = known < prompt.shared_tokens
+                if missing and limit.allow(prompt, salt, now):
+                    save_to = address
+        return attrs.evolve(terms, fetch_from=source, save_to=save_to)
+
+    def _sources(self, call: Call, endpoint: Endpoint) -> list[str]:
+        """Other runners with the same weights, near ones first; stores."""
         alike = [
             e
             for e in self._by_service.get(call.service.name, ())
             if e.weights_version == endpoint.weights_version
+            and e.id != endpoint.id
+            and self.chooser.is_usable(e, self.now())
         ]
-        home = self.chooser.home(alike, call.terms.prompt)
-        if home is None or home.id == endpoint.id:
-            return ""
-        return home.address
+        alike.sort(key=lambda e: e.data_centre != endpoint.data_centre)
+        return [*(e.address for e in alike), *self._saves]
+
+    def now(self) -> float:
+        """Returns the time in seconds on the router's clock."""
+        return self.clock.now()
 
     def not_run(
         self, call: Call, endpoint: Endpoint, head: AnswerHead
@@ -403,9 +433,7 @@
     async def __aenter__(self) -> "AttemptScope":
         call, endpoint = self._call, self._endpoint
         now = self._attempts.clock.now()
-        self._attempts.chooser.sent(
-            endpoint, call.terms.prompt, call.salt(endpoint), now
-        )
+        self._attempts.chooser.sent(endpoint, call.terms.prompt, now)
         return self
 
     async def __aexit__(self, *exc_info) -> None:
--- a/knapweedarch/stored_parts.py
+++ b/knapweedarch/stored_parts.py
@@ -1,34 +1,47 @@
-"""What a store of KV cache holds, from its events.
+"""Which parts of prompts stores and runners hold, from their events.
 
-A save copies a whole prompt over the store's link, so a prompt is saved only
-if its shared parts are not there yet, and only so many a second.
+Events are late, a few are lost, and only some routers may follow a source at
+once. A part that this router has sent itself therefore counts as held for a
+moment, and a fetch from a source that holds nothing costs a millisecond.
 """
 
+from collections.abc import Iterable
+
 import attrs
 
 from knapweedarch.prompt_parts import Prompt
 
-# Shared tokens below which reading again is cheaper than a transfer.
-MIN_SHARED_TOKENS = 1_000
+# Own sends count as held until their events must have come.
+ASSUMED_S = 2.0
+# Shared tokens below which a transfer takes longer than reading them.
+MIN_FETCH_TOKENS = 150
+# Shared tokens below which a prompt is not worth saving in a store.
+MIN_SAVE_TOKENS = 1_000
 # Own tokens above which a prompt is not worth its transfer to the store.
 MAX_OWN_TOKENS = 4_000
 # A save is seen in the events only after the prompt has been read.
 SAVE_SHOWS_S = 2.0
 
 
+@attrs.frozen
+class PartKey:
+    """A cached part: the text that it is found under, and its id."""
+
+    salt: str
+    part: str
+
+
 @attrs.frozen
 class PartChange:
-    """A part that a store or runner has taken in or dropped.
+    """A part that a source has taken in or dropped.
 
     Attributes:
         stored: Whether it is there now.
-        salt: Text under which it is found.
-        part: Its id.
+        key: The part.
     """
 
     stored: bool
-    salt: str
-    part: str
+    key: PartKey
 
 
 @attrs.frozen
@@ -48,19 +61,17 @@
     changes: tuple[PartChange, ...]
 
 
-class StoredParts:
-    """Parts in one store, as far as its events tell.
+class HeldParts:
+    """Parts in one store or runner.
 
-    Args:
-        saves_s: Saves that this router may ask for in a second.
+    Attributes:
+        next_number: Number of the next event to ask for.
     """
 
-    def __init__(self, saves_s: float):
-        self._saves_s = saves_s
+    def __init__(self) -> None:
         self._epoch: int | None = None
-        self._parts: set[tuple[str, str]] = set()
-        self._asked: dict[tuple[str, str], float] = {}
-        self._save_at = 0.0
+        self._parts: set[PartKey] = set()
+        self._assumed: dict[PartKey, float] = {}
         self.next_number = 0
 
     def take(self, found: CacheChanges) -> None:
@@ -68,39 +79,110 @@
         if found.epoch != self._epoch:
             self._epoch = found.epoch
             self._parts.clear()
+            self._assumed.clear()
         self.next_number = found.next_number
         for change in found.changes:
-            key = (change.salt, change.part)
             if change.stored:
-                self._parts.add(key)
+                self._parts.add(change.key)
             else:
-                self._parts.discard(key)
+                self._parts.discard(change.key)
+                self._assumed.pop(change.key, None)
 
     def clear(self) -> None:
-        """Forgets everything, as the store does not answer."""
+        """Forgets everything, as the source does not answer."""
         self._epoch = None
         self._parts.clear()
+        self._assumed.clear()
         self.next_number = 0
 
-    def holds(self, prompt: Prompt, salt: str) -> bool:
-        """Tells whether all shared parts of a prompt are worth fetching."""
-        if prompt.shared_tokens < MIN_SHARED_TOKENS:
-            return False
-        return all((salt, part.id) in self._parts for part in prompt.parts[:-1])
+    def assume(self, prompt: Prompt, salt: str, now: float) -> None:
+        """Notes that the shared parts of a prompt will be held soon."""
+        self._assumed = {
+            key: at for key, at in self._assumed.items() if at + ASSUMED_S > now
+        }
+        for part in prompt.parts[:-1]:
+            self._assumed[PartKey(salt, part.id)] = now
+
+    def prefix_tokens(self, prompt: Prompt, salt: str, now: float) -> int:
+        """Counts the tokens of the leading shared parts that are held."""
+        found = 0
+        for part in prompt.parts[:-1]:
+            key = PartKey(salt, part.id)
+            assumed_at = self._assumed.get(key, now - ASSUMED_S)
+            if key not in self._parts and assumed_at + ASSUMED_S <= now:
+                break
+            found += part.tokens
+        return found
+
+
+class PartsIndex:
+    """What all sources hold, by address."""
+
+    def __init__(self) -> None:
+        self._held: dict[str, HeldParts] = {}
+
+    def of(self, address: str) -> HeldParts:
+        """Returns what one source holds."""
+        held = self._held.get(address)
+        if held is None:
+            held = self._held[address] = HeldParts()
+        return held
+
+    def forget(self, address: str) -> None:
+        """Forgets a source that is gone."""
+        self._held.pop(address, None)
+
+    def best_source(
+        self,
+        addresses: Iterable[str],
+        prompt: Prompt,
+        salt: str,
+        held_tokens: int,
+        now: float,
+    ) -> str:
+        """Returns the address that saves most reading; empty if none does.
+
+        Args:
+            addresses: Sources, the preferred ones first.
+            prompt: The prompt.
+            salt: Text that its parts are found under.
+            held_tokens: Leading tokens that its runner holds itself.
+            now: Seconds on the router's clock.
+        """
+        best, best_tokens = "", held_tokens + MIN_FETCH_TOKENS - 1
+        for address in addresses:
+            tokens = self.of(address).prefix_tokens(prompt, salt, now)
+            if tokens > best_tokens:
+                best, best_tokens = address, tokens
+        return best
+
+
+class SaveLimit:
+    """Decides which prompts a store is to take.
+
+    A save copies a whole prompt over the store's link, so only those are
+    saved whose shared parts are missing, and only so many a second.
 
-    def should_save(self, prompt: Prompt, salt: str, now: float) -> bool:
-        """Tells whether a prompt should be saved, and counts the save."""
-        if prompt.shared_tokens < MIN_SHARED_TOKENS:
-            return False
+    Args:
+        saves_s: Saves that this router may ask for in a second.
+    """
+
+    def __init__(self, saves_s: float):
+        self._saves_s = saves_s
+        self._asked: dict[PartKey, float] = {}
+        self._save_at = 0.0
+
+    def allow(self, prompt: Prompt, salt: str, now: float) -> bool:
+        """Tells whether a prompt may be saved now, and counts the save."""
         own = prompt.tokens - prompt.shared_tokens
-        if own > MAX_OWN_TOKENS or now < self._save_at:
-            return False
-        key = (salt, prompt.home)
-        if self._asked.get(key, -SAVE_SHOWS_S) + SAVE_SHOWS_S > now:
+        if prompt.shared_tokens < MIN_SAVE_TOKENS or own > MAX_OWN_TOKENS:
             return False
+        key = PartKey(salt, prompt.home)
         self._asked = {
             k: at for k, at in self._asked.items() if at + SAVE_SHOWS_S > now
         }
+        if key in self._asked or now < self._save_at:
+            return False
         self._asked[key] = now
         self._save_at = max(self._save_at, now - 1.0) + 1.0 / self._saves_s
         return True
