--- /dev/null
+++ b/features/adapter.feature
@@ -0,0 +1,75 @@
+Feature: The platform's messages
+
+  Scenario: A configuration is decoded once, into the project's types
+    Guards against names of the wire that stand for something else.
+    Given the platform's example configuration
+    Then route "r-27eya6u" splits 90 to 10 and times out after 6 s
+    And route "r-6sz9frg" may be resumed and sends all to "huvo11a"
+    And the store holds 600829 tokens in "sapporo-b"
+    And customer "sese880" holds 2 keys and is isolated
+    And a configuration with unknown fields reads the same
+
+  Scenario Outline: An invalid configuration is refused
+    Guards against a rule in force that nobody can keep.
+    Given the platform's example configuration
+    When <fault>
+    Then the configuration is refused
+
+    Examples:
+      | fault                                |
+      | its last 40 bytes are missing        |
+      | a route names an unknown service     |
+      | two routes have one host and prefix  |
+      | the weights of a route add up to 0   |
+      | a timeout is 0                       |
+      | two customers share a key            |
+      | the version is a text                |
+      | the routes are missing               |
+      | a weight is negative                 |
+      | a prefix has no slash at its end     |
+      | the body is a list                   |
+
+  Scenario Outline: A heartbeat that cannot be read names no endpoint
+    Guards against requests to an endpoint that another writer made up.
+    Given the platform's example heartbeat
+    When its <field> is <value>
+    Then the heartbeat is refused
+
+    Examples:
+      | field       | value      |
+      | state       | "asleep"   |
+      | state       | ["ready"]  |
+      | service     | 7          |
+      | address     | "nowhere"  |
+      | callSeq     | "4"        |
+      | concurrency | -1         |
+      | models      | "all"      |
+      | born        | 1.5        |
+
+  Scenario: A heartbeat is decoded into an endpoint
+    Guards against an incarnation that is not told apart from the one before.
+    Given the platform's example heartbeat
+    When its born is 1700000000123
+    Then the endpoint has incarnation "1700000000123" and weights "1"
+    And the endpoint serves "huvo11a" and "daka510000"
+
+  Scenario Outline: Cache events that cannot be read are refused
+    Guards against an index that a malformed event fills.
+    When cache events with the row <row> arrive
+    Then the cache events are refused
+
+    Examples:
+      | row                                |
+      | [1, "*", "s", "p", 5, "m"]         |
+      | [1, "+", 7, "p", 5, "m"]           |
+      | {"number": 1}                      |
+      | ["1", "+", "s", "p", 5, "m"]       |
+
+  Scenario: The settings file is checked and unknown fields are ignored
+    Guards against a process that starts with half of its settings.
+    Given the platform's settings of a core machine
+    Then the member has 3 seeds, 5 voters and a lease of 3.5 s
+    And a settings file without "portRange" is refused
+    And a settings file with "portRange" set to "many" is refused
+    And a settings file with "seedNodes" set to "nowhere" is refused
+    And a settings file with "faultBudget.machines" set to "two" is refused
--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,12 @@
 """Ends what a scenario left running."""
 
 import logging
+import pathlib
+import sys
+
+# The adapter's package lies in a folder that is no package itself.
+ADAPTER = pathlib.Path(__file__).resolve().parent.parent / "platform"
+sys.path.insert(0, str(ADAPTER))
 
 
 def before_all(context):
--- /dev/null
+++ b/features/proxy.feature
@@ -0,0 +1,112 @@
+Feature: Proxied requests
+
+  Scenario Outline: A call that may run once is sent once
+    Guards against a second run of a booking, and against a promise that it
+    has not run when nobody knows.
+    Given a proxied runner that <does>
+    And a proxied runner that answers
+    When a caller sends a request that may run once
+    Then the caller gets status <status>
+    And runner 2 has seen <others> requests
+
+    Examples:
+      | does                         | status | others |
+      | answers                      | 200    | 0      |
+      | answers twice                | 200    | 0      |
+      | answers another request first | 200   | 0      |
+      | answers without a length     | 200    | 0      |
+      | breaks off                   | 502    | 0      |
+      | sends garbage                | 502    | 0      |
+      | fails                        | 500    | 0      |
+      | is full                      | 503    | 0      |
+      | is another instance          | 503    | 0      |
+      | refuses connections          | 200    | 1      |
+      | is silent                    | 504    | 0      |
+
+  Scenario Outline: A call that may be repeated is repeated at another runner
+    Guards against a failure that a second runner could have hidden.
+    Given a proxied runner that <does>
+    And a proxied runner that answers
+    When a caller sends a request that may run many times
+    Then the caller gets status 200
+    And the body is the runner's
+
+    Examples:
+      | does                |
+      | breaks off          |
+      | sends garbage       |
+      | fails               |
+      | is full             |
+      | is another instance |
+      | refuses connections |
+      | is silent           |
+
+  Scenario: A refusal tells when to come back
+    Guards against callers that return at once, all together.
+    Given a proxied runner that is full
+    When a caller sends a request that may run once
+    Then the caller gets status 503
+    And the answer names a time to come back within a third of 2 s
+
+  Scenario: A stream that breaks off within an event goes on elsewhere
+    Guards against a piece that is missing, comes twice or is joined of two.
+    Given a proxied runner that breaks off within event 3
+    And a proxied runner that streams
+    When a caller sends a request that may be resumed
+    Then the caller gets status 200
+    And the relayed stream is whole
+    And runner 2 was asked to go on after event 2
+
+  Scenario: A stream that may not be resumed does not look complete
+    Guards against a truncated answer that a caller takes for whole.
+    Given a proxied runner that breaks off within event 3
+    And a proxied runner that streams
+    When a caller sends a request that streams
+    Then the caller gets status 200
+    And the relayed stream has no end
+    And runner 2 has seen 0 requests
+
+  Scenario: A caller that leaves frees its runner
+    Guards against runners that work on for nobody.
+    Given a proxied runner that is silent
+    When a caller sends a request that may run once and leaves
+    Then runner 1 loses its connection
+
+  Scenario: Headers of the system are its own
+    Guards against callers that choose a customer, a cache or a reservation.
+    Given a proxied runner that answers
+    When a caller sends headers that only the system may set
+    Then the runner got the customer "huts" and the instance "i-0"
+    And the runner got none of the caller's values
+    And the runner got no key
+    And the runner was given less than 2000 ms
+
+  Scenario Outline: A request that can be read in two ways is refused
+    Guards against a second request that is smuggled inside the first.
+    Given a proxied runner that answers
+    When a caller sends a request with <fault>
+    Then the caller gets status <status>
+    And runner 1 has seen 0 requests
+
+    Examples:
+      | fault                      | status |
+      | a length and chunks        | 400    |
+      | two lengths                | 400    |
+      | a space before a colon     | 400    |
+      | a head of 20000 bytes      | 431    |
+      | a length of 5000000 bytes  | 413    |
+      | an unknown key             | 401    |
+      | an unknown path            | 404    |
+
+  Scenario: Requests in any split are passed on unchanged
+    Guards against bytes that a boundary between reads loses or repeats.
+    Given a proxied runner that answers
+    When a caller sends 20 requests in seeded splits and framings
+    Then each of them is answered and reached the runner unchanged
+
+  Scenario: A connection that the runner closed is not used again
+    Guards against a call that is lost on a dead connection.
+    Given a proxied runner that answers twice
+    When a caller sends 2 requests one after the other
+    Then both are answered by the runner's own answers
+    And runner 1 accepted 2 connections
--- /dev/null
+++ b/features/proxy_harness.py
@@ -0,0 +1,346 @@
+"""A proxy's gateway with scripted runners on loopback, in one event loop."""
+
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+import anyio
+import anyio.abc
+import attrs
+
+from adapter.headers import PlatformDialect
+from knapweedarch.deployments import (
+    Customer,
+    Deployment,
+    Repeatability,
+    Route,
+    Service,
+    SplitShare,
+)
+from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
+from knapweedarch.http_inbound import InboundServer
+from knapweedarch.http_outbound import OutboundPool
+from knapweedarch.metrics import create_metrics
+from knapweedarch.models import Endpoint, EndpointKind
+from knapweedarch.proxy_calls import Attempts
+from knapweedarch.proxy_gateway import ProxyGateway
+from knapweedarch.repeat_budget import RepeatLimits
+from knapweedarch.stored_parts import PartsIndex
+from knapweedarch.timers import Clock
+
+HOST = "shop.example"
+KEY = "key-1"
+# Longest time of one scenario; a hang then fails instead of blocking the run.
+SCENARIO_S = 15.0
+# Offset into the past that makes a router's repeat budget full at once.
+LONG_AGO_S = 100.0
+
+BODY = b'{"seats":2}'
+EVENTS = tuple(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
+
+
+@attrs.define
+class Seen:
+    """A request as a scripted runner got it.
+
+    Attributes:
+        head: Request line and headers.
+        body: Body bytes that arrived.
+    """
+
+    head: str
+    body: bytes
+
+    def header(self, name: str) -> str:
+        """Returns a header, or nothing."""
+        for line in self.head.split("\r\n")[1:]:
+            key, _, value = line.partition(":")
+            if key.lower() == name.lower():
+                return value.strip()
+        return ""
+
+
+@attrs.define
+class ScriptedRunner:
+    """Answers as its mode tells; see `_answer`.
+
+    Attributes:
+        mode: How it answers.
+        id: Instance id that it was started under.
+        seen: Requests that it read.
+        connections: Connections accepted.
+        dropped: Connections that the proxy closed.
+    """
+
+    mode: str
+    id: str
+    seen: list[Seen] = attrs.field(factory=list)
+    connections: int = 0
+    dropped: int = 0
+    port: int = 0
+    changed: anyio.Event = attrs.field(factory=anyio.Event)
+
+    async def handle(self, stream: anyio.abc.SocketStream) -> None:
+        """Serves one connection."""
+        self.connections += 1
+        with contextlib.suppress(
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            async with stream:
+                while True:
+                    seen = await _read_request(stream)
+                    self.seen.append(seen)
+                    self.note()
+                    await self._answer(stream, seen)
+        self.dropped += 1
+        self.note()
+
+    def note(self) -> None:
+        """Wakes those that wait for a change."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def wait(self, probe: Callable[[], bool]) -> None:
+        """Waits until `probe()` is true."""
+        while not probe():
+            await self.changed.wait()
+
+    async def _answer(self, stream, seen: Seen) -> None:
+        own = seen.header("X-Knapweedarch-Request-Id")
+        match self.mode:
+            case "answers":
+                await stream.send(_response(own, BODY))
+            case "answers twice":
+                stray = _response("earlier", b"stray")
+                await stream.send(_response(own, BODY) + stray)
+            case "answers another request first":
+                await stream.send(_response("earlier", b"stray"))
+                await stream.send(_response(own, BODY))
+            case "answers without a length":
+                head = "HTTP/1.1 200 OK\r\nX-Knapweedarch-Response-Stamp: s\r\n"
+                await stream.send(f"{head}\r\n".encode() + BODY)
+                await stream.aclose()
+            case "breaks off":
+                await stream.send(_response(own, BODY)[:-3])
+                await stream.aclose()
+            case "sends garbage":
+                await stream.send(b"\x00\xff not an answer\r\n\r\n")
+                await stream.aclose()
+            case "fails":
+                await stream.send(_response(own, b"oops", "500 Error"))
+            case "is full":
+                note = "X-Knapweedarch-Not-Executed: 1\r\n"
+                await stream.send(_response(own, b"", "503 Full", note))
+            case "is another instance":
+                note = "X-Knapweedarch-Served-By: other\r\n"
+                await stream.send(_response(own, b"", "421 Other", note))
+            case "is silent":
+                await stream.receive()
+            case "streams":
+                await _stream(stream, seen, len(EVENTS))
+            case "breaks off within event 3":
+                await _stream(stream, seen, 2, b"id: 3\ndata: pie")
+                await stream.aclose()
+
+
+async def _stream(stream, seen: Seen, until: int, rest: bytes = b"") -> None:
+    first = int(seen.header("Last-Event-Id") or 0)
+    own = seen.header("X-Knapweedarch-Request-Id")
+    head = (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Knapweedarch-Request-Id: {own}\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    )
+    await stream.send(head.encode())
+    for event in (*EVENTS[first:until], rest):
+        if event:
+            await stream.send(b"%x\r\n%b\r\n" % (len(event), event))
+    if not rest:
+        await stream.send(b"0\r\n\r\n")
+
+
+def _response(
+    request_id: str, body: bytes, status: str = "200 OK", extra: str = ""
+) -> bytes:
+    head = (
+        f"HTTP/1.1 {status}\r\nX-Knapweedarch-Request-Id: {request_id}\r\n"
+        f"X-Knapweedarch-Response-Stamp: stamp\r\n{extra}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+async def _read_request(stream) -> Seen:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += await stream.receive()
+    head, _, body = data.partition(b"\r\n\r\n")
+    seen = Seen(head.decode("latin1"), b"")
+    while len(body) < int(seen.header("Content-Length") or 0):
+        body += await stream.receive()
+    seen.body = body
+    return seen
+
+
+@attrs.define
+class RawAnswer:
+    """What a caller's socket brought until it was closed or idle."""
+
+    data: bytes
+
+    @property
+    def status(self) -> int:
+        """Status of the first answer; 0 if there is none."""
+        line = self.data.split(b"\r\n", 1)[0].split(b" ")
+        return int(line[1]) if len(line) > 1 else 0
+
+    @property
+    def head(self) -> str:
+        """Head of the first answer."""
+        return self.data.partition(b"\r\n\r\n")[0].decode("latin1")
+
+    @property
+    def body(self) -> bytes:
+        """All bytes after the first head."""
+        return self.data.partition(b"\r\n\r\n")[2]
+
+
+def request(kind: str = "once", extra: str = "", body: bytes = b"") -> bytes:
+    """Builds a caller's request to the route of a kind."""
+    head = (
+        f"POST /{kind}/x HTTP/1.1\r\nHost: {HOST}\r\n"
+        "X-Knapweedarch-Request-Id: r1\r\n"
+        f"Authorization: Token {KEY}\r\nX-Knapweedarch-Deadline-Ms: 2000\r\n"
+        f"{extra}Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def _route(name: str, kind: Repeatability, **options) -> Route:
+    return Route(
+        name=name,
+        host=HOST,
+        path_prefix=f"/{name}/",
+        repeatability=kind,
+        timeout_s=2.0,
+        goal_s=0.1,
+        priority=0,
+        split=(SplitShare("desk", 1.0),),
+        **options,
+    )
+
+
+def deployment() -> Deployment:
+    """Builds a configuration with one route of each kind."""
+    return Deployment(
+        version=1,
+        routes=(
+            _route("once", Repeatability.ONCE),
+            _route("many", Repeatability.IDEMPOTENT, attempts=2),
+            _route("stream", Repeatability.STREAM),
+            _route(
+                "resume",
+                Repeatability.STREAM,
+                attempts=2,
+                resumable=True,
+                event_gap_s=0.1,
+            ),
+        ),
+        services=(Service("desk"),),
+        customers=(Customer("huts", (KEY,)),),
+    )
+
+
+class ProxySite:
+    """A gateway, its runners and a raw caller."""
+
+    def __init__(self, group: anyio.abc.TaskGroup, pool: OutboundPool):
+        clock = Clock()
+        self.group = group
+        self.runners: list[ScriptedRunner] = []
+        self.metrics = create_metrics(None, 0, "test")
+        self.attempts = Attempts(
+            clock=clock,
+            metrics=self.metrics,
+            dialect=PlatformDialect(),
+            pool=pool,
+            chooser=EndpointChooser(ChoiceConfig(), PartsIndex()),
+            index=PartsIndex(),
+            limits=RepeatLimits(1.0, 100.0, 10.0),
+            may_start=lambda: None,
+            since=clock.now() - LONG_AGO_S,
+        )
+        self.gateway = ProxyGateway(
+            *(PlatformDialect(), self.attempts, clock, self.metrics),
+            may_start=lambda: None,
+        )
+        self.gateway.set_deployment(deployment())
+        self.server = InboundServer(
+            self.gateway.handle, clock, lambda: self.gateway.limits
+        )
+        self.port = 0
+
+    async def add_runner(self, mode: str) -> ScriptedRunner:
+        """Starts a runner; it is an active endpoint of the one service."""
+        runner = ScriptedRunner(mode, f"i-{len(self.runners)}")
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        runner.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        if mode == "refuses connections":
+            await listener.aclose()
+        else:
+            self.group.start_soon(listener.serve, runner.handle)
+        self.runners.append(runner)
+        self.attempts.set_endpoints(
+            [
+                Endpoint(
+                    *(r.id, "1", f"http://127.0.0.1:{r.port}"),
+                    *(EndpointKind.SERVICE, ("desk",)),
+                    # The first runner is chosen first.
+                    slots=1000 if r is self.runners[0] else 1,
+                    data_centre="near" if r is self.runners[0] else "far",
+                )
+                for r in self.runners
+            ]
+        )
+        return runner
+
+    async def send(
+        self, data: bytes, idle_s: float = 0.4, parts: int = 1
+    ) -> RawAnswer:
+        """Sends raw bytes; returns all that comes until a pause."""
+        stream = await anyio.connect_tcp("127.0.0.1", self.port)
+        async with stream:
+            size = -(-len(data) // parts)
+            for start in range(0, len(data), size):
+                await stream.send(data[start : start + size])
+                if parts > 1:
+                    await anyio.sleep(0.002)
+            return RawAnswer(await _receive_all(stream, idle_s))
+
+
+async def _receive_all(stream, idle_s: float) -> bytes:
+    found = b""
+    limit_s = SCENARIO_S
+    with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+        while True:
+            with anyio.move_on_after(limit_s) as scope:
+                found += await stream.receive()
+            if scope.cancelled_caught:
+                break
+            limit_s = idle_s
+    return found
+
+
+@contextlib.asynccontextmanager
+async def open_proxy() -> AsyncIterator[ProxySite]:
+    """Opens a gateway on loopback for one scenario."""
+    with anyio.fail_after(SCENARIO_S):
+        async with (
+            OutboundPool(Clock()) as pool,
+            anyio.create_task_group() as group,
+        ):
+            site = ProxySite(group, pool)
+            site.port = await group.start(site.server.serve, "127.0.0.1", 0)
+            yield site
+            group.cancel_scope.cancel()
--- /dev/null
+++ b/features/steps/adapter_steps.py
@@ -0,0 +1,330 @@
+"""Steps for the platform's messages, in the form of its own examples."""
+
+import copy
+import json
+
+from behave import given, then, when
+
+from adapter.documents import (
+    read_cache_changes,
+    read_deployment,
+    read_heartbeat,
+)
+from adapter.settings import Node, member_settings
+from knapweedarch.exceptions import DeploymentError, SettingsError
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-27eya6u",
+            "host": "jepu9.example",
+            "pathPrefix": "/lepu270/",
+            "routeType": "streaming",
+            "timeoutMs": 6000,
+            "goalMs": 1000,
+            "priority": 1,
+            "trafficSplit": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "kafi81c", "weight": 10},
+            ],
+            "attempts": 1,
+            "public": False,
+            "sessionAffinity": True,
+            "resumable": False,
+            "gapTargetMs": 400,
+        },
+        {
+            "name": "r-6sz9frg",
+            "host": "hulo84.example",
+            "pathPrefix": "/xapu221/ny95/",
+            "routeType": "streaming",
+            "timeoutMs": 15000,
+            "goalMs": 600,
+            "priority": 0,
+            "service": "huvo11a",
+            "attempts": 2,
+            "public": False,
+            "sessionAffinity": True,
+            "resumable": True,
+            "gapTargetMs": 400,
+        },
+    ],
+    "services": [
+        {
+            "name": "huvo11a",
+            "healthPath": "/health",
+            "maxConns": 310,
+            "protocol": "h1",
+            "tls": False,
+            "backendEngine": {
+                "concurrency": 48,
+                "kvCapacity": 75060,
+                "kvTokenBytes": 131072,
+                "linkMbps": 280000.0,
+                "maxInflight": 12,
+                "models": [{"name": "daka510000"}],
+            },
+        },
+        {"name": "kafi81c", "healthPath": "/health", "maxConns": 110},
+        {
+            "name": "wuno96b",
+            "kvStoreAddr": "172.20.0.2:8781",
+            "zone": "sapporo-b",
+            "kvCapacity": 600829,
+            "linkMbps": 170000.0,
+            "maxInflight": 12,
+        },
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [
+        {
+            "name": "sese880",
+            "apiKeys": ["ctnfzs989anu6wsjnban", "fqasnmgkcuyj8pjbvk9m"],
+            "priority": 1,
+            "isolated": True,
+        }
+    ],
+}
+HEARTBEAT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "sapporo-b",
+    "version": "v1",
+    "concurrency": 48,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "stage": "unified",
+    "models": [{"name": "daka510000", "version": 1, "adapters": []}],
+    "callSeq": 4,
+}
+SETTINGS = {
+    "nodeName": "core-dinsho-1",
+    "bindIp": "10.1.0.33",
+    "zone": "dinsho",
+    "zones.dinsho": "bale-highlands",
+    "endpoints.control": "10.1.0.33:8783",
+    "portRange": "7340,7355",
+    "seedNodes": "10.1.0.33:8783,10.2.0.25:8783,10.3.0.15:8783",
+    "bootstrap": "true",
+    "dataDir": "/data/my-core",
+    "faultBudget.machines": "2",
+    "bounds.revokeMs": "5000",
+    "bounds.leaseMs": "3000",
+    "some.newField": "7",
+}
+
+
+def encode(document: object) -> bytes:
+    return json.dumps(document).encode()
+
+
+def refused(read, *arguments) -> bool:
+    """Tells whether a decoder refuses a body with its own error."""
+    try:
+        read(*arguments)
+    except DeploymentError as exc:
+        return bool(exc.faults)
+    return False
+
+
+@given("the platform's example configuration")
+def example_configuration(context):
+    context.document = copy.deepcopy(CONFIGURATION)
+    context.body = encode(context.document)
+    context.deployment = read_deployment(context.body)
+
+
+def find(things, name):
+    return next(thing for thing in things if thing.name == name)
+
+
+@then(
+    'route "{name}" splits {one:d} to {other:d} and times out after {limit:d} s'
+)
+def route_splits(context, name, one, other, limit):
+    route = find(context.deployment.routes, name)
+    assert [s.weight for s in route.split] == [one, other]
+    assert route.timeout_s == limit and not route.repeatable
+
+
+@then('route "{name}" may be resumed and sends all to "{service}"')
+def route_resumes(context, name, service):
+    route = find(context.deployment.routes, name)
+    assert route.resumable and route.repeatable and route.streams
+    assert [s.service for s in route.split] == [service]
+
+
+@then('the store holds {tokens:d} tokens in "{zone}"')
+def store_holds(context, tokens, zone):
+    (store,) = context.deployment.stores
+    assert (store.memory_tokens, store.data_centre) == (tokens, zone)
+
+
+@then('customer "{name}" holds {count:d} keys and is isolated')
+def customer_holds(context, name, count):
+    customer = find(context.deployment.customers, name)
+    assert len(customer.keys) == count and customer.isolated
+
+
+@then("a configuration with unknown fields reads the same")
+def unknown_fields(context):
+    document = copy.deepcopy(CONFIGURATION)
+    document["mood"] = "new"
+    document["routes"][0]["mood"] = {"new": 1}
+    document["services"][0]["backendEngine"]["mood"] = []
+    assert read_deployment(encode(document)) == context.deployment
+
+
+@when("its last {count:d} bytes are missing")
+def cut_short(context, count):
+    context.body = context.body[:-count]
+
+
+@when("a route names an unknown service")
+def unknown_service(context):
+    context.document["routes"][1]["service"] = "nobody"
+    context.body = encode(context.document)
+
+
+@when("two routes have one host and prefix")
+def same_place(context):
+    route = dict(context.document["routes"][0], name="other")
+    context.document["routes"].append(route)
+    context.body = encode(context.document)
+
+
+@when("the weights of a route add up to 0")
+def no_weight(context):
+    for share in context.document["routes"][0]["trafficSplit"]:
+        share["weight"] = 0
+    context.body = encode(context.document)
+
+
+@when("a weight is negative")
+def negative_weight(context):
+    context.document["routes"][0]["trafficSplit"][0]["weight"] = -1
+    context.body = encode(context.document)
+
+
+@when("a timeout is 0")
+def no_timeout(context):
+    context.document["routes"][0]["timeoutMs"] = 0
+    context.body = encode(context.document)
+
+
+@when("two customers share a key")
+def shared_key(context):
+    other = dict(context.document["tenants"][0], name="other")
+    context.document["tenants"].append(other)
+    context.body = encode(context.document)
+
+
+@when("the version is a text")
+def text_version(context):
+    context.document["version"] = "7"
+    context.body = encode(context.document)
+
+
+@when("the routes are missing")
+def no_routes(context):
+    del context.document["routes"]
+    context.body = encode(context.document)
+
+
+@when("a prefix has no slash at its end")
+def bad_prefix(context):
+    context.document["routes"][0]["pathPrefix"] = "/lepu270"
+    context.body = encode(context.document)
+
+
+@when("the body is a list")
+def list_body(context):
+    context.body = encode([context.document])
+
+
+@then("the configuration is refused")
+def configuration_refused(context):
+    assert refused(read_deployment, context.body)
+
+
+@given("the platform's example heartbeat")
+def example_heartbeat(context):
+    context.heartbeat = dict(HEARTBEAT)
+
+
+@when("its {field} is {value}")
+def change_field(context, field, value):
+    context.heartbeat[field] = json.loads(value)
+
+
+@then("the heartbeat is refused")
+def heartbeat_refused(context):
+    assert not refused(read_heartbeat, "i-1", encode(HEARTBEAT))
+    assert refused(read_heartbeat, "i-1", encode(context.heartbeat))
+
+
+@then('the endpoint has incarnation "{incarnation}" and weights "{weights}"')
+def endpoint_incarnation(context, incarnation, weights):
+    found = read_heartbeat("i-1", encode(context.heartbeat)).endpoint
+    assert (found.incarnation, found.weights_version) == (incarnation, weights)
+
+
+@then('the endpoint serves "{service}" and "{model}"')
+def endpoint_serves(context, service, model):
+    found = read_heartbeat("i-1", encode(context.heartbeat)).endpoint
+    assert found.serves == (service, model)
+
+
+@when("cache events with the row {row} arrive")
+def cache_events(context, row):
+    good = [1, "+", "s", "p", 5, "m"]
+    context.bodies = [
+        {"bootEpoch": 1, "nextToken": 2, "lost": False, "changes": [entry]}
+        for entry in (good, json.loads(row))
+    ]
+
+
+@then("the cache events are refused")
+def cache_events_refused(context):
+    good, bad = context.bodies
+    assert not refused(read_cache_changes, encode(good))
+    assert refused(read_cache_changes, encode(bad))
+
+
+@given("the platform's settings of a core machine")
+def core_settings(context):
+    context.fields = dict(SETTINGS)
+
+
+@then(
+    "the member has {seeds:d} seeds, {voters:d} voters and a lease of {s:f} s"
+)
+def member_has(context, seeds, voters, s):
+    found = member_settings(Node(context.fields))
+    assert len(found.seeds) == seeds and found.voters == voters
+    assert abs(found.lease_s - s) < 1e-9 and found.bootstrap
+
+
+def settings_refused(fields) -> bool:
+    try:
+        member_settings(Node(fields))
+    except SettingsError as exc:
+        return bool(exc.faults)
+    return False
+
+
+@then('a settings file without "{key}" is refused')
+def settings_without(context, key):
+    fields = {k: v for k, v in context.fields.items() if k != key}
+    assert settings_refused(fields)
+
+
+@then('a settings file with "{key}" set to "{value}" is refused')
+def settings_with(context, key, value):
+    assert settings_refused({**context.fields, key: value})
--- /dev/null
+++ b/features/steps/proxy_steps.py
@@ -0,0 +1,234 @@
+"""Steps for proxied requests."""
+
+import random
+import re
+
+import anyio
+from behave import given, then, when
+
+from features.proxy_harness import (
+    BODY,
+    EVENTS,
+    HOST,
+    KEY,
+    RawAnswer,
+    open_proxy,
+    request,
+)
+
+KINDS = {
+    "may run once": "once",
+    "may run many times": "many",
+    "may be resumed": "resume",
+    "streams": "stream",
+}
+SYSTEM_HEADERS = (
+    "X-Knapweedarch-Tenant",
+    "X-Knapweedarch-Cache-Salt",
+    "X-Knapweedarch-Kv-Hold",
+    "X-Knapweedarch-Pin-Ms",
+    "X-Knapweedarch-Kv-Backup",
+    "X-Knapweedarch-Kv-Fetch",
+    "X-Knapweedarch-Kv-Save",
+    "X-Knapweedarch-Expect-Version",
+    "X-Knapweedarch-Request-Priority",
+    "Kv-From",
+)
+CHUNK_OF_EVENTS = rb"[0-9a-f]+\r\n((?:id: .*?\n\n)+)\r\n"
+FORGED = "forged-by-the-caller"
+
+
+def play(context, *data: bytes, **options) -> list[RawAnswer]:
+    """Sends requests through a proxy with the scenario's runners."""
+
+    async def run():
+        async with open_proxy() as site:
+            for mode in context.modes:
+                await site.add_runner(mode)
+            found = [await site.send(part, **options) for part in data]
+            context.runners = site.runners
+            return found
+
+    context.answers = anyio.run(run)
+    context.answer = context.answers[0]
+    return context.answers
+
+
+@given("a proxied runner that {mode}")
+def proxied_runner(context, mode):
+    context.modes = [*getattr(context, "modes", []), mode]
+
+
+@when("a caller sends a request that {kind} and leaves")
+def sends_and_leaves(context, kind):
+    async def run():
+        async with open_proxy() as site:
+            runner = await site.add_runner(context.modes[0])
+            stream = await anyio.connect_tcp("127.0.0.1", site.port)
+            async with stream:
+                await stream.send(request(KINDS[kind]))
+                await runner.wait(lambda: runner.seen)
+            with anyio.fail_after(0.5):
+                await runner.wait(lambda: runner.dropped)
+            context.runners = site.runners
+
+    anyio.run(run)
+
+
+@when("a caller sends a request that {kind}")
+def sends(context, kind):
+    play(context, request(KINDS[kind]))
+
+
+@when("a caller sends headers that only the system may set")
+def forged_headers(context):
+    extra = "".join(f"{name}: {FORGED}\r\n" for name in SYSTEM_HEADERS)
+    play(context, request("once", extra))
+
+
+FAULTS = {
+    "a length and chunks": request(extra="Transfer-Encoding: chunked\r\n"),
+    "two lengths": request(extra="Content-Length: 3\r\n"),
+    "a space before a colon": request(extra="X-Odd : 1\r\n"),
+    "a head of 20000 bytes": request(extra=f"X-Long: {'x' * 20_000}\r\n"),
+    "a length of 5000000 bytes": request(body=b"x" * 5_000_000),
+    "an unknown key": request().replace(KEY.encode(), b"key-2"),
+    "an unknown path": request("unknown"),
+}
+
+
+@when("a caller sends a request with {fault}")
+def sends_fault(context, fault):
+    play(context, FAULTS[fault])
+
+
+@when("a caller sends {count:d} requests in seeded splits and framings")
+def sends_split(context, count):
+    rng = random.Random(7)
+    context.bodies = [rng.randbytes(rng.randrange(1, 3000)) for _ in range(20)]
+
+    async def run():
+        async with open_proxy() as site:
+            runner = await site.add_runner(context.modes[0])
+            statuses = []
+            for body in context.bodies[:count]:
+                data = framed(rng, body)
+                parts = rng.choice((1, 2, 7, 31))
+                answer = await site.send(data, 0.05, parts)
+                statuses.append(answer.status)
+            context.statuses, context.seen = statuses, runner.seen
+
+    anyio.run(run)
+
+
+def framed(rng: random.Random, body: bytes) -> bytes:
+    """Builds a request with a length or in chunks."""
+    if rng.random() < 0.5:
+        return request("once", body=body)
+    head = request("once").replace(
+        b"Content-Length: 0", b"Transfer-Encoding: chunked"
+    )
+    data, start = head, 0
+    while start < len(body):
+        size = rng.randrange(1, 900)
+        chunk = body[start : start + size]
+        data += b"%x\r\n%b\r\n" % (len(chunk), chunk)
+        start += size
+    return data + b"0\r\n\r\n"
+
+
+@when("a caller sends 2 requests one after the other")
+def sends_two(context):
+    play(context, request("once"), request("once"), idle_s=0.2)
+
+
+@then("the caller gets status {status:d}")
+def got_status(context, status):
+    assert context.answer.status == status, context.answer.data[:300]
+
+
+@then("runner {number:d} has seen {count:d} requests")
+def has_seen(context, number, count):
+    assert len(context.runners[number - 1].seen) == count
+
+
+@then("the body is the runner's")
+def runners_body(context):
+    assert context.answer.body == BODY
+
+
+@then("the answer names a time to come back within a third of {seconds:d} s")
+def comes_back(context, seconds):
+    found = re.search(r"retry-after: ([\d.]+)", context.answer.head.lower())
+    assert 0 < float(found.group(1)) <= seconds / 3
+
+
+def stream_body(context) -> bytes:
+    """Joins the chunks of a streamed answer."""
+    return b"".join(
+        re.findall(
+            rb"[0-9a-f]+\r\n((?:id: .*?\n\n)+)\r\n", context.answer.body, 16
+        )
+    )
+
+
+@then("the relayed stream is whole")
+def stream_whole(context):
+    assert stream_body(context) == b"".join(EVENTS), context.answer.body
+    assert context.answer.body.endswith(b"0\r\n\r\n")
+
+
+@then("the relayed stream has no end")
+def stream_cut(context):
+    assert not context.answer.body.endswith(b"0\r\n\r\n")
+
+
+@then("runner {number:d} was asked to go on after event {event:d}")
+def asked_to_resume(context, number, event):
+    seen = context.runners[number - 1].seen
+    assert [s.header("Last-Event-Id") for s in seen] == [str(event)]
+
+
+@then("runner 1 loses its connection")
+def lost_connection(context):
+    assert context.runners[0].dropped == 1
+
+
+@then('the runner got the customer "{customer}" and the instance "{instance}"')
+def got_customer(context, customer, instance):
+    (seen,) = context.runners[0].seen
+    assert seen.header("X-Knapweedarch-Tenant") == customer
+    assert seen.header("X-Knapweedarch-Expect-Instance") == instance
+    assert seen.header("Host") == HOST
+
+
+@then("the runner got none of the caller's values")
+def got_no_forgery(context):
+    assert FORGED not in context.runners[0].seen[0].head
+
+
+@then("the runner got no key")
+def got_no_key(context):
+    assert KEY not in context.runners[0].seen[0].head
+
+
+@then("the runner was given less than {limit:d} ms")
+def given_less(context, limit):
+    seen = context.runners[0].seen[0]
+    assert 0 < int(seen.header("X-Knapweedarch-Deadline-Ms")) < limit
+
+
+@then("each of them is answered and reached the runner unchanged")
+def all_unchanged(context):
+    assert context.statuses == [200] * len(context.bodies)
+    assert [s.body for s in context.seen] == context.bodies
+
+
+@then("both are answered by the runner's own answers")
+def both_answered(context):
+    assert [a.body for a in context.answers] == [BODY, BODY]
+
+
+@then("runner 1 accepted {count:d} connections")
+def accepted(context, count):
+    assert context.runners[0].connections == count
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -158,6 +158,7 @@
             return None
         headers = tuple(head.headers)
         _check_framing(headers)
+        _check_size(head, limits.header_bytes)
         body = await self._read_body(limits)
         if body is None:
             return None
@@ -302,6 +303,22 @@
         raise h11.RemoteProtocolError("two framings", error_status_hint=400)
 
 
+def _check_size(head: h11.Request, limit: int) -> None:
+    """Refuses a head that is too large.
+
+    The protocol library bounds only heads that arrive in several parts.
+
+    Raises:
+        h11.RemoteProtocolError: The head is larger than `limit` bytes.
+    """
+    size = len(head.method) + len(head.target)
+    size += sum(len(name) + len(value) + 4 for name, value in head.headers)
+    if size > limit:
+        raise h11.RemoteProtocolError(
+            "the head is too large", error_status_hint=431
+        )
+
+
 class InboundServer:
     """Accepts callers and counts what is in progress.
 
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -1,6 +1,5 @@
 """Proxy daemon: routes callers' requests to registered endpoints."""
 
-import random
 import secrets
 import signal
 from collections.abc import Sequence
@@ -10,7 +9,7 @@
 
 from knapweedarch import control
 from knapweedarch.cache_feeds import CacheFeed, CacheFeeds
-from knapweedarch.deployments import CallerLimits, Deployment, RouteTable
+from knapweedarch.deployments import Deployment
 from knapweedarch.dialects import Dialect
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
 from knapweedarch.http_inbound import InboundServer, Responder
@@ -26,9 +25,8 @@
     EndpointStatus,
     RefusalReason,
 )
-from knapweedarch.proxy_calls import Attempts, Call, retry_after
-from knapweedarch.proxy_streams import StreamRelay
-from knapweedarch.proxy_unary import serve_unary
+from knapweedarch.proxy_calls import Attempts
+from knapweedarch.proxy_gateway import ProxyGateway
 from knapweedarch.repeat_budget import RepeatLimits
 from knapweedarch.settings import Address
 from knapweedarch.state import EndpointEntry
@@ -37,8 +35,6 @@
 
 DROP_STALE_S = 0.5
 LOADS_S = 0.1
-# The final answer leaves this long before it is due.
-ANSWER_MARGIN_S = 0.03
 
 
 @attrs.frozen(kw_only=True)
@@ -88,13 +84,10 @@
     ):
         self._feed = feed
         self._settings = settings
-        self._dialect = dialect
         self._clock = clock
         self._metrics = metrics
         self._timers = Timers(clock)
-        self._table: RouteTable | None = None
         self._endpoints: dict[str, Endpoint] = {}
-        self._random = random.Random(secrets.randbits(64))
         self._draining = False
         incarnation = secrets.token_hex(8)
         self._control = control.create_control(
@@ -124,8 +117,14 @@
             index=self._index,
             limits=settings.repeats,
             may_start=self._may_start,
+            since=clock.now(),
+        )
+        self._gateway = ProxyGateway(
+            *(dialect, self._attempts, clock, metrics, self._may_start)
+        )
+        self._server = InboundServer(
+            self._gateway.handle, clock, lambda: self._gateway.limits
         )
-        self._server = InboundServer(self._handle, clock, self._limits)
         self._ready_server = InboundServer(self._answer_ready, clock)
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
@@ -167,11 +166,6 @@
     def _drop_stale(self, now: float) -> None:
         self._group.start_soon(self._pool.drop_stale)
 
-    def _limits(self) -> CallerLimits:
-        if self._table is None:
-            return CallerLimits()
-        return self._table.deployment.limits
-
     def _set_routers(self, count: int) -> None:
         self._attempts.routers = count
         self._attempts.chooser.set_peer_routers(count)
@@ -198,11 +192,11 @@
             if e.kind is EndpointKind.RUNNER
             and e.status in (EndpointStatus.ACTIVE, EndpointStatus.LOADING)
         ]
-        stores = self._table.deployment.stores if self._table else ()
+        stores = self._gateway.deployment.stores
         self._feeds.set_sources([*runners, *(s.address for s in stores)])
 
     def _set_deployment(self, deployment: Deployment) -> None:
-        self._table = RouteTable(deployment)
+        self._gateway.set_deployment(deployment)
         self._attempts.set_stores(deployment.stores)
         self._follow_feeds()
         log("deployment_applied", version=deployment.version)
@@ -221,7 +215,7 @@
         """Returns why no new work may start now, or None if it may."""
         if not self._keeper.lease.holds(self._clock.now()):
             return RefusalReason.LEASE_EXPIRED
-        if self._table is None:
+        if not self._gateway.ready:
             return RefusalReason.CONTROL_UNAVAILABLE
         return None
 
@@ -234,63 +228,6 @@
             status = 200
         await responder.send(Answer(status=status))
 
-    async def _handle(self, req: Request, responder: Responder) -> None:
-        self._metrics.count("requests.started")
-        if reason := self._may_start():
-            return await self._refuse(req, responder, 503, reason)
-        host = req.header(b"host").decode("latin-1").partition(":")[0]
-        route = self._table.route(host, req.path)
-        if route is None:
-            return await self._refuse(
-                req, responder, 404, RefusalReason.UNKNOWN_PATH
-            )
-        terms = self._dialect.read_terms(req)
-        customer = None
-        if self._table.deployment.customers and not route.public:
-            customer = self._table.customer(terms.key)
-            if customer is None:
-                return await self._refuse(
-                    req, responder, 401, RefusalReason.UNKNOWN_KEY
-                )
-        name = self._table.choose_service(route, self._random.random())
-        limit_s = min(route.timeout_s, terms.limit_s or route.timeout_s)
-        call = Call(
-            req=req,
-            terms=terms,
-            route=route,
-            service=self._table.service(name),
-            customer=customer,
-            deadline=req.began_at + limit_s - ANSWER_MARGIN_S,
-            started_at=req.began_at,
-        )
-        if route.streams:
-            await StreamRelay(self._attempts, call, responder).serve()
-        else:
-            await serve_unary(self._attempts, call, responder)
-        self._metrics.count("requests.finished")
-
-    async def _refuse(
-        self,
-        req: Request,
-        responder: Responder,
-        status: int,
-        reason: RefusalReason,
-    ) -> None:
-        self._metrics.count(f"refused.{reason.value}")
-        version = self._table.deployment.version if self._table else 0
-        log(
-            "request_refused_early",
-            request=self._dialect.read_terms(req).request_id,
-            reason=reason.value,
-            status=status,
-            deployment=version,
-        )
-        headers = ()
-        if status == 503:
-            terms = self._dialect.read_terms(req)
-            headers = (retry_after(terms.limit_s or 1.0, reason),)
-        await responder.send(Answer(status=status, headers=headers))
-
 
 def create_proxy(
     settings: ProxySettings,
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -109,6 +109,7 @@
         index: PartsIndex,
         limits: RepeatLimits,
         may_start: Callable[[], RefusalReason | None],
+        since: float,
     ):
         self.clock = clock
         self.metrics = metrics
@@ -120,7 +121,7 @@
         self._pool = pool
         self._limits = limits
         self._may_start = may_start
-        self._since = clock.now()
+        self._since = since
         self._budgets: dict[str, RepeatBudget] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
 
--- /dev/null
+++ b/knapweedarch/proxy_gateway.py
@@ -0,0 +1,127 @@
+"""Matches callers' requests to routes and customers, and has them served."""
+
+import random
+from collections.abc import Callable
+
+from knapweedarch.deployments import (
+    CallerLimits,
+    Customer,
+    Deployment,
+    Route,
+    RouteTable,
+)
+from knapweedarch.dialects import CallerTerms, Dialect
+from knapweedarch.http_inbound import Responder
+from knapweedarch.http_messages import Answer, Request
+from knapweedarch.logs import log
+from knapweedarch.metrics import Metrics
+from knapweedarch.models import RefusalReason
+from knapweedarch.proxy_calls import Attempts, Call, retry_after
+from knapweedarch.proxy_streams import StreamRelay
+from knapweedarch.proxy_unary import serve_unary
+from knapweedarch.timers import Clock
+
+# The final answer leaves this long before it is due.
+ANSWER_MARGIN_S = 0.03
+
+STATUS = {
+    RefusalReason.UNKNOWN_PATH: 404,
+    RefusalReason.UNKNOWN_KEY: 401,
+}
+
+
+class ProxyGateway:
+    """Answers each request of a caller.
+
+    Attributes:
+        ready: Whether a configuration is in force.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        attempts: Attempts,
+        clock: Clock,
+        metrics: Metrics,
+        may_start: Callable[[], RefusalReason | None],
+    ):
+        self.ready = False
+        self._dialect = dialect
+        self._attempts = attempts
+        self._clock = clock
+        self._metrics = metrics
+        self._may_start = may_start
+        self._table = RouteTable(Deployment(0))
+        self._random = random.Random()
+
+    @property
+    def deployment(self) -> Deployment:
+        """The configuration in force; empty before the first one."""
+        return self._table.deployment
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Limits of callers."""
+        return self._table.deployment.limits
+
+    def set_deployment(self, deployment: Deployment) -> None:
+        """Puts a configuration in force."""
+        self._table = RouteTable(deployment)
+        self.ready = True
+
+    async def handle(self, req: Request, responder: Responder) -> None:
+        """Answers a request."""
+        self._metrics.count("requests.started")
+        terms = self._dialect.read_terms(req)
+        match self._admit(req, terms):
+            case RefusalReason() as reason:
+                await self._refuse(terms, responder, reason)
+            case Call(route=Route(streams=True)) as call:
+                await StreamRelay(self._attempts, call, responder).serve()
+                self._metrics.count("requests.finished")
+            case Call() as call:
+                await serve_unary(self._attempts, call, responder)
+                self._metrics.count("requests.finished")
+
+    def _admit(self, req: Request, terms: CallerTerms) -> Call | RefusalReason:
+        """Finds route and customer, or tells why the request is refused."""
+        if reason := self._may_start():
+            return reason
+        host = req.header(b"host").decode("latin-1").partition(":")[0]
+        route = self._table.route(host, req.path)
+        if route is None:
+            return RefusalReason.UNKNOWN_PATH
+        customer: Customer | None = None
+        if self.deployment.customers and not route.public:
+            customer = self._table.customer(terms.key)
+            if customer is None:
+                return RefusalReason.UNKNOWN_KEY
+        name = self._table.choose_service(route, self._random.random())
+        limit_s = min(route.timeout_s, terms.limit_s or route.timeout_s)
+        return Call(
+            req=req,
+            terms=terms,
+            route=route,
+            service=self._table.service(name),
+            customer=customer,
+            deadline=req.began_at + limit_s - ANSWER_MARGIN_S,
+            started_at=req.began_at,
+        )
+
+    async def _refuse(
+        self, terms: CallerTerms, responder: Responder, reason: RefusalReason
+    ) -> None:
+        """Refuses a request that was sent to no endpoint."""
+        status = STATUS.get(reason, 503)
+        self._metrics.count(f"refused.{reason.value}")
+        log(
+            "request_refused_early",
+            request=terms.request_id,
+            reason=reason.value,
+            status=status,
+            deployment=self.deployment.version,
+        )
+        headers = ()
+        if status == 503:
+            headers = (retry_after(terms.limit_s or 1.0, reason),)
+        await responder.send(Answer(status=status, headers=headers))
