--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -194,7 +194,8 @@
     def _follow(self, redirect: Redirect) -> None:
         self.drop_link()
         if redirect.address is not None:
-            self._members[redirect.leader] = redirect.address
+            # A known address stands: it may lead through a relay.
+            self._members.setdefault(redirect.leader, redirect.address)
         if redirect.leader in self._members:
             self._leader = redirect.leader
 
--- a/knapweedarch/lease_keeper.py
+++ b/knapweedarch/lease_keeper.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from knapweedarch.control import Control, Grant, Renew
+from knapweedarch.control import Control, Grant, MemberAddress, Renew
 from knapweedarch.deployments import Deployment
 from knapweedarch.exceptions import ControlError
 from knapweedarch.leases import RENEW_S, Lease
@@ -31,6 +31,7 @@
         deployment_version: Number of the routing configuration taken over.
         on_deployment: Called with a new routing configuration.
         on_weights: Called with the weights versions named, by model.
+        on_members: Called with the addresses of the members.
     """
 
     def __init__(
@@ -44,6 +45,9 @@
         self.lease = Lease()
         self.rules_version = 0
         self.deployment_version = 0
+        self.on_members: Callable[[Sequence[MemberAddress]], None] = (
+            lambda members: None
+        )
         self.on_weights: Callable[[dict[str, int]], None] = lambda new: None
         self._weights: dict[str, int] = {}
         self.on_deployment: Callable[[Deployment], None] = lambda new: None
@@ -126,7 +130,7 @@
         if grant.weights != self._weights:
             self._weights = grant.weights
             self.on_weights(grant.weights)
-        self._control.set_members(grant.members)
+        self.on_members(grant.members)
         self._revision = grant.revision
         self._applied = grant.applied
         return bool(
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -103,6 +103,7 @@
         self._keeper.on_endpoints = self._set_endpoints
         self._keeper.on_deployment = self._set_deployment
         self._keeper.on_routers = self._set_routers
+        self._keeper.on_members = self._control.set_members
         self._keeper.on_weights = self._set_weights
         self._pool = pool
         self._index = PartsIndex()
