Count silence only where endpoints send heartbeats

Cause: endpoints of the product's own interface announce changes only; the new check took them out after 4.8 s. The deployment scenarios 'A retired endpoint gets no new work' and 'New weights are rolled out' failed and pass now.

--- a/knapweedarch/heartbeats.py
+++ b/knapweedarch/heartbeats.py
@@ -12,9 +12,6 @@
 from knapweedarch.control_messages import Heartbeat
 from knapweedarch.models import Endpoint
 
-# Four heartbeats of the usual 1.2 s: one may be lost and one may be late.
-SILENT_S = 4.8
-
 
 @attrs.define
 class _Heard:
@@ -28,10 +25,13 @@
 
     Args:
         since: When the table began, in seconds.
+        silent_s: Time without a heartbeat after which an endpoint counts as
+            silent; 0 where endpoints send none.
     """
 
-    def __init__(self, since: float):
+    def __init__(self, since: float, silent_s: float = 0.0):
         self._since = since
+        self._silent_s = silent_s
         self._heard: dict[str, _Heard] = {}
 
     def note(self, heartbeat: Heartbeat, now: float) -> Endpoint | None:
@@ -57,8 +57,10 @@
     def silent(
         self, endpoints: Iterable[Endpoint], now: float
     ) -> list[Endpoint]:
-        """Returns the endpoints that were not heard for `SILENT_S`."""
-        return [e for e in endpoints if now - self._last(e) > SILENT_S]
+        """Returns the endpoints that were not heard for `silent_s`."""
+        if not self._silent_s:
+            return []
+        return [e for e in endpoints if now - self._last(e) > self._silent_s]
 
     def forget(self, endpoint_id: str) -> None:
         """Forgets an endpoint that has ended."""
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -70,9 +70,11 @@
         clock: Clock,
         wake: Callable[[], None],
         lease_s: float = LEASE_S,
+        silent_s: float = 0.0,
     ):
         self._lease_s = lease_s
-        self._heartbeats = HeartbeatTable(0.0)
+        self._silent_s = silent_s
+        self._heartbeats = HeartbeatTable(0.0, silent_s)
         self.applied = 0
         self._applied_term = 0
         self._name = name
@@ -156,7 +158,9 @@
         leads = self._replica.leader_since is not None
         if leads and self._table_term != self._replica.term:
             self._table = LeaseTable(self._replica.leader_since, self._lease_s)
-            self._heartbeats = HeartbeatTable(self._replica.leader_since)
+            self._heartbeats = HeartbeatTable(
+                *(self._replica.leader_since, self._silent_s)
+            )
             self._table_term = self._replica.term
             self._stamper = None
             log("leader_started", term=self._replica.term)
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -68,6 +68,7 @@
             *(name, self._replica, self._state, self._clock),
             wake=lambda: self._work.set(),
             lease_s=self._settings.lease_s,
+            silent_s=self._settings.silent_s,
         )
         if restored.snapshot is not None:
             self._state.restore(restored.snapshot.data)
--- a/knapweedarch/settings.py
+++ b/knapweedarch/settings.py
@@ -56,6 +56,8 @@
         bootstrap: Whether the seeds form the group when they are blank.
         voters: Voters that the group should have; 0 takes in no others.
         lease_s: Duration of a router's lease in seconds; the same everywhere.
+        silent_s: Time without a heartbeat in seconds after which an endpoint
+            gets no new work; 0 where endpoints send no heartbeats.
     """
 
     role: str = "member"
@@ -72,6 +74,7 @@
     bootstrap: bool = False
     voters: int = 0
     lease_s: float = LEASE_S
+    silent_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
