--- /dev/null
+++ b/features/steps/rollout_steps.py
@@ -0,0 +1,252 @@
+"""Steps for the roll-out of weights, with a fake member and fake runners."""
+
+import anyio
+import attrs
+from behave import given, then, when
+
+from knapweedarch.exceptions import ExchangeError
+from knapweedarch.models import (
+    Endpoint,
+    EndpointKind,
+    EndpointStatus,
+    RetryReason,
+)
+from knapweedarch.state import (
+    COMMANDS,
+    Announce,
+    ChangeStatus,
+    ControlState,
+    NameWeights,
+)
+from knapweedarch.timers import Clock, Timers
+from knapweedarch.weights_rollout import (
+    LoadWeightsOrder,
+    RunnerState,
+    WeightsRollout,
+)
+
+LOAD_S = 0.3
+TAKE_OVER_S = 0.6
+MODEL = "m"
+
+
+class FakeMember:
+    """Applies commands at once; stands in for member and leader."""
+
+    def __init__(self):
+        self.state = ControlState()
+        self.leads = True
+        self.term = 5
+        self.leader = self
+        self.most_out = 0
+        self.changed = anyio.Event()
+
+    def apply(self, command: object) -> None:
+        """Applies a command as if the log had committed it."""
+        self.state.apply(COMMANDS.encode(command))
+        out = sum(
+            e.endpoint.status is EndpointStatus.LOADING
+            for e in self.state.endpoints.values()
+        )
+        self.most_out = max(self.most_out, out)
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def leads_until(self) -> float:
+        """End of the leader lease."""
+        return Clock().now() + 10.0 if self.leads else 0.0
+
+    async def change_status(self, endpoint, status) -> bool:
+        """Stores a status."""
+        self.apply(ChangeStatus(endpoint.id, endpoint.incarnation, status))
+        return True
+
+
+@attrs.define
+class FakeRunner:
+    """A runner that loads weights in `LOAD_S`."""
+
+    endpoint: Endpoint
+    version: int
+    accepted: int = 0
+    loading: bool = False
+    mute_orders: int = 0
+
+
+class FakeOrders:
+    """Carries out orders and tells of loaded weights by a heartbeat."""
+
+    def __init__(self, member: FakeMember, group):
+        self.member = member
+        self.group = group
+        self.runners: dict[str, FakeRunner] = {}
+        self.orders: list[tuple[str, LoadWeightsOrder]] = []
+        self.stale: list[LoadWeightsOrder] = []
+        self.most_loading = 0
+
+    async def report(self, endpoint: Endpoint) -> RunnerState:
+        """Tells a runner's state."""
+        runner = self.runners[endpoint.id]
+        return RunnerState(
+            *({MODEL: runner.version}, runner.loading, 0, runner.accepted)
+        )
+
+    async def load(self, endpoint: Endpoint, order: LoadWeightsOrder) -> bool:
+        """Starts a load, unless the order is out of date."""
+        runner = self.runners[endpoint.id]
+        self.orders.append((endpoint.id, order))
+        if runner.mute_orders:
+            runner.mute_orders -= 1
+            raise ExchangeError(RetryReason.ANSWER_TIMEOUT, "mute", True)
+        if order.expected_orders != runner.accepted or runner.loading:
+            self.stale.append(order)
+            return False
+        runner.accepted += 1
+        runner.loading = True
+        loading = sum(r.loading for r in self.runners.values())
+        self.most_loading = max(self.most_loading, loading)
+        self.group.start_soon(self._finish, runner, order.version)
+        return True
+
+    async def _finish(self, runner: FakeRunner, version: int) -> None:
+        await anyio.sleep(LOAD_S)
+        runner.loading, runner.version = False, version
+        told = attrs.evolve(runner.endpoint, weights_version=str(version))
+        self.member.apply(Announce(told))
+
+
+def runner_endpoint(number: int, version: int) -> Endpoint:
+    return Endpoint(
+        *(f"r{number}", "1", f"http://10.0.0.{number}:80"),
+        *(EndpointKind.RUNNER, ("models", MODEL), str(version)),
+    )
+
+
+@given("a leading member and {count:d} runners with weights {version:d}")
+def leading_member(context, count, version):
+    context.versions = {i: version for i in range(1, count + 1)}
+    context.take_over_s, context.mute = 0.0, ()
+    context.named, context.loses_lead, context.taken_out = [], False, ()
+
+
+@given(
+    "a member that has just become the leader and {count:d} runners with"
+    " weights {version:d}"
+)
+def new_leader(context, count, version):
+    leading_member(context, count, version)
+    context.take_over_s = TAKE_OVER_S
+
+
+@given("runner {number:d} has weights {version:d}")
+def runner_has(context, number, version):
+    context.versions[number] = version
+
+
+@given("runner {number:d} was taken out of use by the leader before")
+def taken_out(context, number):
+    context.taken_out = (number,)
+
+
+@given("runner {number:d} answers its first order not at all")
+def mute_runner(context, number):
+    context.mute = (number,)
+
+
+@when("weights {version:d} are named")
+def weights_named(context, version):
+    context.named = [(0.0, version)]
+
+
+@when(
+    "weights {one:d} are named and weights {two:d} are named {later:f} s later"
+)
+def weights_named_twice(context, one, two, later):
+    context.named = [(0.0, one), (later, two)]
+
+
+@when("the member loses the lead and weights {version:d} are named")
+def loses_lead(context, version):
+    context.loses_lead = True
+    context.named = [(0.0, version)]
+
+
+async def play(context, until, limit_s: float) -> None:
+    """Runs a roll-out until a condition holds or the time is over."""
+    member = FakeMember()
+    timers = Timers(Clock())
+    async with anyio.create_task_group() as group:
+        orders = FakeOrders(member, group)
+        for number, version in context.versions.items():
+            endpoint = runner_endpoint(number, version)
+            member.apply(Announce(endpoint))
+            muted = int(number in context.mute)
+            orders.runners[endpoint.id] = FakeRunner(
+                endpoint, version, mute_orders=muted
+            )
+        for number in context.taken_out:
+            member.apply(
+                ChangeStatus(f"r{number}", "1", EndpointStatus.LOADING)
+            )
+        member.leads = not context.loses_lead
+        rollout = WeightsRollout(
+            member, "a", orders, Clock(), context.take_over_s
+        )
+        rollout.start(group, timers)
+        group.start_soon(timers.run)
+        for delay_s, version in context.named:
+            await anyio.sleep(delay_s)
+            member.apply(NameWeights(MODEL, version))
+        with anyio.move_on_after(limit_s):
+            while not until(member):
+                await member.changed.wait()
+        group.cancel_scope.cancel()
+    context.member, context.orders = member, orders
+
+
+@then("within {limit:f} s every runner is in use with weights {version:d}")
+def all_reach(context, limit, version):
+    def reached(member):
+        return all(
+            e.endpoint.weights_version == str(version)
+            and e.endpoint.status is EndpointStatus.ACTIVE
+            for e in member.state.endpoints.values()
+        )
+
+    anyio.run(play, context, reached, limit)
+    assert reached(context.member), context.member.state.endpoints
+
+
+@then(
+    "at most {loads:d} runners loaded and at most {out:d} were out of use at"
+    " once"
+)
+def at_most(context, loads, out):
+    assert context.orders.most_loading <= loads
+    assert context.member.most_out <= out
+
+
+@then("runner {number:d} was ordered first")
+def ordered_first(context, number):
+    assert context.orders.orders[0][0] == f"r{number}"
+
+
+@then("runner {number:d} is put back into use at once")
+def put_back(context, number):
+    def back(member):
+        found = member.state.endpoints[f"r{number}"].endpoint
+        return found.status is EndpointStatus.ACTIVE
+
+    anyio.run(play, context, back, TAKE_OVER_S / 2)
+    assert back(context.member)
+
+
+@then("no order is given within {limit:f} s")
+def no_order(context, limit):
+    anyio.run(play, context, lambda member: False, limit)
+    assert context.orders.orders == []
+
+
+@then("each order names the orders accepted before it")
+def orders_named(context):
+    assert context.orders.stale == []
--- a/knapweedarch/stored_parts.py
+++ b/knapweedarch/stored_parts.py
@@ -184,5 +184,5 @@
         if key in self._asked or now < self._save_at:
             return False
         self._asked[key] = now
-        self._save_at = max(self._save_at, now - 1.0) + 1.0 / self._saves_s
+        self._save_at = max(self._save_at, now) + 1.0 / self._saves_s
         return True
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -20,6 +20,9 @@
     *("scheduler", "streams", "replica_messages", "replica_log"),
     *("replica_leadership", "replica_membership", "replica_election"),
     *("replica_follower", "replica_status", "orders"),
+    *("deployments", "heartbeats", "load_totals", "prompt_parts"),
+    *("stored_parts", "endpoint_choice", "repeat_budget", "event_stream"),
+    *("control_messages", "http_messages"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
