--- a/features/steps/heavy_load_steps.py
+++ b/features/steps/heavy_load_steps.py
@@ -78,7 +78,7 @@
         for number, chooser in enumerate(choosers):
             prompt = long_prompt(rng.randrange(200))
             found = choose(context, chooser, prompt)
-            chooser.sent(found, prompt, context.now)
+            chooser.sent(found, prompt, prompt.tokens, context.now)
             counts[found] += 1
             board.note(number, chooser.own_loads())
             if shared:
@@ -132,8 +132,7 @@
 @given("runner 1 has {count:d} short streams")
 def short_streams(context, count):
     for _ in range(count):
-        context.choosers[0].sent(context.runners[0], SHORT, context.now)
-        context.choosers[0].was_read(context.runners[0], SHORT)
+        context.choosers[0].sent(context.runners[0], SHORT, 0, context.now)
 
 
 @given("runner 2 alone has the weights named last")
@@ -148,7 +147,7 @@
 )
 def again_to_new(context, count):
     for _ in range(count):
-        context.choosers[0].sent(context.runners[1], SHORT, context.now)
+        context.choosers[0].sent(context.runners[1], SHORT, 0, context.now)
     found = choose(context, context.choosers[0], tried=("r9",))
     assert found.id == "r2"
 
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -38,6 +38,7 @@
         self.leads = True
         self.term = 5
         self.leader = self
+        self.last_loading = Clock().now()
         self.most_out = 0
         self.changed = anyio.Event()
 
@@ -52,6 +53,10 @@
         self.changed.set()
         self.changed = anyio.Event()
 
+    def last_loading_at(self) -> float:
+        """When a runner was last known to be loading."""
+        return self.last_loading
+
     def leads_until(self) -> float:
         """End of the leader lease."""
         return Clock().now() + 10.0 if self.leads else 0.0
--- a/knapweedarch/cache_feeds.py
+++ b/knapweedarch/cache_feeds.py
@@ -1,6 +1,6 @@
 """Follows the cache events of runners and stores."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import anyio
@@ -12,7 +12,7 @@
 
 RETRY_S = 0.5
 # Between two calls, so that events come in groups.
-PAUSE_S = 0.1
+PAUSE_S = 0.12
 
 
 class CacheFeed(Protocol):
@@ -27,7 +27,11 @@
 
 
 class CacheFeeds:
-    """One feed for each source."""
+    """One feed for each source.
+
+    Attributes:
+        on_answer: Called with the address of each source that answers.
+    """
 
     def __init__(
         self, feed: CacheFeed, index: PartsIndex, group: anyio.abc.TaskGroup
@@ -35,6 +39,7 @@
         self._feed = feed
         self._index = index
         self._group = group
+        self.on_answer: Callable[[str], None] = lambda address: None
         self._scopes: dict[str, anyio.CancelScope] = {}
 
     def set_sources(self, addresses: Iterable[str]) -> None:
@@ -58,6 +63,7 @@
                             address, held.next_number
                         )
                     )
+                    self.on_answer(address)
                     if not answers:
                         log("feed_found", address=address)
                     answers = True
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -24,6 +24,7 @@
     Attributes:
         distance_s: One-way delay to each data centre in seconds.
         far_s: One-way delay to a data centre that is not listed.
+        near_s: Longest one-way delay within a data centre.
         prefill_tokens_s: Prompt tokens that a runner reads per second.
         full_s: Charge for an endpoint whose slots or memory are all in use.
         failing_s: Charge for an endpoint at which every request fails.
@@ -34,6 +35,9 @@
         memory_s: Half-life of failures in seconds.
         refused_s: How long an endpoint that refuses connections is avoided.
         busy_s: How long an endpoint that has no room is avoided.
+        quiet_s: Time without a byte from a runner, whose events are followed,
+            after which it is avoided.
+        zone_s: Charge for sending a request to another data centre.
         old_weights_s: Charge for weights that are not the newest.
         broken_off_s: The same charge for a request that is sent once more: a
             load may break it off a second time.
@@ -41,6 +45,7 @@
 
     distance_s: dict[str, float] = attrs.field(factory=dict)
     far_s: float = 0.005
+    near_s: float = 0.001
     prefill_tokens_s: float = 32_400.0
     full_s: float = 0.6
     failing_s: float = 2.0
@@ -50,9 +55,12 @@
     memory_s: float = 3.0
     refused_s: float = 2.0
     busy_s: float = 0.15
+    quiet_s: float = 1.8
+    zone_s: float = 0.04
     old_weights_s: float = 0.3
     broken_off_s: float = 2.0
     delay_weight: float = 0.1
+    fetch_part: float = 0.25
 
 
 @attrs.define
@@ -89,6 +97,7 @@
         self._cfg = cfg
         self._index = index
         self._seen: dict[str, _Seen] = {}
+        self._heard_at: dict[str, float] = {}
         self._others: dict[str, EndpointLoad] = {}
         self._others_at = -math.inf
         self._knows_others = False
@@ -133,47 +142,63 @@
         if not able:
             return None
         ranks = _ranks(prompt, able)
+        fetchable = 0
+        if prompt is not None:
+            fetchable = max(self._held(e, prompt, salt, now) for e in endpoints)
         self._knows_others = now - self._others_at < self._cfg.loads_fresh_s
         return min(
             able,
             key=lambda e: self._cost(
                 *(e, prompt, salt, ranks, memory_tokens),
-                *(bool(tried), now),
+                *(bool(tried), fetchable, now),
             ),
         )
 
     def is_usable(self, endpoint: Endpoint, now: float) -> bool:
         """Tells whether an endpoint is not avoided now."""
-        return self._of(endpoint, now).avoided_until <= now
+        heard_at = self._heard_at.get(endpoint.address, now)
+        is_quiet = now - heard_at > self._cfg.quiet_s
+        return not is_quiet and self._of(endpoint, now).avoided_until <= now
+
+    def note_alive(self, address: str, now: float) -> None:
+        """Notes that a runner, whose events are followed, sent something."""
+        self._heard_at[address] = now
 
     def sent(
-        self, endpoint: Endpoint, prompt: Prompt | None, now: float
+        self,
+        endpoint: Endpoint,
+        prompt: Prompt | None,
+        unread_tokens: int,
+        now: float,
     ) -> None:
-        """Notes that a request is on its way."""
+        """Notes that a request is on its way.
+
+        Args:
+            endpoint: Where it goes.
+            prompt: Its prompt; None for plain services.
+            unread_tokens: Prompt tokens that the runner does not hold.
+            now: Seconds on the router's clock.
+        """
         seen = self._of(endpoint, now)
         seen.requests += 1
         if prompt is not None:
-            seen.unread_tokens += prompt.tokens
+            seen.unread_tokens += unread_tokens
             seen.held_tokens += prompt.tokens + prompt.max_tokens
 
-    def was_read(self, endpoint: Endpoint, prompt: Prompt) -> None:
+    def was_read(self, endpoint: Endpoint, unread_tokens: int) -> None:
         """Notes that a runner has read the prompt of a request."""
         seen = self._seen.get(endpoint.id)
         if seen is not None and seen.incarnation == endpoint.incarnation:
-            seen.unread_tokens -= prompt.tokens
+            seen.unread_tokens -= unread_tokens
 
-    def ended(
-        self, endpoint: Endpoint, prompt: Prompt | None, was_read: bool
-    ) -> None:
-        """Notes that a request has left the endpoint."""
+    def ended(self, endpoint: Endpoint, prompt: Prompt | None) -> None:
+        """Notes that a request, whose prompt was read, left the endpoint."""
         seen = self._seen.get(endpoint.id)
         if seen is None or seen.incarnation != endpoint.incarnation:
             return
         seen.requests -= 1
         if prompt is not None:
             seen.held_tokens -= prompt.tokens + prompt.max_tokens
-            if not was_read:
-                seen.unread_tokens -= prompt.tokens
 
     def own_loads(self) -> LoadShare:
         """Returns the load that this router causes."""
@@ -217,11 +242,15 @@
         """Notes that an endpoint is full for a moment."""
         self._of(endpoint, now).avoided_until = now + self._cfg.busy_s
 
-    def forget(self, kept: Iterable[str]) -> None:
-        """Forgets every endpoint but those named."""
-        keep = set(kept)
-        for gone in [i for i in self._seen if i not in keep]:
+    def forget(self, kept: Iterable[Endpoint]) -> None:
+        """Forgets every endpoint but those given."""
+        found = list(kept)
+        ids = {e.id for e in found}
+        addresses = {e.address for e in found}
+        for gone in self._seen.keys() - ids:
             del self._seen[gone]
+        for gone in self._heard_at.keys() - addresses:
+            del self._heard_at[gone]
 
     def _of(self, endpoint: Endpoint, now: float) -> _Seen:
         seen = self._seen.get(endpoint.id)
@@ -239,29 +268,37 @@
         ranks: dict[str, float],
         memory_tokens: int,
         again: bool,
+        fetchable: int,
         now: float,
     ) -> float:
         cfg, seen = self._cfg, self._seen[endpoint.id]
         distance = cfg.distance_s.get(endpoint.data_centre, cfg.far_s)
+        zone_s = cfg.zone_s if distance > cfg.near_s else 0.0
         load = self._load(endpoint, seen)
         full = load.requests / max(1, endpoint.slots)
         if memory_tokens:
             full = max(full, load.held_tokens / memory_tokens)
-        cost = (
-            2 * distance + cfg.full_s * full + cfg.rank_s * ranks[endpoint.id]
-        )
+        cost = 2 * distance + zone_s + cfg.full_s * full
+        cost += cfg.rank_s * ranks[endpoint.id]
         cost += load.unread_tokens / cfg.prefill_tokens_s
         cost += cfg.failing_s * seen.failing() + seen.late_s
         if prompt is not None:
             if not self.has_newest_weights(endpoint, prompt):
                 cost += cfg.broken_off_s if again else cfg.old_weights_s
-            missing = prompt.tokens - self._index.of(
-                endpoint.address
-            ).prefix_tokens(prompt, salt, now)
+            held = self._held(endpoint, prompt, salt, now)
+            fetched = max(0, fetchable - held)
+            missing = prompt.tokens - held - (1 - cfg.fetch_part) * fetched
             prefill_s = missing / cfg.prefill_tokens_s
             cost += prefill_s * (1 + cfg.delay_weight * load.requests)
         return cost
 
+    def _held(
+        self, endpoint: Endpoint, prompt: Prompt, salt: str, now: float
+    ) -> int:
+        """Leading tokens of a prompt that a runner holds."""
+        held = self._index.of(endpoint.address)
+        return held.prefix_tokens(prompt, salt, now)
+
     def _load(self, endpoint: Endpoint, seen: _Seen) -> EndpointLoad:
         """Load by all routers, estimated where the others' is not known."""
         others = self._others.get(endpoint.id)
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -20,7 +20,7 @@
 from knapweedarch.timers import Clock
 
 READ_BYTES = 65_536
-CONNECT_S = 0.8
+CONNECT_S = 0.35
 # An endpoint that names no time closes idle connections after some seconds.
 USUAL_IDLE_S = 3.0
 # Taken off the time that an endpoint names: a request may cross its close.
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -72,6 +72,9 @@
         lease_s: float = LEASE_S,
         silent_s: float = 0.0,
     ):
+        # Orders of the time before this process started may still be young.
+        self._loading_seen_at = clock.now()
+        self._loading = False
         self._lease_s = lease_s
         self._silent_s = silent_s
         self._heartbeats = HeartbeatTable(0.0, silent_s)
@@ -130,6 +133,8 @@
         if entry.kind is replica.EntryKind.DATA:
             before = self._shown_to_routers()
             result = self._state.apply(entry.data)
+            if self._state.revision != before[1]:
+                self._note_loading()
             if before != self._shown_to_routers():
                 self._tell_routers()
         proposal = self._proposals.pop(entry.index, None)
@@ -138,6 +143,23 @@
                 proposal.result = result
             proposal.done.set()
 
+    def _note_loading(self) -> None:
+        """Notes when some runner was last out of use to load weights."""
+        loading = any(
+            entry.endpoint.status is EndpointStatus.LOADING
+            for entry in self._state.endpoints.values()
+        )
+        if loading or self._loading:
+            self._loading_seen_at = self._clock.now()
+        self._loading = loading
+
+    def last_loading_at(self) -> float:
+        """Returns when a runner was last known to be loading, in seconds.
+
+        A leader gives orders only while one is out of use for that.
+        """
+        return self._clock.now() if self._loading else self._loading_seen_at
+
     def _shown_to_routers(self) -> tuple[int, int, int, int]:
         state = self._state
         return (
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -141,6 +141,7 @@
         ):
             self._group = group
             self._feeds = CacheFeeds(self._feed, self._index, group)
+            self._feeds.on_answer = self._attempts.note_alive
             group.start_soon(self._timers.run)
             group.start_soon(self._keeper.run)
             await group.start(self._server.serve, listen.host, listen.port)
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -31,6 +31,9 @@
 RETRY_AFTER_S = 0.4
 # Saves of one router in a second; its link is shared by all fetches.
 SAVES_S = 1.2
+# Ranks at a runner go from 0 to this one.
+LAST_URGENCY = 9
+RANKS_OF_ROUTES = 3
 # From the start of a router to its first lease, when all start together.
 LEASE_RETRY_AFTER_S = 1.3
 
@@ -132,7 +135,11 @@
             if endpoint.status is EndpointStatus.ACTIVE:
                 for name in endpoint.serves:
                     self._by_service.setdefault(name, []).append(endpoint)
-        self.chooser.forget(e.id for e in endpoints)
+        self.chooser.forget(endpoints)
+
+    def note_alive(self, address: str) -> None:
+        """Notes that an endpoint has sent something."""
+        self.chooser.note_alive(address, self.clock.now())
 
     def set_stores(self, stores: Iterable[CacheStore]) -> None:
         """Takes over the stores of KV cache."""
@@ -256,6 +263,15 @@
                     save_to = address
         return attrs.evolve(terms, fetch_from=source, save_to=save_to)
 
+    def unread_tokens(self, call: Call, endpoint: Endpoint) -> int:
+        """Prompt tokens of a request that a runner does not hold."""
+        prompt = call.terms.prompt
+        if prompt is None:
+            return 0
+        held = self.index.of(endpoint.address)
+        salt = call.salt(endpoint)
+        return prompt.tokens - held.prefix_tokens(prompt, salt, self.now())
+
     def _sources(self, call: Call, endpoint: Endpoint) -> list[str]:
         """Other runners with the same weights, near ones first; stores."""
         alike = [
@@ -383,17 +399,16 @@
 
 
 def _urgency(call: Call) -> int:
-    """Rank at the runner; the customer's rank goes before the route's.
+    """Rank at the runner: by the customer's rank, then by the route's.
 
     A stream that goes on after a break comes first, as its caller waits in
     the middle of it.
     """
     if call.sends > 1:
         return 0
-    rank = call.route.priority
-    if call.customer is not None and call.customer.priority is not None:
-        rank = call.customer.priority
-    return max(0, min(9, 2 + rank))
+    customer_rank = (call.customer and call.customer.priority) or 0
+    rank = RANKS_OF_ROUTES * customer_rank + call.route.priority
+    return min(LAST_URGENCY, 1 + rank)
 
 
 async def read_whole(exchange: Exchange, head: AnswerHead) -> Answer:
@@ -422,25 +437,25 @@
         self._endpoint = endpoint
         self.exchange: Exchange | None = None
         self.head: AnswerHead | None = None
-        self._was_read = False
+        self._unread_tokens = 0
 
     def note_read(self) -> None:
         """Notes that the runner has read the prompt."""
-        prompt = self._call.terms.prompt
-        if prompt is not None and not self._was_read:
-            self._was_read = True
-            self._attempts.chooser.was_read(self._endpoint, prompt)
+        self._attempts.chooser.was_read(self._endpoint, self._unread_tokens)
+        self._unread_tokens = 0
 
     async def __aenter__(self) -> "AttemptScope":
-        call, endpoint = self._call, self._endpoint
-        now = self._attempts.clock.now()
-        self._attempts.chooser.sent(endpoint, call.terms.prompt, now)
+        attempts, call = self._attempts, self._call
+        self._unread_tokens = attempts.unread_tokens(call, self._endpoint)
+        attempts.chooser.sent(
+            *(self._endpoint, call.terms.prompt, self._unread_tokens),
+            attempts.now(),
+        )
         return self
 
     async def __aexit__(self, *exc_info) -> None:
-        self._attempts.chooser.ended(
-            self._endpoint, self._call.terms.prompt, self._was_read
-        )
+        self.note_read()
+        self._attempts.chooser.ended(self._endpoint, self._call.terms.prompt)
         if self.exchange is not None:
             with anyio.CancelScope(shield=True):
                 await self.exchange.close(self.head)
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -169,6 +169,7 @@
             self._status = head.status
             await self._responder.start(head.status, end_to_end(head.headers))
         while (part := await self._read(scope.exchange)) is not None:
+            self._attempts.note_alive(endpoint.address)
             events = splitter.feed(part)
             if events.data:
                 scope.note_read()
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -1,9 +1,10 @@
 """Brings every runner to the weights that are named for its model.
 
 The leading member gives the orders. Its term is the fencing number. Not every
-runner checks the number, so a new leader waits until the orders of its
-predecessor cannot be taken for its own, and the leader lease is checked right
-before each order.
+runner checks the number, so a new leader waits until the last orders of its
+predecessor are old enough, and the leader lease is checked right before each
+order. Orders are given only to runners that the log shows as loading, so the
+log tells a new leader how old the last order can be.
 """
 
 from typing import Protocol
@@ -135,7 +136,8 @@
             return
         if self._term != self._member.term:
             self._term = self._member.term
-            self._may_order_at = now + self._take_over_s
+            last_at = self._member.leader.last_loading_at()
+            self._may_order_at = last_at + self._take_over_s
             self._group.start_soon(self._release_loading)
         if now < self._may_order_at:
             return
