--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -28,6 +28,8 @@
 LOAD_S = 0.3
 TAKE_OVER_S = 0.6
 MODEL = "m"
+# Above the load at which more runners may drain at once.
+BUSY_REQUESTS = 5
 
 
 class FakeMember:
@@ -53,6 +55,10 @@
         self.changed.set()
         self.changed = anyio.Event()
 
+    def requests_at(self, endpoint_id: str) -> int:
+        """Requests at an endpoint; enough that no drain is cut short."""
+        return BUSY_REQUESTS
+
     def last_loading_at(self) -> float:
         """When a runner was last known to be loading."""
         return self.last_loading
@@ -93,7 +99,7 @@
         """Tells a runner's state."""
         runner = self.runners[endpoint.id]
         return RunnerState(
-            *({MODEL: runner.version}, runner.loading, 0, runner.accepted)
+            {MODEL: runner.version}, runner.loading, runner.accepted
         )
 
     async def load(self, endpoint: Endpoint, order: LoadWeightsOrder) -> bool:
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -9,7 +9,7 @@
 from knapweedarch import control, links, replica
 from knapweedarch.deployments import Deployment
 from knapweedarch.exceptions import LinkError, ReplicaError, RuleError
-from knapweedarch.heartbeats import HeartbeatTable
+from knapweedarch.heartbeats import HeartbeatTable, born
 from knapweedarch.leases import LEASE_S, LeaseTable
 from knapweedarch.load_totals import LoadBoard
 from knapweedarch.logs import log
@@ -44,6 +44,7 @@
 IN_FORCE_LIMIT_S = 10.0
 ANSWER_LIMIT_S = 10.0
 MAX_TOLD_FAULTS = 5
+IN_USE = (EndpointStatus.ACTIVE, EndpointStatus.LOADING)
 
 
 @attrs.define
@@ -116,6 +117,10 @@
         """Notes the load that a router causes."""
         self._loads.note(link, share)
 
+    def requests_at(self, endpoint_id: str) -> int:
+        """Counts the requests of all routers at an endpoint."""
+        return self._loads.requests_at(endpoint_id)
+
     def share_loads(self) -> None:
         """Tells each router the load that the others cause."""
         if not self.in_office:
@@ -290,8 +295,21 @@
                 status=endpoint.status.value,
                 number=message.number,
             )
+            await self._drop_earlier(endpoint)
         return control.HeartbeatNoted()
 
+    async def _drop_earlier(self, endpoint: Endpoint) -> None:
+        """Takes endpoints out of use whose address has a later start now."""
+        for entry in list(self._state.endpoints.values()):
+            other = entry.endpoint
+            if (
+                other.url == endpoint.url
+                and other.id != endpoint.id
+                and other.status in IN_USE
+                and born(other.incarnation) < born(endpoint.incarnation)
+            ):
+                await self.change_status(other, EndpointStatus.SILENT)
+
     async def drop_silent(self) -> None:
         """Takes endpoints out of use that were not heard for too long."""
         if not self._leading():
@@ -300,8 +318,7 @@
         active = [
             entry.endpoint
             for entry in self._state.endpoints.values()
-            if entry.endpoint.status
-            in (EndpointStatus.ACTIVE, EndpointStatus.LOADING)
+            if entry.endpoint.status in IN_USE
         ]
         for endpoint in self._heartbeats.silent(active, now):
             await self.change_status(endpoint, EndpointStatus.SILENT)
--- a/knapweedarch/load_totals.py
+++ b/knapweedarch/load_totals.py
@@ -45,6 +45,11 @@
             if not total.requests:
                 del self._sums[load.endpoint_id]
 
+    def requests_at(self, endpoint_id: str) -> int:
+        """Counts the requests of all routers at an endpoint."""
+        total = self._sums.get(endpoint_id)
+        return total.requests if total else 0
+
     def routers(self) -> list[Hashable]:
         """Returns the routers that told their share."""
         return list(self._shares)
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -16,7 +16,12 @@
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.logs import log
 from knapweedarch.member import Member
-from knapweedarch.models import Endpoint, EndpointKind, EndpointStatus
+from knapweedarch.models import (
+    Endpoint,
+    EndpointKind,
+    EndpointStatus,
+    RetryReason,
+)
 from knapweedarch.timers import Clock, Timers
 
 CHECK_S = 0.05
@@ -24,17 +29,20 @@
 LOADS_AT_ONCE = 3
 # Runners that end their work while others load, so that no load waits.
 DRAINS_AT_ONCE = 1
+CALM_DRAINS_AT_ONCE = 3
+# Requests per runner below which the runners count as calm.
+CALM_REQUESTS = 2.5
 # Longest wait for the end of what runs. What then still runs breaks off; a
 # stream that may be resumed goes on elsewhere. The first runners get longer,
 # as a stream that goes on with old weights would be broken off again.
 DRAIN_LIMIT_S = 0.6
 FIRST_DRAIN_LIMIT_S = 0.9
+CALM_DRAIN_LIMIT_S = 1.5
 # A runner that did not reach its weights in this time is ordered again.
 LOAD_LIMIT_S = 2.0
 POLL_S = 0.03
-REPORT_S = 0.1
-# Reports show the state of some hundred milliseconds earlier.
-REPORT_LAG_S = 0.3
+# From the change of a status to the loads that routers cause after it.
+LOADS_LAG_S = 0.25
 AGAIN_S = 0.5
 
 
@@ -53,13 +61,11 @@
     Attributes:
         weights: Weights version by model.
         busy: Whether it carries out an order.
-        running: Requests that it runs.
         orders_accepted: Orders accepted since its start.
     """
 
     weights: dict[str, int]
     busy: bool
-    running: int
     orders_accepted: int
 
 
@@ -141,7 +147,8 @@
             self._group.start_soon(self._release_loading)
         if now < self._may_order_at:
             return
-        most = self._loads_at_once() + DRAINS_AT_ONCE
+        drains = CALM_DRAINS_AT_ONCE if self._is_calm() else DRAINS_AT_ONCE
+        most = self._loads_at_once() + drains
         for endpoint in self._due(now):
             if len(self._loading) >= most:
                 return
@@ -218,6 +225,11 @@
                 endpoint=endpoint.id,
                 reason=f"{exc.reason}: {exc}",
             )
+            if exc.reason == RetryReason.CONNECT_REFUSED:
+                # It counts as gone until its next heartbeat.
+                await self._member.leader.change_status(
+                    endpoint, EndpointStatus.SILENT
+                )
             await self._put_back(endpoint)
         finally:
             pause = self._clock.now() + AGAIN_S
@@ -234,8 +246,8 @@
         state = await self._drain(endpoint)
         wanted = self._wanted(endpoint, state)
         if wanted is not None and self._may_order(term) and not state.busy:
-            await self._order(endpoint, wanted, state)
-            await self._await_load(endpoint, wanted)
+            if await self._order(endpoint, wanted, state):
+                await self._await_load(endpoint, wanted)
         await self._put_back(endpoint)
 
     async def _await_load(
@@ -277,23 +289,30 @@
             for e in self._runners()
             if e.serves == endpoint.serves
         )
+        if self._is_calm():
+            return CALM_DRAIN_LIMIT_S
         return DRAIN_LIMIT_S if loaded else FIRST_DRAIN_LIMIT_S
 
+    def _is_calm(self) -> bool:
+        """Tells whether the runners could do with fewer of them."""
+        runners = self._runners()
+        requests = sum(self._member.leader.requests_at(e.id) for e in runners)
+        return requests < CALM_REQUESTS * len(runners)
+
     async def _drain(self, endpoint: Endpoint) -> RunnerState:
         """Waits until nothing runs and a load may begin, within a limit."""
-        began_at = self._clock.now()
-        while True:
-            state = await self._orders.report(endpoint)
-            waited_s = self._clock.now() - began_at
-            ended = waited_s > REPORT_LAG_S and not state.running
-            if ended or waited_s > self._drain_limit(endpoint):
+        until = self._clock.now() + self._drain_limit(endpoint)
+        # Routers learn of the status first, and their loads come after that.
+        await anyio.sleep(LOADS_LAG_S)
+        while self._clock.now() < until:
+            if not self._member.leader.requests_at(endpoint.id):
                 break
-            await anyio.sleep(REPORT_S)
+            await anyio.sleep(POLL_S)
         while len(self._drained) >= self._loads_at_once():
             self._load_ended = anyio.Event()
             await self._load_ended.wait()
         self._drained.add(endpoint.id)
-        return state
+        return await self._orders.report(endpoint)
 
     def _may_order(self, term: int) -> bool:
         now = self._clock.now()
@@ -302,7 +321,8 @@
 
     async def _order(
         self, endpoint: Endpoint, wanted: NamedWeights, state: RunnerState
-    ) -> None:
+    ) -> bool:
+        """Gives an order; tells whether the runner accepted it."""
         order = LoadWeightsOrder(
             *(wanted.model, wanted.version, self._name, self._member.term),
             state.orders_accepted,
@@ -317,3 +337,4 @@
             expected_orders=order.expected_orders,
             accepted=accepted,
         )
+        return accepted
