--- a/features/heavy_load.feature
+++ b/features/heavy_load.feature
@@ -28,6 +28,7 @@
     And runner 2 alone has the weights named last
     Then a long prompt goes to runner 2
     And a request that is sent once more goes to runner 2 with 10 streams there
+    And after 6.6 s runner 2 alone gets requests, however busy
 
   Scenario: A runner that refuses connections is left alone
     Pattern: runners crash in turn. Guards against requests lost one by one.
--- a/features/steps/heavy_load_steps.py
+++ b/features/steps/heavy_load_steps.py
@@ -138,7 +138,15 @@
 @given("runner 2 alone has the weights named last")
 def new_weights(context):
     context.runners[1] = runner(2, weights="2")
-    context.choosers[0].set_weights({"m": 2})
+    context.choosers[0].set_weights({"m": 2}, context.now)
+
+
+@then("after {seconds:f} s runner 2 alone gets requests, however busy")
+def only_new(context, seconds):
+    context.now += seconds
+    for _ in range(400):
+        context.choosers[0].sent(context.runners[1], SHORT, 800, context.now)
+    must_go(context, 2)
 
 
 @then(
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -16,6 +16,8 @@
 from knapweedarch.prompt_parts import Prompt
 from knapweedarch.stored_parts import PartsIndex
 
+KEPT_VERSIONS = 16
+
 
 @attrs.frozen
 class ChoiceConfig:
@@ -39,6 +41,8 @@
             after which it is avoided.
         zone_s: Charge for sending a request to another data centre.
         old_weights_s: Charge for weights that are not the newest.
+        old_weights_limit_s: Time from when newer weights were named up to
+            which a runner with older ones gets requests.
         broken_off_s: The same charge for a request that is sent once more: a
             load may break it off a second time.
     """
@@ -59,6 +63,7 @@
     zone_s: float = 0.04
     old_weights_s: float = 0.3
     broken_off_s: float = 2.0
+    old_weights_limit_s: float = 6.5
     delay_weight: float = 0.1
     fetch_part: float = 0.25
 
@@ -90,6 +95,14 @@
         return self.failures / (self.failures + self.successes + 1.0)
 
 
+@attrs.frozen
+class _NamedWeights:
+    """A weights version and when this router learned of it, in seconds."""
+
+    version: int
+    at: float
+
+
 class EndpointChooser:
     """Remembers sends and outcomes, and chooses endpoints."""
 
@@ -103,13 +116,19 @@
         self._knows_others = False
         self._peers = 1.0
         self._weights: dict[str, int] = {}
+        self._named: dict[str, list[_NamedWeights]] = {}
 
     def set_peer_routers(self, count: int) -> None:
         """Tells how many routers choose among the same endpoints."""
         self._peers = 1.0 + self._cfg.peer_weight * max(0, count - 1)
 
-    def set_weights(self, weights: dict[str, int]) -> None:
+    def set_weights(self, weights: dict[str, int], now: float) -> None:
         """Takes over the weights versions named, by model."""
+        for model, version in weights.items():
+            if version != self._weights.get(model):
+                known = self._named.setdefault(model, [])
+                known.append(_NamedWeights(version, now))
+                del known[:-KEPT_VERSIONS]
         self._weights = weights
 
     def has_newest_weights(self, endpoint: Endpoint, prompt: Prompt) -> bool:
@@ -117,6 +136,13 @@
         named = self._weights.get(prompt.model, 0)
         return int(endpoint.weights_version or 0) >= named
 
+    def is_outdated(self, endpoint: Endpoint, model: str, now: float) -> bool:
+        """Tells whether a runner's weights were replaced too long ago."""
+        held = int(endpoint.weights_version or 0)
+        newer = [n for n in self._named.get(model, ()) if n.version > held]
+        limit_s = self._cfg.old_weights_limit_s
+        return bool(newer) and now - newer[0].at > limit_s
+
     def choose(
         self,
         endpoints: Sequence[Endpoint],
@@ -139,6 +165,10 @@
         """
         fresh = [e for e in endpoints if e.id not in tried]
         able = [e for e in fresh if self.is_usable(e, now)]
+        if prompt is not None:
+            able = [
+                e for e in able if not self.is_outdated(e, prompt.model, now)
+            ]
         if not able:
             return None
         ranks = _ranks(prompt, able)
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -280,6 +280,8 @@
         known = self._state.endpoints.get(message.endpoint.id)
         if endpoint is None or (known and _is_known(known.endpoint, endpoint)):
             return control.HeartbeatNoted()
+        if self._returns_with_old_weights(endpoint):
+            endpoint = attrs.evolve(endpoint, status=EndpointStatus.LOADING)
         try:
             result = await self._propose(Announce(endpoint))
         except ReplicaError:
@@ -298,6 +300,27 @@
             await self._drop_earlier(endpoint)
         return control.HeartbeatNoted()
 
+    def _returns_with_old_weights(self, endpoint: Endpoint) -> bool:
+        """Tells whether a runner must load weights before it is used again.
+
+        It was away while newer weights were named, and others have them.
+        """
+        known = self._state.endpoints.get(endpoint.id)
+        stays = known is not None and known.endpoint.status in IN_USE
+        if stays or endpoint.status is not EndpointStatus.ACTIVE:
+            return False
+        named = self._state.weights
+        wanted = max((named.get(m, 0) for m in endpoint.serves), default=0)
+        held = [
+            int(entry.endpoint.weights_version or 0)
+            for entry in self._state.endpoints.values()
+            if entry.endpoint.status is EndpointStatus.ACTIVE
+            and entry.endpoint.serves == endpoint.serves
+        ]
+        return (
+            int(endpoint.weights_version or 0) < wanted <= max(held, default=0)
+        )
+
     async def _drop_earlier(self, endpoint: Endpoint) -> None:
         """Takes endpoints out of use whose address has a later start now."""
         for entry in list(self._state.endpoints.values()):
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -210,7 +210,7 @@
         self._attempts.chooser.set_other_loads(totals, self._clock.now())
 
     def _set_weights(self, weights: dict[str, int]) -> None:
-        self._attempts.chooser.set_weights(weights)
+        self._attempts.chooser.set_weights(weights, self._clock.now())
         log("weights_wanted", weights=weights)
 
     def _may_start(self) -> RefusalReason | None:
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -245,9 +245,13 @@
         term = self._term
         state = await self._drain(endpoint)
         wanted = self._wanted(endpoint, state)
-        if wanted is not None and self._may_order(term) and not state.busy:
-            if await self._order(endpoint, wanted, state):
-                await self._await_load(endpoint, wanted)
+        may_order = self._may_order(term) and not state.busy
+        if (
+            wanted is not None
+            and may_order
+            and await self._order(endpoint, wanted, state)
+        ):
+            await self._await_load(endpoint, wanted)
         await self._put_back(endpoint)
 
     async def _await_load(
