--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -73,3 +73,12 @@
     And a settings file with "portRange" set to "many" is refused
     And a settings file with "seedNodes" set to "nowhere" is refused
     And a settings file with "faultBudget.machines" set to "two" is refused
+
+  Scenario: A process takes over changed settings and survives SIGHUP
+    Guards against a signal that ends the process and cuts its requests.
+    Given a proxy process on the platform
+    When its settings name another seed and it gets SIGHUP
+    Then it logs that the settings are reloaded
+    When its settings file is emptied and it gets SIGHUP
+    Then it logs that the settings are refused
+    And it ends with code 0 after SIGTERM
--- /dev/null
+++ b/features/steps/adapter_process_steps.py
@@ -0,0 +1,92 @@
+"""Steps for a process on the platform, started as the platform starts it."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+from behave import given, then, when
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+SEED = "127.0.0.1:1"
+OTHER_SEED = "127.0.0.2:1"
+END_S = 20.0
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def write_settings(context, seed: str) -> None:
+    fields = {
+        "nodeName": "front-1",
+        "bindIp": "127.0.0.1",
+        "zone": "dinsho",
+        "zones.dinsho": "bale-highlands",
+        "endpoints.front": context.front,
+        "endpoints.ready": context.ready,
+        "portRange": "7340,7355",
+        "seedNodes": seed,
+        "bounds.graceS": "3",
+    }
+    text = "".join(f"{key}={value}\n" for key, value in fields.items())
+    context.settings_file.write_text(text)
+
+
+@given("a proxy process on the platform")
+def proxy_process(context):
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="knapweedarch-"))
+    context.settings_file = folder / "local.conf"
+    context.front = f"127.0.0.1:{free_port()}"
+    context.ready = f"127.0.0.1:{free_port()}"
+    write_settings(context, SEED)
+    context.process = subprocess.Popen(
+        [sys.executable, "platform", "proxy"],
+        cwd=ROOT,
+        env={
+            "PATH": os.environ["PATH"],
+            "KNAPWEEDARCH_NODE_FILE": str(context.settings_file),
+        },
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    context.closing.append(context.process.kill)
+    wait_for_event(context, "started")
+
+
+def wait_for_event(context, name: str) -> None:
+    """Reads log lines up to an event; the process ends them if it ends."""
+    for line in context.process.stdout:
+        if json.loads(line)["event_name"] == name:
+            return
+    raise AssertionError(f"the process ended without {name}")
+
+
+@when("its settings name another seed and it gets SIGHUP")
+def other_seed(context):
+    write_settings(context, OTHER_SEED)
+    context.process.send_signal(signal.SIGHUP)
+
+
+@when("its settings file is emptied and it gets SIGHUP")
+def emptied(context):
+    context.settings_file.write_text("")
+    context.process.send_signal(signal.SIGHUP)
+
+
+@then("it logs that the settings are {what}")
+def logs_settings(context, what):
+    wait_for_event(context, f"settings_{what}")
+
+
+@then("it ends with code 0 after SIGTERM")
+def ends(context):
+    context.process.send_signal(signal.SIGTERM)
+    context.process.communicate(timeout=END_S)
+    assert context.process.returncode == 0
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -206,6 +206,15 @@
     return Member(name, f"identity-{name}", "127.0.0.1", 1, voter)
 
 
+OWN_IDENTITY = "identity-v1"
+
+
+def silence(context, identity: str) -> float:
+    """Seconds of silence; the leader is no peer of its own."""
+    assert identity != OWN_IDENTITY
+    return context.silence.get(identity, 0.0)
+
+
 @given("a group of {count:d} voters that wants {wanted:d}")
 def group_of(context, count, wanted):
     context.members = tuple(member(f"v{i}") for i in range(1, count + 1))
@@ -231,9 +240,9 @@
     """Applies changes until none is due; each must keep majorities together."""
     for _ in range(50):
         change = next_change(
-            *(context.members, context.notes, "identity-v1"),
-            lambda identity: context.silence.get(identity, 0.0) < 1.0,
-            lambda identity: context.silence.get(identity, 0.0),
+            *(context.members, context.notes, OWN_IDENTITY),
+            lambda identity: silence(context, identity) < 1.0,
+            lambda identity: silence(context, identity),
             context.wanted,
         )
         if change is None:
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -120,6 +120,14 @@
         self._order = [n for n in self._order if n in self._members]
         self._order += [n for n in self._members if n not in self._order]
 
+    def add_members(self, members: Sequence[MemberAddress]) -> None:
+        """Adds addresses to ask, such as new seeds."""
+        known = {(m.host, m.port) for m in self._members.values()}
+        for member in members:
+            if (member.host, member.port) not in known:
+                self._members[member.name] = member
+                self._order.append(member.name)
+
     async def submit(
         self, command: object, timeout_s: float, in_force: bool = True
     ) -> object:
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -54,6 +54,8 @@
     Event(102, "stopped", _I, "The process ended in order."),
     Event(103, "drain_started", _I, "A graceful shutdown began."),
     Event(104, "drain_ended", _I, "A graceful shutdown ended."),
+    Event(105, "settings_reloaded", _I, "Changed settings are in use."),
+    Event(106, "settings_refused", _E, "Changed settings are faulty."),
     Event(201, "leader_started", _I, "This member became the leader."),
     Event(202, "leader_stopped", _W, "This member is no longer the leader."),
     Event(203, "journal_failed", _E, "The journal failed; the process ends."),
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -114,6 +114,10 @@
         """
         return await self._control.ask(message, timeout_s)
 
+    def set_seeds(self, seeds: Iterable[Address]) -> None:
+        """Takes over the seeds of changed settings."""
+        self._control.add_members(seed_addresses(seeds))
+
     @property
     def leader(self) -> Leader:
         """Duties of the leader; in office only while this member leads."""
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -71,7 +71,11 @@
 
 
 class Proxy:
-    """One proxy."""
+    """One proxy.
+
+    Attributes:
+        stopped: Set when the proxy has drained after an order to stop.
+    """
 
     def __init__(
         self,
@@ -89,6 +93,7 @@
         self._timers = Timers(clock)
         self._endpoints: dict[str, Endpoint] = {}
         self._draining = False
+        self.stopped = anyio.Event()
         incarnation = secrets.token_hex(8)
         self._control = control.create_control(
             seed_addresses(settings.seeds),
@@ -149,6 +154,11 @@
             task_status.started(listen.port)
             await self._await_stop()
             group.cancel_scope.cancel()
+        self.stopped.set()
+
+    def set_seeds(self, seeds: Sequence[Address]) -> None:
+        """Takes over the seeds of changed settings."""
+        self._control.add_members(seed_addresses(seeds))
 
     async def _await_stop(self) -> None:
         with anyio.open_signal_receiver(
--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -362,12 +362,19 @@
             self._notes,
             self.identity,
             self._caught_up,
-            lambda i: now - max(office.peer(i).answered, office.since),
+            lambda i: self._silence(i, now),
             self._cfg.voters,
         )
         if members is not None:
             self.propose_members(members, now)
 
+    def _silence(self, identity: str, now: float) -> float:
+        """Returns for how many seconds a member has not answered."""
+        office = self._leadership
+        peer = office.peer(identity)
+        # The leader itself is no peer, and never silent to itself.
+        return now - max(peer.answered, office.since) if peer else 0.0
+
     def _on_append_reply(self, reply: AppendReply, now: float) -> None:
         if self._stale_or_newer(reply.identity, reply.term, now):
             return
--- a/knapweedarch/replica_membership.py
+++ b/knapweedarch/replica_membership.py
@@ -83,7 +83,8 @@
             change = _missing_learner(members, member, note, silence)
         elif _is_joining(members, member) and voters:
             change = _joining_step(
-                members, member, note, caught_up, silence, voters
+                *(members, member, note, caught_up, silence, voters),
+                own_identity,
             )
         else:
             change = _learner_step(members, member, note, caught_up)
@@ -116,6 +117,7 @@
     caught_up: Callable[[str], bool],
     silence: Callable[[str], float],
     voters: int,
+    own_identity: str,
 ) -> Members | None:
     """Makes a joining learner a voter, in a silent voter's place if full.
 
@@ -130,7 +132,8 @@
     if sum(m.voter for m in members) < voters:
         return (*others, attrs.evolve(learner, voter=True))
     for member in members:
-        if member.voter and silence(member.identity) >= REPLACE_SILENCE_S:
+        others_vote = member.voter and member.identity != own_identity
+        if others_vote and silence(member.identity) >= REPLACE_SILENCE_S:
             return tuple(m for m in members if m is not member)
     return None
 
--- /dev/null
+++ b/knapweedarch/settings_watch.py
@@ -0,0 +1,43 @@
+"""Follows a settings file that changes while the process runs."""
+
+import signal
+from collections.abc import Callable
+from typing import TypeVar
+
+import anyio
+
+from knapweedarch.exceptions import SettingsError
+from knapweedarch.logs import log
+
+CHECK_S = 1.0
+
+_T = TypeVar("_T")
+
+
+async def follow_settings(
+    read: Callable[[], _T], apply: Callable[[_T], None]
+) -> None:
+    """Applies changed settings until cancelled.
+
+    The file is read again at SIGHUP, and each `CHECK_S` since it may change
+    without a signal. Settings that are refused leave the old ones in force.
+
+    Args:
+        read: Reads the settings; raises `SettingsError`.
+        apply: Called with settings that differ from the last ones.
+    """
+    current = read()
+    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+        while True:
+            with anyio.move_on_after(CHECK_S):
+                async for _ in signals:
+                    break
+            try:
+                found = read()
+            except SettingsError as exc:
+                log("settings_refused", faults=exc.faults)
+                continue
+            if found != current:
+                current = found
+                apply(found)
+                log("settings_reloaded")
