--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -41,6 +41,12 @@
       | refuses connections |
       | is silent           |
 
+  Scenario: The only attempt gets all the time there is
+    Guards against a call that is cut to leave time for one that cannot follow.
+    Given a proxied runner that answers late
+    When a caller sends a request that has a single attempt
+    Then the caller gets status 200
+
   Scenario: A refusal tells when to come back
     Guards against callers that return at once, all together.
     Given a proxied runner that is full
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -34,6 +34,9 @@
 # Offset into the past that makes a router's repeat budget full at once.
 LONG_AGO_S = 100.0
 
+# Past half of the time that requests have, which is 2 s.
+LATE_S = 1.2
+
 BODY = b'{"seats":2}'
 EVENTS = tuple(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
 
@@ -111,6 +114,9 @@
         match self.mode:
             case "answers":
                 await stream.send(_response(own, BODY))
+            case "answers late":
+                await anyio.sleep(LATE_S)
+                await stream.send(_response(own, BODY))
             case "answers twice":
                 stray = _response("earlier", b"stray")
                 await stream.send(_response(own, BODY) + stray)
@@ -238,6 +244,7 @@
         routes=(
             _route("once", Repeatability.ONCE),
             _route("many", Repeatability.IDEMPOTENT, attempts=2),
+            _route("single", Repeatability.IDEMPOTENT),
             _route("stream", Repeatability.STREAM),
             _route(
                 "resume",
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -21,6 +21,7 @@
     "may run many times": "many",
     "may be resumed": "resume",
     "streams": "stream",
+    "has a single attempt": "single",
 }
 SYSTEM_HEADERS = (
     "X-Knapweedarch-Tenant",
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -178,6 +178,10 @@
         left = call.deadline - self.clock.now()
         return call.sends < call.route.attempts and left > 0
 
+    def may_repeat_after(self, call: Call) -> bool:
+        """Tells whether another attempt may follow the next one."""
+        return call.sends + 1 < call.route.attempts
+
     def _budget(self, call: Call) -> RepeatBudget:
         service = call.service.name
         budget = self._budgets.get(service)
--- a/knapweedarch/proxy_unary.py
+++ b/knapweedarch/proxy_unary.py
@@ -68,7 +68,7 @@
     attempts: Attempts, call: Call, endpoint: Endpoint
 ) -> Answer | Failure:
     limit_s = left_s(call, attempts.clock)
-    if call.route.repeatable and attempts.may_repeat(call):
+    if call.route.repeatable and attempts.may_repeat_after(call):
         limit_s *= ATTEMPT_PART
     async with AttemptScope(attempts, call, endpoint) as scope:
         with anyio.move_on_after(limit_s):
