--- a/scripts/check_catalogues.py
+++ b/scripts/check_catalogues.py
@@ -19,7 +19,7 @@
 from knapweedarch.metrics import METRICS, MetricKind  # noqa: E402
 
 PACKAGE = ROOT / "knapweedarch"
-ADAPTER = ROOT / "platform" / "adapter"
+FOLDERS = (PACKAGE, ROOT / "platform" / "adapter")
 REGISTRIES = {"events.py", "metrics.py", "logs.py"}
 LOG_CALLS = {"log"}
 METRIC_CALLS = {"count", "gauge", "timing"}
@@ -76,7 +76,8 @@
     """Returns the faults, and the registered names that are not used."""
     faults: list[str] = []
     unused = set(EVENTS) | set(METRICS)
-    for path in sorted((*PACKAGE.glob("*.py"), *ADAPTER.glob("*.py"))):
+    paths = [path for folder in FOLDERS for path in folder.glob("*.py")]
+    for path in sorted(paths):
         if path.name in REGISTRIES:
             continue
         for use in uses(path):
