--- /dev/null
+++ b/features/endpoint_registry.feature
@@ -0,0 +1,38 @@
+Feature: Endpoints as the leader knows them
+
+  Scenario Outline: A runner that was away returns with old weights
+    Guards against requests to a runner whose weights were replaced meanwhile.
+    Given active runner "a" with weights <others>
+    And runner "b" with weights 1 is <before>
+    And weights 2 are named
+    When runner "b" sends a heartbeat with weights <told>
+    Then runner "b" is <after>
+
+    Examples:
+      | others | before  | told | after   |
+      | 2      | silent  | 1    | loading |
+      | 2      | unknown | 1    | loading |
+      | 2      | silent  | 2    | active  |
+      | 1      | silent  | 1    | active  |
+      | 2      | active  | 1    | active  |
+
+  Scenario: A later start at an address ends the one before
+    Guards against requests to an instance whose address another one took over.
+    Given active runner "a" with weights 1
+    When runner "c" starts later at the address of runner "a"
+    Then runner "a" is silent
+    And runner "c" is active
+
+  Scenario: A heartbeat without the lead is sent on
+    Guards against a heartbeat that is confirmed and then lost.
+    Given active runner "a" with weights 1
+    When the member loses the lead
+    Then a heartbeat of a new runner raises an error and stores nothing
+
+  Scenario: A heartbeat of unknown outcome is not confirmed
+    Guards against an endpoint that ends after a confirmation that nobody kept.
+    Given active runner "a" with weights 1
+    When the leader changes before the commit
+    Then the heartbeat of a new runner is refused as unknown_outcome
+    When the leader is known again
+    Then the same heartbeat is confirmed and stored
--- a/features/journal.feature
+++ b/features/journal.feature
@@ -49,6 +49,14 @@
       | rename      | EIO    | a snapshot |
       | sync_folder | EIO    | a snapshot |
 
+  Scenario: A member whose disk is full waits for room
+    Guards against a process that ends and is started again until there is room.
+    Given a journal with 1 random saves and a twin in memory
+    And the disk has room again after 2 attempts to write
+    When a member opens the journal
+    Then it opened at the third attempt with everything that was saved
+    And the log tells once that the disk is full
+
   Scenario: A record whose sync failed is written again before it counts
     Given a journal with 20 random saves and a twin in memory
     When the operation sync fails with EIO while an entry is saved
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -1,17 +1,23 @@
 """Steps for the journal files."""
 
 import errno
+import io
+import json
 import os
 import random
 import shutil
 import tempfile
 
+import anyio
 from behave import given, then, when
 
 from bench.virtual_group import Disk
 from knapweedarch.exceptions import JournalError
 from knapweedarch.journal import HEADER, open_journal
 from knapweedarch.journal_files import Files
+from knapweedarch.logs import setup_logging
+from knapweedarch.member import open_member
+from knapweedarch.metrics import create_metrics
 from knapweedarch.replica import (
     Entry,
     EntryKind,
@@ -22,6 +28,10 @@
     Snapshot,
     create_replica,
 )
+from knapweedarch.settings import Address, MemberSettings
+from knapweedarch.timers import Clock
+
+OPENING_LIMIT_S = 10.0
 
 
 def fail(files, operation, code):
@@ -333,3 +343,59 @@
     for journal in context.journals.values():
         journal.close()
     assert all(b"kept" in data for data in applied.values()), applied
+
+
+@given("the disk has room again after {count:d} attempts to write")
+def full_for(context, count):
+    context.pair.journal.close()
+    context.attempts = 0
+    real = Files.write_all
+
+    def write_all(files, descriptor, data):
+        context.attempts += 1
+        if context.attempts <= count:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        real(files, descriptor, data)
+
+    Files.write_all = write_all
+    context.add_cleanup(setattr, Files, "write_all", real)
+
+
+@when("a member opens the journal")
+def member_opens(context):
+    settings = MemberSettings(
+        name="m",
+        data_centre="z",
+        credential="c",
+        members=(),
+        statsd=None,
+        log_level="info",
+        listen=Address("127.0.0.1", 0),
+        data_folder=context.pair.folder,
+        snapshot_every=100,
+    )
+    context.log_lines = io.StringIO()
+    setup_logging("info", context.log_lines)
+
+    async def run():
+        with anyio.fail_after(OPENING_LIMIT_S):
+            return await open_member(
+                settings, Clock(), create_metrics(None, 0, "m")
+            )
+
+    context.member = anyio.run(run)
+
+
+@then("it opened at the third attempt with everything that was saved")
+def opened_whole(context):
+    assert context.attempts == 3, context.attempts
+    journal = context.member._journal
+    assert journal.restored == context.pair.twin.restored()
+    journal.close()
+
+
+@then("the log tells once that the disk is full")
+def told_once(context):
+    lines = context.log_lines.getvalue().splitlines()
+    names = [json.loads(line)["event_name"] for line in lines]
+    assert names == ["journal_full"], names
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -39,7 +39,7 @@
         self.state = ControlState()
         self.leads = True
         self.term = 5
-        self.leader = self
+        self.leader = self.endpoints = self
         self.last_loading = Clock().now()
         self.most_out = 0
         self.changed = anyio.Event()
@@ -67,7 +67,7 @@
         """End of the leader lease."""
         return Clock().now() + 10.0 if self.leads else 0.0
 
-    async def change_status(self, endpoint, status) -> bool:
+    async def change_status(self, endpoint, status, reason) -> bool:
         """Stores a status."""
         self.apply(ChangeStatus(endpoint.id, endpoint.incarnation, status))
         return True
--- a/knapweedarch/daemon.py
+++ b/knapweedarch/daemon.py
@@ -59,7 +59,7 @@
     metrics = _metrics(settings)
     match settings:
         case MemberSettings():
-            daemon = member.create_member(settings, clock, metrics)
+            daemon = await member.open_member(settings, clock, metrics)
         case RouterSettings():
             daemon = router.create_router(settings, clock, metrics)
     async with anyio.create_task_group() as group:
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -134,11 +134,11 @@
     def has_newest_weights(self, endpoint: Endpoint, prompt: Prompt) -> bool:
         """Tells whether a runner has the weights named last."""
         named = self._weights.get(prompt.model, 0)
-        return int(endpoint.weights_version or 0) >= named
+        return endpoint.weights_number >= named
 
     def is_outdated(self, endpoint: Endpoint, model: str, now: float) -> bool:
         """Tells whether a runner's weights were replaced too long ago."""
-        held = int(endpoint.weights_version or 0)
+        held = endpoint.weights_number
         newer = [n for n in self._named.get(model, ()) if n.version > held]
         limit_s = self._cfg.old_weights_limit_s
         return bool(newer) and now - newer[0].at > limit_s
--- /dev/null
+++ b/knapweedarch/endpoint_registry.py
@@ -0,0 +1,192 @@
+"""Endpoints as the leading member knows them by their heartbeats.
+
+Only what a heartbeat changes enters the log. Which heartbeat was the newest is
+kept in memory and begins anew with each leader.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from knapweedarch import control
+from knapweedarch.exceptions import ReplicaError
+from knapweedarch.heartbeats import HeartbeatTable, born
+from knapweedarch.logs import log
+from knapweedarch.models import Endpoint, EndpointStatus
+from knapweedarch.state import (
+    Announce,
+    ChangeStatus,
+    ControlState,
+    EndpointAccepted,
+    still_loads,
+)
+from knapweedarch.timers import Clock
+
+IN_USE = (EndpointStatus.ACTIVE, EndpointStatus.LOADING)
+
+Propose = Callable[[object], Awaitable[object | None]]
+
+
+class EndpointRegistry:
+    """Stores endpoints and their status while this member leads.
+
+    Args:
+        state: State of the log.
+        clock: Clock of the process.
+        propose: Commits a command; see `Leader.propose`.
+        silent_s: Time without a heartbeat after which an endpoint counts as
+            silent; 0 where endpoints send none.
+    """
+
+    def __init__(
+        self,
+        state: ControlState,
+        clock: Clock,
+        propose: Propose,
+        silent_s: float,
+    ):
+        self._state = state
+        self._clock = clock
+        self._propose = propose
+        self._silent_s = silent_s
+        self._heartbeats = HeartbeatTable(0.0, silent_s)
+        # Orders of the time before this process started may still be young.
+        self._loading_seen_at = clock.now()
+        self._loading = False
+
+    def start_term(self, since: float) -> None:
+        """Begins a term of office at `since`; no endpoint is silent yet."""
+        self._heartbeats = HeartbeatTable(since, self._silent_s)
+
+    async def note(
+        self, message: control.Heartbeat
+    ) -> control.HeartbeatNoted | control.Refused:
+        """Notes a heartbeat and stores what it changes.
+
+        Raises:
+            ReplicaError: This member does not lead; nothing was stored.
+        """
+        endpoint = self._heartbeats.note(message, self._clock.now())
+        known = self._stored(message.endpoint.id)
+        if endpoint is None or (known and _is_known(known, endpoint)):
+            return control.HeartbeatNoted()
+        if self._returns_with_old_weights(known, endpoint):
+            endpoint = attrs.evolve(endpoint, status=EndpointStatus.LOADING)
+        stored = None
+        try:
+            stored = await self._propose(Announce(endpoint))
+        finally:
+            if stored is None:
+                self._heartbeats.retract(message)
+        if stored is None:
+            return control.Refused("unknown_outcome", "the leader changed")
+        if known is None or known.status is not endpoint.status:
+            _log_status(
+                endpoint, endpoint.status, f"heartbeat {message.number}"
+            )
+            await self._drop_earlier(endpoint)
+        return control.HeartbeatNoted()
+
+    async def drop_silent(self) -> None:
+        """Takes endpoints out of use that were not heard for too long."""
+        in_use = [e for e in self._endpoints() if e.status in IN_USE]
+        for endpoint in self._heartbeats.silent(in_use, self._clock.now()):
+            await self.change_status(
+                endpoint, EndpointStatus.SILENT, "no heartbeat"
+            )
+
+    async def change_status(
+        self, endpoint: Endpoint, status: EndpointStatus, reason: str
+    ) -> bool:
+        """Changes the status of an endpoint; tells whether it is stored.
+
+        Args:
+            endpoint: The endpoint; a later incarnation is left alone.
+            status: Its new status.
+            reason: Why, for the log.
+        """
+        command = ChangeStatus(endpoint.id, endpoint.incarnation, status)
+        try:
+            result = await self._propose(command)
+        except ReplicaError as exc:
+            log("proposal_failed", reason=str(exc), endpoint=endpoint.id)
+            return False
+        _log_status(endpoint, status, reason)
+        return isinstance(result, EndpointAccepted)
+
+    def note_loading(self) -> None:
+        """Notes when some runner was last out of use to load weights."""
+        loading = any(
+            e.status is EndpointStatus.LOADING for e in self._endpoints()
+        )
+        if loading or self._loading:
+            self._loading_seen_at = self._clock.now()
+        self._loading = loading
+
+    def last_loading_at(self) -> float:
+        """Returns when a runner was last known to be loading, in seconds.
+
+        A leader gives orders only while one is out of use for that.
+        """
+        return self._clock.now() if self._loading else self._loading_seen_at
+
+    def _endpoints(self) -> list[Endpoint]:
+        return [entry.endpoint for entry in self._state.endpoints.values()]
+
+    def _stored(self, endpoint_id: str) -> Endpoint | None:
+        entry = self._state.endpoints.get(endpoint_id)
+        return entry.endpoint if entry is not None else None
+
+    def _returns_with_old_weights(
+        self, known: Endpoint | None, endpoint: Endpoint
+    ) -> bool:
+        """Tells whether a runner must load weights before it is used again.
+
+        It was away while newer weights were named, and others have them.
+        """
+        stays = known is not None and known.status in IN_USE
+        if stays or endpoint.status is not EndpointStatus.ACTIVE:
+            return False
+        named = self._state.weights
+        wanted = max((named.get(m, 0) for m in endpoint.serves), default=0)
+        held = [
+            other.weights_number
+            for other in self._endpoints()
+            if other.status is EndpointStatus.ACTIVE
+            and other.serves == endpoint.serves
+        ]
+        return endpoint.weights_number < wanted <= max(held, default=0)
+
+    async def _drop_earlier(self, endpoint: Endpoint) -> None:
+        """Takes endpoints out of use whose address has a later start now."""
+        for other in self._endpoints():
+            if (
+                other.url == endpoint.url
+                and other.id != endpoint.id
+                and other.status in IN_USE
+                and born(other.incarnation) < born(endpoint.incarnation)
+            ):
+                await self.change_status(
+                    other, EndpointStatus.SILENT, "address used again"
+                )
+
+
+def _is_known(known: Endpoint, told: Endpoint) -> bool:
+    """Tells whether a heartbeat says nothing new."""
+    if known.incarnation != told.incarnation:
+        return False
+    leaves = known.status is EndpointStatus.LEAVING
+    return known == told or leaves or still_loads(known, told)
+
+
+def _log_status(
+    endpoint: Endpoint, status: EndpointStatus, reason: str
+) -> None:
+    log(
+        "endpoint_status",
+        endpoint=endpoint.id,
+        incarnation=endpoint.incarnation,
+        address=endpoint.url,
+        status=status.value,
+        reason=reason,
+    )
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -59,6 +59,7 @@
     Event(201, "leader_started", _I, "This member became the leader."),
     Event(202, "leader_stopped", _W, "This member is no longer the leader."),
     Event(203, "journal_failed", _E, "The journal failed; the process ends."),
+    Event(210, "journal_full", _E, "The disk is full; the member waits."),
     Event(204, "group_formed", _I, "The first group of members was formed."),
     Event(205, "peer_message_refused", _W, "A member's message is malformed."),
     Event(206, "group_not_found", _W, "No group was formed or joined yet."),
--- a/knapweedarch/exceptions.py
+++ b/knapweedarch/exceptions.py
@@ -49,6 +49,10 @@
     """A file operation failed or a file is corrupt; the process must stop."""
 
 
+class JournalFullError(JournalError):
+    """The disk has no room to open the journal; it may be tried again."""
+
+
 class ReplicaError(KnapweedarchError):
     """Root of the errors of the replicated log."""
 
--- a/knapweedarch/heartbeats.py
+++ b/knapweedarch/heartbeats.py
@@ -62,9 +62,11 @@
             return []
         return [e for e in endpoints if now - self._last(e) > self._silent_s]
 
-    def forget(self, endpoint_id: str) -> None:
-        """Forgets an endpoint that has ended."""
-        self._heard.pop(endpoint_id, None)
+    def retract(self, heartbeat: Heartbeat) -> None:
+        """Lets a heartbeat that was not stored be told again."""
+        known = self._heard.get(heartbeat.endpoint.id)
+        if known is not None and known.number == heartbeat.number:
+            known.number -= 1
 
     def _last(self, endpoint: Endpoint) -> float:
         heard = self._heard.get(endpoint.id)
--- a/knapweedarch/journal.py
+++ b/knapweedarch/journal.py
@@ -15,13 +15,18 @@
 file and the old snapshot in force.
 """
 
+import errno
 import struct
 
 import attrs
 import xxhash
 
 from knapweedarch.codec import create_codec
-from knapweedarch.exceptions import CodecError, JournalError
+from knapweedarch.exceptions import (
+    CodecError,
+    JournalError,
+    JournalFullError,
+)
 from knapweedarch.journal_files import Files
 from knapweedarch.replica_messages import (
     Entry,
@@ -34,6 +39,7 @@
 )
 
 IDENTITY_BYTES = 8
+NO_ROOM = (errno.ENOSPC, errno.EDQUOT)
 MAGIC = b"KWJ1"
 # Magic, frame number, size of the content, checksum of all that and of the
 # content.
@@ -121,7 +127,9 @@
             self.restored = self._load()
         except OSError as exc:
             files.close()
-            raise JournalError(f"cannot open the journal: {exc}") from exc
+            full = exc.errno in NO_ROOM
+            error = JournalFullError if full else JournalError
+            raise error(f"cannot open the journal: {exc}") from exc
         except JournalError:
             files.close()
             raise
@@ -313,6 +321,7 @@
     """Opens the journal in a folder; a missing folder is created.
 
     Raises:
+        JournalFullError: The disk has no room; nothing is lost.
         JournalError: The files are corrupt, in use or cannot be read.
     """
     return Journal(files or Files(folder))
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -8,19 +8,18 @@
 
 from knapweedarch import control, links, replica
 from knapweedarch.deployments import Deployment
+from knapweedarch.endpoint_registry import EndpointRegistry
 from knapweedarch.exceptions import LinkError, ReplicaError, RuleError
-from knapweedarch.heartbeats import HeartbeatTable, born
 from knapweedarch.leases import LEASE_S, LeaseTable
 from knapweedarch.load_totals import LoadBoard
 from knapweedarch.logs import log
-from knapweedarch.models import Endpoint, EndpointStatus
+from knapweedarch.models import EndpointStatus
 from knapweedarch.rules import parse_steps
 from knapweedarch.state import (
     COMMANDS,
     RESULTS,
     Abandon,
     Announce,
-    ChangeStatus,
     ControlState,
     DeploymentAccepted,
     EndpointAccepted,
@@ -37,14 +36,12 @@
     Stamper,
     TakeOrders,
     WeightsNamed,
-    still_loads,
 )
 from knapweedarch.timers import Clock, run_steps
 
 IN_FORCE_LIMIT_S = 10.0
 ANSWER_LIMIT_S = 10.0
 MAX_TOLD_FAULTS = 5
-IN_USE = (EndpointStatus.ACTIVE, EndpointStatus.LOADING)
 
 
 @attrs.define
@@ -61,6 +58,7 @@
 
     Attributes:
         applied: Index of the last entry applied to the state.
+        endpoints: Endpoints by their heartbeats.
     """
 
     def __init__(
@@ -73,12 +71,8 @@
         lease_s: float = LEASE_S,
         silent_s: float = 0.0,
     ):
-        # Orders of the time before this process started may still be young.
-        self._loading_seen_at = clock.now()
-        self._loading = False
         self._lease_s = lease_s
-        self._silent_s = silent_s
-        self._heartbeats = HeartbeatTable(0.0, silent_s)
+        self.endpoints = EndpointRegistry(state, clock, self._propose, silent_s)
         self.applied = 0
         self._applied_term = 0
         self._name = name
@@ -139,7 +133,7 @@
             before = self._shown_to_routers()
             result = self._state.apply(entry.data)
             if self._state.revision != before[1]:
-                self._note_loading()
+                self.endpoints.note_loading()
             if before != self._shown_to_routers():
                 self._tell_routers()
         proposal = self._proposals.pop(entry.index, None)
@@ -148,23 +142,6 @@
                 proposal.result = result
             proposal.done.set()
 
-    def _note_loading(self) -> None:
-        """Notes when some runner was last out of use to load weights."""
-        loading = any(
-            entry.endpoint.status is EndpointStatus.LOADING
-            for entry in self._state.endpoints.values()
-        )
-        if loading or self._loading:
-            self._loading_seen_at = self._clock.now()
-        self._loading = loading
-
-    def last_loading_at(self) -> float:
-        """Returns when a runner was last known to be loading, in seconds.
-
-        A leader gives orders only while one is out of use for that.
-        """
-        return self._clock.now() if self._loading else self._loading_seen_at
-
     def _shown_to_routers(self) -> tuple[int, int, int, int]:
         state = self._state
         return (
@@ -185,9 +162,7 @@
         leads = self._replica.leader_since is not None
         if leads and self._table_term != self._replica.term:
             self._table = LeaseTable(self._replica.leader_since, self._lease_s)
-            self._heartbeats = HeartbeatTable(
-                *(self._replica.leader_since, self._silent_s)
-            )
+            self.endpoints.start_term(self._replica.leader_since)
             self._table_term = self._replica.term
             self._stamper = None
             log("leader_started", term=self._replica.term)
@@ -276,94 +251,15 @@
         """Notes a heartbeat and stores what it changes."""
         if not self._leading():
             return self._redirect()
-        endpoint = self._heartbeats.note(message, self._clock.now())
-        known = self._state.endpoints.get(message.endpoint.id)
-        if endpoint is None or (known and _is_known(known.endpoint, endpoint)):
-            return control.HeartbeatNoted()
-        if self._returns_with_old_weights(endpoint):
-            endpoint = attrs.evolve(endpoint, status=EndpointStatus.LOADING)
         try:
-            result = await self._propose(Announce(endpoint))
+            return await self.endpoints.note(message)
         except ReplicaError:
             return self._redirect()
-        if result is None:
-            return control.Refused("unknown_outcome", "the leader changed")
-        if known is None or known.endpoint.status is not endpoint.status:
-            log(
-                "endpoint_status",
-                endpoint=endpoint.id,
-                incarnation=endpoint.incarnation,
-                address=endpoint.url,
-                status=endpoint.status.value,
-                number=message.number,
-            )
-            await self._drop_earlier(endpoint)
-        return control.HeartbeatNoted()
-
-    def _returns_with_old_weights(self, endpoint: Endpoint) -> bool:
-        """Tells whether a runner must load weights before it is used again.
-
-        It was away while newer weights were named, and others have them.
-        """
-        known = self._state.endpoints.get(endpoint.id)
-        stays = known is not None and known.endpoint.status in IN_USE
-        if stays or endpoint.status is not EndpointStatus.ACTIVE:
-            return False
-        named = self._state.weights
-        wanted = max((named.get(m, 0) for m in endpoint.serves), default=0)
-        held = [
-            int(entry.endpoint.weights_version or 0)
-            for entry in self._state.endpoints.values()
-            if entry.endpoint.status is EndpointStatus.ACTIVE
-            and entry.endpoint.serves == endpoint.serves
-        ]
-        return (
-            int(endpoint.weights_version or 0) < wanted <= max(held, default=0)
-        )
-
-    async def _drop_earlier(self, endpoint: Endpoint) -> None:
-        """Takes endpoints out of use whose address has a later start now."""
-        for entry in list(self._state.endpoints.values()):
-            other = entry.endpoint
-            if (
-                other.url == endpoint.url
-                and other.id != endpoint.id
-                and other.status in IN_USE
-                and born(other.incarnation) < born(endpoint.incarnation)
-            ):
-                await self.change_status(other, EndpointStatus.SILENT)
 
     async def drop_silent(self) -> None:
         """Takes endpoints out of use that were not heard for too long."""
-        if not self._leading():
-            return
-        now = self._clock.now()
-        active = [
-            entry.endpoint
-            for entry in self._state.endpoints.values()
-            if entry.endpoint.status in IN_USE
-        ]
-        for endpoint in self._heartbeats.silent(active, now):
-            await self.change_status(endpoint, EndpointStatus.SILENT)
-
-    async def change_status(
-        self, endpoint: Endpoint, status: EndpointStatus
-    ) -> bool:
-        """Changes the status of an endpoint; tells whether it is stored."""
-        command = ChangeStatus(endpoint.id, endpoint.incarnation, status)
-        try:
-            result = await self._propose(command)
-        except ReplicaError as exc:
-            log("proposal_failed", reason=str(exc), endpoint=endpoint.id)
-            return False
-        log(
-            "endpoint_status",
-            endpoint=endpoint.id,
-            incarnation=endpoint.incarnation,
-            address=endpoint.url,
-            status=status.value,
-        )
-        return isinstance(result, EndpointAccepted)
+        if self._leading():
+            await self.endpoints.drop_silent()
 
     def note_joining(
         self, join: control.Join
@@ -526,14 +422,6 @@
         )
 
 
-def _is_known(known: Endpoint, told: Endpoint) -> bool:
-    """Tells whether a heartbeat says nothing new."""
-    if known.incarnation != told.incarnation:
-        return False
-    leaves = known.status is EndpointStatus.LEAVING
-    return known == told or leaves or still_loads(known, told)
-
-
 def _log_order(command: object, result: object) -> None:
     """Logs operators' orders; a resend is logged again."""
     match command, result:
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -11,6 +11,7 @@
     CodecError,
     ControlError,
     CredentialError,
+    JournalFullError,
     LinkError,
 )
 from knapweedarch.journal import open_journal
@@ -29,6 +30,7 @@
 JOIN_TIMEOUT_S = 1.0
 SILENCE_CHECK_S = 0.5
 LOADS_S = 0.1
+ROOM_CHECK_S = 0.5
 
 
 class Member:
@@ -391,3 +393,24 @@
         JournalError: The journal is corrupt or cannot be opened.
     """
     return Member(settings, clock, metrics)
+
+
+async def open_member(
+    settings: MemberSettings, clock: Clock, metrics: Metrics
+) -> Member:
+    """Creates a member; waits while its disk has no room for the journal.
+
+    A member that ended instead would be started again and again.
+
+    Raises:
+        JournalError: The journal is corrupt or cannot be opened.
+    """
+    waits = False
+    while True:
+        try:
+            return create_member(settings, clock, metrics)
+        except JournalFullError as exc:
+            if not waits:
+                log("journal_full", reason=str(exc))
+            waits = True
+        await anyio.sleep(ROOM_CHECK_S)
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -122,6 +122,11 @@
         """IP number and port of the URL."""
         return self.url.removeprefix("http://")
 
+    @property
+    def weights_number(self) -> int:
+        """Version of the weights where versions are numbers; 0 for none."""
+        return int(self.weights_version or 0)
+
 
 @attrs.frozen
 class LoadReport:
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -142,7 +142,7 @@
             return
         if self._term != self._member.term:
             self._term = self._member.term
-            last_at = self._member.leader.last_loading_at()
+            last_at = self._member.leader.endpoints.last_loading_at()
             self._may_order_at = last_at + self._take_over_s
             self._group.start_soon(self._release_loading)
         if now < self._may_order_at:
@@ -163,10 +163,17 @@
         """
         for endpoint in self._runners():
             if endpoint.status is EndpointStatus.LOADING:
-                await self._member.leader.change_status(
-                    endpoint, EndpointStatus.ACTIVE
+                await self._change(
+                    endpoint, EndpointStatus.ACTIVE, "new leader"
                 )
 
+    async def _change(
+        self, endpoint: Endpoint, status: EndpointStatus, reason: str
+    ) -> None:
+        await self._member.leader.endpoints.change_status(
+            endpoint, status, reason
+        )
+
     def _loads_at_once(self) -> int:
         """Most loads at once; others must serve meanwhile."""
         return max(1, min(LOADS_AT_ONCE, len(self._runners()) // 3))
@@ -193,13 +200,13 @@
             due,
             key=lambda e: (
                 e.status is EndpointStatus.ACTIVE,
-                int(e.weights_version or 0),
+                e.weights_number,
             ),
         )
 
     def _lacks(self, endpoint: Endpoint) -> bool:
         """Tells whether a runner has older weights than those named."""
-        held = int(endpoint.weights_version or 0)
+        held = endpoint.weights_number
         return any(
             model in endpoint.serves and held < version
             for model, version in self._member.state.weights.items()
@@ -227,8 +234,8 @@
             )
             if exc.reason == RetryReason.CONNECT_REFUSED:
                 # It counts as gone until its next heartbeat.
-                await self._member.leader.change_status(
-                    endpoint, EndpointStatus.SILENT
+                await self._change(
+                    endpoint, EndpointStatus.SILENT, "refuses connections"
                 )
             await self._put_back(endpoint)
         finally:
@@ -239,9 +246,7 @@
             self._load_ended.set()
 
     async def _load(self, endpoint: Endpoint) -> None:
-        await self._member.leader.change_status(
-            endpoint, EndpointStatus.LOADING
-        )
+        await self._change(endpoint, EndpointStatus.LOADING, "load due")
         term = self._term
         state = await self._drain(endpoint)
         wanted = self._wanted(endpoint, state)
@@ -264,7 +269,7 @@
         until = self._clock.now() + LOAD_LIMIT_S
         while self._clock.now() < until:
             held = self._current(endpoint)
-            if held is None or int(held.weights_version) >= wanted.version:
+            if held is None or held.weights_number >= wanted.version:
                 return
             await anyio.sleep(POLL_S)
         log("load_not_confirmed", endpoint=endpoint.id, version=wanted.version)
@@ -282,9 +287,7 @@
         """Puts a runner back into use."""
         held = self._current(endpoint)
         if held is not None and held.status is EndpointStatus.LOADING:
-            await self._member.leader.change_status(
-                endpoint, EndpointStatus.ACTIVE
-            )
+            await self._change(endpoint, EndpointStatus.ACTIVE, "load ended")
 
     def _drain_limit(self, endpoint: Endpoint) -> float:
         """Longest wait in seconds for the end of what a runner runs."""
