--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -21,7 +21,7 @@
 from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.metrics import create_metrics
 from knapweedarch.models import Endpoint, EndpointKind
-from knapweedarch.proxy_calls import Attempts
+from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
 from knapweedarch.repeat_budget import RepeatLimits
 from knapweedarch.stored_parts import PartsIndex
--- a/knapweedarch/dialects.py
+++ b/knapweedarch/dialects.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from knapweedarch.http_messages import Answer, Headers, Request
+from knapweedarch.http_messages import Headers, Request
 from knapweedarch.http_outbound import AnswerHead
 from knapweedarch.prompt_parts import Prompt
 
@@ -73,10 +73,3 @@
 
     def is_other_instance(self, head: AnswerHead, instance_id: str) -> bool:
         """Tells whether another instance than the one meant has answered."""
-
-
-class ControlApi(Protocol):
-    """HTTP calls of operators and endpoints to the control members."""
-
-    async def handle(self, req: Request) -> Answer:
-        """Answers a call."""
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -25,7 +25,7 @@
     EndpointStatus,
     RefusalReason,
 )
-from knapweedarch.proxy_calls import Attempts
+from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
 from knapweedarch.repeat_budget import RepeatLimits
 from knapweedarch.settings import Address
--- /dev/null
+++ b/knapweedarch/proxy_attempts.py
@@ -0,0 +1,411 @@
+"""Attempts of proxied requests: where they go, what may be repeated."""
+
+from collections.abc import Awaitable, Callable, Iterable
+
+import anyio
+import attrs
+
+from knapweedarch.deployments import CacheStore
+from knapweedarch.dialects import Dialect, SendTerms
+from knapweedarch.endpoint_choice import EndpointChooser
+from knapweedarch.exceptions import ExchangeError
+from knapweedarch.heartbeats import born
+from knapweedarch.http_messages import Answer, Headers
+from knapweedarch.http_outbound import AnswerHead, Exchange, OutboundPool
+from knapweedarch.logs import log
+from knapweedarch.metrics import Metrics
+from knapweedarch.models import (
+    Endpoint,
+    EndpointStatus,
+    RefusalReason,
+    RetryReason,
+)
+from knapweedarch.proxy_calls import (
+    Call,
+    Failure,
+    Fate,
+    left_s,
+    retry_after,
+    urgency,
+)
+from knapweedarch.repeat_budget import RepeatBudget, RepeatLimits
+from knapweedarch.stored_parts import PartsIndex, SaveLimit
+from knapweedarch.timers import Clock
+
+# Saves of one router in a second; its link is shared by all fetches.
+SAVES_S = 1.2
+
+
+class Attempts:
+    """Chooses endpoints, opens exchanges and keeps to the budgets."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        dialect: Dialect,
+        pool: OutboundPool,
+        chooser: EndpointChooser,
+        index: PartsIndex,
+        limits: RepeatLimits,
+        may_start: Callable[[], RefusalReason | None],
+        since: float,
+    ):
+        self.clock = clock
+        self.metrics = metrics
+        self.dialect = dialect
+        self.chooser = chooser
+        self.routers = 1
+        self.index = index
+        self._saves: dict[str, SaveLimit] = {}
+        self._pool = pool
+        self._limits = limits
+        self._may_start = may_start
+        self._since = since
+        self._budgets: dict[str, RepeatBudget] = {}
+        self._by_service: dict[str, list[Endpoint]] = {}
+
+    def set_endpoints(self, endpoints: list[Endpoint]) -> None:
+        """Takes over the endpoints."""
+        self._by_service = {}
+        for endpoint in _newest_by_address(endpoints):
+            if endpoint.status is EndpointStatus.ACTIVE:
+                for name in endpoint.serves:
+                    self._by_service.setdefault(name, []).append(endpoint)
+        self.chooser.forget(endpoints)
+
+    def note_alive(self, address: str) -> None:
+        """Notes that an endpoint has sent something."""
+        self.chooser.note_alive(address, self.clock.now())
+
+    def set_stores(self, stores: Iterable[CacheStore]) -> None:
+        """Takes over the stores of KV cache."""
+        self._saves = {
+            store.address: self._saves.get(store.address, SaveLimit(SAVES_S))
+            for store in stores
+        }
+
+    def choose(self, call: Call) -> Endpoint | None:
+        """Chooses the next endpoint and counts the send."""
+        now = self.clock.now()
+        endpoints = self._by_service.get(call.service.name, ())
+        able = [e for e in endpoints if _serves_model(e, call.terms.prompt)]
+        salt = call.salt(able[0]) if able else ""
+        engine = call.service.engine
+        endpoint = self.chooser.choose(
+            *(able, call.terms.prompt, call.tried, now, salt),
+            memory_tokens=engine.memory_tokens if engine else 0,
+        )
+        if endpoint is None:
+            return None
+        if call.sends and not self._budget(call).take(self.routers, now):
+            self._log_refusal(call, "the repeat budget is used up")
+            return None
+        call.tried.append(endpoint.id)
+        return endpoint
+
+    def note_sent(self, call: Call) -> None:
+        """Notes that a request is written to an endpoint."""
+        if not call.sends:
+            self._budget(call).request(self.clock.now())
+        call.sends += 1
+
+    def may_repeat(self, call: Call) -> bool:
+        """Tells whether the route allows another attempt in time."""
+        left = call.deadline - self.clock.now()
+        return call.sends < call.route.attempts and left > 0
+
+    def may_repeat_after(self, call: Call) -> bool:
+        """Tells whether another attempt may follow the next one."""
+        return call.sends + 1 < call.route.attempts
+
+    def _budget(self, call: Call) -> RepeatBudget:
+        service = call.service.name
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RepeatBudget(
+                self._limits, self._since
+            )
+        return budget
+
+    async def open(
+        self, call: Call, endpoint: Endpoint, last_event_id: str = ""
+    ) -> Exchange:
+        """Opens an exchange with an endpoint.
+
+        Raises:
+            ExchangeError: Nothing was sent.
+        """
+        terms = self._send_terms(call, endpoint, last_event_id)
+        headers = self.dialect.endpoint_headers(call.req, terms)
+        request_id = call.terms.request_id
+        exchange = self._pool.exchange(
+            endpoint.address,
+            attrs.evolve(call.req, headers=headers),
+            lambda found: self.dialect.is_answer_to(found, request_id),
+        )
+        await exchange.open(self._check_start)
+        self.note_sent(call)
+        log(
+            "request_sent",
+            request=request_id,
+            endpoint=endpoint.id,
+            weights=endpoint.weights_version,
+            sends=call.sends,
+            fetch=terms.fetch_from,
+            save=terms.save_to,
+            resume=last_event_id,
+            left_ms=round(terms.limit_s * 1000),
+        )
+        return exchange
+
+    def _check_start(self) -> None:
+        if reason := self._may_start():
+            raise ExchangeError(
+                RetryReason.CONNECT_REFUSED, reason.value, written=False
+            )
+
+    def _send_terms(
+        self, call: Call, endpoint: Endpoint, last_event_id: str
+    ) -> SendTerms:
+        terms = SendTerms(
+            instance_id=endpoint.id,
+            limit_s=max(0.001, call.deadline - self.clock.now()),
+            customer=call.customer.name if call.customer else "",
+            last_event_id=last_event_id or call.terms.last_event_id,
+        )
+        if call.terms.prompt is not None:
+            terms = attrs.evolve(
+                self._with_transfers(call, endpoint, terms),
+                weights_version=endpoint.weights_version,
+                cache_salt=call.salt(endpoint),
+                urgency=urgency(call),
+            )
+        return terms
+
+    def _with_transfers(
+        self, call: Call, endpoint: Endpoint, terms: SendTerms
+    ) -> SendTerms:
+        """Adds where cached parts come from, and where they are saved."""
+        prompt, salt, now = call.terms.prompt, call.salt(endpoint), self.now()
+        held = self.index.of(endpoint.address)
+        source = self.index.best_source(
+            self._sources(call, endpoint),
+            *(prompt, salt, held.prefix_tokens(prompt, salt, now), now),
+        )
+        held.assume(prompt, salt, now)
+        save_to = ""
+        if self.chooser.has_newest_weights(endpoint, prompt):
+            for address, limit in self._saves.items():
+                stored = self.index.of(address)
+                known = stored.prefix_tokens(prompt, salt, now)
+                missing = known < prompt.shared_tokens
+                if missing and limit.allow(prompt, salt, now):
+                    save_to = address
+        return attrs.evolve(terms, fetch_from=source, save_to=save_to)
+
+    def unread_tokens(self, call: Call, endpoint: Endpoint) -> int:
+        """Prompt tokens of a request that a runner does not hold."""
+        prompt = call.terms.prompt
+        if prompt is None:
+            return 0
+        held = self.index.of(endpoint.address)
+        salt = call.salt(endpoint)
+        return prompt.tokens - held.prefix_tokens(prompt, salt, self.now())
+
+    def _sources(self, call: Call, endpoint: Endpoint) -> list[str]:
+        """Other runners with the same weights, near ones first; stores."""
+        alike = [
+            e
+            for e in self._by_service.get(call.service.name, ())
+            if e.weights_version == endpoint.weights_version
+            and e.id != endpoint.id
+            and self.chooser.is_usable(e, self.now())
+        ]
+        alike.sort(key=lambda e: e.data_centre != endpoint.data_centre)
+        return [*(e.address for e in alike), *self._saves]
+
+    def now(self) -> float:
+        """Returns the time in seconds on the router's clock."""
+        return self.clock.now()
+
+    def not_run(
+        self, call: Call, endpoint: Endpoint, head: AnswerHead
+    ) -> Failure:
+        """Notes that an endpoint refused to run a request."""
+        now = self.clock.now()
+        reason = RetryReason.ENDPOINT_REFUSED
+        if self.dialect.is_other_instance(head, endpoint.id):
+            reason = RetryReason.WRONG_INCARNATION
+            self.chooser.ended_for_good(endpoint, now)
+        else:
+            self.chooser.had_no_room(endpoint, now)
+        return self.note_failure(
+            call, endpoint, Failure(Fate.NOT_RUN, reason), f"{head.status}"
+        )
+
+    def broken(
+        self, call: Call, endpoint: Endpoint, exc: ExchangeError
+    ) -> Failure:
+        """Notes that an exchange broke off."""
+        now = self.clock.now()
+        fate = Fate.MAY_HAVE_RUN if exc.written else Fate.NOT_RUN
+        if exc.written:
+            self.chooser.failed(endpoint, now)
+        else:
+            self.chooser.refused(endpoint, now)
+        return self.note_failure(
+            call, endpoint, Failure(fate, RetryReason(exc.reason)), str(exc)
+        )
+
+    def note_failure(
+        self, call: Call, endpoint: Endpoint, failure: Failure, detail: str
+    ) -> Failure:
+        """Counts and logs an attempt without an answer."""
+        call.may_have_run |= failure.fate is Fate.MAY_HAVE_RUN
+        self.metrics.count(f"retried.{failure.reason.value}")
+        log(
+            "attempt_ended",
+            request=call.terms.request_id,
+            endpoint=endpoint.id,
+            weights=endpoint.weights_version,
+            fate=failure.fate.value,
+            reason=failure.reason.value,
+            detail=detail,
+            left_ms=round((call.deadline - self.clock.now()) * 1000),
+        )
+        return failure
+
+    def refusal(self, call: Call) -> Answer:
+        """Makes the final answer to a request that is given up."""
+        reason = self._refusal_reason(call)
+        if call.may_have_run:
+            reason, status = RefusalReason.OUTCOME_UNKNOWN, 502
+            if call.deadline <= self.clock.now():
+                status = 504
+            headers: Headers = ()
+        else:
+            status = 503
+            headers = (retry_after(left_s(call, self.clock), reason),)
+        self.metrics.count(f"refused.{reason.value}")
+        self._log_refusal(call, reason.value, status)
+        return Answer(status=status, headers=headers)
+
+    def _refusal_reason(self, call: Call) -> RefusalReason:
+        if left_s(call, self.clock) <= 0:
+            return RefusalReason.DEADLINE
+        if call.sends:
+            return RefusalReason.RETRIES_EXHAUSTED
+        return RefusalReason.NO_CAPACITY
+
+    def _log_refusal(self, call: Call, reason: str, status: int = 0) -> None:
+        log(
+            "request_given_up",
+            request=call.terms.request_id,
+            route=call.route.name,
+            service=call.service.name,
+            tried=list(call.tried),
+            reason=reason,
+            status=status,
+            left_ms=round((call.deadline - self.clock.now()) * 1000),
+        )
+
+
+class AttemptScope:
+    """Counts an attempt at its endpoint and gives up its connection."""
+
+    def __init__(self, attempts: Attempts, call: Call, endpoint: Endpoint):
+        self._attempts = attempts
+        self._call = call
+        self._endpoint = endpoint
+        self.exchange: Exchange | None = None
+        self.head: AnswerHead | None = None
+        self._unread_tokens = 0
+
+    def note_read(self) -> None:
+        """Notes that the runner has read the prompt."""
+        self._attempts.chooser.was_read(self._endpoint, self._unread_tokens)
+        self._unread_tokens = 0
+
+    async def __aenter__(self) -> "AttemptScope":
+        attempts, call = self._attempts, self._call
+        self._unread_tokens = attempts.unread_tokens(call, self._endpoint)
+        attempts.chooser.sent(
+            *(self._endpoint, call.terms.prompt, self._unread_tokens),
+            attempts.now(),
+        )
+        return self
+
+    async def __aexit__(self, *exc_info) -> None:
+        self.note_read()
+        self._attempts.chooser.ended(self._endpoint, self._call.terms.prompt)
+        if self.exchange is not None:
+            with anyio.CancelScope(shield=True):
+                await self.exchange.close(self.head)
+
+
+async def run_attempt(
+    attempts: Attempts,
+    call: Call,
+    endpoint: Endpoint,
+    limit_s: float,
+    exchange: Callable[[AttemptScope], Awaitable[Answer | Failure | None]],
+) -> Answer | Failure | None:
+    """Runs one attempt within its time.
+
+    Args:
+        attempts: Where the attempt is counted.
+        call: The request.
+        endpoint: Where it goes.
+        limit_s: Longest time in seconds.
+        exchange: Sends the request and takes the answer.
+
+    Returns:
+        What `exchange` returned, or a failure if it broke off or took longer.
+    """
+    async with AttemptScope(attempts, call, endpoint) as scope:
+        with anyio.move_on_after(limit_s):
+            try:
+                return await exchange(scope)
+            except ExchangeError as exc:
+                return attempts.broken(call, endpoint, exc)
+        late = ExchangeError(
+            *(
+                RetryReason.ANSWER_TIMEOUT,
+                f"no whole answer in {limit_s:.3f} s",
+            ),
+            scope.exchange is not None and scope.exchange.written,
+        )
+        return attempts.broken(call, endpoint, late)
+
+
+async def read_whole(exchange: Exchange, head: AnswerHead) -> Answer:
+    """Reads the whole body of an answer.
+
+    Raises:
+        ExchangeError: It broke off.
+    """
+    body = bytearray()
+    while (part := await exchange.read()) is not None:
+        body += part
+    return Answer(status=head.status, headers=head.headers, body=bytes(body))
+
+
+def _newest_by_address(endpoints: Iterable[Endpoint]) -> list[Endpoint]:
+    """Drops endpoints whose address a later start has taken over.
+
+    One that crashed is known for some seconds more.
+    """
+    newest: dict[str, Endpoint] = {}
+    for endpoint in endpoints:
+        known = newest.get(endpoint.url)
+        if known is None or born(endpoint.incarnation) > born(
+            known.incarnation
+        ):
+            newest[endpoint.url] = endpoint
+    return list(newest.values())
+
+
+def _serves_model(endpoint: Endpoint, prompt: object) -> bool:
+    return prompt is None or prompt.model in endpoint.serves
--- a/knapweedarch/proxy_gateway.py
+++ b/knapweedarch/proxy_gateway.py
@@ -16,7 +16,8 @@
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import RefusalReason
-from knapweedarch.proxy_calls import Attempts, Call, retry_after
+from knapweedarch.proxy_attempts import Attempts
+from knapweedarch.proxy_calls import Call, retry_after
 from knapweedarch.proxy_streams import StreamRelay
 from knapweedarch.proxy_unary import serve_unary
 from knapweedarch.timers import Clock
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -1,5 +1,7 @@
 """Proxied event streams: relay, and resume at another runner."""
 
+import functools
+
 import anyio
 
 from knapweedarch.event_stream import EventSplitter
@@ -8,16 +10,14 @@
 from knapweedarch.http_messages import Answer, end_to_end
 from knapweedarch.http_outbound import AnswerHead, Exchange
 from knapweedarch.logs import log
-from knapweedarch.models import Endpoint, RefusalReason, RetryReason
-from knapweedarch.proxy_calls import (
+from knapweedarch.models import Endpoint, RetryReason
+from knapweedarch.proxy_attempts import (
     Attempts,
     AttemptScope,
-    Call,
-    Failure,
-    Fate,
-    left_s,
     read_whole,
+    run_attempt,
 )
+from knapweedarch.proxy_calls import Call, Failure, Fate, left_s
 
 # A resumable stream without an event for this long goes on elsewhere. Callers
 # give up after 2 s or more.
@@ -73,35 +73,18 @@
         if self._responder.started:
             self._responder.abort()
             return "broken off"
-        answer = attempts.refusal(call, self._reason())
+        answer = attempts.refusal(call)
         self._status = answer.status
         await self._responder.send(answer)
         return "refused"
 
-    def _reason(self) -> RefusalReason:
-        if left_s(self._call, self._attempts.clock) <= 0:
-            return RefusalReason.DEADLINE
-        if self._call.sends:
-            return RefusalReason.RETRIES_EXHAUSTED
-        return RefusalReason.NO_CAPACITY
-
     async def _attempt(self, endpoint: Endpoint) -> Failure | None:
         """Relays from one runner; returns None after the stream's end."""
-        call, attempts = self._call, self._attempts
-        async with AttemptScope(attempts, call, endpoint) as scope:
-            with anyio.move_on_after(left_s(call, attempts.clock)):
-                try:
-                    return await self._exchange(endpoint, scope)
-                except ExchangeError as exc:
-                    return attempts.broken(call, endpoint, exc)
-            return attempts.broken(
-                call,
-                endpoint,
-                ExchangeError(
-                    *(RetryReason.ANSWER_TIMEOUT, "the time is over"),
-                    scope.exchange is not None and scope.exchange.written,
-                ),
-            )
+        limit_s = left_s(self._call, self._attempts.clock)
+        return await run_attempt(
+            *(self._attempts, self._call, endpoint, limit_s),
+            functools.partial(self._exchange, endpoint),
+        )
 
     async def _exchange(
         self, endpoint: Endpoint, scope: AttemptScope
--- a/knapweedarch/proxy_unary.py
+++ b/knapweedarch/proxy_unary.py
@@ -1,21 +1,18 @@
 """Proxied requests whose answers are passed on whole."""
 
-import anyio
+import functools
 
-from knapweedarch.exceptions import ExchangeError
 from knapweedarch.http_inbound import Responder
 from knapweedarch.http_messages import Answer, end_to_end
 from knapweedarch.logs import log
-from knapweedarch.models import Endpoint, RefusalReason, RetryReason
-from knapweedarch.proxy_calls import (
+from knapweedarch.models import Endpoint
+from knapweedarch.proxy_attempts import (
     Attempts,
     AttemptScope,
-    Call,
-    Failure,
-    Fate,
-    left_s,
     read_whole,
+    run_attempt,
 )
+from knapweedarch.proxy_calls import Call, Failure, Fate, left_s
 
 # Part of the time left that an attempt gets while another one may follow.
 ATTEMPT_PART = 0.5
@@ -49,42 +46,23 @@
                 break
         if not attempts.may_repeat(call):
             break
-    return kept or attempts.refusal(call, _reason(attempts, call))
+    return kept or attempts.refusal(call)
 
 
 def _is_worth_repeating(call: Call, answer: Answer) -> bool:
     return answer.status >= 500 and call.route.repeatable
 
 
-def _reason(attempts: Attempts, call: Call) -> RefusalReason:
-    if left_s(call, attempts.clock) <= 0:
-        return RefusalReason.DEADLINE
-    if call.sends:
-        return RefusalReason.RETRIES_EXHAUSTED
-    return RefusalReason.NO_CAPACITY
-
-
 async def _attempt(
     attempts: Attempts, call: Call, endpoint: Endpoint
 ) -> Answer | Failure:
     limit_s = left_s(call, attempts.clock)
     if call.route.repeatable and attempts.may_repeat_after(call):
         limit_s *= ATTEMPT_PART
-    async with AttemptScope(attempts, call, endpoint) as scope:
-        with anyio.move_on_after(limit_s):
-            try:
-                return await _exchange(attempts, call, endpoint, scope)
-            except ExchangeError as exc:
-                return attempts.broken(call, endpoint, exc)
-        return attempts.broken(
-            call,
-            endpoint,
-            ExchangeError(
-                RetryReason.ANSWER_TIMEOUT,
-                f"no whole answer in {limit_s:.3f} s",
-                scope.exchange is not None and scope.exchange.written,
-            ),
-        )
+    return await run_attempt(
+        *(attempts, call, endpoint, limit_s),
+        functools.partial(_exchange, attempts, call, endpoint),
+    )
 
 
 async def _exchange(
