Take no new request once a stopping proxy is out of rotation

Idle connections and the listener now close when the balancer has had its time; what is in progress is finished.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -116,3 +116,11 @@
     When a caller sends 2 requests one after the other
     Then both are answered by the runner's own answers
     And runner 1 accepted 2 connections
+
+  Scenario: A server that refuses new work finishes what it has
+    Guards against a request that is taken late in a drain and then cut off.
+    Given a proxied runner that answers late
+    When the server refuses new work with 1 request and 1 idle connection open
+    Then the idle connection is closed at once
+    And no new connection is taken
+    And the request gets its whole answer
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -323,10 +323,11 @@
                 await stream.send(data[start : start + size])
                 if parts > 1:
                     await anyio.sleep(0.002)
-            return RawAnswer(await _receive_all(stream, idle_s))
+            return RawAnswer(await receive_all(stream, idle_s))
 
 
-async def _receive_all(stream, idle_s: float) -> bytes:
+async def receive_all(stream, idle_s: float) -> bytes:
+    """Reads until the peer closes or is silent for `idle_s` seconds."""
     found = b""
     limit_s = SCENARIO_S
     with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -13,6 +13,7 @@
     KEY,
     RawAnswer,
     open_proxy,
+    receive_all,
     request,
 )
 
@@ -233,3 +234,58 @@
 @then("runner 1 accepted {count:d} connections")
 def accepted(context, count):
     assert context.runners[0].connections == count
+
+
+@when("the server refuses new work with 1 request and 1 idle connection open")
+def refuses_new(context):
+    async def run():
+        async with open_proxy() as site:
+            runner = await site.add_runner(context.modes[0])
+            busy = await anyio.connect_tcp("127.0.0.1", site.port)
+            idle = await anyio.connect_tcp("127.0.0.1", site.port)
+            async with busy, idle:
+                await busy.send(request("once"))
+                await runner.wait(lambda: runner.seen)
+                site.server.refuse_new()
+                context.idle_closed = await is_closed(idle)
+                context.taken = await is_taken(site.port)
+                context.answer = RawAnswer(await receive_all(busy, 0.4))
+
+    anyio.run(run)
+
+
+async def is_closed(stream) -> bool:
+    """Tells whether the peer closes a connection within a short time."""
+    with anyio.move_on_after(0.3):
+        try:
+            await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return True
+    return False
+
+
+async def is_taken(port: int) -> bool:
+    """Tells whether a new connection gets an answer."""
+    try:
+        stream = await anyio.connect_tcp("127.0.0.1", port)
+    except OSError:
+        return False
+    async with stream:
+        return not await is_closed(stream)
+
+
+@then("the idle connection is closed at once")
+def idle_closed(context):
+    assert context.idle_closed
+
+
+@then("no new connection is taken")
+def no_new_connection(context):
+    assert not context.taken
+
+
+@then("the request gets its whole answer")
+def whole_answer(context):
+    assert context.answer.status == 200, context.answer
+    assert context.answer.body == BODY, context.answer
+    assert "connection: close" in context.answer.head.lower()
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -343,18 +343,22 @@
         self.active = 0
         self._idle: set[InboundConnection] = set()
         self._scopes: dict[InboundConnection, anyio.CancelScope] = {}
+        self._accepting = anyio.CancelScope()
         self._quiet = anyio.Event()
 
     async def serve(
         self, host: str, port: int, *, task_status=anyio.TASK_STATUS_IGNORED
     ) -> None:
-        """Accepts connections until cancelled."""
+        """Accepts connections; serves them until cancelled."""
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=port, backlog=1024
         )
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         task_status.started(port)
-        await listener.serve(self._accept)
+        async with anyio.create_task_group() as group:
+            with self._accepting:
+                await listener.serve(self._accept, group)
+            await listener.aclose()
 
     async def _accept(self, stream: anyio.abc.SocketStream) -> None:
         conn = InboundConnection(self, stream)
@@ -383,13 +387,20 @@
         """Notes that a connection waits no longer."""
         self._idle.discard(conn)
 
-    async def drain(self, limit_s: float) -> None:
-        """Waits until no request is in progress, then ends what is idle."""
+    def refuse_new(self) -> None:
+        """Takes no new connection or request; what is in progress goes on.
+
+        A request that crosses the end of an idle connection was not read.
+        """
         self.closing = True
+        self._accepting.cancel()
+        for conn in list(self._idle):
+            if conn in self._scopes:
+                self._scopes[conn].cancel()
+
+    async def drain(self, limit_s: float) -> None:
+        """Waits until no request is in progress, within a limit."""
         with anyio.move_on_after(limit_s):
             while self.active:
                 self._quiet = anyio.Event()
                 await self._quiet.wait()
-        for conn in list(self._idle):
-            if conn in self._scopes:
-                self._scopes[conn].cancel()
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -170,6 +170,8 @@
             self._server.closing = True
             log("drain_started", active=self._server.active)
             await anyio.sleep(self._settings.ready_lag_s)
+            # A request that is taken later than this could not be finished.
+            self._server.refuse_new()
             await self._server.drain(
                 self._settings.stop_s - self._settings.ready_lag_s - 0.5
             )
