--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -124,3 +124,9 @@
     Then the idle connection is closed at once
     And no new connection is taken
     And the request gets its whole answer
+
+  Scenario: A stream that began before the stop is the last of its connection
+    Guards against a request on a connection that was kept past the stop.
+    Given a proxied runner that pauses after event 1
+    When the server refuses new work while a stream is relayed
+    Then the stream ends as complete and its connection is closed
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -145,12 +145,16 @@
                 await stream.receive()
             case "streams":
                 await _stream(stream, seen, len(EVENTS))
+            case "pauses after event 1":
+                await _stream(stream, seen, 1, pause_s=0.3)
             case "breaks off within event 3":
                 await _stream(stream, seen, 2, b"id: 3\ndata: pie")
                 await stream.aclose()
 
 
-async def _stream(stream, seen: Seen, until: int, rest: bytes = b"") -> None:
+async def _stream(
+    stream, seen: Seen, until: int, rest: bytes = b"", pause_s: float = 0.0
+) -> None:
     first = int(seen.header("Last-Event-Id") or 0)
     own = seen.header("X-Knapweedarch-Request-Id")
     head = (
@@ -162,6 +166,7 @@
     for event in (*EVENTS[first:until], rest):
         if event:
             await stream.send(b"%x\r\n%b\r\n" % (len(event), event))
+    await anyio.sleep(pause_s)
     if not rest:
         await stream.send(b"0\r\n\r\n")
 
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -289,3 +289,28 @@
     assert context.answer.status == 200, context.answer
     assert context.answer.body == BODY, context.answer
     assert "connection: close" in context.answer.head.lower()
+
+
+@when("the server refuses new work while a stream is relayed")
+def refuses_during_stream(context):
+    async def run():
+        async with open_proxy() as site:
+            await site.add_runner(context.modes[0])
+            caller = await anyio.connect_tcp("127.0.0.1", site.port)
+            async with caller:
+                await caller.send(request("stream"))
+                context.data = await caller.receive()
+                while EVENTS[0] not in context.data:
+                    context.data += await caller.receive()
+                site.server.refuse_new()
+                context.data += await receive_all(caller, 0.5)
+                context.idle_closed = await is_closed(caller)
+
+    anyio.run(run)
+
+
+@then("the stream ends as complete and its connection is closed")
+def stream_complete(context):
+    assert b"connection: close" not in context.data.lower()
+    assert context.data.endswith(b"0\r\n\r\n"), context.data
+    assert context.idle_closed
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -134,7 +134,10 @@
             await self._handle(req)
         finally:
             self._server.ended(self)
-        return not self._aborted and self._h11.our_state is h11.DONE
+        # The answer may have begun before its head could tell of the end.
+        if self._aborted or self._server.refusing:
+            return False
+        return self._h11.our_state is h11.DONE
 
     async def _read_request(self) -> Request | None:
         """Reads a request; returns None if the connection ends before it.
@@ -327,6 +330,7 @@
         handler: Answers each request.
         limits: Returns the limits of callers in force now.
         closing: Whether answers tell callers to close their connection.
+        refusing: Whether connections end after the request in progress.
         active: Requests in progress.
     """
 
@@ -339,7 +343,7 @@
         self.handler = handler
         self.clock = clock
         self.limits = limits
-        self.closing = False
+        self.closing = self.refusing = False
         self.active = 0
         self._idle: set[InboundConnection] = set()
         self._scopes: dict[InboundConnection, anyio.CancelScope] = {}
@@ -392,7 +396,7 @@
 
         A request that crosses the end of an idle connection was not read.
         """
-        self.closing = True
+        self.closing = self.refusing = True
         self._accepting.cancel()
         for conn in list(self._idle):
             if conn in self._scopes:
