--- a/knapweedarch/daemon.py
+++ b/knapweedarch/daemon.py
@@ -1,7 +1,6 @@
 """Entry point of the daemon; one role per process."""
 
 import pathlib
-import signal
 import sys
 
 import anyio
@@ -16,6 +15,7 @@
 from knapweedarch.logs import log, setup_logging
 from knapweedarch.metrics import Metrics, create_metrics
 from knapweedarch.metrics_server import serve_metrics
+from knapweedarch.process import EXIT_JOURNAL, EXIT_SETTINGS, stop_on_signal
 from knapweedarch.settings import (
     MemberSettings,
     RouterSettings,
@@ -24,9 +24,6 @@
 )
 from knapweedarch.timers import Clock
 
-EXIT_SETTINGS = 2
-EXIT_JOURNAL = 3
-
 
 def serve(*, settings: pathlib.Path) -> None:
     """Runs one role until it is told to stop.
@@ -74,18 +71,6 @@
         print(f"ready {port}", flush=True)
 
 
-async def stop_on_signal(
-    stopping: member.Member, scope: anyio.CancelScope
-) -> None:
-    """Stops a member; everything it answered is already synced."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            await stopping.prepare_stop()
-            log("stopped")
-            scope.cancel()
-            return
-
-
 def _metrics(settings: MemberSettings | RouterSettings) -> Metrics:
     address = settings.statsd
     if address is None:
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -9,16 +9,9 @@
 import enum
 import itertools
 from collections import Counter
-from collections.abc import Iterator
 
 import attrs
-import prometheus_client
 import statsd
-from prometheus_client.core import (
-    CounterMetricFamily,
-    GaugeMetricFamily,
-    HistogramMetricFamily,
-)
 
 from knapweedarch.deployments import Repeatability
 from knapweedarch.models import RefusalReason, RequestEnd, RetryReason
@@ -136,13 +129,6 @@
 METRICS = {metric.name: metric for metric in ALL_METRICS}
 
 
-_FAMILIES = {
-    MetricKind.COUNTER: CounterMetricFamily,
-    MetricKind.GAUGE: GaugeMetricFamily,
-    MetricKind.TIMING: HistogramMetricFamily,
-}
-
-
 class Histogram:
     """Counts of durations up to each bound.
 
@@ -220,33 +206,11 @@
 
     def page(self) -> bytes:
         """Returns all metrics as a page for scrapers."""
-        return prometheus_client.generate_latest(self)
-
-    def collect(self) -> Iterator[object]:
-        """Yields the families; called by the library that formats them."""
-        families: dict[str, list[Metric]] = {}
-        for metric in ALL_METRICS:
-            families.setdefault(metric.exported_family, []).append(metric)
-        for name, metrics in families.items():
-            yield self._family(name, metrics)
-
-    def _family(self, name: str, metrics: list[Metric]):
-        first = metrics[0]
-        labels = [label.name for label in first.labels]
-        family = _FAMILIES[first.kind](name, first.text, labels=labels)
-        for metric in metrics:
-            values = [label.value for label in metric.labels]
-            match metric.kind:
-                case MetricKind.COUNTER:
-                    family.add_metric(values, self.counts[metric.name])
-                case MetricKind.GAUGE if metric.name in self.gauges:
-                    family.add_metric(values, self.gauges[metric.name])
-                case MetricKind.TIMING if metric.name in self.histograms:
-                    histogram = self.histograms[metric.name]
-                    family.add_metric(
-                        values, histogram.buckets(), histogram.total_s
-                    )
-        return family
+        # Most processes never serve the page, and callers wait for a process
+        # that was restarted, so the library is loaded with the first one.
+        from knapweedarch.metrics_page import format_page
+
+        return format_page(self)
 
     def close(self) -> None:
         """Closes the socket."""
--- /dev/null
+++ b/knapweedarch/metrics_page.py
@@ -0,0 +1,57 @@
+"""Formats the metrics of a process as text that common scrapers read."""
+
+from collections.abc import Iterator
+
+import attrs
+import prometheus_client
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
+
+from knapweedarch.metrics import ALL_METRICS, Metric, MetricKind, Metrics
+
+_FAMILIES = {
+    MetricKind.COUNTER: CounterMetricFamily,
+    MetricKind.GAUGE: GaugeMetricFamily,
+    MetricKind.TIMING: HistogramMetricFamily,
+}
+
+
+@attrs.frozen
+class _Collector:
+    """Yields the families; its one method is called by the library."""
+
+    metrics: Metrics
+
+    def collect(self) -> Iterator[object]:
+        families: dict[str, list[Metric]] = {}
+        for metric in ALL_METRICS:
+            families.setdefault(metric.exported_family, []).append(metric)
+        for name, members in families.items():
+            yield _family(self.metrics, name, members)
+
+
+def _family(metrics: Metrics, name: str, members: list[Metric]):
+    first = members[0]
+    labels = [label.name for label in first.labels]
+    family = _FAMILIES[first.kind](name, first.text, labels=labels)
+    for metric in members:
+        values = [label.value for label in metric.labels]
+        match metric.kind:
+            case MetricKind.COUNTER:
+                family.add_metric(values, metrics.counts[metric.name])
+            case MetricKind.GAUGE if metric.name in metrics.gauges:
+                family.add_metric(values, metrics.gauges[metric.name])
+            case MetricKind.TIMING if metric.name in metrics.histograms:
+                histogram = metrics.histograms[metric.name]
+                family.add_metric(
+                    values, histogram.buckets(), histogram.total_s
+                )
+    return family
+
+
+def format_page(metrics: Metrics) -> bytes:
+    """Formats all metrics of a process."""
+    return prometheus_client.generate_latest(_Collector(metrics))
