--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -60,7 +60,7 @@
     refused_s: float = 2.0
     busy_s: float = 0.15
     quiet_s: float = 1.4
-    zone_s: float = 0.04
+    zone_s: float = 0.15
     old_weights_s: float = 0.3
     broken_off_s: float = 2.0
     old_weights_limit_s: float = 6.5
