--- a/knapweedarch/cache_feeds.py
+++ b/knapweedarch/cache_feeds.py
@@ -30,7 +30,7 @@
 # Each call to another data centre costs bytes on the links between them. Wait
 # and pause together stay below the silence after which a runner is avoided.
 NEAR_PACE = FeedPace(wait_s=0.6, pause_s=0.12)
-FAR_PACE = FeedPace(wait_s=0.5, pause_s=0.5)
+FAR_PACE = FeedPace(wait_s=0.5, pause_s=0.25)
 
 
 @attrs.frozen
--- a/knapweedarch/cli.py
+++ b/knapweedarch/cli.py
@@ -25,6 +25,8 @@
     RuleError,
     SettingsError,
 )
+from knapweedarch.explain import LogLine, read_lines
+from knapweedarch.explain import explain as explain_request
 from knapweedarch.models import Endpoint, EndpointKind, EndpointStatus
 from knapweedarch.rules import diff_rules, parse_rules
 from knapweedarch.state import (
@@ -347,6 +349,26 @@
     return reports.print_done(json, f"formed: {names}", "")
 
 
+def explain(request_id: str, *files: pathlib.Path, json: bool = False) -> int:
+    """Find a request in the logs of all processes and tell how it ended.
+
+    Args:
+        request_id: Id that the caller gave the request.
+        files: Logs; a name before the JSON text of a line is kept.
+        json: Print one JSON document.
+    """
+    if not files:
+        raise UsageError("files: give at least one log")
+    lines: list[LogLine] = []
+    for file in files:
+        try:
+            with open(file, errors="replace") as log:
+                lines += read_lines(file.stem, log)
+        except OSError as exc:
+            raise UsageError(f"{file}: {exc.strerror}") from exc
+    return reports.print_explanation(explain_request(request_id, lines), json)
+
+
 COMMANDS: dict[str, Callable[..., int]] = {
     "check": check,
     "diff": diff,
@@ -357,6 +379,7 @@
     "status": status,
     "form": form,
     "check-settings": check_settings,
+    "explain": explain,
 }
 
 
--- a/knapweedarch/reports.py
+++ b/knapweedarch/reports.py
@@ -3,12 +3,16 @@
 Results go to standard output; faults and request ids go to standard error.
 """
 
+import datetime
 import json
 import pathlib
 import sys
 from collections.abc import Sequence
 
+import attrs
+
 from knapweedarch.control import StatusReply
+from knapweedarch.explain import Explanation, LogLine
 from knapweedarch.models import Rules
 from knapweedarch.rules import ChangeKind, RuleChange
 from knapweedarch.state import EndpointEntry
@@ -185,3 +189,25 @@
     _print(
         as_json, document, [f"{key}: {value}" for key, value in texts.items()]
     )
+
+
+def print_explanation(found: Explanation, as_json: bool) -> int:
+    """Prints a request's lines; returns 1 if there are none."""
+    document = {
+        "conclusion": found.conclusion,
+        "lines": [attrs.asdict(line) for line in found.lines],
+        "context": [attrs.asdict(line) for line in found.context],
+    }
+    lines = [_line_text(line) for line in found.lines]
+    if found.context:
+        lines += ["", "What was told of its process and endpoints before:"]
+        lines += [_line_text(line) for line in found.context]
+    _print(as_json, document, [*lines, "", found.conclusion])
+    return EXIT_DONE if found.lines else EXIT_REFUSED
+
+
+def _line_text(line: LogLine) -> str:
+    at = datetime.datetime.fromtimestamp(line.at, datetime.UTC)
+    fields = {k: v for k, v in line.fields.items() if k != "request"}
+    told = ", ".join(f"{k} {v}" for k, v in fields.items() if v not in ("", []))
+    return f"{at:%H:%M:%S.%f} {line.source} {line.event}: {told}"
--- a/knapweedarch/stored_parts.py
+++ b/knapweedarch/stored_parts.py
@@ -13,8 +13,8 @@
 
 # Own sends count as held until their events must have come.
 ASSUMED_S = 2.0
-# Shared tokens below which a transfer takes longer than reading them.
-MIN_FETCH_TOKENS = 150
+# Shared tokens below which a fetch that finds nothing costs as much as reading.
+MIN_FETCH_TOKENS = 32
 # Shared tokens below which a prompt is not worth saving in a store.
 MIN_SAVE_TOKENS = 1_000
 # Own tokens above which a prompt is not worth its transfer to the store.
