--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -18,7 +18,7 @@
 LAST_URGENCY = 9
 RANKS_OF_ROUTES = 3
 # From the start of a router to its first lease, when all start together.
-LEASE_RETRY_AFTER_S = 1.3
+LEASE_RETRY_AFTER_S = 1.0
 
 
 class Fate(str, enum.Enum):
--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -220,7 +220,7 @@
         if self._now is None:
             # Before a restart this member may have told a leader that it
             # hears it, so it waits as long as that promise lasts.
-            self._election.heard_leader(now)
+            self._election.started(now)
         self._now = now
 
     def _refuses_votes(self, now: float) -> bool:
--- a/knapweedarch/replica_election.py
+++ b/knapweedarch/replica_election.py
@@ -10,6 +10,9 @@
 # too early, so it is repeated soon. A vote waits for a sync at each voter.
 PRE_VOTE_RETRY_S = (0.1, 0.3)
 VOTE_RETRY_S = (0.3, 0.6)
+# Members that restart together do not start at one moment, so less of a
+# spread keeps two of them from asking at once.
+FIRST_ELECTION_S = (MIN_ELECTION_S, 0.85)
 
 
 class Election:
@@ -33,6 +36,11 @@
         """Newest term seen."""
         return self.hard_state.term
 
+    def started(self, now: float) -> None:
+        """Waits as long as a promise of the process before may last."""
+        self.heard_leader(now)
+        self._restart_timer(now, *FIRST_ELECTION_S)
+
     def heard_leader(self, now: float) -> None:
         """Starts the time in which this replica votes for nobody."""
         self._votes = {True: set(), False: set()}
