--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -82,6 +82,7 @@
     accepted: int = 0
     loading: bool = False
     mute_orders: int = 0
+    queue_ends_at: float = 0.0
 
 
 class FakeOrders:
@@ -94,12 +95,14 @@
         self.orders: list[tuple[str, LoadWeightsOrder]] = []
         self.stale: list[LoadWeightsOrder] = []
         self.most_loading = 0
+        self.cut_queues = 0
 
     async def report(self, endpoint: Endpoint) -> RunnerState:
         """Tells a runner's state."""
         runner = self.runners[endpoint.id]
+        queued = int(Clock().now() < runner.queue_ends_at)
         return RunnerState(
-            {MODEL: runner.version}, runner.loading, runner.accepted
+            {MODEL: runner.version}, runner.loading, queued, runner.accepted
         )
 
     async def load(self, endpoint: Endpoint, order: LoadWeightsOrder) -> bool:
@@ -109,6 +112,7 @@
         if runner.mute_orders:
             runner.mute_orders -= 1
             raise ExchangeError(RetryReason.ANSWER_TIMEOUT, "mute", True)
+        self.cut_queues += Clock().now() < runner.queue_ends_at
         if order.expected_orders != runner.accepted or runner.loading:
             self.stale.append(order)
             return False
@@ -136,7 +140,7 @@
 @given("a leading member and {count:d} runners with weights {version:d}")
 def leading_member(context, count, version):
     context.versions = {i: version for i in range(1, count + 1)}
-    context.take_over_s, context.mute = 0.0, ()
+    context.take_over_s, context.mute, context.queues = 0.0, (), {}
     context.named, context.loses_lead, context.taken_out = [], False, ()
 
 
@@ -192,8 +196,11 @@
             endpoint = runner_endpoint(number, version)
             member.apply(Announce(endpoint))
             muted = int(number in context.mute)
+            queue_s = context.queues.get(number, 0.0)
             orders.runners[endpoint.id] = FakeRunner(
-                endpoint, version, mute_orders=muted
+                *(endpoint, version),
+                mute_orders=muted,
+                queue_ends_at=Clock().now() + queue_s,
             )
         for number in context.taken_out:
             member.apply(
@@ -261,3 +268,14 @@
 @then("each order names the orders accepted before it")
 def orders_named(context):
     assert context.orders.stale == []
+
+
+@given("runner {number:d} has requests in its queue for {seconds:f} s")
+def queue_lasts(context, number, seconds):
+    context.queues[number] = seconds
+
+
+@then("{count:d} runners were ordered while requests were in their queues")
+@then("{count:d} runner was ordered while requests were in its queue")
+def queues_cut(context, count):
+    assert context.orders.cut_queues == count, context.orders.cut_queues
--- a/features/weights_rollout.feature
+++ b/features/weights_rollout.feature
@@ -44,3 +44,20 @@
     When weights 2 are named
     Then within 9.0 s every runner is in use with weights 2
     And each order names the orders accepted before it
+
+  Scenario: A runner begins what it took before it loads
+    Pattern: new weights while runners are full. Guards against requests that
+    an order refuses after they waited, and that use up the repeat budget.
+    Given a leading member and 3 runners with weights 1
+    And runner 1 has requests in its queue for 1.4 s
+    When weights 2 are named
+    Then within 9.0 s every runner is in use with weights 2
+    And 0 runners were ordered while requests were in their queues
+
+  Scenario: A queue that does not end keeps no runner from its weights
+    Guards against a runner that is passed over as long as it is busy.
+    Given a leading member and 3 runners with weights 1
+    And runner 1 has requests in its queue for 60.0 s
+    When weights 2 are named
+    Then within 9.0 s every runner is in use with weights 2
+    And 1 runner was ordered while requests were in its queue
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -40,6 +40,11 @@
 CALM_DRAIN_LIMIT_S = 1.5
 # A runner that did not reach its weights in this time is ordered again.
 LOAD_LIMIT_S = 2.0
+# Longest wait for requests that a runner has not begun. An order refuses
+# them, and each one then takes a place in the budget of repeats.
+QUEUE_LIMIT_S = 1.0
+# A runner's report is some hundred milliseconds old.
+QUEUE_POLL_S = 0.15
 POLL_S = 0.03
 # From the change of a status to the loads that routers cause after it.
 LOADS_LAG_S = 0.25
@@ -61,11 +66,13 @@
     Attributes:
         weights: Weights version by model.
         busy: Whether it carries out an order.
+        queued: Requests that it has not begun.
         orders_accepted: Orders accepted since its start.
     """
 
     weights: dict[str, int]
     busy: bool
+    queued: int
     orders_accepted: int
 
 
@@ -315,12 +322,21 @@
             if not self._member.leader.requests_at(endpoint.id):
                 break
             await anyio.sleep(POLL_S)
+        await self._await_queue(endpoint)
         while len(self._drained) >= self._loads_at_once():
             self._load_ended = anyio.Event()
             await self._load_ended.wait()
         self._drained.add(endpoint.id)
         return await self._orders.report(endpoint)
 
+    async def _await_queue(self, endpoint: Endpoint) -> None:
+        """Waits until a runner has begun what it took, within a limit."""
+        until = self._clock.now() + QUEUE_LIMIT_S
+        while (await self._orders.report(endpoint)).queued:
+            if self._clock.now() >= until:
+                return
+            await anyio.sleep(QUEUE_POLL_S)
+
     def _may_order(self, term: int) -> bool:
         now = self._clock.now()
         leads = self._member.leads_until() > now
