--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -50,6 +50,7 @@
                 await site.add_runner(mode)
             found = [await site.send(part, **options) for part in data]
             context.runners = site.runners
+            context.site_metrics = site.metrics
             return found
 
     context.answers = anyio.run(run)
@@ -74,6 +75,7 @@
             with anyio.fail_after(0.5):
                 await runner.wait(lambda: runner.dropped)
             context.runners = site.runners
+            context.site_metrics = site.metrics
 
     anyio.run(run)
 
