Elect a leader without the wait when every voter has restarted

A restarted voter asks the others at once; the best candidate (newest log, then identity) that knows every voter to have restarted stands at once, and voters that promised nothing since vote for it. A voter that did not restart, such as a leader with its lease, keeps all to the wait.

In the virtual group: lease within 0.3 s of the last start (five members), two leases if a majority is taken for all.

--- a/features/journal.feature
+++ b/features/journal.feature
@@ -80,9 +80,9 @@
     against a vote while what it promised before may still count.
     Given three blank journals that form a group
     When a member is created <age> s after its process started
-    Then it <seeks> office at once
+    Then it <votes> for another candidate at once
 
     Examples:
-      | age | seeks         |
-      | 1.3 | seeks         |
-      | 0.5 | does not seek |
+      | age | votes         |
+      | 0.7 | votes         |
+      | 0.5 | does not vote |
--- a/features/replication.feature
+++ b/features/replication.feature
@@ -97,6 +97,18 @@
     And the leading replica crashes
     Then no replica holds the leader lease for 5.0 s
 
+  Scenario: Members that all restart elect a leader without the wait
+    Guards against an outage that lasts as long as a promise to nobody.
+    Given 5 replicas
+    When all replicas crash and start again within 0.2 s
+    Then a replica holds the leader lease within 0.3 s of the last start
+
+  Scenario: Members of which one did not restart wait
+    Guards against a second leader while the first one's lease runs.
+    Given 5 replicas
+    When all replicas but the leading one crash and start again within 0.2 s
+    Then no other replica holds the leader lease within 0.3 s of the last start
+
   Scenario Outline: Each mechanism prevents the failure it is there for
     Given the replicas are built <variant>
     When the replicas meet this: <schedule>
@@ -110,6 +122,8 @@
       | without lease wait      | a follower cannot reach the leader only    | two leader leases         |
       | as designed             | a voter restarts while the lease runs      | no promise is broken      |
       | without restart wait    | a voter restarts while the lease runs      | two leader leases         |
+      | as designed             | all but the lease holder restart           | no promise is broken      |
+      | to count a majority as all | all but the lease holder restart        | two leader leases         |
       | as designed             | a member returns with part of the log      | no promise is broken      |
       | to count names          | a member returns with part of the log      | a committed entry is lost |
       | as designed             | a second member is lost after a repair     | a leader is elected       |
--- a/features/replication_faults.py
+++ b/features/replication_faults.py
@@ -49,11 +49,27 @@
             self._log.commit(matched)
 
 
+class CountsMajorityAsAll(Replica):
+    """Takes a majority of restarted voters for all of them."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        real = self._election.all_restarted
+
+        def counting(identity, voters):
+            real(identity, voters)
+            known = self._election._restarted | {self.identity}
+            return len(known & voters) > len(voters) // 2
+
+        self._election.all_restarted = counting
+
+
 VARIANTS = {
     "as designed": {},
     "without pre-vote": {"replica_class": WithoutPreVote},
     "without lease wait": {"replica_class": WithoutLeaseWait},
     "without restart wait": {"replica_class": WithoutRestartWait},
+    "to count a majority as all": {"replica_class": CountsMajorityAsAll},
     "without learners": {"replica_class": WithoutLearners},
     "to commit old terms": {"replica_class": CommitsOldTerms},
     "to count names": {"keep_identity": True},
@@ -89,6 +105,17 @@
     group.run(1.0)
 
 
+def all_but_one_restart(group: CheckedGroup) -> None:
+    """Restarts all voters but the one that holds the lease."""
+    leader, *others = group.elected()
+    group.isolate(leader)
+    for name in others:
+        group.crash(name)
+    for name in others:
+        group.start(name)
+    group.run(1.5)
+
+
 def returning(group: CheckedGroup) -> None:
     """Lets a member without its disk catch up with a part of the log."""
     leader, returns, lags = group.elected()
@@ -183,6 +210,7 @@
     "a follower is cut off and back five times": flapping,
     "a follower cannot reach the leader only": unreachable,
     "a voter restarts while the lease runs": restarted_voter,
+    "all but the lease holder restart": all_but_one_restart,
     "a member returns with part of the log": returning,
     "a second member is lost after a repair": second_loss,
     "a member crashes between answer and sync": answered_too_early,
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -26,6 +26,52 @@
     compacting_replicas(context, 0)
 
 
+@given("5 replicas")
+def five_replicas(context):
+    context.group = CheckedGroup("abcde", seed=1)
+    context.group.elected()
+
+
+@when("all replicas crash and start again within {spread:f} s")
+def all_restart(context, spread):
+    restart(context, list(context.group.nodes), spread)
+
+
+@when(
+    "all replicas but the leading one crash and start again within {spread:f} s"
+)
+def others_restart(context, spread):
+    context.leader, *others = context.group.elected()
+    # It goes on by its lease, and nobody hears it any more.
+    context.group.isolate(context.leader)
+    restart(context, others, spread)
+
+
+def restart(context, names, spread):
+    for name in names:
+        context.group.crash(name)
+    for name in names:
+        context.group.start(name)
+        context.group.run(spread / len(names))
+
+
+@then("a replica holds the leader lease within {limit:f} s of the last start")
+def holds_soon(context, limit):
+    context.group.run_until(context.group.lease_holder, limit)
+
+
+@then(
+    "no other replica holds the leader lease within {limit:f} s of the last"
+    " start"
+)
+def no_other_holds(context, limit):
+    end = context.group.now + limit
+    while context.group.now < end:
+        context.group.step()
+        holder = context.group.lease_holder()
+        assert holder is None or holder.name == context.leader, holder.name
+
+
 @given("3 replicas that compact each {count:d} log entries")
 def compacting_replicas(context, count):
     context.group = CheckedGroup(seed=1)
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -25,7 +25,7 @@
 
 TICK_S = 0.04
 REPORT_S = 1.0
-RECONNECT_S = 0.2
+RECONNECT_S = 0.1
 HAND_OVER_S = 1.0
 JOIN_S = 0.25
 JOIN_TIMEOUT_S = 1.0
--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -254,9 +254,9 @@
         self.role = Role.PRE_CANDIDATE
         self._ask_for_votes(now)
 
-    def _stand(self, now: float) -> None:
+    def _stand(self, now: float, all_restarted: bool = False) -> None:
         self.role = Role.CANDIDATE
-        self._ask_for_votes(now)
+        self._ask_for_votes(now, all_restarted=all_restarted)
 
     def _on_hand_over(self, message: HandOver, now: float) -> None:
         if (
@@ -268,10 +268,17 @@
             self.role = Role.CANDIDATE
             self._ask_for_votes(now, handed_over=True)
 
-    def _ask_for_votes(self, now: float, handed_over: bool = False) -> None:
+    def _ask_for_votes(
+        self,
+        now: float,
+        handed_over: bool = False,
+        all_restarted: bool = False,
+    ) -> None:
         self.leader = None
         pre = self.role is Role.PRE_CANDIDATE
-        request = self._election.ask(self._log, pre, now, handed_over)
+        request = self._election.ask(
+            self._log, pre, now, handed_over, all_restarted
+        )
         for member in self.members:
             if member.voter and member.identity != self.identity:
                 self._send(member.name, request)
@@ -283,7 +290,10 @@
             return
         if not vote.pre:
             self._take_office(now)
-        elif self.role is Role.PRE_CANDIDATE:
+        elif self.role is Role.PRE_CANDIDATE and not (
+            # Its own silence may still be promised to a leader.
+            self._election.hears_leader(now)
+        ):
             self._stand(now)
 
     def _on_vote_request(
@@ -291,8 +301,13 @@
     ) -> None:
         if self.blank:
             return
-        # The leader that this voter heard claims no lease any more.
-        released = request.handed_over and self._leadership is None
+        # The leader that this voter heard claims no lease any more, or this
+        # voter has promised nothing since all of them restarted.
+        released = self._leadership is None and (
+            request.handed_over
+            or (request.all_restarted and self._election.is_fresh)
+        )
+        yields = self._election.yields_to(request, self._log)
         refused = self._refuses_votes(now) and not released
         if not refused and not request.pre and request.term > self.term:
             self._follow(request.term, None, now)
@@ -300,7 +315,15 @@
         if granted and self.role is Role.PRE_CANDIDATE:
             self._yield_to(request.identity, now)
         term = request.term if granted else self.term
-        self._send(sender, VoteReply(self.identity, term, granted, request.pre))
+        reply = VoteReply(self.identity, term, granted, request.pre, yields)
+        self._send(sender, reply)
+        self._ask_back(sender, request)
+
+    def _ask_back(self, sender: str, request: VoteRequest) -> None:
+        if self.role is Role.PRE_CANDIDATE:
+            question = self._election.ask_back(request, self._log)
+            if question is not None:
+                self._send(sender, question)
 
     def _yield_to(self, identity: str, now: float) -> None:
         """Leaves the election to one of two that ask at the same time.
@@ -314,6 +337,13 @@
     def _on_vote_reply(self, reply: VoteReply, now: float) -> None:
         if self.role not in (Role.PRE_CANDIDATE, Role.CANDIDATE):
             return
+        if (
+            reply.restarted
+            and self.role is Role.PRE_CANDIDATE
+            and self._election.all_restarted(reply.identity, self._voters())
+        ):
+            self._stand(now, all_restarted=True)
+            return
         if not reply.granted:
             if reply.term > self.term and reply.identity in self._voters():
                 self._follow(reply.term, None, now)
@@ -326,6 +356,7 @@
         self.role = Role.LEADER
         self.leader = self.name
         self.leader_since = now
+        self._election.is_fresh = False
         self._leadership = Leadership(self.identity, self.term, self._log, now)
         self._append_own(EntryKind.NOOP, b"")
 
--- a/knapweedarch/replica_election.py
+++ b/knapweedarch/replica_election.py
@@ -10,9 +10,6 @@
 # too early, so it is repeated soon. A vote waits for a sync at each voter.
 PRE_VOTE_RETRY_S = (0.1, 0.3)
 VOTE_RETRY_S = (0.3, 0.6)
-# Members that restart together do not start at one moment, so less of a
-# spread keeps two of them from asking at once.
-FIRST_ELECTION_S = (MIN_ELECTION_S, 0.85)
 
 
 class Election:
@@ -20,6 +17,7 @@
 
     Attributes:
         hard_state: Term and vote.
+        is_fresh: Whether no leader was heard since the process started.
     """
 
     def __init__(self, identity: str, hard_state: HardState, seed: int):
@@ -28,6 +26,8 @@
         self._identity = identity
         self._random = random.Random(seed)
         self._votes: dict[bool, set[str]] = {True: set(), False: set()}
+        self.is_fresh = False
+        self._restarted: set[str] = set()
         self._no_vote_until = 0.0
         self._due_at = 0.0
 
@@ -37,12 +37,18 @@
         return self.hard_state.term
 
     def started(self, now: float) -> None:
-        """Waits as long as a promise of the process before may last."""
+        """Waits as long as a promise of the process before may last.
+
+        It asks the others at once all the same: when every voter has
+        restarted, there is no promise to wait for.
+        """
         self.heard_leader(now)
-        self._restart_timer(now, *FIRST_ELECTION_S)
+        self.is_fresh = True
+        self._due_at = now
 
     def heard_leader(self, now: float) -> None:
         """Starts the time in which this replica votes for nobody."""
+        self.is_fresh = False
         self._votes = {True: set(), False: set()}
         self._no_vote_until = now + MIN_ELECTION_S
         self._restart_timer(now, MIN_ELECTION_S, MAX_ELECTION_S)
@@ -73,6 +79,7 @@
         pre: bool,
         now: float,
         handed_over: bool = False,
+        all_restarted: bool = False,
     ) -> VoteRequest:
         """Begins a round of votes, or of pre-votes; returns the request.
 
@@ -83,6 +90,15 @@
         if not pre:
             self.adopt(self.term + 1)
             self.hard_state = HardState(self.term, self._identity)
+        return self._request(log, pre, handed_over, all_restarted)
+
+    def _request(
+        self,
+        log: ReplicaLog,
+        pre: bool,
+        handed_over: bool = False,
+        all_restarted: bool = False,
+    ) -> VoteRequest:
         return VoteRequest(
             self._identity,
             self.term + pre,
@@ -90,8 +106,36 @@
             log.last_term,
             pre,
             handed_over,
+            all_restarted,
         )
 
+    def ask_back(
+        self, request: VoteRequest, log: ReplicaLog
+    ) -> VoteRequest | None:
+        """Returns what to ask a voter that has just asked, if anything.
+
+        A voter that starts last is thereby known to the best candidate at
+        once. The better of two asks, so they do not ask each other for ever.
+        """
+        if not (self.is_fresh and request.pre):
+            return None
+        if request.identity in self._restarted:
+            return None
+        own = self._request(log, pre=True)
+        return own if own.rank > request.rank else None
+
+    def yields_to(self, request: VoteRequest, log: ReplicaLog) -> bool:
+        """Tells whether a restarted voter leaves the office to a candidate."""
+        own = self._request(log, pre=True)
+        newer = request.pre and request.term > self.term
+        return self.is_fresh and newer and request.rank > own.rank
+
+    def all_restarted(self, identity: str, voters: set[str]) -> bool:
+        """Notes a restarted voter; tells whether all others are."""
+        self._restarted.add(identity)
+        others = voters - {self._identity}
+        return self.is_fresh and others <= self._restarted
+
     def grant(self, request: VoteRequest, log: ReplicaLog, now: float) -> bool:
         """Decides on a request of the current term or on a pre-vote.
 
--- a/knapweedarch/replica_messages.py
+++ b/knapweedarch/replica_messages.py
@@ -111,6 +111,8 @@
         pre: Whether it only asks if it could win.
         handed_over: Whether the leader gave up its office, and with it the
             lease that voters keep by their silence.
+        all_restarted: Whether every voter has restarted since it last heard a
+            leader, so that no process can hold a lease.
     """
 
     identity: str
@@ -119,6 +121,12 @@
     last_term: int
     pre: bool
     handed_over: bool = False
+    all_restarted: bool = False
+
+    @property
+    def rank(self) -> tuple[int, int, str]:
+        """Order of candidates: the newest log first, then the identity."""
+        return self.last_term, self.last_index, self.identity
 
 
 @attrs.frozen
@@ -143,12 +151,15 @@
         term: Term of the request if granted, else the voter's term.
         granted: Whether the vote is given.
         pre: Whether the request was a pre-vote.
+        restarted: Whether the voter has heard no leader since its process
+            started, and would not be the better candidate itself.
     """
 
     identity: str
     term: int
     granted: bool
     pre: bool
+    restarted: bool = False
 
 
 @attrs.frozen
