--- a/features/heavy_load.feature
+++ b/features/heavy_load.feature
@@ -98,3 +98,9 @@
     Given runner "old" with weights 1 and runner "new" with weights 2
     And runner "new" holds a prompt's shared parts under its weights
     Then the prompt goes to runner "new", whichever is listed first
+
+  Scenario: A process notices that it was stopped
+    Guards against a process that acts on what it believed before.
+    Given timers that call each 0.1 s
+    When the process runs for 1.0 s, stops for 3.0 s and runs again
+    Then one stop of 3.0 s is noticed
--- a/features/steps/heavy_load_steps.py
+++ b/features/steps/heavy_load_steps.py
@@ -8,6 +8,7 @@
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
 from knapweedarch.load_totals import LoadBoard
 from knapweedarch.models import Endpoint, EndpointKind
+from knapweedarch.process_stops import StopWatcher
 from knapweedarch.prompt_parts import Prompt, PromptPart
 from knapweedarch.repeat_budget import RepeatBudget, RepeatLimits
 from knapweedarch.stored_parts import (
@@ -17,6 +18,7 @@
     PartsIndex,
     SaveLimit,
 )
+from knapweedarch.timers import ManualClock, Timers
 
 MEMORY_TOKENS = 70_000
 NOW = 100.0
@@ -368,3 +370,28 @@
         found = choose(context, context.choosers[0])
         assert found.id == "r2", found.id
         context.runners.reverse()
+
+
+@given("timers that call each {period:f} s")
+def calling_timers(context, period):
+    context.clock, context.stops = ManualClock(NOW), []
+    context.timers = Timers(context.clock)
+    StopWatcher(context.timers, context.stops.append)
+    context.period = period
+
+
+@when("the process runs for {first:f} s, stops for {pause:f} s and runs again")
+def runs_and_stops(context, first, pause):
+    for _ in range(round(first / context.period)):
+        context.clock.time += context.period
+        context.timers.fire()
+    context.clock.time += pause
+    for _ in range(3):
+        context.timers.fire()
+        context.clock.time += context.period
+
+
+@then("one stop of {pause:f} s is noticed")
+def stop_noticed(context, pause):
+    (found,) = context.stops
+    assert abs(found - pause) <= 2 * context.period, found
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -19,6 +19,7 @@
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.process_start import STARTED_AT_S
+from knapweedarch.process_stops import StopWatcher
 from knapweedarch.settings import Address, MemberSettings
 from knapweedarch.state import ControlState
 from knapweedarch.timers import Clock, Timers
@@ -93,6 +94,7 @@
         )
         self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
         self._timers.every(TICK_S, lambda now: self._work.set())
+        StopWatcher(self._timers)
         self._timers.every(REPORT_S, self._report)
         self._timers.every(SILENCE_CHECK_S, self._check_silence)
         self._timers.every(LOADS_S, lambda now: self._leader.share_loads())
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -25,6 +25,7 @@
     EndpointStatus,
     RefusalReason,
 )
+from knapweedarch.process_stops import StopWatcher
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
 from knapweedarch.repeat_budget import RepeatLimits
@@ -36,8 +37,6 @@
 DROP_STALE_S = 0.5
 LOADS_S = 0.1
 REPORT_S = 1.0
-# A timer that is later than this tells that the process was stopped.
-STOPPED_S = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -98,7 +97,6 @@
         self._timers = Timers(clock)
         self._endpoints: dict[str, Endpoint] = {}
         self._draining = False
-        self._ran_at = clock.now()
         self.stopped = anyio.Event()
         incarnation = secrets.token_hex(8)
         self._control = control.create_control(
@@ -144,7 +142,7 @@
         """Serves until SIGTERM, then drains and returns."""
         self._keeper.subscribe(self._timers)
         self._timers.every(DROP_STALE_S, self._drop_stale)
-        self._timers.every(LOADS_S, self._note_stopped)
+        StopWatcher(self._timers, self._attempts.chooser.skip)
         self._timers.every(LOADS_S, self._tell_loads)
         self._timers.every(REPORT_S, self._report)
         listen, ready = self._settings.listen, self._settings.ready
@@ -228,14 +226,6 @@
         self._follow_feeds()
         log("deployment_applied", version=deployment.version)
 
-    def _note_stopped(self, now: float) -> None:
-        """Notices that the process did not run for a while."""
-        pause_s = now - self._ran_at
-        self._ran_at = now
-        if pause_s > STOPPED_S:
-            log("process_was_stopped", pause_ms=round(pause_s * 1000))
-            self._attempts.chooser.skip(pause_s)
-
     def _tell_loads(self, now: float) -> None:
         self._control.tell(self._attempts.chooser.own_loads())
 
