Drain before a new leader may give orders; old weights serve until 7.4 s

Runners end their work while the leader waits, and where no runner has newer weights the old ones serve 0.9 s longer.

--- a/features/heavy_load.feature
+++ b/features/heavy_load.feature
@@ -104,3 +104,11 @@
     Given timers that call each 0.1 s
     When the process runs for 1.0 s, stops for 3.0 s and runs again
     Then one stop of 3.0 s is noticed
+
+  Scenario: Old weights serve a little longer where there are no newer ones
+    Pattern: weights named while no leader may give orders. Guards against a
+    service that refuses everything for want of new weights.
+    Given 1 router and 2 runners
+    When weights are named that no runner has
+    Then after 7.0 s a long prompt goes to some runner
+    And after 1.0 s more a long prompt goes to no runner
--- a/features/steps/heavy_load_steps.py
+++ b/features/steps/heavy_load_steps.py
@@ -395,3 +395,20 @@
 def stop_noticed(context, pause):
     (found,) = context.stops
     assert abs(found - pause) <= 2 * context.period, found
+
+
+@when("weights are named that no runner has")
+def weights_of_none(context):
+    context.choosers[0].set_weights({"m": 2}, context.now)
+
+
+@then("after {seconds:f} s a long prompt goes to some runner")
+def goes_somewhere(context, seconds):
+    context.now += seconds
+    assert choose(context, context.choosers[0]) is not None
+
+
+@then("after {seconds:f} s more a long prompt goes to no runner")
+def goes_nowhere(context, seconds):
+    context.now += seconds
+    assert choose(context, context.choosers[0]) is None
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -279,3 +279,14 @@
 @then("{count:d} runner was ordered while requests were in its queue")
 def queues_cut(context, count):
     assert context.orders.cut_queues == count, context.orders.cut_queues
+
+
+@given("a new leader may give no order for {seconds:f} s")
+def takes_over(context, seconds):
+    context.take_over_s = seconds
+
+
+@then("the first order is given within {limit:f} s")
+def first_order(context, limit):
+    anyio.run(play, context, lambda member: False, limit)
+    assert context.orders.orders, "no order was given"
--- a/features/weights_rollout.feature
+++ b/features/weights_rollout.feature
@@ -61,3 +61,12 @@
     When weights 2 are named
     Then within 9.0 s every runner is in use with weights 2
     And 1 runner was ordered while requests were in its queue
+
+  Scenario: Runners end their work while a new leader may give no order
+    Pattern: the leader freezes right after weights were named. Guards against
+    old weights that are used up before the first new ones are loaded.
+    Given a member that has just become the leader and 3 runners with weights 1
+    And a new leader may give no order for 2.0 s
+    When weights 2 are named
+    Then no order is given within 1.9 s
+    And the first order is given within 2.2 s
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -42,7 +42,9 @@
         zone_s: Charge for sending a request to another data centre.
         old_weights_s: Charge for weights that are not the newest.
         old_weights_limit_s: Time from when newer weights were named up to
-            which a runner with older ones gets requests.
+            which a runner with older ones gets requests beside others.
+        old_weights_end_s: The same where no runner has newer ones; a request
+            may wait a moment at the runner before it begins.
         broken_off_s: The same charge for a request that is sent once more: a
             load may break it off a second time.
     """
@@ -64,6 +66,7 @@
     old_weights_s: float = 0.3
     broken_off_s: float = 2.0
     old_weights_limit_s: float = 6.5
+    old_weights_end_s: float = 7.4
     delay_weight: float = 0.1
     fetch_part: float = 0.25
 
@@ -136,12 +139,22 @@
         named = self._weights.get(prompt.model, 0)
         return endpoint.weights_number >= named
 
-    def is_outdated(self, endpoint: Endpoint, model: str, now: float) -> bool:
-        """Tells whether a runner's weights were replaced too long ago."""
+    def _replaced_s(self, endpoint: Endpoint, model: str, now: float) -> float:
+        """Seconds since newer weights than a runner's were named, or 0."""
         held = endpoint.weights_number
         newer = [n for n in self._named.get(model, ()) if n.version > held]
-        limit_s = self._cfg.old_weights_limit_s
-        return bool(newer) and now - newer[0].at > limit_s
+        return now - newer[0].at if newer else 0.0
+
+    def _without_outdated(
+        self, endpoints: list[Endpoint], model: str, now: float
+    ) -> list[Endpoint]:
+        """Leaves out runners whose weights were replaced too long ago."""
+        cfg = self._cfg
+        replaced_s = {e.id: self._replaced_s(e, model, now) for e in endpoints}
+        for limit_s in (cfg.old_weights_limit_s, cfg.old_weights_end_s):
+            if kept := [e for e in endpoints if replaced_s[e.id] <= limit_s]:
+                return kept
+        return []
 
     def choose(
         self,
@@ -167,9 +180,7 @@
         fresh = [e for e in endpoints if e.id not in tried]
         able = [e for e in fresh if self.is_usable(e, now)]
         if prompt is not None:
-            able = [
-                e for e in able if not self.is_outdated(e, prompt.model, now)
-            ]
+            able = self._without_outdated(able, prompt.model, now)
         if not able:
             return None
         ranks = _ranks(prompt, able)
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -45,6 +45,9 @@
 QUEUE_LIMIT_S = 1.0
 # A runner's report is some hundred milliseconds old.
 QUEUE_POLL_S = 0.15
+# A new leader may not give orders at once, but runners may end their work
+# meanwhile, so that the first orders follow when it may.
+LEAD_S = 1.2
 POLL_S = 0.03
 # From the change of a status to the loads that routers cause after it.
 LOADS_LAG_S = 0.25
@@ -135,6 +138,7 @@
         self._loading: set[str] = set()
         self._paused_until: dict[str, float] = {}
         self._term = 0
+        self._released = False
         self._may_order_at = 0.0
         self._group: anyio.abc.TaskGroup | None = None
 
@@ -151,8 +155,9 @@
             self._term = self._member.term
             last_at = self._member.leader.endpoints.last_loading_at()
             self._may_order_at = last_at + self._take_over_s
+            self._released = False
             self._group.start_soon(self._release_loading)
-        if now < self._may_order_at:
+        if not self._released or now < self._may_order_at - LEAD_S:
             return
         drains = CALM_DRAINS_AT_ONCE if self._is_calm() else DRAINS_AT_ONCE
         most = self._loads_at_once() + drains
@@ -173,6 +178,7 @@
                 await self._change(
                     endpoint, EndpointStatus.ACTIVE, "new leader"
                 )
+        self._released = True
 
     async def _change(
         self, endpoint: Endpoint, status: EndpointStatus, reason: str
@@ -256,6 +262,8 @@
         await self._change(endpoint, EndpointStatus.LOADING, "load due")
         term = self._term
         state = await self._drain(endpoint)
+        # A new leader waits here until it may give orders.
+        await anyio.sleep(max(0.0, self._may_order_at - self._clock.now()))
         wanted = self._wanted(endpoint, state)
         may_order = self._may_order(term) and not state.busy
         if (
@@ -340,7 +348,7 @@
     def _may_order(self, term: int) -> bool:
         now = self._clock.now()
         leads = self._member.leads_until() > now
-        return leads and term == self._member.term and now > self._may_order_at
+        return leads and term == self._member.term and now >= self._may_order_at
 
     async def _order(
         self, endpoint: Endpoint, wanted: NamedWeights, state: RunnerState
