--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -144,19 +144,3 @@
       | that gets its first lease 0.2 s later   | 200    | 0.2   | 0.35 |
       | that gets no lease                      | 503    | 0.35  | 0.6  |
       | whose lease has ended                   | 503    | 0.0   | 0.2  |
-
-  Scenario Outline: A stream leaves a runner that is about to load weights
-    Pattern: weights named every few seconds. Guards against streams that are
-    held up by a load, and against a budget that is spent before runners fail.
-    Given a proxied runner that streams slowly
-    And a proxied runner that streams
-    And <left> of the repeat budget is left
-    When runner 1 is taken out of use to load weights during a stream that <kind>
-    Then the relayed stream is whole
-    And runner 2 has seen <moved> requests
-
-    Examples:
-      | left | kind           | moved |
-      | all  | may be resumed | 1     |
-      | 30%  | may be resumed | 0     |
-      | all  | streams        | 0     |
--- a/knapweedarch/explain.py
+++ b/knapweedarch/explain.py
@@ -39,7 +39,6 @@
     "first_token_timeout": "sent no first event in time",
     "stream_silent": "fell silent within the stream",
     "endpoint_refused": "refused it as not run",
-    "weights_loading": "was about to load weights",
     "wrong_incarnation": "had been replaced by another instance",
     "endpoint_error": "failed",
 }
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -35,12 +35,6 @@
 
 # Saves of one router in a second; its link is shared by all fetches.
 SAVES_S = 1.2
-# A stream that still runs this long after its runner was taken out of use to
-# load weights goes on elsewhere: the load would hold it up for longer, and
-# what is made under changed weights counts for nothing.
-MOVE_AFTER_S = 0.4
-# Part of the repeat budget that is left for failures.
-KEPT_FOR_FAILURES = 0.4
 
 
 class Attempts:
@@ -72,17 +66,10 @@
         self._since = since
         self._budgets: dict[str, RepeatBudget] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
-        self._loading_since: dict[str, float] = {}
 
     def set_endpoints(self, endpoints: list[Endpoint]) -> None:
         """Takes over the endpoints."""
         self._by_service = {}
-        now = self.clock.now()
-        self._loading_since = {
-            e.id: self._loading_since.get(e.id, now)
-            for e in endpoints
-            if e.status is EndpointStatus.LOADING
-        }
         for endpoint in _newest_by_address(endpoints):
             if endpoint.status is EndpointStatus.ACTIVE:
                 for name in endpoint.serves:
@@ -109,7 +96,13 @@
     def choose(self, call: Call) -> Endpoint | None:
         """Chooses the next endpoint and counts the send."""
         now = self.clock.now()
-        endpoint = self._select(call, now)
+        endpoints = self._by_service.get(call.service.name, ())
+        able = [e for e in endpoints if _serves_model(e, call.terms.prompt)]
+        engine = call.service.engine
+        endpoint = self.chooser.choose(
+            *(able, call.terms.prompt, call.tried, now, call.salt),
+            memory_tokens=engine.memory_tokens if engine else 0,
+        )
         if endpoint is None:
             return None
         if call.sends and not self._budget(call).take(self.routers, now):
@@ -118,15 +111,6 @@
         call.tried.append(endpoint.id)
         return endpoint
 
-    def _select(self, call: Call, now: float) -> Endpoint | None:
-        endpoints = self._by_service.get(call.service.name, ())
-        able = [e for e in endpoints if _serves_model(e, call.terms.prompt)]
-        engine = call.service.engine
-        return self.chooser.choose(
-            *(able, call.terms.prompt, call.tried, now, call.salt),
-            memory_tokens=engine.memory_tokens if engine else 0,
-        )
-
     def note_sent(self, call: Call) -> None:
         """Notes that a request is written to an endpoint."""
         if not call.sends:
@@ -138,23 +122,6 @@
         left = call.deadline - self.clock.now()
         return call.sends < call.route.attempts and left > 0
 
-    def should_move(self, call: Call, endpoint: Endpoint) -> bool:
-        """Tells whether a stream should go on at another runner.
-
-        Its runner is about to load weights, and there is room elsewhere and
-        in the repeat budget.
-        """
-        now = self.clock.now()
-        since = self._loading_since.get(endpoint.id)
-        if since is None or now - since < MOVE_AFTER_S:
-            return False
-        if not (call.route.resumable and self.may_repeat(call)):
-            return False
-        budget = self._budget(call)
-        kept = KEPT_FOR_FAILURES * budget.bound(self.routers, now)
-        has_room = budget.left(self.routers, now) > kept
-        return has_room and self._select(call, now) is not None
-
     def may_repeat_after(self, call: Call) -> bool:
         """Tells whether another attempt may follow the next one."""
         return call.sends + 1 < call.route.attempts
@@ -300,9 +267,7 @@
         """Notes that an exchange broke off."""
         now = self.clock.now()
         fate = Fate.MAY_HAVE_RUN if exc.written else Fate.NOT_RUN
-        if exc.reason is RetryReason.WEIGHTS_LOADING:
-            pass  # The runner did not fail.
-        elif exc.written:
+        if exc.written:
             self.chooser.failed(endpoint, now)
         else:
             self.chooser.refused(endpoint, now)
--- a/knapweedarch/repeat_budget.py
+++ b/knapweedarch/repeat_budget.py
@@ -59,27 +59,15 @@
             routers: Routers that share the bound.
             now: Seconds on the router's clock.
         """
-        if self.left(routers, now) < 1:
-            return False
-        self._repeats.append(now)
-        return True
-
-    def left(self, routers: int, now: float) -> int:
-        """Returns how many repeats the bound allows now.
-
-        Args:
-            routers: Routers that share the bound.
-            now: Seconds on the router's clock.
-        """
-        return self.bound(routers, now) - len(self._repeats)
-
-    def bound(self, routers: int, now: float) -> int:
-        """Returns how many repeats the present window may hold."""
         self._expire(now)
         cfg = self._limits
         grown = min(1.0, (now - self._since) / cfg.window_s)
         own = grown * cfg.allowance / max(1, routers)
-        return math.floor(USED_PART * (own + cfg.ratio * len(self._requests)))
+        bound = USED_PART * (own + cfg.ratio * len(self._requests))
+        if len(self._repeats) + 1 > math.floor(bound):
+            return False
+        self._repeats.append(now)
+        return True
 
     def _expire(self, now: float) -> None:
         horizon = now - self._limits.window_s
