--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -73,7 +73,7 @@
 ]
 
 RETRY_S = 0.05
-RETRY_LIMIT_S = 0.2
+RETRY_LIMIT_S = 0.1
 REPLY_S = 1.0
 
 
