Let the log decide which runner a leave ends

Cause, found reading: a member confirmed DELETE of an endpoint that its own state did not know, and stored nothing; its state lags behind the leader's, and is empty after a lost disk. Routers then went on using the runner.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -82,3 +82,11 @@
     When its settings file is emptied and it gets SIGHUP
     Then it logs that the settings are refused
     And it ends with code 0 after SIGTERM
+
+  Scenario: A runner that leaves is taken out by any member
+    Guards against a confirmed leave that a member forgets, since its own state
+    lags behind the leader's.
+    Given a member whose own state knows no endpoint
+    And the log knows runner "i-1" of incarnation "5"
+    When runner "i-1" tells the member that it leaves
+    Then the call is confirmed and runner "i-1" is leaving
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -3,8 +3,10 @@
 import copy
 import json
 
+import anyio
 from behave import given, then, when
 
+from adapter.control_api import ControlApi
 from adapter.documents import (
     read_cache_changes,
     read_deployment,
@@ -12,6 +14,9 @@
 )
 from adapter.settings import Node, member_settings
 from knapweedarch.exceptions import DeploymentError, SettingsError
+from knapweedarch.http_messages import Request
+from knapweedarch.models import Endpoint, EndpointKind, EndpointStatus
+from knapweedarch.state import COMMANDS, RESULTS, Announce, ControlState
 
 CONFIGURATION = {
     "version": 7,
@@ -328,3 +333,56 @@
 @then('a settings file with "{key}" set to "{value}" is refused')
 def settings_with(context, key, value):
     assert settings_refused({**context.fields, key: value})
+
+
+class LaggingMember:
+    """A member whose own state lags behind the leader's log."""
+
+    def __init__(self):
+        self.state = ControlState()
+        self.log = ControlState()
+
+    async def submit(self, command, timeout_s):
+        """Commits a command at the leader."""
+        return RESULTS.decode(self.log.apply(COMMANDS.encode(command)))
+
+
+class KeptAnswer:
+    """Keeps the answer to a call."""
+
+    async def send(self, answer):
+        """Takes the answer."""
+        self.answer = answer
+
+
+@given("a member whose own state knows no endpoint")
+def lagging_member(context):
+    context.member = LaggingMember()
+
+
+@given('the log knows runner "{name}" of incarnation "{incarnation}"')
+def log_knows(context, name, incarnation):
+    endpoint = Endpoint(
+        *(name, incarnation, "http://10.0.0.1:80"),
+        *(EndpointKind.RUNNER, ("models",)),
+    )
+    context.member.log.apply(COMMANDS.encode(Announce(endpoint)))
+
+
+@when('runner "{name}" tells the member that it leaves')
+def tells_leaving(context, name):
+    req = Request(
+        method=b"DELETE",
+        target=f"/api/instances/{name}".encode(),
+        headers=(),
+        body=b"",
+    )
+    context.responder = KeptAnswer()
+    anyio.run(ControlApi(context.member).handle, req, context.responder)
+
+
+@then('the call is confirmed and runner "{name}" is leaving')
+def is_leaving(context, name):
+    assert context.responder.answer.status == 200
+    found = context.member.log.endpoints[name].endpoint.status
+    assert found is EndpointStatus.LEAVING, found
--- a/knapweedarch/state.py
+++ b/knapweedarch/state.py
@@ -202,7 +202,9 @@
         self, command: ChangeStatus
     ) -> EndpointAccepted | EndpointUnknown:
         known = self.endpoints.get(command.endpoint_id)
-        if known is None or known.endpoint.incarnation != command.incarnation:
+        if known is None or (
+            command.incarnation not in ("", known.endpoint.incarnation)
+        ):
             return EndpointUnknown()
         if known.endpoint.status not in (
             EndpointStatus.LEAVING,
--- a/knapweedarch/state_commands.py
+++ b/knapweedarch/state_commands.py
@@ -96,6 +96,7 @@
     Attributes:
         endpoint_id: The endpoint.
         incarnation: Incarnation that is meant; another one stays as it is.
+            Empty for the one that is known when the command is applied.
         status: The new status.
     """
 
