--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -42,6 +42,7 @@
         self.leader = self.endpoints = self
         self.last_loading = Clock().now()
         self.most_out = 0
+        self.requests = BUSY_REQUESTS
         self.changed = anyio.Event()
 
     def apply(self, command: object) -> None:
@@ -57,7 +58,7 @@
 
     def requests_at(self, endpoint_id: str) -> int:
         """Requests at an endpoint; enough that no drain is cut short."""
-        return BUSY_REQUESTS
+        return self.requests
 
     def last_loading_at(self) -> float:
         """When a runner was last known to be loading."""
@@ -141,6 +142,7 @@
 def leading_member(context, count, version):
     context.versions = {i: version for i in range(1, count + 1)}
     context.take_over_s, context.mute, context.queues = 0.0, (), {}
+    context.requests = BUSY_REQUESTS
     context.named, context.loses_lead, context.taken_out = [], False, ()
 
 
@@ -207,6 +209,7 @@
                 ChangeStatus(f"r{number}", "1", EndpointStatus.LOADING)
             )
         member.leads = not context.loses_lead
+        member.requests = context.requests
         rollout = WeightsRollout(
             member, "a", orders, Clock(), context.take_over_s
         )
@@ -290,3 +293,8 @@
 def first_order(context, limit):
     anyio.run(play, context, lambda member: False, limit)
     assert context.orders.orders, "no order was given"
+
+
+@given("the runners have no requests")
+def no_requests(context):
+    context.requests = 0
--- a/features/weights_rollout.feature
+++ b/features/weights_rollout.feature
@@ -70,3 +70,18 @@
     When weights 2 are named
     Then no order is given within 1.9 s
     And the first order is given within 2.2 s
+
+  Scenario Outline: Calm runners load many at a time and none is forgotten
+    Guards against a runner that waits for its turn and is never told, and
+    against a service that is out of use as a whole.
+    Given a leading member and <count> runners with weights 1
+    And the runners have no requests
+    When weights 2 are named
+    Then within 9.0 s every runner is in use with weights 2
+    And at most <loads> runners loaded and at most <out> were out of use at once
+
+    Examples:
+      | count | loads | out |
+      | 9     | 3     | 6   |
+      | 3     | 1     | 2   |
+      | 1     | 1     | 1   |
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -160,7 +160,7 @@
         if not self._released or now < self._may_order_at - LEAD_S:
             return
         drains = CALM_DRAINS_AT_ONCE if self._is_calm() else DRAINS_AT_ONCE
-        most = self._loads_at_once() + drains
+        most = min(self._loads_at_once() + drains, self._out_at_once())
         for endpoint in self._due(now):
             if len(self._loading) >= most:
                 return
@@ -191,6 +191,10 @@
         """Most loads at once; others must serve meanwhile."""
         return max(1, min(LOADS_AT_ONCE, len(self._runners()) // 3))
 
+    def _out_at_once(self) -> int:
+        """Most runners out of use at once; a third of them must serve."""
+        return max(1, len(self._runners()) * 2 // 3)
+
     def _runners(self) -> list[Endpoint]:
         return [
             entry.endpoint
@@ -256,7 +260,8 @@
             self._paused_until[endpoint.id] = pause
             self._loading.discard(endpoint.id)
             self._drained.discard(endpoint.id)
-            self._load_ended.set()
+            ended, self._load_ended = self._load_ended, anyio.Event()
+            ended.set()
 
     async def _load(self, endpoint: Endpoint) -> None:
         await self._change(endpoint, EndpointStatus.LOADING, "load due")
@@ -332,7 +337,6 @@
             await anyio.sleep(POLL_S)
         await self._await_queue(endpoint)
         while len(self._drained) >= self._loads_at_once():
-            self._load_ended = anyio.Event()
             await self._load_ended.wait()
         self._drained.add(endpoint.id)
         return await self._orders.report(endpoint)
--- /dev/null
+++ b/standins/platform_runner.py
@@ -0,0 +1,267 @@
+"""A runner of the users' platform, small, for tests without their bench.
+
+It runs requests in a batch of a few places, keeps parts of prompts, tells
+cache events, loads weights on order and sends heartbeats. Plain services are
+runners without a model.
+"""
+
+import collections
+import contextlib
+import json
+import random
+import time
+from collections.abc import Callable
+
+import anyio
+import attrs
+import httpx
+
+from knapweedarch.http_inbound import InboundServer, Responder
+from knapweedarch.http_messages import Answer, Request
+from knapweedarch.timers import Clock
+
+HEARTBEAT_S = 0.3
+LOAD_S = 0.3
+EVENT_S = 0.02
+SERVICE_WORK_S = 0.02
+PROMPT_TOKENS_S = 100_000.0
+PREFIX = "X-Knapweedarch-"
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+@attrs.define
+class Run:
+    """A request that was begun, as the runner saw it."""
+
+    request_id: str
+    customer: str
+    weights: int
+    read_tokens: int
+    done: bool = False
+
+
+@attrs.define(kw_only=True, eq=False, slots=False)
+class PlatformRunner:
+    """One runner or plain service.
+
+    Attributes:
+        id: Instance id.
+        host: IP number that it listens on.
+        zone: Its data centre.
+        service: Service that it belongs to.
+        model: Model that it serves; empty for a plain service.
+        controls: Returns the control addresses to send heartbeats to.
+        places: Requests that run at once.
+        weights: Version of its weights.
+        port: Port, once it is started.
+        runs: Requests that were begun, in order.
+        leaving: Whether it tells that it leaves.
+        left: Set when that was confirmed.
+    """
+
+    id: str
+    host: str
+    zone: str
+    service: str
+    model: str = ""
+    controls: Callable[[], list[str]]
+    places: int = 4
+    weights: int = 1
+    port: int = 0
+    runs: list[Run] = attrs.field(factory=list)
+    leaving: bool = False
+    left: anyio.Event = attrs.field(factory=anyio.Event)
+    orders: int = 0
+    _loading: bool = False
+    _born: int = attrs.field(factory=lambda: int(time.time() * 1000))
+    _heartbeats: int = 0
+    _parts: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    _events: list[list] = attrs.field(factory=list)
+    _changed: anyio.Event = attrs.field(factory=anyio.Event)
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        """Serves until cancelled."""
+        self._batch = anyio.CapacityLimiter(self.places)
+        server = InboundServer(self._handle, Clock())
+        async with (
+            anyio.create_task_group() as group,
+            httpx.AsyncClient(timeout=1.0) as self._client,
+        ):
+            self._group = group
+            self.port = await group.start(server.serve, self.host, 0)
+            task_status.started()
+            while True:
+                await self.send_heartbeat()
+                await anyio.sleep(HEARTBEAT_S)
+
+    async def send_heartbeat(self) -> None:
+        """Tells its state to the first control address that confirms it."""
+        self._heartbeats += 1
+        body = {
+            "service": self.service,
+            "address": f"{self.host}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "concurrency": self.places,
+            "state": "draining" if self.leaving else "ready",
+            "coldLeftMs": 0,
+            "born": self._born,
+            "callSeq": self._heartbeats,
+        }
+        if self.model:
+            body["models"] = self._models()
+        controls = self.controls()
+        random.shuffle(controls)
+        for address in controls:
+            url = f"http://{address}/api/instances/{self.id}"
+            with contextlib.suppress(httpx.HTTPError):
+                answer = await self._client.put(url, json=body)
+                if answer.status_code == 200:
+                    if self.leaving:
+                        self.left.set()
+                    return
+
+    def _models(self) -> list[dict]:
+        model = {"name": self.model, "version": self.weights, "adapters": []}
+        return [model] if self.model else []
+
+    async def _handle(self, req: Request, responder: Responder) -> None:
+        match req.method, req.path:
+            case b"GET", "/api/report":
+                await responder.send(_json(self._report()))
+            case b"POST", "/api/order":
+                await responder.send(self._order(json.loads(req.body)))
+            case b"GET", "/api/kv-events":
+                await responder.send(await self._tell_events(req))
+            case _:
+                await self._serve(req, responder)
+
+    def _report(self) -> dict:
+        return {
+            "stage": "unified",
+            "models": self._models(),
+            "busy": self._loading,
+            "callSeq": self.orders,
+            "queued": self._batch.statistics().tasks_waiting,
+            "running": self._batch.borrowed_tokens,
+        }
+
+    def _order(self, order: dict) -> Answer:
+        if self._loading or order.get("expect", self.orders) != self.orders:
+            return Answer(status=409)
+        if order["version"] <= self.weights:
+            return Answer(status=200)
+        self.orders += 1
+        self._loading = True
+        self._group.start_soon(self._load, order["version"])
+        return Answer(status=202)
+
+    async def _load(self, version: int) -> None:
+        await anyio.sleep(LOAD_S)
+        for salt, part in list(self._parts):
+            self._note("-", salt, part)
+        self.weights, self._loading = version, False
+        await self.send_heartbeat()
+
+    async def _tell_events(self, req: Request) -> Answer:
+        since = int(req.query.partition("=")[2] or 0)
+        wait_s = int(_header(req, "Wait-Ms", "0")) / 1000
+        with anyio.move_on_after(wait_s):
+            while len(self._events) <= since:
+                await self._changed.wait()
+        return _json(
+            {
+                "bootEpoch": self._born,
+                "nextToken": len(self._events),
+                "lost": False,
+                "changes": self._events[since:],
+            }
+        )
+
+    def _note(self, sign: str, salt: str, part: str, tokens: int = 0) -> None:
+        if sign == "+":
+            self._parts[salt, part] = tokens
+        else:
+            del self._parts[salt, part]
+        number = len(self._events) + 1
+        self._events.append([number, sign, salt, part, tokens, self.model])
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _serve(self, req: Request, responder: Responder) -> None:
+        request_id = _header(req, PREFIX + "Request-Id")
+        if _header(req, PREFIX + "Expect-Instance", self.id) != self.id:
+            served_by = (f"{PREFIX}Served-By".encode(), self.id.encode())
+            await responder.send(Answer(status=421, headers=(served_by,)))
+            return
+        wanted = _header(req, PREFIX + "Expect-Version", str(self.weights))
+        if self.model and int(wanted) != self.weights:
+            await responder.send(Answer(status=421))
+            return
+        if self._loading:
+            not_run = (f"{PREFIX}Not-Executed".encode(), b"1")
+            await responder.send(Answer(status=503, headers=(not_run,)))
+            return
+        async with self._batch:
+            await self._work(req, request_id, responder)
+
+    async def _work(
+        self, req: Request, request_id: str, responder: Responder
+    ) -> None:
+        run = Run(
+            *(request_id, _header(req, PREFIX + "Tenant"), self.weights),
+            read_tokens=self._read_prompt(req),
+        )
+        self.runs.append(run)
+        headers = (
+            (f"{PREFIX}Request-Id".encode(), request_id.encode()),
+            (f"{PREFIX}Response-Stamp".encode(), f"s-{request_id}".encode()),
+        )
+        if not self.model:
+            await anyio.sleep(SERVICE_WORK_S)
+            body = json.dumps({"request": request_id}).encode()
+            await responder.send(Answer(status=200, headers=headers, body=body))
+        else:
+            await anyio.sleep(run.read_tokens / PROMPT_TOKENS_S)
+            await self._stream(req, headers, responder)
+        run.done = True
+
+    def _read_prompt(self, req: Request) -> int:
+        """Notes the parts of a prompt; returns the tokens that it reads."""
+        salt, read, cached = _header(req, PREFIX + "Cache-Salt"), 0, True
+        for entry in _header(req, PREFIX + "Prefix-Hash").split(","):
+            part, _, tokens = entry.partition(":")
+            if not tokens:
+                continue
+            cached = cached and (salt, part) in self._parts
+            if not cached:
+                read += int(tokens)
+                self._note("+", salt, part, int(tokens))
+        return read
+
+    async def _stream(
+        self, req: Request, headers, responder: Responder
+    ) -> None:
+        counts = _header(req, PREFIX + "Token-Count", "0,0").split(",")
+        first = int(_header(req, "Last-Event-Id", "0"))
+        kind = (b"content-type", b"text/event-stream")
+        await responder.start(200, (*headers, kind))
+        for number in range(first + 1, int(counts[1]) + 1):
+            await anyio.sleep(EVENT_S)
+            event = f"id: {number}\ndata: token {number}\n\n"
+            await responder.write(event.encode())
+        await responder.end()
+
+
+def _header(req: Request, name: str, default: str = "") -> str:
+    return req.header(name.lower().encode()).decode() or default
+
+
+def _json(document: dict) -> Answer:
+    body = json.dumps(document).encode()
+    return Answer(status=200, headers=(JSON_TYPE,), body=body)
+
+
+def count_runs(runners: list[PlatformRunner]) -> collections.Counter:
+    """Counts how often each request was begun at any of the runners."""
+    return collections.Counter(r.request_id for x in runners for r in x.runs)
--- /dev/null
+++ b/standins/platform_site.py
@@ -0,0 +1,330 @@
+"""A site of the users' platform on loopback, for tests without their bench.
+
+It starts the real processes as the platform does, with its settings files,
+and runs runners, an operator and callers in the test's event loop. Members,
+routers and runners have IP numbers of their own, so that ports are the same
+everywhere.
+"""
+
+import contextlib
+import os
+import pathlib
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator, Callable
+
+import anyio
+import anyio.abc
+import attrs
+import httpx
+
+from standins.platform_runner import PlatformRunner
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+HOST = "shop.example"
+KEY = "key-of-huts"
+MODEL = "guide"
+ZONES = ("dinsho", "sanetti", "rira")
+START_S = 20.0
+POLL_S = 0.02
+LIMIT_MS = 6000
+
+SERVICES = [
+    {
+        "name": "guide-models",
+        "healthPath": "/health",
+        "maxConns": 300,
+        "backendEngine": {
+            "concurrency": 4,
+            "kvCapacity": 70_000,
+            "kvTokenBytes": 131_072,
+            "linkMbps": 280_000.0,
+            "maxInflight": 12,
+            "models": [{"name": MODEL}],
+        },
+    },
+    {"name": "desk", "healthPath": "/health", "maxConns": 110},
+]
+
+
+def _route(name: str, kind: str, service: str, attempts: int) -> dict:
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "routeType": kind,
+        "timeoutMs": LIMIT_MS,
+        "goalMs": 600,
+        "priority": 0,
+        "service": service,
+        "attempts": attempts,
+        "public": False,
+        "sessionAffinity": kind == "streaming",
+        "resumable": kind == "streaming",
+        "gapTargetMs": 400,
+    }
+
+
+def configuration(version: int, extra_route: str = "") -> dict:
+    """Builds a configuration; a later one may have a route more."""
+    routes = [
+        _route("chat", "streaming", "guide-models", 2),
+        _route("booking", "non_idempotent", "desk", 1),
+    ]
+    if extra_route:
+        routes.append(_route(extra_route, "idempotent", "desk", 2))
+    return {
+        "version": version,
+        "routes": routes,
+        "services": SERVICES,
+        "limits": {"idleTimeoutMs": 15_000},
+        "tenants": [{"name": "huts", "apiKeys": [KEY]}],
+    }
+
+
+@attrs.define
+class Process:
+    """A process of the system.
+
+    Attributes:
+        role: `member` or `proxy`.
+        name: Name of its machine.
+        host: Its IP number.
+        settings: Its settings file.
+        popen: The running process.
+    """
+
+    role: str
+    name: str
+    host: str
+    settings: pathlib.Path
+    popen: subprocess.Popen | None = None
+
+
+class PlatformSite:
+    """Processes, runners, an operator and callers."""
+
+    def __init__(self, group: anyio.abc.TaskGroup):
+        self._group = group
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="knapweedarch-"))
+        second, third = random.SystemRandom().sample(range(2, 250), 2)
+        self._network = f"127.{second}.{third}"
+        self._link, self._control, self._front, self._ready = _free_ports(
+            f"{self._network}.1", 4
+        )
+        self.processes: dict[str, Process] = {}
+        self.runners: list[PlatformRunner] = []
+        self.client = httpx.AsyncClient(timeout=LIMIT_MS / 1000)
+        self._requests = 0
+
+    def _add_process(self, role: str, number: int) -> Process:
+        place = number + (100 if role == "proxy" else 0)
+        host, name = f"{self._network}.{place}", f"{role}-{number}"
+        process = Process(role, name, host, self.folder / f"{name}.conf")
+        self.processes[name] = process
+        return process
+
+    def add(self, members: int, proxies: int) -> None:
+        """Starts members and proxies for the first time."""
+        for number in range(1, members + 1):
+            self._add_process("member", number)
+        for number in range(1, proxies + 1):
+            self._add_process("proxy", number)
+        for process in self.processes.values():
+            self._write_settings(process, bootstrap=True)
+            self.start(process.name)
+
+    def _write_settings(self, process: Process, bootstrap: bool) -> None:
+        seeds = [f"{self._network}.{i}:{self._control}" for i in (1, 2, 3)]
+        data = self.folder / f"data-{process.name}"
+        data.mkdir(exist_ok=True)
+        zone = ZONES[int(process.name.split("-")[1]) % len(ZONES)]
+        fields = {
+            "nodeName": process.name,
+            "bindIp": process.host,
+            "zone": zone,
+            **{f"zones.{name}": "highlands" for name in ZONES},
+            "endpoints.front": f"{process.host}:{self._front}",
+            "endpoints.ready": f"{process.host}:{self._ready}",
+            "endpoints.control": f"{process.host}:{self._control}",
+            "portRange": f"{self._link},{self._link}",
+            "seedNodes": ",".join(seeds),
+            "bootstrap": str(bootstrap).lower(),
+            "dataDir": str(data),
+            "heartbeatMs": "600",
+            "faultBudget.machines": "1",
+            "bounds.graceS": "4",
+            "bounds.revokeMs": "5000",
+            "bounds.leaseMs": "1000",
+            "bounds.retryRatio": "0.2",
+            "bounds.retrySlack": "56",
+            "bounds.retryWindowS": "10",
+        }
+        lines = [f"{key}={value}" for key, value in fields.items()]
+        process.settings.write_text("\n".join(lines) + "\n")
+
+    def start(self, name: str) -> None:
+        """Starts a process."""
+        process = self.processes[name]
+        environment = {
+            "PATH": os.environ["PATH"],
+            "KNAPWEEDARCH_NODE_FILE": str(process.settings),
+        }
+        with open(self.folder / f"{name}.log", "ab") as log:
+            process.popen = subprocess.Popen(
+                [sys.executable, "platform", process.role],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once."""
+        process = self.processes[name]
+        process.popen.kill()
+        process.popen.wait()
+
+    def restart_all(self) -> None:
+        """Kills every process, then starts each one on its old disk."""
+        for name in self.processes:
+            self.kill(name)
+        for name, process in self.processes.items():
+            self._write_settings(process, bootstrap=False)
+            self.start(name)
+
+    def terminate(self, name: str) -> None:
+        """Sends SIGTERM to a process."""
+        self.processes[name].popen.send_signal(signal.SIGTERM)
+
+    def close(self) -> None:
+        """Ends every process and removes the folder."""
+        for process in self.processes.values():
+            if process.popen is not None and process.popen.poll() is None:
+                process.popen.kill()
+                process.popen.wait()
+        shutil.rmtree(self.folder)
+
+    def controls(self) -> list[str]:
+        """Control addresses of the members."""
+        return [
+            f"{p.host}:{self._control}"
+            for p in self.processes.values()
+            if p.role == "member"
+        ]
+
+    def front(self, name: str) -> str:
+        """Base URL at which a proxy takes callers."""
+        return f"http://{self.processes[name].host}:{self._front}"
+
+    async def add_runner(self, service: str, model: str = "") -> None:
+        """Starts a runner; it announces itself."""
+        number = len(self.runners) + 1
+        runner = PlatformRunner(
+            id=f"i-{number}",
+            host=f"{self._network}.{200 + number}",
+            zone=ZONES[number % len(ZONES)],
+            service=service,
+            model=model,
+            controls=self.controls,
+        )
+        self.runners.append(runner)
+        await self._group.start(runner.run)
+
+    async def order(self, method: str, path: str, document=None) -> int:
+        """Makes an operator's call at any member until one answers it."""
+        until = time.monotonic() + START_S
+        while time.monotonic() < until:
+            address = random.choice(self.controls())
+            with contextlib.suppress(httpx.HTTPError):
+                answer = await self.client.request(
+                    method, f"http://{address}{path}", json=document
+                )
+                if answer.status_code < 500:
+                    self.answer = answer
+                    return answer.status_code
+            await anyio.sleep(POLL_S)
+        raise TimeoutError(f"no member answered {method} {path}")
+
+    async def is_ready(self, name: str) -> bool:
+        """Tells whether a proxy says that it is ready."""
+        url = f"http://{self.processes[name].host}:{self._ready}/api/ready"
+        try:
+            return (await self.client.get(url)).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    async def wait(self, probe: Callable, limit_s: float = START_S) -> float:
+        """Waits until `await probe()` is true; returns how long it took.
+
+        Raises:
+            TimeoutError: It was not within the limit.
+        """
+        began_at = time.monotonic()
+        while not await probe():
+            if time.monotonic() - began_at > limit_s:
+                raise TimeoutError(f"not within {limit_s} s")
+            await anyio.sleep(POLL_S)
+        return time.monotonic() - began_at
+
+    async def wait_ready(self) -> None:
+        """Waits until every proxy is ready."""
+        for name, process in self.processes.items():
+            if process.role == "proxy":
+                await self.wait(lambda name=name: self.is_ready(name))
+
+    async def ask(
+        self, proxy: str, path: str, tokens: int = 0
+    ) -> httpx.Response:
+        """Sends a caller's request; returns the whole answer."""
+        self._requests += 1
+        headers = {
+            "Host": HOST,
+            "Authorization": f"Token {KEY}",
+            "X-Knapweedarch-Request-Id": f"request-{self._requests}",
+            "X-Knapweedarch-Deadline-Ms": str(LIMIT_MS),
+        }
+        if tokens:
+            parts = f"a1:2000,b{self._requests % 3}:3000,c{self._requests}:90"
+            headers["X-Knapweedarch-Model"] = MODEL
+            headers["X-Knapweedarch-Token-Count"] = f"5090,{tokens}"
+            headers["X-Knapweedarch-Prefix-Hash"] = parts
+        return await self.client.post(
+            self.front(proxy) + path, headers=headers, content=b"{}"
+        )
+
+
+def _free_ports(host: str, count: int) -> list[int]:
+    with contextlib.ExitStack() as stack:
+        probes = [
+            stack.enter_context(socket.create_server((host, 0)))
+            for _ in range(count)
+        ]
+        return [probe.getsockname()[1] for probe in probes]
+
+
+@contextlib.asynccontextmanager
+async def open_site(
+    members: int, proxies: int, runners: int, limit_s: float
+) -> AsyncIterator[PlatformSite]:
+    """Opens a site with a configuration in force and every proxy ready."""
+    with anyio.fail_after(limit_s):
+        async with anyio.create_task_group() as group:
+            site = PlatformSite(group)
+            try:
+                site.add(members, proxies)
+                for _ in range(runners):
+                    await site.add_runner("guide-models", MODEL)
+                await site.add_runner("desk")
+                await site.order("PUT", "/api/config", configuration(1))
+                await site.wait_ready()
+                yield site
+            finally:
+                site.close()
+                group.cancel_scope.cancel()
