--- a/features/deployment.feature
+++ b/features/deployment.feature
@@ -97,3 +97,9 @@
     Guards against planned stops of routers or members that callers notice.
     When every member and router is stopped and started in turn while requests go on
     Then every request was answered
+
+  Scenario: Every process serves its metrics and logs to standard output
+    Guards against an incident in which neither can be fetched.
+    When the metrics of member-1 and router-1 are fetched
+    Then they hold "knapweedarch_member_term" and "knapweedarch_lease_held"
+    And the log of router-1 holds JSON lines with "started"
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -605,3 +605,24 @@
         assert cluster.stop(member["name"]) == 0
         cluster.start_member(member["name"])
         status(cluster)
+
+
+@when("the metrics of {member} and {router} are fetched")
+def fetch_metrics(context, member, router):
+    def pages():
+        return [context.cluster.metrics_page(n) for n in (member, router)]
+
+    context.pages = pages()
+
+
+@then('they hold "{of_member}" and "{of_router}"')
+def pages_hold(context, of_member, of_router):
+    for page, name in zip(context.pages, (of_member, of_router), strict=True):
+        assert f"# TYPE {name} gauge" in page, page[:500]
+
+
+@then('the log of {name} holds JSON lines with "{event}"')
+def log_holds(context, name, event):
+    text = (context.cluster.folder / f"{name}.log").read_text()
+    lines = [json.loads(x) for x in text.splitlines() if x.startswith("{")]
+    assert event in {line["event_name"] for line in lines}
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -44,6 +44,7 @@
         octets = random.SystemRandom().sample(range(2, 250), 3)
         self.host = "127." + ".".join(map(str, octets))
         self.processes: dict[str, Process] = {}
+        self.metrics_ports: dict[str, int] = {}
         names = [f"member-{i}" for i in range(1, members + 1)]
         self.members = [
             {"name": n, "host": self.host, "port": self._free_port()}
@@ -96,6 +97,11 @@
         path = self.folder / f"{name}.json5"
         common = {"name": name, "credential": CREDENTIAL}
         common["members"] = self.members
+        if name not in self.metrics_ports:
+            self.metrics_ports[name] = self._free_port()
+        if "role" in content:
+            port = self.metrics_ports[name]
+            common["metrics"] = {"host": self.host, "port": port}
         path.write_text(json.dumps({**common, **content}, indent=2))
         return str(path)
 
@@ -226,6 +232,11 @@
             time.sleep(0.02)
         raise TimeoutError(f"{what} did not happen in {limit_s} s")
 
+    def metrics_page(self, name: str) -> str:
+        """Fetches the metrics of a process."""
+        url = f"http://{self.host}:{self.metrics_ports[name]}/metrics"
+        return httpx.get(url).text
+
     def wait_ready(self, router: str, limit_s: float = START_S) -> None:
         """Waits until a router is ready."""
         self.wait_for(
