--- a/features/control.feature
+++ b/features/control.feature
@@ -54,3 +54,12 @@
     Given an address where connections hang
     When a link to it is opened
     Then it ends as not connected within 0.6 s
+
+  Scenario: A member answers on the link that another one opened
+    Pattern: machines come back one after the other. Guards against an election
+    that waits until each member has reached each other one itself.
+    Given a member that has not reached member "b" yet
+    When member "b" opens a link and says who it is
+    Then messages to member "b" go over that link
+    When that link closes
+    Then messages to member "b" go nowhere
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -1,17 +1,22 @@
 """Steps for the control client, the control state and the member."""
 
+import pathlib
+import shutil
 import socket
 import subprocess
 import sys
+import tempfile
 
 import anyio
 import attrs
 from behave import given, then, when
 
-from knapweedarch import control, links, state
+from knapweedarch import control, links, replica, state
 from knapweedarch.dispatcher import Dispatcher
 from knapweedarch.endpoint_table import EndpointTable
 from knapweedarch.exceptions import ControlError, LinkError
+from knapweedarch.member import create_member
+from knapweedarch.metrics import create_metrics
 from knapweedarch.models import (
     Attempt,
     Dispatch,
@@ -25,6 +30,7 @@
     Wait,
 )
 from knapweedarch.orders import Rollout
+from knapweedarch.settings import Address, MemberSettings
 from knapweedarch.timers import Clock, ManualClock, Timers
 from standins.deployment import CREDENTIAL, ROOT, Deployment
 
@@ -321,3 +327,61 @@
 @then("it ends as not connected within {limit:f} s")
 def not_connected(context, limit):
     assert 0.1 <= context.taken_s <= limit, context.taken_s
+
+
+class KeptMessages:
+    """Keeps what is sent over a link."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        """Takes a message."""
+        self.sent.append(message)
+
+
+@given('a member that has not reached member "{name}" yet')
+def unreached(context, name):
+    folder = tempfile.mkdtemp()
+    context.add_cleanup(shutil.rmtree, folder)
+    names = ("a", name)
+    settings = MemberSettings(
+        name="a",
+        data_centre="z",
+        credential=CREDENTIAL,
+        members=tuple(control.MemberAddress(n, "127.0.0.1", 1) for n in names),
+        listen=Address("127.0.0.1", 0),
+        data_folder=pathlib.Path(folder),
+    )
+    context.member = create_member(
+        settings, ManualClock(), create_metrics(None, 0, "a")
+    )
+
+
+@when('member "{name}" opens a link and says who it is')
+def says_hello(context, name):
+    context.link = KeptMessages()
+    hello = control.Hello(name, "00")
+    anyio.run(context.member._handle, context.link, hello)
+
+
+def send_to(context, name):
+    reply = replica.VoteReply("00", 1, False, True)
+    context.member._send_peer(name, reply)
+    return len(context.link.sent)
+
+
+@then('messages to member "{name}" go over that link')
+def go_over_link(context, name):
+    assert send_to(context, name) == 1
+
+
+@when("that link closes")
+def link_closes(context):
+    context.member._on_closed(context.link)
+    context.link.sent.clear()
+
+
+@then('messages to member "{name}" go nowhere')
+def go_nowhere(context, name):
+    assert send_to(context, name) == 0
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -238,6 +238,8 @@
 
     def _on_closed(self, link: links.Link) -> None:
         self._leader.forget_link(link)
+        for name in [n for n, kept in self._peers.items() if kept is link]:
+            del self._peers[name]
 
     async def _keep_peer(self, address: control.MemberAddress) -> None:
         """Keeps an outgoing link to another member."""
@@ -328,7 +330,7 @@
             case control.Peer(sender=sender, data=data):
                 self._receive(sender, data)
             case control.Hello(name=name, identity=identity):
-                self._note_peer(name, identity)
+                self._note_peer(link, name, identity)
             case control.Renew():
                 return self._leader.renew(link, message)
             case control.Submit(command=data, in_force=in_force):
@@ -362,9 +364,12 @@
         self._replica.receive(sender, message, self._clock.now())
         self._work.set()
 
-    def _note_peer(self, name: str, identity: str) -> None:
+    def _note_peer(self, link: links.Link, name: str, identity: str) -> None:
         for address in self._settings.members or self._leader.addresses():
             if address.name == name:
+                # It could be reached before this member can reach it: a
+                # connection that was begun while it had no power still hangs.
+                self._peers.setdefault(name, link)
                 self._replica.note_peer(
                     name, identity, address.host, address.port
                 )
