--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -144,3 +144,12 @@
       | that gets its first lease 0.2 s later   | 200    | 0.2   | 0.35 |
       | that gets no lease                      | 503    | 0.35  | 0.6  |
       | whose lease has ended                   | 503    | 0.0   | 0.2  |
+
+  Scenario: Ruined answers are never taken for whole ones
+    Guards against an answer that is cut, crossed, unframed or garbled and
+    reaches a caller as a success, and against a connection that is used again
+    after one.
+    Given a proxied runner that sends ruined answers
+    When 150 requests are sent one after the other
+    Then each success is the runner's whole answer to its own request
+    And some answers succeeded and more than 60 did not
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -1,6 +1,7 @@
 """A proxy's gateway with scripted runners on loopback, in one event loop."""
 
 import contextlib
+import random
 from collections.abc import AsyncIterator, Callable
 
 import anyio
@@ -80,6 +81,7 @@
     connections: int = 0
     dropped: int = 0
     port: int = 0
+    rng: random.Random = attrs.field(factory=lambda: random.Random(11))
     changed: anyio.Event = attrs.field(factory=anyio.Event)
 
     async def handle(self, stream: anyio.abc.SocketStream) -> None:
@@ -133,6 +135,11 @@
             case "sends garbage":
                 await stream.send(b"\x00\xff not an answer\r\n\r\n")
                 await stream.aclose()
+            case "sends ruined answers":
+                data, closes = ruined(self.rng, own)
+                await stream.send(data)
+                if closes:
+                    await stream.aclose()
             case "fails":
                 await stream.send(_response(own, b"oops", "500 Error"))
             case "is full":
@@ -152,6 +159,38 @@
                 await stream.aclose()
 
 
+def ruined(rng: random.Random, own: str) -> tuple[bytes, bool]:
+    """Makes an answer that is whole, or wrong in its head or framing.
+
+    Returns:
+        The bytes, and whether the connection ends after them.
+    """
+    whole = _response(own, BODY)
+    head = whole[: -len(BODY)]
+    length = b"Content-Length: %d" % len(BODY)
+    match rng.randrange(9):
+        case 0:
+            return whole, False
+        case 1:
+            return whole[: rng.randrange(1, len(whole))], True
+        case 2:
+            return whole + rng.randbytes(rng.randrange(1, 40)), False
+        case 3:
+            return whole + _response("earlier", b"stray"), False
+        case 4:
+            longer = length.replace(b"%d" % len(BODY), b"%d" % (len(BODY) + 5))
+            return whole.replace(length, longer), True
+        case 5:
+            chunked = whole.replace(length, b"Transfer-Encoding: chunked")
+            return chunked[: -len(BODY)] + b"zz\r\n" + BODY, True
+        case 6:
+            place = rng.randrange(len(head) - 4)
+            return whole[:place] + b"\x00" + whole[place + 1 :], False
+        case 7:
+            return _response("earlier", b"stray") + whole, False
+    return rng.randbytes(rng.randrange(1, 200)), True
+
+
 async def _stream(
     stream, seen: Seen, until: int, rest: bytes = b"", pause_s: float = 0.0
 ) -> None:
@@ -217,11 +256,16 @@
         return self.data.partition(b"\r\n\r\n")[2]
 
 
-def request(kind: str = "once", extra: str = "", body: bytes = b"") -> bytes:
+def request(
+    kind: str = "once",
+    extra: str = "",
+    body: bytes = b"",
+    request_id: str = "r1",
+) -> bytes:
     """Builds a caller's request to the route of a kind."""
     head = (
         f"POST /{kind}/x HTTP/1.1\r\nHost: {HOST}\r\n"
-        "X-Knapweedarch-Request-Id: r1\r\n"
+        f"X-Knapweedarch-Request-Id: {request_id}\r\n"
         f"Authorization: Token {KEY}\r\nX-Knapweedarch-Deadline-Ms: 2000\r\n"
         f"{extra}Content-Length: {len(body)}\r\n\r\n"
     )
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -349,3 +349,35 @@
 def ends_after(context, status, least, most):
     assert context.answer.status == status, context.answer
     assert least <= context.taken_s <= most, context.taken_s
+
+
+@when("{count:d} requests are sent one after the other")
+def sent_in_turn(context, count):
+    async def run():
+        async with open_proxy() as site:
+            await site.add_runner(context.modes[0])
+            for number in range(count):
+                own = f"r{number}"
+                data = request("once", request_id=own)
+                answer = await site.send(data, idle_s=0.02)
+                context.answers.append((own, answer))
+
+    context.answers = []
+    anyio.run(run)
+
+
+@then("each success is the runner's whole answer to its own request")
+def own_answers(context):
+    for own, answer in context.answers:
+        if answer.status == 200:
+            assert answer.body == BODY, answer
+            own_line = f"x-knapweedarch-request-id: {own}"
+            assert own_line in answer.head.lower().split("\r\n"), answer
+
+
+@then("some answers succeeded and more than {count:d} did not")
+def some_succeeded(context, count):
+    statuses = [answer.status for _, answer in context.answers]
+    assert statuses.count(200) > 10, statuses
+    assert len(statuses) - statuses.count(200) > count, statuses
+    assert set(statuses) <= {200, 502, 503, 504}, set(statuses)
