--- a/knapweedarch/daemon.py
+++ b/knapweedarch/daemon.py
@@ -66,7 +66,7 @@
     async with anyio.create_task_group() as group:
         if isinstance(daemon, member.Member):
             group.start_soon(stop_on_signal, daemon, group.cancel_scope)
-        port = await group.start(daemon.run)
+        port = await group.start(_run_to_end, daemon, group.cancel_scope)
         if settings.metrics is not None:
             await group.start(serve_metrics, metrics, settings.metrics, clock)
         log("started", role=settings.role, name=settings.name, port=port)
@@ -74,6 +74,17 @@
         print(f"ready {port}", flush=True)
 
 
+async def _run_to_end(
+    daemon: member.Member | router.Router,
+    scope: anyio.CancelScope,
+    *,
+    task_status=anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Runs a role; what else the process serves ends with it."""
+    await daemon.run(task_status=task_status)
+    scope.cancel()
+
+
 def _metrics(settings: MemberSettings | RouterSettings) -> Metrics:
     address = settings.statsd
     if address is None:
