--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -42,6 +42,15 @@
     }
 
 
+def print_errors(scenario: dict) -> None:
+    """Prints why the steps of a scenario failed; one may never fail again."""
+    for step in scenario.get("steps", []):
+        lines = step.get("result", {}).get("error_message") or []
+        if lines:
+            text = lines if isinstance(lines, str) else "\n".join(lines)
+            print(f"  in step {step['name']!r}:\n{text[-4000:]}")
+
+
 def run_scenarios(arguments: list[str]) -> tuple[int, int, int]:
     """Runs behave; returns the counts of passed, failed and known red."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
@@ -77,6 +86,7 @@
             elif status != "skipped" or not arguments:
                 failed += 1
                 print(f"FAIL {name} ({status})")
+                print_errors(element)
     if failed or (done.returncode != 0 and not (skipped or passed)):
         print(done.stdout[-12000:], done.stderr[-4000:])
         failed = max(failed, 1)
