--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -45,6 +45,10 @@
             which a runner with older ones gets requests beside others.
         old_weights_end_s: The same where no runner has newer ones; a request
             may wait a moment at the runner before it begins.
+        delay_weight: How much longer, per request at a runner, each prompt
+            takes to be read.
+        fetch_part: Time to fetch a part that another runner holds, as a part
+            of the time to read it.
         broken_off_s: The same charge for a request that is sent once more: a
             load may break it off a second time.
     """
--- a/knapweedarch/log_volume.py
+++ b/knapweedarch/log_volume.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-# A proxy under the heaviest load measured logs 60 lines of one event a second.
+# Far above what one process logs of one event under load; docs/CAPACITY.md.
 LINES_PER_EVENT_S = 200
 WINDOW_S = 1.0
 PENDING_BYTES = 256 * 1024
