Look up what runners hold once for each choice and once for each send

The choice scanned the prompt's parts twice for each runner, a send twice for its own; a voter built a request to compare with where it cannot yield.

--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -188,17 +188,18 @@
         if not able:
             return None
         ranks = _ranks(prompt, able)
-        fetchable = 0
+        held: dict[str, int] = {}
         if prompt is not None:
-            fetchable = max(
-                self._held(e, prompt, salt(e), now) for e in endpoints
-            )
+            held = {
+                e.id: self._held(e, prompt, salt(e), now) for e in endpoints
+            }
+        fetchable = max(held.values(), default=0)
         self._knows_others = now - self._others_at < self._cfg.loads_fresh_s
         return min(
             able,
             key=lambda e: self._cost(
-                *(e, prompt, salt(e), ranks, memory_tokens),
-                *(bool(tried), fetchable, now),
+                *(e, prompt, ranks, memory_tokens),
+                *(bool(tried), held.get(e.id, 0), fetchable),
             ),
         )
 
@@ -324,12 +325,11 @@
         self,
         endpoint: Endpoint,
         prompt: Prompt | None,
-        salt: str,
         ranks: dict[str, float],
         memory_tokens: int,
         again: bool,
+        held: int,
         fetchable: int,
-        now: float,
     ) -> float:
         cfg, seen = self._cfg, self._seen[endpoint.id]
         distance = cfg.distance_s.get(endpoint.data_centre, cfg.far_s)
@@ -345,7 +345,6 @@
         if prompt is not None:
             if not self.has_newest_weights(endpoint, prompt):
                 cost += cfg.broken_off_s if again else cfg.old_weights_s
-            held = self._held(endpoint, prompt, salt, now)
             fetched = max(0, fetchable - held)
             missing = prompt.tokens - held - (1 - cfg.fetch_part) * fetched
             prefill_s = missing / cfg.prefill_tokens_s
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -145,7 +145,7 @@
         """
         prompt = call.terms.prompt
         held_tokens = self._held_tokens(call, endpoint)
-        terms = self._send_terms(call, endpoint, last_event_id)
+        terms = self._send_terms(call, endpoint, held_tokens, last_event_id)
         headers = self.dialect.endpoint_headers(call.req, terms)
         request_id = call.terms.request_id
         exchange = self._pool.exchange(
@@ -177,7 +177,11 @@
             )
 
     def _send_terms(
-        self, call: Call, endpoint: Endpoint, last_event_id: str
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        held_tokens: int,
+        last_event_id: str,
     ) -> SendTerms:
         terms = SendTerms(
             instance_id=endpoint.id,
@@ -187,7 +191,7 @@
         )
         if call.terms.prompt is not None:
             terms = attrs.evolve(
-                self._with_transfers(call, endpoint, terms),
+                self._with_transfers(call, endpoint, held_tokens, terms),
                 weights_version=endpoint.weights_version,
                 cache_salt=call.salt(endpoint),
                 urgency=urgency(call),
@@ -195,16 +199,19 @@
         return terms
 
     def _with_transfers(
-        self, call: Call, endpoint: Endpoint, terms: SendTerms
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        held_tokens: int,
+        terms: SendTerms,
     ) -> SendTerms:
         """Adds where cached parts come from, and where they are saved."""
         prompt, salt, now = call.terms.prompt, call.salt(endpoint), self.now()
-        held = self.index.of(endpoint.address)
         source = self.index.best_source(
             self._sources(call, endpoint),
-            *(prompt, salt, held.prefix_tokens(prompt, salt, now), now),
+            *(prompt, salt, held_tokens, now),
         )
-        held.assume(prompt, salt, now)
+        self.index.of(endpoint.address).assume(prompt, salt, now)
         save_to = ""
         if self.chooser.has_newest_weights(endpoint, prompt):
             for address, limit in self._saves.items():
@@ -289,7 +296,7 @@
             fate=failure.fate.value,
             reason=failure.reason.value,
             detail=detail,
-            left_ms=round((call.deadline - self.clock.now()) * 1000),
+            left_ms=self._left_ms(call),
         )
         return failure
 
@@ -308,7 +315,7 @@
             request=call.terms.request_id,
             route=call.route.name,
             tried=list(call.tried),
-            left_ms=round((call.deadline - self.clock.now()) * 1000),
+            left_ms=self._left_ms(call),
         )
 
     def refusal(self, call: Call) -> Answer:
@@ -333,6 +340,10 @@
             return RefusalReason.RETRIES_EXHAUSTED
         return RefusalReason.NO_CAPACITY
 
+    def _left_ms(self, call: Call) -> int:
+        """Milliseconds until the final answer is due; negative after it."""
+        return round((call.deadline - self.clock.now()) * 1000)
+
     def _log_refusal(self, call: Call, reason: str, status: int = 0) -> None:
         log(
             "request_given_up",
@@ -342,7 +353,7 @@
             tried=list(call.tried),
             reason=reason,
             status=status,
-            left_ms=round((call.deadline - self.clock.now()) * 1000),
+            left_ms=self._left_ms(call),
         )
 
 
--- a/knapweedarch/replica_election.py
+++ b/knapweedarch/replica_election.py
@@ -127,9 +127,9 @@
 
     def yields_to(self, request: VoteRequest, log: ReplicaLog) -> bool:
         """Tells whether a restarted voter leaves the office to a candidate."""
-        own = self._request(log, pre=True)
-        newer = request.pre and request.term > self.term
-        return self.is_fresh and newer and request.rank > own.rank
+        if not (self.is_fresh and request.pre and request.term > self.term):
+            return False
+        return request.rank > self._request(log, pre=True).rank
 
     def all_restarted(self, identity: str, voters: set[str]) -> bool:
         """Notes a restarted voter; tells whether all others are."""
