One piece of code where two stood; remove what nothing reads

Nothing read a connection's count, the pool's count and drop, when a request was received whole, whether a joining member is listed, or a proxy's log level. Addresses of seeds move to the settings, so that a proxy does not import a member for them. Behaviour stays.

--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -38,6 +38,7 @@
 )
 from knapweedarch.exceptions import ControlError, CredentialError, LinkError
 from knapweedarch.state import COMMANDS, RESULTS
+from knapweedarch.task_groups import TaskOwner
 from knapweedarch.timers import Clock
 
 __all__ = [
@@ -77,7 +78,7 @@
 REPLY_S = 1.0
 
 
-class Control:
+class Control(TaskOwner):
     """Talks to the leader, finding it anew whenever it changes.
 
     Use it as an asynchronous context manager; it keeps one link.
@@ -103,15 +104,6 @@
         random.Random().shuffle(self._order)
         self._connecting = anyio.Lock()
 
-    async def __aenter__(self) -> "Control":
-        self._group = anyio.create_task_group()
-        await self._group.__aenter__()
-        return self
-
-    async def __aexit__(self, *exc_info) -> bool | None:
-        self._group.cancel_scope.cancel()
-        return await self._group.__aexit__(*exc_info)
-
     def set_members(self, members: Sequence[MemberAddress]) -> None:
         """Takes over the addresses of the members."""
         if not members or list(members) == list(self._members.values()):
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -173,11 +173,9 @@
 
     Attributes:
         members: Addresses of the members now.
-        listed: Whether the asking identity is one of them already.
     """
 
     members: tuple[MemberAddress, ...]
-    listed: bool
 
 
 @attrs.frozen
--- a/knapweedarch/daemon.py
+++ b/knapweedarch/daemon.py
@@ -4,21 +4,16 @@
 import knapweedarch.process_start  # noqa: F401 isort: skip
 
 import pathlib
-import sys
 
 import anyio
 import defopt
 
 from knapweedarch import member, router
-from knapweedarch.exceptions import (
-    JournalError,
-    ReplicaError,
-    SettingsError,
-)
+from knapweedarch.exceptions import SettingsError
 from knapweedarch.logs import log, setup_logging
 from knapweedarch.metrics import Metrics, create_metrics
 from knapweedarch.metrics_server import serve_metrics
-from knapweedarch.process import EXIT_JOURNAL, EXIT_SETTINGS, stop_on_signal
+from knapweedarch.process import refuse_settings, run_process, stop_on_signal
 from knapweedarch.settings import (
     MemberSettings,
     RouterSettings,
@@ -39,15 +34,9 @@
         if isinstance(loaded, ToolSettings):
             raise SettingsError(["role: 'tool' is not a role of the daemon"])
     except SettingsError as exc:
-        print("\n".join(exc.faults), file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
+        refuse_settings(exc)
     setup_logging(loaded.log_level)
-    try:
-        anyio.run(run, loaded)
-    except* (JournalError, ReplicaError) as group:
-        # A member that goes on after either could answer with what it lost.
-        log("journal_failed", reason=str(group.exceptions[0]))
-        sys.exit(EXIT_JOURNAL)
+    run_process(run, loaded)
 
 
 async def run(settings: MemberSettings | RouterSettings) -> None:
--- a/knapweedarch/endpoint_registry.py
+++ b/knapweedarch/endpoint_registry.py
@@ -17,13 +17,10 @@
     Announce,
     ChangeStatus,
     ControlState,
-    EndpointAccepted,
     still_loads,
 )
 from knapweedarch.timers import Clock
 
-IN_USE = (EndpointStatus.ACTIVE, EndpointStatus.LOADING)
-
 Propose = Callable[[object], Awaitable[object | None]]
 
 
@@ -33,7 +30,7 @@
     Args:
         state: State of the log.
         clock: Clock of the process.
-        propose: Commits a command; see `Leader.propose`.
+        propose: Commits a command; returns None if its outcome is not known.
         silent_s: Time without a heartbeat after which an endpoint counts as
             silent; 0 where endpoints send none.
     """
@@ -89,7 +86,7 @@
 
     async def drop_silent(self) -> None:
         """Takes endpoints out of use that were not heard for too long."""
-        in_use = [e for e in self._endpoints() if e.status in IN_USE]
+        in_use = [e for e in self._endpoints() if e.in_use]
         for endpoint in self._heartbeats.silent(in_use, self._clock.now()):
             await self.change_status(
                 endpoint, EndpointStatus.SILENT, "no heartbeat"
@@ -97,8 +94,8 @@
 
     async def change_status(
         self, endpoint: Endpoint, status: EndpointStatus, reason: str
-    ) -> bool:
-        """Changes the status of an endpoint; tells whether it is stored.
+    ) -> None:
+        """Changes the status of an endpoint.
 
         Args:
             endpoint: The endpoint; a later incarnation is left alone.
@@ -107,12 +104,11 @@
         """
         command = ChangeStatus(endpoint.id, endpoint.incarnation, status)
         try:
-            result = await self._propose(command)
+            await self._propose(command)
         except ReplicaError as exc:
             log("proposal_failed", reason=str(exc), endpoint=endpoint.id)
-            return False
+            return
         _log_status(endpoint, status, reason)
-        return isinstance(result, EndpointAccepted)
 
     def note_loading(self) -> None:
         """Notes when some runner was last out of use to load weights."""
@@ -144,7 +140,7 @@
 
         It was away while newer weights were named, and others have them.
         """
-        stays = known is not None and known.status in IN_USE
+        stays = known is not None and known.in_use
         if stays or endpoint.status is not EndpointStatus.ACTIVE:
             return False
         named = self._state.weights
@@ -163,7 +159,7 @@
             if (
                 other.url == endpoint.url
                 and other.id != endpoint.id
-                and other.status in IN_USE
+                and other.in_use
                 and born(other.incarnation) < born(endpoint.incarnation)
             ):
                 await self.change_status(
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -102,7 +102,6 @@
             max_incomplete_event_size=server.limits().header_bytes,
         )
         self._aborted = False
-        self._handled = 0
 
     async def run(self) -> None:
         """Serves requests until the connection ends."""
@@ -170,7 +169,6 @@
             target=head.target,
             headers=headers,
             body=body,
-            received_at=self._server.clock.now(),
             began_at=began_at,
         )
 
--- a/knapweedarch/http_messages.py
+++ b/knapweedarch/http_messages.py
@@ -39,7 +39,6 @@
         target: Path and query as sent.
         headers: All headers as sent.
         body: The whole body.
-        received_at: When its last byte was read, in seconds.
         began_at: When its first byte was read, in seconds.
     """
 
@@ -47,7 +46,6 @@
     target: bytes
     headers: Headers = ()
     body: bytes = b""
-    received_at: float = 0.0
     began_at: float = 0.0
 
     def header(self, name: bytes) -> bytes:
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -17,6 +17,7 @@
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.http_messages import Headers, Request, find_header
 from knapweedarch.models import RetryReason
+from knapweedarch.task_groups import TaskOwner
 from knapweedarch.timers import Clock
 
 READ_BYTES = 65_536
@@ -249,29 +250,16 @@
         await anyio.aclose_forcefully(conn.stream)
 
 
-class OutboundPool:
+class OutboundPool(TaskOwner):
     """Idle connections to endpoints, by address.
 
     Use it as an asynchronous context manager; long bodies are sent by tasks
     of its own.
-
-    Attributes:
-        opened: Connections opened so far.
     """
 
     def __init__(self, clock: Clock):
         self._clock = clock
         self._idle: dict[str, list[_Connection]] = {}
-        self.opened = 0
-
-    async def __aenter__(self) -> "OutboundPool":
-        self._group = anyio.create_task_group()
-        await self._group.__aenter__()
-        return self
-
-    async def __aexit__(self, *exc_info) -> bool | None:
-        self._group.cancel_scope.cancel()
-        return await self._group.__aexit__(*exc_info)
 
     def spawn(self, task: Callable[[], Awaitable[None]]) -> None:
         """Runs a task beside the exchanges."""
@@ -305,7 +293,6 @@
         host, _, port = address.rpartition(":")
         with anyio.fail_after(CONNECT_S):
             stream = await anyio.connect_tcp(host, int(port))
-        self.opened += 1
         return _Connection(stream, h11.Connection(h11.CLIENT))
 
     async def give_back(
@@ -320,11 +307,6 @@
         else:
             await _close(conn)
 
-    async def drop(self, address: str) -> None:
-        """Closes the idle connections to an endpoint that is gone."""
-        for conn in self._idle.pop(address, ()):
-            await _close(conn)
-
     async def drop_stale(self) -> None:
         """Closes connections that were idle for too long."""
         now = self._clock.now()
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -268,8 +268,7 @@
         if not self._leading():
             return self._redirect()
         self._replica.note_peer(join.name, join.identity, join.host, join.port)
-        listed = any(m.identity == join.identity for m in self._replica.members)
-        return control.Joining(self.addresses(), listed)
+        return control.Joining(self.addresses())
 
     async def submit(
         self, data: bytes, in_force: bool = True
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -20,7 +20,7 @@
 from knapweedarch.metrics import Metrics
 from knapweedarch.process_start import STARTED_AT_S
 from knapweedarch.process_stops import StopWatcher
-from knapweedarch.settings import Address, MemberSettings
+from knapweedarch.settings import Address, MemberSettings, seed_addresses
 from knapweedarch.state import ControlState
 from knapweedarch.timers import Clock, Timers
 
@@ -396,16 +396,6 @@
         return control.Formed()
 
 
-def seed_addresses(
-    seeds: Iterable[Address],
-) -> tuple[control.MemberAddress, ...]:
-    """Returns addresses for members whose names are not known yet."""
-    return tuple(
-        control.MemberAddress(f"{s.host}:{s.port}", s.host, s.port)
-        for s in seeds
-    )
-
-
 def create_member(
     settings: MemberSettings,
     clock: Clock,
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -74,7 +74,7 @@
     Metric("requests.running", _G, "Requests in progress."),
     Metric("requests.waiting", _G, "Requests in the queue."),
     Metric("streams.resumed", _C, "Streams continued on another runner."),
-    Metric("first_token", _T, "Time to the first token in milliseconds."),
+    Metric("first_token", _T, "Time to the first token."),
     Metric("journal.save", _T, "Time of one save with its sync."),
     Metric("deployment.version", _G, "Number of the configuration in use."),
     Metric("lease.left_s", _G, "Seconds until the lease ends."),
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -132,6 +132,11 @@
         """IP number and port of the URL."""
         return self.url.removeprefix("http://")
 
+    @property
+    def in_use(self) -> bool:
+        """Whether it runs and stays; one that loads weights takes no work."""
+        return self.status in (EndpointStatus.ACTIVE, EndpointStatus.LOADING)
+
     @property
     def weights_number(self) -> int:
         """Version of the weights where versions are numbers; 0 for none."""
--- a/knapweedarch/process.py
+++ b/knapweedarch/process.py
@@ -1,9 +1,13 @@
-"""What every process of the system does at its end."""
+"""What every process of the system does at its start and end."""
 
 import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import NoReturn
 
 import anyio
 
+from knapweedarch.exceptions import JournalError, ReplicaError, SettingsError
 from knapweedarch.logs import log
 from knapweedarch.member import Member
 
@@ -11,6 +15,24 @@
 EXIT_JOURNAL = 3
 
 
+def refuse_settings(exc: SettingsError) -> NoReturn:
+    """Ends the process with all faults of its settings."""
+    print("\n".join(exc.faults), file=sys.stderr)
+    sys.exit(EXIT_SETTINGS)
+
+
+def run_process(
+    run: Callable[..., Awaitable[None]], *arguments: object
+) -> None:
+    """Runs a role to its end; a failed journal ends the process."""
+    try:
+        anyio.run(run, *arguments)
+    except* (JournalError, ReplicaError) as group:
+        # A member that goes on after either could answer with what it lost.
+        log("journal_failed", reason=str(group.exceptions[0]))
+        sys.exit(EXIT_JOURNAL)
+
+
 async def stop_on_signal(stopping: Member, scope: anyio.CancelScope) -> None:
     """Stops a member; everything it answered is already synced."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -17,19 +17,13 @@
 from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.lease_keeper import LeaseKeeper
 from knapweedarch.logs import log
-from knapweedarch.member import seed_addresses
 from knapweedarch.metrics import Metrics
-from knapweedarch.models import (
-    Endpoint,
-    EndpointKind,
-    EndpointStatus,
-    RefusalReason,
-)
+from knapweedarch.models import Endpoint, EndpointKind, RefusalReason
 from knapweedarch.process_stops import StopWatcher
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
 from knapweedarch.repeat_budget import RepeatLimits
-from knapweedarch.settings import Address
+from knapweedarch.settings import Address, seed_addresses
 from knapweedarch.state import EndpointEntry
 from knapweedarch.stored_parts import PartsIndex
 from knapweedarch.timers import Clock, Timers
@@ -51,7 +45,6 @@
         listen: Where callers connect.
         ready: Where the balancer asks whether to send callers here.
         ready_path: Path of that question.
-        log_level: Lowest level that is logged.
         metrics: Where scrapers fetch metrics.
         distances_s: One-way delay to each data centre in seconds.
         repeats: Bound of repeats by all proxies together.
@@ -66,7 +59,6 @@
     listen: Address
     ready: Address
     ready_path: str
-    log_level: str = "info"
     metrics: Address
     distances_s: dict[str, float] = attrs.field(factory=dict)
     repeats: RepeatLimits = attrs.field(factory=RepeatLimits)
@@ -211,8 +203,7 @@
         runners = [
             FeedSource(e.address, e.data_centre == own)
             for e in self._endpoints.values()
-            if e.kind is EndpointKind.RUNNER
-            and e.status in (EndpointStatus.ACTIVE, EndpointStatus.LOADING)
+            if e.kind is EndpointKind.RUNNER and e.in_use
         ]
         stores = [
             FeedSource(s.address, s.data_centre == own)
--- a/knapweedarch/settings.py
+++ b/knapweedarch/settings.py
@@ -8,6 +8,7 @@
 import ipaddress
 import pathlib
 import re
+from collections.abc import Iterable
 
 import attrs
 import json5
@@ -37,6 +38,15 @@
     port: int
 
 
+def seed_addresses(
+    seeds: Iterable[Address],
+) -> tuple[MemberAddress, ...]:
+    """Returns addresses for members whose names are not known yet."""
+    return tuple(
+        MemberAddress(f"{s.host}:{s.port}", s.host, s.port) for s in seeds
+    )
+
+
 @attrs.frozen(kw_only=True)
 class MemberSettings:
     """Settings of a control member.
--- /dev/null
+++ b/knapweedarch/task_groups.py
@@ -0,0 +1,21 @@
+"""Objects that own the tasks they start."""
+
+from typing import Self
+
+import anyio
+
+
+class TaskOwner:
+    """Asynchronous context manager with a task group of its own.
+
+    Its tasks are cancelled when the context ends.
+    """
+
+    async def __aenter__(self) -> Self:
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc_info) -> bool | None:
+        self._group.cancel_scope.cancel()
+        return await self._group.__aexit__(*exc_info)
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -200,8 +200,7 @@
             entry.endpoint
             for entry in self._member.state.endpoints.values()
             if entry.endpoint.kind is EndpointKind.RUNNER
-            and entry.endpoint.status
-            in (EndpointStatus.ACTIVE, EndpointStatus.LOADING)
+            and entry.endpoint.in_use
         ]
 
     def _due(self, now: float) -> list[Endpoint]:
