--- /dev/null
+++ b/features/failure_containment.feature
@@ -0,0 +1,40 @@
+Feature: One error ends no more than it must
+
+  Scenario: A member that is removed right after it was added
+    Guards against a member that ends because a task of a peer is cancelled
+    before its first step.
+    Given a member with links to no other member yet
+    When another member is added and removed before its link is opened
+    Then the member still runs
+
+  Scenario: A group that was formed while this member had not heard of it
+    Guards against a member that ends because the leader's first message arrives
+    before the request to form the group.
+    Given a blank member of a group of 3
+    When the leader's message of a later term arrives before the first entry
+    And the member is asked to form the group
+    Then it answers that the group is formed
+
+  Scenario: A handler of a link raises an unexpected error
+    Guards against one message that ends the whole process.
+    Given a server whose handler raises an unexpected error for some messages
+    When a client sends such a message
+    Then only that client's link closes
+    And another client still gets answers
+
+  Scenario: A handler of a link cannot write to the journal
+    Guards against a member that goes on after a write has failed.
+    Given a server whose handler raises a journal error for some messages
+    When a client sends such a message
+    Then the server ends with the journal error
+
+  Scenario Outline: The log names the error that ended a process
+    Guards against logs that blame the journal for any error.
+    When a process ends with <error>
+    Then it logs "<event>" and exits with code <code>
+
+    Examples:
+      | error                            | event          | code |
+      | a key error in a nested group    | process_failed | 1    |
+      | a journal error in a nested group | journal_failed | 3    |
+      | a replica error                  | replica_failed | 3    |
--- a/features/heavy_load.feature
+++ b/features/heavy_load.feature
@@ -90,14 +90,6 @@
       | with a restart of all routers at 20 s |
       | with a restart of one router every 3 s |
 
-  Scenario: A resumed router does not mark runners as silent
-    Guards against a resumed router that refuses every request because it takes
-    all runners for silent.
-    Given 3 runners that were all last active 0.2 s ago
-    When the router is paused for 5 s
-    Then all 3 runners may be chosen
-    And none of them may be chosen after 2 s without a byte
-
   Scenario: Cached parts are looked up by the weights of each runner
     Guards against recomputing cached parts while weights are rolled out.
     Given runner "old" with weights 1 and runner "new" with weights 2
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -371,7 +371,8 @@
 
 def send_to(context, name):
     reply = replica.VoteReply("00", 1, False, True)
-    context.member._send_to_peer(name, reply)
+    data = replica.MESSAGES.encode(reply)
+    context.member._peers.send(name, control.Peer("a", data))
     return len(context.link.sent)
 
 
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -42,7 +42,7 @@
         self.state = ControlState()
         self.leads = True
         self.term = 5
-        self.leader = self.endpoints = self
+        self.leader = self.endpoints = self.relay = self
         self.last_loading = Clock().now()
         self.most_out = 0
         self.requests = BUSY_REQUESTS
--- a/knapweedarch/cache_feeds.py
+++ b/knapweedarch/cache_feeds.py
@@ -1,6 +1,5 @@
 """Follows the cache events of runners and stores by long polling."""
 
-from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import anyio
@@ -9,47 +8,22 @@
 
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.logs import log
-from knapweedarch.stored_parts import CacheChanges, PartsIndex
-
-RETRY_DELAY_S = 0.5
-
-
-@attrs.frozen
-class PollTiming:
-    """Timing of the long polling of a source.
-
-    Attributes:
-        wait_s: Longest time in seconds for which the source waits for an event.
-        pause_s: Pause in seconds before the next call, which batches events.
-    """
-
-    wait_s: float
-    pause_s: float
-
-
-# Calls to other data centres use bandwidth between them, so they are less
-# frequent. Wait and pause together stay below the silence after which a runner
-# is avoided (`ChoiceConfig.silence_limit_s`).
-LOCAL_POLL_TIMING = PollTiming(wait_s=0.6, pause_s=0.12)
-REMOTE_POLL_TIMING = PollTiming(wait_s=0.5, pause_s=0.25)
-
-
-@attrs.frozen
-class FeedSource:
-    """A runner or store whose events are followed.
-
-    Attributes:
-        address: IP address and port.
-        is_local: Whether it is in the proxy's own data centre.
-    """
-
-    address: str
-    is_local: bool
-
-    @property
-    def poll_timing(self) -> PollTiming:
-        """Timing of the calls to this source."""
-        return LOCAL_POLL_TIMING if self.is_local else REMOTE_POLL_TIMING
+from knapweedarch.models import RetryReason
+from knapweedarch.source_relay import FeedSource
+from knapweedarch.stored_parts import CacheChanges
+from knapweedarch.timers import Clock
+
+RETRY_DELAY_S = 0.15
+# Longest time for which a source waits for an event before it answers.
+POLL_WAIT_S = 0.6
+# Pause before the next call, which batches events.
+POLL_PAUSE_S = 0.12
+# Time without an answer after which a source counts as silent. It allows for
+# wait, pause and two round trips.
+SILENCE_LIMIT_S = 1.4
+# A source that refuses this many connections in a row has crashed; a single
+# one may be refused because the source has too many.
+MAX_REFUSALS = 2
 
 
 class CacheFeed(Protocol):
@@ -70,70 +44,135 @@
         """
 
 
-class CacheFeeds:
-    """Runs one long-polling task per source and updates the index.
+class FeedListener(Protocol):
+    """Receives what is learnt of the followed sources; see `SourceRelay`."""
+
+    def record_changes(
+        self, address: str, changes: CacheChanges, is_first: bool
+    ) -> None:
+        """Records the events of an answer."""
+
+    def record_silence(self, address: str) -> None:
+        """Records that a source does not answer."""
+
+
+@attrs.define
+class _Following:
+    """The task that follows a source.
 
     Attributes:
-        on_answer: Called with the address of the source after each answer.
+        scope: Cancels the task.
+        answered_at: Time of the last answer, or of the start of the task, in
+            seconds on the process's clock.
+        refusals: Connections refused since the last answer.
+        is_lost: Whether the last call failed.
+    """
+
+    answered_at: float
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    refusals: int = 0
+    is_lost: bool = True
+
+
+class CacheFeeds:
+    """Runs one long-polling task per followed source.
+
+    Args:
+        feed: Requests for events.
+        listener: Receives the events.
+        clock: Clock of the process.
+        group: Task group of the polling tasks.
     """
 
     def __init__(
-        self, feed: CacheFeed, index: PartsIndex, group: anyio.abc.TaskGroup
+        self,
+        feed: CacheFeed,
+        listener: FeedListener,
+        clock: Clock,
+        group: anyio.abc.TaskGroup,
     ):
         self._feed = feed
-        self._index = index
+        self._listener = listener
+        self._clock = clock
         self._group = group
-        self.on_answer: Callable[[str], None] = lambda address: None
-        self._scopes: dict[FeedSource, anyio.CancelScope] = {}
-        self._answering: set[FeedSource] = set()
+        self._following: dict[FeedSource, _Following] = {}
 
     @property
     def answering_count(self) -> int:
         """Number of sources that answered the last call."""
-        return len(self._answering)
-
-    def set_sources(self, sources: Iterable[FeedSource]) -> None:
-        """Starts following new sources and stops following removed ones.
-
-        The parts of removed sources are removed from the index.
+        return sum(not f.is_lost for f in self._following.values())
+
+    def set_sources(self, wanted: set[FeedSource]) -> None:
+        """Starts following new sources and stops following removed ones."""
+        for source in self._following.keys() - wanted:
+            self._following.pop(source).scope.cancel()
+        for source in wanted - self._following.keys():
+            following = _Following(self._clock.now())
+            self._following[source] = following
+            self._group.start_soon(self._follow, source, following)
+
+    def check_silence(self, now: float) -> None:
+        """Reports the sources that have not answered for too long."""
+        for source, following in self._following.items():
+            if now - following.answered_at > SILENCE_LIMIT_S:
+                self._listener.record_silence(source.address)
+
+    def exclude_pause(self, pause_s: float) -> None:
+        """Excludes a pause of this process from the silence of the sources.
+
+        Answers that arrived during the pause could not be read.
         """
-        wanted = set(sources)
-        for source in self._scopes.keys() - wanted:
-            self._scopes.pop(source).cancel()
-            self._answering.discard(source)
-            self._index.forget(source.address)
-        for source in wanted - self._scopes.keys():
-            scope = self._scopes[source] = anyio.CancelScope()
-            self._group.start_soon(self._follow, source, scope)
-
-    async def _follow(
-        self, source: FeedSource, scope: anyio.CancelScope
-    ) -> None:
-        cached = self._index.parts_at(source.address)
-        with scope:
+        for following in self._following.values():
+            following.answered_at += pause_s
+
+    async def _follow(self, source: FeedSource, following: _Following) -> None:
+        since, epoch = 0, None
+        with following.scope:
             while True:
                 try:
-                    cached.apply_changes(
-                        await self._feed.cache_changes(
-                            *(source.address, cached.next_number),
-                            source.poll_timing.wait_s,
-                        )
+                    changes = await self._feed.cache_changes(
+                        source.address, since, POLL_WAIT_S
                     )
                 except ExchangeError as exc:
-                    self._mark_lost(source, exc)
-                    cached.clear()
+                    self._record_failure(source, following, exc)
+                    since, epoch = 0, None
                     await anyio.sleep(RETRY_DELAY_S)
-                else:
-                    self._mark_answering(source)
-                    await anyio.sleep(source.poll_timing.pause_s)
-
-    def _mark_answering(self, source: FeedSource) -> None:
-        self.on_answer(source.address)
-        if source not in self._answering:
+                    continue
+                if epoch not in (None, changes.epoch):
+                    # The source has restarted and numbers its events anew.
+                    since, epoch = 0, None
+                    continue
+                is_first = epoch is None
+                since, epoch = changes.next_number, changes.epoch
+                self._record_answer(source, following, changes, is_first)
+                await anyio.sleep(POLL_PAUSE_S)
+
+    def _record_answer(
+        self,
+        source: FeedSource,
+        following: _Following,
+        changes: CacheChanges,
+        is_first: bool,
+    ) -> None:
+        if following.is_lost:
             log("feed_found", address=source.address)
-        self._answering.add(source)
+        following.is_lost = False
+        following.refusals = 0
+        following.answered_at = self._clock.now()
+        self._listener.record_changes(source.address, changes, is_first)
 
-    def _mark_lost(self, source: FeedSource, exc: ExchangeError) -> None:
-        if source in self._answering:
+    def _record_failure(
+        self, source: FeedSource, following: _Following, exc: ExchangeError
+    ) -> None:
+        if not following.is_lost:
             log("feed_lost", endpoint=source.address, reason=str(exc))
-        self._answering.discard(source)
+        following.is_lost = True
+        match exc.reason:
+            case RetryReason.CONNECT_REFUSED:
+                following.refusals += 1
+            case RetryReason.ENDPOINT_ERROR:
+                # An error status is an answer: the source serves requests.
+                following.refusals = 0
+                following.answered_at = self._clock.now()
+        if following.refusals >= MAX_REFUSALS:
+            self._listener.record_silence(source.address)
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -22,8 +22,6 @@
     Hello,
     Join,
     Joining,
-    LoadShare,
-    LoadTotals,
     MemberAddress,
     MemberStatus,
     Peer,
@@ -57,8 +55,6 @@
     "Hello",
     "Join",
     "Joining",
-    "LoadShare",
-    "LoadTotals",
     "MemberAddress",
     "MemberStatus",
     "Peer",
@@ -90,9 +86,7 @@
         credential: bytes,
         clock: Clock,
         on_changed: Callable[[], None],
-        on_loads: Callable[[LoadTotals], None],
     ):
-        self._on_loads = on_loads
         self._members = {m.name: m for m in members}
         self._credential = credential
         self._clock = clock
@@ -115,6 +109,8 @@
         self._connect_order += [
             n for n in self._members if n not in self._connect_order
         ]
+        if self._leader not in self._members:
+            self._leader = ""
 
     def add_members(self, members: Sequence[MemberAddress]) -> None:
         """Adds addresses of members, such as new seeds."""
@@ -240,16 +236,6 @@
         match message:
             case Changed():
                 self._on_changed()
-            case LoadTotals():
-                self._on_loads(message)
-
-    def send_one_way(self, message: object) -> None:
-        """Sends a message without a reply, if a link is open now."""
-        if self._link is not None and not self._link.closed.is_set():
-            try:
-                self._link.send(message)
-            except LinkError:
-                self.close_link()
 
     async def form(self, members: Sequence[MemberAddress]) -> None:
         """Forms the first group from blank members.
@@ -309,7 +295,6 @@
     credential: bytes,
     clock: Clock,
     on_changed: Callable[[], None] = lambda: None,
-    on_loads: Callable[[LoadTotals], None] = lambda totals: None,
 ) -> ControlClient:
     """Creates a client of the control members.
 
@@ -318,6 +303,5 @@
         credential: The shared credential.
         clock: Time source.
         on_changed: Called when the leader reports a change.
-        on_loads: Called with the load that other routers cause.
     """
-    return ControlClient(members, credential, clock, on_changed, on_loads)
+    return ControlClient(members, credential, clock, on_changed)
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -5,6 +5,15 @@
 from knapweedarch.codec import create_codec
 from knapweedarch.deployments import Deployment
 from knapweedarch.models import Endpoint
+from knapweedarch.relay_messages import (
+    LoadChanges,
+    LoadsReceived,
+    LoadTotals,
+    Relayed,
+    ResendSources,
+    Subscribe,
+    Subscribed,
+)
 from knapweedarch.state import EndpointEntry
 
 
@@ -114,37 +123,6 @@
     """The heartbeat was processed and the changes in it are committed."""
 
 
-@attrs.frozen
-class EndpointLoad:
-    """Load of one endpoint caused by routers.
-
-    Attributes:
-        endpoint_id: The endpoint.
-        requests: Requests whose answer is not complete.
-        unread_tokens: Prompt tokens of the requests without a first event.
-        held_tokens: Prompt and answer tokens of all these requests.
-    """
-
-    endpoint_id: str
-    requests: int
-    unread_tokens: int
-    held_tokens: int
-
-
-@attrs.frozen
-class LoadShare:
-    """Load that the sending router causes; sent to the leader."""
-
-    loads: tuple[EndpointLoad, ...]
-
-
-@attrs.frozen
-class LoadTotals:
-    """Total load that all other routers cause; sent by the leader."""
-
-    loads: tuple[EndpointLoad, ...]
-
-
 @attrs.frozen
 class ReadDeployment:
     """Requests the routing configuration in force."""
@@ -331,5 +309,6 @@
     *(Renew, Grant, Changed, Submit, Result, Redirect, Refused, Query),
     *(StatusReply, Describe, Description, Form, Formed, Hello, Peer),
     *(Heartbeat, HeartbeatNoted, ReadDeployment, DeploymentDocument),
-    *(Join, Joining, LoadShare, LoadTotals),
+    *(Join, Joining, Subscribe, Subscribed, Relayed),
+    *(ResendSources, LoadChanges, LoadTotals, LoadsReceived),
 )
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -14,10 +14,10 @@
 import attrs
 import xxhash
 
-from knapweedarch.control_messages import EndpointLoad, LoadShare, LoadTotals
 from knapweedarch.models import Endpoint
 from knapweedarch.prompt_parts import Prompt
-from knapweedarch.stored_parts import PartsIndex
+from knapweedarch.relay_messages import EndpointLoad
+from knapweedarch.stored_parts import PartsIndex, shared_digests
 
 # Target weights versions remembered per model.
 MAX_VERSION_HISTORY = 16
@@ -46,8 +46,6 @@
         refused_backoff_s: How long an endpoint that refused a connection is
             avoided.
         busy_backoff_s: How long an endpoint that was full is avoided.
-        silence_limit_s: Time without data from a runner whose events are
-            followed, after which it is avoided.
         remote_penalty_s: Penalty for sending a request to another data centre.
         old_weights_penalty_s: Penalty for weights that are not the newest.
         old_weights_limit_s: Time after newer weights became the target during
@@ -76,7 +74,6 @@
     failure_half_life_s: float = 3.0
     refused_backoff_s: float = 2.0
     busy_backoff_s: float = 0.15
-    silence_limit_s: float = 1.4
     remote_penalty_s: float = 0.15
     old_weights_penalty_s: float = 0.3
     repeat_old_weights_penalty_s: float = 2.0
@@ -141,7 +138,7 @@
         self._cfg = cfg
         self._index = index
         self._stats: dict[str, _EndpointStats] = {}
-        self._last_activity_at: dict[str, float] = {}
+        self._silent: set[str] = set()
         self._peer_loads: dict[str, EndpointLoad] = {}
         self._peer_loads_at = -math.inf
         self._peer_loads_fresh = False
@@ -230,10 +227,7 @@
         ranks = _ranks(prompt, usable)
         cached_tokens: dict[str, int] = {}
         if prompt is not None:
-            cached_tokens = {
-                e.id: self._cached_prefix_tokens(e, prompt, salt(e), now)
-                for e in endpoints
-            }
+            cached_tokens = self._cached_tokens(endpoints, prompt, salt, now)
         max_cached_tokens = max(cached_tokens.values(), default=0)
         self._peer_loads_fresh = (
             now - self._peer_loads_at < self._cfg.peer_loads_max_age_s
@@ -248,23 +242,18 @@
 
     def is_usable(self, endpoint: Endpoint, now: float) -> bool:
         """Returns whether an endpoint is neither silent nor avoided."""
-        last_activity_at = self._last_activity_at.get(endpoint.address, now)
-        is_silent = now - last_activity_at > self._cfg.silence_limit_s
         return (
-            not is_silent and self._stats_of(endpoint, now).avoided_until <= now
+            endpoint.address not in self._silent
+            and self._stats_of(endpoint, now).avoided_until <= now
         )
 
-    def record_activity(self, address: str, now: float) -> None:
-        """Records that a runner whose events are followed has sent data."""
-        self._last_activity_at[address] = now
+    def record_activity(self, address: str) -> None:
+        """Records that a runner answers."""
+        self._silent.discard(address)
 
-    def exclude_pause(self, pause_s: float) -> None:
-        """Excludes a pause of this process from the measured runner silence.
-
-        Data that runners sent during the pause could not be read.
-        """
-        for address in self._last_activity_at:
-            self._last_activity_at[address] += pause_s
+    def record_silence(self, address: str) -> None:
+        """Records that a runner has stopped answering."""
+        self._silent.add(address)
 
     def record_sent(
         self,
@@ -307,22 +296,20 @@
         if prompt is not None:
             stats.held_tokens -= prompt.tokens + prompt.max_tokens
 
-    def own_loads(self) -> LoadShare:
+    def own_loads(self) -> tuple[EndpointLoad, ...]:
         """Returns the load of this router's own requests."""
-        return LoadShare(
-            tuple(
-                EndpointLoad(
-                    *(endpoint_id, stats.requests, stats.unread_tokens),
-                    stats.held_tokens,
-                )
-                for endpoint_id, stats in self._stats.items()
-                if stats.requests
+        return tuple(
+            EndpointLoad(
+                *(endpoint_id, stats.requests, stats.unread_tokens),
+                stats.held_tokens,
             )
+            for endpoint_id, stats in self._stats.items()
+            if stats.requests
         )
 
-    def set_peer_loads(self, totals: LoadTotals, now: float) -> None:
+    def set_peer_loads(self, loads: Iterable[EndpointLoad], now: float) -> None:
         """Sets the loads reported for all other routers together."""
-        self._peer_loads = {load.endpoint_id: load for load in totals.loads}
+        self._peer_loads = {load.endpoint_id: load for load in loads}
         self._peer_loads_at = now
 
     def peer_loads_age_s(self, now: float) -> float:
@@ -377,8 +364,7 @@
         addresses = {e.address for e in found}
         for gone in self._stats.keys() - ids:
             del self._stats[gone]
-        for gone in self._last_activity_at.keys() - addresses:
-            del self._last_activity_at[gone]
+        self._silent &= addresses
 
     def _stats_of(self, endpoint: Endpoint, now: float) -> _EndpointStats:
         stats = self._stats.get(endpoint.id)
@@ -445,12 +431,23 @@
             cost_s += prefill_s * (1 + cfg.prefill_slowdown * load.requests)
         return cost_s
 
-    def _cached_prefix_tokens(
-        self, endpoint: Endpoint, prompt: Prompt, salt: str, now: float
-    ) -> int:
-        """Returns the leading prompt tokens that a runner has cached."""
-        cached = self._index.parts_at(endpoint.address)
-        return cached.prefix_tokens(prompt, salt, now)
+    def _cached_tokens(
+        self,
+        endpoints: Sequence[Endpoint],
+        prompt: Prompt,
+        salt: Callable[[Endpoint], str],
+        now: float,
+    ) -> dict[str, int]:
+        """Returns the leading prompt tokens that each runner has cached."""
+        shared: dict[str, list[tuple[int, int]]] = {}
+        found = {}
+        for endpoint in endpoints:
+            text = salt(endpoint)
+            if text not in shared:
+                shared[text] = shared_digests(prompt, text)
+            cached = self._index.parts_at(endpoint.address)
+            found[endpoint.id] = cached.leading_tokens(shared[text], now)
+        return found
 
     def _total_load(
         self, endpoint: Endpoint, stats: _EndpointStats
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -74,7 +74,26 @@
     Event(
         210, "journal_full", _E, "The disk is full; the member waits for space."
     ),
+    Event(
+        109,
+        "process_failed",
+        _E,
+        "An unexpected error ended the process; the reason is its traceback.",
+    ),
+    Event(
+        211,
+        "replica_failed",
+        _E,
+        "The replicated log is inconsistent; the process exits.",
+    ),
+    Event(212, "relay_subscribed", _I, "A router or member subscribed here."),
     Event(204, "group_formed", _I, "The first group of members was formed."),
+    Event(
+        213,
+        "group_joined",
+        _I,
+        "The other members formed the group before this one.",
+    ),
     Event(
         205, "peer_message_refused", _W, "A message from a member is malformed."
     ),
@@ -92,6 +111,8 @@
     Event(
         305, "rules_unreadable", _E, "The accepted rules cannot be parsed here."
     ),
+    Event(308, "relay_found", _I, "A member relays loads and cached parts."),
+    Event(309, "relay_not_reached", _W, "A member did not relay anything."),
     Event(307, "deployment_applied", _I, "A configuration was applied here."),
     Event(
         414, "load_not_confirmed", _W, "A runner did not report new weights."
@@ -141,6 +162,20 @@
     Event(601, "link_refused", _W, "The credential of a peer does not match."),
     Event(707, "control_call", _I, "A call to the control address finished."),
     Event(602, "link_message_refused", _W, "A message could not be decoded."),
+    Event(
+        603,
+        "link_handler_failed",
+        _E,
+        "An unexpected error closed a link; the reason is its traceback.",
+    ),
+    Event(604, "link_failed", _D, "No link to a member could be opened."),
+    Event(605, "link_lost", _W, "A link did not accept a message."),
+    Event(
+        606,
+        "relay_message_refused",
+        _W,
+        "Relayed news of sources is malformed.",
+    ),
     Event(701, "rules_accepted", _I, "A rule file was accepted."),
     Event(
         702, "rules_conflict", _W, "A rule file has an outdated base version."
--- a/knapweedarch/journal.py
+++ b/knapweedarch/journal.py
@@ -243,6 +243,11 @@
 
     # Saving.
 
+    @property
+    def blank(self) -> bool:
+        """Whether nothing has been written yet, not even a term."""
+        return self.restored.blank and not self._log_number
+
     def form(self, members: tuple[Member, ...]) -> None:
         """Writes the first entry of a new group to a blank journal.
 
@@ -250,7 +255,7 @@
             JournalError: The journal is not blank, does not belong to an
                 initial voter, or cannot be written.
         """
-        if not self.restored.blank or self._log_number:
+        if not self.blank:
             raise JournalError("the journal is not blank")
         if self.identity not in {m.identity for m in members if m.voter}:
             raise JournalError(
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -11,7 +11,6 @@
 from knapweedarch.endpoint_registry import EndpointRegistry
 from knapweedarch.exceptions import LinkError, ReplicaError, RuleError
 from knapweedarch.leases import LEASE_S, LeaseTable
-from knapweedarch.load_totals import LoadAggregator
 from knapweedarch.logs import log
 from knapweedarch.models import EndpointStatus
 from knapweedarch.rules import parse_steps
@@ -96,7 +95,6 @@
         self._proposals: dict[int, _Proposal] = {}
         self._routers: dict[links.Link, control.Renew] = {}
         self._renewed = anyio.Event()
-        self._loads = LoadAggregator()
 
     @property
     def is_active(self) -> bool:
@@ -115,25 +113,6 @@
     def remove_link(self, link: links.Link) -> None:
         """Removes the state of a closed link."""
         self._routers.pop(link, None)
-        self._loads.remove_share(link)
-
-    def record_loads(self, link: links.Link, share: control.LoadShare) -> None:
-        """Records the load that a router causes."""
-        self._loads.set_share(link, share)
-
-    def requests_at(self, endpoint_id: str) -> int:
-        """Counts the requests of all routers to an endpoint."""
-        return self._loads.requests_at(endpoint_id)
-
-    def publish_loads(self) -> None:
-        """Sends each router the load that the other routers cause."""
-        if not self.is_active:
-            return
-        for link in self._loads.routers():
-            try:
-                link.send(self._loads.loads_excluding(link))
-            except LinkError:
-                self.remove_link(link)
 
     def apply(self, entry: replica.Entry) -> None:
         """Applies a committed entry and completes its proposal."""
--- a/knapweedarch/links.py
+++ b/knapweedarch/links.py
@@ -8,6 +8,7 @@
 ever at both ends.
 """
 
+import contextlib
 import hmac
 import os
 import struct
@@ -18,8 +19,14 @@
 import attrs
 
 from knapweedarch.codec import Codec, create_codec
-from knapweedarch.exceptions import CodecError, CredentialError, LinkError
-from knapweedarch.logs import log
+from knapweedarch.exceptions import (
+    CodecError,
+    CredentialError,
+    JournalError,
+    LinkError,
+    ReplicaError,
+)
+from knapweedarch.logs import log, traceback_text
 
 KEEP_ALIVE_INTERVAL_S = 0.3
 LINK_TIMEOUT_S = 1.0
@@ -31,6 +38,9 @@
 MAX_QUEUED_FRAMES = 4096
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 NONCE_BYTES = 16
+# After these a member must not go on: it could acknowledge what it has not
+# stored.
+FATAL_ERRORS = (JournalError, ReplicaError)
 
 
 @attrs.frozen
@@ -120,7 +130,17 @@
             LinkError: The message is too large, or the send queue is full
                 because the peer reads too slowly.
         """
-        self._queue_frame(Send(self._codec.encode(message)))
+        self.send_encoded(self._codec.encode(message))
+
+    def send_encoded(self, message: bytes) -> None:
+        """Queues a message that the link's codec has encoded.
+
+        Saves encoding a message for each of many links.
+
+        Raises:
+            LinkError: See `send`.
+        """
+        self._queue_frame(Send(message))
 
     async def call(self, message: object, timeout_s: float) -> object:
         """Sends a message and waits for its reply.
@@ -207,7 +227,9 @@
             if stuck or now - self._last_receive_at > LINK_TIMEOUT_S:
                 self.close()
             elif now - self._last_send_at >= KEEP_ALIVE_INTERVAL_S / 2:
-                self._queue_bytes(_PING_FRAME)
+                # A full queue closes the link.
+                with contextlib.suppress(LinkError):
+                    self._queue_bytes(_PING_FRAME)
 
     async def _write(self) -> None:
         try:
@@ -246,6 +268,18 @@
         except CodecError as exc:
             log("link_message_refused", peer=self.peer, reason=str(exc))
             self.close()
+        except FATAL_ERRORS:
+            raise
+        except Exception as exc:
+            self._close_after_error(exc)
+
+    def _close_after_error(self, exc: Exception) -> None:
+        """Closes the link after an unexpected error of the handler.
+
+        The error of one message must not end the process.
+        """
+        log("link_handler_failed", peer=self.peer, reason=traceback_text(exc))
+        self.close()
 
     async def _handle_call(self, call: Call) -> None:
         try:
@@ -257,6 +291,10 @@
         except CodecError as exc:
             log("link_message_refused", peer=self.peer, reason=str(exc))
             self.close()
+        except FATAL_ERRORS:
+            raise
+        except Exception as exc:
+            self._close_after_error(exc)
 
     async def _read_frame(self) -> object:
         (size,) = struct.unpack(">I", await self._read_exactly(4))
@@ -284,7 +322,11 @@
         data = _FRAME_CODEC.encode(frame)
         try:
             await self._stream.send(struct.pack(">I", len(data)) + data)
-        except (OSError, anyio.BrokenResourceError) as exc:
+        except (
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ) as exc:
             raise LinkError("the connection was closed") from exc
 
     async def handshake(self, credential: bytes, role: bytes) -> None:
--- a/knapweedarch/logs.py
+++ b/knapweedarch/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+import traceback
 from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
@@ -14,6 +15,8 @@
 # Lines dropped because the buffer is full are counted under this text instead
 # of the event name.
 BUFFER_FULL = "no room for the line"
+# Characters of a logged traceback; its end names the error.
+MAX_TRACEBACK_CHARS = 3_000
 
 _logger = logging.getLogger("knapweedarch")
 
@@ -106,3 +109,8 @@
         raise KeyError(f"event {event!r} is not registered in events.py")
     if _logger.isEnabledFor(registered.level):
         _logger.handle(create_record(event, fields))
+
+
+def traceback_text(exc: BaseException) -> str:
+    """Returns the end of an error's traceback for a log line."""
+    return "".join(traceback.format_exception(exc))[-MAX_TRACEBACK_CHARS:]
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -6,32 +6,34 @@
 import anyio.abc
 
 from knapweedarch import control, links, replica
+from knapweedarch.cache_feeds import CacheFeed
 from knapweedarch.control import CONTROL
 from knapweedarch.exceptions import (
     CodecError,
     ControlError,
     CredentialError,
     JournalFullError,
-    LinkError,
 )
 from knapweedarch.journal import open_journal
 from knapweedarch.leader import Leader
 from knapweedarch.logs import log
+from knapweedarch.member_relay import MemberRelay
 from knapweedarch.metrics import Metrics
+from knapweedarch.models import EndpointKind
+from knapweedarch.peer_links import PeerLinks
 from knapweedarch.process_pauses import PauseDetector
 from knapweedarch.process_start import STARTED_AT_S
 from knapweedarch.settings import Address, MemberSettings, seed_addresses
+from knapweedarch.source_relay import FeedSource
 from knapweedarch.state import ControlState
 from knapweedarch.timers import Clock, Timers
 
 TICK_S = 0.04
 METRICS_INTERVAL_S = 1.0
-RECONNECT_DELAY_S = 0.1
 HAND_OVER_TIMEOUT_S = 1.0
 JOIN_INTERVAL_S = 0.25
 JOIN_TIMEOUT_S = 1.0
 SILENCE_CHECK_INTERVAL_S = 0.5
-LOADS_INTERVAL_S = 0.1
 DISK_SPACE_RETRY_S = 0.5
 
 
@@ -40,6 +42,7 @@
 
     Attributes:
         port: TCP port that the member listens on; 0 before `run`.
+        relay: Relays cached parts and loads to routers and other members.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         clock: Clock,
         metrics: Metrics,
         started_at: float,
+        feed: CacheFeed | None = None,
     ):
         self._started_at = started_at
         self._settings = settings
@@ -57,8 +61,16 @@
         self._journal = open_journal(str(settings.data_folder))
         self._state = ControlState()
         self._load_journal()
-        self._peers: dict[str, links.Link] = {}
-        self._peer_tasks: dict[control.MemberAddress, anyio.CancelScope] = {}
+        self.relay = MemberRelay(
+            *(settings.name, settings.data_centre, clock, metrics, feed)
+        )
+        self._peers = PeerLinks(
+            control.Hello(settings.name, self._journal.identity),
+            *(self._credential, self._handle, self._on_link_refused),
+        )
+        self._peers.on_opened = self.relay.subscribe_to
+        self._peers.on_closed = self.relay.remove_member
+        self._relayed_versions = (-1, -1)
         self._control = control.create_control_client(
             settings.members or seed_addresses(settings.seeds),
             *(self._credential, clock),
@@ -100,19 +112,18 @@
         )
         self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
         self._timers.every(TICK_S, lambda now: self._work.set())
-        PauseDetector(self._timers)
+        PauseDetector(self._timers, self.relay.exclude_pause)
         self._timers.every(METRICS_INTERVAL_S, self._report_metrics)
         self._timers.every(SILENCE_CHECK_INTERVAL_S, self._check_silence)
-        self._timers.every(
-            LOADS_INTERVAL_S, lambda now: self._leader.publish_loads()
-        )
         try:
             async with self._control, anyio.create_task_group() as group:
                 self._group = group
+                self._peers.start(group)
+                self.relay.start(group, self._timers)
                 group.start_soon(self._timers.run)
                 group.start_soon(self._run_replica)
                 group.start_soon(self._accept, listener)
-                self._set_peers(self._settings.members)
+                self._peers.set_members(self._settings.members)
                 if self._settings.seeds:
                     group.start_soon(self._form_or_join)
                 task_status.started(self.port)
@@ -210,23 +221,14 @@
             ),
             JOIN_TIMEOUT_S,
         )
-        self._set_peers(joining.members)
-
-    def _set_peers(self, addresses: Iterable[control.MemberAddress]) -> None:
-        """Maintains links to these members and to no others."""
-        target = {a for a in addresses if a.name != self._settings.name}
-        for address in self._peer_tasks.keys() - target:
-            self._peer_tasks.pop(address).cancel()
-        for address in target - self._peer_tasks.keys():
-            self._peer_tasks[address] = anyio.CancelScope()
-            self._group.start_soon(self._maintain_peer, address)
+        self._peers.set_members(joining.members)
 
     def _apply_member_list(self) -> None:
         """Applies the addresses of the member list if they changed."""
         addresses = self._leader.addresses()
         if self._settings.seeds and addresses != self._addresses:
             self._addresses = addresses
-            self._set_peers(addresses)
+            self._peers.set_members(addresses)
             self._control.set_members(addresses)
             log("members_changed", members=[a.name for a in addresses])
 
@@ -259,38 +261,8 @@
 
     def _on_link_closed(self, link: links.Link) -> None:
         self._leader.remove_link(link)
-        for name in [
-            n for n, peer_link in self._peers.items() if peer_link is link
-        ]:
-            del self._peers[name]
-
-    async def _maintain_peer(self, address: control.MemberAddress) -> None:
-        """Maintains an outgoing link until the member is removed."""
-        with self._peer_tasks[address]:
-            await self._reconnect_peer(address)
-
-    async def _reconnect_peer(self, address: control.MemberAddress) -> None:
-        while True:
-            try:
-                link = await links.connect(
-                    *(address.host, address.port, self._credential),
-                    *(CONTROL, self._handle),
-                )
-            except CredentialError as exc:
-                self._on_link_refused(exc)
-            except LinkError:
-                pass
-            else:
-                link.send(
-                    control.Hello(self._settings.name, self._journal.identity)
-                )
-                self._peers[address.name] = link
-                try:
-                    await link.run()
-                finally:
-                    if self._peers.get(address.name) is link:
-                        del self._peers[address.name]
-            await anyio.sleep(RECONNECT_DELAY_S)
+        self.relay.remove_link(link)
+        self._peers.remove(link)
 
     async def _run_replica(self) -> None:
         """Processes the replica's output: journal first, then messages."""
@@ -301,30 +273,41 @@
             output = self._replica.take_output()
             self._save(output)
             for name, message in output.messages:
-                self._send_to_peer(name, message)
+                data = replica.MESSAGES.encode(message)
+                self._peers.send(name, control.Peer(self._settings.name, data))
             self._install_snapshot(output)
             for entry in output.committed:
                 self._leader.apply(entry)
             self._leader.update_role()
             self._apply_member_list()
+            self._update_sources()
             self._compact_if_due()
 
+    def _update_sources(self) -> None:
+        """Passes the runners in use and the stores to the relay."""
+        state = self._state
+        deployment = state.deployment
+        versions = (state.revision, deployment.version if deployment else -1)
+        if versions == self._relayed_versions:
+            return
+        self._relayed_versions = versions
+        sources = [
+            FeedSource(e.endpoint.address, e.endpoint.data_centre)
+            for e in state.endpoints.values()
+            if e.endpoint.kind is EndpointKind.RUNNER and e.endpoint.in_use
+        ]
+        sources += [
+            FeedSource(store.address, store.data_centre)
+            for store in (deployment.stores if deployment else ())
+        ]
+        self.relay.set_sources(sources)
+
     def _save(self, output: replica.Output) -> None:
         if output.needs_sync:
             began_at = self._clock.now()
             self._journal.save(output)
             self._metrics.timing("journal.save", self._clock.now() - began_at)
 
-    def _send_to_peer(self, name: str, message: object) -> None:
-        link = self._peers.get(name)
-        if link is None:
-            return
-        data = replica.MESSAGES.encode(message)
-        try:
-            link.send(control.Peer(self._settings.name, data))
-        except LinkError:
-            self._peers.pop(name, None)
-
     def _install_snapshot(self, output: replica.Output) -> None:
         if output.snapshot is not None:
             self._state.restore(output.snapshot.data)
@@ -358,8 +341,6 @@
                 return self._leader.renew(link, message)
             case control.Submit(command=data, in_force=in_force):
                 return await self._leader.submit(data, in_force)
-            case control.LoadShare():
-                self._leader.record_loads(link, message)
             case control.Heartbeat():
                 return await self._leader.heartbeat(message)
             case control.ReadDeployment():
@@ -376,6 +357,8 @@
                 )
             case control.Form(members=members):
                 return self._form_group(members)
+            case _:
+                self.relay.handle(link, message)
         return None
 
     def _receive_peer_message(self, sender: str, data: bytes) -> None:
@@ -392,10 +375,7 @@
     ) -> None:
         for address in self._settings.members or self._leader.addresses():
             if address.name == name:
-                # Messages use the incoming link until the outgoing one is
-                # connected: a connection attempt that began while the other
-                # instance had no power may still hang.
-                self._peers.setdefault(name, link)
+                self._peers.add_incoming(name, link)
                 self._replica.note_peer(
                     name, identity, address.host, address.port
                 )
@@ -412,6 +392,11 @@
                 "refused",
                 f"member {self._settings.name} belongs to another group",
             )
+        if not self._journal.blank:
+            # A leader of the other members has sent a term before its entries.
+            # It sends the first entry of the group as well.
+            log("group_joined", members=[m.name for m in members])
+            return control.Formed()
         self._journal.form(
             tuple(
                 replica.Member(m.name, m.identity, m.host, m.port, True)
@@ -428,6 +413,7 @@
     clock: Clock,
     metrics: Metrics,
     started_at: float | None = None,
+    feed: CacheFeed | None = None,
 ) -> Member:
     """Opens the journal and creates a member.
 
@@ -436,21 +422,26 @@
         clock: Time source.
         metrics: Metrics of the process.
         started_at: Start of the process on `clock`, in seconds; now if None.
+        feed: Requests for cache events; None if runners send none.
 
     Raises:
         JournalError: The journal is corrupt or cannot be opened.
     """
     if started_at is None:
         started_at = clock.now()
-    return Member(settings, clock, metrics, started_at)
+    return Member(settings, clock, metrics, started_at, feed)
 
 
 async def open_member(
-    settings: MemberSettings, clock: Clock, metrics: Metrics
+    settings: MemberSettings,
+    clock: Clock,
+    metrics: Metrics,
+    feed: CacheFeed | None = None,
 ) -> Member:
     """Creates a member; waits while the disk has no room for the journal.
 
-    A member that exited instead would be restarted repeatedly.
+    A member that exited instead would be restarted repeatedly. The arguments
+    are those of `create_member`.
 
     Raises:
         JournalError: The journal is corrupt or cannot be opened.
@@ -458,7 +449,9 @@
     waiting = False
     while True:
         try:
-            return create_member(settings, clock, metrics, STARTED_AT_S)
+            return create_member(
+                *(settings, clock, metrics, STARTED_AT_S, feed)
+            )
         except JournalFullError as exc:
             if not waiting:
                 log("journal_full", reason=str(exc))
--- /dev/null
+++ b/knapweedarch/member_relay.py
@@ -0,0 +1,241 @@
+"""Relays cached parts and loads between routers, other members and this one."""
+
+import anyio
+import anyio.abc
+import attrs
+
+from knapweedarch import links
+from knapweedarch.cache_feeds import CacheFeed, CacheFeeds
+from knapweedarch.control_messages import CONTROL
+from knapweedarch.exceptions import LinkError
+from knapweedarch.load_relay import LoadRelay
+from knapweedarch.logs import log
+from knapweedarch.metrics import Metrics
+from knapweedarch.relay_messages import (
+    LoadChanges,
+    LoadsReceived,
+    LoadTotals,
+    Relayed,
+    ResendSources,
+    Subscribe,
+    Subscribed,
+)
+from knapweedarch.source_relay import FeedSource, SourceRelay
+from knapweedarch.timers import Clock, Timers
+
+# Changes are batched for this long. It delays what routers know, and each batch
+# costs every router a message.
+FLUSH_INTERVAL_S = 0.1
+# Bytes of loads a second to one subscriber; part of the 9 KB a second that a
+# router may spend for control. The more endpoints there are, the longer loads
+# are batched.
+LOADS_BYTES_S = 4_500
+# Longest time between two messages of loads to a subscriber, by which routers
+# distinguish unchanged loads from missing ones.
+LOADS_HEARTBEAT_S = 0.3
+
+
+@attrs.define
+class _Subscriber:
+    """A router or another member that subscribes to this member.
+
+    Attributes:
+        name: Its name.
+        is_member: Whether it is a member.
+        received: Number of the newest load message from it.
+        confirmed: Number that was last confirmed to it.
+    """
+
+    name: str
+    is_member: bool
+    received: int = 0
+    confirmed: int = 0
+
+
+class MemberRelay:
+    """Subscriptions to this member, and its own to the other members.
+
+    Args:
+        name: Name of this member.
+        data_centre: Data centre of this member.
+        clock: Clock of the process.
+        metrics: Metrics of the process.
+        feed: Requests for cache events; None if no sources are followed.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        clock: Clock,
+        metrics: Metrics,
+        feed: CacheFeed | None,
+    ):
+        self._name = name
+        self._data_centre = data_centre
+        self._clock = clock
+        self._metrics = metrics
+        self._feed = feed
+        self._feeds: CacheFeeds | None = None
+        self._sources = SourceRelay(name, data_centre)
+        self._loads = LoadRelay()
+        self._subscribers: dict[links.Link, _Subscriber] = {}
+        self._upstream: dict[links.Link, str] = {}
+        self._sent_local_number = 0
+        self._totals_sent_at = 0.0
+        self._local_due_at = 0.0
+        self._totals_due_at = 0.0
+
+    def start(self, group: anyio.abc.TaskGroup, timers: Timers) -> None:
+        """Starts the periodic messages; sources are polled in the group."""
+        if self._feed is not None:
+            self._feeds = CacheFeeds(
+                self._feed, self._sources, self._clock, group
+            )
+        timers.every(FLUSH_INTERVAL_S, self._flush)
+
+    def set_sources(self, sources: list[FeedSource]) -> None:
+        """Replaces the sources that all members together follow."""
+        self._sources.set_sources(sources)
+        self._follow()
+
+    def requests_at(self, endpoint_id: str) -> int:
+        """Counts the requests of all routers to an endpoint."""
+        return self._loads.total.load_of(endpoint_id).requests
+
+    def exclude_pause(self, pause_s: float) -> None:
+        """Excludes a pause of this process from the silence of the sources."""
+        if self._feeds is not None:
+            self._feeds.exclude_pause(pause_s)
+
+    def subscribe_to(self, name: str, link: links.Link) -> None:
+        """Subscribes to another member, on a link opened by this one."""
+        self._upstream[link] = name
+        link.send(Subscribe(self._name, self._data_centre, is_member=True))
+        loads = self._loads.local.all()
+        link.send(LoadChanges(self._sent_local_number, loads))
+
+    def remove_member(self, name: str) -> None:
+        """Forgets the reports of a member whose link has closed."""
+        for link in [k for k, known in self._upstream.items() if known == name]:
+            del self._upstream[link]
+        self._sources.remove_member(name)
+        self._follow()
+
+    def remove_link(self, link: links.Link) -> None:
+        """Ends the subscription on a closed link."""
+        subscriber = self._subscribers.pop(link, None)
+        if subscriber is not None:
+            self._loads.remove(link, subscriber.is_member)
+
+    def handle(self, link: links.Link, message: object) -> None:
+        """Processes a message of `relay_messages`."""
+        match message:
+            case Subscribe():
+                self._add_subscriber(link, message)
+            case Subscribed(name=name, data_centre=data_centre):
+                self._sources.add_member(name, data_centre)
+                self._follow()
+            case Relayed() if link in self._upstream:
+                self._receive_news(link, message)
+            case ResendSources() if link in self._subscribers:
+                link.send(self._sources.resend(message))
+            case LoadChanges():
+                self._receive_loads(link, message)
+
+    def _add_subscriber(self, link: links.Link, message: Subscribe) -> None:
+        self._subscribers[link] = _Subscriber(message.name, message.is_member)
+        log(
+            "relay_subscribed",
+            subscriber=message.name,
+            data_centre=message.data_centre,
+        )
+        others = self._sources.other_members()
+        link.send(Subscribed(self._name, self._data_centre, others))
+        for batch in self._sources.snapshots(message.is_member):
+            link.send(batch)
+        if not message.is_member:
+            link.send(LoadTotals(self._loads.total.all()))
+
+    def _receive_news(self, link: links.Link, news: Relayed) -> None:
+        try:
+            self._sources.receive(self._upstream[link], news)
+        except ValueError as exc:
+            log("relay_message_refused", peer=link.peer, reason=str(exc))
+            link.close()
+            return
+        for request in self._sources.take_requests().values():
+            link.send(request)
+        if news.silent or news.snapshots:
+            self._follow()
+
+    def _receive_loads(self, link: links.Link, changes: LoadChanges) -> None:
+        subscriber = self._subscribers.get(link)
+        if subscriber is None:
+            return
+        subscriber.received = changes.number
+        self._loads.apply(link, changes.loads, subscriber.is_member)
+
+    def _follow(self) -> None:
+        if self._feeds is not None:
+            self._feeds.set_sources(self._sources.followed())
+
+    def _flush(self, now: float) -> None:
+        """Sends what has changed since the last call."""
+        if self._feeds is not None:
+            self._feeds.check_silence(now)
+        self._send_news()
+        self._send_local_loads(now)
+        self._send_totals(now)
+        if self._feeds is not None:
+            self._metrics.gauge("feeds.followed", self._feeds.answering_count)
+            self._follow()
+
+    def _send_news(self) -> None:
+        batch = self._sources.take_batch()
+        if batch is None:
+            return
+        own, everything = CONTROL.encode(batch.own), CONTROL.encode(batch.all)
+        has_own = batch.own != Relayed()
+        for link, subscriber in list(self._subscribers.items()):
+            if not subscriber.is_member:
+                self._send(link, everything)
+            elif has_own:
+                self._send(link, own)
+
+    def _send_local_loads(self, now: float) -> None:
+        if now < self._local_due_at:
+            return
+        changes = self._loads.local.take_changes()
+        if not changes:
+            return
+        self._sent_local_number += 1
+        message = CONTROL.encode(LoadChanges(self._sent_local_number, changes))
+        self._local_due_at = now + len(message) / LOADS_BYTES_S
+        for link in list(self._upstream):
+            self._send(link, message)
+
+    def _send_totals(self, now: float) -> None:
+        if now < self._totals_due_at:
+            return
+        changes = self._loads.total.take_changes()
+        if not changes and now - self._totals_sent_at < LOADS_HEARTBEAT_S:
+            return
+        self._totals_sent_at = now
+        message = CONTROL.encode(LoadTotals(changes))
+        self._totals_due_at = now + len(message) / LOADS_BYTES_S
+        for link, subscriber in list(self._subscribers.items()):
+            if subscriber.is_member:
+                continue
+            if subscriber.received != subscriber.confirmed:
+                subscriber.confirmed = subscriber.received
+                received = LoadsReceived(subscriber.received)
+                self._send(link, CONTROL.encode(received))
+            self._send(link, message)
+
+    def _send(self, link: links.Link, message: bytes) -> None:
+        try:
+            link.send_encoded(message)
+        except LinkError as exc:
+            log("link_lost", peer=link.peer, reason=str(exc))
+            self.remove_link(link)
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -87,6 +87,11 @@
     Metric(
         "feeds.followed", _G, "Runners and stores with a connected event feed."
     ),
+    Metric(
+        "relay.subscribed",
+        _G,
+        "1 while a member relays loads and cached parts here, else 0.",
+    ),
     Metric("tokens.cached", _C, "Prompt tokens found in a runner's cache."),
     Metric("tokens.computed", _C, "Prompt tokens computed by runners."),
     Metric(
--- a/knapweedarch/process.py
+++ b/knapweedarch/process.py
@@ -2,16 +2,17 @@
 
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from typing import NoReturn
 
 import anyio
 
 from knapweedarch.exceptions import JournalError, ReplicaError, SettingsError
-from knapweedarch.logs import log
+from knapweedarch.logs import log, traceback_text
 from knapweedarch.member import Member
 
 EXIT_SETTINGS = 2
+EXIT_FAILED = 1
 EXIT_JOURNAL = 3
 
 
@@ -26,15 +27,41 @@
 ) -> None:
     """Runs a role until it ends.
 
-    Exits with `EXIT_JOURNAL` if the journal or the replicated log fails.
+    Exits with `EXIT_JOURNAL` if the journal or the replicated log fails, and
+    with `EXIT_FAILED` after any other error.
     """
     try:
         anyio.run(run, *arguments)
-    except* (JournalError, ReplicaError) as group:
-        # A member that continued after either error could answer with data that
-        # it did not store.
-        log("journal_failed", reason=str(group.exceptions[0]))
-        sys.exit(EXIT_JOURNAL)
+    except Exception as exc:
+        sys.exit(_log_failure(exc))
+
+
+def _log_failure(exc: Exception) -> int:
+    """Logs each error that ended the process; returns the exit code."""
+    code = EXIT_FAILED
+    for error in leaf_errors(exc):
+        match error:
+            # A member that continued after either of these could answer with
+            # data that it did not store.
+            case JournalError():
+                log("journal_failed", reason=str(error))
+                code = EXIT_JOURNAL
+            case ReplicaError():
+                log("replica_failed", reason=str(error))
+                code = EXIT_JOURNAL
+            case _:
+                log("process_failed", reason=traceback_text(error))
+    return code
+
+
+def leaf_errors(exc: BaseException) -> Iterator[BaseException]:
+    """Yields the errors in a group of any depth, or the error itself."""
+    match exc:
+        case BaseExceptionGroup(exceptions=nested):
+            for error in nested:
+                yield from leaf_errors(error)
+        case _:
+            yield exc
 
 
 async def stop_on_signal(member: Member, scope: anyio.CancelScope) -> None:
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -8,7 +8,6 @@
 import attrs
 
 from knapweedarch import control
-from knapweedarch.cache_feeds import CacheFeed, CacheFeeds, FeedSource
 from knapweedarch.deployments import Deployment
 from knapweedarch.dialects import Dialect
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
@@ -18,10 +17,13 @@
 from knapweedarch.lease_keeper import LeaseKeeper
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
-from knapweedarch.models import Endpoint, EndpointKind, RefusalReason
+from knapweedarch.models import Endpoint, RefusalReason
 from knapweedarch.process_pauses import PauseDetector
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
+from knapweedarch.relay_client import RelayClient
+from knapweedarch.relay_messages import EndpointLoad
+from knapweedarch.relayed_parts import RelayedParts
 from knapweedarch.repeat_budget import RepeatLimits
 from knapweedarch.settings import Address, seed_addresses
 from knapweedarch.state import EndpointEntry
@@ -69,7 +71,7 @@
 
 
 class Proxy:
-    """Proxy process: listeners, lease, endpoints and cache feeds.
+    """Proxy process: listeners, lease, endpoints and relayed loads and parts.
 
     Attributes:
         stopped: Set when the proxy has drained after a stop signal.
@@ -80,11 +82,9 @@
         settings: ProxySettings,
         dialect: Dialect,
         pool: OutboundPool,
-        feed: CacheFeed,
         clock: Clock,
         metrics: Metrics,
     ):
-        self._feed = feed
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
@@ -98,7 +98,6 @@
             settings.credential.encode(),
             clock,
             on_changed=lambda: self._keeper.renew_soon(),
-            on_loads=self._receive_loads,
         )
         self._keeper = LeaseKeeper(
             *(settings.name, incarnation, self._control, clock, metrics)
@@ -106,7 +105,7 @@
         self._keeper.on_endpoints = self._set_endpoints
         self._keeper.on_deployment = self._set_deployment
         self._keeper.on_routers = self._set_routers
-        self._keeper.on_members = self._control.set_members
+        self._keeper.on_members = self._set_members
         self._keeper.on_weights = self._set_weights
         self._keeper.on_granted = self._on_lease_granted
         self._pool = pool
@@ -124,6 +123,12 @@
             start_refusal=self._start_refusal,
             started_at=clock.now(),
         )
+        self._relay = RelayClient(
+            *(settings.name, settings.data_centre),
+            *(settings.credential.encode(), seed_addresses(settings.seeds)),
+            RelayedParts(self._index, self._attempts.chooser),
+            self._receive_loads,
+        )
         self._gateway = ProxyGateway(
             *(dialect, self._attempts, clock, metrics, self._start_refusal)
         )
@@ -138,8 +143,8 @@
         self._timers.every(
             CLOSE_EXPIRED_INTERVAL_S, self._close_expired_connections
         )
-        PauseDetector(self._timers, self._attempts.chooser.exclude_pause)
-        self._timers.every(LOADS_INTERVAL_S, self._send_loads)
+        PauseDetector(self._timers)
+        self._timers.every(LOADS_INTERVAL_S, self._report_loads)
         self._timers.every(GAUGES_INTERVAL_S, self._update_gauges)
         listen, ready = self._settings.listen, self._settings.ready
         async with (
@@ -148,10 +153,9 @@
             self._pool,
         ):
             self._group = group
-            self._feeds = CacheFeeds(self._feed, self._index, group)
-            self._feeds.on_answer = self._attempts.record_activity
             group.start_soon(self._timers.run)
             group.start_soon(self._keeper.run)
+            group.start_soon(self._relay.run)
             await group.start(self._server.serve, listen.host, listen.port)
             await group.start(self._ready_server.serve, ready.host, ready.port)
             task_status.started(listen.port)
@@ -183,6 +187,10 @@
     def _close_expired_connections(self, now: float) -> None:
         self._group.start_soon(self._pool.close_expired)
 
+    def _set_members(self, members: Sequence[control.MemberAddress]) -> None:
+        self._control.set_members(members)
+        self._relay.set_members(members)
+
     def _set_routers(self, count: int) -> None:
         self._attempts.router_count = count
         self._attempts.chooser.set_router_count(count)
@@ -199,33 +207,17 @@
                 revision=entry.revision,
             )
         self._attempts.set_endpoints(list(self._endpoints.values()))
-        self._follow_feeds()
-
-    def _follow_feeds(self) -> None:
-        """Follows the cache events of all stores and of runners in use."""
-        own_data_centre = self._settings.data_centre
-        runners = [
-            FeedSource(e.address, e.data_centre == own_data_centre)
-            for e in self._endpoints.values()
-            if e.kind is EndpointKind.RUNNER and e.in_use
-        ]
-        stores = [
-            FeedSource(s.address, s.data_centre == own_data_centre)
-            for s in self._gateway.deployment.stores
-        ]
-        self._feeds.set_sources([*runners, *stores])
 
     def _set_deployment(self, deployment: Deployment) -> None:
         self._gateway.set_deployment(deployment)
         self._attempts.set_stores(deployment.stores)
-        self._follow_feeds()
         log("deployment_applied", version=deployment.version)
 
-    def _send_loads(self, now: float) -> None:
-        self._control.send_one_way(self._attempts.chooser.own_loads())
+    def _report_loads(self, now: float) -> None:
+        self._relay.report_loads(self._attempts.chooser.own_loads())
 
-    def _receive_loads(self, totals: control.LoadTotals) -> None:
-        self._attempts.chooser.set_peer_loads(totals, self._clock.now())
+    def _receive_loads(self, loads: Sequence[EndpointLoad]) -> None:
+        self._attempts.chooser.set_peer_loads(loads, self._clock.now())
 
     def _update_gauges(self, now: float) -> None:
         """Sets the gauges that show how current this proxy's state is."""
@@ -237,7 +229,7 @@
         gauge("endpoints.active", self._attempts.active_endpoint_count)
         gauge("requests.running", self._server.active)
         gauge("loads.age_s", self._attempts.chooser.peer_loads_age_s(now))
-        gauge("feeds.followed", self._feeds.answering_count)
+        gauge("relay.subscribed", int(self._relay.is_subscribed))
 
     def _set_weights(self, weights: dict[str, int]) -> None:
         self._attempts.chooser.set_target_versions(weights, self._clock.now())
@@ -269,7 +261,6 @@
     settings: ProxySettings,
     dialect: Dialect,
     pool: OutboundPool,
-    feed: CacheFeed,
     clock: Clock,
     metrics: Metrics,
 ) -> Proxy:
@@ -279,8 +270,7 @@
         settings: Settings.
         dialect: Codec of the platform's headers.
         pool: Connections to endpoints.
-        feed: Requests for cache events.
         clock: Time source.
         metrics: Metrics of the process.
     """
-    return Proxy(settings, dialect, pool, feed, clock, metrics)
+    return Proxy(settings, dialect, pool, clock, metrics)
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -104,7 +104,7 @@
 
     def record_activity(self, address: str) -> None:
         """Records that data was received from an endpoint."""
-        self.chooser.record_activity(address, self.clock.now())
+        self.chooser.record_activity(address)
 
     def set_stores(self, stores: Iterable[CacheStore]) -> None:
         """Replaces the KV cache stores; limiters of known stores are kept."""
--- a/knapweedarch/stored_parts.py
+++ b/knapweedarch/stored_parts.py
@@ -1,17 +1,22 @@
 """Index of the prompt parts cached in stores and runners, from their events.
 
-Events are delayed, a few are lost, and only some routers may follow a source
-at once. A part that this router has just sent is therefore assumed to be
-cached for a moment. A fetch from a source without the part costs a
-millisecond.
+Events are delayed, a few are lost, and they are relayed in batches. A part that
+this router has just sent is therefore assumed to be cached for a moment. A
+fetch from a source without the part costs a millisecond.
 """
 
-from collections.abc import Iterable
+import struct
+from collections.abc import Iterable, Sequence
 
 import attrs
+import xxhash
 
 from knapweedarch.prompt_parts import Prompt
 
+# Bytes of a packed digest of a part. If two parts have the same digest, a
+# runner may have to prefill a part that was expected in its cache.
+DIGEST_BYTES = 4
+
 # Time for which parts sent by this router are assumed to be cached; covers the
 # delay of the events that confirm them.
 ASSUMED_CACHED_S = 2.0
@@ -33,6 +38,11 @@
     salt: str
     part: str
 
+    @property
+    def digest(self) -> int:
+        """Hash of the key, by which the index knows the part."""
+        return part_digest(self.salt, self.part)
+
 
 @attrs.frozen
 class PartChange:
@@ -65,38 +75,32 @@
 
 
 class CachedParts:
-    """Parts cached in one store or runner.
-
-    Attributes:
-        next_number: Number of the next event to request.
-    """
+    """Parts cached in one store or runner, by their digests."""
 
     def __init__(self) -> None:
-        self._epoch: int | None = None
-        self._parts: set[PartKey] = set()
-        self._assumed: dict[PartKey, float] = {}
-        self.next_number = 0
-
-    def apply_changes(self, changes: CacheChanges) -> None:
-        """Applies events; a new epoch clears the earlier state."""
-        if changes.epoch != self._epoch:
-            self._epoch = changes.epoch
-            self._parts.clear()
-            self._assumed.clear()
-        self.next_number = changes.next_number
-        for change in changes.changes:
-            if change.stored:
-                self._parts.add(change.key)
-            else:
-                self._parts.discard(change.key)
-                self._assumed.pop(change.key, None)
+        self._parts: set[int] = set()
+        self._assumed: dict[int, float] = {}
+
+    @property
+    def digests(self) -> frozenset[int]:
+        """Digests of the parts that events report as cached."""
+        return frozenset(self._parts)
+
+    def replace(self, digests: Iterable[int]) -> None:
+        """Replaces everything that is known, as after a restart."""
+        self._parts = set(digests)
+        self._assumed.clear()
+
+    def update(self, stored: Iterable[int], evicted: Iterable[int]) -> None:
+        """Adds and removes parts."""
+        self._parts.update(stored)
+        for digest in evicted:
+            self._parts.discard(digest)
+            self._assumed.pop(digest, None)
 
     def clear(self) -> None:
         """Discards the state of a source that does not answer."""
-        self._epoch = None
-        self._parts.clear()
-        self._assumed.clear()
-        self.next_number = 0
+        self.replace(())
 
     def assume_cached(self, prompt: Prompt, salt: str, now: float) -> None:
         """Assumes that the shared parts of a prompt will be cached soon."""
@@ -106,20 +110,59 @@
             if at + ASSUMED_CACHED_S > now
         }
         for part in prompt.parts[:-1]:
-            self._assumed[PartKey(salt, part.id)] = now
+            self._assumed[part_digest(salt, part.id)] = now
 
     def prefix_tokens(self, prompt: Prompt, salt: str, now: float) -> int:
         """Returns the tokens of the leading shared parts that are cached."""
+        return self.leading_tokens(shared_digests(prompt, salt), now)
+
+    def leading_tokens(
+        self, shared: Sequence[tuple[int, int]], now: float
+    ) -> int:
+        """Returns the tokens of the leading parts that are cached.
+
+        Args:
+            shared: Digest and tokens of each shared part, in order.
+            now: Seconds on the router's clock.
+        """
         found = 0
-        for part in prompt.parts[:-1]:
-            key = PartKey(salt, part.id)
-            assumed_at = self._assumed.get(key, now - ASSUMED_CACHED_S)
-            if key not in self._parts and assumed_at + ASSUMED_CACHED_S <= now:
-                break
-            found += part.tokens
+        for digest, tokens in shared:
+            if digest not in self._parts:
+                assumed_at = self._assumed.get(digest)
+                if assumed_at is None or assumed_at + ASSUMED_CACHED_S <= now:
+                    break
+            found += tokens
         return found
 
 
+def part_digest(salt: str, part_id: str) -> int:
+    """Returns the hash of a part's key."""
+    return xxhash.xxh32_intdigest(f"{salt}\0{part_id}".encode())
+
+
+def shared_digests(prompt: Prompt, salt: str) -> list[tuple[int, int]]:
+    """Returns digest and tokens of each shared part of a prompt."""
+    return [(part_digest(salt, p.id), p.tokens) for p in prompt.parts[:-1]]
+
+
+def pack_digests(digests: Iterable[int]) -> bytes:
+    """Packs digests for a message, `DIGEST_BYTES` each."""
+    found = list(digests)
+    return struct.pack(f">{len(found)}I", *found)
+
+
+def unpack_digests(data: bytes) -> tuple[int, ...]:
+    """Unpacks digests.
+
+    Raises:
+        ValueError: The length is no multiple of `DIGEST_BYTES`.
+    """
+    count, rest = divmod(len(data), DIGEST_BYTES)
+    if rest:
+        raise ValueError(f"{len(data)} bytes are no packed digests")
+    return struct.unpack(f">{count}I", data)
+
+
 class PartsIndex:
     """Cached parts of all sources, by address."""
 
@@ -137,6 +180,10 @@
         """Removes a source."""
         self._by_address.pop(address, None)
 
+    def clear(self) -> None:
+        """Removes all sources."""
+        self._by_address.clear()
+
     def best_source(
         self,
         addresses: Iterable[str],
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -378,7 +378,7 @@
         Fewer runners could then serve them.
         """
         runners = self._runners()
-        requests = sum(self._member.leader.requests_at(e.id) for e in runners)
+        requests = sum(self._member.relay.requests_at(e.id) for e in runners)
         return requests < LOW_LOAD_REQUESTS_PER_RUNNER * len(runners)
 
     async def _drain(self, endpoint: Endpoint) -> RunnerState:
@@ -392,7 +392,7 @@
         # that show whether the runner is idle.
         await anyio.sleep(LOAD_REPORT_LAG_S)
         while self._clock.now() < until:
-            if not self._member.leader.requests_at(endpoint.id):
+            if not self._member.relay.requests_at(endpoint.id):
                 break
             await anyio.sleep(POLL_INTERVAL_S)
         await self._await_queue(endpoint)
