Size roll-outs by the fleet; pack configurations; bound change notices

Each of the several hundred status changes of such a roll-out made every router renew twice, and each router's copy of a configuration was encoded anew and sent uncompressed.

Change: as many runners load as the planned half of the bound needs, at most a third; the duration of an update is averaged. The bound comes from the settings. Routers are told of changes once in 0.1 s and confirm at once only if a command waits for it. A configuration is encoded and compressed once for all routers.

The scenario "A larger fleet has new weights in the same time" needs this change.

--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -26,6 +26,8 @@
 )
 
 LOAD_S = 0.3
+# Time within which all runners must have new weights.
+WEIGHTS_LIMIT_S = 8.0
 TAKEOVER_DELAY_S = 0.6
 MODEL = "m"
 # Requests per runner; above the low load under which more runners may drain.
@@ -243,7 +245,8 @@
         member.leads = not context.loses_leadership
         member.requests = context.requests
         rollout = WeightsRollout(
-            member, "a", orders, Clock(), context.takeover_delay_s
+            *(member, "a", orders, Clock(), context.takeover_delay_s),
+            WEIGHTS_LIMIT_S,
         )
         rollout.start(group, timers)
         group.start_soon(timers.run)
--- a/features/weights_rollout.feature
+++ b/features/weights_rollout.feature
@@ -86,3 +86,17 @@
       | 9     | 3     | 6   |
       | 3     | 1     | 2   |
       | 1     | 1     | 1   |
+
+  Scenario Outline: A larger fleet has new weights in the same time
+    Load: new weights for many busy runners. Guards against a roll-out that
+    takes longer the more runners there are, until requests on old weights are
+    refused.
+    Given a leading member and <count> runners with weights 1
+    When weights 2 are named
+    Then within 8.0 s every runner is in use with weights 2
+    And at most <loads> runners loaded and at most <out> were out of use at once
+
+    Examples:
+      | count | loads | out |
+      | 45    | 15    | 20  |
+      | 60    | 20    | 27  |
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -1,9 +1,12 @@
 """Messages between members, routers and the command-line tool."""
 
+import zlib
+
 import attrs
 
 from knapweedarch.codec import create_codec
 from knapweedarch.deployments import Deployment
+from knapweedarch.exceptions import CodecError
 from knapweedarch.models import Endpoint
 from knapweedarch.relay_messages import (
     LoadChanges,
@@ -61,9 +64,12 @@
         revision: Current revision of the endpoint table.
         endpoints: Endpoints changed after the router's revision.
         routers: Number of routers that hold a lease.
-        deployment: Routing configuration, or None if the router has it.
+        deployment: Routing configuration, packed by `pack_deployment`; None if
+            the router has it.
         members: Current addresses of the members.
         weights: Highest requested weights version, by model.
+        is_awaited: Whether a command waits until its change is in force, so
+            that the router must confirm at once what it has applied.
     """
 
     duration_s: float
@@ -73,9 +79,10 @@
     revision: int
     endpoints: tuple[EndpointEntry, ...]
     routers: int
-    deployment: Deployment | None = None
+    deployment: bytes | None = None
     members: tuple[MemberAddress, ...] = ()
     weights: dict[str, int] = attrs.field(factory=dict)
+    is_awaited: bool = False
 
 
 @attrs.frozen
@@ -305,6 +312,27 @@
     data: bytes
 
 
+_DEPLOYMENTS = create_codec(Deployment)
+
+
+def pack_deployment(deployment: Deployment) -> bytes:
+    """Encodes and compresses a configuration, once for all routers."""
+    return zlib.compress(_DEPLOYMENTS.encode(deployment))
+
+
+def unpack_deployment(data: bytes) -> Deployment:
+    """Decodes a configuration.
+
+    Raises:
+        CodecError: The data is malformed.
+    """
+    try:
+        plain = zlib.decompress(data)
+    except zlib.error as exc:
+        raise CodecError(f"malformed configuration: {exc}") from exc
+    return _DEPLOYMENTS.decode(plain)
+
+
 CONTROL = create_codec(
     *(Renew, Grant, Changed, Submit, Result, Redirect, Refused, Query),
     *(StatusReply, Describe, Description, Form, Formed, Hello, Peer),
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -48,11 +48,12 @@
         busy_backoff_s: How long an endpoint that was full is avoided.
         remote_penalty_s: Penalty for sending a request to another data centre.
         old_weights_penalty_s: Penalty for weights that are not the newest.
-        old_weights_limit_s: Time after newer weights became the target during
-            which a runner with older ones gets requests.
-        sole_old_weights_limit_s: The same if no usable runner is within
-            `old_weights_limit_s`. The limit allows for the time that a request
-            may be queued at the runner before it starts.
+        weights_limit_s: Time after newer weights became the target, after
+            which no request may start on older ones.
+        old_weights_margin_s: Time before that limit from which on a runner with
+            older weights gets no more requests, while others can serve them.
+        sole_old_weights_margin_s: The same if no others can. It allows for the
+            time that a request may be queued at the runner before it starts.
         prefill_slowdown: Relative increase of the prefill time per request at
             the runner.
         fetch_cost_ratio: Time to fetch a part that another runner has cached,
@@ -77,8 +78,9 @@
     remote_penalty_s: float = 0.15
     old_weights_penalty_s: float = 0.3
     repeat_old_weights_penalty_s: float = 2.0
-    old_weights_limit_s: float = 6.5
-    sole_old_weights_limit_s: float = 7.4
+    weights_limit_s: float = 8.0
+    old_weights_margin_s: float = 1.5
+    sole_old_weights_margin_s: float = 0.6
     prefill_slowdown: float = 0.1
     fetch_cost_ratio: float = 0.25
 
@@ -190,7 +192,11 @@
         outdated_for_s = {
             e.id: self._outdated_for_s(e, model, now) for e in endpoints
         }
-        for limit_s in (cfg.old_weights_limit_s, cfg.sole_old_weights_limit_s):
+        for margin_s in (
+            cfg.old_weights_margin_s,
+            cfg.sole_old_weights_margin_s,
+        ):
+            limit_s = cfg.weights_limit_s - margin_s
             if kept := [
                 e for e in endpoints if outdated_for_s[e.id] <= limit_s
             ]:
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -1,12 +1,14 @@
 """Leases, commands and status on the member that is the leader."""
 
 import contextlib
+import math
 from collections.abc import Callable
 
 import anyio
 import attrs
 
 from knapweedarch import control, links, replica
+from knapweedarch.control_messages import pack_deployment
 from knapweedarch.deployments import Deployment
 from knapweedarch.endpoint_registry import EndpointRegistry
 from knapweedarch.exceptions import LinkError, ReplicaError, RuleError
@@ -39,6 +41,10 @@
 from knapweedarch.timers import Clock, run_steps
 
 IN_FORCE_TIMEOUT_S = 10.0
+# Routers are told of changes at most once in this time. While weights are
+# rolled out over many runners, each change would otherwise make every router
+# renew.
+NOTIFY_INTERVAL_S = 0.1
 PROPOSAL_TIMEOUT_S = 10.0
 MAX_REPORTED_FAULTS = 5
 
@@ -95,6 +101,10 @@
         self._proposals: dict[int, _Proposal] = {}
         self._routers: dict[links.Link, control.Renew] = {}
         self._renewed = anyio.Event()
+        self._awaited_changes = 0
+        self._notified_at = -math.inf
+        self._notify_due = False
+        self._packed: tuple[Deployment, bytes] | None = None
 
     @property
     def is_active(self) -> bool:
@@ -124,7 +134,8 @@
             if self._state.revision != before[1]:
                 self.endpoints.update_loading()
             if before != self._router_visible_versions():
-                self._notify_routers()
+                self._notify_due = True
+                self.notify_routers()
         proposal = self._proposals.pop(entry.index, None)
         if proposal is not None:
             if proposal.term == entry.term:
@@ -139,7 +150,12 @@
             sum(state.weights.values()),
         )
 
-    def _notify_routers(self) -> None:
+    def notify_routers(self) -> None:
+        """Tells the routers of a change, unless they were told just now."""
+        now = self._clock.now()
+        if not self._notify_due or now < self._notified_at + NOTIFY_INTERVAL_S:
+            return
+        self._notify_due, self._notified_at = False, now
         for link in list(self._routers):
             try:
                 link.send(control.Changed(self.applied))
@@ -215,13 +231,16 @@
             self._deployment_for(renew),
             self.addresses(),
             dict(state.weights),
+            is_awaited=self._awaited_changes > 0,
         )
 
-    def _deployment_for(self, renew: control.Renew) -> Deployment | None:
+    def _deployment_for(self, renew: control.Renew) -> bytes | None:
         deployment = self._state.deployment
-        if deployment and deployment.version == renew.deployment_version:
+        if deployment is None or deployment.version == renew.deployment_version:
             return None
-        return deployment
+        if self._packed is None or self._packed[0] is not deployment:
+            self._packed = (deployment, pack_deployment(deployment))
+        return self._packed[1]
 
     def read_deployment(
         self,
@@ -268,6 +287,17 @@
         command = COMMANDS.decode(data)
         if (early_reply := await self._early_reply(command)) is not None:
             return early_reply
+        if not in_force:
+            return await self._submit(command, in_force)
+        self._awaited_changes += 1
+        try:
+            return await self._submit(command, in_force)
+        finally:
+            self._awaited_changes -= 1
+
+    async def _submit(
+        self, command: object, in_force: bool
+    ) -> control.Result | control.Refused | control.Redirect:
         try:
             result = await self._propose(self._with_timestamp(command))
         except ReplicaError:
--- a/knapweedarch/lease_keeper.py
+++ b/knapweedarch/lease_keeper.py
@@ -6,6 +6,7 @@
 import anyio
 
 from knapweedarch.control import ControlClient, Grant, MemberAddress, Renew
+from knapweedarch.control_messages import unpack_deployment
 from knapweedarch.deployments import Deployment
 from knapweedarch.exceptions import ControlError
 from knapweedarch.leases import RENEW_INTERVAL_S, Lease
@@ -93,7 +94,7 @@
                 log("lease_renewal_failed", reason=exc.reason)
                 await anyio.sleep(self._random.uniform(0.02, 0.1))
                 continue
-            # After a change renew at once: the leader waits for the
+            # After an awaited change renew at once: the leader waits for the
             # confirmation that this router has applied it.
             if not changed:
                 await self._renewal_due.wait()
@@ -133,17 +134,19 @@
             self._routers = grant.routers
             self.on_routers(grant.routers)
         if grant.deployment is not None:
-            self.on_deployment(grant.deployment)
-            self.deployment_version = grant.deployment.version
+            deployment = unpack_deployment(grant.deployment)
+            self.on_deployment(deployment)
+            self.deployment_version = deployment.version
         if grant.weights != self._weights:
             self._weights = grant.weights
             self.on_weights(grant.weights)
         self.on_members(grant.members)
         self._revision = grant.revision
         self._applied = grant.applied
-        return bool(
+        has_changes = (
             grant.rules_text is not None or grant.endpoints or grant.deployment
         )
+        return bool(grant.is_awaited and has_changes)
 
     def _check_expiry(self, now: float) -> None:
         held = self.lease.holds(now)
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -15,7 +15,7 @@
     JournalFullError,
 )
 from knapweedarch.journal import open_journal
-from knapweedarch.leader import Leader
+from knapweedarch.leader import NOTIFY_INTERVAL_S, Leader
 from knapweedarch.logs import log
 from knapweedarch.member_relay import MemberRelay
 from knapweedarch.metrics import Metrics
@@ -115,6 +115,9 @@
         PauseDetector(self._timers, self.relay.exclude_pause)
         self._timers.every(METRICS_INTERVAL_S, self._report_metrics)
         self._timers.every(SILENCE_CHECK_INTERVAL_S, self._check_silence)
+        self._timers.every(
+            NOTIFY_INTERVAL_S, lambda now: self._leader.notify_routers()
+        )
         try:
             async with self._control, anyio.create_task_group() as group:
                 self._group = group
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -52,6 +52,8 @@
         repeats: Limit of repeats for all proxies together.
         stop_s: Time in seconds from the stop signal until the process is
             killed.
+        weights_limit_s: Time in seconds after new weights were named, after
+            which no request may start on older ones.
         ready_lag_s: Time in seconds from a failed readiness check until the
             load balancer sends no more callers here.
     """
@@ -67,6 +69,7 @@
     distances_s: dict[str, float] = attrs.field(factory=dict)
     repeats: RepeatLimits = attrs.field(factory=RepeatLimits)
     stop_s: float = 8.0
+    weights_limit_s: float = 8.0
     ready_lag_s: float = 2.5
 
 
@@ -116,7 +119,11 @@
             dialect=dialect,
             pool=self._pool,
             chooser=EndpointChooser(
-                ChoiceConfig(distance_s=settings.distances_s), self._index
+                ChoiceConfig(
+                    distance_s=settings.distances_s,
+                    weights_limit_s=settings.weights_limit_s,
+                ),
+                self._index,
             ),
             index=self._index,
             limits=settings.repeats,
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -7,6 +7,7 @@
 `loading`, so a new leader can derive the latest time of an earlier order.
 """
 
+import math
 from typing import Protocol
 
 import anyio
@@ -25,13 +26,23 @@
 from knapweedarch.timers import Clock, Timers
 
 CHECK_INTERVAL_S = 0.05
-# More concurrent loads would each take longer, because the throughput of the
-# weight store is limited.
-MAX_LOADS = 3
-# Runners that drain while others load, so that the next load can start at once;
-# more may drain under a low load.
-EXTRA_DRAINS = 1
-LOW_LOAD_EXTRA_DRAINS = 3
+# Largest share of the runners that load at once, as a divisor. More loads would
+# leave too few runners in use, and each would take longer, because the
+# throughput of the weight store is limited.
+MAX_LOADS_DIVISOR = 3
+# Fraction of the time limit of a roll-out in which it is planned to end. The
+# rest allows for a new leader and for runners that do not answer.
+PLANNED_FRACTION = 0.5
+# Assumed and limited duration of one update, from the start of its drain until
+# the runner is in use again.
+UPDATE_S = 1.2
+UPDATE_RANGE_S = (0.5, 4.0)
+# Weight of the newest update in the average duration.
+UPDATE_AVERAGING = 0.2
+# Loads for which one more runner drains, so that the next load can start at
+# once. Under a low load as many drain as load, at least three.
+LOADS_PER_EXTRA_DRAIN = 3
+MIN_LOW_LOAD_EXTRA_DRAINS = 3
 # Mean number of requests per runner below which the runners count as lightly
 # loaded.
 LOW_LOAD_REQUESTS_PER_RUNNER = 2.5
@@ -135,6 +146,7 @@
         clock: Clock of the process.
         takeover_delay_s: Seconds from the latest time of an order by another
             leader until that order has expired.
+        limit_s: Seconds within which all runners must have new weights.
     """
 
     def __init__(
@@ -144,12 +156,15 @@
         orders: RunnerOrders,
         clock: Clock,
         takeover_delay_s: float,
+        limit_s: float,
     ):
         self._member = member
         self._name = name
         self._orders = orders
         self._clock = clock
         self._takeover_delay_s = takeover_delay_s
+        self._planned_s = PLANNED_FRACTION * limit_s
+        self._update_s = UPDATE_S
         self._drained: set[str] = set()
         self._update_ended = anyio.Event()
         self._updating: set[str] = set()
@@ -180,10 +195,9 @@
             or now < self._may_order_at - EARLY_DRAIN_S
         ):
             return
-        drains = (
-            LOW_LOAD_EXTRA_DRAINS if self._is_lightly_loaded() else EXTRA_DRAINS
+        max_out = min(
+            self._max_loads() + self._extra_drains(), self._max_out_of_use()
         )
-        max_out = min(self._max_loads() + drains, self._max_out_of_use())
         for endpoint in self._due(now):
             if len(self._updating) >= max_out:
                 return
@@ -213,10 +227,24 @@
     def _max_loads(self) -> int:
         """Returns the maximum number of runners that load concurrently.
 
-        It is at most a third of the runners, but at least one; the others keep
-        serving.
+        It is what the planned duration of the roll-out needs, at most a third
+        of the runners, since the others keep serving, but at least one.
         """
-        return max(1, min(MAX_LOADS, len(self._runners()) // 3))
+        runners = len(self._runners())
+        needed = math.ceil(runners * self._update_s / self._planned_s)
+        return max(1, min(needed, runners // MAX_LOADS_DIVISOR))
+
+    def _extra_drains(self) -> int:
+        """Returns how many runners drain beside those that load."""
+        loads = self._max_loads()
+        if self._is_lightly_loaded():
+            return max(MIN_LOW_LOAD_EXTRA_DRAINS, loads)
+        return max(1, loads // LOADS_PER_EXTRA_DRAIN)
+
+    def _record_update(self, duration_s: float) -> None:
+        least_s, most_s = UPDATE_RANGE_S
+        bounded_s = min(max(duration_s, least_s), most_s)
+        self._update_s += UPDATE_AVERAGING * (bounded_s - self._update_s)
 
     def _max_out_of_use(self) -> int:
         """Returns the maximum number of runners out of use at a time.
@@ -275,8 +303,10 @@
 
         One that refuses connections is marked silent instead.
         """
+        started_at = self._clock.now()
         try:
             await self._load(endpoint)
+            self._record_update(self._clock.now() - started_at)
         except ExchangeError as exc:
             log(
                 "order_failed",
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -45,22 +45,28 @@
     }
 
 
-def print_errors(scenario: dict) -> None:
-    """Prints the errors of failed steps, as a flaky failure may not recur."""
-    for step in scenario.get("steps", []):
-        lines = step.get("result", {}).get("error_message") or []
-        if lines:
-            text = lines if isinstance(lines, str) else "\n".join(lines)
-            print(f"  in step {step['name']!r}:\n{text[-4000:]}")
+def scenario_report(plain: str, name: str) -> str:
+    """Returns the part of behave's plain report about one scenario.
+
+    It has the traceback of every failed step and hook, which the JSON report
+    lacks for errors. A flaky failure may not recur, so CI prints it.
+    """
+    sections = plain.split("\n  Scenario")
+    found = [s for s in sections[1:] if name in s.splitlines()[0]]
+    return "\n".join(section[-6000:] for section in found)
 
 
 def run_scenarios(arguments: list[str]) -> tuple[int, int, int]:
     """Runs behave; returns the numbers passed, failed and known to fail."""
-    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+    with (
+        tempfile.NamedTemporaryFile(suffix=".json") as report,
+        tempfile.NamedTemporaryFile(suffix=".txt") as plain_report,
+    ):
         done = subprocess.run(
             [
                 *("behave", "--no-capture", "--format", "json"),
-                *("--outfile", report.name, "--format", "progress"),
+                *("--outfile", report.name, "--format", "plain"),
+                *("--outfile", plain_report.name, "--format", "progress"),
                 *arguments,
             ],
             cwd=ROOT,
@@ -68,6 +74,7 @@
             text=True,
         )
         text = pathlib.Path(report.name).read_text()
+        plain = pathlib.Path(plain_report.name).read_text()
     try:
         features = json.loads(text)
     except json.JSONDecodeError:
@@ -86,11 +93,12 @@
             elif element["name"] in known_red_scenarios:
                 known_red += 1
                 print(f"KNOWN RED {name}")
+                print(scenario_report(plain, element["name"]))
             # Arguments may deselect scenarios, which are then skipped.
             elif status != "skipped" or not arguments:
                 failed += 1
                 print(f"FAIL {name} ({status})")
-                print_errors(element)
+                print(scenario_report(plain, element["name"]))
     if failed or (done.returncode != 0 and not (known_red or passed)):
         print(done.stdout[-12000:], done.stderr[-4000:])
         failed = max(failed, 1)
