Divide runners by kind of work and refuse large prompts that would be late

Change: in each data centre some runners are preferred for answers, the others for prompts; how many follows from the work seen. The prefill speed is fitted to the times of first events by model. A large prompt is refused at once, with the time after which it may return, if it would miss the goal by the tokens ahead and by how much longer than expected large prompts wait at the moment. A runner without a free slot or memory costs a second. Parts are fetched, and counted as such, only from runners with the same weights. A source is silent after 0.9 s in place of 1.4 s, since it is asked more often. `stream_ended` logs the longest pause.

--- a/features/heavy_load.feature
+++ b/features/heavy_load.feature
@@ -109,3 +109,11 @@
     When new weights are announced that no runner has
     Then after 7.0 s a long prompt goes to some runner
     And after 1.0 s more a long prompt goes to no runner
+
+  Scenario: A request goes to a runner whose memory has room for it
+    Load: long prompts fill the memory of some runners. Guards against requests
+    that are preempted, or that wait while other runners have room.
+    Given 1 router and 2 runners
+    When other routers hold 62000 of 70000 tokens at runner 1 with 5 requests
+    And other routers hold 40000 of 70000 tokens at runner 2 with 20 requests
+    Then a long prompt goes to runner 2
--- a/features/steps/heavy_load_steps.py
+++ b/features/steps/heavy_load_steps.py
@@ -425,3 +425,15 @@
 def check_no_runner(context, seconds):
     context.now += seconds
     assert choose_endpoint(context, context.choosers[0]) is None
+
+
+@when(
+    "other routers hold {tokens:d} of {memory:d} tokens at runner {number:d}"
+    " with {count:d} requests"
+)
+def report_held_tokens(context, tokens, memory, number, count):
+    assert memory == MEMORY_TOKENS
+    loads = getattr(context, "held_loads", ())
+    load = EndpointLoad(f"r{number}", count, 0, tokens)
+    context.held_loads = (*loads, load)
+    context.choosers[0].set_peer_loads(context.held_loads, context.now)
--- a/knapweedarch/cache_feeds.py
+++ b/knapweedarch/cache_feeds.py
@@ -14,13 +14,14 @@
 from knapweedarch.timers import Clock
 
 RETRY_DELAY_S = 0.15
-# Longest time for which a source waits for an event before it answers.
-POLL_WAIT_S = 0.6
+# Longest time for which a source waits for an event before it answers. A longer
+# wait would save calls, but a source that has stopped would be noticed later.
+POLL_WAIT_S = 0.25
 # Pause before the next call, which batches events.
 POLL_PAUSE_S = 0.12
 # Time without an answer after which a source counts as silent. It allows for
-# wait, pause and two round trips.
-SILENCE_LIMIT_S = 1.4
+# wait, pause, a round trip and a packet that is sent again.
+SILENCE_LIMIT_S = 0.9
 # A source that refuses this many connections in a row has crashed; a single
 # one may be refused because the source has too many.
 MAX_REFUSALS = 2
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -14,9 +14,12 @@
 import attrs
 import xxhash
 
+from knapweedarch.exponential import decay_factor
 from knapweedarch.models import Endpoint
+from knapweedarch.prefill_rates import PrefillRates
 from knapweedarch.prompt_parts import Prompt
 from knapweedarch.relay_messages import EndpointLoad
+from knapweedarch.runner_roles import RunnerRoles, WorkMix, is_prompt_heavy
 from knapweedarch.stored_parts import PartsIndex, shared_digests
 
 # Target weights versions remembered per model.
@@ -31,9 +34,10 @@
         distance_s: One-way delay to each data centre, by name.
         unlisted_distance_s: One-way delay to a data centre that is not listed.
         local_distance_s: Longest one-way delay within a data centre.
-        prefill_tokens_s: Prompt tokens that a runner prefills per second.
         load_penalty_s: Penalty for an endpoint whose slots or memory are all in
             use.
+        full_penalty_s: Penalty for an endpoint without a free slot, or without
+            memory for the request, which must wait there until others end.
         failure_penalty_s: Penalty for an endpoint at which every request fails.
         rank_penalty_s: Largest penalty for a low rank in the rendezvous order.
         peer_load_weight: Load that each other router is assumed to cause, as a
@@ -46,6 +50,8 @@
         refused_backoff_s: How long an endpoint that refused a connection is
             avoided.
         busy_backoff_s: How long an endpoint that was full is avoided.
+        role_penalty_s: Penalty for a long prompt at a runner that is preferred
+            for answers, and the other way round.
         remote_penalty_s: Penalty for sending a request to another data centre.
         old_weights_penalty_s: Penalty for weights that are not the newest.
         weights_limit_s: Time after newer weights became the target, after
@@ -66,8 +72,8 @@
     distance_s: dict[str, float] = attrs.field(factory=dict)
     unlisted_distance_s: float = 0.005
     local_distance_s: float = 0.001
-    prefill_tokens_s: float = 32_400.0
     load_penalty_s: float = 0.6
+    full_penalty_s: float = 1.0
     failure_penalty_s: float = 2.0
     rank_penalty_s: float = 0.1
     peer_load_weight: float = 0.35
@@ -75,6 +81,7 @@
     failure_half_life_s: float = 3.0
     refused_backoff_s: float = 2.0
     busy_backoff_s: float = 0.15
+    role_penalty_s: float = 0.12
     remote_penalty_s: float = 0.15
     old_weights_penalty_s: float = 0.3
     repeat_old_weights_penalty_s: float = 2.0
@@ -114,7 +121,7 @@
 
     def decay(self, now: float, half_life_s: float) -> None:
         """Decays the outcomes for the time since the last decay."""
-        factor = 0.5 ** ((now - self.decayed_at) / half_life_s)
+        factor = decay_factor(now - self.decayed_at, half_life_s)
         self.failures *= factor
         self.successes *= factor
         self.lateness_s *= factor
@@ -147,6 +154,9 @@
         self._peer_factor = 1.0
         self._target_versions: dict[str, int] = {}
         self._target_history: dict[str, list[_TargetVersion]] = {}
+        self._rates = PrefillRates()
+        self._work: dict[str, WorkMix] = {}
+        self._roles: dict[str, RunnerRoles] = {}
 
     def set_router_count(self, count: int) -> None:
         """Sets how many routers, this one included, share the endpoints."""
@@ -231,18 +241,20 @@
         if not usable:
             return None
         ranks = _ranks(prompt, usable)
+        mismatched = self._mismatched(usable, prompt)
         cached_tokens: dict[str, int] = {}
         if prompt is not None:
             cached_tokens = self._cached_tokens(endpoints, prompt, salt, now)
-        max_cached_tokens = max(cached_tokens.values(), default=0)
+        max_cached_tokens = _max_by_weights(endpoints, cached_tokens)
         self._peer_loads_fresh = (
             now - self._peer_loads_at < self._cfg.peer_loads_max_age_s
         )
         return min(
             usable,
             key=lambda e: self._cost(
-                *(e, prompt, ranks, memory_tokens),
-                *(bool(tried), cached_tokens.get(e.id, 0), max_cached_tokens),
+                *(e, prompt, ranks, mismatched, memory_tokens),
+                *(bool(tried), cached_tokens.get(e.id, 0)),
+                max_cached_tokens.get(e.weights_version, 0),
             ),
         )
 
@@ -279,6 +291,10 @@
         stats = self._stats_of(endpoint, now)
         stats.requests += 1
         if prompt is not None:
+            rate = self._rates.rate(prompt.model)
+            self._work.setdefault(prompt.model, WorkMix()).record(
+                *(prompt, unread_tokens, rate.tokens_s, endpoint.slots, now)
+            )
             stats.unread_tokens += unread_tokens
             stats.held_tokens += prompt.tokens + prompt.max_tokens
 
@@ -385,6 +401,7 @@
         endpoint: Endpoint,
         prompt: Prompt | None,
         ranks: dict[str, float],
+        mismatched: Collection[str],
         memory_tokens: int,
         is_repeat: bool,
         cached_tokens: int,
@@ -396,10 +413,12 @@
             endpoint: A usable endpoint.
             prompt: The prompt; None for plain services.
             ranks: Rank of each endpoint, from 0 to below 1.
+            mismatched: Ids of the runners preferred for other requests.
             memory_tokens: Capacity of the runner's memory in tokens, or 0.
             is_repeat: Whether another endpoint was already tried.
             cached_tokens: Leading prompt tokens that the endpoint has cached.
-            max_cached_tokens: Largest `cached_tokens` of any endpoint.
+            max_cached_tokens: Largest `cached_tokens` of any endpoint with the
+                same weights, from which the parts can be fetched.
         """
         cfg, stats = self._cfg, self._stats[endpoint.id]
         distance_s = cfg.distance_s.get(
@@ -416,11 +435,16 @@
             2 * distance_s + remote_penalty_s + cfg.load_penalty_s * utilisation
         )
         cost_s += cfg.rank_penalty_s * ranks[endpoint.id]
-        cost_s += load.unread_tokens / cfg.prefill_tokens_s
+        if _is_full(endpoint, load, prompt, memory_tokens):
+            cost_s += cfg.full_penalty_s
+        if endpoint.id in mismatched:
+            cost_s += cfg.role_penalty_s
         cost_s += (
             cfg.failure_penalty_s * stats.failure_rate() + stats.lateness_s
         )
         if prompt is not None:
+            tokens_s = self._rates.rate(prompt.model).tokens_s
+            cost_s += load.unread_tokens / tokens_s
             if not self.has_newest_weights(endpoint, prompt):
                 cost_s += (
                     cfg.repeat_old_weights_penalty_s
@@ -433,10 +457,59 @@
                 - cached_tokens
                 - (1 - cfg.fetch_cost_ratio) * fetchable_tokens
             )
-            prefill_s = uncached_tokens / cfg.prefill_tokens_s
+            prefill_s = uncached_tokens / tokens_s
             cost_s += prefill_s * (1 + cfg.prefill_slowdown * load.requests)
         return cost_s
 
+    def _mismatched(
+        self, usable: Sequence[Endpoint], prompt: Prompt | None
+    ) -> Collection[str]:
+        """Returns the runners that are preferred for other requests."""
+        if prompt is None:
+            return ()
+        model = prompt.model
+        roles = self._roles.setdefault(model, RunnerRoles())
+        heavy = is_prompt_heavy(prompt, self._rates.rate(model).tokens_s)
+        share = self._work.setdefault(model, WorkMix()).answer_share
+        return roles.mismatched(usable, share, heavy)
+
+    def expected_first_event_s(
+        self, endpoint: Endpoint, prompt: Prompt, unread_tokens: int
+    ) -> float:
+        """Returns the expected time to the first event, in seconds.
+
+        Args:
+            endpoint: A usable runner.
+            prompt: The prompt.
+            unread_tokens: Tokens of it that the runner has to prefill.
+        """
+        ahead = self.tokens_ahead(endpoint)
+        return self.prefill_s(prompt, ahead + unread_tokens)
+
+    def prefill_s(self, prompt: Prompt, tokens: int) -> float:
+        """Returns the expected time to prefill tokens of a prompt's model."""
+        return self._rates.rate(prompt.model).expected_s(tokens)
+
+    def tokens_ahead(self, endpoint: Endpoint) -> int:
+        """Returns the tokens that a runner has to prefill at the moment."""
+        stats = self._stats.get(endpoint.id)
+        if stats is None:
+            return 0
+        return self._total_load(endpoint, stats).unread_tokens
+
+    def record_first_event(
+        self, prompt: Prompt, tokens: int, seconds: float, now: float
+    ) -> None:
+        """Records the time to the first event of a request.
+
+        Args:
+            prompt: Its prompt.
+            tokens: Tokens that its runner had to prefill up to this event.
+            seconds: Time since the request was sent.
+            now: Seconds on the router's clock.
+        """
+        self._rates.record(prompt.model, tokens, seconds, now)
+
     def _cached_tokens(
         self,
         endpoints: Sequence[Endpoint],
@@ -482,6 +555,33 @@
         )
 
 
+def _is_full(
+    endpoint: Endpoint,
+    load: EndpointLoad,
+    prompt: Prompt | None,
+    memory_tokens: int,
+) -> bool:
+    """Returns whether a request would have to wait for others to end."""
+    if load.requests >= endpoint.slots:
+        return True
+    if prompt is None or not memory_tokens:
+        return False
+    needed_tokens = prompt.tokens + prompt.max_tokens
+    return load.held_tokens + needed_tokens > memory_tokens
+
+
+def _max_by_weights(
+    endpoints: Iterable[Endpoint], cached_tokens: dict[str, int]
+) -> dict[str, int]:
+    """Returns the most cached tokens of any endpoint, by weights version."""
+    found: dict[str, int] = {}
+    for endpoint in endpoints:
+        tokens = cached_tokens.get(endpoint.id, 0)
+        version = endpoint.weights_version
+        found[version] = max(found.get(version, 0), tokens)
+    return found
+
+
 def _ranks(
     prompt: Prompt | None, endpoints: Sequence[Endpoint]
 ) -> dict[str, float]:
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -153,6 +153,12 @@
         _I,
         "A request was refused before it was routed.",
     ),
+    Event(
+        516,
+        "request_not_admitted",
+        _I,
+        "A request would have waited too long at every runner.",
+    ),
     Event(510, "attempt_ended", _I, "An attempt ended without a response."),
     Event(514, "request_sent", _I, "A request was sent to an endpoint."),
     Event(511, "request_given_up", _I, "A request is not retried."),
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -1,5 +1,6 @@
 """Attempts of proxied requests: endpoint selection, sends and repeats."""
 
+import collections
 from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
@@ -21,6 +22,7 @@
     RequestEnd,
     RetryReason,
 )
+from knapweedarch.prompt_admission import PromptSizes, PromptWaits, Waiting
 from knapweedarch.proxy_calls import (
     ExecutionStatus,
     Failure,
@@ -33,6 +35,9 @@
 from knapweedarch.stored_parts import PartsIndex, SaveLimiter
 from knapweedarch.timers import Clock
 
+# Expected time to the first event up to which new long prompts are sent, as a
+# multiple of the route's latency goal.
+ADMITTED_GOALS = 1.0
 # Saves per second that one router may request from a store. Saves and fetches
 # share the store's network bandwidth.
 SAVES_PER_S = 1.2
@@ -86,6 +91,12 @@
         self._started_at = started_at
         self._budgets: dict[str, RepeatBudget] = {}
         self._by_service: dict[str, list[Endpoint]] = {}
+        self._sizes: dict[str, PromptSizes] = collections.defaultdict(
+            PromptSizes
+        )
+        self._waits: dict[str, PromptWaits] = collections.defaultdict(
+            PromptWaits
+        )
 
     def set_endpoints(self, endpoints: list[Endpoint]) -> None:
         """Replaces the known endpoints; only active ones get requests."""
@@ -139,7 +150,7 @@
             ),
             memory_tokens=engine.memory_tokens if engine else 0,
         )
-        if endpoint is None:
+        if endpoint is None or self._is_overloaded(call, endpoint):
             return None
         if call.send_count and not self._budget(call).try_acquire(
             self.router_count, now
@@ -149,6 +160,69 @@
         call.tried.append(endpoint.id)
         return endpoint
 
+    def _is_overloaded(self, call: ProxyCall, endpoint: Endpoint) -> bool:
+        """Returns whether a large new prompt would have to wait too long.
+
+        It is then refused at once; see `prompt_admission`. A request that would
+        not wait for others is not refused, however long its own prompt takes.
+        """
+        prompt = call.options.prompt
+        if prompt is None or call.send_count:
+            return False
+        now = self.now()
+        sizes = self._sizes[prompt.model]
+        sizes.record(prompt.tokens, now)
+        if not sizes.is_large(prompt.tokens):
+            return False
+        wait_s = self._waits[prompt.model].excess_s(now)
+        if not self.chooser.tokens_ahead(endpoint) and not wait_s:
+            return False
+        unread_tokens = self.unread_tokens(call, endpoint)
+        expected_s = wait_s + self.chooser.expected_first_event_s(
+            endpoint, prompt, unread_tokens
+        )
+        # One prompt may always wait behind another of the same length, since
+        # the runner would otherwise idle between them.
+        limit_s = max(
+            ADMITTED_GOALS * call.route.goal_s,
+            self.chooser.prefill_s(prompt, 2 * unread_tokens),
+        )
+        excess_s = expected_s - limit_s
+        if excess_s <= 0:
+            return False
+        call.retry_after_s = excess_s
+        log(
+            "request_not_admitted",
+            request=call.options.request_id,
+            endpoint=endpoint.id,
+            ahead_tokens=self.chooser.tokens_ahead(endpoint),
+            wait_ms=round(wait_s * 1000),
+            expected_ms=round(expected_s * 1000),
+            loads_age_s=round(self.chooser.peer_loads_age_s(self.now()), 3),
+        )
+        return True
+
+    def start_waiting(
+        self, call: ProxyCall, endpoint: Endpoint, unread_tokens: int
+    ) -> Waiting | None:
+        """Records that a large prompt is sent; returns None for others."""
+        prompt = call.options.prompt
+        if prompt is None or not self._sizes[prompt.model].is_large(
+            prompt.tokens
+        ):
+            return None
+        expected_s = self.chooser.expected_first_event_s(
+            endpoint, prompt, unread_tokens
+        )
+        return self._waits[prompt.model].start(self.now(), expected_s)
+
+    def end_waiting(
+        self, call: ProxyCall, waiting: Waiting, was_read: bool
+    ) -> None:
+        """Records that a large prompt was read, or that its attempt ended."""
+        waits = self._waits[call.options.prompt.model]
+        waits.end(waiting, self.now(), was_read)
+
     def record_sent(self, call: ProxyCall) -> None:
         """Counts a send, immediately before the request is written."""
         if not call.send_count:
@@ -402,7 +476,9 @@
         else:
             status = 503
             headers = (
-                retry_after_header(remaining_s(call, self.clock), reason),
+                retry_after_header(
+                    *(remaining_s(call, self.clock), reason, call.retry_after_s)
+                ),
             )
         self.metrics.count(f"refused.{reason.value}")
         self._log_refusal(call, reason.value, status)
@@ -450,9 +526,30 @@
         self.exchange: Exchange | None = None
         self.head: AnswerHead | None = None
         self._unread_tokens = 0
+        self._tokens_ahead = 0
+        self._started_at = 0.0
+        self._waiting: Waiting | None = None
 
-    def record_prompt_read(self) -> None:
+    def record_first_event(self) -> None:
         """Records that the runner has prefilled the prompt."""
+        prompt = self._call.options.prompt
+        if prompt is not None and self._started_at:
+            now = self._attempts.now()
+            self._attempts.chooser.record_first_event(
+                *(prompt, self._tokens_ahead + self._unread_tokens),
+                *(now - self._started_at, now),
+            )
+            self._started_at = 0.0
+        self._end_waiting(was_read=True)
+        self.record_prompt_read()
+
+    def _end_waiting(self, was_read: bool) -> None:
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None:
+            self._attempts.end_waiting(self._call, waiting, was_read)
+
+    def record_prompt_read(self) -> None:
+        """Stops counting the prompt as unread."""
         self._attempts.chooser.record_prompt_read(
             self._endpoint, self._unread_tokens
         )
@@ -460,7 +557,12 @@
 
     async def __aenter__(self) -> "AttemptScope":
         attempts, call = self._attempts, self._call
+        self._started_at = attempts.now()
+        self._tokens_ahead = attempts.chooser.tokens_ahead(self._endpoint)
         self._unread_tokens = attempts.unread_tokens(call, self._endpoint)
+        self._waiting = attempts.start_waiting(
+            call, self._endpoint, self._unread_tokens
+        )
         attempts.chooser.record_sent(
             *(self._endpoint, call.options.prompt, self._unread_tokens),
             attempts.now(),
@@ -468,6 +570,7 @@
         return self
 
     async def __aexit__(self, *exc_info) -> None:
+        self._end_waiting(was_read=False)
         self.record_prompt_read()
         self._attempts.chooser.record_ended(
             self._endpoint, self._call.options.prompt
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -62,6 +62,8 @@
         tried: Ids of the endpoints tried, in order.
         send_count: Number of attempts of which any byte may have been sent.
         may_have_run: Whether any attempt may have run.
+        retry_after_s: Seconds after which a resend may be admitted; 0 if that
+            is not known.
     """
 
     req: Request
@@ -74,6 +76,7 @@
     tried: list[str] = attrs.field(factory=list)
     send_count: int = 0
     may_have_run: bool = False
+    retry_after_s: float = 0.0
 
     def cache_salt(self, endpoint: Endpoint) -> str:
         """Returns the salt of the request's cache keys at an endpoint.
@@ -88,7 +91,7 @@
 
 
 def retry_after_header(
-    remaining_s: float, reason: RefusalReason
+    remaining_s: float, reason: RefusalReason, expected_s: float = 0.0
 ) -> tuple[bytes, bytes]:
     """Builds the Retry-After header of a refusal.
 
@@ -99,11 +102,12 @@
         remaining_s: Time that the caller has left. The delay is at most a
             third of it, unless that is below the minimum.
         reason: Why the request is refused.
+        expected_s: Time after which a resend may be admitted; 0 if unknown.
 
     Returns:
         Name and value of the header; the value is in seconds.
     """
-    base_delay_s = RETRY_AFTER_S
+    base_delay_s = expected_s or RETRY_AFTER_S
     if reason is RefusalReason.LEASE_EXPIRED:
         base_delay_s = FIRST_LEASE_RETRY_AFTER_S
     delay_s = min(
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -44,6 +44,8 @@
         self._last_event_id = ""
         self._event_count = 0
         self._first_event_at: float | None = None
+        self._last_event_at = 0.0
+        self._longest_gap_s = 0.0
         self._status = 0
 
     async def serve(self) -> RequestEnd:
@@ -63,6 +65,7 @@
             events=self._event_count,
             tried=list(call.tried),
             first_ms=self._elapsed_ms(self._first_event_at),
+            gap_ms=round(self._longest_gap_s * 1000),
             ms=self._elapsed_ms(self._attempts.clock.now()),
         )
         return end
@@ -184,7 +187,7 @@
             self._attempts.record_activity(endpoint.address)
             events = splitter.feed(part)
             if events.data:
-                scope.record_prompt_read()
+                scope.record_first_event()
                 self._record_events(endpoint, events.count, events.last_id)
                 await self._responder.write(events.data)
         if rest := splitter.rest():
@@ -210,5 +213,9 @@
             )
             lateness_s = now - self._call.started_at - self._call.route.goal_s
             self._attempts.chooser.record_success(endpoint, lateness_s, now)
+        else:
+            gap_s = now - self._last_event_at
+            self._longest_gap_s = max(self._longest_gap_s, gap_s)
+        self._last_event_at = now
         self._event_count += count
         self._last_event_id = last_id or self._last_event_id
