Bound what an endpoint may send, and judge streams by their events

Cause: a unary answer, the answer to another request and interim answers were read without a limit, a stream was buffered without a limit until the end of an event, and any byte counted as a sign of life of a stream.

Change: at most 8 interim answers, 1 MiB of an answer to another request, 8 MiB of a body that is kept, 1 MiB without the end of an event; heads were limited by h11. The silence of a stream that another runner may continue is measured from its last event, so a byte now and then does not prolong it.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -160,3 +160,37 @@
     When 150 requests are sent one after the other
     Then each success is the runner's complete answer to its own request
     And some answers succeeded and more than 60 did not
+
+  Scenario Outline: A runner that sends without end is cut off
+    A runner in trouble sends bytes that are no answer until the connection is
+    closed. Guards against a router that reads on until its memory is full.
+    Given a proxied runner that <sends>
+    When a caller sends a request that <kind>
+    Then the caller gets status <status>
+    And runner 1 could send at most 16 million bytes
+
+    Examples:
+      | sends                                      | kind         | status |
+      | sends an endless head                      | may run once | 502    |
+      | sends endless interim answers              | may run once | 502    |
+      | sends an endless body                      | may run once | 502    |
+      | sends an endless answer to another request | may run once | 502    |
+      | sends an endless head                      | streams      | 502    |
+      | sends an endless event                     | streams      | 200    |
+
+  Scenario: A request is repeated after an answer without end
+    Guards against a caller that gets no answer although another runner has one.
+    Given a proxied runner that sends an endless body
+    And a proxied runner that answers
+    When a caller sends a request that may run many times
+    Then the caller gets status 200
+
+  Scenario: A stream of bytes without events is resumed at another runner
+    A stalled runner sends a byte now and then. Guards against streams that
+    never end.
+    Given a proxied runner that sends bytes without events
+    And a proxied runner that streams
+    When a patient caller sends a request that may be resumed
+    Then the caller gets status 200
+    And the relayed stream is complete
+    And runner 2 was asked to resume after event 1
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -41,6 +41,7 @@
 LATE_ANSWER_S = 1.2
 
 BODY = b'{"seats":2}'
+CHUNK = b"10000\r\n" + b"a" * 65_536 + b"\r\n"
 EVENTS = tuple(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
 
 
@@ -76,6 +77,7 @@
         connections: Number of accepted connections.
         closed_connections: Number of connections that have ended.
         port: Port that it listens on.
+        endless_bytes: Bytes sent by an answer without end.
         rng: Seeded generator of malformed answers.
         changed: Set when any of these has changed.
     """
@@ -86,6 +88,7 @@
     connections: int = 0
     closed_connections: int = 0
     port: int = 0
+    endless_bytes: int = 0
     rng: random.Random = attrs.field(factory=lambda: random.Random(11))
     changed: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -116,6 +119,15 @@
         while not probe():
             await self.changed.wait()
 
+    async def _send_endlessly(
+        self, stream, data: bytes, pause_s: float = 0.0
+    ) -> None:
+        """Sends the same bytes until the connection is closed."""
+        while True:
+            await stream.send(data)
+            self.endless_bytes += len(data)
+            await anyio.sleep(pause_s)
+
     async def _answer(self, stream, received: ReceivedRequest) -> None:
         request_id = received.header("X-Knapweedarch-Request-Id")
         match self.mode:
@@ -157,6 +169,24 @@
                 await stream.send(
                     _response(request_id, b"", "421 Other", extra_header)
                 )
+            case "sends an endless head":
+                await stream.send(b"HTTP/1.1 200 OK\r\nX-Filler: ")
+                await self._send_endlessly(stream, b"a" * 65_536)
+            case "sends endless interim answers":
+                interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+                await self._send_endlessly(stream, interim * 1_000)
+            case "sends an endless body":
+                await stream.send(_endless_head(request_id))
+                await self._send_endlessly(stream, CHUNK)
+            case "sends an endless answer to another request":
+                await stream.send(_endless_head("earlier"))
+                await self._send_endlessly(stream, CHUNK)
+            case "sends an endless event":
+                await stream.send(_endless_head(request_id))
+                await self._send_endlessly(stream, CHUNK)
+            case "sends bytes without events":
+                await _stream(stream, received, 1, rest=b":")
+                await self._send_endlessly(stream, b"1\r\n:\r\n", 0.02)
             case "is silent":
                 await stream.receive()
             case "streams":
@@ -168,6 +198,13 @@
                 await stream.aclose()
 
 
+def _endless_head(request_id: str) -> bytes:
+    return (
+        f"HTTP/1.1 200 OK\r\nX-Knapweedarch-Request-Id: {request_id}\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
 def malformed_answer(rng: random.Random, request_id: str) -> tuple[bytes, bool]:
     """Builds an answer that is complete or has an invalid head or framing.
 
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -381,3 +381,16 @@
     assert statuses.count(200) > 10, statuses
     assert len(statuses) - statuses.count(200) > count, statuses
     assert set(statuses) <= {200, 502, 503, 504}, set(statuses)
+
+
+@then("runner {number:d} could send at most {millions:d} million bytes")
+def check_endless_bytes(context, number, millions):
+    """The kernel's socket buffers hold a part of them."""
+    sent = context.runners[number - 1].endless_bytes
+    assert sent <= millions * 1_000_000, sent
+
+
+@when("a patient caller sends a request that {kind}")
+def sends_patiently(context, kind):
+    """Waits longer for the next bytes than a stream may be silent."""
+    send_requests(context, request(ROUTE_NAMES[kind]), idle_s=1.0)
--- a/knapweedarch/event_stream.py
+++ b/knapweedarch/event_stream.py
@@ -4,8 +4,12 @@
 
 import attrs
 
+from knapweedarch.exceptions import EventTooLongError
+
 # An event ends with an empty line; a line ends with CR, LF or CRLF.
 EVENT_END = re.compile(rb"(?:\r\n|\r|\n)(?:\r\n|\r|\n)")
+# Longest event; a runner in trouble may send bytes without end.
+MAX_EVENT_BYTES = 1024 * 1024
 ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)$", re.MULTILINE)
 
 
@@ -35,10 +39,17 @@
         self._buffer = b""
 
     def feed(self, data: bytes) -> EventBatch:
-        """Adds bytes; returns the events that they complete."""
+        """Adds bytes; returns the events that they complete.
+
+        Raises:
+            EventTooLongError: There are over `MAX_EVENT_BYTES` bytes without
+                the end of an event.
+        """
         self._buffer += data
         ends = [m.end() for m in EVENT_END.finditer(self._buffer)]
         if not ends:
+            if len(self._buffer) > MAX_EVENT_BYTES:
+                raise EventTooLongError(MAX_EVENT_BYTES)
             return EventBatch()
         complete, self._buffer = (
             self._buffer[: ends[-1]],
--- a/knapweedarch/exceptions.py
+++ b/knapweedarch/exceptions.py
@@ -53,6 +53,13 @@
     """The disk is too full to open the journal; opening it may be retried."""
 
 
+class EventTooLongError(KnapweedarchError):
+    """A stream has too many bytes without the end of an event."""
+
+    def __init__(self, limit: int):
+        super().__init__(f"over {limit} bytes without the end of an event")
+
+
 class ReplicaError(KnapweedarchError):
     """Base class of errors of the replicated log."""
 
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -29,6 +29,9 @@
 IDLE_MARGIN_S = 0.6
 MAX_IDLE_PER_ADDRESS = 16
 MAX_MISMATCHED_ANSWERS = 4
+# Limits for endpoints that send without end. The head is limited by h11.
+MAX_INTERIM_ANSWERS = 8
+MAX_SKIPPED_BYTES = 1024 * 1024
 # Longer bodies are sent by a background task while the answer is read.
 MAX_INLINE_BODY_BYTES = 8_192
 STREAM_ERRORS = (
@@ -163,7 +166,7 @@
             self._sent = True
 
     async def _read_head(self) -> AnswerHead:
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS):
             match await self._next_event():
                 case h11.Response(status_code=status, headers=headers):
                     return AnswerHead(status, tuple(headers))
@@ -174,6 +177,10 @@
                         RetryReason.CONNECTION_CLOSED,
                         f"expected response headers, got {event!r}",
                     )
+        raise self._create_error(
+            RetryReason.ANSWER_TOO_LONG,
+            f"{MAX_INTERIM_ANSWERS} interim answers without a final one",
+        )
 
     async def _skip_mismatched_answer(self) -> None:
         """Reads and discards the answer to another request.
@@ -181,8 +188,14 @@
         The h11 connection has matched it to this request, so the bytes that
         follow are read with a new h11 connection in the same state.
         """
-        while await self.read() is not None:
-            pass
+        skipped_bytes = 0
+        while (part := await self.read()) is not None:
+            skipped_bytes += len(part)
+            if skipped_bytes > MAX_SKIPPED_BYTES:
+                raise self._create_error(
+                    RetryReason.ANSWER_TOO_LONG,
+                    f"over {MAX_SKIPPED_BYTES} bytes for another request",
+                )
         trailing, closed = self._conn.protocol.trailing_data
         if closed or self._conn.protocol.their_state is not h11.DONE:
             raise self._create_error(
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -67,6 +67,7 @@
     STREAM_SILENT = "stream_silent"
     STREAM_GAP = "stream_gap"
     STREAM_TRUNCATED = "stream_truncated"
+    ANSWER_TOO_LONG = "answer_too_long"
     CROSSED_ANSWER = "crossed_answer"
     WRONG_INCARNATION = "wrong_incarnation"
     WRONG_VERSION = "wrong_version"
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -38,6 +38,9 @@
 # Expected time to the first event up to which new long prompts are sent, as a
 # multiple of the route's latency goal.
 ADMITTED_GOALS = 1.0
+# Longest body that is kept until it is complete. An endpoint in trouble may
+# send without end.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # Saves per second that one router may request from a store. Saves and fetches
 # share the store's network bandwidth.
 SAVES_PER_S = 1.2
@@ -620,11 +623,18 @@
     """Reads the body of an answer to its end.
 
     Raises:
-        ExchangeError: The body is incomplete.
+        ExchangeError: The body is incomplete, or longer than
+            `MAX_ANSWER_BYTES`.
     """
     body = bytearray()
     while (part := await exchange.read()) is not None:
         body += part
+        if len(body) > MAX_ANSWER_BYTES:
+            raise ExchangeError(
+                RetryReason.ANSWER_TOO_LONG,
+                f"body of over {MAX_ANSWER_BYTES} bytes",
+                written=True,
+            )
     return Answer(status=head.status, headers=head.headers, body=bytes(body))
 
 
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -4,8 +4,8 @@
 
 import anyio
 
-from knapweedarch.event_stream import EventSplitter
-from knapweedarch.exceptions import ExchangeError
+from knapweedarch.event_stream import EventBatch, EventSplitter
+from knapweedarch.exceptions import EventTooLongError, ExchangeError
 from knapweedarch.http_inbound import Responder
 from knapweedarch.http_messages import Answer, end_to_end_headers
 from knapweedarch.http_outbound import AnswerHead, Exchange
@@ -183,23 +183,45 @@
             await self._responder.start(
                 head.status, end_to_end_headers(head.headers)
             )
-        while (part := await self._read(scope.exchange)) is not None:
+        # A runner that sends bytes but no events is as silent as any.
+        silent_since = self._attempts.clock.now()
+        while (
+            part := await self._read(scope.exchange, silent_since)
+        ) is not None:
             self._attempts.record_activity(endpoint.address)
-            events = splitter.feed(part)
+            events = _feed(splitter, part)
             if events.data:
                 scope.record_first_event()
                 self._record_events(endpoint, events.count, events.last_id)
                 await self._responder.write(events.data)
+                # After the write: a caller that reads slowly delays it.
+                silent_since = self._attempts.clock.now()
         if rest := splitter.rest():
             await self._responder.write(rest)
         await self._responder.end()
 
-    async def _read(self, exchange: Exchange) -> bytes | None:
+    async def _read(
+        self, exchange: Exchange, silent_since: float
+    ) -> bytes | None:
+        """Reads a part of the stream; returns None at its end.
+
+        Args:
+            exchange: The exchange.
+            silent_since: Time of the last event, or of the response headers,
+                in seconds on the router's clock.
+
+        Raises:
+            ExchangeError: The stream is broken, or its runner sends no events
+                and another one may go on.
+        """
         limit_s = self._silence_limit_s()
-        with anyio.move_on_after(limit_s):
+        left_s = None
+        if limit_s is not None:
+            left_s = silent_since + limit_s - self._attempts.clock.now()
+        with anyio.move_on_after(left_s):
             return await exchange.read()
         raise ExchangeError(
-            RetryReason.STREAM_SILENT, f"no data within {limit_s} s", True
+            RetryReason.STREAM_SILENT, f"no event within {limit_s} s", True
         )
 
     def _record_events(
@@ -219,3 +241,17 @@
         self._last_event_at = now
         self._event_count += count
         self._last_event_id = last_id or self._last_event_id
+
+
+def _feed(splitter: EventSplitter, part: bytes) -> EventBatch:
+    """Adds bytes to a splitter.
+
+    Raises:
+        ExchangeError: The event that they belong to is too long.
+    """
+    try:
+        return splitter.feed(part)
+    except EventTooLongError as exc:
+        raise ExchangeError(
+            RetryReason.ANSWER_TOO_LONG, str(exc), written=True
+        ) from exc
