Send the members' addresses only to routers that lack them

They were half of each grant, which every router gets twice a second across data centres. A renewal now names a hash of the addresses that the router has.

--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -1,6 +1,7 @@
 """Messages between members, routers and the command-line tool."""
 
 import zlib
+from collections.abc import Sequence
 
 import attrs
 
@@ -41,6 +42,8 @@
         applied: Log index of the last grant that the router has applied.
         deployment_version: Version of the routing configuration that the
             router has applied; 0 if none.
+        members_digest: `members_digest` of the addresses that the router has;
+            0 if none.
     """
 
     router: str
@@ -49,6 +52,7 @@
     revision: int
     applied: int
     deployment_version: int = 0
+    members_digest: int = 0
 
 
 @attrs.frozen
@@ -66,7 +70,8 @@
         routers: Number of routers that hold a lease.
         deployment: Routing configuration, packed by `pack_deployment`; None if
             the router has it.
-        members: Current addresses of the members.
+        members: Current addresses of the members; empty if the router has
+            them.
         weights: Highest requested weights version, by model.
         is_awaited: Whether a command waits until its change is in force, so
             that the router must confirm at once what it has applied.
@@ -312,6 +317,11 @@
     data: bytes
 
 
+def members_digest(members: Sequence[MemberAddress]) -> int:
+    """Returns a hash of addresses, by which they are not sent again."""
+    return zlib.crc32(repr(members).encode())
+
+
 _DEPLOYMENTS = create_codec(Deployment)
 
 
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -8,7 +8,7 @@
 import attrs
 
 from knapweedarch import control, links, replica
-from knapweedarch.control_messages import pack_deployment
+from knapweedarch.control_messages import members_digest, pack_deployment
 from knapweedarch.deployments import Deployment
 from knapweedarch.endpoint_registry import EndpointRegistry
 from knapweedarch.exceptions import LinkError, ReplicaError, RuleError
@@ -229,11 +229,19 @@
             state.changes_since(renew.revision),
             self._leases.count(now),
             self._deployment_for(renew),
-            self.addresses(),
+            self._addresses_for(renew),
             dict(state.weights),
             is_awaited=self._awaited_changes > 0,
         )
 
+    def _addresses_for(
+        self, renew: control.Renew
+    ) -> tuple[control.MemberAddress, ...]:
+        addresses = self.addresses()
+        if members_digest(addresses) == renew.members_digest:
+            return ()
+        return addresses
+
     def _deployment_for(self, renew: control.Renew) -> bytes | None:
         deployment = self._state.deployment
         if deployment is None or deployment.version == renew.deployment_version:
--- a/knapweedarch/lease_keeper.py
+++ b/knapweedarch/lease_keeper.py
@@ -6,7 +6,7 @@
 import anyio
 
 from knapweedarch.control import ControlClient, Grant, MemberAddress, Renew
-from knapweedarch.control_messages import unpack_deployment
+from knapweedarch.control_messages import members_digest, unpack_deployment
 from knapweedarch.deployments import Deployment
 from knapweedarch.exceptions import ControlError
 from knapweedarch.leases import RENEW_INTERVAL_S, Lease
@@ -34,7 +34,7 @@
         on_deployment: Called with a new routing configuration.
         on_weights: Called with the requested weights versions, by model, when
             they change.
-        on_members: Called with the addresses of the members in each grant.
+        on_members: Called with the addresses of the members when they change.
         on_granted: Called after each grant.
     """
 
@@ -68,6 +68,7 @@
         self._revision = 0
         self._applied = 0
         self._routers = 0
+        self._members_digest = 0
         self._was_held = False
         self._renewal_due = anyio.Event()
 
@@ -110,6 +111,7 @@
                 self._revision,
                 self._applied,
                 self.deployment_version,
+                self._members_digest,
             ),
             RENEW_TIMEOUT_S,
         )
@@ -140,7 +142,9 @@
         if grant.weights != self._weights:
             self._weights = grant.weights
             self.on_weights(grant.weights)
-        self.on_members(grant.members)
+        if grant.members:
+            self.on_members(grant.members)
+            self._members_digest = members_digest(grant.members)
         self._revision = grant.revision
         self._applied = grant.applied
         has_changes = (
