--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -33,6 +33,8 @@
 CLOSE_EXPIRED_INTERVAL_S = 0.5
 LOADS_INTERVAL_S = 0.1
 GAUGES_INTERVAL_S = 1.0
+# A router that has just started is not ready without an endpoint for this long.
+FIRST_ENDPOINT_WAIT_S = 4.0
 
 
 @attrs.frozen(kw_only=True)
@@ -94,6 +96,8 @@
         self._timers = Timers(clock)
         self._endpoints: dict[str, Endpoint] = {}
         self._draining = False
+        self._knew_endpoint = False
+        self._started_at = clock.now()
         self.stopped = anyio.Event()
         incarnation = secrets.token_hex(8)
         self._control = control.create_control_client(
@@ -254,10 +258,26 @@
             return RefusalReason.CONTROL_UNAVAILABLE
         return None
 
+    def _lacks_first_endpoint(self) -> bool:
+        """Returns whether no endpoint is known yet after the start.
+
+        Callers would only be refused. Once an endpoint was known, or if there
+        is none for a time, readiness does not depend on endpoints: other
+        routers know no more.
+        """
+        if self._attempts.active_endpoint_count:
+            self._knew_endpoint = True
+        waited_s = self._clock.now() - self._started_at
+        return not self._knew_endpoint and waited_s < FIRST_ENDPOINT_WAIT_S
+
     async def _answer_ready(self, req: Request, responder: Responder) -> None:
         if req.path != self._settings.ready_path:
             status = 404
-        elif self._draining or self._start_refusal():
+        elif (
+            self._draining
+            or self._start_refusal()
+            or self._lacks_first_endpoint()
+        ):
             status = 503
         else:
             status = 200
