--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -24,6 +24,7 @@
     *("stored_parts", "endpoint_choice", "repeat_budget", "event_stream"),
     *("control_messages", "http_messages", "relay_messages"),
     *("source_relay", "load_relay", "peer_loads", "relayed_parts"),
+    *("runner_roles", "prefill_rates", "prompt_admission", "exponential"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
