Restore rows, bound and load of three scenarios as first written

They failed when they were written, and the speeds, the bound of messages and the load of parts were then changed to pass.

--- a/features/prefill_load.feature
+++ b/features/prefill_load.feature
@@ -59,6 +59,9 @@
       | 25500 |
       | 51000 |
       | 102000 |
+      | 20000 |
+      | 40000 |
+      | 80000 |
 
   Scenario: A long prompt at an idle runner is not refused
     Guards against refusals while runners are free.
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -88,7 +88,7 @@
     Given <routers> subscribed routers, 5 members and <runners> runners
     When <rate> requests a second are served for 5 s
     Then no router receives more than 9000 bytes a second
-    And no router receives more than 40 messages a second
+    And no router receives more than 25 messages a second
 
     Examples:
       | routers | runners | rate |
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -473,7 +473,7 @@
 
 @when("{rate:d} requests a second are served for {seconds:d} s")
 def serve_requests(context, rate, seconds):
-    """Serves requests that store and evict two parts each.
+    """Serves requests that store and evict three parts each.
 
     Each request changes the load of its runner three times: when it is sent,
     when its prompt is read and when it ends.
@@ -491,8 +491,10 @@
                 link = rng.choice(context.links)
                 relay.handle(link, LoadChanges(number, pack_loads((load,))))
             parts = [
-                PartChange(i < 2, PartKey(SALT, f"{number - 50 * i}"))
-                for i in range(4)
+                PartChange(
+                    i < 3, PartKey(SALT, f"{number - 100 * (i // 3)}-{i % 3}")
+                )
+                for i in range(6)
             ]
             relay._sources.record_changes(
                 rng.choice(context.sources),
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -90,7 +90,8 @@
             status = element.get("status")
             if status == "passed":
                 passed += 1
-            elif element["name"] in known_red_scenarios:
+            # The name of a row of an unnamed table ends with a blank.
+            elif element["name"].strip() in known_red_scenarios:
                 known_red += 1
                 print(f"KNOWN RED {name}")
                 print(scenario_report(plain, element["name"]))
