--- a/features/observability.feature
+++ b/features/observability.feature
@@ -48,6 +48,14 @@
       | streams             | streams        | answer_time.stream.answered   |
       | breaks off within event 3 | streams  | answer_time.stream.broken_off |
 
+  Scenario: A broken attempt is logged with its prompt and its progress
+    Guards against crashes of runners that cannot be traced to what their
+    requests have in common.
+    Given logs that go to memory
+    And a proxied runner that breaks off within event 3
+    When a caller sends a stream request with the parts "a:10,b:20,c:5"
+    Then the log tells that an attempt with parts "a,b" ended after 2 events
+
   Scenario: A caller that leaves is counted and logged
     Guards against a request whose log lines show no reason for its end.
     Given logs that go to memory
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -30,6 +30,7 @@
 
 HOST = "shop.example"
 KEY = "key-1"
+MODEL = "m"
 # Timeout of one scenario, so that a hang fails instead of blocking the run.
 SCENARIO_TIMEOUT_S = 15.0
 # Age of the router; more than the window of its repeat budget, whose full
@@ -407,7 +408,7 @@
             [
                 Endpoint(
                     *(r.id, "1", f"http://127.0.0.1:{r.port}"),
-                    *(EndpointKind.SERVICE, ("desk",)),
+                    *(EndpointKind.SERVICE, ("desk", MODEL)),
                     # Of endpoints with equal costs the first is chosen. With
                     # more slots its cost also grows less under load.
                     slots=1000 if r is self.runners[0] else 1,
--- a/features/steps/observability_steps.py
+++ b/features/steps/observability_steps.py
@@ -205,6 +205,21 @@
     assert name in parse_event_names(context.log_stream.getvalue())
 
 
+@then(
+    'the log tells that an attempt with parts "{parts}" ended after'
+    " {count:d} events"
+)
+def check_attempt_logged(context, parts, count):
+    lines = context.log_stream.getvalue().splitlines()
+    (fields,) = [
+        line["fields"]
+        for line in map(json.loads, lines)
+        if line["event_name"] == "attempt_ended"
+    ]
+    assert fields["parts"] == parts.split(","), fields
+    assert (fields["head"], fields["events"]) == (True, count), fields
+
+
 def format_line(second: float, source: str, event: str, **fields) -> str:
     """Formats a log line with the prefix that a log collector adds."""
     document = {
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -11,6 +11,7 @@
     EVENTS,
     HOST,
     KEY,
+    MODEL,
     RawAnswer,
     open_proxy,
     receive_all,
@@ -85,6 +86,20 @@
     send_requests(context, request(ROUTE_NAMES[kind]))
 
 
+def prompt_headers(parts: str) -> str:
+    """Builds the headers of a prompt with parts `ID:TOKENS,...`."""
+    return (
+        f"X-Knapweedarch-Model: {MODEL}\r\n"
+        "X-Knapweedarch-Token-Count: 100,50\r\n"
+        f"X-Knapweedarch-Prefix-Hash: {parts}\r\n"
+    )
+
+
+@when('a caller sends a stream request with the parts "{parts}"')
+def sends_prompt(context, parts):
+    send_requests(context, request("stream", prompt_headers(parts)))
+
+
 @when("a caller sends headers that only the system may set")
 def sends_reserved_headers(context):
     extra = "".join(f"{name}: {FORGED}\r\n" for name in RESERVED_HEADERS)
--- a/knapweedarch/attempt_scope.py
+++ b/knapweedarch/attempt_scope.py
@@ -10,7 +10,7 @@
 from knapweedarch.models import Endpoint, RetryReason
 from knapweedarch.prompt_admission import Waiting
 from knapweedarch.proxy_attempts import Attempts
-from knapweedarch.proxy_calls import Failure, ProxyCall
+from knapweedarch.proxy_calls import AnswerProgress, Failure, ProxyCall
 
 # Longest body that is kept until it is complete. An endpoint in trouble may
 # send without end.
@@ -24,6 +24,7 @@
         exchange: The exchange; None until it is open.
         head: Head of an answer that was read to its end, so that the
             connection may be reused; None closes the connection.
+        progress: How far the answer has come.
     """
 
     def __init__(self, attempts: Attempts, call: ProxyCall, endpoint: Endpoint):
@@ -32,6 +33,7 @@
         self._endpoint = endpoint
         self.exchange: Exchange | None = None
         self.head: AnswerHead | None = None
+        self.progress = AnswerProgress()
         self._unread_tokens = 0
         self._tokens_ahead = 0
         self._started_at = 0.0
@@ -116,7 +118,9 @@
             try:
                 return await exchange(scope)
             except ExchangeError as exc:
-                return attempts.record_broken_exchange(call, endpoint, exc)
+                return attempts.record_broken_exchange(
+                    *(call, endpoint, exc, scope.progress)
+                )
         timeout = ExchangeError(
             *(
                 RetryReason.ANSWER_TIMEOUT,
@@ -124,7 +128,9 @@
             ),
             scope.exchange is not None and scope.exchange.written,
         )
-        return attempts.record_broken_exchange(call, endpoint, timeout)
+        return attempts.record_broken_exchange(
+            *(call, endpoint, timeout, scope.progress)
+        )
 
 
 async def read_full_answer(exchange: Exchange, head: AnswerHead) -> Answer:
--- a/knapweedarch/prompt_parts.py
+++ b/knapweedarch/prompt_parts.py
@@ -48,6 +48,11 @@
             return ""
         return self.parts[max(0, len(self.parts) - 2)].id
 
+    @property
+    def shared_ids(self) -> tuple[str, ...]:
+        """Ids of all parts but the last."""
+        return tuple(part.id for part in self.parts[:-1])
+
     @property
     def shared_tokens(self) -> int:
         """Tokens in all parts but the last."""
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -22,6 +22,7 @@
 )
 from knapweedarch.prompt_admission import PromptAdmission
 from knapweedarch.proxy_calls import (
+    AnswerProgress,
     ExecutionStatus,
     Failure,
     ProxyCall,
@@ -356,7 +357,11 @@
         )
 
     def record_broken_exchange(
-        self, call: ProxyCall, endpoint: Endpoint, exc: ExchangeError
+        self,
+        call: ProxyCall,
+        endpoint: Endpoint,
+        exc: ExchangeError,
+        progress: AnswerProgress,
     ) -> Failure:
         """Records that an exchange failed before its answer was complete."""
         now = self.clock.now()
@@ -374,12 +379,20 @@
             endpoint,
             Failure(execution, RetryReason(exc.reason)),
             str(exc),
+            progress,
         )
 
     def record_failure(
-        self, call: ProxyCall, endpoint: Endpoint, failure: Failure, detail: str
+        self,
+        call: ProxyCall,
+        endpoint: Endpoint,
+        failure: Failure,
+        detail: str,
+        progress: AnswerProgress | None = None,
     ) -> Failure:
         """Counts and logs an attempt without an answer for the caller."""
+        progress = progress or AnswerProgress(has_head=True)
+        prompt = call.options.prompt
         call.may_have_run |= failure.execution is ExecutionStatus.MAY_HAVE_RUN
         self.metrics.count(f"retried.{failure.reason.value}")
         log(
@@ -390,6 +403,9 @@
             fate=failure.execution.value,
             reason=failure.reason.value,
             detail=detail,
+            head=progress.has_head,
+            events=progress.events,
+            parts=list(prompt.shared_ids) if prompt else [],
             left_ms=self._remaining_ms(call),
         )
         return failure
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -45,6 +45,19 @@
     reason: RetryReason
 
 
+@attrs.define
+class AnswerProgress:
+    """How far the answer to one attempt came.
+
+    Attributes:
+        has_head: Whether status and headers were received.
+        events: Number of complete events, for streams.
+    """
+
+    has_head: bool = False
+    events: int = 0
+
+
 @attrs.define
 class ProxyCall:
     """A request and the state of its attempts.
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -114,6 +114,7 @@
             call, endpoint, self._last_event_id
         )
         head = await self._read_head(exchange)
+        scope.progress.has_head = True
         if attempts.dialect.was_not_run(head):
             await read_full_answer(exchange, head)
             scope.head = head
@@ -192,6 +193,7 @@
             events = _feed(splitter, part)
             if events.data:
                 scope.record_first_event()
+                scope.progress.events += events.count
                 self._record_events(endpoint, events.count, events.last_id)
                 await self._responder.write(events.data)
                 # After the write: a caller that reads slowly delays it.
--- a/knapweedarch/proxy_unary.py
+++ b/knapweedarch/proxy_unary.py
@@ -90,6 +90,7 @@
     started_at = attempts.clock.now()
     scope.exchange = await attempts.open(call, endpoint)
     head = await scope.exchange.send_request()
+    scope.progress.has_head = True
     answer = await read_full_answer(scope.exchange, head)
     scope.head = head
     if attempts.dialect.was_not_run(head):
