--- a/features/platform_site.feature
+++ b/features/platform_site.feature
@@ -51,3 +51,13 @@
     Given a platform site of 3 members, 2 proxies and 3 runners
     When 1 streams of 3 tokens and 0 bookings are requested
     Then the tool explains where request 1 was answered
+
+  Scenario: A part of prompts that crashes runners stops reaching them
+    Load: four requests a second at all proxies share a part on which each runner
+    crashes as it begins to answer, beside sound ones of the same customer with
+    the same other parts. Guards against a part of prompts that ends one runner
+    after the other, and against sound requests that are refused with it.
+    Given a platform site of 3 members, 3 proxies and 6 runners
+    When requests for 8.0 s share a part that crashes runners
+    Then at most 3 of them start later than 3.0 s after the fifth crash
+    And at least half of the sound requests after that are answered
--- a/features/steps/platform_site_steps.py
+++ b/features/steps/platform_site_steps.py
@@ -2,9 +2,12 @@
 
 import contextlib
 import io
+import random
 import re
 
 import anyio
+import attrs
+import httpx
 from behave import given, then, when
 
 from knapweedarch import cli
@@ -316,3 +319,93 @@
         assert last.startswith("complete stream of 3 events at proxy-"), last
 
     context.plan.run(check)
+
+
+# Requests with the part that crashes runners, and sound ones, per second.
+CRASHING_PER_S = 4.0
+SOUND_PER_S = 10.0
+CRASH_PART = "crash"
+CRASHING_PARTS = f"a1:2000,{CRASH_PART}:3000"
+SOUND_PARTS = ("a1:2000,sound1:3000", "a1:2000,sound2:3000")
+SOUND_TOKENS = 8
+
+
+@attrs.define
+class SoundStream:
+    """A request beside those that crash runners.
+
+    Attributes:
+        sent_at: When it was sent, in seconds on the event loop's clock.
+        answered: Whether its whole stream was received.
+    """
+
+    sent_at: float
+    answered: bool = False
+
+
+@when("requests for {seconds:f} s share a part that crashes runners")
+def send_crashing_requests(context, seconds):
+    plan = context.plan
+    plan.sound = []
+
+    async def send(site, parts, sound=None):
+        proxy = f"proxy-{random.randint(1, plan.shape[1])}"
+        # A stream that is broken off raises an error of the client.
+        with contextlib.suppress(httpx.HTTPError):
+            answer = await site.send_request(
+                proxy, "/chat/x", SOUND_TOKENS, parts
+            )
+            if sound is not None:
+                sound.answered = is_complete(answer, SOUND_TOKENS)
+
+    async def send_crashing(site, group):
+        for _ in range(round(seconds * CRASHING_PER_S)):
+            group.start_soon(send, site, CRASHING_PARTS)
+            await anyio.sleep(1 / CRASHING_PER_S)
+
+    async def send_sound(site, group):
+        for number in range(round(seconds * SOUND_PER_S)):
+            sound = SoundStream(anyio.current_time())
+            plan.sound.append(sound)
+            group.start_soon(send, site, SOUND_PARTS[number % 2], sound)
+            await anyio.sleep(1 / SOUND_PER_S)
+
+    async def action(site):
+        for runner in site.runners:
+            runner.crash_part = CRASH_PART
+        async with anyio.create_task_group() as group:
+            group.start_soon(send_crashing, site, group)
+            group.start_soon(send_sound, site, group)
+
+    plan.actions.append(action)
+
+
+@then(
+    "at most {most:d} of them start later than {seconds:f} s after the fifth"
+    " crash"
+)
+def check_crashing_requests(context, most, seconds):
+    plan = context.plan
+    plan.bound = (most, seconds)
+
+
+@then("at least half of the sound requests after that are answered")
+def check_sound_requests(context):
+    plan = context.plan
+    most, seconds = plan.bound
+
+    async def check(site):
+        crashes = sorted(t for r in site.runners for t in r.crashed_at)
+        bound_at = crashes[4] + seconds
+        runs = [run for r in site.runners for run in r.runs]
+        later = [
+            run
+            for run in runs
+            if CRASH_PART in run.parts and run.started_at > bound_at
+        ]
+        assert len(later) <= most, (len(later), len(crashes))
+        sound = [s for s in plan.sound if s.sent_at > bound_at]
+        answered = [s for s in sound if s.answered]
+        assert len(answered) >= len(sound) / 2, (len(answered), len(sound))
+
+    plan.run(check)
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -7,6 +7,7 @@
 
 import collections
 import contextlib
+import itertools
 import json
 import random
 import time
@@ -26,6 +27,8 @@
 SERVICE_DURATION_S = 0.02
 PROMPT_TOKENS_PER_S = 100_000.0
 HEADER_PREFIX = "X-Knapweedarch-"
+# Time from a crash until the runner serves again, under another id.
+RESTART_S = 0.5
 JSON_TYPE = (b"content-type", b"application/json")
 
 
@@ -38,6 +41,8 @@
         customer: Name of the customer.
         weights: Version of the weights at the start.
         computed_tokens: Number of prompt tokens that were not cached.
+        parts: Ids of the parts of its prompt.
+        started_at: When it started, in seconds on the event loop's clock.
         done: Whether the complete response was sent.
     """
 
@@ -45,6 +50,8 @@
     customer: str
     weights: int
     computed_tokens: int
+    parts: tuple[str, ...] = ()
+    started_at: float = attrs.field(factory=anyio.current_time)
     done: bool = False
 
 
@@ -66,6 +73,9 @@
         leaving: Whether its heartbeats report that it is draining.
         leave_confirmed: Set once a member has confirmed such a heartbeat.
         order_count: Number of accepted orders.
+        crash_part: Part of a prompt on which the runner crashes as it begins
+            to write an answer; empty for none.
+        crashed_at: Times of its crashes, in seconds on the event loop's clock.
     """
 
     id: str
@@ -81,6 +91,8 @@
     leaving: bool = False
     leave_confirmed: anyio.Event = attrs.field(factory=anyio.Event)
     order_count: int = 0
+    crash_part: str = ""
+    crashed_at: list[float] = attrs.field(factory=list)
     _loading: bool = False
     _born: int = attrs.field(factory=lambda: int(time.time() * 1000))
     _heartbeats: int = 0
@@ -90,12 +102,18 @@
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serves requests and sends heartbeats until cancelled."""
+        async with httpx.AsyncClient(timeout=1.0) as self._client:
+            await self._run_incarnation(task_status)
+            for number in itertools.count(2):
+                await anyio.sleep(RESTART_S)
+                self._start_over(number)
+                await self._run_incarnation(anyio.TASK_STATUS_IGNORED)
+
+    async def _run_incarnation(self, task_status) -> None:
+        """Runs until the runner crashes."""
         self._limiter = anyio.CapacityLimiter(self.concurrency)
         server = InboundServer(self._handle, Clock())
-        async with (
-            anyio.create_task_group() as group,
-            httpx.AsyncClient(timeout=1.0) as self._client,
-        ):
+        async with anyio.create_task_group() as group:
             self._group = group
             self.port = await group.start(server.serve, self.host, 0)
             task_status.started()
@@ -103,6 +121,14 @@
                 await self.send_heartbeat()
                 await anyio.sleep(HEARTBEAT_INTERVAL_S)
 
+    def _start_over(self, number: int) -> None:
+        """Takes another id and forgets everything that was cached."""
+        self.id = f"{self.id.partition('.')[0]}.{number}"
+        self._born = int(time.time() * 1000)
+        self._heartbeats = 0
+        self._cached_parts.clear()
+        self._events.clear()
+
     async def send_heartbeat(self) -> None:
         """Sends its state to the control addresses until one confirms it."""
         self._heartbeats += 1
@@ -227,6 +253,7 @@
         run = Run(
             *(request_id, _header(req, HEADER_PREFIX + "Tenant"), self.weights),
             computed_tokens=self._cache_prompt(req),
+            parts=_part_ids(req),
         )
         self.runs.append(run)
         headers = (
@@ -242,6 +269,8 @@
             await responder.send(Answer(status=200, headers=headers, body=body))
         else:
             await anyio.sleep(run.computed_tokens / PROMPT_TOKENS_PER_S)
+            if self.crash_part in run.parts:
+                await self._crash(headers, responder)
             await self._stream(req, headers, responder)
         run.done = True
 
@@ -265,6 +294,15 @@
                 self._record_change("+", salt, part, int(tokens))
         return computed
 
+    async def _crash(self, headers, responder: Responder) -> None:
+        """Ends within the first event of an answer."""
+        content_type = (b"content-type", b"text/event-stream")
+        await responder.start(200, (*headers, content_type))
+        await responder.write(b"id: 1\nda")
+        self.crashed_at.append(anyio.current_time())
+        self._group.cancel_scope.cancel()
+        await anyio.sleep_forever()
+
     async def _stream(
         self, req: Request, headers, responder: Responder
     ) -> None:
@@ -279,6 +317,11 @@
         await responder.end()
 
 
+def _part_ids(req: Request) -> tuple[str, ...]:
+    entries = _header(req, HEADER_PREFIX + "Prefix-Hash").split(",")
+    return tuple(entry.partition(":")[0] for entry in entries if entry)
+
+
 def _header(req: Request, name: str, default: str = "") -> str:
     return req.header(name.lower().encode()).decode() or default
 
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -304,7 +304,7 @@
                 await self.wait(lambda name=name: self.is_ready(name))
 
     async def send_request(
-        self, proxy: str, path: str, tokens: int = 0
+        self, proxy: str, path: str, tokens: int = 0, parts: str = ""
     ) -> httpx.Response:
         """Sends a caller's request; returns the complete response.
 
@@ -312,6 +312,8 @@
             proxy: Name of the proxy.
             path: Path of the request.
             tokens: Number of tokens to generate; 0 for a plain service.
+            parts: Shared parts of the prompt as `ID:TOKENS,...`; by default
+                one that all requests share and one of three.
         """
         self._requests += 1
         headers = {
@@ -321,10 +323,12 @@
             "X-Knapweedarch-Deadline-Ms": str(REQUEST_TIMEOUT_MS),
         }
         if tokens:
-            parts = f"a1:2000,b{self._requests % 3}:3000,c{self._requests}:90"
+            shared = parts or f"a1:2000,b{self._requests % 3}:3000"
             headers["X-Knapweedarch-Model"] = MODEL
             headers["X-Knapweedarch-Token-Count"] = f"5090,{tokens}"
-            headers["X-Knapweedarch-Prefix-Hash"] = parts
+            headers["X-Knapweedarch-Prefix-Hash"] = (
+                f"{shared},c{self._requests}:90"
+            )
         return await self.client.post(
             self.proxy_url(proxy) + path, headers=headers, content=b"{}"
         )
