Hold back parts of prompts that crash runners

Cause: a router takes a crash for a fault of the runner alone. Nothing remembers the prompt, so its repeats, and every later request with the same part at any router, go to the next runner.

Routers now report which parts were under way at a crash, and which watched parts were answered; members pass this on to each other and hold back a part that was under way at three crashes, with the beginning of an answer and none ever complete, or at five. Of several, one that was never answered is taken, then the deepest, as the fewest requests have it. Crashes at one moment count once, so that a power failure blames no part. Requests with a held part get 503 at once, which is true: not run. After 60 s a part is on probation; each router opens at another moment, and one more crash holds it for twice the time. Tables and messages are bounded (64 crashes, 32 parts) and empty some time after the last crash; routers keep what is held over a restart of all members.

--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -22,6 +22,7 @@
 from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.metrics import create_metrics
 from knapweedarch.models import Endpoint, EndpointKind, RefusalReason
+from knapweedarch.prompt_guard import create_prompt_guard
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
 from knapweedarch.repeat_budget import RepeatLimits
@@ -379,6 +380,7 @@
             pool=pool,
             chooser=EndpointChooser(ChoiceConfig(), PartsIndex()),
             index=PartsIndex(),
+            guard=create_prompt_guard(1),
             limits=RepeatLimits(1.0, 100.0, 10.0),
             start_refusal=lambda: self.refusal,
             started_at=clock.now() - ROUTER_AGE_S,
--- /dev/null
+++ b/features/steps/crash_quarantine_steps.py
@@ -0,0 +1,254 @@
+"""Steps for parts of prompts that crash runners, in virtual time."""
+
+from behave import given, then, when
+
+from features.crash_world import MODEL, CrashWorld, Load
+from knapweedarch.part_quarantine import PartQuarantine
+from knapweedarch.prompt_guard import create_prompt_guard
+from knapweedarch.quarantine_messages import (
+    CrashedPart,
+    CrashReport,
+    HeldPart,
+    PartReports,
+    SoundPart,
+    part_digest,
+)
+from knapweedarch.quarantine_relay import QuarantineRelay
+
+SEED = 7
+
+
+def send(context, seconds: float, **options) -> None:
+    options.setdefault("is_answered", context.is_answered)
+    context.world.run(Load(**options), seconds)
+
+
+@given(
+    "{routers:d} routers, {members:d} members and {runners:d} runners that"
+    " crash on a part"
+)
+def create_world(context, routers, members, runners):
+    context.world = CrashWorld(routers, members, runners, SEED)
+    context.is_answered = True
+
+
+@given("the crashing requests get no byte of an answer")
+def hide_answers(context):
+    context.is_answered = False
+
+
+@when(
+    "{crashing:g} requests a second with it as {place} part and {sound:g}"
+    " others come for {seconds:g} s"
+)
+def send_crashing(context, crashing, place, sound, seconds):
+    send(
+        *(context, seconds),
+        crashing_per_s=crashing,
+        sound_per_s=sound,
+        place=place,
+    )
+
+
+@when("{sound:g} sound requests a second come for {seconds:g} s")
+def send_sound(context, sound, seconds):
+    send(context, seconds, crashing_per_s=0, sound_per_s=sound)
+
+
+@when("requests with it are answered for {seconds:g} s")
+def answer_crash_part(context, seconds):
+    world = context.world
+    for _ in range(round(seconds)):
+        send(context, 1.0, crashing_per_s=0, sound_per_s=40)
+        digests = [part_digest(MODEL, part) for part in ("a0", "crash")]
+        for guard in world.routers:
+            guard.record_sound(digests, world.now)
+
+
+@when(
+    "runners fail, {count:d} each {pause:g} s, while {sound:g} sound requests a"
+    " second come for {seconds:g} s"
+)
+def fail_runners(context, count, pause, sound, seconds):
+    for _ in range(round(seconds / pause)):
+        send(
+            *(context, pause),
+            crashing_per_s=0,
+            sound_per_s=sound,
+            first_parts=4,
+        )
+        context.world.end_runners(count)
+
+
+@when("member 1 stops for good")
+def lose_member(context):
+    context.world.lose_member(1)
+
+
+@when("all members restart")
+def restart_members(context):
+    context.world.replace_members()
+
+
+@when("the routers restart in turn")
+def restart_routers(context):
+    for number in range(len(context.world.routers)):
+        context.world.restart_router(number)
+        send(context, 1.0, crashing_per_s=5, sound_per_s=40)
+
+
+@then(
+    "at most {most:d} are sent later than {seconds:g} s after the fifth crash"
+)
+def check_sent(context, most, seconds):
+    world = context.world
+    assert world.crash_starts
+    if len(world.crashes) < 5:
+        return
+    bound = world.crashes[4] + seconds
+    later = [at for at in world.crash_starts if at > bound]
+    assert len(later) <= most, (len(later), len(world.crashes), bound, later)
+
+
+@then(
+    "no sound request is refused later than {seconds:g} s after the fifth crash"
+)
+def check_sound_after(context, seconds):
+    world = context.world
+    bound = 0.0
+    if len(world.crashes) >= 5:
+        bound = world.crashes[4] + seconds
+    later = [at for at in world.sound_held if at > bound]
+    sent = [at for at in world.sound_sent if at > bound]
+    assert sent
+    assert not later, (len(later), len(sent), later[:3])
+
+
+@then("no sound request is refused")
+def check_sound(context):
+    world = context.world
+    assert world.sound_sent
+    assert not world.sound_held, (len(world.sound_held), world.sound_held[0])
+
+
+@then("no router receives more than {most:d} bytes a second for it")
+def check_bytes(context, most):
+    world = context.world
+    received = max(world.bytes_to.values(), default=0) / world.now
+    assert received <= most, received
+
+
+@then("no router holds the part back")
+def check_not_held(context):
+    world = context.world
+    held = [i for i in range(len(world.routers)) if world.is_held(i, "crash")]
+    assert not held, held
+
+
+@then("no process remembers a crash")
+def check_forgotten(context):
+    world = context.world
+    for process in (*world.routers, *world.members.values()):
+        quarantine = process._quarantine
+        assert not quarantine.tracker._crashes
+        assert not quarantine.tracker.watched
+        assert not quarantine._holds
+
+
+@given("a member that is told of {count:d} crashes within 0.1 s")
+def report_crashes_at_once(context, count):
+    context.runners = count
+
+
+@given("at {shared:d} of them a request with a new part had an answer")
+def report_new_part(context, shared):
+    context.member = QuarantineRelay()
+    context.part = 1
+    for number in range(context.runners):
+        other = CrashedPart(100 + number, 1, answered=True)
+        new = CrashedPart(context.part, 1, answered=True)
+        parts = (new, other) if number < shared else (other,)
+        crash = CrashReport(number, 0.0, parts)
+        context.member.receive(
+            PartReports(crashes=(crash,)),
+            is_member=False,
+            now=10.0 + 0.1 * number / context.runners,
+        )
+    for turn in range(20):
+        context.member.review(10.2 + 0.1 * turn)
+
+
+@then("the member {does} the part back")
+def check_held_by_member(context, does):
+    held = context.member.known_notices(12.2).held
+    expected = [context.part] if does == "holds" else []
+    assert [h.part for h in held] == expected, held
+
+
+@given('a router that holds part "{part}" back')
+def create_holding_router(context, part):
+    context.guard = create_prompt_guard(SEED)
+    context.part = part_digest(MODEL, part)
+    context.guard._quarantine.hold(HeldPart(context.part, 60.0, 1), 10.0)
+    assert context.guard.held_s((context.part,), 11.0)
+
+
+@when('an answer to a request with part "{part}" goes on')
+def record_answer(context, part):
+    context.guard.record_sound((part_digest(MODEL, part),), 11.0)
+
+
+@then('the router does not hold part "{part}" back')
+def check_released(context, part):
+    assert not context.guard.held_s((part_digest(MODEL, part),), 11.1)
+
+
+@given("a member that is told of {count:d} crashes with parts of their own")
+def report_crashes(context, count):
+    context.count = count
+    context.member = QuarantineRelay()
+    for number in range(count):
+        parts = tuple(
+            CrashedPart(number * 100 + i, i, answered=True) for i in range(100)
+        )
+        report = CrashReport(number, 0.0, parts)
+        context.member.receive(
+            PartReports(crashes=(report,)), is_member=False, now=number * 0.01
+        )
+
+
+@given("of as many parts that are held back, and as many that are sound")
+def report_parts(context):
+    for number in range(context.count):
+        reports = PartReports(
+            sound=(SoundPart(number, 0.0),),
+            held=(HeldPart(-number - 1, 60.0 + number * 0.01, 1),),
+        )
+        context.member.receive(reports, is_member=False, now=100.0)
+
+
+@then(
+    "it remembers at most {crashes:d} crashes, {held:d} held and {sound:d}"
+    " sound parts"
+)
+def check_sizes(context, crashes, held, sound):
+    quarantine: PartQuarantine = context.member._quarantine
+    assert len(quarantine.tracker._crashes) <= crashes
+    assert len(quarantine._holds) <= held
+    assert len(quarantine.tracker._sound) <= sound
+    assert all(len(c.parts) <= 48 for c in quarantine.tracker._crashes.values())
+
+
+@then("its messages have at most {most:d} entries of a kind")
+def check_messages(context, most):
+    member = context.member
+    reports, notices = member.take_reports(100.0), member.take_notices()
+    for entries in (*_fields(reports), *_fields(notices)):
+        assert len(entries) <= most, len(entries)
+    for entries in _fields(member.known_notices(100.0)):
+        assert len(entries) <= most, len(entries)
+
+
+def _fields(message) -> list[tuple]:
+    names = ("crashes", "sound", "watched", "held", "released")
+    return [getattr(message, n) for n in names if hasattr(message, n)]
--- a/features/steps/prefill_load_steps.py
+++ b/features/steps/prefill_load_steps.py
@@ -22,6 +22,7 @@
 from knapweedarch.peer_loads import PeerLoads
 from knapweedarch.prefill_rates import PrefillRates
 from knapweedarch.prompt_admission import PromptSizes, PromptWaits, Waiting
+from knapweedarch.prompt_guard import create_prompt_guard
 from knapweedarch.prompt_parts import Prompt, PromptPart
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_calls import ProxyCall
@@ -224,6 +225,7 @@
         pool=None,
         chooser=EndpointChooser(ChoiceConfig(), index),
         index=index,
+        guard=create_prompt_guard(1),
         limits=RepeatLimits(0.2, 50.0, 10.0),
         start_refusal=lambda: None,
         started_at=0.0,
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -9,6 +9,7 @@
 from knapweedarch.deployments import Deployment
 from knapweedarch.exceptions import CodecError
 from knapweedarch.models import Endpoint
+from knapweedarch.quarantine_messages import PartNotices, PartReports
 from knapweedarch.relay_messages import (
     LoadChanges,
     LoadTotals,
@@ -348,4 +349,5 @@
     *(Heartbeat, HeartbeatNoted, ReadDeployment, DeploymentDocument),
     *(Join, Joining, Subscribe, Subscribed, Relayed),
     *(ResendSources, LoadChanges, LoadTotals),
+    *(PartReports, PartNotices),
 )
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -159,6 +159,12 @@
         _I,
         "A request would have waited too long at every runner.",
     ),
+    Event(
+        517,
+        "part_held",
+        _W,
+        "Requests with a part of prompts are held back: it crashes runners.",
+    ),
     Event(510, "attempt_ended", _I, "An attempt ended without a response."),
     Event(514, "request_sent", _I, "A request was sent to an endpoint."),
     Event(511, "request_given_up", _I, "A request is not retried."),
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -79,6 +79,13 @@
         """
         return find_header(self.headers, name)
 
+    @property
+    def has_length(self) -> bool:
+        """Whether a body that ends early can be told from a complete one."""
+        return bool(
+            self.header(b"content-length") or self.header(b"transfer-encoding")
+        )
+
 
 class Exchange:
     """One request to an endpoint and its answer.
--- a/knapweedarch/member_relay.py
+++ b/knapweedarch/member_relay.py
@@ -11,6 +11,8 @@
 from knapweedarch.load_relay import LoadRelay
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
+from knapweedarch.quarantine_messages import HeldPart, PartReports
+from knapweedarch.quarantine_relay import QuarantineRelay
 from knapweedarch.relay_messages import (
     LoadChanges,
     LoadTotals,
@@ -81,6 +83,7 @@
         self._feeds: CacheFeeds | None = None
         self._sources = SourceRelay(name, data_centre)
         self._loads = LoadRelay()
+        self._quarantine = QuarantineRelay()
         self._subscribers: dict[links.Link, _Subscriber] = {}
         self._upstream: dict[links.Link, str] = {}
         self._sent_local_number = 0
@@ -117,6 +120,7 @@
         link.send(Subscribe(self._name, self._data_centre, is_member=True))
         packed = pack_loads(self._loads.local.all())
         link.send(LoadChanges(self._sent_local_number, packed))
+        link.send(self._quarantine.known_reports(self._clock.now()))
 
     def remove_member(self, name: str) -> None:
         """Forgets the reports of a member whose link has closed."""
@@ -145,6 +149,8 @@
                 link.send(self._sources.resend(message))
             case LoadChanges():
                 self._receive_loads(link, message)
+            case PartReports() if link in self._subscribers:
+                self._receive_reports(link, message)
 
     def _add_subscriber(self, link: links.Link, message: Subscribe) -> None:
         self._subscribers[link] = _Subscriber(message.name, message.is_member)
@@ -159,6 +165,7 @@
             link.send(batch)
         if not message.is_member:
             link.send(LoadTotals(pack_loads(self._loads.total.all())))
+            link.send(self._quarantine.known_notices(self._clock.now()))
 
     def _receive_news(self, link: links.Link, news: Relayed) -> None:
         try:
@@ -185,6 +192,24 @@
         subscriber.received = changes.number
         self._loads.apply(link, loads, subscriber.is_member)
 
+    def _receive_reports(self, link: links.Link, reports: PartReports) -> None:
+        subscriber = self._subscribers[link]
+        held = self._quarantine.receive(
+            reports, subscriber.is_member, self._clock.now()
+        )
+        self._log_held(held, source=subscriber.name)
+
+    def _log_held(self, held: list[HeldPart], source: str) -> None:
+        for entry in held:
+            self._metrics.count("parts.held")
+            log(
+                "part_held",
+                part=entry.part,
+                left_s=round(entry.left_s, 1),
+                holds=entry.holds,
+                source=source,
+            )
+
     def _follow(self) -> None:
         if self._feeds is not None:
             self._feeds.set_sources(self._sources.followed())
@@ -196,6 +221,7 @@
         if now >= self._news_due_at:
             self._news_due_at = now + NEWS_INTERVAL_S
             self._send_news()
+            self._review_parts(now)
         self._send_local_loads(now)
         self._send_totals(now)
         if self._feeds is not None:
@@ -214,6 +240,19 @@
             elif has_own:
                 self._send(link, own)
 
+    def _review_parts(self, now: float) -> None:
+        """Decides which parts are held back, and passes on what is known."""
+        self._log_held(self._quarantine.review(now), source=self._name)
+        if reports := self._quarantine.take_reports(now):
+            message = CONTROL.encode(reports)
+            for link in list(self._upstream):
+                self._send(link, message)
+        if notices := self._quarantine.take_notices():
+            message = CONTROL.encode(notices)
+            for link, subscriber in list(self._subscribers.items()):
+                if not subscriber.is_member:
+                    self._send(link, message)
+
     def _send_local_loads(self, now: float) -> None:
         if now < self._local_due_at:
             return
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -99,6 +99,11 @@
         _C,
         "Prompt tokens expected in a runner's cache but not found there.",
     ),
+    Metric(
+        "parts.held",
+        _C,
+        "Times that a part of prompts was held back as it crashes runners.",
+    ),
     Metric("cancelled", _C, "Requests whose caller disconnected early."),
     Metric(
         "crossed.dropped",
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -27,6 +27,7 @@
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
     NO_CAPACITY = "no_capacity"
+    PART_HELD = "part_held"
     NO_RESUME = "no_resume"
     RETRIES_EXHAUSTED = "retries_exhausted"
     LEASE_EXPIRED = "lease_expired"
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -19,8 +19,10 @@
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import Endpoint, RefusalReason
 from knapweedarch.process_pauses import PauseDetector
+from knapweedarch.prompt_guard import create_prompt_guard
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
+from knapweedarch.quarantine_messages import HeldPart, PartNotices
 from knapweedarch.relay_client import RelayClient
 from knapweedarch.relay_messages import EndpointLoad
 from knapweedarch.relayed_parts import RelayedParts
@@ -32,6 +34,7 @@
 
 CLOSE_EXPIRED_INTERVAL_S = 0.5
 LOADS_INTERVAL_S = 0.05
+PARTS_INTERVAL_S = 0.1
 GAUGES_INTERVAL_S = 1.0
 # A router that has just started is not ready without an endpoint for this long.
 FIRST_ENDPOINT_WAIT_S = 4.0
@@ -115,6 +118,7 @@
         self._keeper.on_members = self._set_members
         self._keeper.on_weights = self._set_weights
         self._keeper.on_granted = self._on_lease_granted
+        self._guard = create_prompt_guard(int(incarnation, 16))
         self._pool = pool
         self._index = PartsIndex()
         self._attempts = Attempts(
@@ -130,6 +134,7 @@
                 self._index,
             ),
             index=self._index,
+            guard=self._guard,
             limits=settings.repeats,
             start_refusal=self._start_refusal,
             started_at=clock.now(),
@@ -140,6 +145,8 @@
             RelayedParts(self._index, self._attempts.chooser),
             self._receive_loads,
         )
+        self._relay.on_notices = self._receive_notices
+        self._relay.on_subscribed = lambda: self._guard.reset(clock.now())
         self._gateway = ProxyGateway(
             *(dialect, self._attempts, clock, metrics, self._start_refusal)
         )
@@ -156,6 +163,7 @@
         )
         PauseDetector(self._timers)
         self._timers.every(LOADS_INTERVAL_S, self._report_loads)
+        self._timers.every(PARTS_INTERVAL_S, self._review_parts)
         self._timers.every(GAUGES_INTERVAL_S, self._update_gauges)
         listen, ready = self._settings.listen, self._settings.ready
         async with (
@@ -230,6 +238,29 @@
     def _receive_loads(self, loads: Sequence[EndpointLoad]) -> None:
         self._attempts.chooser.set_peer_loads(loads, self._clock.now())
 
+    def _review_parts(self, now: float) -> None:
+        """Reports crashes of runners and decides which parts are held back."""
+        self._log_held(self._guard.review(now), self._settings.name)
+        if self._relay.is_subscribed and (
+            reports := self._guard.take_reports(now)
+        ):
+            self._relay.send_reports(reports)
+
+    def _receive_notices(self, notices: PartNotices) -> None:
+        held = self._guard.receive(notices, self._clock.now())
+        self._log_held(held, "relay")
+
+    def _log_held(self, held: Sequence[HeldPart], source: str) -> None:
+        for entry in held:
+            self._metrics.count("parts.held")
+            log(
+                "part_held",
+                part=entry.part,
+                left_s=round(entry.left_s, 1),
+                holds=entry.holds,
+                source=source,
+            )
+
     def _update_gauges(self, now: float) -> None:
         """Sets the gauges that show how current this proxy's state is."""
         gauge = self._metrics.gauge
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -21,6 +21,7 @@
     RetryReason,
 )
 from knapweedarch.prompt_admission import PromptAdmission
+from knapweedarch.prompt_guard import SOUND_EVENTS, PromptGuard
 from knapweedarch.proxy_calls import (
     AnswerProgress,
     ExecutionStatus,
@@ -30,6 +31,7 @@
     retry_after_header,
     urgency,
 )
+from knapweedarch.quarantine_messages import runner_digest
 from knapweedarch.repeat_budget import RepeatBudget, RepeatLimits
 from knapweedarch.stored_parts import PartsIndex, SaveLimiter
 from knapweedarch.timers import Clock
@@ -37,6 +39,10 @@
 # Saves per second that one router may request from a store. Saves and fetches
 # share the store's network bandwidth.
 SAVES_PER_S = 1.2
+# How an answer ends if its runner crashes.
+CRASH_REASONS = frozenset(
+    (RetryReason.CONNECTION_CLOSED, RetryReason.STREAM_TRUNCATED)
+)
 
 
 class Attempts:
@@ -52,6 +58,7 @@
         pool: Connections to endpoints.
         chooser: Chooses among usable endpoints.
         index: Prompt parts cached in runners and stores.
+        guard: Tells which prompts crash runners.
         limits: Limit of repeats for all routers together.
         start_refusal: Returns why no request may be sent now, or None if it
             may.
@@ -71,6 +78,7 @@
         pool: OutboundPool,
         chooser: EndpointChooser,
         index: PartsIndex,
+        guard: PromptGuard,
         limits: RepeatLimits,
         start_refusal: Callable[[], RefusalReason | None],
         started_at: float,
@@ -83,6 +91,7 @@
         self.index = index
         self._save_limiters: dict[str, SaveLimiter] = {}
         self._pool = pool
+        self._guard = guard
         self._limits = limits
         self._start_refusal = start_refusal
         self._started_at = started_at
@@ -124,9 +133,13 @@
         A repeat is counted against the repeat budget of its service.
 
         Returns:
-            The endpoint; None if none is usable or the budget is used up.
+            The endpoint; None if none is usable, the budget is used up or a
+            part of the prompt is held back.
         """
         now = self.clock.now()
+        call.held_s = self._guard.held_s(call.parts, now)
+        if call.held_s:
+            return None
         endpoints = self._by_service.get(call.service.name, ())
         candidates = [
             e for e in endpoints if _serves_model(e, call.options.prompt)
@@ -372,6 +385,7 @@
         )
         if exc.written:
             self.chooser.record_failure(endpoint, now)
+            self._record_crash(call, endpoint, exc, progress)
         else:
             self.chooser.record_connection_refused(endpoint, now)
         return self.record_failure(
@@ -382,6 +396,28 @@
             progress,
         )
 
+    def _record_crash(
+        self,
+        call: ProxyCall,
+        endpoint: Endpoint,
+        exc: ExchangeError,
+        progress: AnswerProgress,
+    ) -> None:
+        """Records that a request may have crashed its runner."""
+        if exc.reason in CRASH_REASONS and progress.events < SOUND_EVENTS:
+            runner = runner_digest(endpoint.id, endpoint.incarnation)
+            self._guard.record_broken(
+                runner, call.parts, progress.has_head, self.clock.now()
+            )
+
+    def record_sound(self, call: ProxyCall) -> None:
+        """Records that a runner has answered and did not crash on the prompt.
+
+        It must be called once for an attempt.
+        """
+        if call.parts:
+            self._guard.record_sound(call.parts, self.clock.now())
+
     def record_failure(
         self,
         call: ProxyCall,
@@ -435,6 +471,7 @@
         and 504 that it may have run and its deadline has passed.
         """
         reason = self._refusal_reason(call)
+        expected_s = call.held_s or call.retry_after_s
         if call.may_have_run:
             reason, status = RefusalReason.OUTCOME_UNKNOWN, 502
             if call.deadline <= self.clock.now():
@@ -444,7 +481,7 @@
             status = 503
             headers = (
                 retry_after_header(
-                    *(remaining_s(call, self.clock), reason, call.retry_after_s)
+                    *(remaining_s(call, self.clock), reason, expected_s)
                 ),
             )
         self.metrics.count(f"refused.{reason.value}")
@@ -454,6 +491,8 @@
     def _refusal_reason(self, call: ProxyCall) -> RefusalReason:
         if remaining_s(call, self.clock) <= 0:
             return RefusalReason.DEADLINE
+        if call.held_s:
+            return RefusalReason.PART_HELD
         if call.send_count:
             return RefusalReason.RETRIES_EXHAUSTED
         return RefusalReason.NO_CAPACITY
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -77,6 +77,8 @@
         may_have_run: Whether any attempt may have run.
         retry_after_s: Seconds after which a resend may be admitted; 0 if that
             is not known.
+        parts: Digests of the shared parts of the prompt.
+        held_s: Seconds for which one of them is held back; 0 if none is.
     """
 
     req: Request
@@ -90,6 +92,8 @@
     send_count: int = 0
     may_have_run: bool = False
     retry_after_s: float = 0.0
+    parts: tuple[int, ...] = ()
+    held_s: float = 0.0
 
     def cache_salt(self, endpoint: Endpoint) -> str:
         """Returns the salt of the request's cache keys at an endpoint.
--- a/knapweedarch/proxy_gateway.py
+++ b/knapweedarch/proxy_gateway.py
@@ -17,6 +17,7 @@
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import RefusalReason, RequestEnd
+from knapweedarch.prompt_guard import part_digests
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_calls import ProxyCall, retry_after_header
 from knapweedarch.proxy_streams import StreamRelay
@@ -138,6 +139,7 @@
             customer=customer,
             deadline=req.began_at + limit_s - ANSWER_MARGIN_S,
             started_at=req.began_at,
+            parts=part_digests(options.prompt),
         )
 
     async def _refuse(
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -16,6 +16,7 @@
 from knapweedarch.http_outbound import AnswerHead, Exchange
 from knapweedarch.logs import log
 from knapweedarch.models import Endpoint, RequestEnd, RetryReason
+from knapweedarch.prompt_guard import SOUND_EVENTS
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_calls import (
     ExecutionStatus,
@@ -193,15 +194,23 @@
             events = _feed(splitter, part)
             if events.data:
                 scope.record_first_event()
-                scope.progress.events += events.count
+                self._record_progress(scope, events.count)
                 self._record_events(endpoint, events.count, events.last_id)
                 await self._responder.write(events.data)
                 # After the write: a caller that reads slowly delays it.
                 silent_since = self._attempts.clock.now()
+        if scope.progress.events < SOUND_EVENTS and head.has_length:
+            self._attempts.record_sound(self._call)
         if rest := splitter.rest():
             await self._responder.write(rest)
         await self._responder.end()
 
+    def _record_progress(self, scope: AttemptScope, count: int) -> None:
+        before = scope.progress.events
+        scope.progress.events += count
+        if before < SOUND_EVENTS <= scope.progress.events:
+            self._attempts.record_sound(self._call)
+
     async def _read(
         self, exchange: Exchange, silent_since: float
     ) -> bytes | None:
--- a/knapweedarch/proxy_unary.py
+++ b/knapweedarch/proxy_unary.py
@@ -101,6 +101,8 @@
     else:
         lateness_s = now - started_at - call.route.goal_s
         attempts.chooser.record_success(endpoint, lateness_s, now)
+        if head.has_length:
+            attempts.record_sound(call)
     return Answer(
         status=answer.status,
         headers=end_to_end_headers(answer.headers),
--- a/knapweedarch/relay_client.py
+++ b/knapweedarch/relay_client.py
@@ -10,6 +10,7 @@
 from knapweedarch.exceptions import CodecError, CredentialError, LinkError
 from knapweedarch.logs import log
 from knapweedarch.peer_loads import PeerLoads
+from knapweedarch.quarantine_messages import PartNotices, PartReports
 from knapweedarch.relay_messages import (
     EndpointLoad,
     LoadTotals,
@@ -41,6 +42,10 @@
         seeds: Addresses of the members to try first.
         parts: Receives what is cached at the sources.
         on_loads: Called with the loads of the other routers.
+
+    Attributes:
+        on_notices: Called with what the member tells about parts of prompts.
+        on_subscribed: Called when a member has accepted the subscription.
     """
 
     def __init__(
@@ -59,6 +64,8 @@
         self._data_centres: dict[str, str] = {}
         self._parts = parts
         self._on_loads = on_loads
+        self.on_notices: Callable[[PartNotices], None] = lambda notices: None
+        self.on_subscribed: Callable[[], None] = lambda: None
         self._loads = PeerLoads()
         self._link: links.Link | None = None
         self._subscribed = anyio.Event()
@@ -80,13 +87,20 @@
         if members:
             self._members = list(members)
 
+    def send_reports(self, reports: PartReports) -> None:
+        """Sends reports to the member; they are lost without subscription."""
+        if self.is_subscribed:
+            self._send(reports)
+
     def report_loads(self, own: Sequence[EndpointLoad]) -> None:
         """Reports this router's loads, if they have changed."""
         if not self.is_subscribed:
             return
         message = self._loads.take_changes(own)
-        if message is None:
-            return
+        if message is not None:
+            self._send(message)
+
+    def _send(self, message: object) -> None:
         try:
             self._link.send(message)
         except LinkError as exc:
@@ -182,12 +196,15 @@
                 self._receive_news(link, message)
             case LoadTotals():
                 self._receive_loads(link, message)
+            case PartNotices():
+                self.on_notices(message)
 
     def _accept(self, relay: Subscribed) -> None:
         self._relay = relay
         places = (MemberPlace(relay.name, relay.data_centre), *relay.others)
         self._data_centres.update((p.name, p.data_centre) for p in places)
         self._subscribed.set()
+        self.on_subscribed()
         log("relay_found", member=relay.name, data_centre=relay.data_centre)
 
     def _receive_news(self, link: links.Link, news: Relayed) -> None:
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -25,7 +25,8 @@
     *("control_messages", "http_messages", "relay_messages"),
     *("source_relay", "load_relay", "peer_loads", "relayed_parts"),
     *("runner_roles", "prefill_rates", "prompt_admission", "exponential"),
-    *("target_weights",),
+    *("target_weights", "quarantine_messages", "crash_tracker"),
+    *("part_quarantine", "report_queue", "prompt_guard", "quarantine_relay"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
