Take a stream that ends within an event for broken off

A runner's answer may have neither a length nor chunks and end with its connection. The proxy passed the rest of such a stream on and ended it as complete; callers saw a truncated answer that looked whole. A crash on the first event of such an answer would also have vouched for the prompt.

A stream that ends within an event, or without any event and length, now fails with stream_truncated, is resumed where the route allows it, and counts as a crash like a closed connection.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -65,6 +65,41 @@
     And the relayed stream is complete
     And runner 2 was asked to resume after event 2
 
+  Scenario Outline: A stream that ends within an event has been broken off
+    Guards against a truncated stream that is passed on as complete, since its
+    runner sent neither a length nor chunks.
+    Given a proxied runner that <does>
+    And a proxied runner that streams
+    When a caller sends a request that may be resumed
+    Then the caller gets status 200
+    And the relayed stream is complete
+    And runner 2 was asked to resume after event <last>
+
+    Examples:
+      | does                                      | last |
+      | ends within event 3 without a length      | 2    |
+      | ends within event 3 with an end of chunks | 2    |
+      | ends before event 1 without a length      | 0    |
+
+  Scenario: A stream without a length is whole
+    Guards against a stream that is taken for broken off since it ends with its
+    connection.
+    Given a proxied runner that streams without a length
+    And a proxied runner that streams
+    When a caller sends a request that may be resumed
+    Then the caller gets status 200
+    And the relayed stream is complete
+    And runner 2 has received 0 requests
+
+  Scenario: A stream that ends within an event and may not be resumed
+    Guards against a truncated stream that looks complete to the caller.
+    Given a proxied runner that ends within event 3 without a length
+    And a proxied runner that streams
+    When a caller sends a request that streams
+    Then the caller gets status 200
+    And the relayed stream has no end
+    And runner 2 has received 0 requests
+
   Scenario: A broken stream that may not be resumed has no end marker
     Guards against a truncated stream that looks complete to the caller.
     Given a proxied runner that breaks off within event 3
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -195,6 +195,15 @@
                 await _stream(stream, received, len(EVENTS))
             case "pauses after event 1":
                 await _stream(stream, received, 1, pause_s=0.3)
+            case "streams without a length":
+                await _stream_to_close(stream, received, len(EVENTS))
+            case "ends within event 3 without a length":
+                await _stream_to_close(stream, received, 2, b"id: 3\nda")
+            case "ends within event 3 with an end of chunks":
+                await _stream(stream, received, 2, b"id: 3\nda")
+                await stream.send(b"0\r\n\r\n")
+            case "ends before event 1 without a length":
+                await _stream_to_close(stream, received, 0)
             case "breaks off within event 3":
                 await _stream(stream, received, 2, b"id: 3\ndata: pie")
                 await stream.aclose()
@@ -262,6 +271,21 @@
         await stream.send(b"0\r\n\r\n")
 
 
+async def _stream_to_close(
+    stream, received: ReceivedRequest, until: int, rest: bytes = b""
+) -> None:
+    """Sends a stream that ends with its connection."""
+    first = int(received.header("Last-Event-Id") or 0)
+    request_id = received.header("X-Knapweedarch-Request-Id")
+    head = (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Knapweedarch-Request-Id: {request_id}\r\n\r\n"
+    )
+    events = b"".join(EVENTS[first:until])
+    await stream.send(head.encode() + events + rest)
+    await stream.aclose()
+
+
 def _response(
     request_id: str, body: bytes, status: str = "200 OK", extra: str = ""
 ) -> bytes:
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -206,7 +206,8 @@
 @then("runner {number:d} was asked to resume after event {event:d}")
 def asked_to_resume(context, number, event):
     received = context.runners[number - 1].received
-    assert [s.header("Last-Event-Id") for s in received] == [str(event)]
+    last_ids = [r.header("Last-Event-Id") or "0" for r in received]
+    assert last_ids == [str(event)], last_ids
 
 
 @then("runner 1 loses its connection")
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -19,6 +19,7 @@
 from knapweedarch.prompt_guard import SOUND_EVENTS
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_calls import (
+    AnswerProgress,
     ExecutionStatus,
     Failure,
     ProxyCall,
@@ -199,10 +200,9 @@
                 await self._responder.write(events.data)
                 # After the write: a caller that reads slowly delays it.
                 silent_since = self._attempts.clock.now()
+        _check_end(splitter, scope.progress, head)
         if scope.progress.events < SOUND_EVENTS and head.has_length:
             self._attempts.record_sound(self._call)
-        if rest := splitter.rest():
-            await self._responder.write(rest)
         await self._responder.end()
 
     def _record_progress(self, scope: AttemptScope, count: int) -> None:
@@ -254,6 +254,24 @@
         self._last_event_id = last_id or self._last_event_id
 
 
+def _check_end(
+    splitter: EventSplitter, progress: AnswerProgress, head: AnswerHead
+) -> None:
+    """Checks that a stream has ended and was not broken off.
+
+    Raises:
+        ExchangeError: It ends within an event, or without any and without a
+            length.
+    """
+    rest = splitter.rest().strip()
+    if rest or not (progress.events or head.has_length):
+        raise ExchangeError(
+            RetryReason.STREAM_TRUNCATED,
+            f"the stream ends after {len(rest)} bytes of an event",
+            written=True,
+        )
+
+
 def _feed(splitter: EventSplitter, part: bytes) -> EventBatch:
     """Adds bytes to a splitter.
 
