--- a/knapweedarch/member_relay.py
+++ b/knapweedarch/member_relay.py
@@ -11,7 +11,8 @@
 from knapweedarch.load_relay import LoadRelay
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
-from knapweedarch.quarantine_messages import HeldPart, PartReports
+from knapweedarch.quarantine_client import log_held
+from knapweedarch.quarantine_messages import PartReports
 from knapweedarch.quarantine_relay import QuarantineRelay
 from knapweedarch.relay_messages import (
     LoadChanges,
@@ -197,18 +198,7 @@
         held = self._quarantine.receive(
             reports, subscriber.is_member, self._clock.now()
         )
-        self._log_held(held, source=subscriber.name)
-
-    def _log_held(self, held: list[HeldPart], source: str) -> None:
-        for entry in held:
-            self._metrics.count("parts.held")
-            log(
-                "part_held",
-                part=entry.part,
-                left_s=round(entry.left_s, 1),
-                holds=entry.holds,
-                source=source,
-            )
+        log_held(held, subscriber.name, self._metrics)
 
     def _follow(self) -> None:
         if self._feeds is not None:
@@ -242,7 +232,7 @@
 
     def _review_parts(self, now: float) -> None:
         """Decides which parts are held back, and passes on what is known."""
-        self._log_held(self._quarantine.review(now), source=self._name)
+        log_held(self._quarantine.review(now), self._name, self._metrics)
         if reports := self._quarantine.take_reports(now):
             message = CONTROL.encode(reports)
             for link in list(self._upstream):
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -22,7 +22,7 @@
 from knapweedarch.prompt_guard import create_prompt_guard
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
-from knapweedarch.quarantine_messages import HeldPart, PartNotices
+from knapweedarch.quarantine_client import QuarantineClient
 from knapweedarch.relay_client import RelayClient
 from knapweedarch.relay_messages import EndpointLoad
 from knapweedarch.relayed_parts import RelayedParts
@@ -34,7 +34,6 @@
 
 CLOSE_EXPIRED_INTERVAL_S = 0.5
 LOADS_INTERVAL_S = 0.05
-PARTS_INTERVAL_S = 0.1
 GAUGES_INTERVAL_S = 1.0
 # A router that has just started is not ready without an endpoint for this long.
 FIRST_ENDPOINT_WAIT_S = 4.0
@@ -145,8 +144,9 @@
             RelayedParts(self._index, self._attempts.chooser),
             self._receive_loads,
         )
-        self._relay.on_notices = self._receive_notices
-        self._relay.on_subscribed = lambda: self._guard.reset(clock.now())
+        self._quarantine = QuarantineClient(
+            settings.name, self._guard, self._relay, clock, metrics
+        )
         self._gateway = ProxyGateway(
             *(dialect, self._attempts, clock, metrics, self._start_refusal)
         )
@@ -163,7 +163,7 @@
         )
         PauseDetector(self._timers)
         self._timers.every(LOADS_INTERVAL_S, self._report_loads)
-        self._timers.every(PARTS_INTERVAL_S, self._review_parts)
+        self._quarantine.subscribe(self._timers)
         self._timers.every(GAUGES_INTERVAL_S, self._update_gauges)
         listen, ready = self._settings.listen, self._settings.ready
         async with (
@@ -238,29 +238,6 @@
     def _receive_loads(self, loads: Sequence[EndpointLoad]) -> None:
         self._attempts.chooser.set_peer_loads(loads, self._clock.now())
 
-    def _review_parts(self, now: float) -> None:
-        """Reports crashes of runners and decides which parts are held back."""
-        self._log_held(self._guard.review(now), self._settings.name)
-        if self._relay.is_subscribed and (
-            reports := self._guard.take_reports(now)
-        ):
-            self._relay.send_reports(reports)
-
-    def _receive_notices(self, notices: PartNotices) -> None:
-        held = self._guard.receive(notices, self._clock.now())
-        self._log_held(held, "relay")
-
-    def _log_held(self, held: Sequence[HeldPart], source: str) -> None:
-        for entry in held:
-            self._metrics.count("parts.held")
-            log(
-                "part_held",
-                part=entry.part,
-                left_s=round(entry.left_s, 1),
-                holds=entry.holds,
-                source=source,
-            )
-
     def _update_gauges(self, now: float) -> None:
         """Sets the gauges that show how current this proxy's state is."""
         gauge = self._metrics.gauge
