Hold back blocks of prompts that crash runners at the gateway too

It now reports the leading blocks of broken attempts and of answered ones with the same guard, subscribes to a member for what the other routers have seen, and refuses requests with a held block at once (503 part_held, not_run). A retry of such a request ends as retries_exhausted, since it may have run.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -386,3 +386,13 @@
     When router 1 orders weights "w2" with fencing number 7
     And router 2 orders weights "w3" with fencing number 6
     Then runner "a" has weights "w2"
+
+  # Guards against a prompt that ends one runner after the other behind the
+  # product's own gateway, and against sound ones that are refused with it.
+  Scenario: A block of a prompt that crashes runners is held back
+    Given 8 runners that crash on prompts that contain "crash"
+    When a caller asks for 12 streams with "crash", 0.3 s apart
+    Then at most 6 runners have crashed
+    And the last answer is a refusal as "part_held" that says "not_run"
+    When a caller asks for 2 streams with "sound", 0.3 s apart
+    Then the last 2 streams are complete
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -738,3 +738,51 @@
     counts = router.counts
     assert len(results) == count, results
     assert counts["tokens.cached"] + counts["tokens.computed"] == prompt
+
+
+# More than a block, so that requests with it share a block.
+SHARED_BYTES = 10_000
+
+
+@given('{count:d} runners that crash on prompts that contain "{text}"')
+def add_crashing_runners(context, count, text):
+    for number in range(count):
+        add_runner(context, f"crashing-{number}", crash_text=text)
+    router = context.harness.routers[0]
+    router.rotate = True
+    router.retries_left = 0
+
+
+@when('a caller asks for {count:d} streams with "{text}", {pause:f} s apart')
+def ask_repeatedly(context, count, text, pause):
+    router = context.harness.routers[0]
+    shared = (text * SHARED_BYTES)[:SHARED_BYTES]
+
+    async def ask():
+        for number in range(count):
+            messages = [{"role": "user", "content": f"{shared} {number}"}]
+            answer = await context.harness.chat(messages=messages)
+            context.answers.append(answer)
+            await anyio.sleep(pause)
+            router.guard.review(router.clock.now())
+
+    run_async(context, ask)
+
+
+@then("at most {most:d} runners have crashed")
+def check_crashes(context, most):
+    crashes = sum(r.counts["crashes"] for r in context.runners.values())
+    assert 3 <= crashes <= most, crashes
+
+
+@then('the last answer is a refusal as "{reason}" that says "{outcome}"')
+def check_last_refusal(context, reason, outcome):
+    answer = context.answers[-1]
+    assert answer.code == 503, answer
+    assert answer.error["reason"] == reason, answer
+    assert answer.error["outcome"] == outcome, answer
+
+
+@then("the last {count:d} streams are complete")
+def check_last_streams(context, count):
+    assert all(a.done for a in context.answers[-count:]), context.answers
--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -38,6 +38,12 @@
     hash_steps,
     make_salt,
 )
+from knapweedarch.prompt_guard import (
+    CRASH_REASONS,
+    SOUND_EVENTS,
+    block_digests,
+)
+from knapweedarch.quarantine_messages import runner_digest
 from knapweedarch.sinks import BufferedSink, EventSink, Sink
 from knapweedarch.streams import Chunk, Finish, StreamProtocolError, StreamState
 from knapweedarch.watchdogs import Step, Watchdog
@@ -45,6 +51,7 @@
 if TYPE_CHECKING:
     from knapweedarch.gateway import RouterPort
 
+PART_HELD = RefusalReason.PART_HELD
 SEND_REFUSED_MESSAGE = (
     "the router is not sending requests to runners at the moment"
 )
@@ -160,6 +167,7 @@
         self.watchdog = Watchdog(router.clock)
         self._state = StreamState(ticket.id)
         self._outcome = Outcome.NOT_RUN
+        self._parts = block_digests(ticket.model, ticket.blocks)
 
     async def run(self) -> None:
         """Makes attempts until the response is complete or retries run out.
@@ -168,6 +176,8 @@
             RefusedError: The sink rejected the response.
             SlowCallerError: A write to the caller timed out.
         """
+        if held_s := self._held_s():
+            return await self._fail(self._refusal(Refuse(PART_HELD, held_s)))
         decision = await self._router.place(self._ticket)
         while isinstance(decision, Dispatch):
             attempt = decision.attempt
@@ -189,7 +199,8 @@
         self._state.begin(attempt_id)
         result = AttemptResult(cancelled=True)
         relay = _AttemptRelay(
-            self._router, self._state, self._sink, attempt, self.watchdog
+            *(self._router, self._state, self._sink, attempt, self.watchdog),
+            self._parts,
         )
         try:
             await self._relay_stream(attempt, attempt_id, relay)
@@ -203,6 +214,7 @@
         except (EndpointError, StreamProtocolError) as exc:
             result = AttemptResult(RetryReason(exc.reason), relay.cached_tokens)
             self._record_failure(attempt, exc)
+            relay.record_crash(exc)
         finally:
             # An attempt that may still be running is cancelled, since it would
             # occupy a slot of the runner. A finished stream needs no cancel.
@@ -220,6 +232,9 @@
 
         def check_send() -> RefusalReason | None:
             reason = reason_not_to_send(self._router.start_refusal)
+            if reason is None and self._held_s():
+                # The part was found while the request waited.
+                reason = PART_HELD
             relay.sent = reason is None
             return reason
 
@@ -277,7 +292,14 @@
             message=str(exc),
         )
 
+    def _held_s(self) -> float:
+        """Returns for how long a part of the prompt is held back, or 0."""
+        now = self._router.clock.now()
+        return self._router.guard.held_s(self._parts, now)
+
     async def _place_again(self, failed: Attempt) -> Dispatch | Refuse:
+        if self._held_s():
+            return Refuse(RefusalReason.RETRIES_EXHAUSTED)
         if self._state.started:
             if not self._state.resumable:
                 return Refuse(RefusalReason.NO_RESUME)
@@ -325,6 +347,9 @@
     Attributes:
         sent: Whether bytes of the request may have been written.
         cached_tokens: Prompt tokens found in the cache, if reported.
+        parts: Digests of the blocks of the prompt.
+        events: Number of events received.
+        has_head: Whether an answer has begun.
     """
 
     router: "RouterPort"
@@ -332,7 +357,10 @@
     sink: Sink
     attempt: Attempt
     watchdog: Watchdog
+    parts: tuple[int, ...] = ()
     sent: bool = False
+    events: int = 0
+    has_head: bool = False
     cached_tokens: int | None = None
     _before_first_token: bool = True
 
@@ -348,7 +376,9 @@
         with anyio.CancelScope() as scope:
             watchdog.watch(scope)
             watchdog.begin(Step.FIRST_EVENT, stream.first_event_s)
+            self.has_head = True
             while events := await stream.read():
+                self._record_events(len(events))
                 watchdog.begin(Step.WRITE, WRITE_TIMEOUT_S)
                 await self._deliver_chunks(events)
                 if self.state.finish is not None:
@@ -358,6 +388,32 @@
         if scope.cancelled_caught:
             raise self._timeout_error(stream)
         self.state.end()
+        if self.events < SOUND_EVENTS:
+            self._record_sound()
+
+    def _record_events(self, count: int) -> None:
+        before = self.events
+        self.events += count
+        if before < SOUND_EVENTS <= self.events:
+            self._record_sound()
+
+    def _record_sound(self) -> None:
+        """Records that the runner did not crash on the prompt."""
+        router = self.router
+        router.guard.record_sound(self.parts, router.clock.now())
+
+    def record_crash(self, exc: EndpointError | StreamProtocolError) -> None:
+        """Records that the request may have crashed its runner."""
+        if (
+            self.sent
+            and exc.reason in CRASH_REASONS
+            and self.events < SOUND_EVENTS
+        ):
+            runner = self.attempt.endpoint
+            self.router.guard.record_broken(
+                runner_digest(runner.id, runner.incarnation),
+                *(self.parts, self.has_head, self.router.clock.now()),
+            )
 
     def _timeout_error(self, stream: ChatStream) -> KnapweedarchError:
         match self.watchdog.expired:
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -36,6 +36,7 @@
     Rules,
     Ticket,
 )
+from knapweedarch.prompt_guard import PromptGuard
 from knapweedarch.services import ServiceHandler
 from knapweedarch.state import TableFull
 from knapweedarch.timers import Clock, ManualClock
@@ -82,6 +83,7 @@
         rules: Rules in force.
         scheduler: Decides on the placement of requests.
         adapter: Sends requests to endpoints.
+        guard: Tells which prompts crash runners.
         incarnation: Random identifier chosen at each start of the router.
         max_body_bytes: Maximum size of one request body.
         endpoint_credential: Credential that endpoints send in announcements.
@@ -91,6 +93,7 @@
     rules: Rules
     scheduler: SchedulerPort
     adapter: Adapter
+    guard: PromptGuard
     incarnation: str
     max_body_bytes: int
     endpoint_credential: str
--- a/knapweedarch/prompt_guard.py
+++ b/knapweedarch/prompt_guard.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Iterable, Sequence
 
+from knapweedarch.models import RetryReason
 from knapweedarch.part_quarantine import PartQuarantine
 from knapweedarch.prompt_parts import Prompt
 from knapweedarch.quarantine_messages import (
@@ -22,11 +23,17 @@
 )
 from knapweedarch.report_queue import ReportQueue
 
+# How an answer ends if its runner crashes.
+CRASH_REASONS = frozenset(
+    (RetryReason.CONNECTION_CLOSED, RetryReason.STREAM_TRUNCATED)
+)
 # A runner that crashes on a request does so as it begins to write the answer.
 # An answer that has come this far shows that its parts are sound.
 SOUND_EVENTS = 2
 # Largest time after the end of a hold until this router sends the part again.
 LONGEST_OPEN_DELAY_S = 10.0
+# Longer prompts are judged by as many leading blocks.
+MAX_GUARDED_BLOCKS = 24
 # Sound requests with one watched part are reported at most once in this time.
 SOUND_INTERVAL_S = 0.5
 
@@ -134,6 +141,17 @@
     return tuple(part_digest(prompt.model, i) for i in prompt.shared_ids)
 
 
+def block_digests(model: str, blocks: Sequence[int]) -> tuple[int, ...]:
+    """Returns the digests of the first blocks of a prompt.
+
+    Args:
+        model: Name of the model.
+        blocks: Chained hashes of the blocks; see `prefixes`.
+    """
+    leading = blocks[:MAX_GUARDED_BLOCKS]
+    return tuple(part_digest(model, f"{block:x}") for block in leading)
+
+
 def create_prompt_guard(seed: int) -> PromptGuard:
     """Creates the guard of a router.
 
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -21,7 +21,11 @@
     RetryReason,
 )
 from knapweedarch.prompt_admission import PromptAdmission
-from knapweedarch.prompt_guard import SOUND_EVENTS, PromptGuard
+from knapweedarch.prompt_guard import (
+    CRASH_REASONS,
+    SOUND_EVENTS,
+    PromptGuard,
+)
 from knapweedarch.proxy_calls import (
     AnswerProgress,
     ExecutionStatus,
@@ -39,10 +43,6 @@
 # Saves per second that one router may request from a store. Saves and fetches
 # share the store's network bandwidth.
 SAVES_PER_S = 1.2
-# How an answer ends if its runner crashes.
-CRASH_REASONS = frozenset(
-    (RetryReason.CONNECTION_CLOSED, RetryReason.STREAM_TRUNCATED)
-)
 
 
 class Attempts:
--- a/knapweedarch/relayed_parts.py
+++ b/knapweedarch/relayed_parts.py
@@ -16,6 +16,16 @@
         """Records that a runner has stopped answering."""
 
 
+class IgnoredSilence:
+    """Ignores silence, for a router that follows the runners itself."""
+
+    def record_activity(self, address: str) -> None:
+        """Does nothing."""
+
+    def record_silence(self, address: str) -> None:
+        """Does nothing."""
+
+
 class RelayedParts:
     """Sources of one subscription.
 
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -34,9 +34,14 @@
     Ticket,
 )
 from knapweedarch.order_sender import OrderSender
+from knapweedarch.prompt_guard import create_prompt_guard
+from knapweedarch.quarantine_client import QuarantineClient
+from knapweedarch.relay_client import RelayClient
+from knapweedarch.relayed_parts import IgnoredSilence, RelayedParts
 from knapweedarch.rules import parse_steps
 from knapweedarch.settings import RouterSettings
 from knapweedarch.state import Announce
+from knapweedarch.stored_parts import PartsIndex
 from knapweedarch.timers import Clock, Timers, run_steps
 
 ROLLOUT_INTERVAL_S = 0.5
@@ -53,6 +58,7 @@
         rules: Rules in force.
         scheduler: Decides on the placement of requests.
         adapter: Sends requests to endpoints.
+        guard: Tells which prompts crash runners.
         max_body_bytes: Maximum size of a request body.
         endpoint_credential: Credential that endpoints send in announcements.
     """
@@ -76,6 +82,18 @@
             _scheduler_config(settings, distances_ms),
             seed=int(self.incarnation, 16),
         )
+        self.guard = create_prompt_guard(int(self.incarnation, 16))
+        # Relays to this router carry no cached parts: it follows the runners
+        # itself.
+        self._relay = RelayClient(
+            *(settings.name, settings.data_centre),
+            *(settings.credential.encode(), settings.members),
+            RelayedParts(PartsIndex(), IgnoredSilence()),
+            on_loads=lambda loads: None,
+        )
+        self._quarantine = QuarantineClient(
+            settings.name, self.guard, self._relay, clock, metrics
+        )
         self._control = control.create_control_client(
             settings.members,
             settings.credential.encode(),
@@ -102,6 +120,7 @@
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serves until SIGTERM or SIGINT, then drains and returns."""
         self._keeper.subscribe(self._timers)
+        self._quarantine.subscribe(self._timers)
         self._timers.every(ROLLOUT_INTERVAL_S, self._roll_out)
         self._timers.every(REPORT_INTERVAL_S, self._report)
         async with anyio.create_task_group() as group, self._control:
@@ -109,6 +128,7 @@
             self._endpoints.start(group)
             group.start_soon(self._timers.run)
             group.start_soon(self._keeper.run)
+            group.start_soon(self._relay.run)
             task_status.started(self._server.port)
             await self._server.run(gateway.create_app(self))
             group.cancel_scope.cancel()
--- a/standins/fake_router.py
+++ b/standins/fake_router.py
@@ -20,6 +20,7 @@
     ServiceRule,
     Ticket,
 )
+from knapweedarch.prompt_guard import create_prompt_guard
 from knapweedarch.state import COMMANDS, RESULTS, ControlState
 from knapweedarch.timers import Clock
 
@@ -79,6 +80,7 @@
         self.incarnation = incarnation
         self.scheduler = FakeScheduler()
         self.adapter = create_adapter(CREDENTIAL, self.clock, incarnation)
+        self.guard = create_prompt_guard(1)
         self.max_body_bytes = 256 * 1024
         self.endpoint_credential = CREDENTIAL
         self.rules = Rules(
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -49,6 +49,7 @@
     cache_blocks: int = 256
     checks_fencing: bool = False
     feed_loss: float = 0.0
+    crash_text: str = ""
 
 
 @attrs.define
@@ -291,6 +292,11 @@
         self, job: Job, headers, send, cached: int, prompt_tokens: int
     ) -> None:
         await send(_stream_start(headers))
+        if self.cfg.crash_text and self.cfg.crash_text in json.dumps(
+            job.body.get("messages")
+        ):
+            self.counts["crashes"] += 1
+            return
         start = int((job.body.get("resume") or {}).get("offset", 0))
         job.resumes = start > 0
         digest = texts.prompt_digest(job.body.get("messages"), self.version)
