Reproduce LIMIT: a runner that names a limit gets more than that

The scenario of proxy.feature shows it with one router: all 60 requests of 3 s go to the runner whose limit is 1 a second, 11 would be allowed.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -229,3 +229,12 @@
     Then the caller gets status 200
     And the relayed stream is complete
     And runner 2 was asked to resume after event 1
+
+  Scenario: A runner that names a limit gets no more requests than that
+    Load: 20 requests a second for 3 s. Guards against a runner in need that is
+    overloaded by requests that others could serve.
+    Given a proxied runner that names a limit of 1 a second
+    And a proxied runner that answers
+    When a caller sends 60 requests that may run many times, 0.05 s apart
+    Then every answer has status 200
+    And runner 1 has received at most 11 requests
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -135,6 +135,9 @@
         match self.mode:
             case "answers":
                 await stream.send(_response(request_id, BODY))
+            case "names a limit of 1 a second":
+                limit = "Server-Limit: 1.0\r\n"
+                await stream.send(_response(request_id, BODY, extra=limit))
             case "answers late":
                 await anyio.sleep(LATE_ANSWER_S)
                 await stream.send(_response(request_id, BODY))
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -410,3 +410,37 @@
 def sends_patiently(context, kind):
     """Waits longer for the next bytes than a stream may be silent."""
     send_requests(context, request(ROUTE_NAMES[kind]), idle_s=1.0)
+
+
+@when(
+    "a caller sends {count:d} requests that may run many times, {pause:f} s"
+    " apart"
+)
+def sends_apart(context, count, pause):
+    async def run():
+        async with open_proxy() as fixture:
+            for mode in context.modes:
+                await fixture.add_runner(mode)
+            context.answers = []
+            for number in range(count):
+                data = request("many", request_id=f"r{number}")
+                stream = await anyio.connect_tcp("127.0.0.1", fixture.port)
+                async with stream:
+                    await stream.send(data)
+                    context.answers.append(RawAnswer(await stream.receive()))
+                await anyio.sleep(pause)
+            context.runners = fixture.runners
+
+    anyio.run(run)
+
+
+@then("every answer has status {status:d}")
+def all_have_status(context, status):
+    found = {answer.status for answer in context.answers}
+    assert found == {status}, found
+
+
+@then("runner {number:d} has received at most {most:d} requests")
+def received_at_most(context, number, most):
+    received = len(context.runners[number - 1].received)
+    assert 1 <= received <= most, received
