Keep within the limits that endpoints name, over all routers

Cause: no module read Server-Limit. Ruled out: each router keeping it for itself, and the router that restarts; both would follow from a limit that one router keeps alone.

Routers count what they send to limited endpoints, members tell each router what the others have sent, and each considers such an endpoint for a share of its requests that follows the use of the limit; reports are 0.2 to 0.3 s old, so all routers would use the same room at once otherwise. Requests that no endpoint takes are refused at once.

--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -18,6 +18,7 @@
     SplitShare,
 )
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
+from knapweedarch.endpoint_rates import create_endpoint_limits
 from knapweedarch.http_inbound import InboundServer
 from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.metrics import create_metrics
@@ -408,6 +409,7 @@
             chooser=EndpointChooser(ChoiceConfig(), PartsIndex()),
             index=PartsIndex(),
             guard=create_prompt_guard(1),
+            endpoint_limits=create_endpoint_limits(1),
             limits=RepeatLimits(1.0, 100.0, 10.0),
             start_refusal=lambda: self.refusal,
             started_at=clock.now() - ROUTER_AGE_S,
--- a/knapweedarch/callers.py
+++ b/knapweedarch/callers.py
@@ -42,6 +42,7 @@
     RefusalReason.DEADLINE: 503,
     RefusalReason.NO_CAPACITY: 503,
     RefusalReason.PART_HELD: 503,
+    RefusalReason.ENDPOINTS_LIMITED: 503,
     RefusalReason.NO_RESUME: 502,
     RefusalReason.RETRIES_EXHAUSTED: 502,
     RefusalReason.LEASE_EXPIRED: 503,
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -10,6 +10,7 @@
 from knapweedarch.exceptions import CodecError
 from knapweedarch.models import Endpoint
 from knapweedarch.quarantine_messages import PartNotices, PartReports
+from knapweedarch.rate_messages import EndpointRates
 from knapweedarch.relay_messages import (
     LoadChanges,
     LoadTotals,
@@ -349,5 +350,5 @@
     *(Heartbeat, HeartbeatNoted, ReadDeployment, DeploymentDocument),
     *(Join, Joining, Subscribe, Subscribed, Relayed),
     *(ResendSources, LoadChanges, LoadTotals),
-    *(PartReports, PartNotices),
+    *(PartReports, PartNotices, EndpointRates),
 )
--- a/knapweedarch/dialects.py
+++ b/knapweedarch/dialects.py
@@ -74,5 +74,11 @@
     def was_not_run(self, head: AnswerHead) -> bool:
         """Returns whether the endpoint states that the request did not run."""
 
+    def rate_limit(self, head: AnswerHead) -> float | None:
+        """Returns the requests a second that an endpoint takes at most.
+
+        The limit holds for all routers together. None if it names none.
+        """
+
     def is_wrong_instance(self, head: AnswerHead, instance_id: str) -> bool:
         """Returns whether an instance other than the intended one answered."""
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -192,6 +192,7 @@
         now: float,
         salt: Callable[[Endpoint], str] = lambda endpoint: "",
         memory_tokens: int = 0,
+        barred: Collection[str] = (),
     ) -> Endpoint | None:
         """Chooses the usable endpoint with the lowest cost, or None.
 
@@ -204,8 +205,11 @@
                 an endpoint; it depends on the endpoint's weights.
             memory_tokens: Capacity of each runner's memory in tokens; 0 for
                 plain services.
+            barred: Ids of endpoints that may not get the request now.
         """
-        untried = [e for e in endpoints if e.id not in tried]
+        untried = [
+            e for e in endpoints if e.id not in tried and e.id not in barred
+        ]
         usable = [e for e in untried if self.is_usable(e, now)]
         if prompt is not None:
             usable = self._without_outdated(usable, prompt.model, now)
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -165,6 +165,12 @@
         _W,
         "Requests with a part of prompts are held back: it crashes runners.",
     ),
+    Event(
+        518,
+        "endpoint_limit",
+        _I,
+        "An endpoint began or ceased to name a limit of requests a second.",
+    ),
     Event(510, "attempt_ended", _I, "An attempt ended without a response."),
     Event(514, "request_sent", _I, "A request was sent to an endpoint."),
     Event(511, "request_given_up", _I, "A request is not retried."),
--- a/knapweedarch/member_relay.py
+++ b/knapweedarch/member_relay.py
@@ -14,6 +14,8 @@
 from knapweedarch.quarantine_client import log_held
 from knapweedarch.quarantine_messages import PartReports
 from knapweedarch.quarantine_relay import QuarantineRelay
+from knapweedarch.rate_messages import EndpointRates
+from knapweedarch.rate_relay import RateRelay
 from knapweedarch.relay_messages import (
     LoadChanges,
     LoadTotals,
@@ -37,6 +39,8 @@
 # router may spend for control. The more endpoints there are, the longer loads
 # are batched.
 LOADS_BYTES_S = 4_500
+# The same for requests to endpoints that name a limit.
+RATES_BYTES_S = 2_000
 # Longest time between two messages of loads to a subscriber, by which routers
 # distinguish unchanged loads from missing ones.
 LOADS_HEARTBEAT_S = 0.3
@@ -85,6 +89,7 @@
         self._sources = SourceRelay(name, data_centre)
         self._loads = LoadRelay()
         self._quarantine = QuarantineRelay()
+        self._rates = RateRelay()
         self._subscribers: dict[links.Link, _Subscriber] = {}
         self._upstream: dict[links.Link, str] = {}
         self._sent_local_number = 0
@@ -92,6 +97,7 @@
         self._news_due_at = 0.0
         self._local_due_at = 0.0
         self._totals_due_at = 0.0
+        self._rates_due_at = 0.0
 
     def start(self, group: anyio.abc.TaskGroup, timers: Timers) -> None:
         """Starts the periodic messages; sources are polled in the group."""
@@ -153,6 +159,9 @@
                 self._receive_loads(link, message)
             case PartReports() if link in self._subscribers:
                 self._receive_reports(link, message)
+            case EndpointRates() if link in self._subscribers:
+                is_member = self._subscribers[link].is_member
+                self._rates.receive(link, message, is_member, self._clock.now())
 
     def _add_subscriber(self, link: links.Link, message: Subscribe) -> None:
         self._subscribers[link] = _Subscriber(message.name, message.is_member)
@@ -169,6 +178,9 @@
             link.send(LoadTotals(pack_loads(self._loads.total.all())))
             if notices := self._quarantine.known_notices(self._clock.now()):
                 link.send(notices)
+            rates = self._rates.known(self._clock.now())
+            if rates.entries:
+                link.send(rates)
 
     def _receive_news(self, link: links.Link, news: Relayed) -> None:
         try:
@@ -216,6 +228,7 @@
             self._review_parts(now)
         self._send_local_loads(now)
         self._send_totals(now)
+        self._send_rates(now)
         if self._feeds is not None:
             self._metrics.gauge("feeds.followed", self._feeds.answering_count)
             self._follow()
@@ -273,6 +286,24 @@
                 totals = LoadTotals(packed, subscriber.received)
                 self._send(link, CONTROL.encode(totals))
 
+    def _send_rates(self, now: float) -> None:
+        """Passes on what was sent to endpoints that name a limit."""
+        if now < self._rates_due_at or not self._rates.has_news:
+            return
+        to_members = self._rates.news_for_members()
+        if to_members.entries:
+            message = CONTROL.encode(to_members)
+            for link in list(self._upstream):
+                self._send(link, message)
+        longest = 0
+        for link, subscriber in list(self._subscribers.items()):
+            if not subscriber.is_member:
+                message = CONTROL.encode(self._rates.news_for(link))
+                longest = max(longest, len(message))
+                self._send(link, message)
+        self._rates.clear()
+        self._rates_due_at = now + longest / RATES_BYTES_S
+
     def _send(self, link: links.Link, message: bytes) -> None:
         try:
             link.send_encoded(message)
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -28,6 +28,7 @@
     DEADLINE = "deadline"
     NO_CAPACITY = "no_capacity"
     PART_HELD = "part_held"
+    ENDPOINTS_LIMITED = "endpoints_limited"
     NO_RESUME = "no_resume"
     RETRIES_EXHAUSTED = "retries_exhausted"
     LEASE_EXPIRED = "lease_expired"
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -11,6 +11,7 @@
 from knapweedarch.deployments import Deployment
 from knapweedarch.dialects import Dialect
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
+from knapweedarch.endpoint_rates import create_endpoint_limits
 from knapweedarch.http_inbound import InboundServer, Responder
 from knapweedarch.http_messages import Answer, Request
 from knapweedarch.http_outbound import OutboundPool
@@ -23,6 +24,7 @@
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
 from knapweedarch.quarantine_client import QuarantineClient
+from knapweedarch.rate_messages import EndpointRates
 from knapweedarch.relay_client import RelayClient
 from knapweedarch.relay_messages import EndpointLoad
 from knapweedarch.relayed_parts import RelayedParts
@@ -117,6 +119,7 @@
         self._keeper.on_members = self._set_members
         self._keeper.on_weights = self._set_weights
         self._keeper.on_granted = self._on_lease_granted
+        self._endpoint_limits = create_endpoint_limits(int(incarnation, 16))
         self._guard = create_prompt_guard(int(incarnation, 16))
         self._pool = pool
         self._index = PartsIndex()
@@ -134,6 +137,7 @@
             ),
             index=self._index,
             guard=self._guard,
+            endpoint_limits=self._endpoint_limits,
             limits=settings.repeats,
             start_refusal=self._start_refusal,
             started_at=clock.now(),
@@ -144,6 +148,7 @@
             RelayedParts(self._index, self._attempts.chooser),
             self._receive_loads,
         )
+        self._relay.on_rates = self._receive_rates
         self._quarantine = QuarantineClient(
             settings.name, self._guard, self._relay, clock, metrics
         )
@@ -213,6 +218,7 @@
     def _set_routers(self, count: int) -> None:
         self._attempts.router_count = count
         self._attempts.chooser.set_router_count(count)
+        self._endpoint_limits.set_router_count(count)
 
     def _set_endpoints(self, entries: Sequence[EndpointEntry]) -> None:
         for entry in entries:
@@ -234,10 +240,18 @@
 
     def _report_loads(self, now: float) -> None:
         self._relay.report_loads(self._attempts.chooser.own_loads())
+        self._endpoint_limits.is_shared = self._relay.is_subscribed
+        if self._endpoint_limits.is_shared and (
+            rates := self._endpoint_limits.take_rates()
+        ):
+            self._relay.send_reports(rates)
 
     def _receive_loads(self, loads: Sequence[EndpointLoad]) -> None:
         self._attempts.chooser.set_peer_loads(loads, self._clock.now())
 
+    def _receive_rates(self, rates: EndpointRates) -> None:
+        self._endpoint_limits.receive(rates, self._clock.now())
+
     def _update_gauges(self, now: float) -> None:
         """Sets the gauges that show how current this proxy's state is."""
         gauge = self._metrics.gauge
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -7,6 +7,7 @@
 from knapweedarch.deployments import CacheStore
 from knapweedarch.dialects import Dialect, SendOptions
 from knapweedarch.endpoint_choice import EndpointChooser
+from knapweedarch.endpoint_rates import EndpointLimits
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.heartbeats import incarnation_start
 from knapweedarch.http_messages import Answer, Headers
@@ -36,6 +37,7 @@
     urgency,
 )
 from knapweedarch.quarantine_messages import runner_digest
+from knapweedarch.relay_messages import endpoint_digest
 from knapweedarch.repeat_budget import RepeatBudget, RepeatLimits
 from knapweedarch.stored_parts import PartsIndex, SaveLimiter
 from knapweedarch.timers import Clock
@@ -59,6 +61,7 @@
         chooser: Chooses among usable endpoints.
         index: Prompt parts cached in runners and stores.
         guard: Tells which prompts crash runners.
+        endpoint_limits: Limits that endpoints name.
         limits: Limit of repeats for all routers together.
         start_refusal: Returns why no request may be sent now, or None if it
             may.
@@ -79,6 +82,7 @@
         chooser: EndpointChooser,
         index: PartsIndex,
         guard: PromptGuard,
+        endpoint_limits: EndpointLimits,
         limits: RepeatLimits,
         start_refusal: Callable[[], RefusalReason | None],
         started_at: float,
@@ -92,6 +96,7 @@
         self._save_limiters: dict[str, SaveLimiter] = {}
         self._pool = pool
         self._guard = guard
+        self._endpoint_limits = endpoint_limits
         self._limits = limits
         self._start_refusal = start_refusal
         self._started_at = started_at
@@ -145,6 +150,7 @@
             e for e in endpoints if _serves_model(e, call.options.prompt)
         ]
         engine = call.service.engine
+        waits_s = self._limit_waits_s(candidates, now)
         endpoint = self.chooser.choose(
             *(
                 candidates,
@@ -154,7 +160,11 @@
                 call.cache_salt,
             ),
             memory_tokens=engine.memory_tokens if engine else 0,
+            barred=waits_s,
         )
+        if endpoint is None and waits_s:
+            call.is_limited = True
+            call.retry_after_s = min(waits_s.values())
         if endpoint is None or self._is_overloaded(call, endpoint):
             return None
         if call.send_count and not self._budget(call).try_acquire(
@@ -163,8 +173,41 @@
             self._log_refusal(call, "the repeat budget is used up")
             return None
         call.tried.append(endpoint.id)
+        # Counted before the connection is open: other requests are chosen for
+        # meanwhile.
+        self._endpoint_limits.record_sent(endpoint_digest(endpoint.id), now)
         return endpoint
 
+    def _limit_waits_s(
+        self, endpoints: Iterable[Endpoint], now: float
+    ) -> dict[str, float]:
+        """Returns after how many seconds limited endpoints take a request.
+
+        Endpoints that take one now are left out.
+        """
+        limits = self._endpoint_limits
+        if limits.is_empty:
+            return {}
+        waits_s = {
+            e.id: limits.wait_s(endpoint_digest(e.id), now) for e in endpoints
+        }
+        return {i: wait_s for i, wait_s in waits_s.items() if wait_s > 0}
+
+    def record_head(self, endpoint: Endpoint, head: AnswerHead) -> None:
+        """Records the limit that an endpoint names in an answer."""
+        if self.dialect.is_wrong_instance(head, endpoint.id):
+            return
+        limit_per_s = self.dialect.rate_limit(head)
+        if self._endpoint_limits.record_named(
+            endpoint_digest(endpoint.id), limit_per_s, self.clock.now()
+        ):
+            log(
+                "endpoint_limit",
+                endpoint=endpoint.id,
+                limit_per_s=limit_per_s,
+                shared=self._endpoint_limits.is_shared,
+            )
+
     def _is_overloaded(self, call: ProxyCall, endpoint: Endpoint) -> bool:
         """Returns whether a new request is refused; see `prompt_admission`."""
         prompt = call.options.prompt
@@ -493,6 +536,8 @@
             return RefusalReason.DEADLINE
         if call.held_s:
             return RefusalReason.PART_HELD
+        if call.is_limited:
+            return RefusalReason.ENDPOINTS_LIMITED
         if call.send_count:
             return RefusalReason.RETRIES_EXHAUSTED
         return RefusalReason.NO_CAPACITY
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -79,6 +79,7 @@
             is not known.
         parts: Digests of the shared parts of the prompt.
         held_s: Seconds for which one of them is held back; 0 if none is.
+        is_limited: Whether limits that endpoints name leave none for it.
     """
 
     req: Request
@@ -94,6 +95,7 @@
     retry_after_s: float = 0.0
     parts: tuple[int, ...] = ()
     held_s: float = 0.0
+    is_limited: bool = False
 
     def cache_salt(self, endpoint: Endpoint) -> str:
         """Returns the salt of the request's cache keys at an endpoint.
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -117,6 +117,7 @@
         )
         head = await self._read_head(exchange)
         scope.progress.has_head = True
+        attempts.record_head(endpoint, head)
         if attempts.dialect.was_not_run(head):
             await read_full_answer(exchange, head)
             scope.head = head
--- a/knapweedarch/proxy_unary.py
+++ b/knapweedarch/proxy_unary.py
@@ -91,6 +91,7 @@
     scope.exchange = await attempts.open(call, endpoint)
     head = await scope.exchange.send_request()
     scope.progress.has_head = True
+    attempts.record_head(endpoint, head)
     answer = await read_full_answer(scope.exchange, head)
     scope.head = head
     if attempts.dialect.was_not_run(head):
--- a/knapweedarch/relay_client.py
+++ b/knapweedarch/relay_client.py
@@ -11,6 +11,7 @@
 from knapweedarch.logs import log
 from knapweedarch.peer_loads import PeerLoads
 from knapweedarch.quarantine_messages import PartNotices, PartReports
+from knapweedarch.rate_messages import EndpointRates
 from knapweedarch.relay_messages import (
     EndpointLoad,
     LoadTotals,
@@ -45,6 +46,7 @@
 
     Attributes:
         on_notices: Called with what the member tells about parts of prompts.
+        on_rates: Called with the requests of others to limited endpoints.
         on_subscribed: Called when a member has accepted the subscription.
     """
 
@@ -65,6 +67,7 @@
         self._parts = parts
         self._on_loads = on_loads
         self.on_notices: Callable[[PartNotices], None] = lambda notices: None
+        self.on_rates: Callable[[EndpointRates], None] = lambda rates: None
         self.on_subscribed: Callable[[], None] = lambda: None
         self._loads = PeerLoads()
         self._link: links.Link | None = None
@@ -87,7 +90,7 @@
         if members:
             self._members = list(members)
 
-    def send_reports(self, reports: PartReports) -> None:
+    def send_reports(self, reports: PartReports | EndpointRates) -> None:
         """Sends reports to the member; they are lost without subscription."""
         if self.is_subscribed:
             self._send(reports)
@@ -198,6 +201,8 @@
                 self._receive_loads(link, message)
             case PartNotices():
                 self.on_notices(message)
+            case EndpointRates():
+                self.on_rates(message)
 
     def _accept(self, relay: Subscribed) -> None:
         self._relay = relay
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -26,6 +26,7 @@
     *("source_relay", "load_relay", "peer_loads", "relayed_parts"),
     *("runner_roles", "prefill_rates", "prompt_admission", "exponential"),
     *("target_weights", "quarantine_messages", "crash_tracker"),
+    *("rate_messages", "endpoint_rates", "rate_relay"),
     *("part_quarantine", "report_queue", "prompt_guard", "quarantine_relay"),
 )
 FORBIDDEN = {
