--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -10,7 +10,6 @@
 from knapweedarch.endpoint_rates import EndpointLimits
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.heartbeats import incarnation_start
-from knapweedarch.http_messages import Answer, Headers
 from knapweedarch.http_outbound import AnswerHead, Exchange, OutboundPool
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
@@ -32,10 +31,9 @@
     ExecutionStatus,
     Failure,
     ProxyCall,
-    remaining_s,
-    retry_after_header,
     urgency,
 )
+from knapweedarch.proxy_refusals import log_refusal, remaining_ms
 from knapweedarch.quarantine_messages import runner_digest
 from knapweedarch.relay_messages import endpoint_digest
 from knapweedarch.repeat_budget import RepeatBudget, RepeatLimits
@@ -170,7 +168,7 @@
         if call.send_count and not self._budget(call).try_acquire(
             self.router_count, now
         ):
-            self._log_refusal(call, "the repeat budget is used up")
+            log_refusal(call, "the repeat budget is used up", now)
             return None
         call.tried.append(endpoint.id)
         # Counted before the connection is open: other requests are chosen for
@@ -485,7 +483,7 @@
             head=progress.has_head,
             events=progress.events,
             parts=list(prompt.shared_ids) if prompt else [],
-            left_ms=self._remaining_ms(call),
+            left_ms=remaining_ms(call, self.clock),
         )
         return failure
 
@@ -504,60 +502,7 @@
             request=call.options.request_id,
             route=call.route.name,
             tried=list(call.tried),
-            left_ms=self._remaining_ms(call),
-        )
-
-    def make_refusal(self, call: ProxyCall) -> Answer:
-        """Builds the final answer to a request that is not sent again.
-
-        503 means that the request has not run. 502 means that it may have run,
-        and 504 that it may have run and its deadline has passed.
-        """
-        reason = self._refusal_reason(call)
-        expected_s = call.held_s or call.retry_after_s
-        if call.may_have_run:
-            reason, status = RefusalReason.OUTCOME_UNKNOWN, 502
-            if call.deadline <= self.clock.now():
-                status = 504
-            headers: Headers = ()
-        else:
-            status = 503
-            headers = (
-                retry_after_header(
-                    *(remaining_s(call, self.clock), reason, expected_s)
-                ),
-            )
-        self.metrics.count(f"refused.{reason.value}")
-        self._log_refusal(call, reason.value, status)
-        return Answer(status=status, headers=headers)
-
-    def _refusal_reason(self, call: ProxyCall) -> RefusalReason:
-        if remaining_s(call, self.clock) <= 0:
-            return RefusalReason.DEADLINE
-        if call.held_s:
-            return RefusalReason.PART_HELD
-        if call.is_limited:
-            return RefusalReason.ENDPOINTS_LIMITED
-        if call.send_count:
-            return RefusalReason.RETRIES_EXHAUSTED
-        return RefusalReason.NO_CAPACITY
-
-    def _remaining_ms(self, call: ProxyCall) -> int:
-        """Returns the milliseconds until the deadline; negative after it."""
-        return round((call.deadline - self.clock.now()) * 1000)
-
-    def _log_refusal(
-        self, call: ProxyCall, reason: str, status: int = 0
-    ) -> None:
-        log(
-            "request_given_up",
-            request=call.options.request_id,
-            route=call.route.name,
-            service=call.service.name,
-            tried=list(call.tried),
-            reason=reason,
-            status=status,
-            left_ms=self._remaining_ms(call),
+            left_ms=remaining_ms(call, self.clock),
         )
 
 
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -25,6 +25,7 @@
     ProxyCall,
     remaining_s,
 )
+from knapweedarch.proxy_refusals import make_refusal
 
 # Limits of the time without data, after which a resumable stream is resumed at
 # another runner: before the first event as a multiple of the route's latency
@@ -94,7 +95,7 @@
         if self._responder.started:
             self._responder.abort()
             return RequestEnd.BROKEN_OFF
-        answer = attempts.make_refusal(call)
+        answer = make_refusal(call, attempts.clock, attempts.metrics)
         self._status = answer.status
         await self._responder.send(answer)
         is_refusal = answer.status == 503
--- a/knapweedarch/proxy_unary.py
+++ b/knapweedarch/proxy_unary.py
@@ -18,6 +18,7 @@
     ProxyCall,
     remaining_s,
 )
+from knapweedarch.proxy_refusals import make_refusal
 
 # Fraction of the remaining time that an attempt gets if a retry may follow.
 ATTEMPT_TIME_FRACTION = 0.5
@@ -65,7 +66,9 @@
                 break
         if not attempts.may_repeat(call):
             break
-    return last_error or attempts.make_refusal(call)
+    if last_error is not None:
+        return last_error
+    return make_refusal(call, attempts.clock, attempts.metrics)
 
 
 def _should_retry(call: ProxyCall, answer: Answer) -> bool:
