--- a/features/crash_quarantine.feature
+++ b/features/crash_quarantine.feature
@@ -99,6 +99,15 @@
     Then no router holds the part back
     And no process remembers a crash
 
+  Scenario: A watched part is watched no more once it is answered
+    Load: parts that many requests share are under way at each crash. Guards
+    against routers that report their answers for long after the crashes.
+    Given a member that watches part "a" since two crashes
+    When a request with part "a" was answered before them
+    Then the member watches part "a"
+    When a request with part "a" is answered after them
+    Then the member does not watch part "a"
+
   Scenario: A part that is held back by mistake is released by an answer
     Guards against sound requests that are refused although others with the same
     part are answered.
--- a/features/steps/crash_quarantine_steps.py
+++ b/features/steps/crash_quarantine_steps.py
@@ -185,6 +185,49 @@
     assert held == ([context.part] if does == "holds" else []), held
 
 
+@given('a member that watches part "{part}" since two crashes')
+def create_watching_member(context, part):
+    context.member = QuarantineRelay()
+    crashed = CrashedPart(part_digest(MODEL, part), 0, answered=True)
+    for number in range(2):
+        crash = CrashReport(number, 0.0, (crashed,))
+        context.member.receive(
+            PartReports(crashes=(crash,)), is_member=False, now=10.0 + number
+        )
+    context.member.review(12.0)
+
+
+@when('a request with part "{part}" was answered before them')
+def report_earlier_answer(context, part):
+    report_answer(context, part, age_s=5.0)
+
+
+@when('a request with part "{part}" is answered after them')
+def report_later_answer(context, part):
+    report_answer(context, part, age_s=0.1)
+
+
+def report_answer(context, part, age_s: float) -> None:
+    sound = SoundPart(part_digest(MODEL, part), age_s)
+    context.member.receive(
+        PartReports(sound=(sound,)), is_member=False, now=12.5
+    )
+    # Long after the last crash, when nothing is left to be found.
+    context.member.review(20.0)
+    notices = context.member.take_notices() or context.notices
+    context.notices = notices
+
+
+@then('the member watches part "{part}"')
+def check_watched(context, part):
+    assert context.notices.watched == (part_digest(MODEL, part),)
+
+
+@then('the member does not watch part "{part}"')
+def check_not_watched(context, part):
+    assert context.notices.watched == ()
+
+
 @given('a router that holds part "{part}" back')
 def create_holding_router(context, part):
     context.guard = create_prompt_guard(SEED)
--- a/features/steps/prefill_load_steps.py
+++ b/features/steps/prefill_load_steps.py
@@ -27,6 +27,7 @@
 from knapweedarch.prompt_parts import Prompt, PromptPart
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_calls import ProxyCall
+from knapweedarch.proxy_refusals import make_refusal
 from knapweedarch.relay_messages import unpack_loads
 from knapweedarch.repeat_budget import RepeatLimits
 from knapweedarch.runner_roles import RunnerRoles
@@ -265,7 +266,8 @@
     call = create_call(context, prompt)
     runner = attempts.choose(call)
     if runner is None:
-        context.refusals.append(attempts.make_refusal(call))
+        refusal = make_refusal(call, attempts.clock, attempts.metrics)
+        context.refusals.append(refusal)
         return None
     now = context.clock.now()
     attempts.chooser.record_sent(runner, prompt, LONG_TOKENS, now)
--- a/knapweedarch/crash_tracker.py
+++ b/knapweedarch/crash_tracker.py
@@ -116,7 +116,12 @@
             self._crashes.popitem(last=False)
 
     def record_sound(self, part: int, at: float) -> None:
-        """Records that a request with a part was answered."""
+        """Records that a request with a part was answered.
+
+        A part that is watched is not, once it is answered meanwhile.
+        """
+        if at > self._watched_since.get(part, math.inf):
+            del self._watched_since[part]
         self._sound[part] = max(at, self.sound_at(part))
         self._sound.move_to_end(part)
         while len(self._sound) > MAX_SOUND:
