--- a/features/deployment.feature
+++ b/features/deployment.feature
@@ -100,6 +100,14 @@
     When every member and router is stopped and started in turn while requests go on
     Then every request was answered
 
+  Scenario: A router holds back a block that crashed runners at other routers
+    Guards against routers that each find out for themselves which prompts crash
+    runners.
+    Given the runners are replaced by 5 that crash on prompts with "crash"
+    When prompts with "crash" are sent through router-1 until one is held back
+    Then router-2 holds a prompt with "crash" back at the first request
+    And router-2 answers a prompt with "sound"
+
   Scenario: Every process serves its metrics and logs to standard output
     Guards against metrics or logs that are not available in an incident.
     When the metrics of member-1 and router-1 are fetched
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -2,7 +2,9 @@
 
 import concurrent.futures
 import hashlib
+import itertools
 import json
+import re
 import shutil
 import signal
 import threading
@@ -637,3 +639,67 @@
     text = (context.cluster.folder / f"{name}.log").read_text()
     lines = [json.loads(x) for x in text.splitlines() if x.startswith("{")]
     assert event in {line["event_name"] for line in lines}
+
+
+# More than a block of the prompt.
+BLOCK_BYTES = 10_000
+HELD_LIMIT_S = 20.0
+
+
+def ask_with_text(cluster, router, text, number):
+    """Sends a chat request whose first block consists of a text."""
+    content = f"{(text * BLOCK_BYTES)[:BLOCK_BYTES]} {number}"
+    messages = [{"role": "user", "content": content}]
+    return chat(cluster, router, messages=messages)
+
+
+def is_held(answer):
+    """Returns whether a request was refused because a block is held back."""
+    return answer.status_code == 503 and (
+        answer.json()["error"]["reason"] == "part_held"
+    )
+
+
+@given(
+    'the runners are replaced by {count:d} that crash on prompts with "{text}"'
+)
+def replace_runners(context, count, text):
+    cluster = context.cluster
+    for name in [n for n in cluster.processes if n.startswith("runner")]:
+        cluster.stop(name)
+    for number in range(count):
+        cluster.start_runner(f"crashing-{number}", "guide", crash_text=text)
+
+    def serves():
+        return ask_with_text(cluster, "router-2", "sound", 0).is_success
+
+    cluster.wait_for("the new runners serve", serves)
+
+
+@when('prompts with "{text}" are sent through {router} until one is held back')
+def send_until_held(context, text, router):
+    deadline = time.monotonic() + HELD_LIMIT_S
+    for number in itertools.count(1):
+        assert time.monotonic() < deadline, "no request was held back"
+        if is_held(ask_with_text(context.cluster, router, text, number)):
+            return
+        time.sleep(0.3)
+
+
+@then('{router} holds a prompt with "{text}" back at the first request')
+def check_held(context, router, text):
+    cluster = context.cluster
+
+    def knows():
+        page = cluster.metrics_page(router)
+        return re.search(r"^knapweedarch_parts_held_total [1-9]", page, re.M)
+
+    cluster.wait_for("the router knows the block", knows)
+    answer = ask_with_text(cluster, router, text, "other")
+    assert is_held(answer), answer.text
+
+
+@then('{router} answers a prompt with "{text}"')
+def check_answered(context, router, text):
+    answer = ask_with_text(context.cluster, router, text, 1)
+    assert answer.is_success, answer.text
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -494,6 +494,7 @@
     cache_blocks: int = 256,
     checks_fencing: bool = False,
     feed_loss: float = 0.0,
+    crash_text: str = "",
     fail: str = "",
     host: str = "127.0.0.1",
     port: int = 0,
@@ -513,6 +514,7 @@
     :param cache_blocks: Capacity of the prefix cache in blocks.
     :param checks_fencing: Refuse orders with outdated fencing numbers.
     :param feed_loss: Fraction of the cache events that is lost, 0 to 1.
+    :param crash_text: Text in a prompt at which the answer breaks off at once.
     :param fail: Fault injected into the first requests, `mode[:at[:times]]`.
     :param host: IP address to listen on.
     :param port: Port to listen on; 0 lets the kernel choose.
@@ -521,7 +523,7 @@
         RunnerConfig(
             *(id, model, version, data_centre, credential, seed),
             *(token_ms, prefill_ms, slots, cache_blocks),
-            *(checks_fencing, feed_loss),
+            *(checks_fencing, feed_loss, crash_text),
         )
     )
     runner.faults.add(parse_fault(fail))
