Give each test process an address of its own; list a scenario seen red once

A listener on that port gives the same failure; with an address of its own the feature passes beside it.

'A site without faults' failed once in the same run: a booking got another status than 200, which was not printed and is now. It is not traced.

--- a/features/steps/adapter_process_steps.py
+++ b/features/steps/adapter_process_steps.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -17,16 +18,16 @@
 EXIT_TIMEOUT_S = 20.0
 
 
-def free_port() -> int:
+def free_port(host: str) -> int:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
 def write_settings(context, seed: str) -> None:
     fields = {
         "nodeName": "front-1",
-        "bindIp": "127.0.0.1",
+        "bindIp": context.host,
         "zone": "dinsho",
         "zones.dinsho": "bale-highlands",
         "endpoints.front": context.front,
@@ -43,8 +44,11 @@
 def start_proxy_process(context):
     folder = pathlib.Path(tempfile.mkdtemp(prefix="knapweedarch-"))
     context.settings_file = folder / "local.conf"
-    context.front = f"127.0.0.1:{free_port()}"
-    context.ready = f"127.0.0.1:{free_port()}"
+    # The port of its metrics is fixed; other runs use addresses of their own.
+    second, third = random.SystemRandom().sample(range(2, 250), 2)
+    context.host = f"127.{second}.{third}.1"
+    context.front = f"{context.host}:{free_port(context.host)}"
+    context.ready = f"{context.host}:{free_port(context.host)}"
     write_settings(context, SEED)
     context.process = subprocess.Popen(
         [sys.executable, "platform", "proxy"],
--- a/features/steps/platform_site_steps.py
+++ b/features/steps/platform_site_steps.py
@@ -202,7 +202,7 @@
         for answer in plan.streams:
             assert is_complete(answer, plan.tokens), answer.text
         for answer in plan.bookings:
-            assert answer.status_code == 200, answer.text
+            assert answer.status_code == 200, answer
             assert runs[answer.json()["request"]] == 1
         customers = {r.customer for x in site.runners for r in x.runs}
         assert customers == {"huts"}, customers
