Drop counted requests to limited endpoints after their window

Found on reading the diff: counts were trimmed only when a router asked whether an endpoint takes a request. A router that only heard of others' requests, or had no member, kept every count as long as the limit was named. Both rows of the new scenario failed before, with 3000 counts after 300 s; now at most a window's.

--- a/features/endpoint_limits.feature
+++ b/features/endpoint_limits.feature
@@ -68,3 +68,14 @@
       | nan  | none  |
       | inf  | none  |
       | many | none  |
+
+  Scenario Outline: Requests to a limited endpoint are not remembered for long
+    Guards against a table that grows as long as an endpoint names its limit.
+    Given a router that knows of a limited endpoint, <what>
+    When a request is counted each 0.1 s for 300 s
+    Then at most 25 of them are remembered
+
+    Examples:
+      | what                          |
+      | of which only others make use |
+      | and has no member             |
--- a/features/steps/endpoint_limit_steps.py
+++ b/features/steps/endpoint_limit_steps.py
@@ -4,7 +4,9 @@
 
 from adapter.headers import PlatformDialect
 from features.limit_world import LimitWorld
+from knapweedarch.endpoint_rates import create_endpoint_limits
 from knapweedarch.http_outbound import AnswerHead
+from knapweedarch.rate_messages import EndpointRates, RateEntry
 
 SEED = 11
 # Requests count from this long after the limit was first named.
@@ -91,3 +93,28 @@
 def check_limit(context, limit):
     expected = None if limit == "none" else float(limit)
     assert context.limit == expected, context.limit
+
+
+@given("a router that knows of a limited endpoint, {what}")
+def create_router(context, what):
+    context.limited = create_endpoint_limits(SEED)
+    context.limited.record_named(1, 5.0, 0.0)
+    context.by_others = "others" in what
+
+
+@when("a request is counted each 0.1 s for {seconds:d} s")
+def count_requests(context, seconds):
+    for turn in range(seconds * 10):
+        now = turn / 10
+        if context.by_others:
+            rates = EndpointRates((RateEntry(1, 5.0, 1),))
+            context.limited.receive(rates, now)
+        else:
+            context.limited.record_named(1, 5.0, now)
+            context.limited.record_sent(1, now)
+
+
+@then("at most {most:d} of them are remembered")
+def check_remembered(context, most):
+    remembered = len(context.limited._limited[1].sent)
+    assert 1 <= remembered <= most, remembered
--- a/knapweedarch/endpoint_rates.py
+++ b/knapweedarch/endpoint_rates.py
@@ -80,6 +80,11 @@
         """Time after which the limit is forgotten, in seconds."""
         return max(LIMIT_TTL_S, LIMIT_TTL_REQUESTS / self.limit_per_s)
 
+    def add(self, count: int, now: float) -> None:
+        """Counts requests and drops those before the window."""
+        self.sent.append((now, count))
+        self.used(now)
+
     def used(self, now: float) -> int:
         """Returns the requests of all routers within the window."""
         while self.sent and self.sent[0][0] <= now - self.window_s:
@@ -197,7 +202,7 @@
         """Counts a request of this router."""
         limited = self._limited.get(endpoint)
         if limited is not None:
-            limited.sent.append((now, 1))
+            limited.add(1, now)
             limited.last_own_at = now
             limited.unreported += 1
 
@@ -215,7 +220,7 @@
                 limited.is_news = False
             limited.named_at = now
             if entry.sent > 0:
-                limited.sent.append((now, entry.sent))
+                limited.add(entry.sent, now)
 
     def take_rates(self) -> EndpointRates | None:
         """Returns what is to be reported to the member, if anything is."""
