Reproduce ORDER: a stream cut after a CRLF line looks complete

Looking for the same class, a case is left: the splitter takes the CRLF of one line for two line ends (the pattern falls back from CRLF to CR and LF), so each line of such a stream counts as an event. A stream that breaks off after the id line of event 3 is passed on as complete, and is not resumed.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -81,6 +81,30 @@
       | ends within event 3 with an end of chunks | 2    |
       | ends before event 1 without a length      | 0    |
 
+  Scenario Outline: A line end within an event is not the end of the event
+    Guards against a truncated stream that is passed on as complete, and resumed
+    after the event within which it ended, since one CRLF was taken for two line
+    ends.
+    Given a proxied runner that ends within event 3 after a line that ends with <end>
+    And a proxied runner that streams
+    When a caller sends a request that may be resumed
+    Then the caller gets status 200
+    And runner 2 was asked to resume after event 2
+    And the caller gets events 1 to 4 once each, in order
+
+    Examples:
+      | end  |
+      | LF   |
+      | CR   |
+      | CRLF |
+
+  Scenario: A stream whose lines end with CRLF is relayed unchanged
+    Guards against a stream that is cut or changed for its line ends.
+    Given a proxied runner that streams with CRLF
+    When a caller sends a request that streams
+    Then the caller gets status 200
+    And the caller gets events 1 to 4 once each, in order
+
   Scenario: A stream without a length is whole
     Guards against a stream that is taken for broken off since it ends with its
     connection.
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -45,6 +45,8 @@
 
 BODY = b'{"seats":2}'
 CHUNK = b"10000\r\n" + b"a" * 65_536 + b"\r\n"
+# First line of the event that a broken stream ends with.
+LINE = b"id: 3\n"
 EVENTS = tuple(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
 
 
@@ -206,6 +208,14 @@
             case "ends within event 3 with an end of chunks":
                 await _stream(stream, received, 2, b"id: 3\nda")
                 await stream.send(b"0\r\n\r\n")
+            case "ends within event 3 after a line that ends with CRLF":
+                await _stream_to_close(stream, received, 2, LINE, b"\r\n")
+            case "ends within event 3 after a line that ends with CR":
+                await _stream_to_close(stream, received, 2, LINE, b"\r")
+            case "ends within event 3 after a line that ends with LF":
+                await _stream_to_close(stream, received, 2, LINE)
+            case "streams with CRLF":
+                await _stream_to_close(stream, received, 4, line_end=b"\r\n")
             case "ends before event 1 without a length":
                 await _stream_to_close(stream, received, 0)
             case "breaks off within event 3":
@@ -276,7 +286,11 @@
 
 
 async def _stream_to_close(
-    stream, received: ReceivedRequest, until: int, rest: bytes = b""
+    stream,
+    received: ReceivedRequest,
+    until: int,
+    rest: bytes = b"",
+    line_end: bytes = b"\n",
 ) -> None:
     """Sends a stream that ends with its connection."""
     first = int(received.header("Last-Event-Id") or 0)
@@ -285,8 +299,8 @@
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         f"X-Knapweedarch-Request-Id: {request_id}\r\n\r\n"
     )
-    events = b"".join(EVENTS[first:until])
-    await stream.send(head.encode() + events + rest)
+    events = b"".join(EVENTS[first:until]) + rest
+    await stream.send(head.encode() + events.replace(b"\n", line_end))
     await stream.aclose()
 
 
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -210,6 +210,20 @@
     assert last_ids == [str(event)], last_ids
 
 
+@then("the caller gets events {first:d} to {last:d} once each, in order")
+def gets_events(context, first, last):
+    ids = re.findall(rb"^id: (\d+)$", as_lines(context), re.MULTILINE)
+    assert [int(i) for i in ids] == [*range(first, last + 1)], ids
+    data = re.findall(rb"^data: piece (\d+)$", as_lines(context), re.MULTILINE)
+    assert data == ids, (data, ids)
+    assert context.answer.body.endswith(b"0\r\n\r\n")
+
+
+def as_lines(context) -> bytes:
+    """Returns the body of the answer with LF as its only line end."""
+    return context.answer.body.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+
+
 @then("runner 1 loses its connection")
 def lost_connection(context):
     assert context.runners[0].closed_connections == 1
