End an event only at two line ends

Callers got a stream that its runner had broken off as if it were complete, and a resumable one was not resumed, where its lines end with CRLF. The pattern for the end of an event fell back from CRLF to CR and LF when no second line end followed, so each line was an event of its own: the check that a stream does not end within an event passed after any line, and the last event id was that of an event whose data had not come.

The groups of the pattern are atomic now, so a CRLF is one line end.

Ruled out: line ends that the read splits; the seeded rows read 1 to 8 bytes at a time.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -98,6 +98,17 @@
       | CR   |
       | CRLF |
 
+  Scenario Outline: Events are found wherever a stream is read and cut
+    Guards against an event that is counted before it is complete, or never.
+    Given 2000 streams of 5 events with <end>, cut and read at seeded places
+    Then the events counted and the last event id are those that are complete
+
+    Examples:
+      | end  |
+      | LF   |
+      | CR   |
+      | CRLF |
+
   Scenario: A stream whose lines end with CRLF is relayed unchanged
     Guards against a stream that is cut or changed for its line ends.
     Given a proxied runner that streams with CRLF
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -17,6 +17,7 @@
     receive_all,
     request,
 )
+from knapweedarch.event_stream import EventSplitter
 from knapweedarch.models import RefusalReason
 
 ROUTE_NAMES = {
@@ -224,6 +225,38 @@
     return context.answer.body.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
 
 
+@given(
+    "{count:d} streams of 5 events with {end}, cut and read at seeded places"
+)
+def cut_streams(context, count, end):
+    line_end = {"LF": b"\n", "CR": b"\r", "CRLF": b"\r\n"}[end]
+    rng = random.Random(1)
+    context.cuts = []
+    whole = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 6))
+    whole = whole.replace(b"\n", line_end)
+    for _ in range(count):
+        data = whole[: rng.randrange(len(whole) + 1)]
+        splitter, count_found, last_id = EventSplitter(), 0, "0"
+        place = 0
+        while place < len(data):
+            size = rng.randrange(1, 9)
+            batch = splitter.feed(data[place : place + size])
+            count_found += batch.count
+            last_id = batch.last_id or last_id
+            place += size
+        context.cuts.append((data, line_end, count_found, last_id))
+
+
+@then("the events counted and the last event id are those that are complete")
+def check_cuts(context):
+    for data, line_end, count, last_id in context.cuts:
+        complete = data.count(line_end * 2)
+        # The LF of a CRLF that ends an event need not have arrived.
+        if data.endswith(b"\r\n\r"):
+            complete += 1
+        assert (count, last_id) == (complete, str(complete)), data
+
+
 @then("runner 1 loses its connection")
 def lost_connection(context):
     assert context.runners[0].closed_connections == 1
--- a/knapweedarch/event_stream.py
+++ b/knapweedarch/event_stream.py
@@ -6,8 +6,9 @@
 
 from knapweedarch.exceptions import EventTooLongError
 
-# An event ends with an empty line; a line ends with CR, LF or CRLF.
-EVENT_END = re.compile(rb"(?:\r\n|\r|\n)(?:\r\n|\r|\n)")
+# An event ends with an empty line; a line ends with CR, LF or CRLF. The groups
+# are atomic, so that a CRLF never matches as two line ends.
+EVENT_END = re.compile(rb"(?>\r\n|\r|\n)(?>\r\n|\r|\n)")
 # Longest event; a runner in trouble may send bytes without end.
 MAX_EVENT_BYTES = 1024 * 1024
 ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)$", re.MULTILINE)
