Reset callers of HTTP/1.0 whose answer breaks off

A caller of HTTP/1.0 gets no chunks, so its answer ends with the connection. When the proxy broke a stream off, it closed that connection in the ordinary way, and the caller took the part for the whole. The close is a reset now, wherever an answer without chunks has begun and is not complete (an abort, an error in the handler, the end of a drain).

Callers of HTTP/1.1 see no end of chunks, as before.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -116,6 +116,13 @@
     Then the caller gets status 200
     And the caller gets events 1 to 4 once each, in order
 
+  Scenario: A caller that cannot get chunks sees a broken stream as broken
+    Guards against a truncated stream that looks complete: without chunks its end
+    is that of the connection.
+    Given a proxied runner that breaks off within event 3
+    When a caller that speaks HTTP/1.0 sends a request that streams
+    Then its connection is reset after event 2
+
   Scenario: A stream without a length is whole
     Guards against a stream that is taken for broken off since it ends with its
     connection.
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -257,6 +257,34 @@
         assert (count, last_id) == (complete, str(complete)), data
 
 
+@when("a caller that speaks HTTP/1.0 sends a request that {kind}")
+def sends_http_1_0(context, kind):
+    data = request(ROUTE_NAMES[kind]).replace(b"HTTP/1.1", b"HTTP/1.0")
+
+    async def run():
+        async with open_proxy() as fixture:
+            await fixture.add_runner(context.modes[0])
+            stream = await anyio.connect_tcp("127.0.0.1", fixture.port)
+            async with stream:
+                await stream.send(data)
+                context.data, context.was_reset = b"", False
+                try:
+                    while True:
+                        context.data += await stream.receive()
+                except anyio.BrokenResourceError:
+                    context.was_reset = True
+                except anyio.EndOfStream:
+                    pass
+
+    anyio.run(run)
+
+
+@then("its connection is reset after event {number:d}")
+def was_reset(context, number):
+    assert EVENTS[number - 1] in context.data, context.data
+    assert context.was_reset
+
+
 @then("runner 1 loses its connection")
 def lost_connection(context):
     assert context.runners[0].closed_connections == 1
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -8,6 +8,8 @@
 """
 
 import contextlib
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -24,6 +26,8 @@
 # Closing a connection with unread bytes resets it and loses the last response,
 # so the peer gets this long to close its side first.
 LINGER_TIMEOUT_S = 1.0
+# SO_LINGER with a timeout of 0 s: closing the connection resets it.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 STREAM_ERRORS = (
     OSError,
     anyio.EndOfStream,
@@ -122,9 +126,24 @@
         except CallerGoneError:
             pass
         finally:
+            self._reset_if_partial()
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self._stream)
 
+    def _reset_if_partial(self) -> None:
+        """Makes the close a reset where it would look like a complete answer.
+
+        Callers of HTTP/1.0 get no chunks; the end of the connection is that of
+        their answer.
+        """
+        if self._h11.our_state is not h11.SEND_BODY:
+            return
+        if self._h11.their_http_version == b"1.1":
+            return
+        sock = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     async def _serve_request(self) -> bool:
         """Serves a request; returns whether another may follow."""
         try:
