--- a/features/platform_site.feature
+++ b/features/platform_site.feature
@@ -61,3 +61,13 @@
     When requests for 8.0 s share a part that crashes runners
     Then at most 3 of them start later than 3.0 s after the fifth crash
     And at least half of the sound requests after that are answered
+
+  Scenario: A request that crashes servers stops reaching them
+    Load: four times a second a caller repeats one request, at any proxy, on which
+    each server of a plain service crashes before it answers, beside sound ones.
+    Guards against one request without a prompt that ends server after server, and
+    against sound requests that are refused with it.
+    Given a platform site of 3 members, 3 proxies and 1 runners
+    When a request that crashes servers is repeated for 9.0 s
+    Then at most 3 copies of it start later than 3.0 s after the third crash
+    And at least half of the other requests after that are answered
--- a/features/steps/platform_site_steps.py
+++ b/features/steps/platform_site_steps.py
@@ -321,6 +321,75 @@
     context.plan.run(check)
 
 
+CRASH_BODY = b'{"crash":true}'
+DESKS = 3
+
+
+@when("a request that crashes servers is repeated for {seconds:f} s")
+def repeat_crashing_request(context, seconds):
+    plan = context.plan
+    plan.sound = []
+
+    async def send(site, body, sound=None):
+        proxy = f"proxy-{random.randint(1, plan.shape[1])}"
+        with contextlib.suppress(httpx.HTTPError):
+            answer = await site.send_request(proxy, "/booking/x", body=body)
+            if sound is not None:
+                sound.answered = answer.status_code == 200
+
+    async def send_all(site, group):
+        every = round(SOUND_PER_S / CRASHING_PER_S)
+        for number in range(round(seconds * SOUND_PER_S)):
+            sound = SoundStream(anyio.current_time())
+            plan.sound.append(sound)
+            group.start_soon(send, site, b'{"seat":%d}' % number, sound)
+            if number % every == 0:
+                group.start_soon(send, site, CRASH_BODY)
+            await anyio.sleep(1 / SOUND_PER_S)
+
+    async def action(site):
+        for _ in range(DESKS - 1):
+            await site.add_runner("desk")
+        for runner in site.runners:
+            runner.crash_body = CRASH_BODY
+        async with anyio.create_task_group() as group:
+            group.start_soon(send_all, site, group)
+
+    plan.actions.append(action)
+
+
+@then(
+    "at most {most:d} copies of it start later than {seconds:f} s after the"
+    " third crash"
+)
+def check_crashing_copies(context, most, seconds):
+    plan = context.plan
+    plan.bound = (most, seconds)
+
+
+@then("at least half of the other requests after that are answered")
+def check_other_requests(context):
+    plan = context.plan
+    most, seconds = plan.bound
+
+    async def check(site):
+        crashes = sorted(t for r in site.runners for t in r.crashed_at)
+        assert len(crashes) >= 3, crashes
+        bound_at = crashes[2] + seconds
+        runs = [run for r in site.runners for run in r.runs]
+        later = [
+            run
+            for run in runs
+            if run.body == CRASH_BODY and run.started_at > bound_at
+        ]
+        assert len(later) <= most, (len(later), len(crashes))
+        sound = [s for s in plan.sound if s.sent_at > bound_at]
+        answered = [s for s in sound if s.answered]
+        assert len(answered) >= len(sound) / 2, (len(answered), len(sound))
+
+    plan.run(check)
+
+
 # Requests with the part that crashes runners, and sound ones, per second.
 CRASHING_PER_S = 4.0
 SOUND_PER_S = 10.0
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -42,6 +42,7 @@
         weights: Version of the weights at the start.
         computed_tokens: Number of prompt tokens that were not cached.
         parts: Ids of the parts of its prompt.
+        body: Its body.
         started_at: When it started, in seconds on the event loop's clock.
         done: Whether the complete response was sent.
     """
@@ -51,6 +52,7 @@
     weights: int
     computed_tokens: int
     parts: tuple[str, ...] = ()
+    body: bytes = b""
     started_at: float = attrs.field(factory=anyio.current_time)
     done: bool = False
 
@@ -75,6 +77,8 @@
         order_count: Number of accepted orders.
         crash_part: Part of a prompt on which the runner crashes as it begins
             to write an answer; empty for none.
+        crash_body: Body of a request on which it crashes before it answers;
+            empty for none.
         crashed_at: Times of its crashes, in seconds on the event loop's clock.
     """
 
@@ -92,6 +96,7 @@
     leave_confirmed: anyio.Event = attrs.field(factory=anyio.Event)
     order_count: int = 0
     crash_part: str = ""
+    crash_body: bytes = b""
     crashed_at: list[float] = attrs.field(factory=list)
     _loading: bool = False
     _born: int = attrs.field(factory=lambda: int(time.time() * 1000))
@@ -254,6 +259,7 @@
             *(request_id, _header(req, HEADER_PREFIX + "Tenant"), self.weights),
             computed_tokens=self._cache_prompt(req),
             parts=_part_ids(req),
+            body=req.body,
         )
         self.runs.append(run)
         headers = (
@@ -265,12 +271,14 @@
         )
         if not self.model:
             await anyio.sleep(SERVICE_DURATION_S)
+            if self.crash_body and req.body == self.crash_body:
+                await self._crash()
             body = json.dumps({"request": request_id}).encode()
             await responder.send(Answer(status=200, headers=headers, body=body))
         else:
             await anyio.sleep(run.computed_tokens / PROMPT_TOKENS_PER_S)
             if self.crash_part in run.parts:
-                await self._crash(headers, responder)
+                await self._crash_within_event(headers, responder)
             await self._stream(req, headers, responder)
         run.done = True
 
@@ -294,11 +302,15 @@
                 self._record_change("+", salt, part, int(tokens))
         return computed
 
-    async def _crash(self, headers, responder: Responder) -> None:
+    async def _crash_within_event(self, headers, responder: Responder) -> None:
         """Ends within the first event of an answer."""
         content_type = (b"content-type", b"text/event-stream")
         await responder.start(200, (*headers, content_type))
         await responder.write(b"id: 1\nda")
+        await self._crash()
+
+    async def _crash(self) -> None:
+        """Ends all requests and connections."""
         self.crashed_at.append(anyio.current_time())
         self._group.cancel_scope.cancel()
         await anyio.sleep_forever()
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -304,7 +304,12 @@
                 await self.wait(lambda name=name: self.is_ready(name))
 
     async def send_request(
-        self, proxy: str, path: str, tokens: int = 0, parts: str = ""
+        self,
+        proxy: str,
+        path: str,
+        tokens: int = 0,
+        parts: str = "",
+        body: bytes = b"{}",
     ) -> httpx.Response:
         """Sends a caller's request; returns the complete response.
 
@@ -314,6 +319,7 @@
             tokens: Number of tokens to generate; 0 for a plain service.
             parts: Shared parts of the prompt as `ID:TOKENS,...`; by default
                 one that all requests share and one of three.
+            body: Body of the request.
         """
         self._requests += 1
         headers = {
@@ -330,7 +336,7 @@
                 f"{shared},c{self._requests}:90"
             )
         return await self.client.post(
-            self.proxy_url(proxy) + path, headers=headers, content=b"{}"
+            self.proxy_url(proxy) + path, headers=headers, content=body
         )
 
 
