Log which broken attempts were copies of one request

Copies of a request have ids of their own, so the logs of second1 could not tell whether one request came back or many of a kind. attempt_ended has the digest of caller, path and body now; the digests of prompts move to the same module.

--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -41,9 +41,9 @@
 from knapweedarch.prompt_guard import (
     CRASH_REASONS,
     SOUND_EVENTS,
-    block_digests,
 )
 from knapweedarch.quarantine_messages import runner_digest
+from knapweedarch.request_digests import block_digests
 from knapweedarch.sinks import BufferedSink, EventSink, Sink
 from knapweedarch.streams import Chunk, Finish, StreamProtocolError, StreamState
 from knapweedarch.watchdogs import Step, Watchdog
--- a/knapweedarch/prompt_guard.py
+++ b/knapweedarch/prompt_guard.py
@@ -11,7 +11,6 @@
 
 from knapweedarch.models import RetryReason
 from knapweedarch.part_quarantine import PartQuarantine
-from knapweedarch.prompt_parts import Prompt
 from knapweedarch.quarantine_messages import (
     CrashedPart,
     CrashReport,
@@ -19,7 +18,6 @@
     PartNotices,
     PartReports,
     merge_parts,
-    part_digest,
 )
 from knapweedarch.report_queue import ReportQueue
 
@@ -32,8 +30,6 @@
 SOUND_EVENTS = 2
 # Largest time after the end of a hold until this router sends the part again.
 LONGEST_OPEN_DELAY_S = 10.0
-# Longer prompts are judged by as many leading blocks.
-MAX_GUARDED_BLOCKS = 24
 # Sound requests with one watched part are reported at most once in this time.
 SOUND_INTERVAL_S = 0.5
 
@@ -134,24 +130,6 @@
         return self._queue.take(now)
 
 
-def part_digests(prompt: Prompt | None) -> tuple[int, ...]:
-    """Returns the digests of the parts that other prompts may share."""
-    if prompt is None:
-        return ()
-    return tuple(part_digest(prompt.model, i) for i in prompt.shared_ids)
-
-
-def block_digests(model: str, blocks: Sequence[int]) -> tuple[int, ...]:
-    """Returns the digests of the first blocks of a prompt.
-
-    Args:
-        model: Name of the model.
-        blocks: Chained hashes of the blocks; see `prefixes`.
-    """
-    leading = blocks[:MAX_GUARDED_BLOCKS]
-    return tuple(part_digest(model, f"{block:x}") for block in leading)
-
-
 def create_prompt_guard(seed: int) -> PromptGuard:
     """Creates the guard of a router.
 
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -140,7 +140,7 @@
             part of the prompt is held back.
         """
         now = self.clock.now()
-        call.held_s = self._guard.held_s(call.parts, now)
+        call.held_s = self._guard.held_s(call.digests.parts, now)
         if call.held_s:
             return None
         endpoints = self._by_service.get(call.service.name, ())
@@ -448,7 +448,7 @@
         if exc.reason in CRASH_REASONS and progress.events < SOUND_EVENTS:
             runner = runner_digest(endpoint.id, endpoint.incarnation)
             self._guard.record_broken(
-                runner, call.parts, progress.has_head, self.clock.now()
+                runner, call.digests.parts, progress.has_head, self.clock.now()
             )
 
     def record_sound(self, call: ProxyCall) -> None:
@@ -456,8 +456,8 @@
 
         It must be called once for an attempt.
         """
-        if call.parts:
-            self._guard.record_sound(call.parts, self.clock.now())
+        if call.digests.parts:
+            self._guard.record_sound(call.digests.parts, self.clock.now())
 
     def record_failure(
         self,
@@ -483,6 +483,7 @@
             head=progress.has_head,
             events=progress.events,
             parts=list(prompt.shared_ids) if prompt else [],
+            digest=call.digests.request,
             left_ms=remaining_ms(call, self.clock),
         )
         return failure
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -9,6 +9,7 @@
 from knapweedarch.dialects import CallerOptions
 from knapweedarch.http_messages import Request
 from knapweedarch.models import Endpoint, RefusalReason, RetryReason
+from knapweedarch.request_digests import RequestDigests
 from knapweedarch.timers import Clock
 
 # Largest Retry-After as a fraction of the caller's remaining time, so that a
@@ -77,7 +78,7 @@
         may_have_run: Whether any attempt may have run.
         retry_after_s: Seconds after which a resend may be admitted; 0 if that
             is not known.
-        parts: Digests of the shared parts of the prompt.
+        digests: What it has in common with other requests.
         held_s: Seconds for which one of them is held back; 0 if none is.
         is_limited: Whether limits that endpoints name leave none for it.
     """
@@ -93,7 +94,7 @@
     send_count: int = 0
     may_have_run: bool = False
     retry_after_s: float = 0.0
-    parts: tuple[int, ...] = ()
+    digests: RequestDigests = attrs.field(factory=lambda: RequestDigests(0))
     held_s: float = 0.0
     is_limited: bool = False
 
--- a/knapweedarch/proxy_gateway.py
+++ b/knapweedarch/proxy_gateway.py
@@ -17,11 +17,15 @@
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import RefusalReason, RequestEnd
-from knapweedarch.prompt_guard import part_digests
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_calls import ProxyCall, retry_after_header
 from knapweedarch.proxy_streams import StreamRelay
 from knapweedarch.proxy_unary import serve_unary
+from knapweedarch.request_digests import (
+    RequestDigests,
+    part_digests,
+    request_digest,
+)
 from knapweedarch.timers import Clock
 
 # The final answer is due this long before the time limit of the request ends.
@@ -139,7 +143,10 @@
             customer=customer,
             deadline=req.began_at + limit_s - ANSWER_MARGIN_S,
             started_at=req.began_at,
-            parts=part_digests(options.prompt),
+            digests=RequestDigests(
+                _request_digest(req, host, customer),
+                part_digests(options.prompt),
+            ),
         )
 
     async def _refuse(
@@ -162,3 +169,8 @@
         if status == 503:
             headers = (retry_after_header(options.limit_s or 1.0, reason),)
         await responder.send(Answer(status=status, headers=headers))
+
+
+def _request_digest(req: Request, host: str, customer: Customer | None) -> int:
+    target = f"{req.method!r} {host} {req.target!r}"
+    return request_digest(customer.name if customer else "", target, req.body)
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -28,6 +28,7 @@
     *("target_weights", "quarantine_messages", "crash_tracker"),
     *("rate_messages", "endpoint_rates", "rate_relay"),
     *("part_quarantine", "report_queue", "prompt_guard", "quarantine_relay"),
+    "request_digests",
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
