Hold back single requests that crash endpoints

A request without a prompt, or whose parts are sound in others, had no identity: each router took each crash for a fault of the endpoint, sent the request on, and remembered nothing. Plain services of the product's gateway were not guarded at all.

A digest of caller, path and body now counts as the deepest part of a prompt, in proxy and gateway, for streams, whole answers and plain services. Three crashes without any answer hold it back; no beginning of an answer is needed, since nobody else waits for it. Three more causes of sends past the bound, each found by a scenario: a request that comes back each 50 s was forgotten after 120 s; at the end of a hold several routers tried it before they knew of the first crash (4 sends, now the routers open over half the hold, and a crash on probation counts at once); and requests with one part in common would explain that part's crashes one by one.

One check changes: a crash report may have 128 parts, not 48, since each request under way adds its digest; the bound is still checked.

--- a/features/crash_quarantine.feature
+++ b/features/crash_quarantine.feature
@@ -1,4 +1,4 @@
-Feature: Parts of prompts that crash runners are held back
+Feature: Requests and parts of prompts that crash endpoints are held back
 
   No scenario needs a network; routers, members and runners run in virtual time.
 
@@ -39,6 +39,58 @@
       | 9       | 9       | 40    |
       | 1       | 3       | 80    |
 
+  Scenario Outline: One request that comes again crashes three endpoints, no more
+    Load: one request comes again <crashing> times a second at any router, is sent
+    once more after a crash and gets no byte of an answer; <sound> others come,
+    <prompts> prompts. Guards against a request that ends server after server, and
+    against sound requests that are refused with it.
+    Given <routers> routers, 5 members and <runners> runners that crash on a part
+    When 1 crashing request comes <crashing> times a second, and <sound> others, <prompts> prompts, for <seconds> s
+    Then at most 3 are sent later than 3.0 s after the third crash
+    And no sound request is refused later than 3.0 s after the third crash
+    And no router receives more than 9000 bytes a second for it
+
+    Examples:
+      | routers | runners | crashing | sound | prompts | seconds |
+      | 1       | 3       | 1        | 10    | without | 40      |
+      | 9       | 3       | 1        | 10    | without | 40      |
+      | 9       | 3       | 5        | 40    | without | 40      |
+      | 9       | 9       | 5        | 40    | with    | 40      |
+      | 9       | 9       | 0.2      | 40    | with    | 90      |
+      | 9       | 9       | 0.02     | 10    | without | 400     |
+      | 9       | 9       | 5        | 40    | with    | 300     |
+      | 195     | 59      | 5        | 190   | with    | 40      |
+      | 195     | 59      | 20       | 190   | with    | 40      |
+      | 195     | 59      | 20       | 190   | without | 100     |
+
+  Scenario Outline: Several such requests come at once
+    Guards against a request that is not found since others crash endpoints too.
+    Given 9 routers, 5 members and 20 runners that crash on a part
+    When <copies> crashing requests come <rate> times a second, and 40 others, <prompts> prompts, for 60 s
+    Then at most 3 of each are sent later than 3.0 s after its third crash
+
+    Examples:
+      | copies | rate | prompts |
+      | 2      | 5    | with    |
+      | 4      | 5    | with    |
+      | 4      | 1    | without |
+      | 8      | 2    | with    |
+
+  Scenario: Many requests with one part, each sent several times, are one cause
+    Guards against each request that is held back in turn, while the part that
+    they share goes on to end runners.
+    Given 9 routers, 5 members and 9 runners that crash on a part
+    When 5 requests a second with it as second part are sent up to 4 times each, and 40 others, for 40 s
+    Then at most 3 are sent later than 3.0 s after the fifth crash
+    And no sound request is refused later than 3.0 s after the fifth crash
+
+  Scenario: A sound request that broke off several times is served again
+    Runners fail for another reason. Guards against a request that stays refused
+    although it is sound.
+    Given a router that holds a request back
+    When a copy of it is answered after the hold
+    Then the router does not hold it back, also after one more crash
+
   Scenario: A part that was sound for long begins to crash runners
     Load: new weights make one part crash runners that answered it before.
     Guards against a part that earlier answers protect for ever.
--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -43,7 +43,11 @@
     SOUND_EVENTS,
 )
 from knapweedarch.quarantine_messages import runner_digest
-from knapweedarch.request_digests import block_digests
+from knapweedarch.request_digests import (
+    RequestDigests,
+    block_digests,
+    request_digest,
+)
 from knapweedarch.sinks import BufferedSink, EventSink, Sink
 from knapweedarch.streams import Chunk, Finish, StreamProtocolError, StreamState
 from knapweedarch.watchdogs import Step, Watchdog
@@ -94,7 +98,11 @@
         sink: Sink = EventSink(call, request_id)
         if not request.stream:
             sink = BufferedSink(call, request_id, request.rule.name)
-        run = ChatRun(router, self._background, request, ticket, sink)
+        digests = RequestDigests(
+            request_digest(customer.name, f"POST {call.path}", data),
+            block_digests(ticket.model, ticket.blocks),
+        )
+        run = ChatRun(router, self._background, request, ticket, sink, digests)
         caller_disconnected = False
         failure: Exception | None = None
         async with anyio.create_task_group() as group:
@@ -157,6 +165,7 @@
         request: ChatRequest,
         ticket: Ticket,
         sink: Sink,
+        digests: RequestDigests,
     ):
         self._router = router
         self._background = background
@@ -167,7 +176,8 @@
         self.watchdog = Watchdog(router.clock)
         self._state = StreamState(ticket.id)
         self._outcome = Outcome.NOT_RUN
-        self._parts = block_digests(ticket.model, ticket.blocks)
+        self._digests = digests
+        self._broke_off = False
 
     async def run(self) -> None:
         """Makes attempts until the response is complete or retries run out.
@@ -200,7 +210,7 @@
         result = AttemptResult(cancelled=True)
         relay = _AttemptRelay(
             *(self._router, self._state, self._sink, attempt, self.watchdog),
-            self._parts,
+            self._digests,
         )
         try:
             await self._relay_stream(attempt, attempt_id, relay)
@@ -280,6 +290,7 @@
         written = not isinstance(exc, EndpointError) or exc.written
         if written and reason not in NOT_RUN_REASONS:
             self._outcome = Outcome.UNKNOWN
+        self._broke_off = reason in CRASH_REASONS
         self._router.count(f"retried.{reason.value}")
         if reason is RetryReason.CROSSED_ANSWER:
             self._router.count("crossed.dropped")
@@ -292,13 +303,17 @@
             message=str(exc),
         )
 
+    def _may_repeat(self) -> bool:
+        now = self._router.clock.now()
+        return self._router.guard.may_repeat(self._digests, now)
+
     def _held_s(self) -> float:
-        """Returns for how long a part of the prompt is held back, or 0."""
+        """Returns for how long the request is held back, or 0."""
         now = self._router.clock.now()
-        return self._router.guard.held_s(self._parts, now)
+        return self._router.guard.held_s(self._digests, now)
 
     async def _place_again(self, failed: Attempt) -> Dispatch | Refuse:
-        if self._held_s():
+        if self._held_s() or (self._broke_off and not self._may_repeat()):
             return Refuse(RefusalReason.RETRIES_EXHAUSTED)
         if self._state.started:
             if not self._state.resumable:
@@ -347,7 +362,7 @@
     Attributes:
         sent: Whether bytes of the request may have been written.
         cached_tokens: Prompt tokens found in the cache, if reported.
-        parts: Digests of the blocks of the prompt.
+        digests: What the request has in common with others.
         events: Number of events received.
         has_head: Whether an answer has begun.
     """
@@ -357,7 +372,7 @@
     sink: Sink
     attempt: Attempt
     watchdog: Watchdog
-    parts: tuple[int, ...] = ()
+    digests: RequestDigests
     sent: bool = False
     events: int = 0
     has_head: bool = False
@@ -400,7 +415,7 @@
     def _record_sound(self) -> None:
         """Records that the runner did not crash on the prompt."""
         router = self.router
-        router.guard.record_sound(self.parts, router.clock.now())
+        router.guard.record_sound(self.digests, router.clock.now())
 
     def record_crash(self, exc: EndpointError | StreamProtocolError) -> None:
         """Records that the request may have crashed its runner."""
@@ -412,7 +427,7 @@
             runner = self.attempt.endpoint
             self.router.guard.record_broken(
                 runner_digest(runner.id, runner.incarnation),
-                *(self.parts, self.has_head, self.router.clock.now()),
+                *(self.digests, self.has_head, self.router.clock.now()),
             )
 
     def _timeout_error(self, stream: ChatStream) -> KnapweedarchError:
--- a/knapweedarch/crash_tracker.py
+++ b/knapweedarch/crash_tracker.py
@@ -1,9 +1,10 @@
-"""Finds the parts of prompts that crash runners.
+"""Finds the requests and the parts of prompts that crash runners.
 
 A request that crashes its runner is lost in the crowd: all other requests under
 way at that runner break with it. Over several crashes only the parts of the
-cause recur without ever being answered in between. All times are seconds on one
-clock, whose zero point is arbitrary.
+cause recur without ever being answered in between. A whole request counts as
+the deepest part of its prompt. All times are seconds on one clock, whose zero
+point is arbitrary.
 """
 
 import collections
@@ -13,6 +14,7 @@
 import attrs
 
 from knapweedarch.quarantine_messages import (
+    REQUEST_DEPTH,
     CrashedPart,
     CrashReport,
     merge_parts,
@@ -25,11 +27,13 @@
 # was under way at most of them is a cause by itself.
 SAME_CAUSE_S = 0.25
 OWN_CAUSE_SHARE = 0.8
-# Crashes are remembered for this long, and at most so many.
-CRASH_MEMORY_S = 120.0
+# Crashes are remembered for this long, and at most so many. A caller may repeat
+# a request only each minute or so.
+CRASH_MEMORY_S = 600.0
 MAX_CRASHES = 64
 # Crashes after which a part is suspected if its requests had the beginning of
-# an answer each time and none was ever answered; and else.
+# an answer each time and none was ever answered; and else. A whole request that
+# was never answered needs no beginning of an answer: nobody else has it.
 CRASHES_TO_SUSPECT = 3
 WEAK_CRASHES_TO_SUSPECT = 5
 # Crashes after which answers to requests with the part are reported.
@@ -39,7 +43,8 @@
 WATCH_S = 0.5
 # Time after the last report of a crash in which a part may be found.
 SETTLE_S = 2.0
-MAX_WATCHED = 32
+MAX_WATCHED_PARTS = 24
+MAX_WATCHED_REQUESTS = 8
 # Parts that are remembered as sound; the least recent ones are dropped.
 MAX_SOUND = 4096
 
@@ -51,12 +56,12 @@
     Attributes:
         at: When it was first seen.
         parts: Parts of the requests that may have caused it.
-        explained: Whether a part that is held back has caused it.
+        cause: The part that is held back and has caused it, if any.
     """
 
     at: float
     parts: tuple[CrashedPart, ...]
-    explained: bool = False
+    cause: CrashedPart | None = None
 
 
 @attrs.define
@@ -73,6 +78,17 @@
     answered: int = 0
     depth: int = 0
 
+    @property
+    def is_request(self) -> bool:
+        """Whether the part is a whole request."""
+        return self.depth == REQUEST_DEPTH
+
+    @property
+    def is_strong(self) -> bool:
+        """Whether so many crashes suffice if the part was never answered."""
+        counted = self.crashes if self.is_request else self.answered
+        return counted >= CRASHES_TO_SUSPECT
+
     def add(self, entries: Sequence[CrashedPart], count: int) -> None:
         """Counts the crashes of one moment.
 
@@ -132,10 +148,14 @@
         return self._sound.get(part, -math.inf)
 
     def explain(self, held: Collection[int]) -> None:
-        """Attributes crashes to parts that are held back."""
+        """Attributes crashes to parts that are held back.
+
+        Of several, the one with the most requests is the cause.
+        """
         for crash in self._crashes.values():
-            if any(p.part in held for p in crash.parts):
-                crash.explained = True
+            causes = [p for p in crash.parts if p.part in held]
+            if causes:
+                crash.cause = min(causes, key=lambda p: p.depth)
 
     def review(self, on_probation: Collection[int], now: float) -> int | None:
         """Returns a part that has crashed runners, if any is evident.
@@ -150,19 +170,21 @@
         """
         if not self._forget(now) and now > self._settled_at:
             return None
+        if found := self._crashed_again(on_probation):
+            return found
         tallies = self._tallies(now)
+        self._count_held_requests(tallies, on_probation)
         self._watch(tallies, now)
         found = [
             part
             for part, tally in tallies.items()
-            if part in on_probation or self._is_suspect(part, tally, now)
+            if self._is_suspect(part, tally, now)
         ]
         return max(
             found,
             key=lambda part: (
-                part in on_probation,
                 part not in self._sound,
-                tallies[part].answered >= CRASHES_TO_SUSPECT,
+                tallies[part].is_strong,
                 tallies[part].depth,
                 tallies[part].crashes,
                 part,
@@ -170,13 +192,29 @@
             default=None,
         )
 
+    def _crashed_again(self, on_probation: Collection[int]) -> int | None:
+        """Returns the deepest part on probation that a new crash may be due to.
+
+        It does not wait for other reports: meanwhile more routers would try.
+        """
+        found = [
+            entry
+            for crash in self._crashes.values()
+            if crash.cause is None
+            for entry in crash.parts
+            if entry.part in on_probation
+            and self.sound_at(entry.part) < crash.at
+        ]
+        deepest = max(found, key=lambda entry: entry.depth, default=None)
+        return deepest.part if deepest else None
+
     def _is_suspect(self, part: int, tally: _Tally, now: float) -> bool:
         watched_for_s = now - self._watched_since.get(part, now)
         if watched_for_s < WATCH_S:
             return False
         if tally.crashes >= WEAK_CRASHES_TO_SUSPECT:
             return True
-        return part not in self._sound and tally.answered >= CRASHES_TO_SUSPECT
+        return part not in self._sound and tally.is_strong
 
     def _tallies(self, now: float) -> dict[int, _Tally]:
         """Counts the crashes that each part may have caused."""
@@ -184,7 +222,7 @@
         crashes = [
             crash
             for crash in self._crashes.values()
-            if not crash.explained and now - crash.at >= GATHER_S
+            if crash.cause is None and now - crash.at >= GATHER_S
         ]
         for group in _moments(crashes):
             entries = collections.defaultdict(list)
@@ -201,12 +239,41 @@
                 tally.add(found, len(found) if is_own_cause else 1)
         return tallies
 
+    def _count_held_requests(
+        self, tallies: dict[int, _Tally], on_probation: Collection[int]
+    ) -> None:
+        """Counts each request that is held back once, for all its crashes.
+
+        If several requests with one part crash runners, that part is the cause
+        and not each of them; holding back one after the other would never end.
+        A part on probation needs a crash that nothing else explains.
+        """
+        by_request = collections.defaultdict(list)
+        for crash in self._crashes.values():
+            if crash.cause is not None and crash.cause.is_request:
+                by_request[crash.cause.part].append(crash)
+        for crashes in by_request.values():
+            entries = collections.defaultdict(list)
+            for crash in crashes:
+                for entry in crash.parts:
+                    is_shared = not entry.is_request
+                    if is_shared and self.sound_at(entry.part) < crash.at:
+                        entries[entry.part].append(entry)
+            for part, found in entries.items():
+                if len(found) == len(crashes) and part not in on_probation:
+                    tallies.setdefault(part, _Tally()).add(found, 1)
+
     def _watch(self, tallies: dict[int, _Tally], now: float) -> None:
         due = [p for p, t in tallies.items() if t.crashes >= CRASHES_TO_WATCH]
         due.sort(key=lambda p: (tallies[p].crashes, tallies[p].depth))
+        parts = [p for p in due if not tallies[p].is_request]
+        requests = [p for p in due if tallies[p].is_request]
         self._watched_since = {
             part: self._watched_since.get(part, now)
-            for part in due[-MAX_WATCHED:]
+            for part in (
+                *parts[-MAX_WATCHED_PARTS:],
+                *requests[-MAX_WATCHED_REQUESTS:],
+            )
         }
 
     def _forget(self, now: float) -> bool:
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -83,7 +83,7 @@
         rules: Rules in force.
         scheduler: Decides on the placement of requests.
         adapter: Sends requests to endpoints.
-        guard: Tells which prompts crash runners.
+        guard: Tells which requests crash endpoints.
         incarnation: Random identifier chosen at each start of the router.
         max_body_bytes: Maximum size of one request body.
         endpoint_credential: Credential that endpoints send in announcements.
--- a/knapweedarch/part_quarantine.py
+++ b/knapweedarch/part_quarantine.py
@@ -1,10 +1,10 @@
-"""Parts of prompts that are held back because they crash runners.
+"""Requests and parts of prompts that are held back: they crash runners.
 
 Routers and members each keep one: a router decides by its own requests, a
-member by the reports of all routers. A part is held back for a time, then it is
-on probation for as long again, during which one more crash holds it back for
-twice the time. All times are seconds on one clock, whose zero point is
-arbitrary.
+member by the reports of all routers. A whole request counts as a part. A part
+is held back for a time, then it is on probation, during which one more crash
+holds it back for `HOLD_GROWTH` times as long. All times are seconds on one
+clock, whose zero point is arbitrary.
 """
 
 from collections.abc import Callable, Iterable
@@ -20,7 +20,12 @@
 
 # How long a part is held back at first, and at most.
 FIRST_HOLD_S = 60.0
-LONGEST_HOLD_S = 600.0
+LONGEST_HOLD_S = 3600.0
+# Each trial that fails may end an endpoint, so the next one is much later.
+HOLD_GROWTH = 4.0
+# Shortest probation; an answer ends it. A caller may repeat a request only each
+# minute or so.
+SHORTEST_PROBATION_S = 600.0
 
 
 @attrs.define
@@ -47,15 +52,15 @@
     """Decides which parts are held back, and for how long.
 
     Args:
-        open_delay_s: Returns how many seconds after the end of a hold this
-            process sends requests with the part again.
+        open_delay: Returns how long after the end of a hold this process sends
+            requests with the part again, as a fraction of the hold.
 
     Attributes:
         tracker: Crashes and answers that this process knows of.
     """
 
-    def __init__(self, open_delay_s: Callable[[], float] = lambda: 0.0):
-        self._open_delay_s = open_delay_s
+    def __init__(self, open_delay: Callable[[], float] = lambda: 0.0):
+        self._open_delay = open_delay
         self.tracker = CrashTracker()
         self._holds: dict[int, _Hold] = {}
 
@@ -86,7 +91,7 @@
         if left_s <= 0:
             return False
         until = now + left_s
-        forget_at = until + hold_s(held.holds)
+        forget_at = until + max(hold_s(held.holds), SHORTEST_PROBATION_S)
         known = self._holds.get(held.part)
         if known is not None and known.holds >= held.holds:
             extra_s = known.open_at - known.until
@@ -95,7 +100,7 @@
             known.forget_at = max(known.forget_at, forget_at)
             return False
         self._holds[held.part] = _Hold(
-            *(now, until, until + self._open_delay_s()),
+            *(now, until, until + self._open_delay() * hold_s(held.holds)),
             *(held.holds, forget_at),
         )
         self._limit_holds()
@@ -118,6 +123,12 @@
             default=0.0,
         )
 
+    def is_suspect(self, part: int, now: float) -> bool:
+        """Returns whether a part has crashed several runners, it seems."""
+        hold = self._holds.get(part)
+        on_probation = hold is not None and hold.until <= now
+        return on_probation or part in self.tracker.watched
+
     def held(self, now: float) -> tuple[HeldPart, ...]:
         """Returns the parts that are held back."""
         return tuple(
@@ -163,4 +174,4 @@
 
 def hold_s(holds: int) -> float:
     """Returns how long a part is held back for the given time in a row."""
-    return min(LONGEST_HOLD_S, FIRST_HOLD_S * 2.0 ** min(holds - 1, 8))
+    return min(LONGEST_HOLD_S, FIRST_HOLD_S * HOLD_GROWTH ** min(holds - 1, 8))
--- a/knapweedarch/prompt_guard.py
+++ b/knapweedarch/prompt_guard.py
@@ -1,17 +1,20 @@
-"""A router's part in finding the prompts that crash runners.
+"""A router's part in finding the requests that crash endpoints.
 
-It notes which requests were under way when a runner crashed and which parts of
-prompts were answered, exchanges this with a member, and tells which requests
-are not sent to runners. All times are seconds on the router's clock.
+It notes which requests were under way when an endpoint crashed and which of
+them, or parts of their prompts, were answered, exchanges this with a member,
+and tells which requests are not sent to endpoints. All times are seconds on the
+router's clock.
 """
 
+import collections
 import math
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 from knapweedarch.models import RetryReason
 from knapweedarch.part_quarantine import PartQuarantine
 from knapweedarch.quarantine_messages import (
+    REQUEST_DEPTH,
     CrashedPart,
     CrashReport,
     HeldPart,
@@ -20,6 +23,7 @@
     merge_parts,
 )
 from knapweedarch.report_queue import ReportQueue
+from knapweedarch.request_digests import RequestDigests
 
 # How an answer ends if its runner crashes.
 CRASH_REASONS = frozenset(
@@ -28,10 +32,13 @@
 # A runner that crashes on a request does so as it begins to write the answer.
 # An answer that has come this far shows that its parts are sound.
 SOUND_EVENTS = 2
-# Largest time after the end of a hold until this router sends the part again.
-LONGEST_OPEN_DELAY_S = 10.0
+# Largest time after the end of a hold until this router sends the part again,
+# as a fraction of the hold. Few routers try it before they know of a crash.
+LONGEST_OPEN_DELAY = 0.5
 # Sound requests with one watched part are reported at most once in this time.
 SOUND_INTERVAL_S = 0.5
+# Whole requests that are remembered as answered, and as broken off.
+MAX_REQUESTS = 1024
 
 
 class PromptGuard:
@@ -44,48 +51,69 @@
     def __init__(self, seed: int):
         rng = random.Random(seed)
         self._quarantine = PartQuarantine(
-            lambda: rng.uniform(0.0, LONGEST_OPEN_DELAY_S)
+            lambda: rng.uniform(0.0, LONGEST_OPEN_DELAY)
         )
         self._queue = ReportQueue()
         self._watched: frozenset[int] = frozenset()
         self._sound_sent_at: dict[int, float] = {}
+        self._answered_at = _RecentRequests()
+        self._broken_at = _RecentRequests()
 
-    def held_s(self, parts: Iterable[int], now: float) -> float:
-        """Returns for how long requests with these parts are held back, or 0.
+    def held_s(self, digests: RequestDigests, now: float) -> float:
+        """Returns for how long such requests are held back, or 0."""
+        return self._quarantine.left_s((*digests.parts, digests.request), now)
 
-        Args:
-            parts: Digests of the parts of a prompt that others may share.
-            now: The time.
+    def may_repeat(self, digests: RequestDigests, now: float) -> bool:
+        """Returns whether a request that broke may be sent once more.
+
+        It is not if copies of it were under way at several crashes before: one
+        attempt shows as much as two.
         """
-        return self._quarantine.left_s(parts, now)
+        request = digests.request
+        is_suspect = self._quarantine.is_suspect(request, now)
+        return not is_suspect and request not in self._watched
 
     def record_broken(
-        self, runner: int, parts: Sequence[int], answered: bool, now: float
+        self, runner: int, digests: RequestDigests, answered: bool, now: float
     ) -> None:
         """Records that the connection of a request broke at a runner.
 
         Args:
             runner: Digest of the runner's incarnation.
-            parts: Digests of the shared parts of its prompt, in order.
+            digests: Digests of the request.
             answered: Whether an answer had begun.
             now: The time.
         """
-        if not parts:
-            return
         crashed = merge_parts(
-            CrashedPart(part, depth, answered)
-            for depth, part in enumerate(parts)
+            (
+                CrashedPart(part, depth, answered)
+                for depth, part in enumerate(digests.parts)
+            ),
+            (CrashedPart(digests.request, REQUEST_DEPTH, answered),),
         )
         self._queue.add_crash(runner, now, crashed)
         self._quarantine.record_crash(CrashReport(runner, 0.0, crashed), now)
-
-    def record_sound(self, parts: Iterable[int], now: float) -> None:
-        """Records that a request with these shared parts was answered."""
-        for part in parts:
-            self._quarantine.record_sound(part, now)
-            sent_at = self._sound_sent_at.get(part, -math.inf)
-            if part in self._watched and now - sent_at >= SOUND_INTERVAL_S:
-                self._report_sound(part, now)
+        self._broken_at.add(digests.request, now)
+        answered_at = self._answered_at.get(digests.request)
+        if answered_at is not None:
+            self._quarantine.record_sound(digests.request, answered_at)
+
+    def record_sound(self, digests: RequestDigests, now: float) -> None:
+        """Records that a request was answered."""
+        for part in digests.parts:
+            self._record_sound_part(part, now)
+        request = digests.request
+        self._answered_at.add(request, now)
+        # Most requests never return, so only those that matter are passed on.
+        is_known = request in self._watched or request in self._broken_at
+        if is_known or self._quarantine.is_suspect(request, now):
+            self._record_sound_part(request, now)
+
+    def _record_sound_part(self, part: int, now: float) -> None:
+        self._quarantine.record_sound(part, now)
+        sent_at = self._sound_sent_at.get(part, -math.inf)
+        if part in self._watched and now - sent_at >= SOUND_INTERVAL_S:
+            self._report_sound(part, now)
 
     def _report_sound(self, part: int, at: float) -> None:
         self._sound_sent_at[part] = at
@@ -105,7 +133,9 @@
         """
         watched = frozenset(parts)
         for part in watched - self._watched:
-            at = self._quarantine.tracker.sound_at(part)
+            at = self._answered_at.get(part)
+            if at is None:
+                at = self._quarantine.tracker.sound_at(part)
             if at > -math.inf:
                 self._report_sound(part, at)
         for part in self._sound_sent_at.keys() - watched:
@@ -130,6 +160,17 @@
         return self._queue.take(now)
 
 
+class _RecentRequests(collections.OrderedDict[int, float]):
+    """Times by the digest of a request; the oldest are dropped at the limit."""
+
+    def add(self, request: int, now: float) -> None:
+        """Sets the time of a request."""
+        self[request] = now
+        self.move_to_end(request)
+        while len(self) > MAX_REQUESTS:
+            self.popitem(last=False)
+
+
 def create_prompt_guard(seed: int) -> PromptGuard:
     """Creates the guard of a router.
 
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -58,7 +58,7 @@
         pool: Connections to endpoints.
         chooser: Chooses among usable endpoints.
         index: Prompt parts cached in runners and stores.
-        guard: Tells which prompts crash runners.
+        guard: Tells which requests crash endpoints.
         endpoint_limits: Limits that endpoints name.
         limits: Limit of repeats for all routers together.
         start_refusal: Returns why no request may be sent now, or None if it
@@ -140,7 +140,7 @@
             part of the prompt is held back.
         """
         now = self.clock.now()
-        call.held_s = self._guard.held_s(call.digests.parts, now)
+        call.held_s = self._guard.held_s(call.digests, now)
         if call.held_s:
             return None
         endpoints = self._by_service.get(call.service.name, ())
@@ -236,9 +236,11 @@
         call.send_count += 1
 
     def may_repeat(self, call: ProxyCall) -> bool:
-        """Returns whether attempts and time are left for a repeat."""
-        time_left_s = call.deadline - self.clock.now()
-        return call.send_count < call.route.attempts and time_left_s > 0
+        """Returns whether a repeat is allowed, and time is left for it."""
+        now = self.clock.now()
+        if call.send_count >= call.route.attempts or call.deadline <= now:
+            return False
+        return not call.broke_off or self._guard.may_repeat(call.digests, now)
 
     def may_repeat_after_next(self, call: ProxyCall) -> bool:
         """Returns whether the route allows a repeat after the next attempt."""
@@ -397,6 +399,7 @@
     ) -> Failure:
         """Records that an endpoint refused a request without running it."""
         now = self.clock.now()
+        call.broke_off = False
         reason = RetryReason.ENDPOINT_REFUSED
         if self.dialect.is_wrong_instance(head, endpoint.id):
             reason = RetryReason.WRONG_INCARNATION
@@ -445,19 +448,19 @@
         progress: AnswerProgress,
     ) -> None:
         """Records that a request may have crashed its runner."""
-        if exc.reason in CRASH_REASONS and progress.events < SOUND_EVENTS:
+        call.broke_off = exc.reason in CRASH_REASONS
+        if call.broke_off and progress.events < SOUND_EVENTS:
             runner = runner_digest(endpoint.id, endpoint.incarnation)
             self._guard.record_broken(
-                runner, call.digests.parts, progress.has_head, self.clock.now()
+                runner, call.digests, progress.has_head, self.clock.now()
             )
 
     def record_sound(self, call: ProxyCall) -> None:
-        """Records that a runner has answered and did not crash on the prompt.
+        """Records that an endpoint has answered and did not crash.
 
         It must be called once for an attempt.
         """
-        if call.digests.parts:
-            self._guard.record_sound(call.digests.parts, self.clock.now())
+        self._guard.record_sound(call.digests, self.clock.now())
 
     def record_failure(
         self,
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -79,7 +79,9 @@
         retry_after_s: Seconds after which a resend may be admitted; 0 if that
             is not known.
         digests: What it has in common with other requests.
-        held_s: Seconds for which one of them is held back; 0 if none is.
+        held_s: Seconds for which it is held back, as it or a part of its prompt
+            crashes endpoints; 0 if it is not.
+        broke_off: Whether the last attempt broke off as by a crash.
         is_limited: Whether limits that endpoints name leave none for it.
     """
 
@@ -96,6 +98,7 @@
     retry_after_s: float = 0.0
     digests: RequestDigests = attrs.field(factory=lambda: RequestDigests(0))
     held_s: float = 0.0
+    broke_off: bool = False
     is_limited: bool = False
 
     def cache_salt(self, endpoint: Endpoint) -> str:
--- a/knapweedarch/quarantine_messages.py
+++ b/knapweedarch/quarantine_messages.py
@@ -1,8 +1,9 @@
-"""Messages about parts of prompts that crash runners.
+"""Messages about requests and parts of prompts that crash endpoints.
 
 Routers report crashes and sound parts to the member that they subscribe to;
 members pass these reports on to each other, and tell their routers which parts
-are held back.
+are held back. A whole request counts as the deepest part of its prompt, also if
+it has no other.
 """
 
 from collections.abc import Iterable
@@ -10,8 +11,11 @@
 import attrs
 import xxhash
 
-# Largest number of parts in the report of one crash.
-MAX_CRASHED_PARTS = 48
+# Depth of a whole request, which is below all parts of its prompt.
+REQUEST_DEPTH = 255
+# Largest number of parts in the report of one crash: those of all requests that
+# were under way at one endpoint.
+MAX_CRASHED_PARTS = 128
 # Largest number of entries of one kind in a message.
 MAX_ENTRIES = 32
 
@@ -22,7 +26,8 @@
 
     Attributes:
         part: Digest of the part; see `part_digest`.
-        depth: Place of the part in its prompt, from 0.
+        depth: Place of the part in its prompt, from 0; `REQUEST_DEPTH` for a
+            whole request.
         answered: Whether the runner had begun an answer to the request, and no
             event of it was complete.
     """
@@ -31,6 +36,11 @@
     depth: int
     answered: bool
 
+    @property
+    def is_request(self) -> bool:
+        """Whether this is a whole request."""
+        return self.depth == REQUEST_DEPTH
+
 
 @attrs.frozen
 class CrashReport:
--- a/knapweedarch/service_calls.py
+++ b/knapweedarch/service_calls.py
@@ -7,6 +7,7 @@
 from knapweedarch.callers import HttpCall, RefusedError
 from knapweedarch.exchanges import SendRefusedError
 from knapweedarch.models import Outcome, RefusalReason, ServiceRule
+from knapweedarch.request_digests import RequestDigests
 
 # Safe methods change no state, so they need no key even on a `once` route.
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -28,6 +29,7 @@
             must get a response.
         key: Idempotency key; empty if the call may run more than once.
         record_key: Key of the at-most-once record; empty without `key`.
+        digests: What it has in common with other calls.
     """
 
     rule: ServiceRule
@@ -39,6 +41,7 @@
     deadline: float
     key: str = ""
     record_key: str = ""
+    digests: RequestDigests = attrs.field(factory=lambda: RequestDigests(0))
 
     @property
     def digest(self) -> bytes:
--- a/knapweedarch/services.py
+++ b/knapweedarch/services.py
@@ -33,6 +33,8 @@
     RefusalReason,
     RetryReason,
 )
+from knapweedarch.quarantine_messages import runner_digest
+from knapweedarch.request_digests import RequestDigests, request_digest
 from knapweedarch.retries import RetryBudget, RetryConfig, back_off_s
 from knapweedarch.service_calls import (
     ServiceCall,
@@ -150,6 +152,7 @@
         key = idempotency_key(call, rule, path)
         body = await call.read_body(self._router.max_body_bytes)
         deadline = self._router.clock.now() + rule.timeout_s
+        target = f"{call.method} {call.path}?{call.query}"
         headers = {n: call.header(n) for n in FORWARDED_HEADERS}
         if not "".join(headers.values()).isascii():
             raise RefusedError(
@@ -163,6 +166,7 @@
             {n: v for n, v in headers.items() if v},
             *(body, deadline, key),
             record_key(customer.name, name, key) if key else "",
+            RequestDigests(request_digest(customer.name, target, body)),
         )
 
     def _remaining_s(self, service_call: ServiceCall) -> float:
@@ -185,15 +189,19 @@
         check_send: Callable[[], RefusalReason | None],
     ) -> ServiceResponse:
         attempt_id = f"{self._router.incarnation}/s{next(self._numbers)}"
+
+        def check() -> RefusalReason | None:
+            return check_send() or self._held_reason(service_call)
+
         try:
-            return await self._router.adapter.call_service(
+            answer = await self._router.adapter.call_service(
                 endpoint,
                 service_call.method,
                 service_call.path,
                 {**service_call.headers, "x-attempt-id": attempt_id},
                 service_call.body,
                 limit_s,
-                check_send,
+                check,
                 own_connection=bool(service_call.key),
             )
         except SendRefusedError:
@@ -201,10 +209,25 @@
         except EndpointError as exc:
             self._record_failure(endpoint, service_call, exc)
             raise
+        now = self._router.clock.now()
+        self._router.guard.record_sound(service_call.digests, now)
+        return answer
+
+    def _held_reason(self, service_call: ServiceCall) -> RefusalReason | None:
+        """Returns the refusal of a call whose copies crash endpoints."""
+        now = self._router.clock.now()
+        if self._router.guard.held_s(service_call.digests, now):
+            return RefusalReason.PART_HELD
+        return None
 
     def _record_failure(
         self, endpoint: Endpoint, service_call: ServiceCall, exc: EndpointError
     ) -> None:
+        if exc.written and exc.reason == RetryReason.CONNECTION_CLOSED:
+            self._router.guard.record_broken(
+                runner_digest(endpoint.id, endpoint.incarnation),
+                *(service_call.digests, False, self._router.clock.now()),
+            )
         self._router.count(f"retried.{exc.reason}")
         if exc.reason == RetryReason.CROSSED_ANSWER:
             self._router.count("crossed.dropped")
@@ -243,7 +266,7 @@
                 written = written or exc.written
                 if written and service_call.method not in IDEMPOTENT_METHODS:
                     break
-                if not self._retry_budget.try_spend():
+                if not self._may_repeat(service_call, exc):
                     break
             # The first attempt at each endpoint needs no delay.
             if number + 1 >= len(endpoints):
@@ -255,6 +278,16 @@
             Outcome.UNKNOWN if written else Outcome.NOT_RUN,
         )
 
+    def _may_repeat(
+        self, service_call: ServiceCall, exc: EndpointError
+    ) -> bool:
+        now = self._router.clock.now()
+        guard = self._router.guard
+        broke_off = exc.reason == RetryReason.CONNECTION_CLOSED
+        if broke_off and not guard.may_repeat(service_call.digests, now):
+            return False
+        return self._retry_budget.try_spend()
+
     async def _run_at_most_once(
         self, service_call: ServiceCall
     ) -> ServiceResponse:
