Show that routers of the product share which calls crash services

Real processes: calls with keys of their own and one body end the desks that run them. At most 4 of 6 end, the other router holds the call back at its first request and answers a sound one.

--- a/features/deployment.feature
+++ b/features/deployment.feature
@@ -108,6 +108,16 @@
     Then router-2 holds a prompt with "crash" back at the first request
     And router-2 answers a prompt with "sound"
 
+  Scenario: A router holds back a call that crashed services at other routers
+    Each call has a key of its own, so none is a resend of another. Guards against
+    one call of a caller that ends all servers of a plain service, and against
+    sound calls that are refused with it.
+    Given the desk is replaced by 6 that crash on calls with "crash"
+    When calls with "crash" are sent through router-1 until one is held back
+    Then at most 4 desks have ended
+    And router-2 holds a call with "crash" back at the first request
+    And router-2 answers a call with "sound"
+
   Scenario: Every process serves its metrics and logs to standard output
     Guards against metrics or logs that are not available in an incident.
     When the metrics of member-1 and router-1 are fetched
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -703,3 +703,68 @@
 def check_answered(context, router, text):
     answer = ask_with_text(context.cluster, router, text, 1)
     assert answer.is_success, answer.text
+
+
+def call_with_text(cluster, router, text, number):
+    """Sends a call with a key of its own and a text as its body."""
+    return httpx.post(
+        f"{cluster.url(router)}/services/booking/deposits",
+        json={"note": text},
+        headers={**HEADERS, "idempotency-key": f"{router}-{text}-{number}"},
+        timeout=30,
+    )
+
+
+@given('the desk is replaced by {count:d} that crash on calls with "{text}"')
+def replace_desk(context, count, text):
+    cluster = context.cluster
+    cluster.stop("desk-1")
+    context.desks = [
+        cluster.start_service(f"desk-{n}", "booking", crash_text=text)
+        for n in range(2, count + 2)
+    ]
+
+    def serves():
+        numbers = range(2 * count)
+        answers = [
+            call_with_text(cluster, "router-2", f"sound {n}", n)
+            for n in numbers
+        ]
+        return all(answer.is_success for answer in answers)
+
+    cluster.wait_for("the new desks serve", serves)
+
+
+@when('calls with "{text}" are sent through {router} until one is held back')
+def call_until_held(context, text, router):
+    deadline = time.monotonic() + HELD_LIMIT_S
+    for number in itertools.count(1):
+        assert time.monotonic() < deadline, "no call was held back"
+        if is_held(call_with_text(context.cluster, router, text, number)):
+            return
+        time.sleep(1.5)
+
+
+@then("at most {most:d} desks have ended")
+def check_ended_desks(context, most):
+    ended = [d for d in context.desks if d.popen.poll() is not None]
+    assert 1 <= len(ended) <= most, len(ended)
+
+
+@then('{router} holds a call with "{text}" back at the first request')
+def check_call_held(context, router, text):
+    cluster = context.cluster
+
+    def knows():
+        page = cluster.metrics_page(router)
+        return re.search(r"^knapweedarch_parts_held_total [1-9]", page, re.M)
+
+    cluster.wait_for("the router knows the call", knows)
+    answer = call_with_text(cluster, router, text, "other")
+    assert is_held(answer), answer.text
+
+
+@then('{router} answers a call with "{text}"')
+def check_call_answered(context, router, text):
+    answer = call_with_text(context.cluster, router, text, 1)
+    assert answer.is_success, answer.text
--- a/standins/desk.py
+++ b/standins/desk.py
@@ -33,6 +33,7 @@
         credential: The shared endpoint credential.
         data_centre: Data centre of the endpoint.
         journal: File to which each run appends a line; empty for none.
+        crash_text: Text in a body at which the process ends; empty for none.
         url: Base URL that it announces.
         status: Status that it announces.
         incarnation: Random identifier of this process.
@@ -46,6 +47,7 @@
     credential: str = "secret"
     data_centre: str = "dc1"
     journal: str = ""
+    crash_text: str = ""
     url: str = ""
     status: str = "active"
     incarnation: str = attrs.field(factory=lambda: secrets.token_hex(8))
@@ -104,6 +106,8 @@
                 send, _echoed_headers(headers)
             )
         self._record_run(key, path, body)
+        if self.crash_text and self.crash_text.encode() in body:
+            os._exit(1)
         answer = {"number": sum(self.runs.values()), "path": path}
         await self._answer(headers, send, answer, fault)
 
@@ -155,6 +159,7 @@
     credential: str,
     data_centre: str = "dc1",
     journal: str = "",
+    crash_text: str = "",
     fail: str = "",
     host: str = "127.0.0.1",
     port: int = 0,
@@ -167,11 +172,12 @@
     :param credential: The shared endpoint credential.
     :param data_centre: Data centre of the endpoint.
     :param journal: File to which each run appends a line.
+    :param crash_text: Text in a body at which the process ends.
     :param fail: Fault injected into the first requests, `mode[:at[:times]]`.
     :param host: IP address to listen on.
     :param port: Port to listen on; 0 lets the kernel choose.
     """
-    desk = Desk(id, service, credential, data_centre, journal)
+    desk = Desk(id, service, credential, data_centre, journal, crash_text)
     desk.faults.add(parse_fault(fail))
     listener = serving.open_listener(host, port)
     desk.url = serving.base_url(listener)
