--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -192,6 +192,32 @@
     When a caller sends 20 requests in seeded splits and framings
     Then each of them is answered and reached the runner unchanged
 
+  Scenario Outline: A refusal that is written once more refuses nothing
+    A faulty runner writes an earlier refusal again, on a connection that is in use
+    for the next request, while it runs that one. Guards against a 503 for a request
+    that runs, and against a request that may run once and is sent to a second
+    runner.
+    Given a proxied runner that <repeats>
+    When after a refusal a caller sends a request that <kind>
+    Then the first answer is a refusal and the second one a success
+    And runner 1 has run 1 request
+
+    Examples:
+      | repeats                          | kind               |
+      | repeats a refusal with its id    | may run once       |
+      | repeats a refusal without an id  | may run once       |
+      | repeats a refusal without an id  | may run many times |
+      | repeats a refusal with its id    | streams            |
+      | repeats a refusal without an id  | streams            |
+
+  Scenario: A request is not resent on the connection that refused it
+    Guards against a copy of the refusal of its first attempt, which bears its id,
+    that is taken for one of its second attempt.
+    Given a proxied runner that repeats a refusal with its id
+    When after a refusal a caller sends its request under the same id
+    Then the first answer is a refusal and the second one a success
+    And runner 1 has run 1 request
+
   Scenario: A connection that the runner closed is not used again
     Guards against a request that is lost on a closed connection of the pool.
     Given a proxied runner that answers twice
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -83,6 +83,8 @@
         closed_connections: Number of connections that have ended.
         port: Port that it listens on.
         endless_bytes: Bytes sent by an answer without end.
+        ran: Ids of the requests that it has run, in the modes that repeat a
+            refusal.
         rng: Seeded generator of malformed answers.
         changed: Set when any of these has changed.
     """
@@ -94,12 +96,14 @@
     closed_connections: int = 0
     port: int = 0
     endless_bytes: int = 0
+    ran: list[str] = attrs.field(factory=list)
     rng: random.Random = attrs.field(factory=lambda: random.Random(11))
     changed: anyio.Event = attrs.field(factory=anyio.Event)
 
     async def handle(self, stream: anyio.abc.SocketStream) -> None:
         """Serves one connection."""
         self.connections += 1
+        refusals: list[bytes] = []
         with contextlib.suppress(
             anyio.EndOfStream,
             anyio.BrokenResourceError,
@@ -110,7 +114,12 @@
                     received = await _read_request(stream)
                     self.received.append(received)
                     self.notify()
-                    await self._answer(stream, received)
+                    if self.mode.startswith("repeats a refusal"):
+                        await self._answer_with_old_refusal(
+                            stream, received, refusals
+                        )
+                    else:
+                        await self._answer(stream, received)
         self.closed_connections += 1
         self.notify()
 
@@ -124,6 +133,36 @@
         while not probe():
             await self.changed.wait()
 
+    async def _answer_with_old_refusal(
+        self, stream, received: ReceivedRequest, refusals: list[bytes]
+    ) -> None:
+        """Refuses the first request that it gets, and runs all others.
+
+        On a connection that has refused a request, it writes the same refusal
+        once more as it begins to run the next one.
+
+        Args:
+            stream: The connection.
+            received: The request.
+            refusals: Refusals that were written on this connection.
+        """
+        request_id = received.header("X-Knapweedarch-Request-Id")
+        if len(self.received) == 1:
+            not_run = "X-Knapweedarch-Not-Executed: 1\r\n"
+            refusal = _response(request_id, b"", "503 Full", not_run)
+            if self.mode.endswith("without an id"):
+                refusal = refusal.replace(b"X-Knapweedarch-Request-Id", b"X-Id")
+            refusals.append(refusal)
+            await stream.send(refusal)
+            return
+        self.ran.append(request_id)
+        await stream.send(b"".join(refusals))
+        await anyio.sleep(0.05)
+        if "text/event-stream" in received.head or "/stream/" in received.head:
+            await _stream(stream, received, len(EVENTS))
+        else:
+            await stream.send(_response(request_id, BODY))
+
     async def _send_endlessly(
         self, stream, data: bytes, pause_s: float = 0.0
     ) -> None:
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -158,6 +158,44 @@
     return data + b"0\r\n\r\n"
 
 
+# Longer than a router avoids a runner that has refused a request, and shorter
+# than it keeps an idle connection.
+AFTER_REFUSAL_S = 0.4
+
+
+def send_twice(context, first: bytes, second: bytes) -> None:
+    async def run():
+        async with open_proxy() as fixture:
+            runner = await fixture.add_runner(context.modes[0])
+            context.answers = [await fixture.send(first)]
+            await anyio.sleep(AFTER_REFUSAL_S)
+            context.answers.append(await fixture.send(second))
+            context.ran = runner.ran
+
+    anyio.run(run)
+
+
+@when("after a refusal a caller sends a request that {kind}")
+def sends_after_refusal(context, kind):
+    name = ROUTE_NAMES[kind]
+    send_twice(context, request(name), request(name, request_id="r2"))
+
+
+@when("after a refusal a caller sends its request under the same id")
+def sends_same_id(context):
+    send_twice(context, request("once"), request("once"))
+
+
+@then("the first answer is a refusal and the second one a success")
+def check_refused_then_served(context):
+    assert [a.status for a in context.answers] == [503, 200], context.answers
+
+
+@then("runner 1 has run 1 request")
+def check_ran_once(context):
+    assert len(context.ran) == 1, context.ran
+
+
 @when("a caller sends 2 requests one after the other")
 def sends_two(context):
     send_requests(context, request("once"), request("once"), idle_s=0.2)
