Do not reuse a connection whose refusal could be taken for the next one's

Callers got a 503, 'not run', for a request that was running; one that may run once was sent to a second runner. A faulty runner had written an earlier refusal once more on a kept connection. Answers are matched by the id that they bear, but refusals need not bear one, and a request that is resent bears the same.

A connection keeps the headers of its refusals now, and is not used for a request for which one of them would be taken; after a refusal without an id it is closed. Refusals that name their request cost no connection, unless the same request is resent.

Ruled out: waiting a moment for the true answer after each refusal, which would delay all true ones.

--- a/knapweedarch/attempt_scope.py
+++ b/knapweedarch/attempt_scope.py
@@ -66,6 +66,18 @@
         )
         self._unread_tokens = 0
 
+    async def reject(self, head: AnswerHead) -> Failure:
+        """Reads a refusal to its end and records that nothing was run.
+
+        Raises:
+            ExchangeError: The refusal is incomplete or too long.
+        """
+        await read_full_answer(self.exchange, head)
+        names_request = self._attempts.dialect.names_request(head)
+        self.exchange.mark_refused(head, names_request=names_request)
+        self.head = head
+        return self._attempts.record_rejection(self._call, self._endpoint, head)
+
     async def __aenter__(self) -> "AttemptScope":
         attempts, call = self._attempts, self._call
         self._started_at = attempts.now()
--- a/knapweedarch/dialects.py
+++ b/knapweedarch/dialects.py
@@ -71,6 +71,9 @@
     def is_answer_to(self, headers: Headers, request_id: str) -> bool:
         """Returns whether the headers of an answer match a request id."""
 
+    def names_request(self, head: AnswerHead) -> bool:
+        """Returns whether an answer says which request it belongs to."""
+
     def was_not_run(self, head: AnswerHead) -> bool:
         """Returns whether the endpoint states that the request did not run."""
 
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -29,6 +29,8 @@
 IDLE_MARGIN_S = 0.6
 MAX_IDLE_PER_ADDRESS = 16
 MAX_MISMATCHED_ANSWERS = 4
+# A connection with so many refusals is closed.
+MAX_REFUSALS = 8
 # Limits for endpoints that send without end. The head is limited by h11.
 MAX_INTERIM_ANSWERS = 8
 MAX_SKIPPED_BYTES = 1024 * 1024
@@ -45,11 +47,24 @@
 
 @attrs.define(eq=False)
 class _Connection:
-    """A connection; `idle_until` is in seconds on the pool's clock."""
+    """A connection.
+
+    Attributes:
+        stream: The byte stream.
+        protocol: State of the HTTP exchange.
+        idle_until: Until when it may be reused, in seconds on the pool's clock.
+        refusals: Headers of the refusals received on it. A faulty endpoint may
+            write one again, while it runs a later request.
+    """
 
     stream: anyio.abc.SocketStream
     protocol: h11.Connection
     idle_until: float = 0.0
+    refusals: list[Headers] = attrs.field(factory=list)
+
+    def may_repeat_refusal_of(self, is_own_answer: IsOwnAnswer) -> bool:
+        """Returns whether an earlier refusal could be taken for an answer."""
+        return any(is_own_answer(headers) for headers in self.refusals)
 
     def has_no_input(self) -> bool:
         """Returns whether neither bytes nor an end of stream has arrived."""
@@ -110,6 +125,7 @@
         self._sent = False
         self._send_scope = anyio.CancelScope()
         self._complete = False
+        self._is_reusable = True
 
     async def open(self, before_send: Callable[[], None]) -> None:
         """Opens or reuses a connection.
@@ -123,7 +139,9 @@
             Exception: The error of `before_send`; nothing was written.
         """
         try:
-            self._conn = await self._pool.acquire(self._address)
+            self._conn = await self._pool.acquire(
+                self._address, self._is_own_answer
+            )
         except (OSError, TimeoutError) as exc:
             raise ExchangeError(
                 RetryReason.CONNECT_REFUSED, repr(exc), written=False
@@ -265,6 +283,19 @@
     def _create_error(self, reason: RetryReason, message: str) -> ExchangeError:
         return ExchangeError(reason, message, self.written)
 
+    def mark_refused(self, head: AnswerHead, *, names_request: bool) -> None:
+        """Records that the answer is a refusal, which may be written again.
+
+        Args:
+            head: Status and headers of the refusal.
+            names_request: Whether it says which request it refuses. One that
+                does not could refuse any later request on the connection.
+        """
+        refusals = self._conn.refusals
+        refusals.append(head.headers)
+        if not names_request or len(refusals) >= MAX_REFUSALS:
+            self._is_reusable = False
+
     async def close(self, head: AnswerHead | None) -> None:
         """Returns the connection to the pool if it is reusable, else closes it.
 
@@ -278,7 +309,8 @@
             return
         protocol = conn.protocol
         reusable = (
-            self._complete
+            self._is_reusable
+            and self._complete
             and self._sent
             and protocol.our_state is h11.DONE
             and protocol.their_state is h11.DONE
@@ -324,16 +356,21 @@
         """
         return Exchange(self, address, req, is_own_answer)
 
-    async def acquire(self, address: str) -> _Connection:
+    async def acquire(
+        self, address: str, is_own_answer: IsOwnAnswer
+    ) -> _Connection:
         """Returns an idle connection that is still open, or a new one.
 
+        Args:
+            address: IP address and port of the endpoint.
+            is_own_answer: Returns whether an answer would be taken for one to
+                the request. A connection with such a refusal is not used.
+
         Raises:
             OSError: The connection failed.
             TimeoutError: Connecting took longer than `CONNECT_TIMEOUT_S`.
         """
-        idle = self._idle.get(address, [])
-        while idle:
-            conn = idle.pop()
+        while conn := self._take_idle(address, is_own_answer):
             if self._clock.now() < conn.idle_until and conn.has_no_input():
                 return conn
             await _close_connection(conn)
@@ -342,6 +379,16 @@
             stream = await anyio.connect_tcp(host, int(port))
         return _Connection(stream, h11.Connection(h11.CLIENT))
 
+    def _take_idle(
+        self, address: str, is_own_answer: IsOwnAnswer
+    ) -> _Connection | None:
+        """Removes and returns the idle connection that was used last."""
+        idle = self._idle.get(address, [])
+        for place in reversed(range(len(idle))):
+            if not idle[place].may_repeat_refusal_of(is_own_answer):
+                return idle.pop(place)
+        return None
+
     async def release(
         self, address: str, conn: _Connection, head: AnswerHead
     ) -> None:
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -120,9 +120,7 @@
         scope.progress.has_head = True
         attempts.record_head(endpoint, head)
         if attempts.dialect.was_not_run(head):
-            await read_full_answer(exchange, head)
-            scope.head = head
-            return attempts.record_rejection(call, endpoint, head)
+            return await scope.reject(head)
         if head.status != 200:
             return await self._forward_error(endpoint, exchange, head)
         await self._relay(endpoint, scope, head)
--- a/knapweedarch/proxy_unary.py
+++ b/knapweedarch/proxy_unary.py
@@ -95,10 +95,10 @@
     head = await scope.exchange.send_request()
     scope.progress.has_head = True
     attempts.record_head(endpoint, head)
+    if attempts.dialect.was_not_run(head):
+        return await scope.reject(head)
     answer = await read_full_answer(scope.exchange, head)
     scope.head = head
-    if attempts.dialect.was_not_run(head):
-        return attempts.record_rejection(call, endpoint, head)
     now = attempts.clock.now()
     if head.status >= 500:
         attempts.chooser.record_failure(endpoint, now)
