--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -686,15 +686,20 @@
         time.sleep(0.3)
 
 
-@then('{router} holds a prompt with "{text}" back at the first request')
-def check_held(context, router, text):
-    cluster = context.cluster
+def wait_until_held(cluster, router):
+    """Waits until a router knows of a request or block that is held back."""
 
     def knows():
         page = cluster.metrics_page(router)
         return re.search(r"^knapweedarch_parts_held_total [1-9]", page, re.M)
 
-    cluster.wait_for("the router knows the block", knows)
+    cluster.wait_for("the router knows what is held back", knows)
+
+
+@then('{router} holds a prompt with "{text}" back at the first request')
+def check_held(context, router, text):
+    cluster = context.cluster
+    wait_until_held(cluster, router)
     answer = ask_with_text(cluster, router, text, "other")
     assert is_held(answer), answer.text
 
@@ -754,12 +759,7 @@
 @then('{router} holds a call with "{text}" back at the first request')
 def check_call_held(context, router, text):
     cluster = context.cluster
-
-    def knows():
-        page = cluster.metrics_page(router)
-        return re.search(r"^knapweedarch_parts_held_total [1-9]", page, re.M)
-
-    cluster.wait_for("the router knows the call", knows)
+    wait_until_held(cluster, router)
     answer = call_with_text(cluster, router, text, "other")
     assert is_held(answer), answer.text
 
--- a/features/steps/platform_site_steps.py
+++ b/features/steps/platform_site_steps.py
@@ -321,6 +321,28 @@
     context.plan.run(check)
 
 
+def check_containment(site, sound, crashes, seconds, most, is_crashing):
+    """Checks what reaches runners some time after they have crashed.
+
+    Args:
+        site: The site.
+        sound: Requests beside those that crash runners.
+        crashes: Number of crashes after which the time begins.
+        seconds: The time in seconds.
+        most: Most runs of crashing requests that may start after it.
+        is_crashing: Returns whether a run is one of them.
+    """
+    crashed_at = sorted(t for r in site.runners for t in r.crashed_at)
+    assert len(crashed_at) >= crashes, crashed_at
+    bound_at = crashed_at[crashes - 1] + seconds
+    runs = [run for r in site.runners for run in r.runs]
+    later = [r for r in runs if is_crashing(r) and r.started_at > bound_at]
+    assert len(later) <= most, (len(later), len(crashed_at))
+    after = [s for s in sound if s.sent_at > bound_at]
+    answered = [s for s in after if s.answered]
+    assert len(answered) >= len(after) / 2, (len(answered), len(after))
+
+
 CRASH_BODY = b'{"crash":true}'
 DESKS = 3
 
@@ -373,19 +395,10 @@
     most, seconds = plan.bound
 
     async def check(site):
-        crashes = sorted(t for r in site.runners for t in r.crashed_at)
-        assert len(crashes) >= 3, crashes
-        bound_at = crashes[2] + seconds
-        runs = [run for r in site.runners for run in r.runs]
-        later = [
-            run
-            for run in runs
-            if run.body == CRASH_BODY and run.started_at > bound_at
-        ]
-        assert len(later) <= most, (len(later), len(crashes))
-        sound = [s for s in plan.sound if s.sent_at > bound_at]
-        answered = [s for s in sound if s.answered]
-        assert len(answered) >= len(sound) / 2, (len(answered), len(sound))
+        check_containment(
+            *(site, plan.sound, 3, seconds, most),
+            lambda run: run.body == CRASH_BODY,
+        )
 
     plan.run(check)
 
@@ -464,17 +477,9 @@
     most, seconds = plan.bound
 
     async def check(site):
-        crashes = sorted(t for r in site.runners for t in r.crashed_at)
-        bound_at = crashes[4] + seconds
-        runs = [run for r in site.runners for run in r.runs]
-        later = [
-            run
-            for run in runs
-            if CRASH_PART in run.parts and run.started_at > bound_at
-        ]
-        assert len(later) <= most, (len(later), len(crashes))
-        sound = [s for s in plan.sound if s.sent_at > bound_at]
-        answered = [s for s in sound if s.answered]
-        assert len(answered) >= len(sound) / 2, (len(answered), len(sound))
+        check_containment(
+            *(site, plan.sound, 5, seconds, most),
+            lambda run: CRASH_PART in run.parts,
+        )
 
     plan.run(check)
