--- a/features/crash_world.py
+++ b/features/crash_world.py
@@ -11,7 +11,7 @@
 import attrs
 
 from knapweedarch.control_messages import CONTROL
-from knapweedarch.prompt_guard import SOUND_EVENTS, create_prompt_guard
+from knapweedarch.crash_guard import SOUND_EVENTS, create_crash_guard
 from knapweedarch.quarantine_messages import part_digest, runner_digest
 from knapweedarch.quarantine_relay import QuarantineRelay
 from knapweedarch.request_digests import RequestDigests
@@ -119,7 +119,7 @@
     def __init__(self, routers: int, members: int, runners: int, seed: int):
         self.rng = random.Random(seed)
         self.now = 0.0
-        self.routers = [create_prompt_guard(seed + i) for i in range(routers)]
+        self.routers = [create_crash_guard(seed + i) for i in range(routers)]
         self.members = {i: QuarantineRelay() for i in range(members)}
         self.member_of = [i % members for i in range(routers)]
         self.runners = [Runner(f"i-{i}") for i in range(runners)]
@@ -167,7 +167,7 @@
 
     def restart_router(self, number: int) -> None:
         """Restarts a router, which subscribes again."""
-        self.routers[number] = create_prompt_guard(1000 + number)
+        self.routers[number] = create_crash_guard(1000 + number)
         self._subscribe(number, self.member_of[number])
 
     def is_held(self, router: int, part: str) -> bool:
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -9,6 +9,7 @@
 import attrs
 
 from adapter.headers import PlatformDialect
+from knapweedarch.crash_guard import create_crash_guard
 from knapweedarch.deployments import (
     Customer,
     Deployment,
@@ -23,7 +24,6 @@
 from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.metrics import create_metrics
 from knapweedarch.models import Endpoint, EndpointKind, RefusalReason
-from knapweedarch.prompt_guard import create_prompt_guard
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
 from knapweedarch.repeat_budget import RepeatLimits
@@ -466,7 +466,7 @@
             pool=pool,
             chooser=EndpointChooser(ChoiceConfig(), PartsIndex()),
             index=PartsIndex(),
-            guard=create_prompt_guard(1),
+            guard=create_crash_guard(1),
             endpoint_limits=create_endpoint_limits(1),
             limits=RepeatLimits(1.0, 100.0, 10.0),
             start_refusal=lambda: self.refusal,
--- a/features/steps/crash_quarantine_steps.py
+++ b/features/steps/crash_quarantine_steps.py
@@ -3,8 +3,8 @@
 from behave import given, then, when
 
 from features.crash_world import MODEL, CrashWorld, Load
+from knapweedarch.crash_guard import create_crash_guard
 from knapweedarch.part_quarantine import PartQuarantine
-from knapweedarch.prompt_guard import create_prompt_guard
 from knapweedarch.quarantine_messages import (
     CrashedPart,
     CrashReport,
@@ -178,7 +178,7 @@
 
 @given("a router that holds a request back")
 def create_router_with_request(context):
-    context.guard = create_prompt_guard(SEED)
+    context.guard = create_crash_guard(SEED)
     context.digests = RequestDigests(1)
     for runner in range(3):
         context.guard.record_broken(runner, context.digests, False, runner)
@@ -306,7 +306,7 @@
 
 @given('a router that holds part "{part}" back')
 def create_holding_router(context, part):
-    context.guard = create_prompt_guard(SEED)
+    context.guard = create_crash_guard(SEED)
     context.part = part_digest(MODEL, part)
     context.guard._quarantine.hold(HeldPart(context.part, 60.0, 1), 10.0)
     context.digests = RequestDigests(0, (context.part,))
--- a/features/steps/prefill_load_steps.py
+++ b/features/steps/prefill_load_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from adapter.headers import PlatformDialect
+from knapweedarch.crash_guard import create_crash_guard
 from knapweedarch.deployments import (
     Engine,
     Repeatability,
@@ -23,7 +24,6 @@
 from knapweedarch.peer_loads import PeerLoads
 from knapweedarch.prefill_rates import PrefillRates
 from knapweedarch.prompt_admission import PromptSizes, PromptWaits, Waiting
-from knapweedarch.prompt_guard import create_prompt_guard
 from knapweedarch.prompt_parts import Prompt, PromptPart
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_calls import ProxyCall
@@ -227,7 +227,7 @@
         pool=None,
         chooser=EndpointChooser(ChoiceConfig(), index),
         index=index,
-        guard=create_prompt_guard(1),
+        guard=create_crash_guard(1),
         endpoint_limits=create_endpoint_limits(1),
         limits=RepeatLimits(0.2, 50.0, 10.0),
         start_refusal=lambda: None,
--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -19,6 +19,10 @@
 )
 from knapweedarch.chat_requests import ChatRequest, parse_chat, prompt_bytes
 from knapweedarch.chat_streams import STREAM_IDLE_TIMEOUT_S, ChatStream
+from knapweedarch.crash_guard import (
+    CRASH_REASONS,
+    SOUND_EVENTS,
+)
 from knapweedarch.exceptions import EndpointError, KnapweedarchError
 from knapweedarch.exchanges import SendRefusedError
 from knapweedarch.models import (
@@ -38,10 +42,6 @@
     hash_steps,
     make_salt,
 )
-from knapweedarch.prompt_guard import (
-    CRASH_REASONS,
-    SOUND_EVENTS,
-)
 from knapweedarch.quarantine_messages import runner_digest
 from knapweedarch.request_digests import (
     RequestDigests,
--- a/knapweedarch/prompt_guard.py
+++ b/knapweedarch/crash_guard.py
@@ -41,7 +41,7 @@
 MAX_REQUESTS = 1024
 
 
-class PromptGuard:
+class CrashGuard:
     """Crashes and sound parts seen by this router, and what it holds back.
 
     Args:
@@ -171,10 +171,10 @@
             self.popitem(last=False)
 
 
-def create_prompt_guard(seed: int) -> PromptGuard:
+def create_crash_guard(seed: int) -> CrashGuard:
     """Creates the guard of a router.
 
     Args:
         seed: Seed of its random delays; it must differ from router to router.
     """
-    return PromptGuard(seed)
+    return CrashGuard(seed)
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -23,6 +23,7 @@
     create_call,
 )
 from knapweedarch.chats import ChatHandler
+from knapweedarch.crash_guard import CrashGuard
 from knapweedarch.exceptions import ControlError
 from knapweedarch.models import (
     Attempt,
@@ -36,7 +37,6 @@
     Rules,
     Ticket,
 )
-from knapweedarch.prompt_guard import PromptGuard
 from knapweedarch.services import ServiceHandler
 from knapweedarch.state import TableFull
 from knapweedarch.timers import Clock, ManualClock
@@ -93,7 +93,7 @@
     rules: Rules
     scheduler: SchedulerPort
     adapter: Adapter
-    guard: PromptGuard
+    guard: CrashGuard
     incarnation: str
     max_body_bytes: int
     endpoint_credential: str
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -8,6 +8,7 @@
 import attrs
 
 from knapweedarch import control
+from knapweedarch.crash_guard import create_crash_guard
 from knapweedarch.deployments import Deployment
 from knapweedarch.dialects import Dialect
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
@@ -20,7 +21,6 @@
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import Endpoint, RefusalReason
 from knapweedarch.process_pauses import PauseDetector
-from knapweedarch.prompt_guard import create_prompt_guard
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
 from knapweedarch.quarantine_client import QuarantineClient
@@ -120,7 +120,7 @@
         self._keeper.on_weights = self._set_weights
         self._keeper.on_granted = self._on_lease_granted
         self._endpoint_limits = create_endpoint_limits(int(incarnation, 16))
-        self._guard = create_prompt_guard(int(incarnation, 16))
+        self._guard = create_crash_guard(int(incarnation, 16))
         self._pool = pool
         self._index = PartsIndex()
         self._attempts = Attempts(
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -4,6 +4,11 @@
 
 import attrs
 
+from knapweedarch.crash_guard import (
+    CRASH_REASONS,
+    SOUND_EVENTS,
+    CrashGuard,
+)
 from knapweedarch.deployments import CacheStore
 from knapweedarch.dialects import Dialect, SendOptions
 from knapweedarch.endpoint_choice import EndpointChooser
@@ -21,11 +26,6 @@
     RetryReason,
 )
 from knapweedarch.prompt_admission import PromptAdmission
-from knapweedarch.prompt_guard import (
-    CRASH_REASONS,
-    SOUND_EVENTS,
-    PromptGuard,
-)
 from knapweedarch.proxy_calls import (
     AnswerProgress,
     ExecutionStatus,
@@ -79,7 +79,7 @@
         pool: OutboundPool,
         chooser: EndpointChooser,
         index: PartsIndex,
-        guard: PromptGuard,
+        guard: CrashGuard,
         endpoint_limits: EndpointLimits,
         limits: RepeatLimits,
         start_refusal: Callable[[], RefusalReason | None],
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -9,6 +9,7 @@
     read_full_answer,
     run_attempt,
 )
+from knapweedarch.crash_guard import SOUND_EVENTS
 from knapweedarch.event_stream import EventBatch, EventSplitter
 from knapweedarch.exceptions import EventTooLongError, ExchangeError
 from knapweedarch.http_inbound import Responder
@@ -16,7 +17,6 @@
 from knapweedarch.http_outbound import AnswerHead, Exchange
 from knapweedarch.logs import log
 from knapweedarch.models import Endpoint, RequestEnd, RetryReason
-from knapweedarch.prompt_guard import SOUND_EVENTS
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_calls import (
     AnswerProgress,
--- a/knapweedarch/quarantine_client.py
+++ b/knapweedarch/quarantine_client.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Sequence
 
+from knapweedarch.crash_guard import CrashGuard
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
-from knapweedarch.prompt_guard import PromptGuard
 from knapweedarch.quarantine_messages import HeldPart, PartNotices
 from knapweedarch.relay_client import RelayClient
 from knapweedarch.timers import Clock, Timers
@@ -26,7 +26,7 @@
     def __init__(
         self,
         name: str,
-        guard: PromptGuard,
+        guard: CrashGuard,
         relay: RelayClient,
         clock: Clock,
         metrics: Metrics,
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -15,6 +15,7 @@
     scheduler,
 )
 from knapweedarch.adapters import create_adapter
+from knapweedarch.crash_guard import create_crash_guard
 from knapweedarch.dispatcher import Dispatcher
 from knapweedarch.endpoint_table import EndpointTable
 from knapweedarch.exceptions import ControlError, RuleError
@@ -34,7 +35,6 @@
     Ticket,
 )
 from knapweedarch.order_sender import OrderSender
-from knapweedarch.prompt_guard import create_prompt_guard
 from knapweedarch.quarantine_client import QuarantineClient
 from knapweedarch.relay_client import RelayClient
 from knapweedarch.relayed_parts import IgnoredSilence, RelayedParts
@@ -82,7 +82,7 @@
             _scheduler_config(settings, distances_ms),
             seed=int(self.incarnation, 16),
         )
-        self.guard = create_prompt_guard(int(self.incarnation, 16))
+        self.guard = create_crash_guard(int(self.incarnation, 16))
         # Relays to this router carry no cached parts: it follows the runners
         # itself.
         self._relay = RelayClient(
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -27,7 +27,7 @@
     *("runner_roles", "prefill_rates", "prompt_admission", "exponential"),
     *("target_weights", "quarantine_messages", "crash_tracker"),
     *("rate_messages", "endpoint_rates", "rate_relay"),
-    *("part_quarantine", "report_queue", "prompt_guard", "quarantine_relay"),
+    *("part_quarantine", "report_queue", "crash_guard", "quarantine_relay"),
     "request_digests",
 )
 FORBIDDEN = {
--- a/standins/fake_router.py
+++ b/standins/fake_router.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from knapweedarch.adapters import create_adapter
+from knapweedarch.crash_guard import create_crash_guard
 from knapweedarch.exceptions import ControlError
 from knapweedarch.models import (
     Attempt,
@@ -20,7 +21,6 @@
     ServiceRule,
     Ticket,
 )
-from knapweedarch.prompt_guard import create_prompt_guard
 from knapweedarch.state import COMMANDS, RESULTS, ControlState
 from knapweedarch.timers import Clock
 
@@ -80,7 +80,7 @@
         self.incarnation = incarnation
         self.scheduler = FakeScheduler()
         self.adapter = create_adapter(CREDENTIAL, self.clock, incarnation)
-        self.guard = create_prompt_guard(1)
+        self.guard = create_crash_guard(1)
         self.max_body_bytes = 256 * 1024
         self.endpoint_credential = CREDENTIAL
         self.rules = Rules(
