--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -342,3 +342,37 @@
     When a caller sends 60 requests that may run many times, 0.05 s apart
     Then every answer has status 200
     And runner 1 has received at most 11 requests
+
+  Scenario: A runner that says that it leaves gets no more requests
+    Guards against requests that reach a runner which says in its answers that it
+    leaves, while the router is out of touch with the registry that would say so.
+    Given a proxied runner that answers and says that it leaves
+    And a proxied runner that answers
+    When a caller sends 10 requests that may run many times, 0.05 s apart
+    Then every answer has status 200
+    And runner 1 has received at most 1 requests
+
+  Scenario: The last runner of a service says that it leaves
+    Guards against requests that wait, or are sent to a runner that leaves, since
+    there is no other.
+    Given a proxied runner that answers and says that it leaves
+    When a caller sends 10 requests that may run many times, 0.05 s apart
+    Then the first answer has status 200 and the others 503
+    And runner 1 has received at most 1 requests
+
+  Scenario: A runner that asks for a wait gets no requests meanwhile
+    Load: 20 requests a second for 2 s. Guards against a runner in need that each
+    request tries again.
+    Given a proxied runner that is full and asks for a wait of 1 s
+    And a proxied runner that answers
+    When a caller sends 40 requests that may run many times, 0.05 s apart
+    Then every answer has status 200
+    And runner 1 has received at most 3 requests
+
+  Scenario: The only runner asks for a wait
+    Guards against a refusal that is late, and against callers that are told to
+    return long before a runner takes requests.
+    Given a proxied runner that is full and asks for a wait of 1 s
+    When a caller sends 4 requests that may run many times, 0.05 s apart
+    Then each of them is refused within 0.1 s, with a Retry-After of 0.4 s or more
+    And runner 1 has received at most 1 requests
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -180,6 +180,12 @@
             case "names a limit of 1 a second":
                 limit = "Server-Limit: 1.0\r\n"
                 await stream.send(_response(request_id, BODY, extra=limit))
+            case "answers and says that it leaves":
+                leaving = "Server-Leaving: 1\r\n"
+                await stream.send(_response(request_id, BODY, extra=leaving))
+            case "is full and asks for a wait of 1 s":
+                wait = "X-Knapweedarch-Not-Executed: 1\r\nRetry-After: 1\r\n"
+                await stream.send(_response(request_id, b"", "503 Full", wait))
             case "answers late":
                 await anyio.sleep(LATE_ANSWER_S)
                 await stream.send(_response(request_id, BODY))
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -562,13 +562,15 @@
         async with open_proxy() as fixture:
             for mode in context.modes:
                 await fixture.add_runner(mode)
-            context.answers = []
+            context.answers, context.took_s = [], []
             for number in range(count):
                 data = request("many", request_id=f"r{number}")
                 stream = await anyio.connect_tcp("127.0.0.1", fixture.port)
+                began_at = anyio.current_time()
                 async with stream:
                     await stream.send(data)
                     context.answers.append(RawAnswer(await stream.receive()))
+                context.took_s.append(anyio.current_time() - began_at)
                 await anyio.sleep(pause)
             context.runners = fixture.runners
 
@@ -581,6 +583,24 @@
     assert found == {status}, found
 
 
+@then("the first answer has status {first:d} and the others {others:d}")
+def check_statuses(context, first, others):
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [first] + [others] * (len(statuses) - 1), statuses
+
+
+@then(
+    "each of them is refused within {limit:g} s, with a Retry-After of"
+    " {least:g} s or more"
+)
+def check_refused_at_once(context, limit, least):
+    assert max(context.took_s) <= limit, context.took_s
+    for answer in context.answers:
+        assert answer.status == 503, answer
+        found = re.search(r"retry-after: ([\d.]+)", answer.head.lower())
+        assert float(found.group(1)) >= least, answer
+
+
 @then("runner {number:d} has received at most {most:d} requests")
 def received_at_most(context, number, most):
     received = len(context.runners[number - 1].received)
