Obey runners that leave or want nothing for a time

Runners that said that they leave, or asked for a wait with a 503, got requests as before, since nothing read it. A typed statement is decoded from each answer now, and routers send nothing to that incarnation from then on, or until the wait is over; if no endpoint is left a request is refused at once, with the time until one takes it.

--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -20,6 +20,7 @@
 )
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
 from knapweedarch.endpoint_rates import create_endpoint_limits
+from knapweedarch.endpoint_statements import create_endpoint_waits
 from knapweedarch.http_inbound import InboundServer
 from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.metrics import create_metrics
@@ -474,6 +475,7 @@
             index=PartsIndex(),
             guard=create_crash_guard(1),
             endpoint_limits=create_endpoint_limits(1),
+            endpoint_waits=create_endpoint_waits(1),
             limits=RepeatLimits(1.0, 100.0, 10.0),
             start_refusal=lambda: self.refusal,
             started_at=clock.now() - ROUTER_AGE_S,
--- a/features/steps/endpoint_limit_steps.py
+++ b/features/steps/endpoint_limit_steps.py
@@ -86,7 +86,7 @@
 @when('an answer names the limit "{text}"')
 def read_limit(context, text):
     head = AnswerHead(200, ((b"server-limit", text.encode()),))
-    context.limit = PlatformDialect().rate_limit(head)
+    context.limit = PlatformDialect().statement(head).limit_per_s
 
 
 @then("the limit is {limit}")
--- a/features/steps/prefill_load_steps.py
+++ b/features/steps/prefill_load_steps.py
@@ -17,6 +17,7 @@
 from knapweedarch.dialects import CallerOptions
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
 from knapweedarch.endpoint_rates import create_endpoint_limits
+from knapweedarch.endpoint_statements import create_endpoint_waits
 from knapweedarch.http_messages import Request
 from knapweedarch.load_relay import LoadRelay
 from knapweedarch.metrics import create_metrics
@@ -229,6 +230,7 @@
         index=index,
         guard=create_crash_guard(1),
         endpoint_limits=create_endpoint_limits(1),
+        endpoint_waits=create_endpoint_waits(1),
         limits=RepeatLimits(0.2, 50.0, 10.0),
         start_refusal=lambda: None,
         started_at=0.0,
--- a/knapweedarch/dialects.py
+++ b/knapweedarch/dialects.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from knapweedarch.endpoint_statements import EndpointStatement
 from knapweedarch.http_messages import Headers, Request
 from knapweedarch.http_outbound import AnswerHead
 from knapweedarch.prompt_parts import Prompt
@@ -77,11 +78,8 @@
     def was_not_run(self, head: AnswerHead) -> bool:
         """Returns whether the endpoint states that the request did not run."""
 
-    def rate_limit(self, head: AnswerHead) -> float | None:
-        """Returns the requests a second that an endpoint takes at most.
-
-        The limit holds for all routers together. None if it names none.
-        """
+    def statement(self, head: AnswerHead) -> EndpointStatement:
+        """Decodes what an answer says of its endpoint."""
 
     def is_wrong_instance(self, head: AnswerHead, instance_id: str) -> bool:
         """Returns whether an instance other than the intended one answered."""
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -171,6 +171,18 @@
         _I,
         "An endpoint began or ceased to name a limit of requests a second.",
     ),
+    Event(
+        519,
+        "endpoint_waits",
+        _I,
+        "An endpoint said that it leaves, or wants no requests for a time.",
+    ),
+    Event(
+        520,
+        "endpoint_statement_malformed",
+        _W,
+        "An endpoint says something of itself that cannot be read.",
+    ),
     Event(510, "attempt_ended", _I, "An attempt ended without a response."),
     Event(514, "request_sent", _I, "A request was sent to an endpoint."),
     Event(511, "request_given_up", _I, "A request is not retried."),
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -104,6 +104,11 @@
         _C,
         "Times that a part of prompts was held back as it crashes runners.",
     ),
+    Metric(
+        "statements.malformed",
+        _C,
+        "Answers whose statement of their endpoint could not be read.",
+    ),
     Metric("cancelled", _C, "Requests whose caller disconnected early."),
     Metric(
         "crossed.dropped",
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -13,6 +13,7 @@
 from knapweedarch.dialects import Dialect
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
 from knapweedarch.endpoint_rates import create_endpoint_limits
+from knapweedarch.endpoint_statements import create_endpoint_waits
 from knapweedarch.http_inbound import InboundServer, Responder
 from knapweedarch.http_messages import Answer, Request
 from knapweedarch.http_outbound import OutboundPool
@@ -138,6 +139,7 @@
             index=self._index,
             guard=self._guard,
             endpoint_limits=self._endpoint_limits,
+            endpoint_waits=create_endpoint_waits(int(incarnation, 16)),
             limits=settings.repeats,
             start_refusal=self._start_refusal,
             started_at=clock.now(),
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -1,5 +1,6 @@
 """Attempts of proxied requests: endpoint selection, sends and repeats."""
 
+import math
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -13,6 +14,7 @@
 from knapweedarch.dialects import Dialect, SendOptions
 from knapweedarch.endpoint_choice import EndpointChooser
 from knapweedarch.endpoint_rates import EndpointLimits
+from knapweedarch.endpoint_statements import EndpointStatement, EndpointWaits
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.heartbeats import incarnation_start
 from knapweedarch.http_outbound import AnswerHead, Exchange, OutboundPool
@@ -43,6 +45,7 @@
 # Saves per second that one router may request from a store. Saves and fetches
 # share the store's network bandwidth.
 SAVES_PER_S = 1.2
+MALFORMED_LOG_INTERVAL_S = 60.0
 
 
 class Attempts:
@@ -60,6 +63,7 @@
         index: Prompt parts cached in runners and stores.
         guard: Tells which requests crash endpoints.
         endpoint_limits: Limits that endpoints name.
+        endpoint_waits: Endpoints that take no requests now, as they said.
         limits: Limit of repeats for all routers together.
         start_refusal: Returns why no request may be sent now, or None if it
             may.
@@ -81,6 +85,7 @@
         index: PartsIndex,
         guard: CrashGuard,
         endpoint_limits: EndpointLimits,
+        endpoint_waits: EndpointWaits,
         limits: RepeatLimits,
         start_refusal: Callable[[], RefusalReason | None],
         started_at: float,
@@ -95,6 +100,8 @@
         self._pool = pool
         self._guard = guard
         self._endpoint_limits = endpoint_limits
+        self._waits = endpoint_waits
+        self._malformed_logged_at = -math.inf
         self._limits = limits
         self._start_refusal = start_refusal
         self._started_at = started_at
@@ -110,6 +117,7 @@
                 for name in endpoint.serves:
                     self._by_service.setdefault(name, []).append(endpoint)
         self.chooser.retain(endpoints)
+        self._waits.retain(endpoints)
 
     @property
     def active_endpoint_count(self) -> int:
@@ -148,7 +156,7 @@
             e for e in endpoints if _serves_model(e, call.options.prompt)
         ]
         engine = call.service.engine
-        waits_s = self._limit_waits_s(candidates, now)
+        waits_s = self._waits_s(candidates, now)
         endpoint = self.chooser.choose(
             *(
                 candidates,
@@ -160,9 +168,10 @@
             memory_tokens=engine.memory_tokens if engine else 0,
             barred=waits_s,
         )
-        if endpoint is None and waits_s:
+        soonest_s = min(waits_s.values(), default=math.inf)
+        if endpoint is None and soonest_s < math.inf:
             call.is_limited = True
-            call.retry_after_s = min(waits_s.values())
+            call.retry_after_s = soonest_s
         if endpoint is None or self._is_overloaded(call, endpoint):
             return None
         if call.send_count and not self._budget(call).try_acquire(
@@ -176,35 +185,60 @@
         self._endpoint_limits.record_sent(endpoint_digest(endpoint.id), now)
         return endpoint
 
-    def _limit_waits_s(
+    def _waits_s(
         self, endpoints: Iterable[Endpoint], now: float
     ) -> dict[str, float]:
-        """Returns after how many seconds limited endpoints take a request.
+        """Returns after how many seconds endpoints take a request.
 
-        Endpoints that take one now are left out.
+        It follows from what they have said; those that take one now are left
+        out.
         """
-        limits = self._endpoint_limits
-        if limits.is_empty:
+        limits, waits = self._endpoint_limits, self._waits
+        if limits.is_empty and waits.is_empty:
             return {}
         waits_s = {
-            e.id: limits.wait_s(endpoint_digest(e.id), now) for e in endpoints
+            e.id: max(
+                limits.wait_s(endpoint_digest(e.id), now), waits.wait_s(e, now)
+            )
+            for e in endpoints
         }
         return {i: wait_s for i, wait_s in waits_s.items() if wait_s > 0}
 
     def record_head(self, endpoint: Endpoint, head: AnswerHead) -> None:
-        """Records the limit that an endpoint names in an answer."""
+        """Records what an answer says of its endpoint."""
         if self.dialect.is_wrong_instance(head, endpoint.id):
             return
-        limit_per_s = self.dialect.rate_limit(head)
+        now, statement = self.clock.now(), self.dialect.statement(head)
+        if statement.malformed:
+            self._record_malformed(endpoint, statement, now)
         if self._endpoint_limits.record_named(
-            endpoint_digest(endpoint.id), limit_per_s, self.clock.now()
+            endpoint_digest(endpoint.id), statement.limit_per_s, now
         ):
             log(
                 "endpoint_limit",
                 endpoint=endpoint.id,
-                limit_per_s=limit_per_s,
+                limit_per_s=statement.limit_per_s,
                 shared=self._endpoint_limits.is_shared,
             )
+        if self._waits.record(endpoint, statement, now):
+            log(
+                "endpoint_waits",
+                endpoint=endpoint.id,
+                leaving=statement.is_leaving,
+                wait_s=statement.wait_s,
+            )
+
+    def _record_malformed(
+        self, endpoint: Endpoint, statement: EndpointStatement, now: float
+    ) -> None:
+        self.metrics.count("statements.malformed")
+        if now - self._malformed_logged_at >= MALFORMED_LOG_INTERVAL_S:
+            self._malformed_logged_at = now
+            log(
+                "endpoint_statement_malformed",
+                endpoint=endpoint.id,
+                headers=list(statement.malformed),
+            )
 
     def _is_overloaded(self, call: ProxyCall, endpoint: Endpoint) -> bool:
         """Returns whether a new request is refused; see `prompt_admission`."""
@@ -386,6 +420,7 @@
             if e.weights_version == endpoint.weights_version
             and e.id != endpoint.id
             and self.chooser.is_usable(e, self.now())
+            and not self._waits.wait_s(e, self.now())
         ]
         peers.sort(key=lambda e: e.data_centre != endpoint.data_centre)
         return [*(e.address for e in peers), *self._save_limiters]
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -28,7 +28,7 @@
     *("target_weights", "quarantine_messages", "crash_tracker"),
     *("rate_messages", "endpoint_rates", "rate_relay"),
     *("part_quarantine", "report_queue", "crash_guard", "quarantine_relay"),
-    "request_digests",
+    *("request_digests", "endpoint_statements"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
