--- a/knapweedarch/crash_tracker.py
+++ b/knapweedarch/crash_tracker.py
@@ -1,4 +1,4 @@
-"""Finds the requests and the parts of prompts that crash runners.
+"""Finds the requests and the parts of prompts that crash endpoints.
 
 A request that crashes its runner is lost in the crowd: all other requests under
 way at that runner break with it. Over several crashes only the parts of the
@@ -170,8 +170,9 @@
         """
         if not self._forget(now) and now > self._settled_at:
             return None
-        if found := self._crashed_again(on_probation):
-            return found
+        again = self._crashed_again(on_probation)
+        if again is not None:
+            return again
         tallies = self._tallies(now)
         self._count_held_requests(tallies, on_probation)
         self._watch(tallies, now)
