--- a/features/crash_quarantine.feature
+++ b/features/crash_quarantine.feature
@@ -167,6 +167,12 @@
     When an answer to a request with part "a" goes on
     Then the router does not hold part "a" back
 
+  Scenario: A router remembers a bounded number of requests
+    Guards against a table that grows with each request that is answered or breaks.
+    Given a router at which 5000 requests are answered and 5000 others break off
+    Then it remembers at most 1024 of each kind
+    And its report has at most 32 crashes of at most 128 parts
+
   Scenario Outline: What is remembered is bounded
     Guards against tables that grow with crashes, parts or answers.
     Given a member that is told of <count> crashes with parts of their own
--- a/features/steps/crash_quarantine_steps.py
+++ b/features/steps/crash_quarantine_steps.py
@@ -323,6 +323,32 @@
     assert not context.guard.held_s(context.digests, 11.1)
 
 
+@given(
+    "a router at which {answered:d} requests are answered and {broken:d} others"
+    " break off"
+)
+def fill_router(context, answered, broken):
+    context.guard = create_crash_guard(SEED)
+    for number in range(answered):
+        context.guard.record_sound(RequestDigests(number), 1.0)
+    for number in range(broken):
+        digests = RequestDigests(-number - 1, (number % 500,))
+        context.guard.record_broken(number % 50, digests, True, 2.0)
+
+
+@then("it remembers at most {most:d} of each kind")
+def check_requests_bounded(context, most):
+    assert len(context.guard._answered_at) <= most
+    assert len(context.guard._broken_at) <= most
+
+
+@then("its report has at most {crashes:d} crashes of at most {parts:d} parts")
+def check_report_bounded(context, crashes, parts):
+    reports = context.guard.take_reports(2.1)
+    assert len(reports.crashes) <= crashes
+    assert max(len(crash.parts) for crash in reports.crashes) <= parts
+
+
 @given("a member that is told of {count:d} crashes with parts of their own")
 def report_crashes(context, count):
     context.count = count
