--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -159,7 +159,7 @@
         self.ran.append(request_id)
         await stream.send(b"".join(refusals))
         await anyio.sleep(0.05)
-        if "text/event-stream" in received.head or "/stream/" in received.head:
+        if received.head.startswith("POST /stream/"):
             await _stream(stream, received, len(EVENTS))
         else:
             await stream.send(_response(request_id, BODY))
