Show that a held request survives members' restarts, and is forgotten

Found when the diff was read once more: the rows over restarts and the one for what is remembered were for parts of prompts only.

--- a/features/crash_quarantine.feature
+++ b/features/crash_quarantine.feature
@@ -140,6 +140,28 @@
       | all members restart        |
       | the routers restart in turn |
 
+  Scenario Outline: A request stays held back while members restart
+    Guards against a request that crashes endpoints again since the processes that
+    knew it are gone.
+    Given 9 routers, 5 members and 9 runners that crash on a part
+    When 1 crashing request comes 5 times a second, and 40 others, with prompts, for 10 s
+    And <what>
+    And 1 crashing request comes 5 times a second, and 40 others, with prompts, for 20 s
+    Then at most 3 are sent later than 3.0 s after the third crash
+
+    Examples:
+      | what                    |
+      | member 1 stops for good |
+      | all members restart     |
+
+  Scenario: A request is tried again after its last crash, and then forgotten
+    Guards against a table that keeps each request that ever crashed endpoints.
+    Given 9 routers, 5 members and 9 runners that crash on a part
+    When 1 crashing request comes 5 times a second, and 40 others, without prompts, for 70 s
+    And 40 sound requests a second come for 1000 s
+    Then at most 3 are sent later than 3.0 s after the third crash
+    And no process remembers a crash
+
   Scenario: A part is sent again some time after its last crash
     Guards against a part that is refused for ever, and against a fleet that
     tries it at all routers at once.
