--- a/knapweedarch/dialects.py
+++ b/knapweedarch/dialects.py
@@ -21,6 +21,8 @@
             None if not set.
         last_event_id: Id of the last event received of an interrupted stream;
             empty for a new stream.
+        resumes: Id of the caller's attempt that brought the first event of
+            that stream; empty if not named.
         prompt: The prompt; None if the request names no model.
     """
 
@@ -28,6 +30,7 @@
     key: str = ""
     limit_s: float | None = None
     last_event_id: str = ""
+    resumes: str = ""
     prompt: Prompt | None = None
 
 
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -305,6 +305,7 @@
     names = (
         *(endpoint.id, endpoint.incarnation, endpoint.weights_version),
         *(endpoint.data_centre, endpoint.url, *endpoint.serves),
+        endpoint.software_version,
     )
     if any(len(name) > MAX_NAME_CHARS for name in names):
         raise ValueError(f"a name is longer than {MAX_NAME_CHARS} characters")
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -119,6 +119,9 @@
         cache_blocks: Capacity of the prefix cache in blocks.
         checks_fencing: Whether the endpoint refuses outdated fencing numbers.
         status: State of the endpoint; only an active one gets new work.
+        software_version: Version of the endpoint's software, not of its
+            weights; empty if it names none. What two versions write does not
+            fit together, so a stream goes on only at the one that began it.
     """
 
     id: str
@@ -132,6 +135,7 @@
     cache_blocks: int = 0
     checks_fencing: bool = False
     status: EndpointStatus = EndpointStatus.ACTIVE
+    software_version: str = ""
 
     @property
     def address(self) -> str:
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -231,6 +231,7 @@
                 endpoint=endpoint.id,
                 status=endpoint.status.value,
                 weights=endpoint.weights_version,
+                software=endpoint.software_version,
                 revision=entry.revision,
             )
         self._attempts.set_endpoints(list(self._endpoints.values()))
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -325,12 +325,14 @@
             request=request_id,
             endpoint=endpoint.id,
             weights=endpoint.weights_version,
+            software=endpoint.software_version,
             sends=call.send_count,
             shared_tokens=prompt.shared_tokens if prompt else 0,
             held_tokens=cached_tokens,
             fetch=options.fetch_from,
             save=options.save_to,
-            resume=last_event_id,
+            resume=options.last_event_id,
+            resumes=call.options.resumes,
             left_ms=round(options.limit_s * 1000),
         )
         return exchange
