--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -57,6 +57,17 @@
     When 20 guest requests arrive
     Then none of them is sent to runner r1
 
+  Scenario: A resumed stream goes only to runners of its software version
+    Guards against a stream that is placed for its cache at a runner whose
+    software would write another rest.
+    Given 3 runners
+    And runner r1 has stored the prompt as event 1
+    And runner r0 has software "s2"
+    And runner r1 has software "s2"
+    And runner r2 has software "s1"
+    When a stream that began at software "s1" is resumed
+    Then it is sent to runner r2
+
   Scenario: Requests sent since the last load report count as load
     Guards against a burst that is sent to one runner between two load reports.
     Given 3 runners with 4 slots
--- a/features/platform_site.feature
+++ b/features/platform_site.feature
@@ -71,3 +71,22 @@
     When a request that crashes servers is repeated for 9.0 s
     Then at most 3 copies of it start later than 3.0 s after the third crash
     And at least half of the other requests after that are answered
+
+  Scenario: Streams go on at their software version after all routers were killed
+    Runners of two software versions serve side by side. Guards against a stream
+    that its caller takes up and gets from two versions, and against streams that
+    nobody goes on with although their version serves.
+    Given a platform site of 3 members, 3 proxies and 2 runners
+    And 2 runners with software v2
+    When all proxies are killed while 24 streams of 120 tokens run
+    Then no stream has events of two software versions
+    And at least 12 of the streams taken up are complete
+
+  Scenario: Streams whose software version is gone are refused
+    The runners of the old version leave, then all routers are killed. Guards
+    against a stream that the new version goes on with.
+    Given a platform site of 3 members, 3 proxies and 2 runners
+    And 2 runners with software v2 come as the others leave
+    When all proxies are killed while 12 streams of 120 tokens run
+    Then no stream has events of two software versions
+    And callers of streams whose version is gone are told so
--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -376,3 +376,38 @@
     When a caller sends 4 requests that may run many times, 0.05 s apart
     Then each of them is refused within 0.1 s, with a Retry-After of 0.4 s or more
     And runner 1 has received at most 1 requests
+
+  Scenario: A router resumes a stream at the software version that began it
+    Guards against a stream that a router joins from two software versions of a
+    runner, where one of its own version serves as well.
+    Given a proxied runner that breaks off within event 3
+    And a proxied runner that streams
+    And a proxied runner that streams
+    And runner 1 has software v1
+    And runner 2 has software v2
+    And runner 3 has software v1
+    When a caller sends a request that may be resumed
+    Then the relayed stream is complete
+    And runner 2 has received 0 requests
+    And runner 3 was asked to resume after event 2
+
+  Scenario: A stream whose software version is gone ends as broken
+    Guards against a stream that is completed by another software version, and
+    against one that looks complete without its rest.
+    Given a proxied runner that breaks off within event 3
+    And a proxied runner that streams
+    And runner 1 has software v1
+    And runner 2 has software v2
+    When a caller sends a request that may be resumed
+    Then the relayed stream has no end
+    And runner 2 has received 0 requests
+
+  Scenario: Before its first event a stream may go to any software version
+    Guards against a stream that is lost with the version of a runner that wrote
+    nothing of it.
+    Given a proxied runner that ends before event 1 without a length
+    And a proxied runner that streams
+    And runner 1 has software v1
+    And runner 2 has software v2
+    When a caller sends a request that may be resumed
+    Then the relayed stream is complete
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -79,6 +79,7 @@
     Attributes:
         mode: How it answers.
         id: Id of its instance.
+        software: Version of its software.
         received: Requests that it has read.
         connections: Number of accepted connections.
         closed_connections: Number of connections that have ended.
@@ -92,6 +93,7 @@
 
     mode: str
     id: str
+    software: str = ""
     received: list[ReceivedRequest] = attrs.field(factory=list)
     connections: int = 0
     closed_connections: int = 0
@@ -491,9 +493,9 @@
         )
         self.port = 0
 
-    async def add_runner(self, mode: str) -> ScriptedRunner:
+    async def add_runner(self, mode: str, software: str = "") -> ScriptedRunner:
         """Starts a runner and adds it as an endpoint of the only service."""
-        runner = ScriptedRunner(mode, f"i-{len(self.runners)}")
+        runner = ScriptedRunner(mode, f"i-{len(self.runners)}", software)
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         runner.port = listener.extra(anyio.abc.SocketAttribute.local_port)
         if mode == "refuses connections":
@@ -510,6 +512,7 @@
                     # more slots its cost also grows less under load.
                     slots=1000 if r is self.runners[0] else 1,
                     data_centre="near" if r is self.runners[0] else "far",
+                    software_version=r.software,
                 )
                 for r in self.runners
             ]
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -66,6 +66,14 @@
     Then the answer is an error "no_capacity" with outcome "run"
     And runner "b" ran 0 requests
 
+  # Guards against a text joined from two software versions of a runner.
+  Scenario: A stream is not resumed at another software version
+    Given a runner "a" with fault "break" at token 5
+    And a runner "b" with software "s2"
+    When a caller asks for a stream of 20 tokens
+    Then the answer is an error "no_capacity" with outcome "run"
+    And runner "b" ran 0 requests
+
   # Guards against a queue or buffer that grows with a slow caller.
   Scenario: A stream whose caller reads no data is cancelled
     Given the write timeout is 0.3 s
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -123,6 +123,25 @@
     announce(context)
 
 
+@given('runner {name} has software "{version}"')
+def has_software(context, name, version):
+    context.runners[name] = attrs.evolve(
+        context.runners[name], software_version=version
+    )
+    announce(context)
+
+
+@when('a stream that began at software "{version}" is resumed')
+def stream_resumed(context, version):
+    ticket = models.Ticket(
+        *("t", "a", "guide", models.Priority.GUEST, BLOCKS, 10_000, 100),
+        deadline=DEADLINES_S["guest"],
+        software_version=version,
+    )
+    context.last_decision = context.sched.submit(ticket, 0.0)
+    context.decisions.append(context.last_decision)
+
+
 @given("every runner reports {running:d} requests and {tokens:d} queued tokens")
 def report_all(context, running, tokens):
     for runner in context.runners.values():
@@ -216,7 +235,12 @@
     )
 
 
-@then("it is sent to runner {name} with {count:d} cached blocks")
+@then("it is sent to runner {name:w}")
+def is_sent_to(context, name):
+    assert dispatched_runners(context)[-1] == name
+
+
+@then("it is sent to runner {name:w} with {count:d} cached blocks")
 def is_sent_to(context, name, count):
     assert context.last_decision.attempt.endpoint.id == name
     assert context.last_decision.attempt.cached_blocks == count
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -48,8 +48,9 @@
 
     async def run():
         async with open_proxy() as fixture:
-            for mode in context.modes:
-                await fixture.add_runner(mode)
+            software = getattr(context, "software", {})
+            for number, mode in enumerate(context.modes, 1):
+                await fixture.add_runner(mode, software.get(number, ""))
             found = [await fixture.send(part, **options) for part in data]
             context.runners = fixture.runners
             context.proxy_metrics = fixture.metrics
@@ -65,6 +66,13 @@
     context.modes = [*getattr(context, "modes", []), mode]
 
 
+@given("runner {number:d} has software {version}")
+def runner_has_software(context, number, version):
+    if not hasattr(context, "software"):
+        context.software = {}
+    context.software[number] = version
+
+
 @when("a caller sends a request that {kind} and leaves")
 def sends_and_leaves(context, kind):
     async def run():
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -104,6 +104,11 @@
     add_runner(context, name, version=version)
 
 
+@given('a runner "{name:w}" with software "{version}"')
+def add_runner_with_software(context, name, version):
+    add_runner(context, name, software_version=version)
+
+
 @given('a runner "{name:w}" that answers at once')
 def add_fast_runner(context, name):
     add_runner(context, name, token_ms=0.0)
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -247,6 +247,8 @@
         weights_version: Required version of a resumed stream, otherwise empty.
         arrived_at: Arrival time of the request on the router's clock in
             seconds.
+        software_version: Required software version of a resumed stream; None
+            for any.
     """
 
     id: str
@@ -259,6 +261,7 @@
     deadline: float
     weights_version: str = ""
     arrived_at: float = 0.0
+    software_version: str | None = None
 
 
 @attrs.frozen
--- a/standins/fake_router.py
+++ b/standins/fake_router.py
@@ -125,9 +125,9 @@
         return self.lease_lapses
 
     async def place(self, ticket: Ticket) -> Dispatch | Refuse:
-        """Chooses the first runner with the weights version of the ticket.
+        """Chooses the first runner with the versions of the ticket.
 
-        Any runner matches a ticket without a version.
+        Any runner matches a ticket without versions.
         """
         return self._choose(ticket, self.runners)
 
@@ -146,7 +146,13 @@
             turn = next(self._rotation) % max(1, len(runners))
             runners = [*runners[turn:], *runners[:turn]]
         for runner in runners:
-            if ticket.weights_version in ("", runner.weights_version):
+            same_software = ticket.software_version in (
+                *(None, runner.software_version),
+            )
+            if (
+                ticket.weights_version in ("", runner.weights_version)
+                and same_software
+            ):
                 return Dispatch(
                     Attempt(next(self._attempt_numbers), ticket, runner)
                 )
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -44,6 +44,7 @@
         parts: Ids of the parts of its prompt.
         body: Its body.
         started_at: When it started, in seconds on the event loop's clock.
+        software: Version of the runner's software.
         done: Whether the complete response was sent.
     """
 
@@ -54,6 +55,7 @@
     parts: tuple[str, ...] = ()
     body: bytes = b""
     started_at: float = attrs.field(factory=anyio.current_time)
+    software: str = ""
     done: bool = False
 
 
@@ -70,6 +72,7 @@
         control_addresses: Returns the addresses to send heartbeats to.
         concurrency: Largest number of requests that run at once.
         weights: Version of its weights.
+        software: Version of its software.
         port: Port that it listens on, once it is started.
         runs: Started requests, in order.
         leaving: Whether its heartbeats report that it is draining.
@@ -90,6 +93,7 @@
     control_addresses: Callable[[], list[str]]
     concurrency: int = 4
     weights: int = 1
+    software: str = "v1"
     port: int = 0
     runs: list[Run] = attrs.field(factory=list)
     leaving: bool = False
@@ -141,7 +145,7 @@
             "service": self.service,
             "address": f"{self.host}:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.software,
             "concurrency": self.concurrency,
             "state": "draining" if self.leaving else "ready",
             "coldLeftMs": 0,
@@ -260,6 +264,7 @@
             computed_tokens=self._cache_prompt(req),
             parts=_part_ids(req),
             body=req.body,
+            software=self.software,
         )
         self.runs.append(run)
         headers = (
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -107,6 +107,23 @@
     popen: subprocess.Popen | None = None
 
 
+@attrs.define
+class StreamCall:
+    """A stream as its caller sees it, over all tries.
+
+    Attributes:
+        events: Numbers of the events received.
+        first_try: Id of the try that brought the first event.
+        tries: Ids of the tries that brought events.
+        statuses: Statuses of the tries after the first; 0 for no answer.
+    """
+
+    events: list[int] = attrs.field(factory=list)
+    first_try: str = ""
+    tries: list[str] = attrs.field(factory=list)
+    statuses: list[int] = attrs.field(factory=list)
+
+
 class PlatformSite:
     """Runs processes and runners, and acts as operator and callers.
 
@@ -210,6 +227,16 @@
             self._write_settings(process, bootstrap=False)
             self.start(name)
 
+    def restart_proxies(self) -> None:
+        """Kills all proxies at once, then starts them again."""
+        names = [n for n, p in self.processes.items() if p.role == "proxy"]
+        for name in names:
+            self.processes[name].popen.kill()
+        for name in names:
+            self.processes[name].popen.wait()
+            self._write_settings(self.processes[name], bootstrap=False)
+            self.start(name)
+
     def terminate(self, name: str) -> None:
         """Sends SIGTERM to a process."""
         self.processes[name].popen.send_signal(signal.SIGTERM)
@@ -234,7 +261,9 @@
         """Returns the base URL of a proxy for callers."""
         return f"http://{self.processes[name].host}:{self._proxy_port}"
 
-    async def add_runner(self, service: str, model: str = "") -> None:
+    async def add_runner(
+        self, service: str, model: str = "", software: str = "v1"
+    ) -> None:
         """Starts a runner, which registers itself by heartbeats."""
         number = len(self.runners) + 1
         runner = PlatformRunner(
@@ -243,6 +272,7 @@
             zone=ZONES[number % len(ZONES)],
             service=service,
             model=model,
+            software=software,
             control_addresses=self.control_addresses,
         )
         self.runners.append(runner)
@@ -321,6 +351,12 @@
                 one that all requests share and one of three.
             body: Body of the request.
         """
+        headers = self._next_headers(tokens, parts)
+        return await self.client.post(
+            self.proxy_url(proxy) + path, headers=headers, content=body
+        )
+
+    def _next_headers(self, tokens: int, parts: str = "") -> dict[str, str]:
         self._requests += 1
         headers = {
             "Host": HOST,
@@ -335,9 +371,35 @@
             headers["X-Knapweedarch-Prefix-Hash"] = (
                 f"{shared},c{self._requests}:90"
             )
-        return await self.client.post(
-            self.proxy_url(proxy) + path, headers=headers, content=body
-        )
+        return headers
+
+    async def try_stream(
+        self, proxy: str, stream: "StreamCall", tokens: int
+    ) -> int:
+        """Makes one try of a caller at a stream, and takes up what it has.
+
+        Returns:
+            The status; 0 if there was no answer.
+        """
+        headers = self._next_headers(tokens)
+        request_id = headers["X-Knapweedarch-Request-Id"]
+        if stream.events:
+            headers["Last-Event-Id"] = str(stream.events[-1])
+            headers["Resumes"] = stream.first_try
+        url, status, data = self.proxy_url(proxy) + "/chat/x", 0, ""
+        with contextlib.suppress(httpx.HTTPError):
+            async with self.client.stream("POST", url, headers=headers) as got:
+                status = got.status_code
+                async for part in got.aiter_text():
+                    data += part
+                    *whole, data = data.split("\n\n")
+                    ids = [int(e.split("\n")[0][4:]) for e in whole]
+                    if ids and status == 200:
+                        stream.first_try = stream.first_try or request_id
+                        if request_id not in stream.tries:
+                            stream.tries.append(request_id)
+                        stream.events += ids
+        return status
 
 
 def _free_ports(host: str, count: int) -> list[int]:
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -40,6 +40,7 @@
     id: str = "runner-1"
     model: str = "guide"
     version: str = "w1"
+    software_version: str = ""
     data_centre: str = "dc1"
     credential: str = "secret"
     seed: int = 0
@@ -130,6 +131,7 @@
             "kind": "runner",
             "serves": [self.model],
             "weights_version": self.version,
+            "software_version": self.cfg.software_version,
             "data_centre": self.cfg.data_centre,
             "slots": self.cfg.slots,
             "cache_blocks": self.cfg.cache_blocks,
