Resume a stream at the software version that began it

Callers saw streams joined from two software versions. The version of the runner that wrote the first event now binds all later attempts; if no endpoint has it, the caller's connection is broken off, with stream_version_gone in the log. Before the first event nothing is bound.

--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -28,6 +28,7 @@
     DEADLINE = "deadline"
     NO_CAPACITY = "no_capacity"
     PART_HELD = "part_held"
+    STREAM_VERSION_GONE = "stream_version_gone"
     ENDPOINTS_LIMITED = "endpoints_limited"
     NO_RESUME = "no_resume"
     RETRIES_EXHAUSTED = "retries_exhausted"
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -144,17 +144,20 @@
         A repeat is counted against the repeat budget of its service.
 
         Returns:
-            The endpoint; None if none is usable, the budget is used up or a
-            part of the prompt is held back.
+            The endpoint; None if none is usable, none has the software that
+            began the stream, the budget is used up or a part of the prompt
+            is held back.
         """
         now = self.clock.now()
         call.held_s = self._guard.held_s(call.digests, now)
         if call.held_s:
             return None
         endpoints = self._by_service.get(call.service.name, ())
-        candidates = [
+        capable = [
             e for e in endpoints if _serves_model(e, call.options.prompt)
         ]
+        candidates = [e for e in capable if call.may_go_to(e)]
+        call.is_version_gone = bool(capable) and not candidates
         engine = call.service.engine
         waits_s = self._waits_s(candidates, now)
         endpoint = self.chooser.choose(
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -83,6 +83,9 @@
             crashes endpoints; 0 if it is not.
         broke_off: Whether the last attempt broke off as by a crash.
         is_limited: Whether limits that endpoints name leave none for it.
+        software_version: Software version that began its stream, at which
+            alone it goes on; None before its first event.
+        is_version_gone: Whether no endpoint of that version is in use.
     """
 
     req: Request
@@ -100,6 +103,12 @@
     held_s: float = 0.0
     broke_off: bool = False
     is_limited: bool = False
+    software_version: str | None = None
+    is_version_gone: bool = False
+
+    def may_go_to(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint may begin the stream or go on with it."""
+        return self.software_version in (None, endpoint.software_version)
 
     def cache_salt(self, endpoint: Endpoint) -> str:
         """Returns the salt of the request's cache keys at an endpoint.
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -239,6 +239,7 @@
         self, endpoint: Endpoint, count: int, last_id: str
     ) -> None:
         now = self._attempts.clock.now()
+        self._call.software_version = endpoint.software_version
         if self._first_event_at is None:
             self._first_event_at = now
             self._attempts.metrics.timing(
