--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -318,11 +318,12 @@
         if self._state.started:
             if not self._state.resumable:
                 return Refuse(RefusalReason.NO_RESUME)
-            # Other weights would not continue the text generated so far. The
-            # next token gets the time limit of a first token.
+            # Other weights or software would not continue the text generated so
+            # far. The next token gets the time limit of a first token.
             self._ticket = attrs.evolve(
                 self._ticket,
                 weights_version=failed.endpoint.weights_version,
+                software_version=failed.endpoint.software_version,
                 deadline=self._router.clock.now()
                 + self._request.rule.first_token_s,
             )
--- a/knapweedarch/scheduler.py
+++ b/knapweedarch/scheduler.py
@@ -458,17 +458,18 @@
         Ejected runners, runners whose feed is lost and runners in `avoid` are
         excluded as long as others remain.
         """
-        # Only a resumed stream requires a version. During a roll-out runners
+        # Only a resumed stream requires versions. During a roll-out runners
         # with the older version keep serving, otherwise capacity would drop
         # to the few that have loaded the new one. A runner that reports no
         # version is excluded if the rules require one.
-        version = ticket.weights_version
+        version, software = ticket.weights_version, ticket.software_version
         capable = [
             e
             for e in self._endpoints.values()
             if ticket.model in e.serves
             and e.status is models.EndpointStatus.ACTIVE
             and (not version or e.weights_version == version)
+            and software in (None, e.software_version)
             and (e.weights_version or not self._versions.get(ticket.model))
         ]
         healthy = [e for e in capable if not self._health.is_ejected(e.id, now)]
