Keep the software version of each stream in the members' memory

No process but the killed router knew where a stream had begun. One whose version is not served now is refused with stream_version_gone, one that nobody knows with stream_version_unknown, both at once; of a service that has only ever had one version, which the leader must confirm, the stream goes on there.

--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -459,6 +459,25 @@
     )
 
 
+@attrs.define
+class KnownOrigins:
+    """Origins of streams in the memory of the test.
+
+    Attributes:
+        versions: Software versions by the id of the request.
+    """
+
+    versions: dict[str, str] = attrs.field(factory=dict)
+
+    def record(self, request_id: str, version: str, limit_s: float) -> None:
+        """Records the version that wrote the first event of a stream."""
+        self.versions[request_id] = version
+
+    async def find(self, request_id: str, service: str) -> str | None:
+        """Returns the version of a stream, or None if it is unknown."""
+        return self.versions.get(request_id)
+
+
 class ProxyFixture:
     """A gateway with its runners and a caller that sends raw bytes."""
 
@@ -468,6 +487,7 @@
         self.runners: list[ScriptedRunner] = []
         self.refusal: RefusalReason | None = None
         self.metrics = create_metrics(None, 0, "test")
+        self.origins = KnownOrigins()
         self.attempts = Attempts(
             clock=clock,
             metrics=self.metrics,
@@ -478,6 +498,7 @@
             guard=create_crash_guard(1),
             endpoint_limits=create_endpoint_limits(1),
             endpoint_waits=create_endpoint_waits(1),
+            origins=self.origins,
             limits=RepeatLimits(1.0, 100.0, 10.0),
             start_refusal=lambda: self.refusal,
             started_at=clock.now() - ROUTER_AGE_S,
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -9,6 +9,13 @@
 from knapweedarch.deployments import Deployment
 from knapweedarch.exceptions import CodecError
 from knapweedarch.models import Endpoint
+from knapweedarch.origin_messages import (
+    FindOrigins,
+    OriginsFound,
+    ReadVersions,
+    ServiceVersions,
+    StreamOrigins,
+)
 from knapweedarch.quarantine_messages import PartNotices, PartReports
 from knapweedarch.rate_messages import EndpointRates
 from knapweedarch.relay_messages import (
@@ -351,4 +358,6 @@
     *(Join, Joining, Subscribe, Subscribed, Relayed),
     *(ResendSources, LoadChanges, LoadTotals),
     *(PartReports, PartNotices, EndpointRates),
+    *(StreamOrigins, FindOrigins, OriginsFound),
+    *(ReadVersions, ServiceVersions),
 )
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -113,6 +113,12 @@
     ),
     Event(308, "relay_found", _I, "A member relays loads and cached parts."),
     Event(309, "relay_not_reached", _W, "A member did not relay anything."),
+    Event(
+        310,
+        "origins_not_found",
+        _W,
+        "Members did not say at which software streams began.",
+    ),
     Event(307, "deployment_applied", _I, "A configuration was applied here."),
     Event(
         414, "load_not_confirmed", _W, "A runner did not report new weights."
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -15,6 +15,7 @@
 from knapweedarch.leases import LEASE_S, LeaseTable
 from knapweedarch.logs import log
 from knapweedarch.models import EndpointStatus
+from knapweedarch.origin_messages import ServiceVersions
 from knapweedarch.rules import parse_steps
 from knapweedarch.state import (
     COMMANDS,
@@ -261,6 +262,12 @@
             deployment.version if deployment else 0, self._state.document
         )
 
+    def read_versions(self, service: str) -> ServiceVersions | control.Redirect:
+        """Returns the software versions that a service ever had."""
+        if not self._can_serve():
+            return self._redirect()
+        return ServiceVersions(self._state.software.versions(service))
+
     async def heartbeat(
         self, message: control.Heartbeat
     ) -> control.HeartbeatNoted | control.Refused | control.Redirect:
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -20,6 +20,7 @@
 from knapweedarch.member_relay import MemberRelay
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import EndpointKind
+from knapweedarch.origin_messages import FindOrigins, ReadVersions
 from knapweedarch.peer_links import PeerLinks
 from knapweedarch.process_pauses import PauseDetector
 from knapweedarch.process_start import STARTED_AT_S
@@ -348,6 +349,10 @@
                 return await self._leader.heartbeat(message)
             case control.ReadDeployment():
                 return self._leader.read_deployment()
+            case FindOrigins():
+                return self.relay.find_origins(message)
+            case ReadVersions(service=service):
+                return self._leader.read_versions(service)
             case control.Join():
                 return self._leader.register_joining(message)
             case control.Query():
--- a/knapweedarch/member_relay.py
+++ b/knapweedarch/member_relay.py
@@ -11,6 +11,12 @@
 from knapweedarch.load_relay import LoadRelay
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
+from knapweedarch.origin_messages import (
+    FindOrigins,
+    OriginsFound,
+    StreamOrigins,
+)
+from knapweedarch.origin_relay import OriginRelay
 from knapweedarch.quarantine_client import log_held
 from knapweedarch.quarantine_messages import PartReports
 from knapweedarch.quarantine_relay import QuarantineRelay
@@ -90,8 +96,10 @@
         self._loads = LoadRelay()
         self._quarantine = QuarantineRelay()
         self._rates = RateRelay()
+        self._origins = OriginRelay()
         self._subscribers: dict[links.Link, _Subscriber] = {}
         self._upstream: dict[links.Link, str] = {}
+        self._takes_origins: set[links.Link] = set()
         self._sent_local_number = 0
         self._totals_sent_at = 0.0
         self._news_due_at = 0.0
@@ -134,6 +142,7 @@
         """Forgets the reports of a member whose link has closed."""
         for link in [k for k, known in self._upstream.items() if known == name]:
             del self._upstream[link]
+            self._takes_origins.discard(link)
         self._sources.remove_member(name)
         self._follow()
 
@@ -148,9 +157,8 @@
         match message:
             case Subscribe():
                 self._add_subscriber(link, message)
-            case Subscribed(name=name, data_centre=data_centre):
-                self._sources.add_member(name, data_centre)
-                self._follow()
+            case Subscribed():
+                self._add_member(link, message)
             case Relayed() if link in self._upstream:
                 self._receive_news(link, message)
             case ResendSources() if link in self._subscribers:
@@ -159,10 +167,37 @@
                 self._receive_loads(link, message)
             case PartReports() if link in self._subscribers:
                 self._receive_reports(link, message)
+            case StreamOrigins() if link in self._subscribers:
+                self._receive_origins(link, message)
             case EndpointRates() if link in self._subscribers:
                 is_member = self._subscribers[link].is_member
                 self._rates.receive(link, message, is_member, self._clock.now())
 
+    def find_origins(self, message: FindOrigins) -> OriginsFound | None:
+        """Answers a look-up; None if it is malformed."""
+        try:
+            return self._origins.find(message, self._clock.now())
+        except ValueError as exc:
+            log("relay_message_refused", peer="router", reason=str(exc))
+            return None
+
+    def _add_member(self, link: links.Link, message: Subscribed) -> None:
+        """Notes that another member has accepted this one's subscription."""
+        self._sources.add_member(message.name, message.data_centre)
+        self._follow()
+        if message.takes_origins and link in self._upstream:
+            self._takes_origins.add(link)
+            for reports in self._origins.known_reports(self._clock.now()):
+                self._send(link, CONTROL.encode(reports))
+
+    def _receive_origins(self, link: links.Link, message: StreamOrigins):
+        is_member = self._subscribers[link].is_member
+        try:
+            self._origins.receive(message, is_member, self._clock.now())
+        except ValueError as exc:
+            log("relay_message_refused", peer=link.peer, reason=str(exc))
+            link.close()
+
     def _add_subscriber(self, link: links.Link, message: Subscribe) -> None:
         self._subscribers[link] = _Subscriber(message.name, message.is_member)
         log(
@@ -171,7 +206,11 @@
             data_centre=message.data_centre,
         )
         others = self._sources.other_members()
-        link.send(Subscribed(self._name, self._data_centre, others))
+        link.send(
+            Subscribed(
+                *(self._name, self._data_centre, others), takes_origins=True
+            )
+        )
         for batch in self._sources.snapshots(message.is_member):
             link.send(batch)
         if not message.is_member:
@@ -226,6 +265,7 @@
             self._news_due_at = now + NEWS_INTERVAL_S
             self._send_news()
             self._review_parts(now)
+        self._send_origins(now)
         self._send_local_loads(now)
         self._send_totals(now)
         self._send_rates(now)
@@ -258,6 +298,13 @@
                 if not subscriber.is_member:
                     self._send(link, message)
 
+    def _send_origins(self, now: float) -> None:
+        """Passes the origins that routers reported on to other members."""
+        for reports in self._origins.take_reports(now):
+            message = CONTROL.encode(reports)
+            for link in list(self._takes_origins):
+                self._send(link, message)
+
     def _send_local_loads(self, now: float) -> None:
         if now < self._local_due_at:
             return
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -99,6 +99,8 @@
         _C,
         "Prompt tokens expected in a runner's cache but not found there.",
     ),
+    Metric("origins.found", _C, "Streams taken up whose version was found."),
+    Metric("origins.unknown", _C, "Streams taken up whose version was not."),
     Metric(
         "parts.held",
         _C,
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -29,6 +29,7 @@
     NO_CAPACITY = "no_capacity"
     PART_HELD = "part_held"
     STREAM_VERSION_GONE = "stream_version_gone"
+    STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     ENDPOINTS_LIMITED = "endpoints_limited"
     NO_RESUME = "no_resume"
     RETRIES_EXHAUSTED = "retries_exhausted"
--- /dev/null
+++ b/knapweedarch/origin_client.py
@@ -0,0 +1,182 @@
+"""A router's memory of where streams began, and its look-ups at the members."""
+
+from typing import Protocol
+
+import anyio
+import attrs
+
+from knapweedarch.control import ControlClient
+from knapweedarch.exceptions import CodecError, ControlError, LinkError
+from knapweedarch.logs import log
+from knapweedarch.metrics import Metrics
+from knapweedarch.origin_messages import (
+    MAX_ORIGINS,
+    FindOrigins,
+    Origin,
+    ReadVersions,
+    origin_digest,
+    pack_digests,
+    pack_origins,
+    unpack_origins,
+)
+from knapweedarch.origin_table import OriginTable
+from knapweedarch.relay_client import RelayClient
+from knapweedarch.timers import Clock
+
+MAX_ENTRIES = 16_384
+# Time from the first event's record until it is dropped, beyond the time that
+# the caller waits for the stream.
+KEPT_MARGIN_S = 10.0
+LOOK_UP_TIMEOUT_S = 0.6
+# A member answers within a round trip.
+REPLY_TIMEOUT_S = 0.3
+RETRY_DELAY_S = 0.05
+
+
+class StreamOriginsPort(Protocol):
+    """What the relay of streams needs to know of their origins."""
+
+    def record(self, request_id: str, version: str, limit_s: float) -> None:
+        """Records the version that wrote the first event of a stream.
+
+        Args:
+            request_id: Id of the caller's request.
+            version: Software version of the endpoint.
+            limit_s: Time in seconds that the caller waits for the stream.
+        """
+
+    async def find(self, request_id: str, service: str) -> str | None:
+        """Returns the version at which a stream began, or None if unknown.
+
+        Args:
+            request_id: Id of the request that brought its first event; empty
+                if the caller does not name it.
+            service: Name of its service.
+        """
+
+
+@attrs.define(eq=False)
+class _LookUp:
+    """A look-up that waits for the members."""
+
+    digest: int
+    service: str
+    version: str | None = None
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+
+
+class OriginClient:
+    """Implements `StreamOriginsPort` with the router's member and the leader.
+
+    Args:
+        relay: The router's subscription.
+        control: Client of the leader.
+        clock: Clock of the process.
+        metrics: Metrics of the process.
+    """
+
+    def __init__(
+        self,
+        relay: RelayClient,
+        control: ControlClient,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self._relay = relay
+        self._control = control
+        self._clock = clock
+        self._metrics = metrics
+        self._table = OriginTable(MAX_ENTRIES)
+        self._unreported: list[Origin] = []
+        self._waiting: list[_LookUp] = []
+        self._wanted = anyio.Event()
+        self._mixed_services: set[str] = set()
+        relay.on_subscribed.append(self._report_all)
+
+    def record(self, request_id: str, version: str, limit_s: float) -> None:
+        """Records the version that wrote the first event of a stream."""
+        kept_s = limit_s + KEPT_MARGIN_S
+        origin = Origin(origin_digest(request_id), version, kept_s)
+        self._table.record(origin, self._clock.now())
+        # Without a subscription the table keeps it for the next one.
+        if self._relay.takes_origins:
+            self._unreported.append(origin)
+
+    def report(self) -> None:
+        """Reports to the member what was recorded since the last call."""
+        self._table.expire(self._clock.now())
+        origins, self._unreported = self._unreported, []
+        for message in pack_origins(origins):
+            self._relay.send_reports(message)
+
+    def _report_all(self) -> None:
+        self._unreported.clear()
+        if self._relay.takes_origins:
+            self._unreported += self._table.own(self._clock.now())
+
+    async def find(self, request_id: str, service: str) -> str | None:
+        """Returns the version at which a stream began, or None if unknown."""
+        digest = origin_digest(request_id)
+        known = self._table.find(digest, self._clock.now())
+        if request_id and known is not None:
+            return known
+        look_up = _LookUp(digest, service)
+        self._waiting.append(look_up)
+        self._wanted.set()
+        with anyio.move_on_after(LOOK_UP_TIMEOUT_S):
+            await look_up.done.wait()
+        if look_up in self._waiting:
+            self._waiting.remove(look_up)
+        is_known = look_up.version is not None
+        self._metrics.count(f"origins.{'found' if is_known else 'unknown'}")
+        return look_up.version
+
+    async def run(self) -> None:
+        """Looks up, in one message at a time, what requests wait for."""
+        while True:
+            await self._wanted.wait()
+            self._wanted = anyio.Event()
+            while batch := self._waiting[:MAX_ORIGINS]:
+                if not await self._look_up(batch):
+                    await anyio.sleep(RETRY_DELAY_S)
+                    continue
+                for look_up in batch:
+                    look_up.done.set()
+                done = {id(look_up) for look_up in batch}
+                self._waiting = [w for w in self._waiting if id(w) not in done]
+
+    async def _look_up(self, batch: list[_LookUp]) -> bool:
+        """Looks up origins; returns whether the members have answered."""
+        digests = pack_digests([look_up.digest for look_up in batch])
+        try:
+            reply = await self._relay.call(
+                FindOrigins(digests), REPLY_TIMEOUT_S
+            )
+            found = {o.digest: o.version for o in unpack_origins(reply.found)}
+        except (LinkError, CodecError, ValueError) as exc:
+            log("origins_not_found", reason=str(exc), waiting=len(batch))
+            return False
+        for look_up in batch:
+            look_up.version = found.get(look_up.digest)
+        unknown = [look_up for look_up in batch if look_up.version is None]
+        for service in {look_up.service for look_up in unknown}:
+            version = await self._only_version(service)
+            for look_up in unknown:
+                if look_up.service == service:
+                    look_up.version = version
+        return True
+
+    async def _only_version(self, service: str) -> str | None:
+        """Returns the version of a service that has only ever had one."""
+        if service in self._mixed_services:
+            return None
+        try:
+            reply = await self._control.request(
+                ReadVersions(service), REPLY_TIMEOUT_S
+            )
+        except ControlError as exc:
+            log("origins_not_found", reason=str(exc), waiting=0)
+            return None
+        if len(reply.versions) > 1:
+            self._mixed_services.add(service)
+        return reply.versions[0] if len(reply.versions) == 1 else None
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -21,6 +21,7 @@
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import Endpoint, RefusalReason
+from knapweedarch.origin_client import OriginClient
 from knapweedarch.process_pauses import PauseDetector
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
@@ -124,32 +125,37 @@
         self._guard = create_crash_guard(int(incarnation, 16))
         self._pool = pool
         self._index = PartsIndex()
+        chooser = EndpointChooser(
+            ChoiceConfig(
+                distance_s=settings.distances_s,
+                weights_limit_s=settings.weights_limit_s,
+            ),
+            self._index,
+        )
+        self._relay = RelayClient(
+            *(settings.name, settings.data_centre),
+            *(settings.credential.encode(), seed_addresses(settings.seeds)),
+            RelayedParts(self._index, chooser),
+            self._receive_loads,
+        )
+        self._origins = OriginClient(
+            *(self._relay, self._control, clock, metrics)
+        )
         self._attempts = Attempts(
             clock=clock,
             metrics=metrics,
             dialect=dialect,
             pool=self._pool,
-            chooser=EndpointChooser(
-                ChoiceConfig(
-                    distance_s=settings.distances_s,
-                    weights_limit_s=settings.weights_limit_s,
-                ),
-                self._index,
-            ),
+            chooser=chooser,
             index=self._index,
             guard=self._guard,
             endpoint_limits=self._endpoint_limits,
             endpoint_waits=create_endpoint_waits(int(incarnation, 16)),
+            origins=self._origins,
             limits=settings.repeats,
             start_refusal=self._start_refusal,
             started_at=clock.now(),
         )
-        self._relay = RelayClient(
-            *(settings.name, settings.data_centre),
-            *(settings.credential.encode(), seed_addresses(settings.seeds)),
-            RelayedParts(self._index, self._attempts.chooser),
-            self._receive_loads,
-        )
         self._relay.on_rates = self._receive_rates
         self._quarantine = QuarantineClient(
             settings.name, self._guard, self._relay, clock, metrics
@@ -182,6 +188,7 @@
             group.start_soon(self._timers.run)
             group.start_soon(self._keeper.run)
             group.start_soon(self._relay.run)
+            group.start_soon(self._origins.run)
             await group.start(self._server.serve, listen.host, listen.port)
             await group.start(self._ready_server.serve, ready.host, ready.port)
             task_status.started(listen.port)
@@ -243,6 +250,7 @@
 
     def _report_loads(self, now: float) -> None:
         self._relay.report_loads(self._attempts.chooser.own_loads())
+        self._origins.report()
         self._endpoint_limits.is_shared = self._relay.is_subscribed
         if self._endpoint_limits.is_shared and (
             rates := self._endpoint_limits.take_rates()
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -27,6 +27,7 @@
     RequestEnd,
     RetryReason,
 )
+from knapweedarch.origin_client import StreamOriginsPort
 from knapweedarch.prompt_admission import PromptAdmission
 from knapweedarch.proxy_calls import (
     AnswerProgress,
@@ -64,6 +65,7 @@
         guard: Tells which requests crash endpoints.
         endpoint_limits: Limits that endpoints name.
         endpoint_waits: Endpoints that take no requests now, as they said.
+        origins: Software versions at which streams began.
         limits: Limit of repeats for all routers together.
         start_refusal: Returns why no request may be sent now, or None if it
             may.
@@ -86,6 +88,7 @@
         guard: CrashGuard,
         endpoint_limits: EndpointLimits,
         endpoint_waits: EndpointWaits,
+        origins: StreamOriginsPort,
         limits: RepeatLimits,
         start_refusal: Callable[[], RefusalReason | None],
         started_at: float,
@@ -101,6 +104,7 @@
         self._guard = guard
         self._endpoint_limits = endpoint_limits
         self._waits = endpoint_waits
+        self._origins = origins
         self._malformed_logged_at = -math.inf
         self._limits = limits
         self._start_refusal = start_refusal
@@ -138,6 +142,25 @@
             for store in stores
         }
 
+    async def find_origin(self, call: ProxyCall) -> None:
+        """Finds the software version of a stream that its caller takes up."""
+        call.software_version = await self._origins.find(
+            call.options.resumes, call.service.name
+        )
+        call.is_version_unknown = call.software_version is None
+
+    def record_origin(self, call: ProxyCall, endpoint: Endpoint) -> None:
+        """Records the endpoint that wrote the first event of an answer."""
+        call.software_version = endpoint.software_version
+        if not call.route.resumable:
+            return
+        limit_s = max(call.route.timeout_s, call.options.limit_s or 0.0)
+        for request_id in {call.options.request_id, call.options.resumes}:
+            if request_id:
+                self._origins.record(
+                    request_id, endpoint.software_version, limit_s
+                )
+
     def choose(self, call: ProxyCall) -> Endpoint | None:
         """Chooses the endpoint of the next attempt.
 
@@ -150,7 +173,7 @@
         """
         now = self.clock.now()
         call.held_s = self._guard.held_s(call.digests, now)
-        if call.held_s:
+        if call.held_s or call.is_version_unknown:
             return None
         endpoints = self._by_service.get(call.service.name, ())
         capable = [
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -86,6 +86,8 @@
         software_version: Software version that began its stream, at which
             alone it goes on; None before its first event.
         is_version_gone: Whether no endpoint of that version is in use.
+        is_version_unknown: Whether nobody knows where the stream began that the
+            caller takes up.
     """
 
     req: Request
@@ -105,6 +107,12 @@
     is_limited: bool = False
     software_version: str | None = None
     is_version_gone: bool = False
+    is_version_unknown: bool = False
+
+    @property
+    def takes_up(self) -> bool:
+        """Whether the caller takes up a stream that an earlier try began."""
+        return self.route.resumable and bool(self.options.last_event_id)
 
     def may_go_to(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint may begin the stream or go on with it."""
--- a/knapweedarch/proxy_refusals.py
+++ b/knapweedarch/proxy_refusals.py
@@ -39,6 +39,8 @@
         return RefusalReason.DEADLINE
     if call.held_s:
         return RefusalReason.PART_HELD
+    if call.is_version_unknown:
+        return RefusalReason.STREAM_VERSION_UNKNOWN
     if call.is_version_gone:
         return RefusalReason.STREAM_VERSION_GONE
     if call.is_limited:
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -80,6 +80,8 @@
 
     async def _run(self) -> RequestEnd:
         call, attempts = self._call, self._attempts
+        if call.takes_up:
+            await attempts.find_origin(call)
         while endpoint := attempts.choose(call):
             match await self._attempt(endpoint):
                 case None if self._status >= 500:
@@ -239,8 +241,8 @@
         self, endpoint: Endpoint, count: int, last_id: str
     ) -> None:
         now = self._attempts.clock.now()
-        self._call.software_version = endpoint.software_version
         if self._first_event_at is None:
+            self._attempts.record_origin(self._call, endpoint)
             self._first_event_at = now
             self._attempts.metrics.timing(
                 "first_token", now - self._call.started_at
--- a/knapweedarch/quarantine_client.py
+++ b/knapweedarch/quarantine_client.py
@@ -37,7 +37,7 @@
         self._clock = clock
         self._metrics = metrics
         relay.on_notices = self._receive
-        relay.on_subscribed = self._reset
+        relay.on_subscribed.append(self._reset)
 
     def subscribe(self, timers: Timers) -> None:
         """Starts the periodic reports."""
--- a/knapweedarch/relay_client.py
+++ b/knapweedarch/relay_client.py
@@ -9,6 +9,7 @@
 from knapweedarch.control_messages import CONTROL, MemberAddress
 from knapweedarch.exceptions import CodecError, CredentialError, LinkError
 from knapweedarch.logs import log
+from knapweedarch.origin_messages import StreamOrigins
 from knapweedarch.peer_loads import PeerLoads
 from knapweedarch.quarantine_messages import PartNotices, PartReports
 from knapweedarch.rate_messages import EndpointRates
@@ -68,7 +69,7 @@
         self._on_loads = on_loads
         self.on_notices: Callable[[PartNotices], None] = lambda notices: None
         self.on_rates: Callable[[EndpointRates], None] = lambda rates: None
-        self.on_subscribed: Callable[[], None] = lambda: None
+        self.on_subscribed: list[Callable[[], None]] = []
         self._loads = PeerLoads()
         self._link: links.Link | None = None
         self._subscribed = anyio.Event()
@@ -85,12 +86,31 @@
             and not self._link.closed.is_set()
         )
 
+    @property
+    def takes_origins(self) -> bool:
+        """Whether the member keeps origins of streams."""
+        return self.is_subscribed and self._relay.takes_origins
+
+    async def call(self, message: object, timeout_s: float) -> object:
+        """Sends a message to the member and waits for its reply.
+
+        Raises:
+            LinkError: There is no subscription to a member that knows such
+                messages, or no reply arrived in time.
+            CodecError: The reply is malformed.
+        """
+        if not self.takes_origins:
+            raise LinkError("no member to ask")
+        return await self._link.call(message, timeout_s)
+
     def set_members(self, members: Sequence[MemberAddress]) -> None:
         """Replaces the known members; ignores an empty sequence."""
         if members:
             self._members = list(members)
 
-    def send_reports(self, reports: PartReports | EndpointRates) -> None:
+    def send_reports(
+        self, reports: PartReports | EndpointRates | StreamOrigins
+    ) -> None:
         """Sends reports to the member; they are lost without subscription."""
         if self.is_subscribed:
             self._send(reports)
@@ -209,7 +229,8 @@
         places = (MemberPlace(relay.name, relay.data_centre), *relay.others)
         self._data_centres.update((p.name, p.data_centre) for p in places)
         self._subscribed.set()
-        self.on_subscribed()
+        for call_back in self.on_subscribed:
+            call_back()
         log("relay_found", member=relay.name, data_centre=relay.data_centre)
 
     def _receive_news(self, link: links.Link, news: Relayed) -> None:
--- a/knapweedarch/relay_messages.py
+++ b/knapweedarch/relay_messages.py
@@ -47,11 +47,14 @@
         name: Name of the member.
         data_centre: Data centre of the member.
         others: The other members that it reaches.
+        takes_origins: Whether it keeps origins of streams. A process of an
+            earlier build does not, and closes a link on which it gets some.
     """
 
     name: str
     data_centre: str
     others: tuple[MemberPlace, ...] = ()
+    takes_origins: bool = False
 
 
 @attrs.frozen
--- a/knapweedarch/state.py
+++ b/knapweedarch/state.py
@@ -29,6 +29,7 @@
     TimestampSource,
     record_key,
 )
+from knapweedarch.software_versions import SoftwareVersions
 from knapweedarch.state_commands import (
     COMMANDS,
     RESULTS,
@@ -116,6 +117,7 @@
     deployment: Deployment | None = None
     document: bytes = b""
     weights: dict[str, int] = attrs.field(factory=dict)
+    software: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
 
 
 _SNAPSHOTS = create_codec(_Snapshot)
@@ -132,6 +134,7 @@
         deployment: Routing configuration; None if none was accepted yet.
         document: Source text of the routing configuration.
         weights: Highest requested weights version, by model.
+        software: Software versions that each service ever had.
         orders_holder: Incarnation of the router that may send orders to
             endpoints; empty if none ever could.
         fencing_number: Fencing number of that router; 0 if none ever could.
@@ -148,6 +151,7 @@
         self._records = RecordTable()
         self.orders_holder = ""
         self.fencing_number = 0
+        self.software = SoftwareVersions()
         self._answers: OrderedDict[str, _StoredAnswer] = OrderedDict()
 
     def apply(self, data: bytes) -> bytes:
@@ -303,6 +307,7 @@
         self, endpoint: Endpoint, retired: bool, superseded: tuple[str, ...]
     ) -> None:
         self.revision += 1
+        self.software.record(endpoint)
         self.endpoints[endpoint.id] = EndpointEntry(
             endpoint, self.revision, retired, superseded
         )
@@ -356,6 +361,7 @@
                 self.deployment,
                 self.document,
                 dict(self.weights),
+                self.software.all(),
             )
         )
 
@@ -377,6 +383,10 @@
         self.deployment = decoded.deployment
         self.document = decoded.document
         self.weights = dict(decoded.weights)
+        self.software.restore(decoded.software)
+        # A snapshot of an earlier build has endpoints without versions.
+        for entry in decoded.endpoints:
+            self.software.record(entry.endpoint)
 
 
 def is_still_loading(known: Endpoint, announced: Endpoint) -> bool:
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -28,7 +28,8 @@
     *("target_weights", "quarantine_messages", "crash_tracker"),
     *("rate_messages", "endpoint_rates", "rate_relay"),
     *("part_quarantine", "report_queue", "crash_guard", "quarantine_relay"),
-    *("request_digests", "endpoint_statements"),
+    *("request_digests", "endpoint_statements", "software_versions"),
+    *("origin_messages", "origin_table", "origin_relay"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -40,7 +40,6 @@
     id: str = "runner-1"
     model: str = "guide"
     version: str = "w1"
-    software_version: str = ""
     data_centre: str = "dc1"
     credential: str = "secret"
     seed: int = 0
@@ -51,6 +50,7 @@
     checks_fencing: bool = False
     feed_loss: float = 0.0
     crash_text: str = ""
+    software_version: str = ""
 
 
 @attrs.define
