--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -411,3 +411,29 @@
     And runner 2 has software v2
     When a caller sends a request that may be resumed
     Then the relayed stream is complete
+
+  Scenario: A stream that its caller takes up goes on where it began
+    Guards against a caller's retry that joins two software versions.
+    Given a proxied runner that streams
+    And a proxied runner that streams
+    And runner 1 has software v1
+    And runner 2 has software v2
+    When a caller takes up after event 2 a stream that began at software v2
+    Then the caller gets status 200
+    And runner 1 has received 0 requests
+    And runner 2 was asked to resume after event 2
+
+  Scenario Outline: A stream that cannot go on is refused, with its reason
+    Guards against a guess where a stream began, and against a stream whose
+    beginning nobody knows that is taken for one whose version is gone.
+    Given a proxied runner that streams
+    And runner 1 has software v1
+    When a caller takes up after event 2 a stream that began at software <began>
+    Then the caller gets status 503
+    And the refusal is counted as <reason>
+    And runner 1 has received 0 requests
+
+    Examples:
+      | began        | reason                 |
+      | v2           | stream_version_gone    |
+      | nobody knows | stream_version_unknown |
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -49,6 +49,7 @@
     async def run():
         async with open_proxy() as fixture:
             software = getattr(context, "software", {})
+            fixture.origins.versions |= getattr(context, "origins", {})
             for number, mode in enumerate(context.modes, 1):
                 await fixture.add_runner(mode, software.get(number, ""))
             found = [await fixture.send(part, **options) for part in data]
@@ -90,6 +91,23 @@
     anyio.run(run)
 
 
+@when(
+    "a caller takes up after event {event:d} a stream that began at software"
+    " {version}"
+)
+def takes_up(context, event, version):
+    context.origins = {} if version == "nobody knows" else {"r0": version}
+    extra = f"Last-Event-Id: {event}\r\nResumes: r0\r\n"
+    send_requests(context, request("resume", extra))
+
+
+@then("the refusal is counted as {reason}")
+def check_refusal_reason(context, reason):
+    page = context.proxy_metrics.page().decode()
+    line = f'knapweedarch_refused_total{{reason="{reason}"}} 1.0'
+    assert line in page, [x for x in page.splitlines() if "refused" in x]
+
+
 @when("a caller sends a request that {kind}")
 def sends(context, kind):
     send_requests(context, request(ROUTE_NAMES[kind]))
