--- a/features/platform_site.feature
+++ b/features/platform_site.feature
@@ -90,3 +90,19 @@
     When all proxies are killed while 12 streams of 120 tokens run
     Then no stream has events of two software versions
     And callers of streams whose version is gone are told so
+
+  Scenario Outline: Routers without paths to endpoints serve their callers
+    Two of three routers lose all their links to endpoints, but not those to
+    callers, members or the third router. Guards against callers of such routers
+    that are refused although others are served, and against routers that stay as
+    they are once the links are back.
+    Given a platform site of 3 members, 3 proxies and 3 runners
+    When the connections of proxies 1 and 2 to endpoints <fail> for 9.0 s
+    Then from 3.0 s on their callers' first tries are served like the others'
+    And so are those after the end
+
+    Examples:
+      | fail                       |
+      | hang                       |
+      | reset                      |
+      | refuse while open ones work |
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -27,6 +27,9 @@
 from standins.platform_runner import PlatformRunner
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Runs a process as `platform` does, and can cut its paths to endpoints.
+PROCESS = "standins/cut_process.py"
+CUT_SUFFIX = ".cut"
 HOST = "shop.example"
 KEY = "key-of-huts"
 MODEL = "guide"
@@ -206,7 +209,7 @@
         }
         with open(self.folder / f"{name}.log", "ab") as log:
             process.popen = subprocess.Popen(
-                [sys.executable, "platform", process.role],
+                [sys.executable, PROCESS, process.role],
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
@@ -227,6 +230,19 @@
             self._write_settings(process, bootstrap=False)
             self.start(name)
 
+    def set_paths_cut(self, name: str, mode: str) -> None:
+        """Cuts a process off from all endpoints, or joins it again.
+
+        Args:
+            name: The process.
+            mode: How connections fail, see `cut_process`; empty to join it.
+        """
+        path = pathlib.Path(f"{self.processes[name].settings}{CUT_SUFFIX}")
+        if mode:
+            path.write_text(mode)
+        else:
+            path.unlink()
+
     def restart_proxies(self) -> None:
         """Kills all proxies at once, then starts them again."""
         names = [n for n, p in self.processes.items() if p.role == "proxy"]
