Connect to endpoints through another router while the own paths are lost

It now checks, after connections to three endpoints in a row have failed, whether further ones fail too; then its own links count as cut, and it opens its connections through other routers, which the leader names on request. Choice, attempts, repeats and cancelling stay with it; a tunnel that breaks is a reset connection, and one that is refused wrote nothing. A probe each second finds out when the links are back.

--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -52,6 +52,9 @@
             router has applied; 0 if none.
         members_digest: `members_digest` of the addresses that the router has;
             0 if none.
+        tunnels: Where it connects other routers to endpoints; None if it
+            does not.
+        lacks_paths: Whether it reaches no endpoint itself.
     """
 
     router: str
@@ -61,6 +64,8 @@
     applied: int
     deployment_version: int = 0
     members_digest: int = 0
+    tunnels: MemberAddress | None = None
+    lacks_paths: bool = False
 
 
 @attrs.frozen
@@ -98,6 +103,28 @@
     is_awaited: bool = False
 
 
+@attrs.frozen
+class FindPeers:
+    """Asks the leader for routers that reach endpoints.
+
+    Attributes:
+        router: Name of the router that asks.
+    """
+
+    router: str
+
+
+@attrs.frozen
+class PeersFound:
+    """Some routers that reach endpoints and open tunnels to them.
+
+    Attributes:
+        peers: Where they accept links for tunnels.
+    """
+
+    peers: tuple[MemberAddress, ...]
+
+
 @attrs.frozen
 class Changed:
     """Asks a router to renew now because the state changed.
@@ -358,6 +385,6 @@
     *(Join, Joining, Subscribe, Subscribed, Relayed),
     *(ResendSources, LoadChanges, LoadTotals),
     *(PartReports, PartNotices, EndpointRates),
-    *(StreamOrigins, FindOrigins, OriginsFound),
+    *(StreamOrigins, FindOrigins, OriginsFound, FindPeers, PeersFound),
     *(ReadVersions, ServiceVersions),
 )
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -105,6 +105,7 @@
         successes: Decayed number of successes.
         decayed_at: Time up to which outcomes are decayed.
         avoided_until: Time until which the endpoint gets no requests.
+        refused_until: The same after a connection that failed.
         lateness_s: Decayed moving average of the time by which answers missed
             the latency goal.
     """
@@ -118,8 +119,14 @@
     successes: float = 0.0
     decayed_at: float = 0.0
     avoided_until: float = -math.inf
+    refused_until: float = -math.inf
     lateness_s: float = 0.0
 
+    @property
+    def next_use_at(self) -> float:
+        """Time from which the endpoint gets requests."""
+        return max(self.avoided_until, self.refused_until)
+
     def decay(self, now: float, half_life_s: float) -> None:
         """Decays the outcomes for the time since the last decay."""
         factor = decay_factor(now - self.decayed_at, half_life_s)
@@ -237,7 +244,7 @@
         """Returns whether an endpoint is neither silent nor avoided."""
         return (
             endpoint.address not in self._silent
-            and self._stats_of(endpoint, now).avoided_until <= now
+            and self._stats_of(endpoint, now).next_use_at <= now
         )
 
     def record_activity(self, address: str) -> None:
@@ -339,7 +346,12 @@
         """Records a refused connection and avoids the endpoint for a while."""
         stats = self._stats_of(endpoint, now)
         stats.failures += 1.0
-        stats.avoided_until = now + self._cfg.refused_backoff_s
+        stats.refused_until = now + self._cfg.refused_backoff_s
+
+    def forget_refused_connections(self) -> None:
+        """Uses endpoints again whose connections failed."""
+        for stats in self._stats.values():
+            stats.refused_until = -math.inf
 
     def record_replaced(self, endpoint: Endpoint, now: float) -> None:
         """Records that another instance has taken over the address.
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -119,6 +119,12 @@
         _W,
         "Members did not say at which software streams began.",
     ),
+    Event(311, "paths_lost", _W, "A router reaches no endpoint itself."),
+    Event(312, "paths_back", _I, "A router reaches endpoints itself again."),
+    Event(313, "path_not_found", _I, "A probe did not reach an endpoint."),
+    Event(314, "peers_not_found", _W, "No router with paths was named."),
+    Event(315, "tunnel_not_opened", _W, "Another router was not reached."),
+    Event(316, "tunnel_not_written", _I, "An endpoint took no more bytes."),
     Event(307, "deployment_applied", _I, "A configuration was applied here."),
     Event(
         414, "load_not_confirmed", _W, "A runner did not report new weights."
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -19,6 +19,7 @@
 from knapweedarch.models import RetryReason
 from knapweedarch.task_groups import TaskOwner
 from knapweedarch.timers import Clock
+from knapweedarch.tunnel_stream import TunnelStream
 
 READ_BYTES = 65_536
 CONNECT_TIMEOUT_S = 0.35
@@ -43,6 +44,7 @@
 )
 
 IsOwnAnswer = Callable[[Headers], bool]
+Connect = Callable[[str], Awaitable[anyio.abc.ByteStream]]
 
 
 @attrs.define(eq=False)
@@ -57,7 +59,7 @@
             write one again, while it runs a later request.
     """
 
-    stream: anyio.abc.SocketStream
+    stream: anyio.abc.ByteStream
     protocol: h11.Connection
     idle_until: float = 0.0
     refusals: list[Headers] = attrs.field(factory=list)
@@ -68,6 +70,8 @@
 
     def has_no_input(self) -> bool:
         """Returns whether neither bytes nor an end of stream has arrived."""
+        if isinstance(self.stream, TunnelStream):
+            return self.stream.has_no_input
         sock = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
         poll = select.poll()
         poll.register(sock.fileno(), select.POLLIN)
@@ -323,6 +327,18 @@
             await _close_connection(conn)
 
 
+async def connect_directly(address: str) -> anyio.abc.SocketStream:
+    """Connects to an endpoint.
+
+    Raises:
+        OSError: The connection failed.
+        TimeoutError: Connecting took longer than `CONNECT_TIMEOUT_S`.
+    """
+    host, _, port = address.rpartition(":")
+    with anyio.fail_after(CONNECT_TIMEOUT_S):
+        return await anyio.connect_tcp(host, int(port))
+
+
 async def _close_connection(conn: _Connection) -> None:
     with anyio.CancelScope(shield=True):
         await anyio.aclose_forcefully(conn.stream)
@@ -333,9 +349,13 @@
 
     Use it as an asynchronous context manager, which runs the tasks that send
     long bodies.
+
+    Attributes:
+        connect: Opens connections.
     """
 
     def __init__(self, clock: Clock):
+        self.connect: Connect = connect_directly
         self._clock = clock
         self._idle: dict[str, list[_Connection]] = {}
 
@@ -368,15 +388,13 @@
 
         Raises:
             OSError: The connection failed.
-            TimeoutError: Connecting took longer than `CONNECT_TIMEOUT_S`.
+            TimeoutError: Connecting took too long.
         """
         while conn := self._take_idle(address, is_own_answer):
             if self._clock.now() < conn.idle_until and conn.has_no_input():
                 return conn
             await _close_connection(conn)
-        host, _, port = address.rpartition(":")
-        with anyio.fail_after(CONNECT_TIMEOUT_S):
-            stream = await anyio.connect_tcp(host, int(port))
+        stream = await self.connect(address)
         return _Connection(stream, h11.Connection(h11.CLIENT))
 
     def _take_idle(
@@ -401,6 +419,13 @@
         else:
             await _close_connection(conn)
 
+    async def close_idle(self) -> None:
+        """Closes all idle connections."""
+        idle, self._idle = self._idle, {}
+        for conns in idle.values():
+            for conn in conns:
+                await _close_connection(conn)
+
     async def close_expired(self) -> None:
         """Closes connections whose idle time has expired."""
         now = self._clock.now()
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import math
+import random
 from collections.abc import Callable
 
 import anyio
@@ -48,6 +49,8 @@
 NOTIFY_INTERVAL_S = 0.1
 PROPOSAL_TIMEOUT_S = 10.0
 MAX_REPORTED_FAULTS = 5
+# Routers named to one that lacks paths to endpoints.
+MAX_PEERS = 4
 
 
 @attrs.define
@@ -101,6 +104,8 @@
         self._timestamps: TimestampSource | None = None
         self._proposals: dict[int, _Proposal] = {}
         self._routers: dict[links.Link, control.Renew] = {}
+        # Routers that lose their paths together must not all get the same.
+        self._random = random.Random(name)
         self._renewed = anyio.Event()
         self._awaited_changes = 0
         self._notified_at = -math.inf
@@ -235,6 +240,20 @@
             is_awaited=self._awaited_changes > 0,
         )
 
+    def find_peers(self, router: str) -> control.PeersFound | control.Redirect:
+        """Names some routers that reach endpoints, to one that does not."""
+        if not self._can_serve():
+            return self._redirect()
+        able = [
+            renew.tunnels
+            for renew in self._routers.values()
+            if renew.tunnels
+            and not renew.lacks_paths
+            and renew.router != router
+        ]
+        self._random.shuffle(able)
+        return control.PeersFound(tuple(able[:MAX_PEERS]))
+
     def _addresses_for(
         self, renew: control.Renew
     ) -> tuple[control.MemberAddress, ...]:
--- a/knapweedarch/lease_keeper.py
+++ b/knapweedarch/lease_keeper.py
@@ -36,6 +36,9 @@
             they change.
         on_members: Called with the addresses of the members when they change.
         on_granted: Called after each grant.
+        tunnels: Where this router connects others to endpoints; None if it
+            does not.
+        lacks_paths: Returns whether this router reaches no endpoint.
     """
 
     def __init__(
@@ -53,6 +56,8 @@
             lambda members: None
         )
         self.on_granted: Callable[[], None] = lambda: None
+        self.tunnels: MemberAddress | None = None
+        self.lacks_paths: Callable[[], bool] = lambda: False
         self.on_weights: Callable[[dict[str, int]], None] = lambda new: None
         self._weights: dict[str, int] = {}
         self.on_deployment: Callable[[Deployment], None] = lambda new: None
@@ -112,6 +117,8 @@
                 self._applied,
                 self.deployment_version,
                 self._members_digest,
+                self.tunnels,
+                self.lacks_paths(),
             ),
             RENEW_TIMEOUT_S,
         )
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -349,6 +349,8 @@
                 return await self._leader.heartbeat(message)
             case control.ReadDeployment():
                 return self._leader.read_deployment()
+            case control.FindPeers(router=router):
+                return self._leader.find_peers(router)
             case FindOrigins():
                 return self.relay.find_origins(message)
             case ReadVersions(service=service):
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -99,6 +99,10 @@
         _C,
         "Prompt tokens expected in a runner's cache but not found there.",
     ),
+    Metric("paths.lost", _C, "Times that this router reached no endpoint."),
+    Metric("tunnels.opened", _C, "Connections through other routers."),
+    Metric("tunnels.refused", _C, "Connections that no other router had."),
+    Metric("tunnels.served", _C, "Connections opened for other routers."),
     Metric("origins.found", _C, "Streams taken up whose version was found."),
     Metric("origins.unknown", _C, "Streams taken up whose version was not."),
     Metric(
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -129,6 +129,12 @@
         ids = {e.id for group in self._by_service.values() for e in group}
         return len(ids)
 
+    @property
+    def active_addresses(self) -> list[str]:
+        """Addresses of the endpoints that may get new requests."""
+        groups = self._by_service.values()
+        return sorted({e.address for group in groups for e in group})
+
     def record_activity(self, address: str) -> None:
         """Records that data was received from an endpoint."""
         self.chooser.record_activity(address)
