Refuse addresses and texts of endpoints that cannot be used

Here a port above 65535 passed the check, and connecting to it raised an error that is no OSError, so the request failed although another endpoint was there (3 of 4 new rows); a text with half of a surrogate pair could not be stored and failed the call (3 rows); octets above 255, port 0 and digits of other scripts passed. Deep nesting and large numbers were refused before.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -46,6 +46,29 @@
       | concurrency | -1         |
       | models      | "all"      |
       | born        | 1.5        |
+      | callSeq     | 1e999      |
+      | concurrency | 1000000000000000000000000000000 |
+      | address     | "10.0.0.1:99999" |
+      | address     | "10.0.0.1:0" |
+      | address     | "10.0.0.300:80" |
+      | address     | "\u0661\u0660.0.0.1:80" |
+      | service     | "\ud800"  |
+      | version     | "\ud800"  |
+      | version     | 2          |
+      | zone        | "\ud800"  |
+
+  Scenario Outline: A heartbeat that is nested deeply is refused
+    Guards against a member that ends while it reads or shows a message.
+    Given the platform's example heartbeat
+    When its <field> nests <depth> lists
+    Then the heartbeat is refused
+
+    Examples:
+      | field   | depth  |
+      | address | 400    |
+      | models  | 900    |
+      | models  | 990    |
+      | address | 100000 |
 
   Scenario: A heartbeat is decoded into an endpoint
     Guards against a restarted endpoint that is taken for the one before it.
--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -437,3 +437,19 @@
       | began        | reason                 |
       | v2           | stream_version_gone    |
       | nobody knows | stream_version_unknown |
+
+  Scenario Outline: An endpoint with an odd address does not harm the others
+    Another writer may have left it in the list of endpoints. Guards against a
+    router that ends or stops serving as it connects to such an address.
+    Given a proxied runner whose address is <address>
+    And a proxied runner that answers
+    When a caller sends a request that <kind>
+    Then the caller gets status 200
+    And runner 2 has received 1 requests
+
+    Examples:
+      | address          | kind                |
+      | 127.0.0.1:99999  | may run many times  |
+      | 127.0.0.1:0      | may run many times  |
+      | 127.0.0.1:99999  | may run once        |
+      | 127.0.0.1:x      | may run once        |
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -103,6 +103,13 @@
     rng: random.Random = attrs.field(factory=lambda: random.Random(11))
     changed: anyio.Event = attrs.field(factory=anyio.Event)
 
+    @property
+    def address(self) -> str:
+        """Address in the list of endpoints."""
+        if self.mode.startswith("is at "):
+            return self.mode.removeprefix("is at ")
+        return f"127.0.0.1:{self.port}"
+
     async def handle(self, stream: anyio.abc.SocketStream) -> None:
         """Serves one connection."""
         self.connections += 1
@@ -527,7 +534,7 @@
         self.attempts.set_endpoints(
             [
                 Endpoint(
-                    *(r.id, "1", f"http://127.0.0.1:{r.port}"),
+                    *(r.id, "1", f"http://{r.address}"),
                     *(EndpointKind.SERVICE, ("desk", MODEL)),
                     # Of endpoints with equal costs the first is chosen. With
                     # more slots its cost also grows less under load.
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -261,10 +261,18 @@
     context.heartbeat[field] = json.loads(value)
 
 
+@when("its {field} nests {depth:d} lists")
+def nest_heartbeat_field(context, field, depth):
+    value = "[" * depth + "]" * depth
+    plain = {k: v for k, v in context.heartbeat.items() if k != field}
+    context.body = f'{json.dumps(plain)[:-1]}, "{field}": {value}}}'.encode()
+
+
 @then("the heartbeat is refused")
 def check_heartbeat_refused(context):
     assert not is_rejected(read_heartbeat, "i-1", encode(HEARTBEAT))
-    assert is_rejected(read_heartbeat, "i-1", encode(context.heartbeat))
+    body = getattr(context, "body", b"") or encode(context.heartbeat)
+    assert is_rejected(read_heartbeat, "i-1", body)
 
 
 @then('the endpoint has incarnation "{incarnation}" and weights "{weights}"')
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -62,6 +62,11 @@
     return context.answers
 
 
+@given("a proxied runner whose address is {address}")
+def proxied_runner_at(context, address):
+    context.modes = [*getattr(context, "modes", []), f"is at {address}"]
+
+
 @given("a proxied runner that {mode}")
 def proxied_runner(context, mode):
     context.modes = [*getattr(context, "modes", []), mode]
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -38,6 +38,7 @@
     Ticket,
 )
 from knapweedarch.services import ServiceHandler
+from knapweedarch.settings_reader import is_text
 from knapweedarch.state import TableFull
 from knapweedarch.timers import Clock, ManualClock
 
@@ -307,6 +308,8 @@
         *(endpoint.data_centre, endpoint.url, *endpoint.serves),
         endpoint.software_version,
     )
+    if not all(is_text(name) for name in names):
+        raise ValueError("a name cannot be encoded")
     if any(len(name) > MAX_NAME_CHARS for name in names):
         raise ValueError(f"a name is longer than {MAX_NAME_CHARS} characters")
     if not (endpoint.id and endpoint.incarnation and endpoint.serves):
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -30,6 +30,7 @@
 IDLE_MARGIN_S = 0.6
 MAX_IDLE_PER_ADDRESS = 16
 MAX_MISMATCHED_ANSWERS = 4
+MAX_PORT = 65_535
 # A connection with so many refusals is closed.
 MAX_REFUSALS = 8
 # Limits for endpoints that send without end. The head is limited by h11.
@@ -335,6 +336,9 @@
         TimeoutError: Connecting took longer than `CONNECT_TIMEOUT_S`.
     """
     host, _, port = address.rpartition(":")
+    # An odd entry in the list of endpoints must fail as one that is not there.
+    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        raise OSError(f"{address!r} is not an address")
     with anyio.fail_after(CONNECT_TIMEOUT_S):
         return await anyio.connect_tcp(host, int(port))
 
--- a/knapweedarch/settings_reader.py
+++ b/knapweedarch/settings_reader.py
@@ -8,6 +8,20 @@
 _MAX_SHOWN_CHARACTERS = 60
 
 
+def is_text(value: object) -> bool:
+    """Returns whether a value is a text that can be encoded.
+
+    JSON can hold halves of surrogate pairs, which no message can.
+    """
+    if not isinstance(value, str):
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 class Section:
     """An object of a settings file, whose faults are added to a list.
 
@@ -80,7 +94,7 @@
         return self.get(
             key,
             allowed,
-            lambda v: isinstance(v, str) and bool(pattern.fullmatch(v)),
+            lambda v: is_text(v) and bool(pattern.fullmatch(v)),
             **options,
         )
 
