Refuse requests that become whole only during a planned stop

Here a request whose head or body was under way when the proxy stopped to take requests was read to its end, up to 18 s later, and sent; so was a chat at the gateway whose body came during the stop (services refused it). The gateway asks once more whether it stops when it has the body, so the scenario of a request that is accepted before a stop lets the stop begin after two checks instead of one.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -453,3 +453,18 @@
       | 127.0.0.1:0      | may run many times  |
       | 127.0.0.1:99999  | may run once        |
       | 127.0.0.1:x      | may run once        |
+
+  Scenario Outline: A request that is whole only during a stop is refused
+    Its caller sends the rest after the router has stopped to take requests.
+    Guards against a request that is passed on late in a planned stop and cut at
+    its end, which for a call that may run once leaves its outcome open.
+    Given a proxied runner that answers
+    When the server refuses new work within the <part> of a request
+    Then the caller gets status 503
+    And the Retry-After of the answer is at most a third of 2 s
+    And runner 1 has received 0 requests
+
+    Examples:
+      | part |
+      | head |
+      | body |
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -519,6 +519,7 @@
         self.server = InboundServer(
             self.gateway.handle, clock, lambda: self.gateway.limits
         )
+        self.gateway.is_stopping = lambda: self.server.refusing
         self.port = 0
 
     async def add_runner(self, mode: str, software: str = "") -> ScriptedRunner:
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -105,7 +105,7 @@
   Scenario: A request accepted before a planned stop is resumed during it
     Given a runner "a" with fault "break" at token 5
     And a runner "b"
-    And the router stops after 1 check
+    And the router stops after 2 check
     When a caller asks for a stream of 20 tokens
     Then the caller has the whole text of 20 tokens
 
@@ -116,6 +116,20 @@
     When a caller asks for a stream of 20 tokens
     Then the answer is an error "stopping" with outcome "not_run"
 
+  # Guards against a request that is passed on late in a planned stop and cut at
+  # its end.
+  Scenario Outline: A request whose body comes during a planned stop is not run
+    Given a runner "a"
+    And a desk "d"
+    When the router stops while a caller sends the body of a <kind>
+    Then the caller is told "stopping" and status 503
+    And runner "a" ran 0 requests
+
+    Examples:
+      | kind    |
+      | chat    |
+      | deposit |
+
   # Guards against an outcome "not_run" or "unknown" that is wrong.
   Scenario: A request on a refused connection is reported as not run
     Given a runner on a port that refuses connections
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -417,6 +417,27 @@
     anyio.run(run)
 
 
+@when("the server refuses new work within the {part} of a request")
+def refuses_within_request(context, part):
+    data = request("once", body=b"x" * 100)
+    place = data.index(b"\r\n\r\n") + (50 if part == "body" else -5)
+
+    async def run():
+        async with open_proxy() as fixture:
+            await fixture.add_runner(context.modes[0])
+            caller = await anyio.connect_tcp("127.0.0.1", fixture.port)
+            async with caller:
+                await caller.send(data[:place])
+                await anyio.sleep(0.05)
+                fixture.server.stop_accepting()
+                await anyio.sleep(0.05)
+                await caller.send(data[place:])
+                context.answer = RawAnswer(await receive_all(caller, 0.4))
+            context.runners = fixture.runners
+
+    anyio.run(run)
+
+
 async def is_closed(stream) -> bool:
     """Returns whether the peer closes a connection within 0.3 s."""
     with anyio.move_on_after(0.3):
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -791,3 +791,35 @@
 @then("the last {count:d} streams are complete")
 def check_last_streams(context, count):
     assert all(a.done for a in context.answers[-count:]), context.answers
+
+
+@when("the router stops while a caller sends the body of a {kind}")
+def stop_within_body(context, kind):
+    path = "/v1/chat/completions"
+    body = json.dumps(chat_body(tokens=3)).encode()
+    if kind == "deposit":
+        path, body = "/services/booking/deposits", b"{}" + b" " * 100
+    url = httpx.URL(context.harness.urls[0])
+    head = (
+        f"POST {path} HTTP/1.1\r\nhost: {url.host}\r\n"
+        f"authorization: {AUTHORIZATION['authorization']}\r\n"
+        f"idempotency-key: k1\r\ncontent-length: {len(body)}\r\n\r\n"
+    ).encode()
+
+    async def call():
+        stream = await anyio.connect_tcp(url.host, url.port)
+        async with stream:
+            await stream.send(head + body[:2])
+            await anyio.sleep(0.1)
+            context.harness.routers[0].refusal = RefusalReason.STOPPING
+            await stream.send(body[2:])
+            return await stream.receive()
+
+    context.raw_answer = run_async(context, call)
+
+
+@then('the caller is told "{reason}" and status {status:d}')
+def check_told(context, reason, status):
+    data = context.raw_answer
+    assert data.startswith(b"HTTP/1.1 %d" % status), data
+    assert reason.encode() in data, data
--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -90,6 +90,9 @@
         if reason := router.start_refusal():
             raise RefusedError(reason, SEND_REFUSED_MESSAGE)
         data = await call.read_body(router.max_body_bytes)
+        # A request that becomes whole only during a stop would be cut.
+        if router.start_refusal() is RefusalReason.STOPPING:
+            raise RefusedError(RefusalReason.STOPPING, SEND_REFUSED_MESSAGE)
         arrived = router.clock.now()
         request = parse_chat(data, call, customer, router.rules)
         ticket = await self._create_ticket(
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -189,6 +189,7 @@
         self._server = InboundServer(
             self._gateway.handle, clock, lambda: self._gateway.limits
         )
+        self._gateway.is_stopping = lambda: self._server.refusing
         self._ready_server = InboundServer(self._answer_ready, clock)
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
--- a/knapweedarch/proxy_gateway.py
+++ b/knapweedarch/proxy_gateway.py
@@ -49,6 +49,8 @@
         ready: Whether a deployment configuration has been set.
         started: Set once requests may be served for the first time; until
             then requests wait a moment for the first lease.
+        is_stopping: Returns whether the process takes no new requests. One
+            that becomes whole only then would be cut at the end of the stop.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
     ):
         self.ready = False
         self.started = anyio.Event()
+        self.is_stopping: Callable[[], bool] = lambda: False
         self._dialect = dialect
         self._attempts = attempts
         self._clock = clock
@@ -122,6 +125,8 @@
         self, req: Request, options: CallerOptions
     ) -> ProxyCall | RefusalReason:
         """Resolves route, customer and service, or returns the refusal."""
+        if self.is_stopping():
+            return RefusalReason.STOPPING
         if reason := self._start_refusal():
             return reason
         host = req.header(b"host").decode("latin-1").partition(":")[0]
