--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -9,6 +9,7 @@
 """
 
 import math
+import random
 from collections.abc import Callable, Collection, Iterable, Sequence
 
 import attrs
@@ -61,6 +62,12 @@
             time that a request may be queued at the runner before it starts.
         prefill_slowdown: Relative increase of the prefill time per request at
             the runner.
+        thinned_room: Ratio of free slots below which an endpoint that must not
+            turn requests away is considered more and more seldom.
+        claimed_room: Ratio of the slots by which one that has turned a request
+            away counts as fuller.
+        claim_s: How long it does.
+        few_routers: Number of routers that may all compare all such endpoints.
         fetch_cost_ratio: Time to fetch a part that another runner has cached,
             as a ratio of the time to prefill it.
         repeat_old_weights_penalty_s: Penalty for weights that are not the
@@ -88,6 +95,10 @@
     old_weights_margin_s: float = 1.5
     sole_old_weights_margin_s: float = 0.6
     prefill_slowdown: float = 0.1
+    thinned_room: float = 0.5
+    claimed_room: float = 0.05
+    claim_s: float = 1.0
+    few_routers: int = 4
     fetch_cost_ratio: float = 0.25
 
 
@@ -104,6 +115,9 @@
         failures: Decayed number of failures.
         successes: Decayed number of successes.
         decayed_at: Time up to which outcomes are decayed.
+        claimed: Requests that count as under way since the endpoint had less
+            room than was known.
+        claimed_until: Time until which they count.
         avoided_until: Time until which the endpoint gets no requests.
         refused_until: The same after a connection that failed.
         lateness_s: Decayed moving average of the time by which answers missed
@@ -118,6 +132,8 @@
     failures: float = 0.0
     successes: float = 0.0
     decayed_at: float = 0.0
+    claimed: int = 0
+    claimed_until: float = -math.inf
     avoided_until: float = -math.inf
     refused_until: float = -math.inf
     lateness_s: float = 0.0
@@ -129,6 +145,8 @@
 
     def decay(self, now: float, half_life_s: float) -> None:
         """Decays the outcomes for the time since the last decay."""
+        if self.claimed_until <= now:
+            self.claimed = 0
         factor = decay_factor(now - self.decayed_at, half_life_s)
         self.failures *= factor
         self.successes *= factor
@@ -143,7 +161,9 @@
 class EndpointChooser:
     """Tracks loads and outcomes of endpoints and chooses among them."""
 
-    def __init__(self, cfg: ChoiceConfig, index: PartsIndex):
+    def __init__(self, cfg: ChoiceConfig, index: PartsIndex, seed: int = 0):
+        self._rng = random.Random(seed)
+        self._router_count = 1
         self._cfg = cfg
         self._index = index
         self._stats: dict[str, _EndpointStats] = {}
@@ -159,6 +179,7 @@
 
     def set_router_count(self, count: int) -> None:
         """Sets how many routers, this one included, share the endpoints."""
+        self._router_count = max(1, count)
         self._peer_factor = 1.0 + self._cfg.peer_load_weight * max(0, count - 1)
 
     def set_target_versions(self, versions: dict[str, int], now: float) -> None:
@@ -200,6 +221,7 @@
         salt: Callable[[Endpoint], str] = lambda endpoint: "",
         memory_tokens: int = 0,
         barred: Collection[str] = (),
+        cautious: Collection[str] = (),
     ) -> Endpoint | None:
         """Chooses the usable endpoint with the lowest cost, or None.
 
@@ -213,6 +235,7 @@
             memory_tokens: Capacity of each runner's memory in tokens; 0 for
                 plain services.
             barred: Ids of endpoints that may not get the request now.
+            cautious: Ids of endpoints that get it only if they have room.
         """
         untried = [
             e for e in endpoints if e.id not in tried and e.id not in barred
@@ -220,6 +243,11 @@
         usable = [e for e in untried if self.is_usable(e, now)]
         if prompt is not None:
             usable = self._without_outdated(usable, prompt.model, now)
+        self._peer_loads_fresh = (
+            now - self._peer_loads_at < self._cfg.peer_loads_max_age_s
+        )
+        if cautious:
+            usable = self._with_room(usable, cautious, prompt, memory_tokens)
         if not usable:
             return None
         ranks = _ranks(prompt, usable)
@@ -228,9 +256,6 @@
         if prompt is not None:
             cached_tokens = self._cached_tokens(endpoints, prompt, salt, now)
         max_cached_tokens = _max_by_weights(endpoints, cached_tokens)
-        self._peer_loads_fresh = (
-            now - self._peer_loads_at < self._cfg.peer_loads_max_age_s
-        )
         return min(
             usable,
             key=lambda e: self._cost(
@@ -240,6 +265,33 @@
             ),
         )
 
+    def _with_room(
+        self,
+        usable: Sequence[Endpoint],
+        cautious: Collection[str],
+        prompt: Prompt | None,
+        memory_tokens: int,
+    ) -> list[Endpoint]:
+        """Thins out endpoints that must not turn requests away.
+
+        All routers decide by the same loads, which are some time old. So the
+        fuller such an endpoint is, the more seldom each of them considers it,
+        and the more routers there are, the fewer endpoints each compares.
+        """
+        found = []
+        for endpoint in usable:
+            if endpoint.id in cautious:
+                load = self._total_load(endpoint, self._stats[endpoint.id])
+                if _is_full(endpoint, load, prompt, memory_tokens):
+                    continue
+                room = (endpoint.slots - load.requests) / endpoint.slots
+                if self._rng.random() * self._cfg.thinned_room > room:
+                    continue
+            found.append(endpoint)
+        few = self._cfg.few_routers
+        most = math.ceil(len(found) * few / max(few, self._router_count))
+        return self._rng.sample(found, min(len(found), max(2, most)))
+
     def is_usable(self, endpoint: Endpoint, now: float) -> bool:
         """Returns whether an endpoint is neither silent nor avoided."""
         return (
@@ -304,11 +356,11 @@
         """Returns the load of this router's own requests."""
         return tuple(
             EndpointLoad(
-                *(stats.digest, stats.requests, stats.unread_tokens),
-                stats.held_tokens,
+                *(stats.digest, stats.requests + stats.claimed),
+                *(stats.unread_tokens, stats.held_tokens),
             )
             for stats in self._stats.values()
-            if stats.requests
+            if stats.requests + stats.claimed
         )
 
     def set_peer_loads(self, loads: Iterable[EndpointLoad], now: float) -> None:
@@ -360,6 +412,15 @@
         """
         self._stats_of(endpoint, now).avoided_until = math.inf
 
+    def claim_room(self, endpoint: Endpoint, now: float) -> None:
+        """Lets an endpoint that had no room look fuller, to all routers.
+
+        They learn of it with the loads, before they are turned away as well.
+        """
+        stats = self._stats_of(endpoint, now)
+        stats.claimed += max(1, round(self._cfg.claimed_room * endpoint.slots))
+        stats.claimed_until = now + self._cfg.claim_s
+
     def record_overload(self, endpoint: Endpoint, now: float) -> None:
         """Records that an endpoint is full and avoids it for a moment."""
         self._stats_of(endpoint, now).avoided_until = (
@@ -540,7 +601,7 @@
             peer_load = no_load(stats.digest)
         return EndpointLoad(
             stats.digest,
-            stats.requests + peer_load.requests,
+            stats.requests + stats.claimed + peer_load.requests,
             stats.unread_tokens + peer_load.unread_tokens,
             stats.held_tokens + peer_load.held_tokens,
         )
--- a/knapweedarch/endpoint_statements.py
+++ b/knapweedarch/endpoint_statements.py
@@ -18,6 +18,10 @@
 # A longer wait is taken for this one.
 LONGEST_WAIT_S = 3600.0
 MAX_STATEMENTS = 1024
+# An endpoint says in all its answers that it is brittle.
+BRITTLE_TTL_S = 5.0
+# A brittle endpoint that has turned a request away rests for this long.
+REST_S = 0.5
 # Routers that were told to wait at one moment come back over this fraction of
 # the wait.
 WAIT_SPREAD = 0.25
@@ -33,12 +37,16 @@
         is_leaving: Whether it leaves.
         wait_s: Seconds for which it wants no requests from this router; 0 for
             none.
+        brittle_per_s: Requests that it may turn away in a second for want of
+            room; it falls over if it has to turn more away. None if it is not
+            brittle.
         malformed: Names of the headers that could not be read.
     """
 
     limit_per_s: float | None = None
     is_leaving: bool = False
     wait_s: float = 0.0
+    brittle_per_s: float | None = None
     malformed: tuple[str, ...] = ()
 
 
@@ -102,6 +110,52 @@
             self._until = {k: t for k, t in self._until.items() if k in kept}
 
 
+@attrs.frozen
+class _Brittle:
+    limit_per_s: float
+    named_at: float
+
+
+class BrittleEndpoints:
+    """Endpoints that fall over when they turn many requests away.
+
+    Routers send to them only while they seem to have room, and let one rest
+    that has turned a request away.
+    """
+
+    def __init__(self) -> None:
+        self._brittle: dict[int, _Brittle] = {}
+
+    def record(
+        self, endpoint: Endpoint, statement: EndpointStatement, now: float
+    ) -> None:
+        """Records whether an endpoint says that it is brittle."""
+        key = _digest(endpoint)
+        self._brittle.pop(key, None)
+        if statement.brittle_per_s is not None:
+            self._brittle[key] = _Brittle(statement.brittle_per_s, now)
+        while len(self._brittle) > MAX_STATEMENTS:
+            del self._brittle[next(iter(self._brittle))]
+
+    def limit(self, endpoint: Endpoint, now: float) -> float | None:
+        """Returns what a brittle endpoint bears; None if it is not brittle."""
+        if not self._brittle:
+            return None
+        known = self._brittle.get(_digest(endpoint))
+        if known is None or now - known.named_at > BRITTLE_TTL_S:
+            return None
+        return known.limit_per_s
+
+    def wait_after_rejection_s(self, endpoint: Endpoint, now: float) -> float:
+        """Returns for how long an endpoint that had no room gets nothing."""
+        return 0.0 if self.limit(endpoint, now) is None else REST_S
+
+
+def create_brittle_endpoints() -> BrittleEndpoints:
+    """Creates the brittle endpoints known to a router."""
+    return BrittleEndpoints()
+
+
 def create_endpoint_waits(seed: int) -> EndpointWaits:
     """Creates the waits of a router.
 
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -119,6 +119,12 @@
         _W,
         "Members did not say at which software streams began.",
     ),
+    Event(
+        317,
+        "endpoint_brittle",
+        _I,
+        "A brittle endpoint had no room and rests.",
+    ),
     Event(311, "paths_lost", _W, "A router reaches no endpoint itself."),
     Event(312, "paths_back", _I, "A router reaches endpoints itself again."),
     Event(313, "path_not_found", _I, "A probe did not reach an endpoint."),
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -153,7 +153,7 @@
                 distance_s=settings.distances_s,
                 weights_limit_s=settings.weights_limit_s,
             ),
-            self._index,
+            *(self._index, int(incarnation, 16)),
         )
         self._relay = RelayClient(
             *(settings.name, settings.data_centre),
@@ -290,9 +290,7 @@
         self._relay.set_members(members)
 
     def _set_routers(self, count: int) -> None:
-        self._attempts.router_count = count
-        self._attempts.chooser.set_router_count(count)
-        self._endpoint_limits.set_router_count(count)
+        self._attempts.set_router_count(count)
 
     def _set_endpoints(self, entries: Sequence[EndpointEntry]) -> None:
         for entry in entries:
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -14,7 +14,11 @@
 from knapweedarch.dialects import Dialect, SendOptions
 from knapweedarch.endpoint_choice import EndpointChooser
 from knapweedarch.endpoint_rates import EndpointLimits
-from knapweedarch.endpoint_statements import EndpointStatement, EndpointWaits
+from knapweedarch.endpoint_statements import (
+    EndpointStatement,
+    EndpointWaits,
+    create_brittle_endpoints,
+)
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.heartbeats import incarnation_start
 from knapweedarch.http_outbound import AnswerHead, Exchange, OutboundPool
@@ -104,6 +108,7 @@
         self._guard = guard
         self._endpoint_limits = endpoint_limits
         self._waits = endpoint_waits
+        self._brittle = create_brittle_endpoints()
         self._origins = origins
         self._malformed_logged_at = -math.inf
         self._limits = limits
@@ -123,6 +128,12 @@
         self.chooser.retain(endpoints)
         self._waits.retain(endpoints)
 
+    def set_router_count(self, count: int) -> None:
+        """Sets how many routers, this one included, share the endpoints."""
+        self.router_count = count
+        self.chooser.set_router_count(count)
+        self._endpoint_limits.set_router_count(count)
+
     @property
     def active_endpoint_count(self) -> int:
         """Number of endpoints that may get new requests."""
@@ -199,6 +210,11 @@
             ),
             memory_tokens=engine.memory_tokens if engine else 0,
             barred=waits_s,
+            cautious=[
+                e.id
+                for e in candidates
+                if self._brittle.limit(e, now) is not None
+            ],
         )
         soonest_s = min(waits_s.values(), default=math.inf)
         if endpoint is None and soonest_s < math.inf:
@@ -241,6 +257,7 @@
         if self.dialect.is_wrong_instance(head, endpoint.id):
             return
         now, statement = self.clock.now(), self.dialect.statement(head)
+        self._brittle.record(endpoint, statement, now)
         if statement.malformed:
             self._record_malformed(endpoint, statement, now)
         if self._endpoint_limits.record_named(
@@ -475,6 +492,7 @@
             self.chooser.record_replaced(endpoint, now)
         else:
             self.chooser.record_overload(endpoint, now)
+            self._wait_if_brittle(endpoint, now)
         return self.record_failure(
             call,
             endpoint,
@@ -482,6 +500,15 @@
             f"{head.status}",
         )
 
+    def _wait_if_brittle(self, endpoint: Endpoint, now: float) -> None:
+        """Lets a brittle endpoint rest that has turned a request away."""
+        wait_s = self._brittle.wait_after_rejection_s(endpoint, now)
+        if wait_s:
+            self.chooser.claim_room(endpoint, now)
+            statement = EndpointStatement(wait_s=wait_s)
+            self._waits.record(endpoint, statement, now)
+            log("endpoint_brittle", endpoint=endpoint.id, wait_s=wait_s)
+
     def record_broken_exchange(
         self,
         call: ProxyCall,
