--- a/knapweedarch/tunnel_stream.py
+++ b/knapweedarch/tunnel_stream.py
@@ -16,7 +16,8 @@
 
     Args:
         send: Sends bytes to the other end; raises an error of a broken stream.
-        close: Called once, when this end is closed.
+        close: Tells the other end that this one wants no more bytes; may be
+            called more than once.
     """
 
     def __init__(
@@ -38,10 +39,13 @@
 
     def add_data(self, data: bytes) -> None:
         """Adds bytes from the endpoint."""
+        if self._ended or self._is_closed:
+            return
         self._parts.append(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > MAX_UNREAD_BYTES:
             self.end(is_reset=True)
+            self._close()
         self._notify()
 
     def end(self, *, is_reset: bool) -> None:
