--- a/features/steps/prefill_load_steps.py
+++ b/features/steps/prefill_load_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from adapter.headers import PlatformDialect
+from features.proxy_harness import KnownOrigins
 from knapweedarch.crash_guard import create_crash_guard
 from knapweedarch.deployments import (
     Engine,
@@ -231,6 +232,7 @@
         guard=create_crash_guard(1),
         endpoint_limits=create_endpoint_limits(1),
         endpoint_waits=create_endpoint_waits(1),
+        origins=KnownOrigins(),
         limits=RepeatLimits(0.2, 50.0, 10.0),
         start_refusal=lambda: None,
         started_at=0.0,
