--- a/knapweedarch/tunnel_client.py
+++ b/knapweedarch/tunnel_client.py
@@ -92,7 +92,7 @@
         raise ConnectionRefusedError(reason)
 
     async def _candidates(self) -> list[MemberAddress]:
-        """Returns the routers to ask, those with an open link first."""
+        """Returns the routers to ask, in random order."""
         if self._clock.now() >= self._known_until:
             self._known = await self._find_peers()
             self._known_until = self._clock.now() + PEERS_MAX_AGE_S
