--- a/features/brittle_endpoints.feature
+++ b/features/brittle_endpoints.feature
@@ -27,7 +27,7 @@
     Given <routers> routers and <endpoints> endpoints with 24 slots and brittle at 5
     When requests come for 12 s
     Then from 3 s on no endpoint turns more than 5 requests away in a second
-    And they run at least 0.9 of what they would if they were not brittle
+    And the endpoints use at least 0.8 of their slots
 
     Examples:
       | routers | endpoints |
--- a/features/steps/brittle_steps.py
+++ b/features/steps/brittle_steps.py
@@ -163,12 +163,8 @@
     assert worst <= most, worst
 
 
-@then("they run at least {share:g} of what they would if they were not brittle")
+@then("the endpoints use at least {share:g} of their slots")
 def check_use(context, share):
-    ran = sum(s.used for s in context.slots.values())
-    endpoints = len(context.slots)
-    slots = next(iter(context.slots.values())).endpoint.slots
-    given_world(context, len(context.routers), endpoints, slots, None)
-    requests_come(context, context.seconds)
-    sturdy = sum(s.used for s in context.slots.values())
-    assert ran >= share * sturdy, (ran, sturdy)
+    used_s = sum(s.used for s in context.slots.values()) * RUN_S
+    slots = sum(s.endpoint.slots for s in context.slots.values())
+    assert used_s >= share * slots * context.seconds, used_s / slots
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -162,11 +162,8 @@
 @then("each router finds the version of every stream")
 def check_found(context):
     world = context.world
-    streams = list(world.streams.items())
-    routers = len(world.routers)
-    for number in range(routers):
-        # Each stream at some routers: all pairs take minutes at hundreds.
-        for request_id, version in streams[number % 9 :: 9]:
+    for number in range(len(world.routers)):
+        for request_id, version in world.streams.items():
             assert world.find(number, request_id) == version
 
 
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -33,7 +33,7 @@
     2 KB.
     Given 9 routers, 5 members and streams of 3 versions
     When each router begins 13 streams a second for 10 s
-    Then each router sends at most 20 messages and 2000 bytes a second
+    Then each router sends at most 20 messages and 400 bytes a second
 
   Scenario: Versions of streams are forgotten some time after the stream
     Guards against a table that grows with time.
