--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -679,10 +679,13 @@
 @when('prompts with "{text}" are sent through {router} until one is held back')
 def send_until_held(context, text, router):
     deadline = time.monotonic() + HELD_LIMIT_S
+    answers = []
     for number in itertools.count(1):
-        assert time.monotonic() < deadline, "no request was held back"
-        if is_held(ask_with_text(context.cluster, router, text, number)):
+        assert time.monotonic() < deadline, f"not held back: {answers}"
+        answer = ask_with_text(context.cluster, router, text, number)
+        if is_held(answer):
             return
+        answers.append((answer.status_code, answer.text[:80]))
         time.sleep(0.3)
 
 
