Proxy: an unknown stream may have begun at any service of its model

What callers saw: a stream that began at software v2 went on at v1, though the router had found no record of where it began.

Cause: if nobody remembers a stream, the router asks the leader which versions the service ever had, and goes on if it is one. But it asked for the service that this attempt was given. Services are drawn by weight for each attempt, and configurations move routes to other services, so the stream may have begun at another service, of which that answer says nothing. It needs a lost or late record: of the last 0.2 s before a router was killed, or of a router that is cut off from its member while its lease holds.

Ruled out: a stale answer of the leader. The question is sent after the caller came back, so after its stream began, at an endpoint that the log knows; the leader answers only while its own lease holds.

Evidence: the first two examples of "A stream may have begun at another service of its route" fail on: status 503 is expected, "HTTP/1.1 200 ... id: 3 ... id: 4" comes.

Why it works: an endpoint gets a request only if it has announced its model, and the replicated state keeps the versions of models as well. Without a model, all services together must ever have had one version. The message is unchanged; an earlier leader knows no empty name and so names no version.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -438,6 +438,24 @@
       | v2           | stream_version_gone    |
       | nobody knows | stream_version_unknown |
 
+  Scenario Outline: A stream may have begun at another service of its route
+    A route leads to several services, and each configuration to others. Guards
+    against a stream that goes on at the only version of the service that it is
+    taken up at, though one of another service began it.
+    Given a proxied runner that streams
+    And runner 1 has software v1
+    And software v1 ever wrote streams of the service, and <ever> those of its model
+    When a caller takes up a stream of <whose>, whose beginning nobody knows
+    Then the caller gets status <status>
+    And runner 1 has received <count> requests
+
+    Examples:
+      | whose     | ever      | status | count |
+      | the model | v1 and v2 | 503    | 0     |
+      | no model  | v1 and v2 | 503    | 0     |
+      | the model | v1        | 200    | 1     |
+      | no model  | v1        | 200    | 1     |
+
   Scenario Outline: An endpoint with an odd address does not harm the others
     Another writer may have left it in the list of endpoints. Guards against a
     router that ends or stops serving as it connects to such an address.
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -472,17 +472,21 @@
 
     Attributes:
         versions: Software versions by the id of the request.
+        ever: All software versions ever, by the name of a service or model.
     """
 
     versions: dict[str, str] = attrs.field(factory=dict)
+    ever: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
 
     def record(self, request_id: str, version: str, limit_s: float) -> None:
         """Records the version that wrote the first event of a stream."""
         self.versions[request_id] = version
 
-    async def find(self, request_id: str, service: str) -> str | None:
+    async def find(self, request_id: str, model: str) -> str | None:
         """Returns the version of a stream, or None if it is unknown."""
-        return self.versions.get(request_id)
+        ever = self.ever.get(model, ())
+        only = ever[0] if len(ever) == 1 else None
+        return self.versions.get(request_id, only)
 
 
 class ProxyFixture:
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -50,6 +50,7 @@
         async with open_proxy() as fixture:
             software = getattr(context, "software", {})
             fixture.origins.versions |= getattr(context, "origins", {})
+            fixture.origins.ever |= getattr(context, "ever", {})
             for number, mode in enumerate(context.modes, 1):
                 await fixture.add_runner(mode, software.get(number, ""))
             found = [await fixture.send(part, **options) for part in data]
@@ -106,6 +107,23 @@
     send_requests(context, request("resume", extra))
 
 
+@given(
+    "software {versions} ever wrote streams of the service, and {others} those"
+    " of its model"
+)
+def software_ever(context, versions, others):
+    every = tuple(others.split(" and "))
+    context.ever = {"desk": (versions,), MODEL: every, "": every}
+
+
+@when("a caller takes up a stream of {whose}, whose beginning nobody knows")
+def takes_up_unknown(context, whose):
+    extra = "Last-Event-Id: 2\r\nResumes: r0\r\n"
+    if whose == "the model":
+        extra += prompt_headers("a:50")
+    send_requests(context, request("resume", extra))
+
+
 @then("the refusal is counted as {reason}")
 def check_refusal_reason(context, reason):
     page = context.proxy_metrics.page().decode()
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -265,6 +265,30 @@
         context.state.apply(COMMANDS.encode(Announce(endpoint)))
 
 
+@given(
+    'a state in which service "{first}" served "{model}" by {version} and'
+    ' "{second}" served "{other_model}" by {other_version}'
+)
+def given_services(
+    context, first, model, version, second, other_model, other_version
+):
+    context.state = ControlState()
+    for number, (serves, software) in enumerate(
+        [((first, model), version), ((second, other_model), other_version)], 1
+    ):
+        endpoint = Endpoint(
+            *(f"i-{number}", "1", f"http://10.0.0.{number}:80"),
+            *(EndpointKind.RUNNER, serves),
+            software_version=software,
+        )
+        context.state.apply(COMMANDS.encode(Announce(endpoint)))
+
+
+@then('a stream of "" that nobody remembers began at {found}')
+def check_any_version(context, found):
+    assert only_version(context.state, "") == found
+
+
 @then('a stream of "{service}" that nobody remembers began at {found}')
 def check_only_version(context, service, found):
     context.service, context.found = service, found
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -66,6 +66,18 @@
       | v1 v2    | unknown |
       | v2 v1 v1 | unknown |
 
+  Scenario Outline: Streams of a model may have begun at several services
+    Guards against a stream that is taken for one of the only version that a
+    service ever had, though another service of its model began it.
+    Given a state in which service "chat" served "m" by v1 and "chat-2" served "<model>" by v2
+    Then a stream of "m" that nobody remembers began at <of_m>
+    And a stream of "" that nobody remembers began at unknown
+
+    Examples:
+      | model | of_m    |
+      | m     | unknown |
+      | n     | v1      |
+
   Scenario Outline: A router asks its member, then the leader
     Guards against a version that a router or member concludes which may not have
     heard of a newer one, and against callers that wait for what nobody can say.
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -282,7 +282,7 @@
         )
 
     def read_versions(self, service: str) -> ServiceVersions | control.Redirect:
-        """Returns the software versions that a service ever had."""
+        """Returns the software versions a service or model ever had."""
         if not self._can_serve():
             return self._redirect()
         return ServiceVersions(self._state.software.versions(service))
--- a/knapweedarch/origin_client.py
+++ b/knapweedarch/origin_client.py
@@ -45,13 +45,13 @@
             limit_s: Time in seconds that the caller waits for the stream.
         """
 
-    async def find(self, request_id: str, service: str) -> str | None:
+    async def find(self, request_id: str, model: str) -> str | None:
         """Returns the version at which a stream began, or None if unknown.
 
         Args:
             request_id: Id of the request that brought its first event; empty
                 if the caller does not name it.
-            service: Name of its service.
+            model: Name of the model that writes it; empty if it has none.
         """
 
 
@@ -60,7 +60,7 @@
     """A look-up that waits for the members."""
 
     digest: int
-    service: str
+    model: str
     version: str | None = None
     done: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -90,7 +90,7 @@
         self._unreported: list[Origin] = []
         self._waiting: list[_LookUp] = []
         self._wanted = anyio.Event()
-        self._mixed_services: set[str] = set()
+        self._mixed_models: set[str] = set()
         relay.on_subscribed.append(self._report_all)
 
     def record(self, request_id: str, version: str, limit_s: float) -> None:
@@ -114,13 +114,13 @@
         if self._relay.takes_origins:
             self._unreported += self._table.own(self._clock.now())
 
-    async def find(self, request_id: str, service: str) -> str | None:
+    async def find(self, request_id: str, model: str) -> str | None:
         """Returns the version at which a stream began, or None if unknown."""
         digest = origin_digest(request_id)
         known = self._table.find(digest, self._clock.now())
         if request_id and known is not None:
             return known
-        look_up = _LookUp(digest, service)
+        look_up = _LookUp(digest, model)
         self._waiting.append(look_up)
         self._wanted.set()
         with anyio.move_on_after(LOOK_UP_TIMEOUT_S):
@@ -159,24 +159,28 @@
         for look_up in batch:
             look_up.version = found.get(look_up.digest)
         unknown = [look_up for look_up in batch if look_up.version is None]
-        for service in {look_up.service for look_up in unknown}:
-            version = await self._only_version(service)
+        for model in {look_up.model for look_up in unknown}:
+            version = await self._only_version(model)
             for look_up in unknown:
-                if look_up.service == service:
+                if look_up.model == model:
                     look_up.version = version
         return True
 
-    async def _only_version(self, service: str) -> str | None:
-        """Returns the version of a service that has only ever had one."""
-        if service in self._mixed_services:
+    async def _only_version(self, model: str) -> str | None:
+        """Returns the version of a model that has only ever had one.
+
+        The service does not matter: one route may lead to several, and to
+        others in each configuration.
+        """
+        if model in self._mixed_models:
             return None
         try:
             reply = await self._control.request(
-                ReadVersions(service), REPLY_TIMEOUT_S
+                ReadVersions(model), REPLY_TIMEOUT_S
             )
         except ControlError as exc:
             log("origins_not_found", reason=str(exc), waiting=0)
             return None
         if len(reply.versions) > 1:
-            self._mixed_services.add(service)
+            self._mixed_models.add(model)
         return reply.versions[0] if len(reply.versions) == 1 else None
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -161,8 +161,9 @@
 
     async def find_origin(self, call: ProxyCall) -> None:
         """Finds the software version of a stream that its caller takes up."""
+        prompt = call.options.prompt
         call.software_version = await self._origins.find(
-            call.options.resumes, call.service.name
+            call.options.resumes, prompt.model if prompt else ""
         )
         call.is_version_unknown = call.software_version is None
 
--- a/knapweedarch/software_versions.py
+++ b/knapweedarch/software_versions.py
@@ -1,8 +1,10 @@
 """Software versions that the endpoints of each service have ever announced.
 
-A service that has only ever had one version began all its streams at it.
+A service or model that has only ever had one version began all its streams at
+it.
 """
 
+import itertools
 from collections.abc import Mapping
 
 from knapweedarch.models import Endpoint
@@ -30,8 +32,17 @@
                 self._versions[name] = (*known, endpoint.software_version)
 
     def versions(self, name: str) -> tuple[str, ...]:
-        """Returns the versions of a service; empty if it is unknown."""
-        return self._versions.get(name, ())
+        """Returns the versions of a service or model; empty if unknown.
+
+        Args:
+            name: Its name; empty for all services and models together.
+        """
+        if name:
+            return self._versions.get(name, ())
+        if len(self._versions) >= MAX_SERVICES:
+            return ()
+        found = itertools.chain.from_iterable(self._versions.values())
+        return tuple(dict.fromkeys(found))[:MAX_VERSIONS]
 
     def all(self) -> dict[str, tuple[str, ...]]:
         """Returns the versions of all services."""
