Proxy: a stream taken up is bound to its version under any configuration

What callers saw: a router that was out of step with the configuration, and did not know its route as resumable, sent a caller's `Last-Event-Id` to an endpoint of any software version, so the stream went on at another one than began it.

Cause: the search for the version was skipped where the router's own configuration has the route as not resumable, but the caller's last event was passed on all the same.

Ruled out: dropping the caller's last event there. The endpoint would begin anew, and the caller would join two runs.

Evidence: the second example of "A router with another configuration keeps to the version too" fails before the change: "Then the caller gets status 200 ... And runner 1 has received 0 requests" (runner 1, of the other version, got the request).

Why it works: whether a stream is taken up now follows from the request alone.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -438,6 +438,23 @@
       | v2           | stream_version_gone    |
       | nobody knows | stream_version_unknown |
 
+  Scenario Outline: A router with another configuration keeps to the version too
+    Its configuration may be older or newer than that of the router at which the
+    stream began. Guards against a stream that goes on at any version there.
+    Given a proxied runner that streams
+    And a proxied runner that streams
+    And runner 1 has software v1
+    And runner 2 has software v2
+    When a caller takes up a stream of software v2 where its route <is_resumable>
+    Then the caller gets status 200
+    And runner 1 has received 0 requests
+    And runner 2 was asked to resume after event 2
+
+    Examples:
+      | is_resumable     |
+      | is resumable     |
+      | is not resumable |
+
   Scenario Outline: A stream may have begun at another service of its route
     A route leads to several services, and each configuration to others. Guards
     against a stream that goes on at the only version of the service that it is
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -116,6 +116,16 @@
     context.ever = {"desk": (versions,), MODEL: every, "": every}
 
 
+@when(
+    "a caller takes up a stream of software v2 where its route {is_resumable}"
+)
+def takes_up_elsewhere(context, is_resumable):
+    context.origins = {"r0": "v2"}
+    extra = "Last-Event-Id: 2\r\nResumes: r0\r\n"
+    name = "stream" if is_resumable == "is not resumable" else "resume"
+    send_requests(context, request(name, extra))
+
+
 @when("a caller takes up a stream of {whose}, whose beginning nobody knows")
 def takes_up_unknown(context, whose):
     extra = "Last-Event-Id: 2\r\nResumes: r0\r\n"
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -111,8 +111,12 @@
 
     @property
     def takes_up(self) -> bool:
-        """Whether the caller takes up a stream that an earlier try began."""
-        return self.route.resumable and bool(self.options.last_event_id)
+        """Whether the caller takes up a stream that an earlier try began.
+
+        The router at which it began may have known another configuration, so
+        it does not matter whether the route is resumable in this one.
+        """
+        return self.route.streams and bool(self.options.last_event_id)
 
     def may_go_to(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint may begin the stream or go on with it."""
