Proxy: look-ups of streams do not depend on one member

What callers saw: callers that took up streams were refused with `stream_version_unknown` by routers whose member was frozen, cut off from the other members or had just gone, while the same routers went on to begin new streams.

Cause: a router asked its own member only. A frozen one was asked twice, each time for 0.3 s of the 0.6 s that a look-up lasts; a member that is cut off from the others does not know what their routers reported, and said so at once. The leader was asked for versions only, never for the record, though it keeps all records as any member does.

Ruled out: a cached "unknown". Look-ups are not kept, only that a model had several versions ever, which stays true.

Evidence: three new examples of "A router asks its member, then the leader" fail before: "does not answer | knows v2", "is not reached | knows v2" and "knows nothing | knows v2", each with "ASSERT FAILED: None" or, where the double's leader has no versions to name, "ASSERT FAILED: knows v2".

Why it works: a record is true wherever it is found. The test's leader now answers look-ups as well; the earlier examples and their results are unchanged. If the router's member does not answer and the leader has no record, the stream is refused as before.

--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -307,6 +307,14 @@
     assert only_version(restored, context.service) == context.found
 
 
+def known_by(says: str) -> OriginsFound:
+    """Returns the answer of a member that `knows` a version or nothing."""
+    if says == "knows nothing":
+        return OriginsFound(StreamOrigins((), b""))
+    origin = Origin(origin_digest("r1"), says.removeprefix("knows "), 0.0)
+    return OriginsFound(pack_origins([origin])[0])
+
+
 @attrs.define
 class FakeRelay:
     """A subscription to a member that knows some versions, or to none."""
@@ -323,23 +331,25 @@
         """Answers a look-up."""
         if not self.takes_origins:
             raise LinkError("no member to ask")
-        if self.says == "knows nothing":
-            return OriginsFound(StreamOrigins((), b""))
-        version = self.says.removeprefix("knows ")
-        origin = Origin(origin_digest("r1"), version, 0.0)
-        return OriginsFound(pack_origins([origin])[0])
+        if self.says == "does not answer":
+            await anyio.sleep(timeout_s)
+            raise LinkError("no reply in time")
+        return known_by(self.says)
 
 
 @attrs.define
 class FakeControl:
-    """A leader that names versions, or does not answer."""
+    """A leader that names versions, has a record, or does not answer."""
 
     says: str
 
     async def request(self, message: object, timeout_s: float) -> object:
-        """Answers with the versions of any service."""
+        """Answers with what it remembers or the versions of any service."""
         if self.says == "is not reached":
             raise ControlError("unreachable", "no leader")
+        if isinstance(message, FindOrigins):
+            has_record = self.says.startswith("knows")
+            return known_by(self.says if has_record else "knows nothing")
         names = self.says.removeprefix("names ").removeprefix("only ")
         return ServiceVersions(tuple(names.split(" and ")))
 
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -92,3 +92,7 @@
       | knows nothing      | names v1 and v2      | unknown |
       | knows nothing      | is not reached       | unknown |
       | is not reached     | names only v1        | unknown |
+      | is not reached     | knows v2             | v2      |
+      | does not answer    | knows v2             | v2      |
+      | does not answer    | is not reached       | unknown |
+      | knows nothing      | knows v2             | v2      |
--- a/knapweedarch/origin_client.py
+++ b/knapweedarch/origin_client.py
@@ -1,5 +1,6 @@
 """A router's memory of where streams began, and its look-ups at the members."""
 
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
 import anyio
@@ -13,6 +14,7 @@
     MAX_ORIGINS,
     FindOrigins,
     Origin,
+    OriginsFound,
     ReadVersions,
     origin_digest,
     pack_digests,
@@ -28,8 +30,9 @@
 # the caller waits for the stream.
 KEPT_MARGIN_S = 10.0
 LOOK_UP_TIMEOUT_S = 0.6
-# A member answers within a round trip.
-REPLY_TIMEOUT_S = 0.3
+# A member answers within a round trip. A look-up must last for the router's
+# member, the leader's own records and what the leader knows of versions.
+REPLY_TIMEOUT_S = 0.2
 RETRY_DELAY_S = 0.05
 
 
@@ -146,26 +149,49 @@
                 self._waiting = [w for w in self._waiting if id(w) not in done]
 
     async def _look_up(self, batch: list[_LookUp]) -> bool:
-        """Looks up origins; returns whether the members have answered."""
+        """Looks up origins; returns whether any member has answered.
+
+        What the router's own member does not know or does not say in time, the
+        leader may: the member can be slow, or cut off from the others.
+        """
+        is_answered = await self._ask(batch, self._ask_member)
+        missing = _unknown(batch)
+        if not missing:
+            return True
+        has_leader = await self._ask(missing, self._ask_leader)
+        if not is_answered:
+            return has_leader
+        unknown = _unknown(missing)
+        for model in {look_up.model for look_up in unknown}:
+            version = await self._only_version(model)
+            for look_up in unknown:
+                if look_up.model == model:
+                    look_up.version = version
+        return True
+
+    async def _ask(
+        self,
+        batch: list[_LookUp],
+        send: Callable[[FindOrigins], Awaitable[OriginsFound]],
+    ) -> bool:
+        """Asks one member; returns whether it has answered."""
         digests = pack_digests([look_up.digest for look_up in batch])
         try:
-            reply = await self._relay.call(
-                FindOrigins(digests), REPLY_TIMEOUT_S
-            )
+            reply = await send(FindOrigins(digests))
             found = {o.digest: o.version for o in unpack_origins(reply.found)}
-        except (LinkError, CodecError, ValueError) as exc:
+        except (LinkError, ControlError, CodecError, ValueError) as exc:
             log("origins_not_found", reason=str(exc), waiting=len(batch))
             return False
         for look_up in batch:
             look_up.version = found.get(look_up.digest)
-        unknown = [look_up for look_up in batch if look_up.version is None]
-        for model in {look_up.model for look_up in unknown}:
-            version = await self._only_version(model)
-            for look_up in unknown:
-                if look_up.model == model:
-                    look_up.version = version
         return True
 
+    async def _ask_member(self, message: FindOrigins) -> OriginsFound:
+        return await self._relay.call(message, REPLY_TIMEOUT_S)
+
+    async def _ask_leader(self, message: FindOrigins) -> OriginsFound:
+        return await self._control.request(message, REPLY_TIMEOUT_S)
+
     async def _only_version(self, model: str) -> str | None:
         """Returns the version of a model that has only ever had one.
 
@@ -184,3 +210,7 @@
         if len(reply.versions) > 1:
             self._mixed_models.add(model)
         return reply.versions[0] if len(reply.versions) == 1 else None
+
+
+def _unknown(batch: Iterable[_LookUp]) -> list[_LookUp]:
+    return [look_up for look_up in batch if look_up.version is None]
