Router: the end of a link before its subscription is accepted ends no process

Cause: the task that runs a link cancels the scope in which the router waits for the member's answer to its subscription. If the link ends before that answer, the wait is cancelled, the scope takes the cancellation, and the result of the wait is not bound: "UnboundLocalError: cannot access local variable 'accepted'". A router's own pause is one way there, a member that is killed, stopped or resets connections between connecting and answering is another: all routers that subscribe to it at that moment end.

Ruled out: a link that ends after the answer. Its `closed` event wakes the wait before the cancellation reaches it; those examples pass before the change as well.

Evidence: "A member closes a router's subscription", "before it answers", ends before with "UnboundLocalError: cannot access local variable 'accepted' where it is not associated with a value".

Why it works: without an answer the subscription counts as not accepted, and the router tries the next member, as after any other failure.

--- a/features/failure_containment.feature
+++ b/features/failure_containment.feature
@@ -22,6 +22,19 @@
     Then only that client's link closes
     And another client still gets answers
 
+  Scenario Outline: A member closes a router's subscription
+    Guards against a router that ends, with all requests that it serves, because
+    its member is lost, or has given it up while it stood still.
+    Given a member that closes the first subscription of a router <when>
+    When the router subscribes
+    Then the router still runs and has subscribed again
+
+    Examples:
+      | when                          |
+      | before it answers             |
+      | after it answers from far off |
+      | after it answers from nearby  |
+
   Scenario: A handler of a link cannot write to the journal
     Guards against a member that goes on after a write has failed.
     Given a server whose handler raises a journal error for some messages
--- a/features/steps/failure_containment_steps.py
+++ b/features/steps/failure_containment_steps.py
@@ -16,7 +16,11 @@
 from knapweedarch.exceptions import JournalError, LinkError, ReplicaError
 from knapweedarch.member import create_member
 from knapweedarch.metrics import create_metrics
+from knapweedarch.relay_client import RelayClient
+from knapweedarch.relay_messages import Subscribed
+from knapweedarch.relayed_parts import RelayedParts
 from knapweedarch.settings import Address, MemberSettings
+from knapweedarch.stored_parts import PartsIndex
 from knapweedarch.timers import Clock
 
 CREDENTIAL = "credential of the failure scenarios"
@@ -150,6 +154,62 @@
             group.cancel_scope.cancel()
 
 
+@given("a member that closes the first subscription of a router {when_closed}")
+def closing_member(context, when_closed):
+    context.when_closed = when_closed
+
+
+async def subscribe_to_closing_member(context) -> None:
+    """Runs a router's subscription until the member has kept one."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    secret = CREDENTIAL.encode()
+    subscribers = []
+
+    async def answer(link: links.Link, message: object) -> None:
+        is_first = not subscribers
+        subscribers.append(link)
+        if not is_first or context.when_closed != "before it answers":
+            is_far = is_first and "far off" in context.when_closed
+            link.send(Subscribed("a", "far" if is_far else "near", ()))
+            await anyio.sleep(0.05)
+        if is_first:
+            link.close()
+
+    relay = RelayClient(
+        *("r", "near", secret, [control.MemberAddress("a", "127.0.0.1", port)]),
+        *(RelayedParts(PartsIndex(), None), lambda loads: None),
+    )
+    subscribed_again = anyio.Event()
+
+    def on_subscribed() -> None:
+        if len(subscribers) > 1:
+            subscribed_again.set()
+
+    relay.on_subscribed.append(on_subscribed)
+    with anyio.fail_after(STEP_TIMEOUT_S):
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                *(links.serve, listener, secret, control.CONTROL, answer),
+                lambda exc: None,
+            )
+            group.start_soon(relay.run)
+            await subscribed_again.wait()
+            context.has_subscribed = True
+            group.cancel_scope.cancel()
+
+
+@when("the router subscribes")
+def router_subscribes(context):
+    context.has_subscribed = False
+    anyio.run(subscribe_to_closing_member, context)
+
+
+@then("the router still runs and has subscribed again")
+def check_subscribed_again(context):
+    assert context.has_subscribed
+
+
 @when("a client sends such a message")
 def send_bad_message(context):
     context.answer = context.failure = None
--- a/knapweedarch/relay_client.py
+++ b/knapweedarch/relay_client.py
@@ -170,6 +170,8 @@
         self._loads.reset()
         self._parts.reset()
         self._link = link
+        # The end of the link cancels the wait for an answer.
+        accepted = False
         async with anyio.create_task_group() as group:
             group.start_soon(self._run_link, link, group.cancel_scope)
             link.send(Subscribe(self._name, self._data_centre))
