Proxy: no stream goes on at an endpoint that started again unheard of

Such an endpoint accepts requests that name its id. Every router is behind by the time of a heartbeat and a commit; one that is cut off or stood still, by up to its lease.

Cause: a router took its list of endpoints for the truth when it bound a resume to a version. Nothing in an answer names the start of an endpoint.

Change: before a stream goes on, the router asks the endpoint for its report, after the connection for the request is open, unless it has asked since. A connection leads to the incarnation that answers, or to an earlier one, which is gone and resets it. Another start than the known one: the entry is not used until the list names the new one, and the stream goes on elsewhere. No answer: as a connection that failed. No start in the report, or in the heartbeats: as before. The reports have connections of their own, so that one that comes late or twice is never taken for an answer to a caller.

Not mended: a new stream that begins at such an endpoint in that time is recorded with the version that the router knows.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -77,6 +77,19 @@
     Then the endpoint has incarnation "1700000000123" and weights "1"
     And the endpoint serves "huvo11a" and "daka510000"
 
+  Scenario Outline: A report says which incarnation it is of
+    Guards against an endpoint that started again and is taken for the one before
+    it, and against one that is refused since it does not say.
+    When a runner's report has <born>
+    Then it is of <incarnation>
+
+    Examples:
+      | born                    | incarnation   |
+      | "born": 1700000000123   | 1700000000123 |
+      | "busy": false           | unknown       |
+      | "born": "1700000000123" | refused       |
+      | "born": 1.5             | refused       |
+
   Scenario Outline: Cache events that cannot be read are refused
     Guards against malformed events that enter the index of cached parts.
     When cache events with the row <row> arrive
--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -438,6 +438,37 @@
       | v2           | stream_version_gone    |
       | nobody knows | stream_version_unknown |
 
+  Scenario Outline: A stream does not go on at an endpoint that started again
+    An endpoint may start again under its id with other software, and takes
+    requests before the router hears of it. Guards against a stream that goes on
+    there as if it were the version that the router knows.
+    Given a proxied runner that streams
+    And a proxied runner that streams
+    And runner 1 has software v1
+    And runner 2 has software v1
+    And runner 1 <says>, which the router has not heard
+    When a caller takes up after event 2 a stream that began at software v1
+    Then the caller gets status 200
+    And runner 1 has received <first> requests
+    And runner 2 has received <second> requests
+
+    Examples:
+      | says                         | first | second |
+      | has started again            | 0     | 1      |
+      | does not say when it started | 1     | 0      |
+
+  Scenario: A router does not resume its stream at an endpoint that started again
+    Guards against a stream that a router joins from two software versions, as
+    one of its endpoints started again while the router was out of step.
+    Given a proxied runner that breaks off within event 3
+    And a proxied runner that streams
+    And runner 1 has software v1
+    And runner 2 has software v1
+    And runner 2 has started again, which the router has not heard
+    When a caller sends a request that may be resumed
+    Then the relayed stream has no end
+    And runner 2 has received 0 requests
+
   Scenario Outline: A router with another configuration keeps to the version too
     Its configuration may be older or newer than that of the router at which the
     stream began. Guards against a stream that goes on at any version there.
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -19,6 +19,7 @@
     SplitShare,
 )
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
+from knapweedarch.endpoint_identity import EndpointIdentities
 from knapweedarch.endpoint_rates import create_endpoint_limits
 from knapweedarch.endpoint_statements import create_endpoint_waits
 from knapweedarch.http_inbound import InboundServer
@@ -79,7 +80,8 @@
     Attributes:
         mode: How it answers.
         id: Id of its instance.
-        software: Version of its software.
+        software: Version of its software, as the router knows it.
+        born: Its incarnation; the router knows 1. None if it does not say.
         received: Requests that it has read.
         connections: Number of accepted connections.
         closed_connections: Number of connections that have ended.
@@ -94,6 +96,7 @@
     mode: str
     id: str
     software: str = ""
+    born: str | None = "1"
     received: list[ReceivedRequest] = attrs.field(factory=list)
     connections: int = 0
     closed_connections: int = 0
@@ -510,6 +513,7 @@
             endpoint_limits=create_endpoint_limits(1),
             endpoint_waits=create_endpoint_waits(1),
             origins=self.origins,
+            identities=EndpointIdentities(self, clock, self.metrics),
             limits=RepeatLimits(1.0, 100.0, 10.0),
             start_refusal=lambda: self.refusal,
             started_at=clock.now() - ROUTER_AGE_S,
@@ -552,6 +556,10 @@
         )
         return runner
 
+    async def incarnation(self, endpoint: Endpoint) -> str | None:
+        """Returns the incarnation of a runner, as the runner says."""
+        return next(r.born for r in self.runners if r.id == endpoint.id)
+
     async def send(
         self, data: bytes, idle_s: float = 0.4, parts: int = 1
     ) -> RawAnswer:
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -11,6 +11,7 @@
     read_cache_changes,
     read_deployment,
     read_heartbeat,
+    read_incarnation,
 )
 from adapter.settings import Node, member_settings
 from knapweedarch.exceptions import DeploymentError, SettingsError
@@ -287,6 +288,20 @@
     assert found.serves == (service, model)
 
 
+@when("a runner's report has {field}")
+def build_report(context, field):
+    context.report = b'{"stage": "unified", ' + field.encode() + b"}"
+
+
+@then("it is of {incarnation}")
+def check_report(context, incarnation):
+    try:
+        found = read_incarnation(context.report) or "unknown"
+    except DeploymentError:
+        found = "refused"
+    assert found == incarnation, found
+
+
 @when("cache events with the row {row} arrive")
 def build_cache_events(context, row):
     good = [1, "+", "s", "p", 5, "m"]
--- a/features/steps/prefill_load_steps.py
+++ b/features/steps/prefill_load_steps.py
@@ -17,6 +17,7 @@
 )
 from knapweedarch.dialects import CallerOptions
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
+from knapweedarch.endpoint_identity import EndpointIdentities
 from knapweedarch.endpoint_rates import create_endpoint_limits
 from knapweedarch.endpoint_statements import create_endpoint_waits
 from knapweedarch.http_messages import Request
@@ -222,9 +223,10 @@
 def create_attempts(context) -> Attempts:
     context.clock = ManualClock(100.0)
     index = PartsIndex()
+    metrics = create_metrics(None, 0, "test")
     attempts = Attempts(
         clock=context.clock,
-        metrics=create_metrics(None, 0, "test"),
+        metrics=metrics,
         dialect=PlatformDialect(),
         pool=None,
         chooser=EndpointChooser(ChoiceConfig(), index),
@@ -233,6 +235,7 @@
         endpoint_limits=create_endpoint_limits(1),
         endpoint_waits=create_endpoint_waits(1),
         origins=KnownOrigins(),
+        identities=EndpointIdentities(None, context.clock, metrics),
         limits=RepeatLimits(0.2, 50.0, 10.0),
         start_refusal=lambda: None,
         started_at=0.0,
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -52,7 +52,11 @@
             fixture.origins.versions |= getattr(context, "origins", {})
             fixture.origins.ever |= getattr(context, "ever", {})
             for number, mode in enumerate(context.modes, 1):
-                await fixture.add_runner(mode, software.get(number, ""))
+                runner = await fixture.add_runner(
+                    mode, software.get(number, "")
+                )
+                born = getattr(context, "born", {})
+                runner.born = born.get(number, runner.born)
             found = [await fixture.send(part, **options) for part in data]
             context.runners = fixture.runners
             context.proxy_metrics = fixture.metrics
@@ -80,6 +84,13 @@
     context.software[number] = version
 
 
+@given("runner {number:d} {has_started_again}, which the router has not heard")
+def started_again(context, number, has_started_again):
+    born = {"has started again": "2", "does not say when it started": None}
+    context.born = getattr(context, "born", {})
+    context.born[number] = born[has_started_again]
+
+
 @when("a caller sends a request that {kind} and leaves")
 def sends_and_leaves(context, kind):
     async def run():
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -201,6 +201,12 @@
         _W,
         "An endpoint says something of itself that cannot be read.",
     ),
+    Event(
+        319,
+        "endpoint_replaced",
+        _I,
+        "An endpoint had started again before this router heard of it.",
+    ),
     Event(510, "attempt_ended", _I, "An attempt ended without a response."),
     Event(514, "request_sent", _I, "A request was sent to an endpoint."),
     Event(511, "request_given_up", _I, "A request is not retried."),
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -55,13 +55,15 @@
     Attributes:
         stream: The byte stream.
         protocol: State of the HTTP exchange.
-        idle_until: Until when it may be reused, in seconds on the pool's clock.
+        opened_at: When it was open, in seconds on the pool's clock.
+        idle_until: Until when it may be reused, on the same clock.
         refusals: Headers of the refusals received on it. A faulty endpoint may
             write one again, while it runs a later request.
     """
 
     stream: anyio.abc.ByteStream
     protocol: h11.Connection
+    opened_at: float
     idle_until: float = 0.0
     refusals: list[Headers] = attrs.field(factory=list)
 
@@ -132,6 +134,11 @@
         self._complete = False
         self._is_reusable = True
 
+    @property
+    def opened_at(self) -> float:
+        """When its connection was open, in seconds on the pool's clock."""
+        return self._conn.opened_at
+
     async def open(self, before_send: Callable[[], None]) -> None:
         """Opens or reuses a connection.
 
@@ -399,7 +406,8 @@
                 return conn
             await _close_connection(conn)
         stream = await self.connect(address)
-        return _Connection(stream, h11.Connection(h11.CLIENT))
+        protocol = h11.Connection(h11.CLIENT)
+        return _Connection(stream, protocol, self._clock.now())
 
     def _take_idle(
         self, address: str, is_own_answer: IsOwnAnswer
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -105,6 +105,9 @@
     Metric("tunnels.served", _C, "Connections opened for other routers."),
     Metric("origins.found", _C, "Streams taken up whose version was found."),
     Metric("origins.unknown", _C, "Streams taken up whose version was not."),
+    Metric("identities.unsaid", _C, "Endpoints that did not say who they are."),
+    Metric("identities.unanswered", _C, "Endpoints asked that did not answer."),
+    Metric("identities.replaced", _C, "Endpoints that had started again."),
     Metric(
         "parts.held",
         _C,
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -14,6 +14,7 @@
 from knapweedarch.dialects import Dialect
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
 from knapweedarch.endpoint_connector import EndpointConnector
+from knapweedarch.endpoint_identity import EndpointIdentities, IdentityPort
 from knapweedarch.endpoint_rates import create_endpoint_limits
 from knapweedarch.endpoint_statements import create_endpoint_waits
 from knapweedarch.exceptions import ControlError
@@ -102,6 +103,7 @@
         settings: ProxySettings,
         dialect: Dialect,
         pool: OutboundPool,
+        identity_port: IdentityPort,
         clock: Clock,
         metrics: Metrics,
     ):
@@ -175,6 +177,7 @@
             endpoint_limits=self._endpoint_limits,
             endpoint_waits=create_endpoint_waits(int(incarnation, 16)),
             origins=self._origins,
+            identities=EndpointIdentities(identity_port, clock, metrics),
             limits=settings.repeats,
             start_refusal=self._start_refusal,
             started_at=clock.now(),
@@ -384,6 +387,7 @@
     settings: ProxySettings,
     dialect: Dialect,
     pool: OutboundPool,
+    identity_port: IdentityPort,
     clock: Clock,
     metrics: Metrics,
 ) -> Proxy:
@@ -393,7 +397,8 @@
         settings: Settings.
         dialect: Codec of the platform's headers.
         pool: Connections to endpoints.
+        identity_port: Asks endpoints who they are.
         clock: Time source.
         metrics: Metrics of the process.
     """
-    return Proxy(settings, dialect, pool, clock, metrics)
+    return Proxy(settings, dialect, pool, identity_port, clock, metrics)
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -1,5 +1,6 @@
 """Attempts of proxied requests: endpoint selection, sends and repeats."""
 
+import contextlib
 import math
 from collections.abc import Callable, Iterable
 
@@ -13,6 +14,7 @@
 from knapweedarch.deployments import CacheStore
 from knapweedarch.dialects import Dialect, SendOptions
 from knapweedarch.endpoint_choice import EndpointChooser
+from knapweedarch.endpoint_identity import EndpointIdentities
 from knapweedarch.endpoint_rates import EndpointLimits
 from knapweedarch.endpoint_statements import (
     EndpointStatement,
@@ -70,6 +72,7 @@
         endpoint_limits: Limits that endpoints name.
         endpoint_waits: Endpoints that take no requests now, as they said.
         origins: Software versions at which streams began.
+        identities: Tells whether endpoints are those that are known.
         limits: Limit of repeats for all routers together.
         start_refusal: Returns why no request may be sent now, or None if it
             may.
@@ -93,6 +96,7 @@
         endpoint_limits: EndpointLimits,
         endpoint_waits: EndpointWaits,
         origins: StreamOriginsPort,
+        identities: EndpointIdentities,
         limits: RepeatLimits,
         start_refusal: Callable[[], RefusalReason | None],
         started_at: float,
@@ -110,6 +114,7 @@
         self._waits = endpoint_waits
         self._brittle = create_brittle_endpoints()
         self._origins = origins
+        self._identities = identities
         self._malformed_logged_at = -math.inf
         self._limits = limits
         self._start_refusal = start_refusal
@@ -127,6 +132,7 @@
                     self._by_service.setdefault(name, []).append(endpoint)
         self.chooser.retain(endpoints)
         self._waits.retain(endpoints)
+        self._identities.retain(endpoints)
 
     def set_router_count(self, count: int) -> None:
         """Sets how many routers, this one included, share the endpoints."""
@@ -368,7 +374,7 @@
                 answer_headers, request_id
             ),
         )
-        await exchange.open(self._check_start)
+        await self._connect(call, endpoint, exchange)
         self.record_sent(call)
         log(
             "request_sent",
@@ -387,6 +393,23 @@
         )
         return exchange
 
+    async def _connect(
+        self, call: ProxyCall, endpoint: Endpoint, exchange: Exchange
+    ) -> None:
+        """Connects; a stream goes on only at the incarnation that is known.
+
+        Raises:
+            ExchangeError: See `open`; or another incarnation has taken over,
+                whose software may be another.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(exchange.close, None)
+            await exchange.open(self._check_start)
+            if call.software_version is not None:
+                await self._identities.check(endpoint, exchange.opened_at)
+                self._check_start()
+            stack.pop_all()
+
     def _check_start(self) -> None:
         if reason := self._start_refusal():
             raise ExchangeError(
@@ -527,6 +550,8 @@
         if exc.written:
             self.chooser.record_failure(endpoint, now)
             self._record_crash(call, endpoint, exc, progress)
+        elif exc.reason is RetryReason.WRONG_INCARNATION:
+            self.chooser.record_replaced(endpoint, now)
         else:
             self.chooser.record_connection_refused(endpoint, now)
         return self.record_failure(
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -183,6 +183,7 @@
     def _report(self) -> dict:
         return {
             "stage": "unified",
+            "born": self._born,
             "models": self._models(),
             "busy": self._loading,
             "callSeq": self.order_count,
