Log why a request that was read ends without an answer

Now each request that was read whole and ends without a whole answer leaves one `request_dropped` with its cause (caller_closed, caller_reset, write_failed, stopped, handler_failed, given_up), the request id and whether the answer had begun, and is counted as `dropped.CAUSE`. A connection that ends within a request leaves `request_incomplete`, bytes after our end of a connection leave `late_bytes_dropped`; one that sent nothing leaves nothing. `caller_left` names the cause. The gateway logs the first two as well; hypercorn does not tell it how the input ended.

An answer with `connection: close` left h11 in MUST_CLOSE, which was taken for an answer that was not whole: it would have been logged as dropped, and such a connection was closed without waiting for its caller. It is now treated as every other whole answer.

--- a/knapweedarch/callers.py
+++ b/knapweedarch/callers.py
@@ -158,6 +158,7 @@
         budget: Memory limit shared by all calls of the router.
         reserved_bytes: Bytes that this call has reserved in the budget.
         started: Whether sending the response head has begun.
+        is_whole: Whether the body was read to its end.
     """
 
     method: str
@@ -169,6 +170,7 @@
     budget: BodyBudget = attrs.field(factory=BodyBudget)
     reserved_bytes: int = 0
     started: bool = False
+    is_whole: bool = False
 
     def header(self, name: str) -> str:
         """Returns the value of a header, or an empty string."""
@@ -205,6 +207,7 @@
                 await self._discard_and_refuse(limit)
             parts.append(part)
             if not message.get("more_body"):
+                self.is_whole = True
                 return b"".join(parts)
 
     def release(self) -> None:
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -7,10 +7,12 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+import anyio
 import cattrs
 
 from knapweedarch.adapters import Adapter
 from knapweedarch.background import BackgroundTasks
+from knapweedarch.caller_ends import DropCause
 from knapweedarch.callers import (
     BodyBudget,
     CallerGoneError,
@@ -189,6 +191,10 @@
             await self._refuse(call, refused)
         except CallerGoneError:
             self._router.count("cancelled")
+            self._record_dropped(call, DropCause.CALLER_CLOSED)
+        except anyio.get_cancelled_exc_class():
+            self._record_dropped(call, DropCause.STOPPED)
+            raise
         except SlowCallerError as exc:
             self._record_refusal(RefusalReason.SLOW_CALLER, str(exc))
         except Exception as exc:
@@ -198,6 +204,18 @@
         finally:
             call.release()
 
+    def _record_dropped(self, call: HttpCall, cause: DropCause) -> None:
+        """Records that a request ends without a whole answer."""
+        if not call.is_whole:
+            return self._router.log("request_incomplete", has_head=True)
+        self._router.count(f"dropped.{cause.value}")
+        self._router.log(
+            "request_dropped",
+            cause=cause.value,
+            path=call.path,
+            answer_began=call.started,
+        )
+
     async def _handle(self, call: HttpCall) -> None:
         match call.method, call.path:
             case "GET", "/live":
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -16,6 +16,7 @@
 import anyio.abc
 import h11
 
+from knapweedarch.caller_ends import DropCause, cause_of_read_error
 from knapweedarch.deployments import CallerLimits
 from knapweedarch.exceptions import CallerGoneError
 from knapweedarch.http_messages import Answer, Headers, Request
@@ -28,6 +29,8 @@
 LINGER_TIMEOUT_S = 1.0
 # SO_LINGER with a timeout of 0 s: closing the connection resets it.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# States of a server that has sent a whole response.
+ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE)
 STREAM_ERRORS = (
     OSError,
     anyio.EndOfStream,
@@ -43,11 +46,22 @@
 
     Attributes:
         started: Whether the response has begun.
+        request_id: Id of the request in log lines; set by the handler.
     """
 
     def __init__(self, conn: "InboundConnection"):
         self._conn = conn
         self.started = False
+        self.request_id = ""
+
+    @property
+    def drop_cause(self) -> DropCause:
+        """Why the response cannot be completed.
+
+        A handler that is cancelled for no other cause is stopped with its
+        server.
+        """
+        return self._conn.drop_cause or DropCause.STOPPED
 
     async def send(self, answer: Answer) -> None:
         """Sends a complete response.
@@ -97,11 +111,15 @@
         Later writes raise `CallerGoneError`. The connection is closed when the
         handler returns.
         """
-        self._conn.abort()
+        self._conn.abort(DropCause.GIVEN_UP)
 
 
 class InboundConnection:
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    Attributes:
+        drop_cause: Why the response cannot be completed; None while it can.
+    """
 
     def __init__(
         self,
@@ -114,7 +132,12 @@
             h11.SERVER,
             max_incomplete_event_size=server.limits().header_bytes,
         )
-        self._aborted = False
+        self.drop_cause: DropCause | None = None
+        self._input_end = DropCause.CALLER_CLOSED
+
+    @property
+    def _aborted(self) -> bool:
+        return self.drop_cause is not None
 
     async def run(self) -> None:
         """Serves requests until the connection ends."""
@@ -155,6 +178,7 @@
             await self._send_error(408, "timed out while reading the request")
             return False
         if req is None:
+            self._log_incomplete()
             return False
         self._server.record_request_start(self)
         try:
@@ -167,6 +191,12 @@
             return False
         return self._h11.our_state is h11.DONE
 
+    def _log_incomplete(self) -> None:
+        """Logs a connection that ended within a request."""
+        has_head = self._h11.their_state is not h11.IDLE
+        if has_head or self._h11.trailing_data[0]:
+            log("request_incomplete", has_head=has_head)
+
     async def _read_request(self) -> Request | None:
         """Reads a request; returns None if the connection ends first.
 
@@ -248,7 +278,8 @@
         """Reads bytes; returns whether the caller's side is still open."""
         try:
             data = await self._stream.receive(READ_BYTES)
-        except STREAM_ERRORS:
+        except STREAM_ERRORS as exc:
+            self._input_end = cause_of_read_error(exc)
             return False
         self._h11.receive_data(data)
         return True
@@ -256,19 +287,37 @@
     async def _handle(self, req: Request) -> None:
         """Runs the handler; cancels it if the caller disconnects."""
         responder = Responder(self)
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._watch_for_disconnect, group.cancel_scope)
-            try:
-                await self._server.handler(req, responder)
-            except CallerGoneError:
-                self._aborted = True
-            except Exception as exc:
-                # An error in one request must not end the others.
-                self._aborted = True
-                log("request_failed", reason=repr(exc), path=req.path)
-            group.cancel_scope.cancel()
-        if self._h11.our_state is not h11.DONE:
-            self._aborted = True
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._watch_for_disconnect, group.cancel_scope)
+                await self._run_handler(req, responder)
+                group.cancel_scope.cancel()
+        finally:
+            if self._h11.our_state not in ANSWERED_STATES:
+                self._record_dropped(req, responder)
+
+    async def _run_handler(self, req: Request, responder: Responder) -> None:
+        try:
+            await self._server.handler(req, responder)
+        except CallerGoneError:
+            self.abort(DropCause.WRITE_FAILED)
+        except Exception as exc:
+            # An error in one request must not end the others.
+            self.abort(DropCause.HANDLER_FAILED)
+            log("request_failed", reason=repr(exc), path=req.path)
+
+    def _record_dropped(self, req: Request, responder: Responder) -> None:
+        """Records that a request that was read ends without a whole answer."""
+        self.abort(DropCause.STOPPED)
+        self._server.on_dropped(self.drop_cause)
+        log(
+            "request_dropped",
+            cause=self.drop_cause.value,
+            request=responder.request_id,
+            path=req.path,
+            answer_began=responder.started,
+            ms=round((self._server.clock.now() - req.began_at) * 1000),
+        )
 
     async def _watch_for_disconnect(self, scope: anyio.CancelScope) -> None:
         """Keeps reading, the only way to detect a disconnect.
@@ -278,7 +327,7 @@
         """
         while len(self._h11.trailing_data[0]) < READ_BYTES:
             if not await self._receive():
-                self._aborted = True
+                self.abort(self._input_end)
                 scope.cancel()
                 return
         await anyio.sleep_forever()
@@ -315,12 +364,15 @@
         try:
             await self._stream.send(data)
         except STREAM_ERRORS as exc:
-            self._aborted = True
+            self.abort(DropCause.WRITE_FAILED)
             raise CallerGoneError("the caller closed the connection") from exc
 
-    def abort(self) -> None:
-        """Makes writes fail; closes the connection when the handler returns."""
-        self._aborted = True
+    def abort(self, cause: DropCause) -> None:
+        """Makes writes fail; closes the connection when the handler returns.
+
+        The first cause is kept.
+        """
+        self.drop_cause = self.drop_cause or cause
 
     async def _send_error(self, status: int, reason: str) -> None:
         log("request_malformed", status=status, reason=reason)
@@ -333,13 +385,16 @@
 
     async def _linger(self) -> None:
         """Closes the sending side and waits for the caller to close."""
+        dropped_bytes = 0
         with (
             anyio.move_on_after(LINGER_TIMEOUT_S),
             contextlib.suppress(*STREAM_ERRORS),
         ):
             await self._stream.send_eof()
             while True:
-                await self._stream.receive(READ_BYTES)
+                dropped_bytes += len(await self._stream.receive(READ_BYTES))
+        if dropped_bytes:
+            log("late_bytes_dropped", bytes=dropped_bytes)
 
 
 def _check_framing(headers: Headers) -> None:
@@ -381,6 +436,8 @@
         handler: Sends the response to each request; cancelled if the caller
             disconnects.
         limits: Returns the current limits for callers.
+        on_dropped: Called for each request that was read and ends without a
+            whole answer.
         closing: Whether responses have the header `connection: close`.
         refusing: Whether connections end after the active request.
         active: Number of requests that were read and whose handler runs.
@@ -391,8 +448,10 @@
         handler: Handler,
         clock: Clock,
         limits: Callable[[], CallerLimits] = CallerLimits,
+        on_dropped: Callable[[DropCause], None] = lambda cause: None,
     ):
         self.handler = handler
+        self.on_dropped = on_dropped
         self.clock = clock
         self.limits = limits
         self.closing = self.refusing = False
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -13,6 +13,7 @@
 import attrs
 import statsd
 
+from knapweedarch.caller_ends import DropCause
 from knapweedarch.deployments import Repeatability
 from knapweedarch.models import RefusalReason, RequestEnd, RetryReason
 
@@ -166,6 +167,10 @@
         _create_reason_counter("retried", "Failed attempts", r)
         for r in RetryReason
     ),
+    *(
+        _create_reason_counter("dropped", "Requests without a whole answer", c)
+        for c in DropCause
+    ),
     *(_create_answer_timing(k, o) for k in Repeatability for o in RequestEnd),
 )
 METRICS = {metric.name: metric for metric in ALL_METRICS}
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -9,6 +9,7 @@
 import attrs
 
 from knapweedarch import control
+from knapweedarch.caller_ends import DropCause
 from knapweedarch.crash_guard import create_crash_guard
 from knapweedarch.deployments import Deployment
 from knapweedarch.dialects import Dialect
@@ -190,7 +191,8 @@
             *(dialect, self._attempts, clock, metrics, self._start_refusal)
         )
         self._server = InboundServer(
-            self._gateway.handle, clock, lambda: self._gateway.limits
+            *(self._gateway.handle, clock, lambda: self._gateway.limits),
+            on_dropped=self._count_dropped,
         )
         self._gateway.is_stopping = lambda: self._server.refusing
         self._ready_server = InboundServer(self._answer_ready, clock)
@@ -285,6 +287,9 @@
                 group.start_soon(self._tunnel_server.drain, limit_s)
             log("drain_ended", active=self._server.active)
 
+    def _count_dropped(self, cause: DropCause) -> None:
+        self._metrics.count(f"dropped.{cause.value}")
+
     def _close_expired_connections(self, now: float) -> None:
         self._group.start_soon(self._pool.close_expired)
 
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from knapweedarch.caller_ends import DropCause
 from knapweedarch.crash_guard import (
     CRASH_REASONS,
     SOUND_EVENTS,
@@ -619,13 +620,14 @@
         duration_s = self.clock.now() - call.started_at
         self.metrics.timing(f"answer_time.{kind}.{end.value}", duration_s)
 
-    def record_caller_left(self, call: ProxyCall) -> None:
+    def record_caller_left(self, call: ProxyCall, cause: DropCause) -> None:
         """Records that a caller disconnected before its answer was complete."""
         self.metrics.count("cancelled")
         self.record_end(call, RequestEnd.CALLER_LEFT)
         log(
             "caller_left",
             request=call.options.request_id,
+            cause=cause.value,
             route=call.route.name,
             tried=list(call.tried),
             left_ms=remaining_ms(call, self.clock),
--- a/knapweedarch/proxy_gateway.py
+++ b/knapweedarch/proxy_gateway.py
@@ -91,6 +91,7 @@
         """Serves or refuses one request."""
         self._metrics.count("requests.started")
         options = self._dialect.read_options(req)
+        responder.request_id = options.request_id
         if not self.started.is_set():
             await self._wait_for_first_lease(options)
         match self._admit(req, options):
@@ -119,7 +120,7 @@
             self._attempts.record_end(call, end)
         finally:
             if end is RequestEnd.CALLER_LEFT:
-                self._attempts.record_caller_left(call)
+                self._attempts.record_caller_left(call, responder.drop_cause)
 
     def _admit(
         self, req: Request, options: CallerOptions
