Answer a request whose handler fails with 500, not with nothing

Any error that nothing expects in a handler was logged and the connection closed; so was a handler that returned without an answer, and an answer that h11 refused to encode.

Now the caller gets 500 while the answer has not begun. It promises nothing: the request may have run. Where h11 cannot encode any more, the status is written as bytes and the connection ends; else the connection lives on. An answer that has begun is broken off without its end marker. `request_failed` has the traceback and the request's id, and such a request is no longer logged as `caller_left`. An unexpected error outside a handler ended every connection and the process; it now ends its own connection (`connection_failed`).

Ruled out: 503, which promises that a request has not run. The gateway behind hypercorn did this already; four rows now say so.

Evidence: before, rows 1 to 4 of "A handler that fails leaves the caller a truthful answer" ended with `ASSERT FAILED: b''`, and "An error in one connection does not end the others" with `TypeError: 'NoneType' object is not callable` out of the server. The row `handler_failed` of the scenario on causes now fails within the answer, since before the answer it is answered.

--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -12,10 +12,52 @@
       | does                   | sends                          | lines                          |
       | waits                  | resets within the answer       | request_dropped caller_reset   |
       | waits                  | is cut by the end of the server | request_dropped stopped       |
-      | fails before the answer | sends a request               | request_dropped handler_failed |
+      | fails within the answer | sends a request               | request_dropped handler_failed |
       | gives up its answer    | sends a request                | request_dropped given_up       |
       | answers                | sends half a head              | request_incomplete             |
       | answers                | sends half a body              | request_incomplete             |
       | answers                | sends a request                | none                           |
       | answers                | sends a last request           | none                           |
       | answers                | sends nothing                  | none                           |
+
+  Scenario Outline: A handler that fails leaves the caller a truthful answer
+    Guards against a request that was read whole and whose connection ends with
+    no answer, and against a 503 for one that may have run.
+    Given logs that go to memory
+    And a server of callers whose handler <does>
+    When on a connection the caller sends two requests
+    Then the answers are <gets>
+    And another connection is served
+
+    Examples:
+      | does                             | gets                          |
+      | fails before the answer          | 500 and 500                   |
+      | ends without an answer           | 500 and 500                   |
+      | sends a header that is malformed | 500 and 500                   |
+      | sends more than its length       | 500 and then the end          |
+      | fails within the answer          | 200 that is seen to be broken |
+      | answers                          | 200 and 200                   |
+
+  Scenario: An error in one connection does not end the others
+    Guards against one connection that ends the process, with every request.
+    Given logs that go to memory
+    And a server of callers whose handler answers
+    When on a connection the server fails before the request is read
+    Then another connection is served
+    And the log contains "connection_failed"
+
+  Scenario Outline: A gateway that fails leaves the caller a truthful answer
+    Guards against the same behind the other HTTP server.
+    Given 1 routers
+    And a runner "a" that answers at once
+    And a desk "d"
+    And a gateway whose router fails when <fails>
+    When a caller sends it <kind>
+    Then it gets <gets>
+
+    Examples:
+      | fails                      | kind           | gets                          |
+      | it chooses a runner        | a stream       | 500                           |
+      | it chooses a runner        | a whole answer | 500                           |
+      | it counts the whole answer | a deposit      | 500                           |
+      | it counts the whole answer | a stream       | 200 that is seen to be broken |
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -2,12 +2,14 @@
 
 import contextlib
 import json
+import re
 import socket
 import struct
 from collections.abc import AsyncIterator
 
 import anyio
 import attrs
+import httpx
 from behave import given, then, when
 
 from features.proxy_harness import SCENARIO_TIMEOUT_S, receive_all
@@ -45,6 +47,16 @@
                 await self._wait()
             case "fails before the answer":
                 raise KeyError("x")
+            case "fails within the answer":
+                await responder.start(200, (), b"part")
+                raise KeyError("x")
+            case "ends without an answer":
+                return
+            case "sends a header that is malformed":
+                return await responder.start(200, ((b"a", b"1\n2"),))
+            case "sends more than its length":
+                length = (b"content-length", b"1")
+                return await responder.start(200, (length,), b"two")
             case "gives up its answer":
                 await responder.start(200, (), b"part")
                 return responder.abort()
@@ -145,6 +157,7 @@
 
 SENT = {
     "sends a request": REQUEST,
+    "sends two requests": REQUEST * 2,
     "sends a last request": LAST_REQUEST,
     "sends half a head": REQUEST[:20],
     "sends half a body": REQUEST[:-2],
@@ -158,9 +171,29 @@
         async with await fixture.connect() as stream:
             if SENT[sends]:
                 await stream.send(SENT[sends])
-            with anyio.move_on_after(SILENCE_S):
+            context.data = b""
+            with anyio.move_on_after(2 * SILENCE_S):
                 context.data = await receive_all(stream, SILENCE_S)
-        await anyio.sleep(0.05)
+        fixture.handler.mode = "answers"
+        async with await fixture.connect() as stream:
+            await stream.send(LAST_REQUEST)
+            context.next_data = await receive_all(stream, SILENCE_S)
+
+    run_with_server(context, scenario)
+
+
+@when("on a connection the server fails before the request is read")
+def fails_before_request(context):
+    async def scenario(fixture):
+        limits = fixture.server.limits
+        async with await fixture.connect() as stream:
+            await stream.send(REQUEST)
+            fixture.server.limits = None
+            await receive_all(stream, SILENCE_S)
+        fixture.server.limits = limits
+        async with await fixture.connect() as stream:
+            await stream.send(LAST_REQUEST)
+            context.next_data = await receive_all(stream, SILENCE_S)
 
     run_with_server(context, scenario)
 
@@ -173,3 +206,57 @@
             cause = line["fields"].get("cause", "")
             found.append(f"{line['event_name']} {cause}".strip())
     assert found == ([] if lines == "none" else [lines]), found
+
+
+STATUS_LINE = re.compile(rb"HTTP/1.1 (\d+)")
+
+
+@then("the answers are {gets}")
+def check_gets(context, gets):
+    statuses = [int(x) for x in STATUS_LINE.findall(context.data)]
+    match gets:
+        case "500 and then the end":
+            assert statuses == [500], context.data
+            assert b"connection: close" in context.data, context.data
+        case "200 that is seen to be broken":
+            assert statuses == [200], context.data
+            assert not context.data.endswith(b"0\r\n\r\n"), context.data
+        case _:
+            expected = [int(x) for x in gets.split(" and ")]
+            assert statuses == expected, context.data
+
+
+@then("another connection is served")
+def check_next(context):
+    assert context.next_data.startswith(b"HTTP/1.1 200"), context.next_data
+
+
+@given("a gateway whose router fails when {fails}")
+def gateway_fails(context, fails):
+    (router,) = context.harness.routers
+    method = "place" if fails == "it chooses a runner" else "count"
+    whole = getattr(router, method)
+
+    def fail(*arguments):
+        if method == "place" or arguments[0] == "requests.finished":
+            raise KeyError("x")
+        return whole(*arguments)
+
+    setattr(router, method, fail)
+
+
+@when("a caller sends it {kind}")
+def sends_gateway(context, kind):
+    async def send():
+        if kind == "a deposit":
+            return await context.harness.call_service("booking/deposits", "k")
+        return await context.harness.chat(stream=kind == "a stream")
+
+    context.gets = "200 that is seen to be broken"
+    with contextlib.suppress(httpx.RemoteProtocolError):
+        context.gets = str(context.portal.call(send).code)
+
+
+@then("it gets {gets}")
+def check_gateway_gets(context, gets):
+    assert context.gets == gets, context.gets
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -231,6 +231,13 @@
         _I,
         "Bytes that came after the end of a connection were not read.",
     ),
+    Event(
+        533,
+        "connection_failed",
+        _E,
+        "An unexpected error ended a caller's connection; the reason is its"
+        " traceback.",
+    ),
     Event(601, "link_refused", _W, "The credential of a peer does not match."),
     Event(707, "control_call", _I, "A call to the control address finished."),
     Event(602, "link_message_refused", _W, "A message could not be decoded."),
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -20,7 +20,7 @@
 from knapweedarch.deployments import CallerLimits
 from knapweedarch.exceptions import CallerGoneError
 from knapweedarch.http_messages import Answer, Headers, Request
-from knapweedarch.logs import log
+from knapweedarch.logs import log, traceback_text
 from knapweedarch.timers import Clock
 
 READ_BYTES = 65_536
@@ -31,6 +31,12 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # States of a server that has sent a whole response.
 ANSWERED_STATES = (h11.DONE, h11.MUST_CLOSE)
+# Sent after a response that h11 refused to encode, and that it then cannot
+# replace.
+FAILED_RESPONSE = (
+    b"HTTP/1.1 500 Internal Server Error\r\n"
+    b"connection: close\r\ncontent-length: 0\r\n\r\n"
+)
 STREAM_ERRORS = (
     OSError,
     anyio.EndOfStream,
@@ -134,6 +140,7 @@
         )
         self.drop_cause: DropCause | None = None
         self._input_end = DropCause.CALLER_CLOSED
+        self._response_began = False
 
     @property
     def _aborted(self) -> bool:
@@ -293,18 +300,55 @@
                 await self._run_handler(req, responder)
                 group.cancel_scope.cancel()
         finally:
-            if self._h11.our_state not in ANSWERED_STATES:
+            if not self._is_answered():
                 self._record_dropped(req, responder)
 
+    def _is_answered(self) -> bool:
+        """Returns whether a whole response was sent."""
+        if self._h11.our_state is h11.ERROR:
+            # Only the response that replaces another one was sent.
+            return self._response_began and not self._aborted
+        return self._h11.our_state in ANSWERED_STATES
+
     async def _run_handler(self, req: Request, responder: Responder) -> None:
+        """Runs the handler; sends status 500 if it sends no response.
+
+        An error in one request must not end the others.
+        """
+        self._response_began = False
+        reason = "the handler sent no whole response"
         try:
             await self._server.handler(req, responder)
         except CallerGoneError:
-            self.abort(DropCause.WRITE_FAILED)
+            return self.abort(DropCause.WRITE_FAILED)
         except Exception as exc:
-            # An error in one request must not end the others.
+            reason = traceback_text(exc)
+        if self._aborted or self._is_answered():
+            return None
+        log(
+            "request_failed",
+            reason=reason,
+            request=responder.request_id,
+            path=req.path,
+        )
+        with contextlib.suppress(CallerGoneError):
+            await self._send_failure(responder)
+
+    async def _send_failure(self, responder: Responder) -> None:
+        """Sends status 500, or breaks off a response that has begun.
+
+        The request may have run, so no status is sent that denies it.
+
+        Raises:
+            CallerGoneError: The connection is closed.
+        """
+        if self._response_began:
             self.abort(DropCause.HANDLER_FAILED)
-            log("request_failed", reason=repr(exc), path=req.path)
+        elif self._h11.our_state is h11.ERROR:
+            self._response_began = True
+            await self._send(FAILED_RESPONSE)
+        else:
+            await responder.send(Answer(status=500))
 
     def _record_dropped(self, req: Request, responder: Responder) -> None:
         """Records that a request that was read ends without a whole answer."""
@@ -346,6 +390,7 @@
         data = self._h11.send(response)
         if first:
             data += self._h11.send(h11.Data(first))
+        self._response_began = True
         await self._send(data)
 
     async def write(self, event: h11.Event) -> None:
@@ -483,7 +528,14 @@
             await listener.aclose()
 
     async def _accept(self, stream: anyio.abc.SocketStream) -> None:
-        conn = InboundConnection(self, stream)
+        try:
+            await self._serve_connection(InboundConnection(self, stream))
+        except Exception as exc:
+            # An error in one connection must not end the others.
+            log("connection_failed", reason=traceback_text(exc))
+            await anyio.aclose_forcefully(stream)
+
+    async def _serve_connection(self, conn: InboundConnection) -> None:
         with anyio.CancelScope() as scope:
             self._cancel_scopes[conn] = scope
             try:
--- a/knapweedarch/proxy_gateway.py
+++ b/knapweedarch/proxy_gateway.py
@@ -12,6 +12,7 @@
     RouteTable,
 )
 from knapweedarch.dialects import CallerOptions, Dialect
+from knapweedarch.exceptions import CallerGoneError
 from knapweedarch.http_inbound import Responder
 from knapweedarch.http_messages import Answer, Request
 from knapweedarch.logs import log
@@ -118,6 +119,12 @@
                 end = await serve_unary(self._attempts, call, responder)
             self._metrics.count("requests.finished")
             self._attempts.record_end(call, end)
+        except CallerGoneError:
+            raise
+        except Exception:
+            end = RequestEnd.FAILED
+            self._attempts.record_end(call, end)
+            raise
         finally:
             if end is RequestEnd.CALLER_LEFT:
                 self._attempts.record_caller_left(call, responder.drop_cause)
