--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -61,3 +61,19 @@
       | it chooses a runner        | a whole answer | 500                           |
       | it counts the whole answer | a deposit      | 500                           |
       | it counts the whole answer | a stream       | 200 that is seen to be broken |
+
+  Scenario Outline: A header that is no number does not end the request
+    Guards against a caller's own header that ends its request with an error.
+    Given a proxied runner that answers
+    When a caller sends the header <name> with <value>
+    Then the caller gets status 200
+
+    Examples:
+      | name                       | value                |
+      | X-Knapweedarch-Deadline-Ms | a superscript two    |
+      | X-Knapweedarch-Deadline-Ms | 400 digits           |
+      | X-Knapweedarch-Deadline-Ms | 5000 digits          |
+      | X-Knapweedarch-Token-Count | a superscript two    |
+      | X-Knapweedarch-Token-Count | 5000 digits          |
+      | X-Knapweedarch-Prefix-Hash | a:superscript two    |
+      | X-Knapweedarch-Prefix-Hash | a:5000 digits        |
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -12,7 +12,13 @@
 import httpx
 from behave import given, then, when
 
-from features.proxy_harness import SCENARIO_TIMEOUT_S, receive_all
+from features.proxy_harness import (
+    MODEL,
+    SCENARIO_TIMEOUT_S,
+    open_proxy,
+    receive_all,
+    request,
+)
 from knapweedarch.deployments import CallerLimits
 from knapweedarch.http_inbound import InboundServer, Responder
 from knapweedarch.http_messages import Answer, Request
@@ -260,3 +266,22 @@
 @then("it gets {gets}")
 def check_gateway_gets(context, gets):
     assert context.gets == gets, context.gets
+
+
+@when("a caller sends the header {name} with {value}")
+def sends_header(context, name, value):
+    number = (
+        b"\xb2"
+        if "two" in value
+        else b"9" * int(value.split()[0].removeprefix("a:"))
+    )
+    number = b"a:" * value.startswith("a:") + number
+    line = f"\r\nX-Knapweedarch-Model: {MODEL}\r\n{name}: ".encode() + number
+    data = request("stream").replace(b"\r\n", line + b"\r\n", 1)
+
+    async def run():
+        async with open_proxy() as fixture:
+            await fixture.add_runner(context.modes[0])
+            context.answer = await fixture.send(data, SILENCE_S)
+
+    anyio.run(run)
