A silent endpoint is left only when another one is reserved

What callers saw: a stream that may be resumed ended without its end, or got 502, and a repeatable call got 502, although the endpoint that worked on it was only silent for a moment and would have gone on.

Cause: `_silence_limit_s` asked whether the route allows one more attempt, ended the silent one, and only then did `choose` find that no other endpoint could go on: there was none, none of the stream's software, all waited, left, were replaced or silent, or the repeats were used up. An endpoint without room was chosen all the same. A call was cut at half of its time in the same way.

Ruled out: the breaking of connections by endpoints; in the tests nothing breaks.

Only with a reservation the wait is cancelled; the scope spans the wait alone, so no event that was read is lost. If data came in the same turn, the reservation is released. The limits themselves are as before, and so a dead endpoint is left as fast.

--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+import re
 from collections.abc import AsyncIterator, Callable
 
 import anyio
@@ -47,6 +48,11 @@
 
 BODY = b'{"seats":2}'
 CHUNK = b"10000\r\n" + b"a" * 65_536 + b"\r\n"
+# What a runner does that is silent for some seconds and then goes on.
+SILENCE = re.compile(
+    r"is silent for ([\d.]+) s"
+    r" (before its answer|before event 1|after event 2)"
+)
 # First line of the event that a broken stream ends with.
 LINE = b"id: 3\n"
 EVENTS = tuple(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
@@ -187,6 +193,15 @@
 
     async def _answer(self, stream, received: ReceivedRequest) -> None:
         request_id = received.header("X-Knapweedarch-Request-Id")
+        if found := SILENCE.fullmatch(self.mode):
+            silent_s, place = float(found[1]), found[2]
+            if place == "before its answer":
+                await anyio.sleep(silent_s)
+                await _stream(stream, received, len(EVENTS))
+            else:
+                sent = 2 if place == "after event 2" else 0
+                await _stream_with_pause(stream, received, sent, silent_s)
+            return
         match self.mode:
             case "answers":
                 await stream.send(_response(request_id, BODY))
@@ -348,6 +363,18 @@
         await stream.send(b"0\r\n\r\n")
 
 
+async def _stream_with_pause(
+    stream, received: ReceivedRequest, until: int, pause_s: float
+) -> None:
+    """Sends a whole stream and pauses after its first `until` events."""
+    request_id = received.header("X-Knapweedarch-Request-Id")
+    body = b"".join(EVENTS)
+    first = b"".join(EVENTS[:until])
+    await stream.send(_response(request_id, body)[: -len(body)] + first)
+    await anyio.sleep(pause_s)
+    await stream.send(body[len(first) :])
+
+
 async def _stream_to_close(
     stream,
     received: ReceivedRequest,
@@ -422,24 +449,28 @@
     extra: str = "",
     body: bytes = b"",
     request_id: str = "r1",
+    limit_ms: int = 2000,
 ) -> bytes:
     """Builds a caller's request to the route named `route_name`."""
     head = (
         f"POST /{route_name}/x HTTP/1.1\r\nHost: {HOST}\r\n"
         f"X-Knapweedarch-Request-Id: {request_id}\r\n"
-        f"Authorization: Token {KEY}\r\nX-Knapweedarch-Deadline-Ms: 2000\r\n"
+        f"Authorization: Token {KEY}\r\n"
+        f"X-Knapweedarch-Deadline-Ms: {limit_ms}\r\n"
         f"{extra}Content-Length: {len(body)}\r\n\r\n"
     )
     return head.encode() + body
 
 
-def _route(name: str, kind: Repeatability, **options) -> Route:
+def _route(
+    name: str, kind: Repeatability, timeout_s: float = 2.0, **options
+) -> Route:
     return Route(
         name=name,
         host=HOST,
         path_prefix=f"/{name}/",
         repeatability=kind,
-        timeout_s=2.0,
+        timeout_s=timeout_s,
         goal_s=0.1,
         priority=0,
         split=(SplitShare("desk", 1.0),),
@@ -463,6 +494,12 @@
                 resumable=True,
                 event_gap_s=0.1,
             ),
+            _route(
+                *("patient", Repeatability.STREAM, 6.0),
+                attempts=2,
+                resumable=True,
+                event_gap_s=0.1,
+            ),
         ),
         services=(Service("desk"),),
         customers=(Customer("huts", (KEY,)),),
@@ -540,26 +577,28 @@
         else:
             self.group.start_soon(listener.serve, runner.handle)
         self.runners.append(runner)
-        self.attempts.set_endpoints(
-            [
-                Endpoint(
-                    *(r.id, "1", f"http://{r.address}"),
-                    *(EndpointKind.SERVICE, ("desk", MODEL)),
-                    # Of endpoints with equal costs the first is chosen. With
-                    # more slots its cost also grows less under load.
-                    slots=1000 if r is self.runners[0] else 1,
-                    data_centre="near" if r is self.runners[0] else "far",
-                    software_version=r.software,
-                )
-                for r in self.runners
-            ]
-        )
+        self.attempts.set_endpoints(self.endpoints())
         return runner
 
     async def incarnation(self, endpoint: Endpoint) -> str | None:
         """Returns the incarnation of a runner, as the runner says."""
         return next(r.born for r in self.runners if r.id == endpoint.id)
 
+    def endpoints(self) -> list[Endpoint]:
+        """Returns the endpoints of all runners."""
+        return [
+            Endpoint(
+                *(r.id, "1", f"http://{r.address}"),
+                *(EndpointKind.SERVICE, ("desk", MODEL)),
+                # Of endpoints with equal costs the first is chosen. With
+                # more slots its cost also grows less under load.
+                slots=1000 if r is self.runners[0] else 1,
+                data_centre="near" if r is self.runners[0] else "far",
+                software_version=r.software,
+            )
+            for r in self.runners
+        ]
+
     async def send(
         self, data: bytes, idle_s: float = 0.4, parts: int = 1
     ) -> RawAnswer:
--- /dev/null
+++ b/features/silence.feature
@@ -0,0 +1,61 @@
+Feature: Endpoints that fall silent for a moment
+
+  # A sound endpoint may be silent for a second or two and then go on. Guards
+  # against an answer that is given up for another endpoint although none can go
+  # on with it: the caller then gets a stream without an end, or a 502 or 504.
+  Scenario Outline: A silent endpoint is waited for while no other may go on
+    When streams meet an endpoint that <does>, and no other may go on since
+      | reason                                    |
+      | there is none                             |
+      | the repeats are used up                   |
+      | the other one leaves                      |
+      | the other one has asked for a wait        |
+      | the other one was replaced                |
+      | the other one is silent                   |
+      | the other one has no room                 |
+    Then each caller has the whole stream, and the other endpoint got nothing
+
+    Examples:
+      | does                                     |
+      | is silent for 1.2 s before its answer    |
+      | is silent for 2 s before its answer      |
+      | is silent for 1.2 s before event 1       |
+      | is silent for 2 s after event 2          |
+
+  # Guards against the same where the other endpoints run other software.
+  Scenario Outline: A stream stays at the only endpoint of its software
+    When streams meet an endpoint that <does>, and no other may go on since
+      | reason                                    |
+      | the other one has other software          |
+    Then each caller has the whole stream, and the other endpoint got nothing
+
+    Examples:
+      | does                                     |
+      | is silent for 1.2 s after event 2        |
+      | is silent for 2 s after event 2          |
+
+  # Guards against a call that is cut at half of its time for a repeat that no
+  # endpoint could take.
+  Scenario: A late call is waited for while no other endpoint may repeat it
+    Given a proxied runner that answers late
+    When a caller sends a request that may run many times
+    Then the caller gets status 200
+
+  # Guards against an endpoint that is asked for once only: another one that is
+  # free later would then never get the stream of a dead endpoint.
+  Scenario: A silent endpoint is left as soon as another one may go on
+    When a stream meets a dead endpoint and another one is free 1 s later
+    Then each caller has the whole stream
+    And the other endpoint was asked to go on after event 2
+
+  # Guards against waiting that delays the resume of what a dead endpoint held.
+  Scenario Outline: A dead endpoint is left at once if another one may go on
+    When a stream meets an endpoint that <does>, and another one
+    Then each caller has the whole stream
+    And it took less than 0.9 s
+
+    Examples:
+      | does                                     |
+      | is silent for 9 s before its answer      |
+      | is silent for 9 s before event 1         |
+      | is silent for 9 s after event 2          |
--- /dev/null
+++ b/features/steps/silence_steps.py
@@ -0,0 +1,152 @@
+"""Steps for endpoints that are silent for a moment."""
+
+import contextlib
+import re
+
+import anyio
+import attrs
+from behave import then, when
+
+from features.proxy_harness import (
+    EVENTS,
+    ProxyFixture,
+    RawAnswer,
+    ReceivedRequest,
+    open_proxy,
+    request,
+)
+from knapweedarch.http_outbound import AnswerHead
+from knapweedarch.models import EndpointStatus
+
+SILENT_FOR_GOOD = "is silent for 9 s after event 2"
+# So many that the share of each in the repeats is less than one.
+MANY_ROUTERS = 1_000_000
+# Longer than any silence, after which the rest of the stream comes.
+WHOLE_ANSWER_S = 3.5
+RELEASED_AFTER_S = 1.0
+
+
+def hold_back(fixture: ProxyFixture, reason: str) -> None:
+    """Lets the second endpoint take no request for a reason."""
+    attempts, now = fixture.attempts, fixture.attempts.now()
+    other = fixture.endpoints()[-1]
+    match reason:
+        case "the repeats are used up":
+            attempts.set_router_count(MANY_ROUTERS)
+        case "the other one leaves":
+            leaving = attrs.evolve(other, status=EndpointStatus.LEAVING)
+            attempts.set_endpoints([*fixture.endpoints()[:-1], leaving])
+        case "the other one has asked for a wait":
+            head = AnswerHead(503, ((b"retry-after", b"9"),))
+            attempts.record_head(other, head)
+        case "the other one was replaced":
+            attempts.chooser.record_replaced(other, now)
+        case "the other one is silent":
+            attempts.chooser.record_silence(other.address)
+        case "the other one has no room":
+            attempts.chooser.record_sent(other, None, 0, now)
+
+
+@attrs.frozen
+class Met:
+    """What a caller got, in which time, and what the other endpoint got."""
+
+    data: bytes
+    took_s: float
+    received: list[ReceivedRequest]
+
+
+async def read_stream(port: int) -> tuple[bytes, float]:
+    """Sends a request that may be resumed; returns the answer and its time."""
+    began_at, data = anyio.current_time(), b""
+    stream = await anyio.connect_tcp("127.0.0.1", port)
+    async with stream:
+        await stream.send(request("patient", limit_ms=5000))
+        with (
+            anyio.move_on_after(WHOLE_ANSWER_S),
+            contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError),
+        ):
+            while not is_whole(data):
+                data += await stream.receive()
+    return data, anyio.current_time() - began_at
+
+
+def is_whole(data: bytes) -> bool:
+    """Returns whether an answer has each event once and its end."""
+    answer = RawAnswer(data)
+    found = re.findall(rb"data: piece (\d)\n\n", answer.body)
+    has_end = data.endswith((b"0\r\n\r\n", EVENTS[-1]))
+    return [int(n) for n in found] == [1, 2, 3, 4] and has_end
+
+
+async def meet(context, mode: str, reason: str) -> None:
+    """Plays one stream; notes what its caller and the other endpoint got."""
+    async with open_proxy() as fixture:
+        await fixture.add_runner(mode, "v1")
+        if reason != "there is none":
+            software = "v2" if "software" in reason else "v1"
+            await fixture.add_runner("streams", software)
+        hold_back(fixture, reason)
+        if reason == "it is free later":
+            fixture.group.start_soon(release_later, fixture)
+        data, took_s = await read_stream(fixture.port)
+        received = [part for r in fixture.runners[1:] for part in r.received]
+        context.met[reason] = Met(data, took_s, received)
+
+
+async def release_later(fixture: ProxyFixture) -> None:
+    other = fixture.endpoints()[-1].address
+    fixture.attempts.chooser.record_silence(other)
+    await anyio.sleep(RELEASED_AFTER_S)
+    fixture.attempts.record_activity(other)
+
+
+def meet_all(context, mode: str, reasons: list[str]) -> None:
+    async def run():
+        async with anyio.create_task_group() as group:
+            for reason in reasons:
+                group.start_soon(meet, context, mode, reason)
+
+    context.met = {}
+    anyio.run(run)
+
+
+@when("streams meet an endpoint that {does}, and no other may go on since")
+def meet_alone(context, does):
+    meet_all(context, does, [row["reason"] for row in context.table])
+
+
+@when("a stream meets an endpoint that {does}, and another one")
+def meet_with_other(context, does):
+    meet_all(context, does, ["another one is free"])
+
+
+@when("a stream meets a dead endpoint and another one is free 1 s later")
+def meet_released(context):
+    meet_all(context, SILENT_FOR_GOOD, ["it is free later"])
+
+
+@then("each caller has the whole stream, and the other endpoint got nothing")
+def check_stayed(context):
+    check_whole(context)
+    left = {why: met.received for why, met in context.met.items()}
+    assert not any(left.values()), left
+
+
+@then("each caller has the whole stream")
+def check_whole(context):
+    cut = {w: m.data for w, m in context.met.items() if not is_whole(m.data)}
+    assert not cut, f"cut: {cut}"
+
+
+@then("the other endpoint was asked to go on after event {number:d}")
+def check_asked(context, number):
+    (met,) = context.met.values()
+    asked = [r.header("Last-Event-Id") for r in met.received]
+    assert asked == [str(number)], asked
+
+
+@then("it took less than {limit:g} s")
+def check_time(context, limit):
+    (met,) = context.met.values()
+    assert met.took_s < limit, met.took_s
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -222,6 +222,7 @@
         memory_tokens: int = 0,
         barred: Collection[str] = (),
         cautious: Collection[str] = (),
+        needs_room: bool = False,
     ) -> Endpoint | None:
         """Chooses the usable endpoint with the lowest cost, or None.
 
@@ -236,6 +237,7 @@
                 plain services.
             barred: Ids of endpoints that may not get the request now.
             cautious: Ids of endpoints that get it only if they have room.
+            needs_room: Whether any endpoint gets it only if it has room.
         """
         untried = [
             e for e in endpoints if e.id not in tried and e.id not in barred
@@ -246,6 +248,15 @@
         self._peer_loads_fresh = (
             now - self._peer_loads_at < self._cfg.peer_loads_max_age_s
         )
+        if needs_room:
+            usable = [
+                e
+                for e in usable
+                if not _is_full(
+                    *(e, self._total_load(e, self._stats[e.id])),
+                    *(prompt, memory_tokens),
+                )
+            ]
         if cautious:
             usable = self._with_room(usable, cautious, prompt, memory_tokens)
         if not usable:
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -208,6 +208,12 @@
         "An endpoint had started again before this router heard of it.",
     ),
     Event(510, "attempt_ended", _I, "An attempt ended without a response."),
+    Event(
+        540,
+        "silence_borne",
+        _I,
+        "An endpoint is silent for long, and no other may go on now.",
+    ),
     Event(514, "request_sent", _I, "A request was sent to an endpoint."),
     Event(511, "request_given_up", _I, "A request is not retried."),
     Event(512, "request_answered", _I, "A request was answered."),
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -119,6 +119,11 @@
         _C,
         "Answers whose statement of their endpoint could not be read.",
     ),
+    Metric(
+        "silences.borne",
+        _C,
+        "Long silences of endpoints during which no other could go on.",
+    ),
     Metric("cancelled", _C, "Requests whose caller disconnected early."),
     Metric(
         "crossed.dropped",
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
 
@@ -56,6 +56,24 @@
 MALFORMED_LOG_INTERVAL_S = 60.0
 
 
+@attrs.frozen
+class _Selection:
+    """Which endpoint may get a request, or why none may.
+
+    Attributes:
+        held_s: Seconds for which the request is held back, or 0.
+        is_version_gone: Whether no endpoint has the software of its stream.
+        soonest_s: Seconds until the first of those that wait takes requests;
+            infinite if none waits.
+        endpoint: The endpoint, or None.
+    """
+
+    held_s: float
+    is_version_gone: bool
+    soonest_s: float = math.inf
+    endpoint: Endpoint | None = None
+
+
 class Attempts:
     """Chooses endpoints, opens exchanges and enforces the repeat budgets.
 
@@ -196,16 +214,76 @@
             began the stream, the budget is used up or a part of the prompt
             is held back.
         """
+        if call.reserved is not None:
+            endpoint, call.reserved = call.reserved, None
+            return endpoint
         now = self.clock.now()
-        call.held_s = self._guard.held_s(call.digests, now)
-        if call.held_s or call.is_version_unknown:
+        found = self._select(call, now)
+        call.held_s = found.held_s
+        call.is_version_gone = found.is_version_gone
+        if found.endpoint is None and found.soonest_s < math.inf:
+            call.is_limited = True
+            call.retry_after_s = found.soonest_s
+        endpoint = found.endpoint
+        if endpoint is None or self._is_overloaded(call, endpoint):
+            return None
+        if call.send_count and not self._budget(call).try_acquire(
+            self.router_count, now
+        ):
+            log_refusal(call, "the repeat budget is used up", now)
             return None
+        self._take(call, endpoint, now)
+        return endpoint
+
+    def reserve_repeat(self, call: ProxyCall) -> bool:
+        """Reserves another endpoint for a request whose endpoint is silent.
+
+        `choose` then returns it. It has room, and the repeat is counted.
+
+        Returns:
+            Whether one is reserved; if none is, nothing has changed.
+        """
+        if not call.send_count or not self.may_repeat(call):
+            return False
+        now = self.clock.now()
+        endpoint = self._select(call, now, needs_room=True).endpoint
+        if endpoint is None or not self._budget(call).try_acquire(
+            self.router_count, now
+        ):
+            return False
+        self._take(call, endpoint, now)
+        call.reserved = endpoint
+        return True
+
+    def release_reserved(self, call: ProxyCall) -> None:
+        """Releases a reserved endpoint, as the silent one has gone on."""
+        if call.reserved is not None:
+            call.tried.remove(call.reserved.id)
+            call.reserved = None
+            self._budget(call).release()
+
+    def spawn(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Starts a task of a request; it must not raise an error."""
+        self._pool.spawn(task)
+
+    def _select(
+        self, call: ProxyCall, now: float, needs_room: bool = False
+    ) -> _Selection:
+        """Looks for the endpoint of an attempt and records nothing.
+
+        Args:
+            call: The request.
+            now: Seconds on the router's clock.
+            needs_room: Whether only endpoints with room are considered.
+        """
+        held_s = self._guard.held_s(call.digests, now)
+        if held_s or call.is_version_unknown:
+            return _Selection(held_s, call.is_version_gone)
         endpoints = self._by_service.get(call.service.name, ())
         capable = [
             e for e in endpoints if _serves_model(e, call.options.prompt)
         ]
         candidates = [e for e in capable if call.may_go_to(e)]
-        call.is_version_gone = bool(capable) and not candidates
         engine = call.service.engine
         waits_s = self._waits_s(candidates, now)
         endpoint = self.chooser.choose(
@@ -223,23 +301,18 @@
                 for e in candidates
                 if self._brittle.limit(e, now) is not None
             ],
+            needs_room=needs_room,
         )
-        soonest_s = min(waits_s.values(), default=math.inf)
-        if endpoint is None and soonest_s < math.inf:
-            call.is_limited = True
-            call.retry_after_s = soonest_s
-        if endpoint is None or self._is_overloaded(call, endpoint):
-            return None
-        if call.send_count and not self._budget(call).try_acquire(
-            self.router_count, now
-        ):
-            log_refusal(call, "the repeat budget is used up", now)
-            return None
+        return _Selection(
+            *(held_s, bool(capable) and not candidates),
+            *(min(waits_s.values(), default=math.inf), endpoint),
+        )
+
+    def _take(self, call: ProxyCall, endpoint: Endpoint, now: float) -> None:
         call.tried.append(endpoint.id)
         # Counted before the connection is open: other requests are chosen for
         # meanwhile.
         self._endpoint_limits.record_sent(endpoint_digest(endpoint.id), now)
-        return endpoint
 
     def _waits_s(
         self, endpoints: Iterable[Endpoint], now: float
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -88,6 +88,8 @@
         is_version_gone: Whether no endpoint of that version is in use.
         is_version_unknown: Whether nobody knows where the stream began that the
             caller takes up.
+        reserved: Endpoint of the next attempt, for which the silent one is
+            ended; its repeat is counted already.
     """
 
     req: Request
@@ -108,6 +110,7 @@
     software_version: str | None = None
     is_version_gone: bool = False
     is_version_unknown: bool = False
+    reserved: Endpoint | None = None
 
     @property
     def takes_up(self) -> bool:
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -1,8 +1,7 @@
 """Relays proxied event streams and resumes them at another runner."""
 
 import functools
-
-import anyio
+import math
 
 from knapweedarch.attempt_scope import (
     AttemptScope,
@@ -26,11 +25,12 @@
     remaining_s,
 )
 from knapweedarch.proxy_refusals import make_refusal
+from knapweedarch.silence_watch import SilenceWatch
 
-# Limits of the time without data, after which a resumable stream is resumed at
-# another runner: before the first event as a multiple of the route's latency
-# goal, after it as a multiple of the route's event gap. Callers time out after
-# 2 s or more.
+# Limits of the time without data, after which a resumable stream is resumed as
+# soon as another runner may go on with it: before the first event as a multiple
+# of the route's latency goal, after it as a multiple of the route's event gap.
+# Callers time out after 2 s or more.
 FIRST_EVENT_LIMIT_GOALS = 3.5
 EVENT_LIMIT_GAPS = 3.0
 
@@ -50,6 +50,7 @@
         self._last_event_at = 0.0
         self._longest_gap_s = 0.0
         self._status = 0
+        self._watch = SilenceWatch(attempts, call)
 
     async def serve(self) -> RequestEnd:
         """Relays the stream to its end, sends an error or aborts the stream.
@@ -113,6 +114,12 @@
 
     async def _exchange(
         self, endpoint: Endpoint, scope: AttemptScope
+    ) -> Failure | None:
+        with SilenceWatch(self._attempts, self._call) as self._watch:
+            return await self._relay_answer(endpoint, scope)
+
+    async def _relay_answer(
+        self, endpoint: Endpoint, scope: AttemptScope
     ) -> Failure | None:
         attempts, call = self._attempts, self._call
         scope.exchange = exchange = await attempts.open(
@@ -130,24 +137,21 @@
         return None
 
     async def _read_head(self, exchange: Exchange) -> AnswerHead:
-        limit_s = self._silence_limit_s()
-        with anyio.move_on_after(limit_s):
-            return await exchange.send_request()
-        raise ExchangeError(
+        return await self._watch.wait(
+            exchange.send_request,
+            self._attempts.now() + self._silence_limit_s(),
             RetryReason.FIRST_TOKEN_TIMEOUT,
-            f"no response headers within {limit_s} s",
-            True,
         )
 
-    def _silence_limit_s(self) -> float | None:
-        """Returns the time without data after which an attempt is ended.
+    def _silence_limit_s(self) -> float:
+        """Returns the time without data after which an attempt may be ended.
 
-        It is at least 0.5 s, and None if the stream may not be resumed at
+        It is at least 0.5 s, and infinite if the stream may not be resumed at
         another runner.
         """
         route = self._call.route
-        if not route.resumable or not self._attempts.may_repeat(self._call):
-            return None
+        if not route.resumable or self._call.send_count >= route.attempts:
+            return math.inf
         if self._event_count:
             return max(route.event_gap_s * EVENT_LIMIT_GAPS, 0.5)
         return max(route.goal_s * FIRST_EVENT_LIMIT_GOALS, 0.5)
@@ -225,16 +229,12 @@
 
         Raises:
             ExchangeError: The stream is broken, or its runner sends no events
-                and another one may go on.
+                and another one is reserved to go on.
         """
-        limit_s = self._silence_limit_s()
-        left_s = None
-        if limit_s is not None:
-            left_s = silent_since + limit_s - self._attempts.clock.now()
-        with anyio.move_on_after(left_s):
-            return await exchange.read()
-        raise ExchangeError(
-            RetryReason.STREAM_SILENT, f"no event within {limit_s} s", True
+        return await self._watch.wait(
+            exchange.read,
+            silent_since + self._silence_limit_s(),
+            RetryReason.STREAM_SILENT,
         )
 
     def _record_events(
--- a/knapweedarch/proxy_unary.py
+++ b/knapweedarch/proxy_unary.py
@@ -1,6 +1,7 @@
 """Proxied requests whose answers are forwarded once they are complete."""
 
 import functools
+import math
 
 from knapweedarch.attempt_scope import (
     AttemptScope,
@@ -10,7 +11,7 @@
 from knapweedarch.http_inbound import Responder
 from knapweedarch.http_messages import Answer, end_to_end_headers
 from knapweedarch.logs import log
-from knapweedarch.models import Endpoint, RequestEnd
+from knapweedarch.models import Endpoint, RequestEnd, RetryReason
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_calls import (
     ExecutionStatus,
@@ -19,8 +20,10 @@
     remaining_s,
 )
 from knapweedarch.proxy_refusals import make_refusal
+from knapweedarch.silence_watch import SilenceWatch
 
-# Fraction of the remaining time that an attempt gets if a retry may follow.
+# Fraction of the remaining time after which an attempt may be ended for a retry
+# at another endpoint.
 ATTEMPT_TIME_FRACTION = 0.5
 
 
@@ -78,11 +81,8 @@
 async def _attempt(
     attempts: Attempts, call: ProxyCall, endpoint: Endpoint
 ) -> Answer | Failure:
-    limit_s = remaining_s(call, attempts.clock)
-    if call.route.repeatable and attempts.may_repeat_after_next(call):
-        limit_s *= ATTEMPT_TIME_FRACTION
     return await run_attempt(
-        *(attempts, call, endpoint, limit_s),
+        *(attempts, call, endpoint, remaining_s(call, attempts.clock)),
         functools.partial(_exchange, attempts, call, endpoint),
     )
 
@@ -90,8 +90,30 @@
 async def _exchange(
     attempts: Attempts, call: ProxyCall, endpoint: Endpoint, scope: AttemptScope
 ) -> Answer | Failure:
+    """Ends a late exchange once a retry at another endpoint may follow."""
+    due = math.inf
+    if call.route.repeatable and attempts.may_repeat_after_next(call):
+        due = attempts.now() + ATTEMPT_TIME_FRACTION * remaining_s(
+            call, attempts.clock
+        )
     started_at = attempts.clock.now()
     scope.exchange = await attempts.open(call, endpoint)
+    with SilenceWatch(attempts, call) as watch:
+        return await watch.wait(
+            functools.partial(
+                *(_read_answer, attempts, call, endpoint, scope, started_at)
+            ),
+            *(due, RetryReason.ANSWER_TIMEOUT),
+        )
+
+
+async def _read_answer(
+    attempts: Attempts,
+    call: ProxyCall,
+    endpoint: Endpoint,
+    scope: AttemptScope,
+    started_at: float,
+) -> Answer | Failure:
     head = await scope.exchange.send_request()
     scope.progress.has_head = True
     attempts.record_head(endpoint, head)
--- a/knapweedarch/repeat_budget.py
+++ b/knapweedarch/repeat_budget.py
@@ -64,14 +64,25 @@
         Returns:
             Whether the budget allows the repeat.
         """
+        return self._try_acquire(self._allowed(router_count, now), now)
+
+    def release(self) -> None:
+        """Takes back the repeat that was counted last, as it was not sent."""
+        if self._repeats:
+            self._repeats.pop()
+
+    def _allowed(self, router_count: int, now: float) -> int:
+        """Returns how many repeats the budget allows within the window."""
         self._expire(now)
         limits = self._limits
         ramp_up = min(1.0, (now - self._started_at) / limits.window_s)
         own_allowance = ramp_up * limits.allowance / max(1, router_count)
-        budget = USED_FRACTION * (
-            own_allowance + limits.ratio * len(self._requests)
+        return math.floor(
+            USED_FRACTION * (own_allowance + limits.ratio * len(self._requests))
         )
-        if len(self._repeats) + 1 > math.floor(budget):
+
+    def _try_acquire(self, allowed: int, now: float) -> bool:
+        if len(self._repeats) >= allowed:
             return False
         self._repeats.append(now)
         return True
