Silence of endpoints leaves half of the repeats for losses

What callers saw: beside a spell in which many endpoints are silent at once, a stream or call whose endpoint really broke off got no second endpoint, since the repeats of its service had been spent on endpoints that were only silent.

Cause: all reasons to repeat drew on one budget, and a spell asks for all of it at once, at all routers. A request at a silent endpoint can wait for it; one that broke off has nothing to wait for.

Why this works: for silence a router repeats only up to half of what its budget allows, counted with all other repeats, and at least one, so that a lonely dead endpoint is left as before also where a router's share is a single repeat. The bound for all routers is untouched.

--- a/features/silence.feature
+++ b/features/silence.feature
@@ -59,3 +59,17 @@
       | is silent for 9 s before its answer      |
       | is silent for 9 s before event 1         |
       | is silent for 9 s after event 2          |
+
+  # Load: a spell in which many endpoints are silent at once, at each router.
+  # Guards against silences that use up the repeats of the service, so that
+  # requests at endpoints that really end are lost afterwards.
+  Scenario Outline: Silence leaves repeats for requests that break off
+    Given a bound of 0.1 per request plus 58 in 10 s for <routers> routers
+    When each router has had 3 requests a second for 10 s and all fall silent
+    Then at most half of the repeats are used, and at least one at each router
+    And the repeats that are left can be used for requests that break off
+
+    Examples:
+      | routers |
+      | 9       |
+      | 195     |
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -1,6 +1,7 @@
 """Steps for endpoints that are silent for a moment."""
 
 import contextlib
+import functools
 import re
 
 import anyio
@@ -17,6 +18,7 @@
 )
 from knapweedarch.http_outbound import AnswerHead
 from knapweedarch.models import EndpointStatus
+from knapweedarch.repeat_budget import RepeatBudget
 
 SILENT_FOR_GOOD = "is silent for 9 s after event 2"
 # So many that the share of each in the repeats is less than one.
@@ -150,3 +152,40 @@
 def check_time(context, limit):
     (met,) = context.met.values()
     assert met.took_s < limit, met.took_s
+
+
+@when("each router has had 3 requests a second for 10 s and all fall silent")
+def all_silent(context):
+    budgets = [
+        RepeatBudget(context.limits, -context.limits.window_s)
+        for _ in range(context.router_count)
+    ]
+    for budget in budgets:
+        for number in range(30):
+            budget.record_request(number / 3)
+    acquire = functools.partial(spend, budgets, context.router_count)
+    context.silent = acquire(lambda b, *at: b.try_acquire_for_silence(*at))
+    context.broken = acquire(RepeatBudget.try_acquire)
+
+
+def spend(budgets, count: int, try_acquire) -> list[int]:
+    """Repeats 30 requests at each router; returns how many each could."""
+    return [
+        sum(try_acquire(budget, count, 10.0) for _ in range(30))
+        for budget in budgets
+    ]
+
+
+@then("at most half of the repeats are used, and at least one at each router")
+def check_half(context):
+    for silent, broken in zip(context.silent, context.broken, strict=True):
+        assert 1 <= silent <= max(1, (silent + broken) / 2), (silent, broken)
+
+
+@then("the repeats that are left can be used for requests that break off")
+def check_left(context):
+    limits, count = context.limits, context.router_count
+    used = sum(context.silent) + sum(context.broken)
+    bound = limits.ratio * 30 * count + limits.allowance
+    assert bound / 2 <= used <= bound, (used, bound)
+    assert sum(context.broken) >= sum(context.silent), context.broken
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -238,7 +238,8 @@
     def reserve_repeat(self, call: ProxyCall) -> bool:
         """Reserves another endpoint for a request whose endpoint is silent.
 
-        `choose` then returns it. It has room, and the repeat is counted.
+        `choose` then returns it. It has room, and the repeat is counted against
+        the part of the budget that silent endpoints may use.
 
         Returns:
             Whether one is reserved; if none is, nothing has changed.
@@ -247,7 +248,7 @@
             return False
         now = self.clock.now()
         endpoint = self._select(call, now, needs_room=True).endpoint
-        if endpoint is None or not self._budget(call).try_acquire(
+        if endpoint is None or not self._budget(call).try_acquire_for_silence(
             self.router_count, now
         ):
             return False
--- a/knapweedarch/repeat_budget.py
+++ b/knapweedarch/repeat_budget.py
@@ -30,6 +30,10 @@
 # Fraction of its share that a router uses. The rest covers that the windows of
 # two routers are never aligned.
 USED_FRACTION = 0.9
+# Fraction of its budget up to which a router repeats requests whose endpoints
+# are silent. Silence of many at once is more often a spell than a crash, and
+# requests that broke off have no other endpoint to wait for.
+SILENCE_FRACTION = 0.5
 
 
 class RepeatBudget:
@@ -66,6 +70,23 @@
         """
         return self._try_acquire(self._allowed(router_count, now), now)
 
+    def try_acquire_for_silence(self, router_count: int, now: float) -> bool:
+        """Counts a repeat of a request whose endpoint is silent.
+
+        It leaves a part of the budget for requests that break off, unless the
+        budget is a single repeat.
+
+        Args:
+            router_count: Number of routers that share the limit.
+            now: Seconds on the router's clock.
+
+        Returns:
+            Whether the budget allows the repeat.
+        """
+        allowed = self._allowed(router_count, now)
+        part = max(1, math.floor(SILENCE_FRACTION * allowed))
+        return self._try_acquire(min(allowed, part), now)
+
     def release(self) -> None:
         """Takes back the repeat that was counted last, as it was not sent."""
         if self._repeats:
