Connect the gateway to endpoints through another router while its paths are lost

Now `router_paths` joins connector, tunnel client and tunnel server for both, and the gateway's pools are httpcore's, which open their connections with it. Routers name their address with the setting `tunnels`; a stopping router refuses new tunnels and waits for those that are in use. Three failures within 5 s, be they of one endpoint, now let the router try others.

--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -99,8 +99,18 @@
 
 
 @given("a running deployment")
-def start_deployment(context):
-    cluster = context.cluster = Deployment()
+def start_default_deployment(context):
+    start_deployment(context, Deployment())
+
+
+@given("a running deployment whose routers may lose their paths to endpoints")
+def start_cuttable_deployment(context):
+    start_deployment(context, Deployment(can_cut=True))
+
+
+def start_deployment(context, cluster):
+    """Starts all processes and waits until each router serves."""
+    context.cluster = cluster
     context.closing.append(lambda: cluster.__exit__(None, None, None))
     with concurrent.futures.ThreadPoolExecutor() as pool:
         start_all(
--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -216,6 +216,20 @@
     assert is_suspect == (state == "suspect")
 
 
+@when("{failures:d} connections to one of them fail, {gap:g} s apart")
+def one_fails(context, failures, gap):
+    for number in range(failures):
+        context.now = number * gap
+        context.paths.record_failure("10.0.0.1:80", context.now)
+
+
+@then("other endpoints {tried}, and none counts as cut")
+def check_tried(context, tried):
+    assert not context.paths.is_suspect(context.count)
+    needed = context.paths.needs_check(context.count, context.now)
+    assert needed == (tried == "are tried")
+
+
 @given("a leader of {routers:d} routers, of which {cut:d} lack paths")
 def given_leader(context, routers, cut):
     leader = Leader("member-1", None, None, Clock(), lambda: None)
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -55,6 +55,20 @@
       | 1         | 1      | one after the other       | suspect |
       | 600       | 3      | one after the other       | suspect |
 
+  Scenario Outline: Failures of one endpoint alone are looked into
+    Guards against a router without paths that never finds out, as its open
+    connections to the other endpoints go on working.
+    Given a router with <endpoints> endpoints
+    When <failures> connections to one of them fail, <gap> s apart
+    Then other endpoints <are tried>, and none counts as cut
+
+    Examples:
+      | endpoints | failures | gap | are tried     |
+      | 3         | 2        | 0.1 | are not tried |
+      | 3         | 3        | 0.1 | are tried     |
+      | 3         | 3        | 4.0 | are not tried |
+      | 600       | 3        | 0.1 | are tried     |
+
   Scenario Outline: The leader names a few routers that reach endpoints
     Guards against a list that grows with the routers, and against routers that
     ask each other while none of them reaches an endpoint.
--- a/knapweedarch/adapters.py
+++ b/knapweedarch/adapters.py
@@ -25,6 +25,7 @@
     send,
 )
 from knapweedarch.feeds import FeedItem, parse_feed_event
+from knapweedarch.http_outbound import Connect, connect_directly
 from knapweedarch.models import (
     Attempt,
     CacheEvent,
@@ -85,17 +86,25 @@
     """Calls endpoints; create it with `create_adapter`."""
 
     def __init__(
-        self, credential: str, clock: Clock | ManualClock, incarnation: str
+        self,
+        credential: str,
+        clock: Clock | ManualClock,
+        incarnation: str,
+        connect: Connect,
     ):
         self._credential = credential
         self._clock = clock
         self._incarnation = incarnation
-        self._transport = EndpointTransport()
+        self._transport = EndpointTransport(connect)
 
     async def close(self) -> None:
         """Closes every connection."""
         await self._transport.aclose()
 
+    async def close_idle(self) -> None:
+        """Closes the connections without an exchange."""
+        await self._transport.close_idle()
+
     @contextlib.asynccontextmanager
     async def open_chat(
         self,
@@ -383,7 +392,10 @@
 
 
 def create_adapter(
-    credential: str, clock: Clock | ManualClock, incarnation: str = ""
+    credential: str,
+    clock: Clock | ManualClock,
+    incarnation: str = "",
+    connect: Connect = connect_directly,
 ) -> Adapter:
     """Creates an adapter.
 
@@ -392,5 +404,6 @@
         clock: The router's clock.
         incarnation: Incarnation of the router. Runners need it to report the
             number of the router's last attempt that a load report includes.
+        connect: Opens connections to endpoints.
     """
-    return Adapter(credential, clock, incarnation)
+    return Adapter(credential, clock, incarnation, connect)
--- a/knapweedarch/endpoint_connector.py
+++ b/knapweedarch/endpoint_connector.py
@@ -84,8 +84,8 @@
         return stream
 
     def _check_if_suspect(self) -> None:
-        count = len(self._addresses())
-        if not self._is_checking and self.paths.is_suspect(count):
+        count, now = len(self._addresses()), self._clock.now()
+        if not self._is_checking and self.paths.needs_check(count, now):
             self._is_checking = True
             self._group.start_soon(self._check)
 
--- a/knapweedarch/endpoint_paths.py
+++ b/knapweedarch/endpoint_paths.py
@@ -6,6 +6,8 @@
 seconds on the router's clock.
 """
 
+from collections import deque
+
 # Distinct endpoints that have refused a connection, or not answered, since one
 # was last accepted.
 SUSPECT_FAILURES = 3
@@ -23,10 +25,12 @@
     def __init__(self) -> None:
         self.is_cut = False
         self._failed_at: dict[str, float] = {}
+        self._failures: deque[float] = deque(maxlen=SUSPECT_FAILURES)
 
     def record_failure(self, address: str, now: float) -> None:
         """Records a connection that failed."""
         self._failed_at[address] = now
+        self._failures.append(now)
         self._failed_at = {
             a: at
             for a, at in self._failed_at.items()
@@ -42,6 +46,24 @@
         needed = max(1, min(SUSPECT_FAILURES, endpoint_count))
         return not self.is_cut and len(self._failed_at) >= needed
 
+    def needs_check(self, endpoint_count: int, now: float) -> bool:
+        """Returns whether further endpoints are to be tried.
+
+        Open connections to the others may go on working, so that all failures
+        are those of one endpoint, to which each request needs a new one.
+
+        Args:
+            endpoint_count: Number of endpoints in use.
+            now: The time.
+        """
+        is_frequent = (
+            len(self._failures) == SUSPECT_FAILURES
+            and now - self._failures[0] <= FAILURE_MAX_AGE_S
+        )
+        return not self.is_cut and (
+            is_frequent or self.is_suspect(endpoint_count)
+        )
+
     def has_failed(self, address: str) -> bool:
         """Returns whether the last connection to an endpoint failed."""
         return address in self._failed_at
@@ -49,5 +71,6 @@
     def record_success(self) -> bool:
         """Records an accepted connection; returns whether a cut has ended."""
         self._failed_at.clear()
+        self._failures.clear()
         was_cut, self.is_cut = self.is_cut, False
         return was_cut
--- a/knapweedarch/endpoint_table.py
+++ b/knapweedarch/endpoint_table.py
@@ -77,6 +77,14 @@
             e.status is EndpointStatus.ACTIVE for e in self._endpoints.values()
         )
 
+    def active_addresses(self) -> list[str]:
+        """Returns the addresses of the endpoints that may get new work."""
+        return [
+            e.address
+            for e in self._endpoints.values()
+            if e.status is EndpointStatus.ACTIVE
+        ]
+
     def service_endpoints(self, name: str) -> Sequence[Endpoint]:
         """Returns the active endpoints of a plain service, nearest first."""
         found = [
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -73,12 +73,7 @@
 
     def has_no_input(self) -> bool:
         """Returns whether neither bytes nor an end of stream has arrived."""
-        if isinstance(self.stream, TunnelStream):
-            return self.stream.has_no_input
-        sock = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return has_no_input(self.stream)
 
 
 @attrs.define
@@ -347,7 +342,17 @@
     if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
         raise OSError(f"{address!r} is not an address")
     with anyio.fail_after(CONNECT_TIMEOUT_S):
-        return await anyio.connect_tcp(host, int(port))
+        return await anyio.connect_tcp(host.strip("[]"), int(port))
+
+
+def has_no_input(stream: anyio.abc.ByteStream) -> bool:
+    """Returns whether neither bytes nor an end of a stream has arrived."""
+    if isinstance(stream, TunnelStream):
+        return stream.has_no_input
+    sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return not poll.poll(0)
 
 
 async def _close_connection(conn: _Connection) -> None:
--- a/knapweedarch/http_server.py
+++ b/knapweedarch/http_server.py
@@ -5,6 +5,7 @@
 import logging
 import signal
 import socket
+from collections.abc import Awaitable, Callable
 
 import anyio
 from hypercorn.asyncio import serve
@@ -38,12 +39,15 @@
         active: Number of active requests.
         draining: Whether a graceful shutdown is in progress.
         stopping: Whether new requests are refused.
+        drain_others: Waits for other work at a graceful shutdown, for at most
+            the given time in seconds.
     """
 
     def __init__(self, settings: RouterSettings, metrics: Metrics):
         self.active = 0
         self.draining = False
         self.stopping = False
+        self.drain_others: Callable[[float], Awaitable[None]] = _drain_nothing
         self._settings = settings
         self._metrics = metrics
         self._no_active_requests = anyio.Event()
@@ -163,8 +167,17 @@
         self.draining = True
         await anyio.sleep(READY_GRACE_S)
         self.stopping = True
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.drain_others, self._settings.drain_s)
+            group.start_soon(self._drain_requests)
+        log("drain_ended", active=self.active)
+
+    async def _drain_requests(self) -> None:
         with anyio.move_on_after(self._settings.drain_s):
             while self.active:
                 self._no_active_requests = anyio.Event()
                 await self._no_active_requests.wait()
-        log("drain_ended", active=self.active)
+
+
+async def _drain_nothing(limit_s: float) -> None:
+    """Is used while there is no other work."""
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -14,14 +14,12 @@
 from knapweedarch.deployments import Deployment
 from knapweedarch.dialects import Dialect
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
-from knapweedarch.endpoint_connector import EndpointConnector
 from knapweedarch.endpoint_identity import EndpointIdentities, IdentityPort
 from knapweedarch.endpoint_rates import create_endpoint_limits
 from knapweedarch.endpoint_statements import create_endpoint_waits
-from knapweedarch.exceptions import ControlError
 from knapweedarch.http_inbound import InboundServer, Responder
 from knapweedarch.http_messages import Answer, Request
-from knapweedarch.http_outbound import OutboundPool, connect_directly
+from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.lease_keeper import LeaseKeeper
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
@@ -36,17 +34,15 @@
 from knapweedarch.relay_messages import EndpointLoad
 from knapweedarch.relayed_parts import RelayedParts
 from knapweedarch.repeat_budget import RepeatLimits
+from knapweedarch.router_paths import RouterPaths
 from knapweedarch.settings import Address, seed_addresses
 from knapweedarch.state import EndpointEntry
 from knapweedarch.stored_parts import PartsIndex
 from knapweedarch.timers import Clock, Timers
-from knapweedarch.tunnel_client import TunnelClient
-from knapweedarch.tunnel_server import TunnelServer
 
 CLOSE_EXPIRED_INTERVAL_S = 0.5
 LOADS_INTERVAL_S = 0.05
 GAUGES_INTERVAL_S = 1.0
-FIND_PEERS_TIMEOUT_S = 0.5
 # A router that has just started is not ready without an endpoint for this long.
 FIRST_ENDPOINT_WAIT_S = 4.0
 
@@ -133,20 +129,13 @@
         self._keeper.on_members = self._set_members
         self._keeper.on_weights = self._set_weights
         self._keeper.on_granted = self._on_lease_granted
-        self._tunnels = TunnelClient(
-            *(settings.credential.encode(), self._find_peers, clock, metrics)
-        )
-        self._connector = EndpointConnector(
-            *(self._tunnels, clock, metrics),
-            lambda: self._attempts.active_addresses,
+        self._paths = RouterPaths(
+            *(settings.name, settings.credential.encode(), self._control),
+            *(clock, metrics, lambda: self._attempts.active_addresses),
             self._on_paths_lost,
         )
-        self._tunnel_server = TunnelServer(
-            *(settings.credential.encode(), connect_directly),
-            *(self._tunnel_refusal, metrics),
-        )
-        pool.connect = self._connector.connect
-        self._keeper.lacks_paths = lambda: self._connector.paths.is_cut
+        pool.connect = self._paths.connect
+        self._keeper.lacks_paths = lambda: self._paths.is_cut
         self._endpoint_limits = create_endpoint_limits(int(incarnation, 16))
         self._guard = create_crash_guard(int(incarnation, 16))
         self._pool = pool
@@ -206,16 +195,15 @@
         PauseDetector(self._timers)
         self._timers.every(LOADS_INTERVAL_S, self._report_loads)
         self._quarantine.subscribe(self._timers)
-        self._connector.subscribe(self._timers)
+        self._paths.subscribe(self._timers)
         self._timers.every(GAUGES_INTERVAL_S, self._update_gauges)
-        listen, ready = self._settings.listen, self._settings.ready
+        settings = self._settings
+        listen, ready = settings.listen, settings.ready
         async with (
             anyio.create_task_group() as group,
             self._control,
             self._pool,
-            self._tunnels,
-            self._tunnel_server,
-            self._connector,
+            self._paths,
         ):
             self._group = group
             group.start_soon(self._timers.run)
@@ -224,41 +212,15 @@
             group.start_soon(self._origins.run)
             await group.start(self._server.serve, listen.host, listen.port)
             await group.start(self._ready_server.serve, ready.host, ready.port)
-            await self._serve_tunnels(group)
+            if settings.tunnels is not None:
+                self._keeper.tunnels = await self._paths.serve(
+                    settings.tunnels, group
+                )
             task_status.started(listen.port)
             await self._drain_on_signal()
             group.cancel_scope.cancel()
         self.stopped.set()
 
-    async def _serve_tunnels(self, group: anyio.abc.TaskGroup) -> None:
-        """Starts to connect other routers to endpoints, if that is set."""
-        if (listen := self._settings.tunnels) is None:
-            return
-        server = self._tunnel_server
-        port = await group.start(server.serve, listen.host, listen.port)
-        self._keeper.tunnels = control.MemberAddress(
-            *(self._settings.name, listen.host, port)
-        )
-
-    async def _find_peers(self) -> Sequence[control.MemberAddress]:
-        """Returns some routers that reach endpoints."""
-        try:
-            reply = await self._control.request(
-                control.FindPeers(self._settings.name), FIND_PEERS_TIMEOUT_S
-            )
-        except ControlError as exc:
-            log("peers_not_found", reason=str(exc))
-            return ()
-        return reply.peers
-
-    def _tunnel_refusal(self, address: str) -> str:
-        """Returns why no tunnel to an address may be opened, or nothing."""
-        if self._connector.paths.is_cut:
-            return "this router reaches no endpoint"
-        if address not in self._attempts.active_addresses:
-            return "not the address of an endpoint in use"
-        return ""
-
     def _on_paths_lost(self) -> None:
         """Drops what belongs to the direct paths to endpoints."""
         self._attempts.chooser.forget_refused_connections()
@@ -284,7 +246,7 @@
             limit_s = self._settings.stop_s - self._settings.ready_lag_s - 0.5
             async with anyio.create_task_group() as group:
                 group.start_soon(self._server.drain, limit_s)
-                group.start_soon(self._tunnel_server.drain, limit_s)
+                group.start_soon(self._paths.drain, limit_s)
             log("drain_ended", active=self._server.active)
 
     def _count_dropped(self, cause: DropCause) -> None:
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -38,6 +38,7 @@
 from knapweedarch.quarantine_client import QuarantineClient
 from knapweedarch.relay_client import RelayClient
 from knapweedarch.relayed_parts import IgnoredSilence, RelayedParts
+from knapweedarch.router_paths import RouterPaths
 from knapweedarch.rules import parse_steps
 from knapweedarch.settings import RouterSettings
 from knapweedarch.state import Announce
@@ -74,8 +75,20 @@
         self._metrics = metrics
         self._customers: dict[str, CustomerRule] = {}
         self._timers = Timers(clock)
+        self._control = control.create_control_client(
+            settings.members,
+            settings.credential.encode(),
+            clock,
+            on_changed=lambda: self._keeper.renew_soon(),
+        )
+        self._paths = RouterPaths(
+            *(settings.name, settings.credential.encode(), self._control),
+            *(clock, metrics, lambda: self._endpoints.active_addresses()),
+            self._on_paths_lost,
+        )
         self.adapter = create_adapter(
-            settings.endpoint_credential, clock, self.incarnation
+            *(settings.endpoint_credential, clock, self.incarnation),
+            self._paths.connect,
         )
         distances_ms = {**settings.distances_ms, settings.data_centre: 0.0}
         self.scheduler = scheduler.create_scheduler(
@@ -94,17 +107,12 @@
         self._quarantine = QuarantineClient(
             settings.name, self.guard, self._relay, clock, metrics
         )
-        self._control = control.create_control_client(
-            settings.members,
-            settings.credential.encode(),
-            clock,
-            on_changed=lambda: self._keeper.renew_soon(),
-        )
         self._keeper = LeaseKeeper(
             *(settings.name, self.incarnation, self._control, clock, metrics)
         )
         self._keeper.on_rules = self._set_rules
         self._keeper.on_routers = self.scheduler.set_router_count
+        self._keeper.lacks_paths = lambda: self._paths.is_cut
         self._endpoints = EndpointTable(
             *(self.scheduler, self.adapter, clock, metrics),
             *(distances_ms, self.incarnation),
@@ -116,15 +124,23 @@
         )
         self._dispatcher = Dispatcher(self.scheduler, self._timers)
         self._server = HttpServer(settings, metrics)
+        self._server.drain_others = self._paths.drain
+        self._tunnels = settings.tunnels
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serves until SIGTERM or SIGINT, then drains and returns."""
         self._keeper.subscribe(self._timers)
         self._quarantine.subscribe(self._timers)
+        self._paths.subscribe(self._timers)
         self._timers.every(ROLLOUT_INTERVAL_S, self._roll_out)
         self._timers.every(REPORT_INTERVAL_S, self._report)
-        async with anyio.create_task_group() as group, self._control:
+        async with (
+            anyio.create_task_group() as group,
+            self._control,
+            self._paths,
+        ):
             self._group = group
+            await self._serve_tunnels(group)
             self._endpoints.start(group)
             group.start_soon(self._timers.run)
             group.start_soon(self._keeper.run)
@@ -134,6 +150,16 @@
             group.cancel_scope.cancel()
         await self.adapter.close()
 
+    async def _serve_tunnels(self, group: anyio.abc.TaskGroup) -> None:
+        """Starts to connect other routers to endpoints, if that is set."""
+        if (listen := self._tunnels) is not None:
+            self._keeper.tunnels = await self._paths.serve(listen, group)
+
+    def _on_paths_lost(self) -> None:
+        """Drops what belongs to the direct paths to endpoints."""
+        self._group.start_soon(self.adapter.close_idle)
+        self._keeper.renew_soon()
+
     def ready(self) -> bool:
         """Returns whether the load balancer may send requests here."""
         return not self._server.draining and self.start_refusal() is None
--- a/knapweedarch/settings.py
+++ b/knapweedarch/settings.py
@@ -124,6 +124,8 @@
         max_body_bytes: Maximum size of a request body in bytes.
         max_streams: Maximum number of concurrent requests.
         queue_limit: Maximum number of requests that wait for an endpoint.
+        tunnels: Address at which other routers ask for connections to
+            endpoints; None if it opens none.
     """
 
     role: str = "router"
@@ -144,6 +146,7 @@
     max_body_bytes: int = 8 * 1024 * 1024
     max_streams: int = 2_000
     queue_limit: int = 1_000
+    tunnels: Address | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -311,6 +314,7 @@
         ),
         max_streams=top.integer("max_streams", 1, 100_000, default=2_000),
         queue_limit=top.integer("queue_limit", 0, 100_000, default=1_000),
+        tunnels=_read_address(top.section("tunnels", default=None), 0),
     )
 
 
--- a/standins/cut_process.py
+++ b/standins/cut_process.py
@@ -1,4 +1,7 @@
-"""Runs a process of the platform that can lose its paths to endpoints.
+"""Runs a process that can lose its paths to endpoints.
+
+    cut_process.py member|proxy     a process of the platform
+    cut_process.py --settings FILE  a process of the product
 
 While a file beside its settings file exists, connections to the addresses of
 endpoints (see `platform_site`) fail in the way that the file names: `hang`,
@@ -17,7 +20,8 @@
 CUT_SUFFIX = ".cut"
 FIRST_ENDPOINT_NUMBER = 200
 CHECK_INTERVAL_S = 0.05
-CUT_FILE = pathlib.Path(os.environ["KNAPWEEDARCH_NODE_FILE"] + CUT_SUFFIX)
+SETTINGS = os.environ.get("KNAPWEEDARCH_NODE_FILE") or sys.argv[-1]
+CUT_FILE = pathlib.Path(SETTINGS + CUT_SUFFIX)
 
 connect_tcp = anyio.connect_tcp
 
@@ -71,8 +75,13 @@
 
 
 def main() -> None:
-    """Runs the role named on the command line."""
+    """Runs what the command line names."""
     anyio.connect_tcp = connect
+    if sys.argv[1] == "--settings":
+        from knapweedarch.daemon import main as run_daemon
+
+        run_daemon()
+        return
     from adapter.daemon import serve
 
     serve(sys.argv[1])
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -20,6 +20,12 @@
 import httpx
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Runs a daemon that can lose its paths to endpoints.
+CUT_PROCESS = str(ROOT / "standins" / "cut_process.py")
+# What `cut_process` appends to the name of a settings file, and the last number
+# of the addresses below those of endpoints.
+CUT_SUFFIX = ".cut"
+FIRST_ENDPOINT_NUMBER = 200
 CREDENTIAL = "loopback-credential-0001"
 ENDPOINT_CREDENTIAL = "loopback-endpoint-cred-1"
 START_TIMEOUT_S = 15.0
@@ -52,12 +58,23 @@
         processes: Running processes by name.
         metrics_ports: Ports of the metrics pages by process name.
         members: Name, host and port of each member.
+
+    Args:
+        members: Number of members.
+        can_cut: Whether routers open tunnels for each other, and can lose their
+            paths to endpoints, see `cut_process`.
     """
 
-    def __init__(self, members: int = 3):
+    def __init__(self, members: int = 3, can_cut: bool = False):
+        self._can_cut = can_cut
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="knapweedarch-"))
         octets = random.SystemRandom().sample(range(2, 250), 3)
         self.host = "127." + ".".join(map(str, octets))
+        self._endpoint_host = "127.0.0.1"
+        if can_cut:
+            network = f"127.{octets[0]}.{octets[1]}"
+            self.host = f"{network}.1"
+            self._endpoint_host = f"{network}.{FIRST_ENDPOINT_NUMBER + 1}"
         self.processes: dict[str, Process] = {}
         self.metrics_ports: dict[str, int] = {}
         names = [f"member-{i}" for i in range(1, members + 1)]
@@ -124,9 +141,23 @@
 
     def _start_daemon(self, name: str, content: dict) -> Process:
         path = self._write_settings(name, content)
-        return self._start(
-            name, ["-m", "knapweedarch.daemon", "--settings", path]
-        )
+        program = ["-m", "knapweedarch.daemon"]
+        if self._can_cut and content["role"] == "router":
+            program = [CUT_PROCESS]
+        return self._start(name, [*program, "--settings", path])
+
+    def set_paths_cut(self, name: str, mode: str) -> None:
+        """Cuts a router off from all endpoints, or joins it again.
+
+        Args:
+            name: The router.
+            mode: How connections fail, see `cut_process`; empty to join it.
+        """
+        path = pathlib.Path(self.folder / f"{name}.json5{CUT_SUFFIX}")
+        if mode:
+            path.write_text(mode)
+        else:
+            path.unlink()
 
     def start_member(self, name: str) -> Process:
         """Starts a member; a restarted one keeps its journal."""
@@ -155,15 +186,21 @@
                 "endpoint_credential": ENDPOINT_CREDENTIAL,
                 "distances_ms": {"dc-1": 5, "dc-2": 5, "dc-3": 5},
                 "drain_s": 10,
+                **self._tunnel_settings(),
                 **extra,
             },
         )
 
+    def _tunnel_settings(self) -> dict:
+        if not self._can_cut:
+            return {}
+        return {"tunnels": {"host": self.host, "port": 0}}
+
     def url(self, name: str) -> str:
         """Returns the base URL of a process."""
         process = self.processes[name]
-        is_daemon = process.command[1] == "knapweedarch.daemon"
-        host = self.host if is_daemon else "127.0.0.1"
+        is_daemon = "--settings" in process.command
+        host = self.host if is_daemon else self._endpoint_host
         return f"http://{host}:{process.port}"
 
     def _start_endpoint(self, module: str, name: str, arguments: list[str]):
@@ -175,6 +212,7 @@
             [
                 *("-m", f"standins.{module}", "--id", name),
                 *("--routers", routers, "--credential", ENDPOINT_CREDENTIAL),
+                *("--host", self._endpoint_host),
                 *arguments,
             ],
         )
