--- a/features/journal.feature
+++ b/features/journal.feature
@@ -41,13 +41,48 @@
     And the journal opens with the last save or without it
 
     Examples:
-      | operation   | error  | what       |
-      | write_all   | ENOSPC | an entry   |
-      | sync        | EIO    | an entry   |
-      | write_all   | ENOSPC | a snapshot |
-      | sync        | EIO    | a snapshot |
-      | rename      | EIO    | a snapshot |
-      | sync_folder | EIO    | a snapshot |
+      | operation   | error  | what                     |
+      | write_all   | EIO    | an entry                 |
+      | sync        | EIO    | an entry                 |
+      | write_all   | EIO    | a snapshot               |
+      | sync        | EIO    | a snapshot               |
+      | rename      | EIO    | a snapshot               |
+      | sync_folder | EIO    | a snapshot               |
+      | sync_folder | ENOSPC | the log after a snapshot |
+
+  Scenario Outline: A save on a full disk succeeds once there is space
+    Guards against a member that ends by itself because its disk is full, a torn
+    record before a whole one, and incomplete files that keep the disk full.
+    Given a journal with 20 random saves and an in-memory model
+    When the operation <operation> fails with <error> while <what> is saved
+    Then the save fails twice as the disk is full and leaves no file behind
+    And after a crash the journal opens with the last save or without it
+    And the same save succeeds once there is space, and 20 more do
+    And the journal opens with all saves
+
+    Examples:
+      | operation   | error  | what                     |
+      | write_all   | ENOSPC | an entry                 |
+      | write_all   | EDQUOT | an entry                 |
+      | write_all   | EFBIG  | an entry                 |
+      | sync        | ENOSPC | an entry                 |
+      | write_all   | ENOSPC | a snapshot               |
+      | sync        | ENOSPC | a snapshot               |
+      | rename      | ENOSPC | a snapshot               |
+      | sync_folder | ENOSPC | a snapshot               |
+      | write_all   | ENOSPC | the log after a snapshot |
+      | rename      | ENOSPC | the log after a snapshot |
+
+  Scenario: A record whose sync found no space is written to a new file
+    Guards against a second sync that succeeds without writing the record.
+    Given a journal with 20 random saves and an in-memory model
+    When the operation sync fails with ENOSPC while an entry is saved
+    Then the next save writes the log to a new file and syncs it
+
+  Scenario: Journals on disks that are full again and again lose nothing
+    Guards against records that are lost or doubled by an operation that fails
+    at any point, while the process is killed before there is space or is not.
+    Then 100 random journals on such disks match their models after restarts
 
   Scenario: A member whose disk is full retries until there is space
     Guards against a process that exits and is restarted until the disk has room.
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -1,7 +1,9 @@
 """Steps for the journal files."""
 
+import copy
 import errno
 import io
+import itertools
 import json
 import os
 import random
@@ -12,7 +14,7 @@
 from behave import given, then, when
 
 from bench.virtual_group import Disk
-from knapweedarch.exceptions import JournalError
+from knapweedarch.exceptions import JournalError, JournalFullError
 from knapweedarch.journal import HEADER, open_journal
 from knapweedarch.journal_files import JournalFiles
 from knapweedarch.logs import setup_logging
@@ -36,11 +38,17 @@
 OPENING_LIMIT_S = 10.0
 
 
-def make_operation_fail(files, operation, code):
-    """Makes a file operation fail; a failed write stores half of the data."""
+def make_operation_fail(files, operation, code, after=0):
+    """Makes a file operation fail; a failed write stores half of the data.
+
+    The first `after` calls succeed, and each such number after a failure.
+    """
     original = getattr(files, operation)
+    calls = itertools.count(1)
 
     def failing(*args):
+        if next(calls) % (after + 1):
+            return original(*args)
         if operation == "write_all":
             original(args[0], args[1][: len(args[1]) // 2])
         raise OSError(code, os.strerror(code))
@@ -55,15 +63,17 @@
         before: Contents that the model had before the last save.
     """
 
-    def __init__(self, folder, seed):
+    def __init__(self, folder, seed, files_class=JournalFiles):
         self.folder, self.random = folder, random.Random(seed)
+        self.files_class = files_class
         self.open()
         self.model = Disk(self.journal.identity)
         self.before = self.model.restored()
 
     def open(self):
         """Opens the journal of the folder."""
-        self.files = JournalFiles(self.folder)
+        self.files = self.files_class(self.folder)
+        self.files.random = self.random
         self.files.random_bytes = self.random.randbytes
         self.journal = open_journal(self.folder, self.files)
 
@@ -89,6 +99,17 @@
         taken = Snapshot(index, term, (), rng.randbytes(2000))
         return Output(state, compacted=taken, tail=kept)
 
+    def reopen_after(self, output):
+        """Restarts while an output is saved, which may be lost or not."""
+        self.journal.close()
+        self.open()
+        with_output = copy.deepcopy(self.model)
+        with_output.save(output)
+        restored = self.journal.restored
+        if restored != self.model.restored():
+            assert restored == with_output.restored()
+            self.model = with_output
+
     def save(self, output):
         """Saves an output to the journal and the model."""
         self.before = self.model.restored()
@@ -229,8 +250,9 @@
 def inject_failure(context, operation, error, what):
     pair = context.pair
     context.operation = operation
-    make_operation_fail(pair.files, operation, getattr(errno, error))
-    context.last = pair.output(snapshot=what == "a snapshot")
+    after = int(what == "the log after a snapshot")
+    make_operation_fail(pair.files, operation, getattr(errno, error), after)
+    context.last = pair.output(snapshot=what != "an entry")
 
 
 @then("the save fails and so does every later one")
@@ -246,6 +268,134 @@
             raise AssertionError("the save succeeded")
 
 
+@then("the save fails twice as the disk is full and leaves no file behind")
+def save_finds_disk_full(context):
+    pair = context.pair
+    before = pair.files.names()
+    for _ in range(2):
+        try:
+            pair.journal.save(context.last)
+        except JournalFullError:
+            assert pair.files.names() == before, pair.files.names()
+        else:
+            raise AssertionError("the save succeeded")
+
+
+@then("after a crash the journal opens with the last save or without it")
+def opens_after_crash(context):
+    pair = context.pair
+    folder = f"{temporary_folder(context)}/copy"
+    shutil.copytree(pair.folder, folder)
+    check_opens_after(folder, pair.model, context.last)
+
+
+def check_opens_after(folder, model, output):
+    """Checks that a journal holds the model, with the output or without it."""
+    after = copy.deepcopy(model)
+    after.save(output)
+    journal = open_journal(folder)
+    assert journal.restored in (model.restored(), after.restored())
+    journal.close()
+
+
+@then("the same save succeeds once there is space, and {count:d} more do")
+def save_succeeds(context, count):
+    pair = context.pair
+    del pair.files.__dict__[context.operation]
+    pair.save(context.last)
+    for number in range(count):
+        pair.save(pair.output(snapshot=number == count // 2))
+
+
+@then("the journal opens with all saves")
+def opens_with_all_saves(context):
+    context.pair.journal.close()
+    check_opens_with(context.pair, context.pair.model.restored())
+
+
+@then("the next save writes the log to a new file and syncs it")
+def log_is_rewritten_while_open(context):
+    pair = context.pair
+    save_finds_disk_full(context)
+    old = log_path(pair)
+    save_succeeds(context, 0)
+    assert log_path(pair) != old and not old.exists()
+    opens_with_all_saves(context)
+
+
+class FullNowAndThen(JournalFiles):
+    """Files on a disk that is full at random operations.
+
+    Attributes:
+        random: Source of randomness.
+        share: Share of the operations that find the disk full.
+    """
+
+    share = 0.0
+
+    def _maybe_full(self):
+        if self.random.random() < self.share:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+    def write_all(self, descriptor, data):
+        """Writes all data, or a part before the disk is full."""
+        try:
+            self._maybe_full()
+        except OSError:
+            part = self.random.randrange(len(data))
+            super().write_all(descriptor, data[:part])
+            raise
+        super().write_all(descriptor, data)
+
+    def sync(self, descriptor):
+        """Syncs a file, or finds the disk full."""
+        self._maybe_full()
+        super().sync(descriptor)
+
+    def rename(self, old, new):
+        """Renames a file, or finds the disk full."""
+        self._maybe_full()
+        super().rename(old, new)
+
+    def remove(self, name):
+        """Removes a file, or finds the disk full."""
+        self._maybe_full()
+        super().remove(name)
+
+    def cut_log(self, size):
+        """Cuts the log file, or finds the disk full."""
+        self._maybe_full()
+        super().cut_log(size)
+
+
+@then(
+    "{count:d} random journals on such disks match their models after restarts"
+)
+def full_journals_agree(context, count):
+    setup_logging("error", io.StringIO())
+    for seed in range(count):
+        pair = JournalAndModel(temporary_folder(context), seed, FullNowAndThen)
+        for number in range(12):
+            pair.files.share = pair.random.choice((0.0, 0.3, 0.6))
+            output = pair.output(number > 2 and pair.random.random() < 0.3)
+            if not save_until_killed(pair, output):
+                pair.files.share = 0.0
+                pair.reopen_after(output)
+        pair.journal.close()
+        check_opens_with(pair, pair.model.restored())
+
+
+def save_until_killed(pair, output):
+    """Saves again until there is space; returns whether the process lives."""
+    while pair.random.random() < 0.9:
+        try:
+            pair.save(output)
+        except JournalFullError:
+            continue
+        return True
+    return False
+
+
 @then("the journal opens with the last save or without it")
 def opens_with_or_without_last_save(context):
     pair = context.pair
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -74,6 +74,12 @@
     Event(
         210, "journal_full", _E, "The disk is full; the member waits for space."
     ),
+    Event(
+        215,
+        "journal_files_kept",
+        _W,
+        "Unused files of the journal could not be removed; tried again later.",
+    ),
     Event(
         109,
         "process_failed",
--- a/knapweedarch/journal.py
+++ b/knapweedarch/journal.py
@@ -17,6 +17,7 @@
 file and the old snapshot remain valid.
 """
 
+import enum
 import errno
 import struct
 
@@ -30,6 +31,7 @@
     JournalFullError,
 )
 from knapweedarch.journal_files import JournalFiles
+from knapweedarch.logs import log
 from knapweedarch.replica_messages import (
     Entry,
     HardState,
@@ -41,7 +43,8 @@
 )
 
 IDENTITY_BYTES = 8
-DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
+# No space, no more quota, or a file at the limit of the process.
+DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 MAGIC = b"KWJ1"
 # Magic, frame number, content size, and a checksum of these and the content.
 HEADER = struct.Struct("<4sQQQ")
@@ -66,6 +69,21 @@
     entries: tuple[Entry, ...]
 
 
+class _LogEnd(enum.Enum):
+    """State of the log file after its last synced record.
+
+    Attributes:
+        CLEAN: Nothing follows.
+        TORN: Part of a record may follow; its write failed.
+        UNSYNCED: A record follows whose sync failed. What of it is on the disk
+            is unknown, and a second sync could succeed without writing it.
+    """
+
+    CLEAN = "clean"
+    TORN = "torn"
+    UNSYNCED = "unsynced"
+
+
 _FRAME_CODEC = create_codec(_Start, _Change, Snapshot)
 
 
@@ -109,8 +127,9 @@
 class Journal:
     """Persistent storage of one member.
 
-    After a failed write the state of the disk is unknown, so every later call
-    fails too and the process must stop.
+    A full disk is no failure: the same output can be saved again, until there
+    is space. After any other failed operation the state of the disk is unknown,
+    so every later call fails too and the process must stop.
 
     Attributes:
         identity: Identity of the journal.
@@ -120,6 +139,10 @@
     def __init__(self, files: JournalFiles):
         self._files = files
         self._failure = ""
+        self._log_end = _LogEnd.CLEAN
+        # Size in bytes of the synced records of the log file.
+        self._log_size = 0
+        self._snapshot_in_force = ""
         try:
             files.lock()
             files.remove_temporary()
@@ -164,7 +187,7 @@
         if not numbers:
             self._log_number = self._next_frame_number = 0
             self._hard_state = HardState()
-            self._remove_obsolete("")
+            self._remove_obsolete()
             return Restored(self.identity)
         self._log_number = numbers[-1]
         name = f"log-{self._log_number}"
@@ -178,20 +201,21 @@
             )
         self._next_frame_number = len(frames)
         restored = self._replay(frames)
-        self._rewrite_log(data[:end])
-        self._remove_obsolete(self._snapshot_name(restored.snapshot))
+        self._snapshot_in_force = self._snapshot_name(restored.snapshot)
+        # If a sync failed before the process ended, the data read may exist
+        # only in the page cache, and a second sync of the same file would not
+        # report the failure.
+        self._write_log_file(data[:end])
+        self._remove_obsolete()
         return restored
 
-    def _rewrite_log(self, data: bytes) -> None:
-        """Writes the whole log to a new file.
-
-        If a sync failed before the process ended, the data read may exist only
-        in the page cache, and a second sync of the same file would not report
-        the failure.
-        """
-        self._log_number += 1
-        self._files.write_new(f"log-{self._log_number}", data)
-        self._files.open_log(f"log-{self._log_number}")
+    def _write_log_file(self, data: bytes) -> None:
+        """Writes a new log file, which then replaces the current one."""
+        number = self._log_number + 1
+        self._files.write_new(f"log-{number}", data)
+        self._files.open_log(f"log-{number}")
+        self._log_number, self._log_size = number, len(data)
+        self._log_end = _LogEnd.CLEAN
 
     def _read_frames(self, data: bytes) -> tuple[list[object], int]:
         frames, offset = [], 0
@@ -273,6 +297,8 @@
         a blank journal, starts a new log file instead.
 
         Raises:
+            JournalFullError: The disk is full. Nothing was lost; only the same
+                output may be saved next, once there is space.
             JournalError: A file operation failed, in this or an earlier call.
         """
         if self._failure:
@@ -282,30 +308,70 @@
         if not output.needs_sync:
             return
         try:
-            self._save(output)
+            self._save_or_clean_up(output)
         except OSError as exc:
             self._failure = str(exc)
             raise JournalError(f"cannot write to the journal: {exc}") from exc
 
+    def _save_or_clean_up(self, output: Output) -> None:
+        try:
+            self._save(output)
+        except OSError as exc:
+            if exc.errno not in DISK_FULL_ERRNOS or not self._may_retry():
+                raise
+            self._remove_unused()
+            raise JournalFullError(f"the disk is full: {exc}") from exc
+
+    def _may_retry(self) -> bool:
+        """Returns whether it is known which log file a restart would read.
+
+        A new log file that has its name may be on the disk or not, if the sync
+        of the folder failed.
+        """
+        return f"log-{self._log_number + 1}" not in self._files.names()
+
     def _save(self, output: Output) -> None:
-        self._hard_state = output.hard_state or self._hard_state
+        hard_state = output.hard_state or self._hard_state
         snapshot = output.compacted or output.snapshot
         if snapshot is not None:
-            self._start_log_file(snapshot, output.tail)
+            self._start_log_file(snapshot, hard_state, output.tail)
         elif not self._log_number:
-            self._start_log_file(None, output.entries)
+            self._start_log_file(None, hard_state, output.entries)
         else:
-            change = _Change(
-                output.hard_state, output.truncate_from, output.entries
-            )
-            content = _FRAME_CODEC.encode(change)
-            self._files.append(
-                _pack_frame(self._next_frame_number, content, self._seed)
-            )
-            self._next_frame_number += 1
+            self._append_change(output)
+        self._hard_state = hard_state
+
+    def _append_change(self, output: Output) -> None:
+        change = _Change(
+            output.hard_state, output.truncate_from, output.entries
+        )
+        frame = _pack_frame(
+            *(self._next_frame_number, _FRAME_CODEC.encode(change), self._seed)
+        )
+        self._repair_log_end()
+        self._log_end = _LogEnd.TORN
+        self._files.append(frame)
+        self._log_end = _LogEnd.UNSYNCED
+        self._files.sync_log()
+        self._log_end = _LogEnd.CLEAN
+        self._log_size += len(frame)
+        self._next_frame_number += 1
+
+    def _repair_log_end(self) -> None:
+        """Removes what a failed save left after the last synced record."""
+        match self._log_end:
+            case _LogEnd.TORN:
+                self._files.cut_log(self._log_size)
+            case _LogEnd.UNSYNCED:
+                data = self._files.read(f"log-{self._log_number}")
+                self._write_log_file(data[: self._log_size])
+                self._remove_unused()
 
     def _start_log_file(
-        self, snapshot: Snapshot | None, entries: tuple[Entry, ...]
+        self,
+        snapshot: Snapshot | None,
+        hard_state: HardState,
+        entries: tuple[Entry, ...],
     ) -> None:
         index = term = 0
         if snapshot is not None:
@@ -315,18 +381,29 @@
                 self._snapshot_name(snapshot),
                 _pack_frame(0, content, self._seed),
             )
-        start = _Start(index, term, self._hard_state, entries)
-        name = f"log-{self._log_number + 1}"
-        self._files.write_new(
-            name, _pack_frame(0, _FRAME_CODEC.encode(start), self._seed)
+        start = _Start(index, term, hard_state, entries)
+        self._write_log_file(
+            _pack_frame(0, _FRAME_CODEC.encode(start), self._seed)
         )
-        self._log_number += 1
         self._next_frame_number = 1
-        self._files.open_log(name)
-        self._remove_obsolete(self._snapshot_name(snapshot))
+        self._snapshot_in_force = self._snapshot_name(snapshot)
+        self._remove_unused()
+
+    def _remove_unused(self) -> None:
+        """Removes unused files; on a full disk, as far as that is possible.
+
+        Some file systems need space to remove a file. The next call removes
+        what is left.
+        """
+        try:
+            self._remove_obsolete()
+        except OSError as exc:
+            if exc.errno not in DISK_FULL_ERRNOS:
+                raise
+            log("journal_files_kept", reason=str(exc))
 
-    def _remove_obsolete(self, snapshot_name: str) -> None:
-        kept = {snapshot_name, f"log-{self._log_number}"}
+    def _remove_obsolete(self) -> None:
+        kept = {self._snapshot_in_force, f"log-{self._log_number}"}
         for prefix in ("log-", "snapshot-"):
             for name in self._files.matching(prefix):
                 if name not in kept:
--- a/knapweedarch/journal_files.py
+++ b/knapweedarch/journal_files.py
@@ -10,8 +10,8 @@
 class JournalFiles:
     """Files in one folder.
 
-    Data is on the disk when `write_new` or `append` returns. All methods raise
-    `OSError` if an operation fails.
+    Data is on the disk when `write_new` or `sync_log` returns. All methods
+    raise `OSError` if an operation fails.
     """
 
     def __init__(self, folder: str | os.PathLike):
@@ -68,24 +68,35 @@
                 self.remove(name)
 
     def write_new(self, name: str, data: bytes) -> None:
-        """Writes a file atomically: after a crash it is complete or absent."""
+        """Writes a file atomically: after a crash it is complete or absent.
+
+        An incomplete file is removed if an operation fails, so that it does
+        not keep a full disk full.
+        """
         temporary = name + TEMPORARY_SUFFIX
+        try:
+            self._write_temporary(temporary, data)
+            self.rename(temporary, name)
+        except OSError:
+            (self.folder / temporary).unlink(missing_ok=True)
+            raise
+        self.sync_folder()
+
+    def _write_temporary(self, name: str, data: bytes) -> None:
         flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
-        descriptor = os.open(self.folder / temporary, flags, 0o600)
+        descriptor = os.open(self.folder / name, flags, 0o600)
         try:
             self.write_all(descriptor, data)
             self.sync(descriptor)
         finally:
             os.close(descriptor)
-        self.rename(temporary, name)
-        self.sync_folder()
 
     def rename(self, old: str, new: str) -> None:
         """Renames a file, replacing an existing file of the new name."""
         os.rename(self.folder / old, self.folder / new)
 
     def open_log(self, name: str) -> None:
-        """Opens the log file that `append` writes to."""
+        """Opens the log file that `append` and `cut_log` change."""
         if self._log_fd >= 0:
             os.close(self._log_fd)
             self._log_fd = -1
@@ -93,10 +104,17 @@
         self._log_fd = os.open(self.folder / name, flags)
 
     def append(self, data: bytes) -> None:
-        """Appends data to the log file and syncs it."""
+        """Appends data to the log file; `sync_log` syncs it."""
         self.write_all(self._log_fd, data)
+
+    def sync_log(self) -> None:
+        """Syncs the log file."""
         self.sync(self._log_fd)
 
+    def cut_log(self, size: int) -> None:
+        """Removes what the log file holds beyond a size in bytes."""
+        os.ftruncate(self._log_fd, size)
+
     def write_all(self, descriptor: int, data: bytes) -> None:
         """Writes all bytes, repeating partial writes."""
         view = memoryview(data)
