A member whose disk is full lives on and gives up leading

What callers saw: a member that met a full disk ended by itself (`journal_failed`, code 3) and waited for space as it started again. Members whose disks filled together lost their majority by their own hand, with what they relayed to routers.

Cause: `Member._run_replica` let `JournalFullError` end the process, as it does for errors that leave the state of the disk unknown.

Now `journal_writer` keeps the output and tries to save it again each 0.5 s. Meanwhile the replica is suspended (`Replica.suspend`): it ignores messages and time, and sends nothing that rests on the unsaved output. A leader gives up its lease at once and hands over to a voter that holds every committed entry; nobody can hold its whole log, whose newest entries it has not sent. Its pending changes end with `unknown_outcome` at once instead of after 10 s; new ones are redirected. Forming a group on a full disk is refused and may be repeated. Relaying, origins and metrics go on. Once the output is saved, its committed entries are applied and its messages are dropped, since another member may lead. To the others this equals lost messages, so the specification needs no new state (docs/MODEL.md). Other errors of the disk still end the process: what it holds is then unknown, and reading it anew at the start is the only way to know.

Virtual time: a leader that keeps its lease on a full disk, and output that is sent unsaved, each break an invariant in features/replication.feature; as designed none does. Four ways in which the disks of five members are full under changes, then a change a minute: each is applied within 1.5 s. Full disks are among the faults of the 2,000 random schedules now.

The step of failure_containment.feature that saved through `Member._save` does so through the writer, as `Member` does.

--- a/bench/virtual_group.py
+++ b/bench/virtual_group.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 import random
+from collections.abc import Sequence
 
 import attrs
 
@@ -16,6 +17,7 @@
     EntryKind,
     HardState,
     Member,
+    Message,
     Output,
     Replica,
     ReplicaConfig,
@@ -74,6 +76,9 @@
         applied: Index of the last applied entry.
         inbox: Pairs of sender and message that it has not received yet.
         crash_before_save: Whether it crashes before its next save.
+        disk_full_until: End of the time in which its disk takes nothing, in
+            virtual time.
+        unsaved: Output that waits for space on the disk, if any.
     """
 
     name: str
@@ -85,6 +90,8 @@
     applied: int = 0
     inbox: list = attrs.Factory(list)
     crash_before_save: bool = False
+    disk_full_until: float = 0.0
+    unsaved: Output | None = None
 
     def clock(self, now: float) -> float:
         """Returns the local clock's time at a virtual time, in seconds."""
@@ -179,6 +186,7 @@
         )
         node.state, node.applied, node.inbox = [], 0, []
         node.frozen_until, node.crash_before_save = 0.0, False
+        node.unsaved = None
         if restored.snapshot:
             self._restore(node, restored.snapshot)
         for other in self.nodes.values():
@@ -245,6 +253,10 @@
         """Suspends a member; its incoming messages queue up."""
         self.nodes[name].frozen_until = self.now + seconds
 
+    def fill_disk(self, name: str, seconds: float) -> None:
+        """Lets the disk of a member take nothing for a time."""
+        self.nodes[name].disk_full_until = self.now + seconds
+
     def isolate(self, name: str) -> None:
         """Drops all messages to and from a member without an error."""
         for other in self.nodes:
@@ -336,22 +348,38 @@
             self.elections += 1
 
     def _process_output(self, node: Node) -> None:
-        output = node.replica.take_output()
+        waited = node.unsaved is not None
+        output = node.unsaved if waited else node.replica.take_output()
+        if output.needs_sync and node.disk_full_until > self.now:
+            node.unsaved = output
+            if not waited:
+                self._suspend(node)
+            return
+        node.unsaved = None
+        if waited:
+            node.replica.resume()
+            output = attrs.evolve(output, messages=())
         if node.crash_before_save:
             if not self.save_before_send:
-                self._send(node, output)
+                self._send(node, output.messages)
             self.crash(node.name)
             return
         node.disk.save(output)
-        self._send(node, output)
+        self._send(node, output.messages)
         if output.snapshot:
             self._restore(node, output.snapshot)
         for entry in output.committed:
             self._apply(node, entry)
         self._compact(node)
 
-    def _send(self, node: Node, output: Output) -> None:
-        for receiver, message in output.messages:
+    def _suspend(self, node: Node) -> None:
+        messages = node.replica.suspend(node.clock(self.now))
+        self._send(node, messages)
+
+    def _send(
+        self, node: Node, messages: Sequence[tuple[str, Message]]
+    ) -> None:
+        for receiver, message in messages:
             if receiver not in self.nodes:
                 continue
             copies = 1 + (self.random.random() < self.duplication)
--- a/features/checked_group.py
+++ b/features/checked_group.py
@@ -26,6 +26,8 @@
         self._commit_terms: dict[int, int] = {}
         # Identity of the last lease holder, and when its lease ends.
         self._lease = ("", 0.0)
+        # When each proposed data was first applied by a member.
+        self.applied_at: dict[bytes, float] = {}
         super().__init__(*args, **variant)
 
     def step(self) -> None:
@@ -44,6 +46,8 @@
         if known != entry:
             raise BrokenInvariantError(f"committed entry {entry.index} changed")
         self._commit_terms.setdefault(entry.index, node.replica.term)
+        if entry.kind is EntryKind.DATA:
+            self.applied_at.setdefault(entry.data, self.now)
         super()._apply(node, entry)
 
     def _restore(self, node: Node, snapshot: Snapshot) -> None:
@@ -79,14 +83,21 @@
         led = node.replica.leader_since is not None
         gave_up = node.replica.transfer_leadership(node.clock(self.now))
         if led and gave_up:
-            if node.lease_end(self.now) > self.now:
-                raise BrokenInvariantError(
-                    "a lease outlasts a leadership transfer"
-                )
-            if self._lease[0] == node.replica.identity:
-                self._lease = (node.replica.identity, self.now)
+            self._check_lease_given_up(node)
         return led and gave_up
 
+    def _suspend(self, node: Node) -> None:
+        led = node.replica.leader_since is not None
+        super()._suspend(node)
+        if led:
+            self._check_lease_given_up(node)
+
+    def _check_lease_given_up(self, node: Node) -> None:
+        if node.lease_end(self.now) > self.now:
+            raise BrokenInvariantError("a lease outlasts a leadership transfer")
+        if self._lease[0] == node.replica.identity:
+            self._lease = (node.replica.identity, self.now)
+
     def _check_complete(self, node: Node) -> None:
         log = {e.index: e for e in node.disk.entries}
         start = getattr(node.disk.snapshot, "index", 0)
--- a/features/deployment.feature
+++ b/features/deployment.feature
@@ -44,6 +44,35 @@
     And the other follower is killed
     Then a resend of the deposit through router-2 returns the first answer
 
+  Scenario Outline: A member lives on while its disk is full
+    Guards against a member that ends by itself on a full disk, so that members
+    whose disks fill together lose their majority, and against a leader that goes on
+    leading without a disk.
+    Given a deposit was taken through router-1
+    When the disk of <member> is full
+    And an operator applies rules without the customer
+    Then the change is in force within 4.0 s
+    And 1 member runs on and waits for space
+    When the disk has space and another member is killed
+    Then the log told once of the full disk and once of the space
+    And an operator gives the customer back within 4.5 s
+    And a resend of the deposit through router-2 returns the first answer
+
+    Examples:
+      | member     |
+      | the leader |
+      | a follower |
+
+  Scenario: Members whose disks fill together serve again once there is space
+    The third member has nothing to write and does not notice.
+    Given a deposit was taken through router-1
+    When the disks of all members are full
+    Then a change has an unknown outcome
+    And 2 members run on and wait for space
+    When the disks of two members have space
+    Then an operator gives the customer back within 4.5 s
+    And a resend of the deposit through router-2 returns the first answer
+
   Scenario: A planned stop of a router cuts no stream
     Guards against streams that are cut by a restart of their router.
     Given a stream of 150 tokens runs through router-1
--- a/features/journal.feature
+++ b/features/journal.feature
@@ -105,6 +105,11 @@
     Given a journal with 20 random saves and an in-memory model
     Then forming a group is refused
 
+  Scenario: A member whose disk is full forms its group later
+    Given a blank member whose disk is full
+    When it is asked to form a group, again once the disk has space
+    Then it refuses first and is formed then
+
   Scenario: A new group keeps its entries when all members restart
     Given three blank journals that form a group
     When an entry is committed and all members restart
--- a/features/replication.feature
+++ b/features/replication.feature
@@ -133,6 +133,37 @@
       | to reply before a sync         | a member crashes between reply and sync        | a committed entry is lost |
       | as designed                    | an entry of an old term reaches a majority     | no invariant is violated  |
       | to commit entries of old terms | an entry of an old term reaches a majority     | a committed entry is lost |
+      | as designed                    | a member crashes while it waits for space      | no invariant is violated  |
+      | to send unsaved output         | a member crashes while it waits for space      | a committed entry is lost |
+      | as designed                    | the disk of the leader is full                 | a leader is elected       |
+      | to lead on a full disk         | the disk of the leader is full                 | a lease is kept           |
+
+  Scenario Outline: Changes are acknowledged again after disks were full
+    Guards against changes that stay unanswered long after the last disk has space,
+    against a majority that ends by its own hand, and against lost changes.
+    Given 5 replicas
+    When their disks are full for some seconds <how> in 2 runs under changes
+    Then a change a minute is applied within 1.5 s for 30 minutes in each run
+    And every replica has applied all changes in the same order
+
+    Examples:
+      | how               |
+      | one after another |
+      | twice in a row    |
+      | three at once     |
+      | all at once       |
+
+  Scenario Outline: A majority with space goes on while other disks are full
+    Guards against a leader that keeps its lease with a full disk, and against a
+    member that ends or stays out after its disk had no space.
+    Then in 20 runs with <full> full disks of 5, <which>, a change is applied within <limit> s
+
+    Examples:
+      | full | which                     | limit |
+      | 1    | the leader's among them   | 1.5   |
+      | 2    | the leader's among them   | 2.5   |
+      | 2    | the leader's not of them  | 0.5   |
+      | 5    | until three of them clear | 2.5   |
 
   Scenario: Random fault schedules violate no invariant
     Then 2000 seeded fault schedules violate no invariant within 60 s of CPU time
--- a/features/replication_faults.py
+++ b/features/replication_faults.py
@@ -64,6 +64,27 @@
         self._election.all_restarted = majority_restarted
 
 
+class LeadsOnFullDisk(Replica):
+    """Goes on as the leader while its output cannot be saved."""
+
+    def suspend(self, now):
+        """Keeps the leadership."""
+        return ()
+
+
+class SendsUnsavedOutput(Replica):
+    """Sends the messages of an output that cannot be saved yet."""
+
+    def take_output(self):
+        """Returns the pending output and keeps it."""
+        self.last_output = super().take_output()
+        return self.last_output
+
+    def suspend(self, now):
+        """Returns the messages of the unsaved output as well."""
+        return (*super().suspend(now), *self.last_output.messages)
+
+
 VARIANTS = {
     "as designed": {},
     "without pre-vote": {"replica_class": WithoutPreVote},
@@ -74,6 +95,8 @@
     "to commit entries of old terms": {"replica_class": CommitsOldTerms},
     "to count votes per name": {"keep_identity": True},
     "to reply before a sync": {"save_before_send": False},
+    "to lead on a full disk": {"replica_class": LeadsOnFullDisk},
+    "to send unsaved output": {"replica_class": SendsUnsavedOutput},
 }
 
 
@@ -209,6 +232,29 @@
     group.run(6.0)
 
 
+def crash_on_full_disk(group: CheckedGroup) -> None:
+    """Crashes a follower that waits for space with an entry it received."""
+    leader, waiting, lagging = group.wait_for_leader()
+    group.isolate(lagging)
+    group.fill_disk(waiting, 10.0)
+    group.propose(b"kept")
+    group.run(0.2)
+    group.crash(waiting)
+    group.crash(leader)
+    group.heal()
+    group.start(waiting)
+    group.nodes[waiting].disk_full_until = 0.0
+    group.run(5.0)
+
+
+def fill_disk_of_leader(group: CheckedGroup) -> None:
+    """Fills the disk of the leader for longer than any election takes."""
+    leader, *_ = group.wait_for_leader()
+    group.fill_disk(leader, 10.0)
+    group.propose(b"unsaved")
+    group.run(3.0)
+
+
 SCHEDULES = {
     "a follower is isolated five times": isolate_follower_repeatedly,
     "one follower loses only its link to the leader": cut_leader_follower_link,
@@ -218,6 +264,8 @@
     "a second disk is lost after a repair": lose_second_disk,
     "a member crashes between reply and sync": crash_between_reply_and_sync,
     "an entry of an old term reaches a majority": replicate_old_term_entry,
+    "a member crashes while it waits for space": crash_on_full_disk,
+    "the disk of the leader is full": fill_disk_of_leader,
 }
 
 
@@ -227,6 +275,7 @@
     "no invariant is violated": lambda o: all("terms" in x for x in o),
     "two leader leases": lambda o: any("two leader leases" in x for x in o),
     "a committed entry is lost": lambda o: all("lacks" in x for x in o),
+    "a lease is kept": lambda o: all("lease outlasts" in x for x in o),
     "a leader is elected": lambda o: all("led: True" in x for x in o),
     "no leader is elected": lambda o: all("led: False" in x for x in o),
 }
@@ -250,7 +299,7 @@
 def _random_fault(group: CheckedGroup, rng: random.Random) -> None:
     name = rng.choice(list(group.nodes))
     node = group.nodes[name]
-    match rng.randrange(13):
+    match rng.randrange(14):
         case 0:
             group.crash(name)
         case 1 | 2 | 10:
@@ -267,6 +316,9 @@
         case 12:
             for running in group.running():
                 group.transfer_leadership(running.name)
+        case 13:
+            for full in rng.sample(list(group.nodes), rng.randint(1, 3)):
+                group.fill_disk(full, rng.uniform(0.1, 3.0))
         case 7:
             group.freeze(name, rng.uniform(0.1, 2.0))
         case 8:
@@ -329,7 +381,7 @@
     group.loss, group.delay = 0.0, (0.001, 0.005)
     group.start_all()
     for node in group.nodes.values():
-        node.frozen_until = 0.0
+        node.frozen_until = node.disk_full_until = 0.0
         node.crash_before_save = False
     group.run_until(
         lambda: group.lease_holder() and group.membership_repaired(), 12.0
@@ -338,3 +390,46 @@
     group.run_until(
         lambda: all(n.applied >= index for n in group.nodes.values()), 3.0
     )
+
+
+def fill_disks(group: CheckedGroup, how: str, rng: random.Random) -> None:
+    """Fills the disks of members for some seconds under changes.
+
+    Args:
+        group: Group of five members.
+        how: One of "one after another", "twice in a row", "three at once" and
+            "all at once".
+        rng: Source of randomness.
+    """
+    names = list(group.nodes)
+    rng.shuffle(names)
+    match how:
+        case "one after another":
+            turns = [[name] for name in names]
+        case "twice in a row":
+            turns = [[name] for name in names for _ in range(2)]
+        case "three at once":
+            turns = [names[:3], names[2:]]
+        case "all at once":
+            turns = [names]
+    for number, turn in enumerate(turns):
+        for name in turn:
+            group.fill_disk(name, 4.5 + rng.uniform(-0.5, 0.5))
+        for step in range(11):
+            group.propose(f"{number} {step}".encode())
+            group.run(0.5)
+
+
+def change_until_applied(
+    group: CheckedGroup, data: bytes, limit_s: float
+) -> None:
+    """Proposes a change again and again, as clients do, until it is applied.
+
+    Raises:
+        AssertionError: It was not applied within the limit.
+    """
+    end = group.now + limit_s
+    while data not in group.applied_at:
+        assert group.now < end, f"{data} was not applied within {limit_s} s"
+        group.propose(data)
+        group.run(0.5)
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import re
+import resource
 import shutil
 import signal
 import threading
@@ -15,6 +16,7 @@
 from behave import given, then, when
 
 from knapweedarch import control
+from knapweedarch.exceptions import ControlError
 from knapweedarch.state import PutRules, Retire
 from knapweedarch.timers import Clock
 from standins.deployment import CREDENTIAL, Deployment
@@ -340,6 +342,107 @@
     context.cluster.kill(context.followers[1].name)
 
 
+def limit_files(cluster, name, size):
+    """Limits the files that a process may write, as a full disk would."""
+    pid = cluster.processes[name].popen.pid
+    _, most = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, most))
+
+
+@when("the disk of the leader is full")
+def fill_disk_of_leader(context):
+    context.full = [status(context.cluster).leader]
+    fill_disks(context)
+
+
+@when("the disk of a follower is full")
+def fill_disk_of_follower(context):
+    found = status(context.cluster)
+    followers = (m.name for m in found.members if m.name != found.leader)
+    context.full = [min(followers)]
+    fill_disks(context)
+
+
+@when("the disks of all members are full")
+def fill_all_disks(context):
+    context.full = [m["name"] for m in context.cluster.members]
+    fill_disks(context)
+
+
+def fill_disks(context):
+    for name in context.full:
+        limit_files(context.cluster, name, 0)
+
+
+def wait_for_space(cluster, names):
+    """Returns those of the members that wait for space."""
+    gauge = "journal_waits_for_space 1.0"
+    return [n for n in names if gauge in cluster.metrics_page(n)]
+
+
+@then("{count:d} members run on and wait for space")
+@then("{count:d} member runs on and waits for space")
+def check_runs_on(context, count):
+    cluster = context.cluster
+    check_all_run(cluster)
+    cluster.wait_for(
+        "waits", lambda: len(wait_for_space(cluster, context.full)) == count
+    )
+    check_all_run(cluster)
+
+
+def check_all_run(cluster):
+    for member in cluster.members:
+        code = cluster.processes[member["name"]].popen.poll()
+        assert code is None, f"{member['name']} ended with code {code}"
+
+
+@then("a change has an unknown outcome")
+def check_unknown_outcome(context):
+    async def change(client):
+        try:
+            await client.submit(PutRules("x", 1, BASE_RULES), 3.0)
+        except ControlError as exc:
+            return exc.reason
+
+    reason = call_members(context.cluster, change)
+    assert reason == "unknown_outcome", reason
+
+
+@when("the disk has space and another member is killed")
+def clear_disk_and_kill(context):
+    cluster, full = context.cluster, context.full
+    limit_files(cluster, full[0], resource.RLIM_INFINITY)
+    cluster.wait_for("space", lambda: not wait_for_space(cluster, full))
+    check_all_run(cluster)
+    names = [m["name"] for m in cluster.members]
+    cluster.kill(next(n for n in names if n not in full))
+
+
+@then("the log told once of the full disk and once of the space")
+def check_wait_logged(context):
+    text = (context.cluster.folder / f"{context.full[0]}.log").read_text()
+    for event in ("journal_full", "journal_has_space"):
+        assert text.count(f'"{event}"') == 1, text[-2000:]
+
+
+@when("the disks of two members have space")
+def clear_two_disks(context):
+    for name in context.full[:2]:
+        limit_files(context.cluster, name, resource.RLIM_INFINITY)
+
+
+@then("an operator gives the customer back within {bound:f} s")
+def give_customer_back(context, bound):
+    started = time.monotonic()
+    version = status(context.cluster).rules_version
+    change = PutRules("back", version, BASE_RULES + CUSTOMER)
+    result, _ = submit(context.cluster, change)
+    duration_s = time.monotonic() - started
+    assert result.version == version + 1, result
+    assert duration_s <= bound, duration_s
+
+
 @given("a stream of {tokens:d} tokens runs through {router}")
 def start_stream(context, tokens, router):
     reference = chat(context.cluster, router, tokens)
--- a/features/steps/failure_containment_steps.py
+++ b/features/steps/failure_containment_steps.py
@@ -88,7 +88,7 @@
         *("bb" * 8, member._journal.identity, 3, 5, 3, (), 5, 0.0)
     )
     member._replica.receive("b", append, Clock().now())
-    member._save(member._replica.take_output())
+    anyio.run(member._writer.save, member._replica.take_output())
 
 
 @when("the member is asked to form the group")
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -14,6 +14,7 @@
 from behave import given, then, when
 
 from bench.virtual_group import Disk
+from knapweedarch import control
 from knapweedarch.exceptions import JournalError, JournalFullError
 from knapweedarch.journal import HEADER, open_journal
 from knapweedarch.journal_files import JournalFiles
@@ -467,6 +468,35 @@
     return applied
 
 
+@given("a blank member whose disk is full")
+def blank_member(context):
+    settings = member_settings("a", temporary_folder(context))
+    metrics = create_metrics(None, 0, "a")
+    context.member = create_member(settings, ManualClock(0.0), metrics)
+    context.add_cleanup(context.member._journal.close)
+    files = context.member._journal._files
+    context.write_all = files.write_all
+    make_operation_fail(files, "write_all", errno.ENOSPC)
+
+
+@when("it is asked to form a group, again once the disk has space")
+def form_on_full_disk(context):
+    member = context.member
+    identity = member._journal.identity
+    form = control.Form((control.FormMember("a", identity, "127.0.0.1", 1),))
+    context.replies = [anyio.run(member._handle, None, form)]
+    member._journal._files.write_all = context.write_all
+    context.replies.append(anyio.run(member._handle, None, form))
+
+
+@then("it refuses first and is formed then")
+def check_formed_later(context):
+    refused, formed = context.replies
+    assert "the disk is full" in refused.message, refused
+    assert formed == control.Formed(), formed
+    assert context.member._journal.restored.entries
+
+
 @given("three blank journals that form a group")
 def form_group(context):
     context.folders = {n: temporary_folder(context) for n in "abc"}
--- a/features/steps/replication_steps.py
+++ b/features/steps/replication_steps.py
@@ -1,6 +1,7 @@
 """Steps for the replicated log."""
 
 import pathlib
+import random
 import time
 
 import attrs
@@ -10,6 +11,8 @@
 from features.replication_faults import (
     OUTCOMES,
     VARIANTS,
+    change_until_applied,
+    fill_disks,
     random_schedule,
     run_schedule,
 )
@@ -20,6 +23,9 @@
 )
 from knapweedarch.replica import Member
 
+# Close to the longest time that may pass between two ticks.
+COARSE_STEP_S = 0.045
+
 
 @given("3 replicas")
 def three_replicas(context):
@@ -310,6 +316,58 @@
     assert time.process_time() - start < limit
 
 
+@when(
+    "their disks are full for some seconds {how} in {runs:d} runs under changes"
+)
+def run_on_full_disks(context, how, runs):
+    context.groups = []
+    for seed in range(runs):
+        group = CheckedGroup("abcde", seed=seed)
+        group.compact_interval = 12
+        group.wait_for_leader()
+        fill_disks(group, how, random.Random(seed))
+        context.groups.append(group)
+
+
+@then(
+    "a change a minute is applied within {limit:f} s for {minutes:d} minutes"
+    " in each run"
+)
+def check_later_changes(context, limit, minutes):
+    for group in context.groups:
+        group.step_s = COARSE_STEP_S
+        for minute in range(minutes):
+            change_until_applied(group, f"late {minute}".encode(), limit)
+            group.run(60.0)
+
+
+@then("every replica has applied all changes in the same order")
+def check_same_order(context):
+    for group in context.groups:
+        states = [node.state for node in group.nodes.values()]
+        assert all(state == states[0] for state in states)
+        assert set(states[0]) == group.applied_at.keys()
+
+
+@then(
+    "in {runs:d} runs with {full:d} full disks of 5, {which}, a change is"
+    " applied within {limit:f} s"
+)
+def check_majority_goes_on(context, runs, full, which, limit):
+    for seed in range(runs):
+        group = CheckedGroup("abcde", seed=seed)
+        leader, *others = group.wait_for_leader()
+        names = others if "not of them" in which else [leader, *others]
+        for name in names[:full]:
+            group.fill_disk(name, 100.0)
+        if full == len(group.nodes):
+            group.propose(b"early")
+            group.run(3.0)
+            for name in random.Random(seed).sample(names, 3):
+                group.nodes[name].disk_full_until = 0.0
+        change_until_applied(group, b"change", limit)
+
+
 @then('the example in "{page}" runs')
 def example_runs(context, page):
     text = pathlib.Path(page).read_text()
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -74,6 +74,7 @@
     Event(
         210, "journal_full", _E, "The disk is full; the member waits for space."
     ),
+    Event(214, "journal_has_space", _I, "The disk of the journal has space."),
     Event(
         215,
         "journal_files_kept",
--- a/knapweedarch/exceptions.py
+++ b/knapweedarch/exceptions.py
@@ -50,7 +50,7 @@
 
 
 class JournalFullError(JournalError):
-    """The disk is too full to open the journal; opening it may be retried."""
+    """The disk is full; opening the journal or the save may be tried again."""
 
 
 class EventTooLongError(KnapweedarchError):
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -1,6 +1,6 @@
 """Member daemon: a replica with its journal and its links to other members."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import anyio
 import anyio.abc
@@ -15,6 +15,7 @@
     JournalFullError,
 )
 from knapweedarch.journal import open_journal
+from knapweedarch.journal_writer import DISK_SPACE_RETRY_S, JournalWriter
 from knapweedarch.leader import NOTIFY_INTERVAL_S, Leader
 from knapweedarch.logs import log
 from knapweedarch.member_relay import MemberRelay
@@ -35,7 +36,6 @@
 JOIN_INTERVAL_S = 0.25
 JOIN_TIMEOUT_S = 1.0
 SILENCE_CHECK_INTERVAL_S = 0.5
-DISK_SPACE_RETRY_S = 0.5
 
 
 class Member:
@@ -60,6 +60,9 @@
         self._metrics = metrics
         self._credential = settings.credential.encode()
         self._journal = open_journal(str(settings.data_folder))
+        self._writer = JournalWriter(
+            *(self._journal, clock, metrics, self._suspend_replica)
+        )
         self._state = ControlState()
         self._load_journal()
         self.relay = MemberRelay(
@@ -269,16 +272,20 @@
         self._peers.remove(link)
 
     async def _run_replica(self) -> None:
-        """Processes the replica's output: journal first, then messages."""
+        """Processes the replica's output: journal first, then messages.
+
+        While an output waits for space on the disk, the replica is suspended
+        and the member serves only what needs no record.
+        """
         while True:
             await self._work.wait()
             self._work = anyio.Event()
             self._replica.tick(self._clock.now())
             output = self._replica.take_output()
-            self._save(output)
-            for name, message in output.messages:
-                data = replica.MESSAGES.encode(message)
-                self._peers.send(name, control.Peer(self._settings.name, data))
+            if await self._writer.save(output):
+                self._send_to_peers(output.messages)
+            else:
+                self._replica.resume()
             self._install_snapshot(output)
             for entry in output.committed:
                 self._leader.apply(entry)
@@ -287,6 +294,18 @@
             self._update_sources()
             self._compact_if_due()
 
+    def _send_to_peers(
+        self, messages: Sequence[tuple[str, replica.Message]]
+    ) -> None:
+        for name, message in messages:
+            data = replica.MESSAGES.encode(message)
+            self._peers.send(name, control.Peer(self._settings.name, data))
+
+    def _suspend_replica(self) -> None:
+        """Gives up leading; pending proposals end with an unknown outcome."""
+        self._send_to_peers(self._replica.suspend(self._clock.now()))
+        self._leader.update_role()
+
     def _update_sources(self) -> None:
         """Passes the runners in use and the stores to the relay."""
         state = self._state
@@ -306,12 +325,6 @@
         ]
         self.relay.set_sources(sources)
 
-    def _save(self, output: replica.Output) -> None:
-        if output.needs_sync:
-            began_at = self._clock.now()
-            self._journal.save(output)
-            self._metrics.timing("journal.save", self._clock.now() - began_at)
-
     def _install_snapshot(self, output: replica.Output) -> None:
         if output.snapshot is not None:
             self._state.restore(output.snapshot.data)
@@ -377,6 +390,9 @@
         except CodecError as exc:
             log("peer_message_refused", sender=sender, reason=str(exc))
             return
+        if self._replica.suspended:
+            self._metrics.count("member.messages_ignored")
+            return
         self._replica.receive(sender, message, self._clock.now())
         self._work.set()
 
@@ -402,17 +418,23 @@
                 "refused",
                 f"member {self._settings.name} belongs to another group",
             )
+        if self._replica.suspended:
+            return control.Refused(
+                "refused", f"the disk of {self._settings.name} is full"
+            )
         if not self._journal.blank:
             # A leader of the other members has sent a term before its entries.
             # It sends the first entry of the group as well.
             log("group_joined", members=[m.name for m in members])
             return control.Formed()
-        self._journal.form(
-            tuple(
-                replica.Member(m.name, m.identity, m.host, m.port, True)
-                for m in members
-            )
+        formed = tuple(
+            replica.Member(m.name, m.identity, m.host, m.port, True)
+            for m in members
         )
+        try:
+            self._journal.form(formed)
+        except JournalFullError as exc:
+            return control.Refused("refused", str(exc))
         self._load_journal()
         log("group_formed", members=[m.name for m in members])
         return control.Formed()
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -78,6 +78,12 @@
     Metric("streams.resumed", _C, "Streams continued on another runner."),
     Metric("first_token", _T, "Time to the first token."),
     Metric("journal.save", _T, "Duration of one journal write with its sync."),
+    Metric("journal.full", _C, "Waits for space on the disk of the journal."),
+    Metric(
+        "journal.waits_for_space",
+        _G,
+        "1 while a record waits for space on the disk, else 0.",
+    ),
     Metric("deployment.version", _G, "Version of the configuration in use."),
     Metric("lease.left_s", _G, "Seconds until the lease expires."),
     Metric(
@@ -144,6 +150,11 @@
     Metric("member.term", _G, "Term of this member."),
     Metric("member.commit_index", _G, "Highest committed log index."),
     Metric("member.routers", _G, "Routers with an unexpired lease."),
+    Metric(
+        "member.messages_ignored",
+        _C,
+        "Messages of other members ignored while a record waits for space.",
+    ),
     Metric("member.records", _G, "At-most-once records kept."),
 )
 
--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -49,6 +49,7 @@
     "HandOver",
     "HardState",
     "Member",
+    "Message",
     "Output",
     "Replica",
     "ReplicaConfig",
@@ -82,6 +83,8 @@
 
     def tick(self, now: float) -> None:
         """Advances the clock; must be called at least every 50 ms."""
+        if self.suspended:
+            return
         self._advance(now)
         if self._leadership is not None:
             self._tick_leader(now)
@@ -90,6 +93,9 @@
 
     def receive(self, sender: str, message: Message, now: float) -> None:
         """Handles a message from the member named `sender`."""
+        if self.suspended:
+            # As if the message was lost: any reply would be about unsaved data.
+            return
         self._advance(now)
         match message:
             case VoteRequest():
@@ -173,13 +179,44 @@
         self._advance(now)
         if self._leadership is None:
             return True
-        transfer_target = self._leadership.transfer_target()
+        transfer_target = self._leadership.transfer_target(self._log.last_index)
         if transfer_target is None:
             return False
         self._become_follower(self.term, None, now)
         self._send(transfer_target, HandOver(self.identity, self.term))
         return True
 
+    def suspend(self, now: float) -> tuple[tuple[str, Message], ...]:
+        """Stops taking part, because the last output cannot be saved yet.
+
+        Until `resume`, messages are ignored and there are no elections and no
+        output. A leader gives up its leadership and its lease, if possible to
+        a voter that holds every committed entry; its own newest entries may be
+        unsaved and unsent, so nobody can hold the whole log.
+
+        Returns:
+            Pairs of receiver name and message, to be sent at once; they depend
+            on nothing unsaved.
+        """
+        self._advance(now)
+        self.suspended = True
+        leadership = self._leadership
+        if leadership is None:
+            return ()
+        transfer_target = leadership.transfer_target(self._log.commit_index)
+        self._become_follower(self.term, None, now)
+        if transfer_target is None:
+            return ()
+        return ((transfer_target, HandOver(self.identity, self.term)),)
+
+    def resume(self) -> None:
+        """Takes part again, after the output was saved.
+
+        The driver applies the committed entries of that output but does not
+        send its messages: another member may lead by now.
+        """
+        self.suspended = False
+
     def note_peer(self, name: str, identity: str, host: str, port: int) -> None:
         """Records the identity that a member announced on a new link.
 
--- a/knapweedarch/replica_leadership.py
+++ b/knapweedarch/replica_leadership.py
@@ -126,19 +126,21 @@
         """Returns the time until which no other replica can be elected."""
         return self.quorum_last_contact(now) + LEADER_LEASE_S
 
-    def transfer_target(self) -> str | None:
-        """Returns the name of a voter that holds the whole log, if any.
+    def transfer_target(self, index: int) -> str | None:
+        """Returns the name of a voter that holds the log up to `index`, if any.
 
-        Of several, it is the one that answered the newest request.
+        Of several, it is one that holds most of the log, and of these the one
+        that answered the newest request.
         """
         eligible = [
             peer
             for peer in self._peers.values()
-            if peer.member.voter and peer.match_index == self._log.last_index
+            if peer.member.voter and peer.match_index >= index
         ]
         if not eligible:
             return None
-        return max(eligible, key=lambda peer: peer.last_contact).member.name
+        newest = max(eligible, key=lambda p: (p.match_index, p.last_contact))
+        return newest.member.name
 
     def quorum_lost(self, now: float) -> bool:
         """Returns whether no majority answered for `MAX_ELECTION_S`."""
--- a/knapweedarch/replica_status.py
+++ b/knapweedarch/replica_status.py
@@ -46,6 +46,8 @@
         leader: Name of the leader of the current term, if known.
         leader_since: When this replica became leader, in seconds on the
             driver's clock; None if it is not the leader.
+        suspended: Whether the last output is not saved yet; see
+            `Replica.suspend`.
     """
 
     def __init__(self, cfg: ReplicaConfig, restored: Restored, seed: int):
@@ -54,6 +56,7 @@
         self.role = Role.FOLLOWER
         self.leader: str | None = None
         self.leader_since: float | None = None
+        self.suspended = False
         self._cfg = cfg
         self._log = ReplicaLog(restored)
         self._election = Election(self.identity, restored.hard_state, seed)
