--- a/features/journal.feature
+++ b/features/journal.feature
@@ -61,17 +61,35 @@
     And the journal opens with all saves
 
     Examples:
-      | operation   | error  | what                     |
-      | write_all   | ENOSPC | an entry                 |
-      | write_all   | EDQUOT | an entry                 |
-      | write_all   | EFBIG  | an entry                 |
-      | sync        | ENOSPC | an entry                 |
-      | write_all   | ENOSPC | a snapshot               |
-      | sync        | ENOSPC | a snapshot               |
-      | rename      | ENOSPC | a snapshot               |
-      | sync_folder | ENOSPC | a snapshot               |
-      | write_all   | ENOSPC | the log after a snapshot |
-      | rename      | ENOSPC | the log after a snapshot |
+      | operation   | error  | what                              |
+      | write_all   | ENOSPC | an entry                          |
+      | write_all   | EDQUOT | an entry                          |
+      | write_all   | EFBIG  | an entry                          |
+      | sync        | ENOSPC | an entry                          |
+      | write_all   | ENOSPC | a snapshot                        |
+      | sync        | ENOSPC | a snapshot                        |
+      | write_all   | ENOSPC | a received snapshot               |
+      | rename      | ENOSPC | a received snapshot               |
+      | sync_folder | ENOSPC | a received snapshot               |
+      | write_all   | ENOSPC | the log after a received snapshot |
+      | rename      | ENOSPC | the log after a received snapshot |
+
+  Scenario Outline: A snapshot for which there is no space is left for later
+    Guards against members that all wait for space at the same entry, although their
+    disks have room for records, because a snapshot does not fit.
+    Given a journal with 20 random saves and an in-memory model
+    When the operation <operation> fails with ENOSPC while <what> is saved
+    Then the save succeeds without the snapshot and leaves no file behind
+    And a snapshot alone is left out on a full disk
+    And 20 more saves succeed once there is space, with a snapshot
+    And the journal opens with all saves
+
+    Examples:
+      | operation   | what                     |
+      | rename      | a snapshot               |
+      | sync_folder | a snapshot               |
+      | write_all   | the log after a snapshot |
+      | rename      | the log after a snapshot |
 
   Scenario: A record whose sync found no space is written to a new file
     Guards against a second sync that succeeds without writing the record.
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -81,6 +81,12 @@
         _W,
         "Unused files of the journal could not be removed; tried again later.",
     ),
+    Event(
+        216,
+        "snapshot_left_out",
+        _W,
+        "There is no space for a snapshot; the log grows until the next one.",
+    ),
     Event(
         109,
         "process_failed",
--- a/knapweedarch/journal.py
+++ b/knapweedarch/journal.py
@@ -294,7 +294,8 @@
         """Persists an output before it returns.
 
         Changes are appended with one sync. A snapshot, like the first output of
-        a blank journal, starts a new log file instead.
+        a blank journal, starts a new log file instead. A snapshot of this
+        member's own state is left out if there is space only for the changes.
 
         Raises:
             JournalFullError: The disk is full. Nothing was lost; only the same
@@ -317,30 +318,53 @@
         try:
             self._save(output)
         except OSError as exc:
-            if exc.errno not in DISK_FULL_ERRNOS or not self._may_retry():
+            if not self._may_retry(exc):
                 raise
             self._remove_unused()
             raise JournalFullError(f"the disk is full: {exc}") from exc
 
-    def _may_retry(self) -> bool:
-        """Returns whether it is known which log file a restart would read.
+    def _may_retry(self, exc: OSError) -> bool:
+        """Returns whether the disk is full and its state is known.
 
         A new log file that has its name may be on the disk or not, if the sync
-        of the folder failed.
+        of the folder failed, and a restart would read the newest one.
         """
-        return f"log-{self._log_number + 1}" not in self._files.names()
+        return (
+            exc.errno in DISK_FULL_ERRNOS
+            and f"log-{self._log_number + 1}" not in self._files.names()
+        )
 
     def _save(self, output: Output) -> None:
         hard_state = output.hard_state or self._hard_state
-        snapshot = output.compacted or output.snapshot
-        if snapshot is not None:
+        if output.snapshot is not None:
+            snapshot = output.compacted or output.snapshot
             self._start_log_file(snapshot, hard_state, output.tail)
+        elif output.compacted is not None:
+            self._compact_if_possible(output, hard_state)
         elif not self._log_number:
             self._start_log_file(None, hard_state, output.entries)
         else:
             self._append_change(output)
         self._hard_state = hard_state
 
+    def _compact_if_possible(
+        self, output: Output, hard_state: HardState
+    ) -> None:
+        """Saves an output with a snapshot that the log can do without.
+
+        If there is no space for the snapshot, the changes are appended all the
+        same. The next snapshot replaces the longer log.
+        """
+        try:
+            self._start_log_file(output.compacted, hard_state, output.tail)
+        except OSError as exc:
+            if not self._may_retry(exc):
+                raise
+            self._remove_unused()
+            if attrs.evolve(output, compacted=None).needs_sync:
+                self._append_change(output)
+            log("snapshot_left_out", reason=str(exc))
+
     def _append_change(self, output: Output) -> None:
         change = _Change(
             output.hard_state, output.truncate_from, output.entries
