Proxy: a request that begins anew records nothing of an earlier one

Cause: a request that names an earlier one but no last event begins anew, at any version. Its first event was recorded as the beginning of the earlier request as well. If the earlier one's first event was lost on its way to the caller, and its record is late, as from a router that is out of step, the wrong record comes first, and the first stays.

Evidence: "A request that begins anew says nothing of an earlier one" fails before: "ASSERT FAILED: {'r1': 'v1', 'r0': 'v1'}".

Why it works: only a stream that is taken up goes on at a version that was found, so only there is the record of the earlier request a fact.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -438,6 +438,16 @@
       | v2           | stream_version_gone    |
       | nobody knows | stream_version_unknown |
 
+  Scenario: A request that begins anew says nothing of an earlier one
+    The first event of the earlier one may have been lost on its way to the caller.
+    Guards against a wrong record that comes before the true one.
+    Given a proxied runner that streams
+    And runner 1 has software v1
+    When a caller begins anew and names an earlier request
+    Then the relayed stream is complete
+    And the origin of r1 is recorded as v1
+    And the origin of r0 is recorded as nothing
+
   Scenario Outline: A stream does not go on at an endpoint that started again
     An endpoint may start again under its id with other software, and takes
     requests before the router hears of it. Guards against a stream that goes on
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -60,6 +60,7 @@
             found = [await fixture.send(part, **options) for part in data]
             context.runners = fixture.runners
             context.proxy_metrics = fixture.metrics
+            context.recorded = fixture.origins.versions
             return found
 
     context.answers = anyio.run(run)
@@ -145,6 +146,17 @@
     send_requests(context, request("resume", extra))
 
 
+@when("a caller begins anew and names an earlier request")
+def begins_anew(context):
+    send_requests(context, request("resume", "Resumes: r0\r\n"))
+
+
+@then("the origin of {name} is recorded as {version}")
+def check_origin(context, name, version):
+    found = context.recorded.get(name, "nothing")
+    assert found == version, context.recorded
+
+
 @then("the refusal is counted as {reason}")
 def check_refusal_reason(context, reason):
     page = context.proxy_metrics.page().decode()
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -198,7 +198,10 @@
         if not call.route.resumable:
             return
         limit_s = max(call.route.timeout_s, call.options.limit_s or 0.0)
-        for request_id in {call.options.request_id, call.options.resumes}:
+        ids = {call.options.request_id}
+        if call.takes_up:
+            ids.add(call.options.resumes)
+        for request_id in ids:
             if request_id:
                 self._origins.record(
                     request_id, endpoint.software_version, limit_s
