Proxy: streams begin only at endpoints that are sure to be known

Cause: the record was made of the router's list of endpoints, which may be as old as its lease, and for the time of a heartbeat and a commit at any router.

Change: before a stream that may be resumed the router asks the endpoint when it started, as before one that goes on, if a connection to it broke since it was asked last, or if the router has heard nothing from the leader for two renewals of its lease, counted from when the renewal was sent. So a grant from before a pause does not make its list current.

Not mended: an endpoint that starts again while the router is in touch and has no connection to it that breaks.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -479,6 +479,32 @@
     Then the relayed stream has no end
     And runner 2 has received 0 requests
 
+  Scenario Outline: A stream begins only at an endpoint that is sure to be known
+    Guards against a record of the version that a router knows of an endpoint that
+    has started again with another, and against calls to endpoints on calm days.
+    Given a proxied runner that <first>
+    And a proxied runner that streams
+    And runner <number> has started again, which the router has not heard
+    And the router heard of endpoints <age> s ago
+    When callers send <count> requests that may be resumed
+    Then the relayed stream is complete
+    And runner 1 has received <received> requests
+    And runners were asked <asked> times when they started
+
+    Examples:
+      | first             | number | age | count | received | asked |
+      | streams           | 1      | 1.5 | 1     | 0        | 2     |
+      | streams           | 2      | 0.5 | 3     | 3        | 0     |
+
+  Scenario: A router asks an endpoint after its connection broke
+    Guards against a record of the version that a router knows of an endpoint that
+    has started again with another.
+    Given a proxied runner that ends before event 1 without a length
+    And runner 1 has started again, which the router has not heard
+    When callers send 2 requests that may be resumed
+    Then runner 1 has received 1 requests
+    And runners were asked 1 times when they started
+
   Scenario Outline: A router with another configuration keeps to the version too
     Its configuration may be older or newer than that of the router at which the
     stream began. Guards against a stream that goes on at any version there.
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -539,6 +539,8 @@
         self.refusal: RefusalReason | None = None
         self.metrics = create_metrics(None, 0, "test")
         self.origins = KnownOrigins()
+        self.known_age_s = 0.0
+        self.asked: list[str] = []
         self.attempts = Attempts(
             clock=clock,
             metrics=self.metrics,
@@ -550,7 +552,10 @@
             endpoint_limits=create_endpoint_limits(1),
             endpoint_waits=create_endpoint_waits(1),
             origins=self.origins,
-            identities=EndpointIdentities(self, clock, self.metrics),
+            identities=EndpointIdentities(
+                *(self, clock, self.metrics),
+                lambda: clock.now() - self.known_age_s,
+            ),
             limits=RepeatLimits(1.0, 100.0, 10.0),
             start_refusal=lambda: self.refusal,
             started_at=clock.now() - ROUTER_AGE_S,
@@ -582,6 +587,7 @@
 
     async def incarnation(self, endpoint: Endpoint) -> str | None:
         """Returns the incarnation of a runner, as the runner says."""
+        self.asked.append(endpoint.id)
         return next(r.born for r in self.runners if r.id == endpoint.id)
 
     def endpoints(self) -> list[Endpoint]:
--- a/features/steps/prefill_load_steps.py
+++ b/features/steps/prefill_load_steps.py
@@ -235,7 +235,9 @@
         endpoint_limits=create_endpoint_limits(1),
         endpoint_waits=create_endpoint_waits(1),
         origins=KnownOrigins(),
-        identities=EndpointIdentities(None, context.clock, metrics),
+        identities=EndpointIdentities(
+            None, context.clock, metrics, lambda: 0.0
+        ),
         limits=RepeatLimits(0.2, 50.0, 10.0),
         start_refusal=lambda: None,
         started_at=0.0,
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -49,6 +49,7 @@
     async def run():
         async with open_proxy() as fixture:
             software = getattr(context, "software", {})
+            fixture.known_age_s = getattr(context, "known_age_s", 0.0)
             fixture.origins.versions |= getattr(context, "origins", {})
             fixture.origins.ever |= getattr(context, "ever", {})
             for number, mode in enumerate(context.modes, 1):
@@ -61,6 +62,7 @@
             context.runners = fixture.runners
             context.proxy_metrics = fixture.metrics
             context.recorded = fixture.origins.versions
+            context.asked = fixture.asked
             return found
 
     context.answers = anyio.run(run)
@@ -146,6 +148,21 @@
     send_requests(context, request("resume", extra))
 
 
+@given("the router heard of endpoints {age:g} s ago")
+def heard_ago(context, age):
+    context.known_age_s = age
+
+
+@when("callers send {count:d} requests that may be resumed")
+def sends_streams(context, count):
+    send_requests(context, *(request("resume") for _ in range(count)))
+
+
+@then("runners were asked {count:d} times when they started")
+def check_asked(context, count):
+    assert len(context.asked) == count, context.asked
+
+
 @when("a caller begins anew and names an earlier request")
 def begins_anew(context):
     send_requests(context, request("resume", "Resumes: r0\r\n"))
--- a/knapweedarch/endpoint_identity.py
+++ b/knapweedarch/endpoint_identity.py
@@ -7,18 +7,22 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import anyio
 
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.heartbeats import incarnation_start
+from knapweedarch.leases import RENEW_INTERVAL_S
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import Endpoint, RetryReason
 from knapweedarch.timers import Clock
 
+# A router that has not heard of the endpoints for this long is out of step; it
+# hears of them with each renewal of its lease.
+OUT_OF_STEP_S = 2 * RENEW_INTERVAL_S
 # An endpoint says who it is at once, also if it is full.
 CHECK_TIMEOUT_S = 0.3
 
@@ -41,20 +45,52 @@
         port: Asks endpoints.
         clock: Clock of the process.
         metrics: Metrics of the process.
+        heard_at: Returns the time, in seconds on the clock, up to which the
+            router has heard of all changes of endpoints.
     """
 
-    def __init__(self, port: IdentityPort, clock: Clock, metrics: Metrics):
+    def __init__(
+        self,
+        port: IdentityPort,
+        clock: Clock,
+        metrics: Metrics,
+        heard_at: Callable[[], float],
+    ):
         self._port = port
+        self._heard_at = heard_at
         self._clock = clock
         self._metrics = metrics
         # When each incarnation, by id, was asked that has said who it is.
         self._asked_at: dict[tuple[str, str], float] = {}
+        # When a connection to an endpoint broke last, by its id.
+        self._broken_at: dict[str, float] = {}
 
     def retain(self, kept: Iterable[Endpoint]) -> None:
         """Forgets all incarnations but those given."""
         keys = {(e.id, e.incarnation) for e in kept}
         for gone in self._asked_at.keys() - keys:
             del self._asked_at[gone]
+        for gone in self._broken_at.keys() - {
+            endpoint_id for endpoint_id, _ in keys
+        }:
+            del self._broken_at[gone]
+
+    def record_broken(self, endpoint: Endpoint) -> None:
+        """Records that a connection to an endpoint broke or was refused."""
+        self._broken_at[endpoint.id] = self._clock.now()
+
+    def is_doubtful(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint may have started again unheard of.
+
+        Its connections break when it does, unless the router had none.
+        """
+        if self._clock.now() > self._heard_at() + OUT_OF_STEP_S:
+            return True
+        broken_at = self._broken_at.get(endpoint.id)
+        if broken_at is None:
+            return False
+        key = (endpoint.id, endpoint.incarnation)
+        return self._asked_at.get(key, -math.inf) <= broken_at
 
     async def check(self, endpoint: Endpoint, opened_at: float) -> None:
         """Checks that a connection leads to a known incarnation.
--- a/knapweedarch/lease_keeper.py
+++ b/knapweedarch/lease_keeper.py
@@ -1,5 +1,6 @@
 """Renews a router's lease and applies the changes in its grants."""
 
+import math
 import random
 from collections.abc import Awaitable, Callable, Sequence
 
@@ -24,6 +25,8 @@
 
     Attributes:
         lease: The lease.
+        heard_at: When the renewal was sent that the last grant answered, in
+            seconds on the clock.
         rules_version: Version of the rules last applied.
         on_rules: Called with version and text of new rules; raises
             `ControlError` if they cannot be applied.
@@ -50,6 +53,7 @@
         metrics: Metrics,
     ):
         self.lease = Lease()
+        self.heard_at = -math.inf
         self.rules_version = 0
         self.deployment_version = 0
         self.on_members: Callable[[Sequence[MemberAddress]], None] = (
@@ -128,6 +132,7 @@
             log("grant_older", applied=self._applied, granted=grant.applied)
             return False
         changed = await self._apply_grant(grant)
+        self.heard_at = sent_at
         self.lease.granted(sent_at, grant.duration_s, self._clock.now())
         self._metrics.count("lease.renewed")
         self.on_granted()
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -156,6 +156,9 @@
         self._origins = OriginClient(
             *(self._relay, self._control, clock, metrics)
         )
+        identities = EndpointIdentities(
+            *(identity_port, clock, metrics, lambda: self._keeper.heard_at)
+        )
         self._attempts = Attempts(
             clock=clock,
             metrics=metrics,
@@ -167,7 +170,7 @@
             endpoint_limits=self._endpoint_limits,
             endpoint_waits=create_endpoint_waits(int(incarnation, 16)),
             origins=self._origins,
-            identities=EndpointIdentities(identity_port, clock, metrics),
+            identities=identities,
             limits=settings.repeats,
             start_refusal=self._start_refusal,
             started_at=clock.now(),
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -476,6 +476,9 @@
     ) -> None:
         """Connects; a stream goes on only at the incarnation that is known.
 
+        One that may be resumed begins only there, too, as its version is
+        recorded.
+
         Raises:
             ExchangeError: See `open`; or another incarnation has taken over,
                 whose software may be another.
@@ -483,7 +486,9 @@
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(exchange.close, None)
             await exchange.open(self._check_start)
-            if call.software_version is not None:
+            if call.software_version is not None or (
+                call.route.resumable and self._identities.is_doubtful(endpoint)
+            ):
                 await self._identities.check(endpoint, exchange.opened_at)
                 self._check_start()
             stack.pop_all()
@@ -625,6 +630,7 @@
             if exc.written
             else ExecutionStatus.NOT_RUN
         )
+        self._identities.record_broken(endpoint)
         if exc.written:
             self.chooser.record_failure(endpoint, now)
             self._record_crash(call, endpoint, exc, progress)
