Test: routers out of step find a stream's version or none

Seeded schedules at 9 and 195 routers with the product's clients and member tables: routers are cut off, one way too, frozen or killed, members cut off from the others, while newer versions join, streams begin and are taken up at any router that runs. It guards both sides: no router finds another version than began a stream, and routers in touch find each stream that began at one in touch.

--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -96,3 +96,20 @@
       | does not answer    | knows v2             | v2      |
       | does not answer    | is not reached       | unknown |
       | knows nothing      | knows v2             | v2      |
+
+  Scenario Outline: Routers out of step find the version or none
+    Routers are cut off, one way too, frozen or killed, and members cut off from
+    the others, while newer versions join. Guards against a version that a router
+    concludes from what it knew before, and against look-ups that fail at routers
+    in touch because one router or member is not.
+    Given <routers> routers and 5 members, seed <seed>
+    When they are out of step in turn while newer versions join
+    Then no router finds another version than began a stream
+    And routers in touch find each stream that began at one in touch
+
+    Examples:
+      | routers | seed     |
+      | 9       | 7919     |
+      | 9       | 104729   |
+      | 9       | 15485863 |
+      | 195     | 7919     |
