Let neither a changed idle limit nor a stop drop a request

- The limit was read when a wait began.
After a longer one, callers reuse connections that were still closed at the old one; after a shorter one, connections stayed open too long.
One task now ends all waits in the order of their starts and looks again when the limits change.
For 2 s after a change, the wider value of each limit holds, for the time limit of a body too; then 64 connections end at a time.
- After the idle limit, the sending side was closed and what came was read and dropped for 1 s.
Now what has arrived is served, and the connection closed without reading more.
- A stop cancelled the whole connection, and with it a request whose bytes were received in that turn.
It now ends only the wait; what has arrived is read, and the handler refuses it (503).
A request that followed a stream which began before the stop, and had been read with it, was dropped too, and is now refused.

A body's limit was read before its wait, so a shorter one did not cut it; it is now read after the wait, in its widest recent value.

--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -77,3 +77,64 @@
       | X-Knapweedarch-Token-Count | 5000 digits          |
       | X-Knapweedarch-Prefix-Hash | a:superscript two    |
       | X-Knapweedarch-Prefix-Hash | a:5000 digits        |
+
+  Scenario Outline: A connection that waits goes by the limits of its caller
+    A change reaches callers and servers at different times. Guards against a
+    request on a kept connection that ends without an answer, since its wait
+    went by a limit that was changed.
+    Given a server of callers whose handler answers
+    And an idle limit of <before> s, changed after 0.1 s to <after> s
+    When on a kept connection the caller sends a request after <idle> s
+    Then the answers are <answers>
+
+    Examples: the grace of a change is 0.4 s
+      | before | after | idle | answers |
+      | 0.3    | 1.0   | 0.6  | 200     |
+      | 0.3    | 1.0   | 1.4  | none    |
+      | 5.0    | 0.2   | 0.4  | 200     |
+      | 5.0    | 0.2   | 0.8  | none    |
+      | 0.3    | 0.3   | 0.2  | 200     |
+      | 0.3    | 0.3   | 0.6  | none    |
+
+  Scenario: A body may take as long as before a change
+    Guards against a request on its way that a shorter limit cuts.
+    Given a server of callers whose handler answers
+    And an idle limit of 5.0 s, changed after 0.1 s to 0.1 s
+    When on a kept connection the caller takes 0.3 s for a body after 0.2 s
+    Then the answers are 200
+
+  Scenario Outline: A request that crosses the stop is answered
+    Guards against a stop that cancels a request that was read, with no answer.
+    Given a server of callers whose handler answers
+    When on a kept connection the caller sends a request <turns> turns before the stop
+    Then the answers are 200
+
+    Examples:
+      | turns |
+      | 0     |
+      | 1     |
+      | 2     |
+      | 3     |
+      | 4     |
+
+  Scenario: A request that crosses the idle limit is answered
+    Guards against a limit that drops what has arrived while the loop was held.
+    Given a server of callers whose handler answers
+    And an idle limit of 0.2 s, changed after 0.1 s to 0.2 s
+    When on a kept connection the caller sends a request while the loop is held
+    Then the answers are 200
+
+  Scenario: A connection that ended for its idle limit reads no more
+    Guards against a whole request that is read and dropped.
+    Given logs that go to memory
+    And a server of callers whose handler answers
+    And an idle limit of 0.2 s, changed after 0.1 s to 0.2 s
+    When on a kept connection the caller sends a request after its end
+    Then the log has no "late_bytes_dropped"
+
+  Scenario: A shorter limit ends many connections a few at a time
+    Guards against a turn of the loop in which thousands of connections end.
+    Given a server of callers whose handler answers
+    And an idle limit of 5.0 s, changed after 0.1 s to 0.1 s
+    When 300 connections wait until the server has ended them
+    Then at most 64 of them ended in one turn
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -2,12 +2,15 @@
 
 import contextlib
 import json
+import os
 import re
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator
 
 import anyio
+import anyio.lowlevel
 import attrs
 import httpx
 from behave import given, then, when
@@ -19,6 +22,7 @@
     receive_all,
     request,
 )
+from knapweedarch import inbound_limits
 from knapweedarch.deployments import CallerLimits
 from knapweedarch.http_inbound import InboundServer, Responder
 from knapweedarch.http_messages import Answer, Request
@@ -102,6 +106,7 @@
 async def open_server(context) -> AsyncIterator[CallersServer]:
     """Opens a server with the handler and the limits of the scenario."""
     limits = getattr(context, "limits", CallerLimits())
+    inbound_limits.CHANGE_GRACE_S = GRACE_S
     fixture = CallersServer(ScriptedHandler(context.mode), limits)
     fixture.server = InboundServer(
         fixture.handler.handle, Clock(), lambda: fixture.limits
@@ -217,6 +222,11 @@
 STATUS_LINE = re.compile(rb"HTTP/1.1 (\d+)")
 
 
+@then("the answers are none")
+def check_no_answer(context):
+    assert not context.data, context.data
+
+
 @then("the answers are {gets}")
 def check_gets(context, gets):
     statuses = [int(x) for x in STATUS_LINE.findall(context.data)]
@@ -285,3 +295,134 @@
             context.answer = await fixture.send(data, SILENCE_S)
 
     anyio.run(run)
+
+
+# Replaces the grace of a change of limits, which is longer than a test.
+GRACE_S = 0.4
+
+
+@given("an idle limit of {before:f} s, changed after {at:f} s to {after:f} s")
+def changed_limit(context, before, at, after):
+    context.limits = CallerLimits(idle_s=before)
+    context.change = (at, CallerLimits(idle_s=after))
+
+
+async def change_limits(context, fixture) -> None:
+    """Changes the limits as the scenario says; returns after the change."""
+    at, limits = context.change
+    await anyio.sleep(at)
+    fixture.limits = limits
+    fixture.server.apply_limits()
+
+
+async def exchange(stream, *parts: bytes, pause_s: float = 0.0) -> bytes:
+    """Sends the parts of a request; returns what comes, if anything."""
+    try:
+        for part in parts:
+            await stream.send(part)
+            await anyio.sleep(pause_s)
+        return await receive_all(stream, SILENCE_S)
+    except anyio.BrokenResourceError:
+        return b""
+
+
+@when("on a kept connection the caller sends a request after {idle:f} s")
+def sends_after(context, idle):
+    async def scenario(fixture):
+        async with await fixture.connect() as stream:
+            await change_limits(context, fixture)
+            await anyio.sleep(idle - context.change[0])
+            context.data = await exchange(stream, REQUEST)
+
+    run_with_server(context, scenario)
+
+
+@when(
+    "on a kept connection the caller takes {taken:f} s for a body after"
+    " {idle:f} s"
+)
+def sends_slow_body(context, taken, idle):
+    async def scenario(fixture):
+        async with await fixture.connect() as stream:
+            await change_limits(context, fixture)
+            await anyio.sleep(idle - context.change[0])
+            parts = REQUEST[:-2], REQUEST[-2:]
+            context.data = await exchange(stream, *parts, pause_s=taken)
+
+    run_with_server(context, scenario)
+
+
+@when(
+    "on a kept connection the caller sends a request {turns:d} turns before"
+    " the stop"
+)
+def sends_before_stop(context, turns):
+    async def scenario(fixture):
+        async with await fixture.connect() as stream:
+            await anyio.sleep(0.05)
+            sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            os.write(sock.fileno(), REQUEST)
+            for _ in range(turns):
+                await anyio.lowlevel.checkpoint()
+            fixture.server.stop_accepting()
+            context.data = await receive_all(stream, SILENCE_S)
+
+    run_with_server(context, scenario)
+
+
+def hold_loop(seconds: float) -> None:
+    """Holds the loop as a long computation does."""
+    time.sleep(seconds)
+
+
+@when("on a kept connection the caller sends a request while the loop is held")
+def sends_while_held(context):
+    async def scenario(fixture):
+        async with await fixture.connect() as stream:
+            await anyio.sleep(0.05)
+            sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            os.write(sock.fileno(), REQUEST)
+            hold_loop(context.limits.idle_s)
+            context.data = await receive_all(stream, SILENCE_S)
+
+    run_with_server(context, scenario)
+
+
+@when("on a kept connection the caller sends a request after its end")
+def sends_after_end(context):
+    async def scenario(fixture):
+        async with await fixture.connect() as stream:
+            await receive_all(stream, SILENCE_S)
+            await exchange(stream, REQUEST)
+        await anyio.sleep(0.05)
+
+    run_with_server(context, scenario)
+
+
+@then('the log has no "{name}"')
+def check_not_logged(context, name):
+    assert name not in context.log_stream.getvalue()
+
+
+@when("{count:d} connections wait until the server has ended them")
+def many_wait(context, count):
+    context.ended_in_turn = []
+
+    async def scenario(fixture):
+        async with contextlib.AsyncExitStack() as stack:
+            for _ in range(count):
+                await stack.enter_async_context(await fixture.connect())
+            while len(fixture.server.idle) < count:
+                await anyio.lowlevel.checkpoint()
+            await change_limits(context, fixture)
+            while left := len(fixture.server.idle):
+                await anyio.lowlevel.checkpoint()
+                ended = left - len(fixture.server.idle)
+                context.ended_in_turn.append(ended)
+
+    run_with_server(context, scenario)
+
+
+@then("at most {most:d} of them ended in one turn")
+def check_few_in_turn(context, most):
+    assert 0 < max(context.ended_in_turn) <= most, max(context.ended_in_turn)
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -20,6 +20,8 @@
 from knapweedarch.deployments import CallerLimits
 from knapweedarch.exceptions import CallerGoneError
 from knapweedarch.http_messages import Answer, Headers, Request
+from knapweedarch.idle_connections import IdleConnections
+from knapweedarch.inbound_limits import RecentLimits
 from knapweedarch.logs import log, traceback_text
 from knapweedarch.timers import Clock
 
@@ -27,6 +29,8 @@
 # Closing a connection with unread bytes resets it and loses the last response,
 # so the peer gets this long to close its side first.
 LINGER_TIMEOUT_S = 1.0
+# Bytes that have arrived are received within a turn of the event loop.
+ARRIVED_TIMEOUT_S = 0.005
 # SO_LINGER with a timeout of 0 s: closing the connection resets it.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # States of a server that has sent a whole response.
@@ -136,11 +140,12 @@
         self._stream = stream
         self._h11 = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=server.limits().header_bytes,
+            max_incomplete_event_size=server.recent_limits.get().header_bytes,
         )
         self.drop_cause: DropCause | None = None
         self._input_end = DropCause.CALLER_CLOSED
         self._response_began = False
+        self._ended_idle = False
 
     @property
     def _aborted(self) -> bool:
@@ -151,7 +156,7 @@
         try:
             while await self._serve_request():
                 self._h11.start_next_cycle()
-            if not self._aborted:
+            if not (self._aborted or self._ended_idle):
                 await self._linger()
         except CallerGoneError:
             pass
@@ -192,11 +197,12 @@
             await self._handle(req)
         finally:
             self._server.record_request_end(self)
-        # A response that was started before the shutdown lacks the header
-        # `connection: close`, so h11 would keep the connection open.
-        if self._aborted or self._server.refusing:
+        if self._aborted or self._h11.our_state is not h11.DONE:
             return False
-        return self._h11.our_state is h11.DONE
+        # A response that was started before the shutdown lacks the header
+        # `connection: close`, so h11 would keep the connection open. A request
+        # that has followed already is still refused.
+        return not self._server.refusing or bool(self._h11.trailing_data[0])
 
     def _log_incomplete(self) -> None:
         """Logs a connection that ended within a request."""
@@ -213,15 +219,13 @@
             CallerGoneError: The caller closed the connection before
                 `100 Continue` was sent.
         """
-        limits = self._server.limits()
         head = self._h11.next_event()
         awaits_first_byte = (
             head is h11.NEED_DATA and not self._h11.trailing_data[0]
         )
-        if awaits_first_byte and not await self._wait_for_first_byte(
-            limits.idle_s
-        ):
+        if awaits_first_byte and not await self._wait_for_first_byte():
             return None
+        limits = self._server.recent_limits.get()
         began_at = self._server.clock.now()
         with anyio.fail_after(limits.header_s):
             while head is h11.NEED_DATA or awaits_first_byte:
@@ -244,14 +248,18 @@
             began_at=began_at,
         )
 
-    async def _wait_for_first_byte(self, idle_s: float) -> bool:
-        self._server.mark_idle(self)
-        try:
-            with anyio.move_on_after(idle_s):
-                return await self._receive()
-            return False
-        finally:
-            self._server.mark_busy(self)
+    async def _wait_for_first_byte(self) -> bool:
+        """Waits for a request until the idle limit or a stop.
+
+        Bytes that have arrived by then are still read, and no later ones: a
+        request that is not read may be sent again on another connection.
+        """
+        with self._server.idle.wait():
+            return await self._receive()
+        with anyio.move_on_after(ARRIVED_TIMEOUT_S):
+            return await self._receive()
+        self._ended_idle = True
+        return False
 
     async def _read_body(self, limits: CallerLimits) -> bytes | None:
         """Reads the body; returns None if the connection ends first.
@@ -481,6 +489,8 @@
         handler: Sends the response to each request; cancelled if the caller
             disconnects.
         limits: Returns the current limits for callers.
+        recent_limits: Limits that callers may go by around a change.
+        idle: Connections that wait for a request.
         on_dropped: Called for each request that was read and ends without a
             whole answer.
         closing: Whether responses have the header `connection: close`.
@@ -499,10 +509,10 @@
         self.on_dropped = on_dropped
         self.clock = clock
         self.limits = limits
+        self.recent_limits = RecentLimits(lambda: self.limits(), clock)
+        self.idle = IdleConnections(self.recent_limits, clock)
         self.closing = self.refusing = False
         self.active = 0
-        self._idle: set[InboundConnection] = set()
-        self._cancel_scopes: dict[InboundConnection, anyio.CancelScope] = {}
         self._accept_scope = anyio.CancelScope()
         self._no_active_requests = anyio.Event()
 
@@ -523,26 +533,21 @@
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         task_status.started(port)
         async with anyio.create_task_group() as group:
-            with self._accept_scope:
-                await listener.serve(self._accept, group)
-            await listener.aclose()
+            group.start_soon(self.idle.run)
+            async with anyio.create_task_group() as connections:
+                with self._accept_scope:
+                    await listener.serve(self._accept, connections)
+                await listener.aclose()
+            group.cancel_scope.cancel()
 
     async def _accept(self, stream: anyio.abc.SocketStream) -> None:
         try:
-            await self._serve_connection(InboundConnection(self, stream))
+            await InboundConnection(self, stream).run()
         except Exception as exc:
             # An error in one connection must not end the others.
             log("connection_failed", reason=traceback_text(exc))
             await anyio.aclose_forcefully(stream)
 
-    async def _serve_connection(self, conn: InboundConnection) -> None:
-        with anyio.CancelScope() as scope:
-            self._cancel_scopes[conn] = scope
-            try:
-                await conn.run()
-            finally:
-                del self._cancel_scopes[conn]
-
     def record_request_start(self, conn: InboundConnection) -> None:
         """Records that a request was read."""
         self.active += 1
@@ -553,25 +558,19 @@
         if not self.active:
             self._no_active_requests.set()
 
-    def mark_idle(self, conn: InboundConnection) -> None:
-        """Records that a connection waits for a request."""
-        self._idle.add(conn)
-
-    def mark_busy(self, conn: InboundConnection) -> None:
-        """Records that a connection no longer waits for a request."""
-        self._idle.discard(conn)
+    def apply_limits(self) -> None:
+        """Makes changed limits take effect on connections that wait."""
+        self.idle.apply_limits()
 
     def stop_accepting(self) -> None:
         """Stops accepting connections and requests; active ones continue.
 
-        Idle connections are closed; a request that arrives at that moment is
-        not read.
+        Connections that wait are closed; a request that has arrived on one is
+        read, and the handler is to refuse it.
         """
         self.closing = self.refusing = True
         self._accept_scope.cancel()
-        for conn in list(self._idle):
-            if conn in self._cancel_scopes:
-                self._cancel_scopes[conn].cancel()
+        self.idle.stop()
 
     async def drain(self, timeout_s: float) -> None:
         """Waits until no request is active, or until the timeout."""
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -281,6 +281,7 @@
 
     def _set_deployment(self, deployment: Deployment) -> None:
         self._gateway.set_deployment(deployment)
+        self._server.apply_limits()
         self._attempts.set_stores(deployment.stores)
         log("deployment_applied", version=deployment.version)
 
