Answer a caller that has closed its sending side

The watcher took the end of the input for a departure and cancelled the handler.

Now a reset cancels at once, as before. After an end of the input the request goes on for 0.1 s; then the caller is probed (an interim 100, in an event stream a comment), at most four times. The kernel of a caller that has left answers with a reset, which is found by the state of the socket, without a second write. docs/design.md, 11.1, says what was weighed. Where nothing may be added (HTTP/1.0, other bodies while nothing is written), the request is cancelled after the 0.1 s.

Evidence: on the code before, rows 2, 3, 4 and 6 of "A caller that closes its sending side gets its answer" failed (`ASSERT FAILED: b''`; the stream without its end). "A caller that has left is noticed soon" passes before and after, its limit is 0.5 s.

--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -138,3 +138,33 @@
     And an idle limit of 5.0 s, changed after 0.1 s to 0.1 s
     When 300 connections wait until the server has ended them
     Then at most 64 of them ended in one turn
+
+  Scenario Outline: A caller that closes its sending side gets its answer
+    Guards against an end of the input that is taken for a caller that has left.
+    Given a server of callers whose handler <does>
+    When on a connection that is closed for sending the caller waits, by <version>
+    Then this caller has <has>
+
+    Examples:
+      | does                  | version  | has                              |
+      | answers               | HTTP/1.1 | the whole answer                 |
+      | answers after 0.3 s   | HTTP/1.1 | the whole answer                 |
+      | answers after 2.0 s   | HTTP/1.1 | the whole answer                 |
+      | streams after 1.0 s   | HTTP/1.1 | the whole stream                 |
+      | sends after 1.0 s     | HTTP/1.1 | a part                           |
+      | answers after 0.05 s  | HTTP/1.0 | the whole answer                 |
+      | answers after 1.0 s   | HTTP/1.0 | nothing, as nothing may be asked |
+
+  Scenario Outline: A caller that has left is noticed soon
+    Guards against endpoints that go on with requests whose caller has left.
+    Given a server of callers whose handler <does>
+    When on a kept connection the caller leaves, by <version>
+    Then the handler was cancelled within 0.5 s
+
+    Examples:
+      | does                  | version  |
+      | answers after 5.0 s   | HTTP/1.1 |
+      | streams after 5.0 s   | HTTP/1.1 |
+      | sends after 5.0 s     | HTTP/1.1 |
+      | answers after 5.0 s   | HTTP/1.0 |
+      | streams after 5.0 s   | HTTP/1.0 |
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -16,6 +16,7 @@
 from behave import given, then, when
 
 from features.proxy_harness import (
+    EVENTS,
     MODEL,
     SCENARIO_TIMEOUT_S,
     open_proxy,
@@ -33,6 +34,11 @@
 SILENCE_S = 0.4
 
 
+def seconds_of(mode: str) -> float:
+    """Returns the seconds in a text that ends with `N s`."""
+    return float(mode.split()[-2])
+
+
 @attrs.define
 class ScriptedHandler:
     """Handler that does what its mode says.
@@ -40,13 +46,11 @@
     Attributes:
         mode: What it does.
         started: Set once it has a request.
-        may_answer: Set once it may answer, if it waits.
         ended_at: Times in seconds at which it ended without an answer.
     """
 
     mode: str
     started: anyio.Event = attrs.field(factory=anyio.Event)
-    may_answer: anyio.Event = attrs.field(factory=anyio.Event)
     ended_at: list[float] = attrs.field(factory=list)
 
     async def handle(self, req: Request, responder: Responder) -> None:
@@ -55,6 +59,10 @@
         match self.mode:
             case "waits":
                 await self._wait()
+            case mode if mode.startswith("answers after"):
+                await self._wait(seconds_of(mode))
+            case mode if "after" in mode:
+                return await self._stream(responder, seconds_of(mode))
             case "fails before the answer":
                 raise KeyError("x")
             case "fails within the answer":
@@ -72,9 +80,16 @@
                 return responder.abort()
         await responder.send(Answer(status=200, body=b"done"))
 
-    async def _wait(self) -> None:
+    async def _stream(self, responder: Responder, pause_s: float) -> None:
+        kind = b"text/event-stream" if "streams" in self.mode else b"text/plain"
+        await responder.start(200, ((b"content-type", kind),), EVENTS[0])
+        await self._wait(pause_s)
+        await responder.write(EVENTS[1])
+        await responder.end()
+
+    async def _wait(self, seconds: float = SCENARIO_TIMEOUT_S) -> None:
         try:
-            await self.may_answer.wait()
+            await anyio.sleep(seconds)
         except BaseException:
             self.ended_at.append(anyio.current_time())
             raise
@@ -426,3 +441,56 @@
 @then("at most {most:d} of them ended in one turn")
 def check_few_in_turn(context, most):
     assert 0 < max(context.ended_in_turn) <= most, max(context.ended_in_turn)
+
+
+@when(
+    "on a connection that is closed for sending the caller waits, by {version}"
+)
+def waits_half_closed(context, version):
+    async def scenario(fixture):
+        async with await fixture.connect() as stream:
+            await stream.send(REQUEST.replace(b"HTTP/1.1", version.encode()))
+            await stream.send_eof()
+            context.data = await receive_all(stream, 3.0)
+
+    run_with_server(context, scenario)
+
+
+@then("this caller has {has}")
+def check_has(context, has):
+    data = re.sub(rb"HTTP/1.1 100 \r\n\r\n", b"", context.data)
+    match has:
+        case "the whole answer":
+            assert data.startswith(b"HTTP/1.1 200"), context.data
+            assert data.endswith(b"\r\ndone"), context.data
+        case "the whole stream":
+            assert EVENTS[0] in data, context.data
+            assert EVENTS[1] in data, context.data
+            assert data.endswith(b"0\r\n\r\n"), context.data
+        case "a part":
+            assert EVENTS[0] in data, context.data
+            assert not data.endswith(b"0\r\n\r\n"), context.data
+        case _:
+            assert not data, context.data
+
+
+@when("on a kept connection the caller leaves, by {version}")
+def leaves(context, version):
+    async def scenario(fixture):
+        async with await fixture.connect() as stream:
+            await stream.send(REQUEST.replace(b"HTTP/1.1", version.encode()))
+            await fixture.handler.started.wait()
+            if not fixture.handler.mode.startswith("answers"):
+                # Unread bytes would make the close a reset.
+                await stream.receive()
+        left_at = anyio.current_time()
+        await fixture.server.drain(3.0)
+        (ended_at,) = fixture.handler.ended_at
+        context.noticed_s = ended_at - left_at
+
+    run_with_server(context, scenario)
+
+
+@then("the handler was cancelled within {limit:f} s")
+def check_noticed(context, limit):
+    assert context.noticed_s <= limit, context.noticed_s
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -19,6 +19,7 @@
 from knapweedarch.caller_ends import DropCause, cause_of_read_error
 from knapweedarch.deployments import CallerLimits
 from knapweedarch.exceptions import CallerGoneError
+from knapweedarch.half_close import wait_until_left
 from knapweedarch.http_messages import Answer, Headers, Request
 from knapweedarch.idle_connections import IdleConnections
 from knapweedarch.inbound_limits import RecentLimits
@@ -31,6 +32,8 @@
 LINGER_TIMEOUT_S = 1.0
 # Bytes that have arrived are received within a turn of the event loop.
 ARRIVED_TIMEOUT_S = 0.005
+EVENT_STREAM = b"text/event-stream"
+STREAM_COMMENT = b":\n\n"
 # SO_LINGER with a timeout of 0 s: closing the connection resets it.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # States of a server that has sent a whole response.
@@ -146,11 +149,19 @@
         self._input_end = DropCause.CALLER_CLOSED
         self._response_began = False
         self._ended_idle = False
+        self._takes_comments = False
+        # A probe may be written beside the response.
+        self._write_lock = anyio.Lock(fast_acquire=True)
+        self._write_count = self._writes_before_probe = 0
 
     @property
     def _aborted(self) -> bool:
         return self.drop_cause is not None
 
+    @property
+    def _socket(self) -> socket.socket:
+        return self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+
     async def run(self) -> None:
         """Serves requests until the connection ends."""
         try:
@@ -175,9 +186,10 @@
             return
         if self._h11.their_http_version == b"1.1":
             return
-        sock = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
 
     async def _serve_request(self) -> bool:
         """Serves a request; returns whether another may follow."""
@@ -379,11 +391,42 @@
         """
         while len(self._h11.trailing_data[0]) < READ_BYTES:
             if not await self._receive():
+                if self._input_end is DropCause.CALLER_CLOSED:
+                    self._writes_before_probe = self._write_count
+                    await wait_until_left(self._probe, self._socket)
                 self.abort(self._input_end)
                 scope.cancel()
                 return
         await anyio.sleep_forever()
 
+    async def _probe(self) -> bool:
+        """Writes something that the caller ignores.
+
+        Returns:
+            Whether a caller that has left can be told from one that waits. A
+            response that is being written is a probe of its own.
+        """
+        wrote = self._write_count > self._writes_before_probe
+        try:
+            match self._h11.our_state:
+                case h11.SEND_RESPONSE:
+                    if self._h11.their_http_version != b"1.1":
+                        return False
+                    await self.write(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                case h11.SEND_BODY if self._takes_comments:
+                    await self.write(h11.Data(STREAM_COMMENT))
+                case h11.SEND_BODY if not (wrote or self._is_writing()):
+                    return False
+        except CallerGoneError:
+            return False
+        self._writes_before_probe = self._write_count
+        return True
+
+    def _is_writing(self) -> bool:
+        return self._write_lock.locked()
+
     async def write_head(
         self, status: int, headers: Headers, first: bytes
     ) -> None:
@@ -399,6 +442,7 @@
         if first:
             data += self._h11.send(h11.Data(first))
         self._response_began = True
+        self._takes_comments = _is_event_stream(response)
         await self._send(data)
 
     async def write(self, event: h11.Event) -> None:
@@ -414,8 +458,10 @@
             raise CallerGoneError("the connection is closed")
         if not data:
             return
+        self._write_count += 1
         try:
-            await self._stream.send(data)
+            async with self._write_lock:
+                await self._stream.send(data)
         except STREAM_ERRORS as exc:
             self.abort(DropCause.WRITE_FAILED)
             raise CallerGoneError("the caller closed the connection") from exc
@@ -450,6 +496,13 @@
             log("late_bytes_dropped", bytes=dropped_bytes)
 
 
+def _is_event_stream(response: h11.Response) -> bool:
+    """Returns whether comments may be added to the body, between events."""
+    headers = dict(response.headers)
+    kind = headers.get(b"content-type", b"")
+    return kind.startswith(EVENT_STREAM) and b"content-length" not in headers
+
+
 def _check_framing(headers: Headers) -> None:
     """Rejects a request whose length is ambiguous.
 
