Let a gateway's chat outlast the end of its caller's input for 0.25 s

Hypercorn reports an end of the input as a disconnect, though its writes still work; the chat was cancelled at once. It now goes on for 0.25 s. That covers fast answers only: hypercorn sends no interim response for HTTP/1.1 and swallows failed writes, so nothing can probe the caller, and a chat whose caller has left must end within 0.5 s. Plain calls do not watch their caller and were always answered; a row now says so. A caller of a slower chat that closes its sending side still gets nothing; that remains.

--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -168,3 +168,27 @@
       | sends after 5.0 s     | HTTP/1.1 |
       | answers after 5.0 s   | HTTP/1.0 |
       | streams after 5.0 s   | HTTP/1.0 |
+
+  Scenario Outline: A gateway answers a caller that closed its sending side
+    Guards against the same behind the other HTTP server, whose writes do not
+    tell that a caller has left: a slow chat is still cancelled.
+    Given 1 routers
+    And a runner "a" that takes 1 ms per token
+    And a desk "d"
+    When a caller closes its sending side after the request for <kind>
+    Then the gateway sends <sends>
+
+    Examples:
+      | kind                    | sends     |
+      | a deposit               | an answer |
+      | a stream of 20 tokens   | an answer |
+      | a whole of 20 tokens    | an answer |
+      | a whole of 2000 tokens  | nothing   |
+
+  Scenario: A gateway notices soon that a caller has left
+    Guards against runners that go on with a chat whose caller has left.
+    Given 1 routers
+    And a runner "a" that takes 20 ms per token
+    When a caller closes its connection after the request for a whole of 2000 tokens
+    Then runner "a" received a cancel request
+    And the chat ended within 0.5 s
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -23,11 +23,13 @@
     receive_all,
     request,
 )
+from features.request_harness import chat_body
 from knapweedarch import inbound_limits
 from knapweedarch.deployments import CallerLimits
 from knapweedarch.http_inbound import InboundServer, Responder
 from knapweedarch.http_messages import Answer, Request
 from knapweedarch.timers import Clock
+from standins.fake_router import AUTHORIZATION
 
 REQUEST = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
 LAST_REQUEST = REQUEST.replace(b"Host", b"Connection: close\r\nHost")
@@ -494,3 +496,70 @@
 @then("the handler was cancelled within {limit:f} s")
 def check_noticed(context, limit):
     assert context.noticed_s <= limit, context.noticed_s
+
+
+def gateway_request(kind: str) -> bytes:
+    """Builds a request to a gateway: a deposit, or a chat of `N tokens`."""
+    path, body, key = "/services/booking/deposits", b"{}", "k"
+    if "tokens" in kind:
+        path, key = "/v1/chat/completions", ""
+        fields = chat_body(
+            stream="stream" in kind, max_tokens=int(kind.split()[-2])
+        )
+        body = json.dumps(fields).encode()
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: a\r\nIdempotency-Key: {key}\r\n"
+        f"Authorization: {AUTHORIZATION['authorization']}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+@contextlib.asynccontextmanager
+async def gateway_connection(context, kind: str):
+    """Opens a connection to the gateway and sends a request."""
+    host, port = context.harness.urls[0].removeprefix("http://").split(":")
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        await stream.send(gateway_request(kind))
+        yield stream
+
+
+@when("a caller closes its sending side after the request for {kind}")
+def half_closes_gateway(context, kind):
+    async def scenario():
+        async with gateway_connection(context, kind) as stream:
+            await stream.send_eof()
+            context.data = await receive_all(stream, SILENCE_S)
+
+    context.portal.call(scenario)
+
+
+@then("the gateway sends {sends}")
+def check_gateway_sends(context, sends):
+    begins, ends = b"HTTP/1.1 200", (b"}", b"0\r\n\r\n")
+    if sends == "nothing":
+        assert not context.data, context.data
+    else:
+        assert context.data.startswith(begins), context.data
+        assert context.data.endswith(ends), context.data
+
+
+@when("a caller closes its connection after the request for {kind}")
+def leaves_gateway(context, kind):
+    (runner,) = context.runners.values()
+
+    async def scenario():
+        async with gateway_connection(context, kind):
+            while not runner.load("")["running"]:
+                await anyio.lowlevel.checkpoint()
+        context.left_at = time.monotonic()
+        while runner.load("")["running"]:
+            await anyio.lowlevel.checkpoint()
+        context.ended_s = time.monotonic() - context.left_at
+
+    context.portal.call(scenario)
+
+
+@then("the chat ended within {limit:f} s")
+def check_chat_ended(context, limit):
+    assert context.ended_s <= limit, context.ended_s
--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -59,6 +59,9 @@
 SEND_REFUSED_MESSAGE = (
     "the router is not sending requests to runners at the moment"
 )
+# A chat goes on for this long after the end of its caller's input, in seconds.
+# The server does not tell whether the caller has left, nor if a write fails.
+END_OF_INPUT_GRACE_S = 0.25
 # A runner returns these errors before it starts to process a request.
 NOT_RUN_REASONS = frozenset(
     {
@@ -113,6 +116,8 @@
             async def watch() -> None:
                 nonlocal caller_disconnected
                 await call.wait_for_disconnect()
+                # The caller may wait, and have closed only its sending side.
+                await anyio.sleep(END_OF_INPUT_GRACE_S)
                 caller_disconnected = True
                 group.cancel_scope.cancel()
 
