Apply a changed limit of request heads to kept connections

What callers saw: after the limit of request heads was raised, a longer head that came in parts on a connection from before got 431, which callers do not repeat. h11 takes the limit only when a connection is created.

The parser is now replaced when a request begins under another limit; nothing but the bytes of that request is in it.

Evidence: before, "A head may be as long as a changed limit allows" `ASSERT FAILED: b'HTTP/1.1 431 \r\nconnection: close...`.

--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -103,6 +103,19 @@
     When on a kept connection the caller takes 0.3 s for a body after 0.2 s
     Then the answers are 200
 
+  Scenario: A head may be as long as a changed limit allows
+    Guards against a final refusal by a limit that is no longer in force.
+    Given a server of callers whose handler answers
+    And a head limit of 100 bytes, changed after 0.1 s to 1000 bytes
+    When on a kept connection the caller sends a head of 300 bytes in two parts
+    Then the answers are 200
+
+  Scenario: A request that was read with a stream of before the stop is answered
+    Guards against a request that is read and dropped after the last answer.
+    Given a server of callers whose handler streams after 0.2 s
+    When on a kept connection the caller sends a second one before the stop
+    Then the answers are 200 and 200
+
   Scenario Outline: A request that crosses the stop is answered
     Guards against a stop that cancels a request that was read, with no answer.
     Given a server of callers whose handler answers
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -563,3 +563,43 @@
 @then("the chat ended within {limit:f} s")
 def check_chat_ended(context, limit):
     assert context.ended_s <= limit, context.ended_s
+
+
+@given(
+    "a head limit of {before:d} bytes, changed after {at:f} s to {after:d}"
+    " bytes"
+)
+def changed_head_limit(context, before, at, after):
+    context.limits = CallerLimits(header_bytes=before)
+    context.change = (at, CallerLimits(header_bytes=after))
+
+
+@when(
+    "on a kept connection the caller sends a head of {size:d} bytes in two"
+    " parts"
+)
+def sends_long_head(context, size):
+    long = REQUEST.replace(b"Host", b"X: " + b"x" * size + b"\r\nHost")
+
+    async def scenario(fixture):
+        async with await fixture.connect() as stream:
+            await change_limits(context, fixture)
+            context.data = await exchange(
+                stream, long[:size], long[size:], pause_s=0.05
+            )
+
+    run_with_server(context, scenario)
+
+
+@when("on a kept connection the caller sends a second one before the stop")
+def sends_second(context):
+    async def scenario(fixture):
+        async with await fixture.connect() as stream:
+            await stream.send(REQUEST)
+            context.data = await stream.receive()
+            await stream.send(REQUEST)
+            await anyio.sleep(0.05)
+            fixture.server.stop_accepting()
+            context.data += await receive_all(stream, SILENCE_S)
+
+    run_with_server(context, scenario)
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -141,10 +141,8 @@
     ):
         self._server = server
         self._stream = stream
-        self._h11 = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=server.recent_limits.get().header_bytes,
-        )
+        self._head_limit = server.recent_limits.get().header_bytes
+        self._h11 = _create_parser(self._head_limit)
         self.drop_cause: DropCause | None = None
         self._input_end = DropCause.CALLER_CLOSED
         self._response_began = False
@@ -238,6 +236,8 @@
         if awaits_first_byte and not await self._wait_for_first_byte():
             return None
         limits = self._server.recent_limits.get()
+        if head is h11.NEED_DATA:
+            self._apply_head_limit(limits.header_bytes)
         began_at = self._server.clock.now()
         with anyio.fail_after(limits.header_s):
             while head is h11.NEED_DATA or awaits_first_byte:
@@ -273,6 +273,18 @@
         self._ended_idle = True
         return False
 
+    def _apply_head_limit(self, limit: int) -> None:
+        """Replaces the parser of a request that begins, if its limit changed.
+
+        h11 takes the limit only when a connection is created.
+        """
+        if limit == self._head_limit:
+            return
+        received, _ = self._h11.trailing_data
+        self._head_limit = limit
+        self._h11 = _create_parser(limit)
+        self._h11.receive_data(received)
+
     async def _read_body(self, limits: CallerLimits) -> bytes | None:
         """Reads the body; returns None if the connection ends first.
 
@@ -496,6 +508,10 @@
             log("late_bytes_dropped", bytes=dropped_bytes)
 
 
+def _create_parser(head_limit: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=head_limit)
+
+
 def _is_event_stream(response: h11.Response) -> bool:
     """Returns whether comments may be added to the body, between events."""
     headers = dict(response.headers)
