Keep a gateway's idle connections longer than load balancers do

A request that crosses this close by two turns of the loop is read, gets `http.disconnect`, and its connection is closed.

It cannot be mended from the application: the server closes the connection in the same step. So the limit is now 75 s, for balancers whose own limit is 60 s or less to close first. The window remains for callers that keep connections longer, and a silent connection holds its descriptor for longer.

--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -205,3 +205,10 @@
     When a caller closes its connection after the request for a whole of 2000 tokens
     Then runner "a" received a cancel request
     And the chat ended within 0.5 s
+
+  Scenario: A gateway keeps idle connections longer than the server's default
+    Guards against a request of a load balancer that crosses the close of an
+    idle connection: the server reads it, and cannot answer any more.
+    Given a gateway with the settings of a router
+    When a caller sends a request on a connection that was idle for 5.5 s
+    Then the gateway sends an answer
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -4,9 +4,11 @@
 import json
 import os
 import re
+import signal
 import socket
 import struct
 import time
+import types
 from collections.abc import AsyncIterator
 
 import anyio
@@ -28,7 +30,11 @@
 from knapweedarch.deployments import CallerLimits
 from knapweedarch.http_inbound import InboundServer, Responder
 from knapweedarch.http_messages import Answer, Request
+from knapweedarch.http_server import HttpServer
+from knapweedarch.metrics import create_metrics
+from knapweedarch.settings import Address
 from knapweedarch.timers import Clock
+from standins import serving
 from standins.fake_router import AUTHORIZATION
 
 REQUEST = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
@@ -603,3 +609,35 @@
             context.data += await receive_all(stream, SILENCE_S)
 
     run_with_server(context, scenario)
+
+
+@given("a gateway with the settings of a router")
+def gateway_with_settings(context):
+    context.settings = types.SimpleNamespace(
+        listen=Address("127.0.0.1", 0), max_streams=10, drain_s=0.1
+    )
+
+
+async def answer_asgi(scope, receive, send):
+    """Answers as an application behind the gateway's server."""
+    if scope["type"] == "lifespan":
+        return await serving.handle_lifespan(receive, send)
+    await serving.answer(send, 200, {})
+
+
+@when("a caller sends a request on a connection that was idle for {idle:f} s")
+def sends_after_idle(context, idle):
+    async def run():
+        server = HttpServer(context.settings, create_metrics(None, 0, "test"))
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.run, answer_asgi)
+            await anyio.sleep(0.1)
+            async with await anyio.connect_tcp(
+                "127.0.0.1", server.port
+            ) as stream:
+                await anyio.sleep(idle)
+                context.data = await exchange(stream, REQUEST)
+            # Only a signal ends the server without errors of its own.
+            signal.raise_signal(signal.SIGTERM)
+
+    anyio.run(run)
--- a/knapweedarch/http_server.py
+++ b/knapweedarch/http_server.py
@@ -24,6 +24,9 @@
 READY_GRACE_S = 1.0
 # Time that connections may stay open after the drain.
 SHUTDOWN_TIMEOUT_S = 1.0
+# Idle connections stay open longer than load balancers keep them, so that these
+# close them: a request that crosses the server's own close gets no answer.
+KEEP_ALIVE_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 32 * 1024
 BACKLOG = 1024
 
@@ -69,6 +72,7 @@
         cfg.bind = [f"fd://{self._listener.detach()}"]
         cfg.backlog = BACKLOG
         cfg.graceful_timeout = SHUTDOWN_TIMEOUT_S
+        cfg.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
         cfg.h11_max_incomplete_size = MAX_HEADER_BYTES
         cfg.accesslog = None
         cfg.errorlog = logging.getLogger("hypercorn.error")
