A silent runner is left in the gateway only for a reserved retry

What callers saw: a chat whose runner was silent for over 2 s ended with an error event `no_capacity` or `retries_exhausted`, although the runner would have gone on.

Cause: the watchdog of a stream cancelled it 2 s after the last event, and only then `place_retry` found that no other runner has the stream's weights and software, has capacity, is healthy and in time, or that the retries are used up.

Ruled out: a runner that is dead. It is still given up, at the time limit that a resumed stream has for its next token.

`retry` then does not ask the budget once more. The retry itself still waits in the queue for its runner, for up to the first-token limit, as before. Until the first event nothing changes: the limit there is the time limit of the request itself.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -130,6 +130,31 @@
     And polls up to 1.02 s return nothing
     And a poll at 1.2 s sends it to another runner
 
+  Scenario Outline: A retry is reserved only where another runner may go on
+    Guards against a silent attempt that is ended for a retry which then finds no
+    runner.
+    Given 2 runners with 8 slots
+    When a guest request arrives
+    And <situation>
+    Then no retry of it is reserved, and none is counted
+
+    Examples:
+      | situation                                 |
+      | the other runner leaves                   |
+      | the other runner has other software       |
+      | the other runner has no capacity          |
+      | the other runner is ejected               |
+      | the other runner has lost its feed        |
+      | the retries are used up                   |
+      | its own retries are used up               |
+
+  Scenario: A reserved retry is sent after all others are used up
+    Guards against a silent attempt that is ended for a retry which is then refused.
+    Given 2 runners with 8 slots
+    When a guest request arrives
+    And a retry of it is reserved, and then the retries are used up
+    Then its reserved retry is sent to the other runner
+
   Scenario: Retries stay within the budget
     Guards against retries that multiply the load when all runners fail.
     Given 3 runners
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -101,6 +101,29 @@
     Then the answer is an error "lease_expired" with outcome "not_run"
     And runner "a" ran 0 requests
 
+  # A sound runner may be silent for a moment. Guards against a stream that ends
+  # with an error although its runner would have gone on.
+  Scenario Outline: A silent runner is waited for while no other may go on
+    Given a runner "a" with fault "pause" at token 5
+    And <other>
+    When a caller asks for <kind> of 20 tokens
+    Then the caller has the whole text of 20 tokens
+    And no attempt failed
+
+    Examples:
+      | other                           | kind           |
+      | no other runner                 | a stream       |
+      | no other runner                 | a whole answer |
+      | a runner "b" with software "v9" | a stream       |
+      | a runner "b" without retries    | a stream       |
+
+  # Guards against a stream that waits without end for a runner that is dead.
+  Scenario: A dead runner is given up at the time limit of a token
+    Given a runner "a" with fault "silent" at token 5
+    When a caller asks for a stream of 20 tokens
+    Then the answer is an error "no_capacity" with outcome "run"
+    And attempts failed once with "stream_silent"
+
   # Guards against a planned stop that fails requests accepted before it.
   Scenario: A request accepted before a planned stop is resumed during it
     Given a runner "a" with fault "break" at token 5
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -336,6 +336,80 @@
     assert decision.attempt.number != context.failed_attempt.number
 
 
+def other_runner(context) -> models.Endpoint:
+    used = context.last_decision.attempt.endpoint.id
+    (other,) = (r for name, r in context.runners.items() if name != used)
+    return other
+
+
+def use_up_retries(context) -> None:
+    while context.sched._budget.try_spend():
+        pass
+
+
+@when("the other runner {situation}")
+def situation_of_other(context, situation):
+    other = other_runner(context)
+    match situation:
+        case "leaves":
+            is_leaving(context, other.id)
+        case "has other software":
+            has_software(context, other.id, "v9")
+        case "has no capacity":
+            report_all(context, 100, 0)
+        case "is ejected":
+            health, names = context.sched._health, [*context.runners, "r2"]
+            for _ in range(retries.RetryConfig().failures):
+                health.record_failure(other.id, names, 0.0)
+        case "has lost its feed":
+            context.sched.feed_lost(other.id, 0.0)
+
+
+@when("the retries are used up")
+def retries_used_up(context):
+    use_up_retries(context)
+
+
+@when("its own retries are used up")
+def use_up_own_retries(context):
+    ticket = context.last_decision.attempt.ticket
+    most = retries.RetryConfig().max_retries_per_request
+    context.sched._retry_counts[ticket.id] = most
+
+
+def reserve_retry(context) -> bool:
+    attempt = context.last_decision.attempt
+    ticket = attrs.evolve(
+        attempt.ticket, software_version=attempt.endpoint.software_version
+    )
+    return context.sched.reserve_retry(ticket, attempt, 0.0)
+
+
+@then("no retry of it is reserved, and none is counted")
+def check_not_reserved(context):
+    before = context.sched._budget._tokens
+    assert not reserve_retry(context)
+    assert context.sched._budget._tokens == before
+
+
+@when("a retry of it is reserved, and then the retries are used up")
+def reserve_last(context):
+    assert reserve_retry(context)
+    use_up_retries(context)
+
+
+@then("its reserved retry is sent to the other runner")
+def check_reserved_sent(context):
+    attempt = context.last_decision.attempt
+    other = other_runner(context)
+    context.sched.finished(
+        attempt, models.AttemptResult(models.RetryReason.STREAM_SILENT), 0.0
+    )
+    context.sched.retry(attempt.ticket, attempt, 0.0, is_reserved=True)
+    ((_, decision),) = context.sched.poll(0.2)
+    assert decision.attempt.endpoint.id == other.id, decision
+
+
 @when("{count:d} guest requests arrive and all attempts fail at once")
 def all_fail(context, count):
     context.retries = 0
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -109,6 +109,18 @@
     add_runner(context, name, software_version=version)
 
 
+@given("no other runner")
+def add_no_runner(context):
+    assert len(context.runners) == 1
+
+
+@given('a runner "{name:w}" without retries')
+def add_runner_without_retries(context, name):
+    add_runner(context, name)
+    for router in context.harness.routers:
+        router.retries_left = 0
+
+
 @given('a runner "{name:w}" that answers at once')
 def add_fast_runner(context, name):
     add_runner(context, name, token_ms=0.0)
@@ -621,6 +633,13 @@
     ]
 
 
+@then("no attempt failed")
+def check_none_failed(context):
+    for router in context.harness.routers:
+        failed = [n for n in router.counts if n.startswith("retried.")]
+        assert not failed, failed
+
+
 @then('the answer is an error "{reason}" with outcome "{outcome}"')
 def check_last_error(context, reason, outcome):
     check_error(context.answers[-1], reason, outcome)
--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -1,7 +1,9 @@
 """Runs chat requests: attempts at runners, resumes, and the response."""
 
 import contextlib
+import functools
 import json
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import anyio
@@ -186,6 +188,7 @@
         self._outcome = Outcome.NOT_RUN
         self._digests = digests
         self._broke_off = False
+        self._has_retry = False
 
     async def run(self) -> None:
         """Makes attempts until the response is complete or retries run out.
@@ -218,7 +221,8 @@
         result = AttemptResult(cancelled=True)
         relay = _AttemptRelay(
             *(self._router, self._state, self._sink, attempt, self.watchdog),
-            self._digests,
+            *(self._digests, functools.partial(self._reserve_retry, attempt)),
+            max(STREAM_IDLE_TIMEOUT_S, self._request.rule.first_token_s),
         )
         try:
             await self._relay_stream(attempt, attempt_id, relay)
@@ -326,20 +330,38 @@
         if self._state.started:
             if not self._state.resumable:
                 return Refuse(RefusalReason.NO_RESUME)
-            # Other weights or software would not continue the text generated so
-            # far. The next token gets the time limit of a first token.
-            self._ticket = attrs.evolve(
-                self._ticket,
-                weights_version=failed.endpoint.weights_version,
-                software_version=failed.endpoint.software_version,
-                deadline=self._router.clock.now()
-                + self._request.rule.first_token_s,
-            )
-        decision = await self._router.place_retry(self._ticket, failed)
+            self._ticket = self._resume_ticket(failed)
+        has_retry, self._has_retry = self._has_retry, False
+        decision = await self._router.place_retry(
+            self._ticket, failed, has_retry
+        )
         if self._state.started and isinstance(decision, Dispatch):
             self._router.count("streams.resumed")
         return decision
 
+    def _resume_ticket(self, failed: Attempt) -> Ticket:
+        """Returns the ticket of a stream that has begun.
+
+        Other weights or software would not continue the text generated so far.
+        The next token gets the time limit of a first token.
+        """
+        limit_s = self._request.rule.first_token_s
+        return attrs.evolve(
+            self._ticket,
+            weights_version=failed.endpoint.weights_version,
+            software_version=failed.endpoint.software_version,
+            deadline=self._router.clock.now() + limit_s,
+        )
+
+    def _reserve_retry(self, silent: Attempt) -> bool:
+        """Reserves a retry for a stream whose runner is silent."""
+        if self._held_s() or not self._state.resumable:
+            return False
+        self._has_retry = self._router.reserve_retry(
+            self._resume_ticket(silent), silent
+        )
+        return self._has_retry
+
     def _current_outcome(self) -> Outcome:
         return Outcome.RUN if self._state.started else self._outcome
 
@@ -372,6 +394,9 @@
         sent: Whether bytes of the request may have been written.
         cached_tokens: Prompt tokens found in the cache, if reported.
         digests: What the request has in common with others.
+        reserve_retry: Reserves a retry at another runner, if one may go on.
+        longest_gap_s: Time in seconds without an event after which the attempt
+            ends although no other runner may go on.
         events: Number of events received.
         has_head: Whether an answer has begun.
     """
@@ -382,6 +407,8 @@
     attempt: Attempt
     watchdog: Watchdog
     digests: RequestDigests
+    reserve_retry: Callable[[], bool]
+    longest_gap_s: float
     sent: bool = False
     events: int = 0
     has_head: bool = False
@@ -398,7 +425,7 @@
         """
         watchdog = self.watchdog
         with anyio.CancelScope() as scope:
-            watchdog.watch(scope)
+            watchdog.watch(scope, self.reserve_retry)
             watchdog.begin(Step.FIRST_EVENT, stream.first_event_s)
             self.has_head = True
             while events := await stream.read():
@@ -407,7 +434,10 @@
                 await self._deliver_chunks(events)
                 if self.state.finish is not None:
                     break
-                watchdog.begin(Step.NEXT_EVENT, STREAM_IDLE_TIMEOUT_S)
+                watchdog.begin(
+                    *(Step.NEXT_EVENT, STREAM_IDLE_TIMEOUT_S),
+                    self.longest_gap_s,
+                )
             watchdog.stop()
         if scope.cancelled_caught:
             raise self._timeout_error(stream)
@@ -451,7 +481,8 @@
                     "the first token did not arrive in time",
                 )
         return stream.create_error(
-            RetryReason.STREAM_SILENT, f"no event for {STREAM_IDLE_TIMEOUT_S} s"
+            RetryReason.STREAM_SILENT,
+            f"no event for {STREAM_IDLE_TIMEOUT_S} s or more",
         )
 
     async def _deliver_chunks(self, events) -> None:
--- a/knapweedarch/dispatcher.py
+++ b/knapweedarch/dispatcher.py
@@ -44,13 +44,12 @@
         return await self._await_decision(ticket, decision)
 
     async def place_retry(
-        self, ticket: Ticket, failed: Attempt
+        self, ticket: Ticket, failed: Attempt, is_reserved: bool
     ) -> Dispatch | Refuse:
         """Requests a further attempt and waits for the decision on it."""
         now = self._timers.clock.now()
-        return await self._await_decision(
-            ticket, self._scheduler.retry(ticket, failed, now)
-        )
+        decision = self._scheduler.retry(ticket, failed, now, is_reserved)
+        return await self._await_decision(ticket, decision)
 
     async def _await_decision(
         self, ticket: Ticket, decision: Decision
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -122,9 +122,22 @@
         """Waits for the placement decision for a request."""
 
     async def place_retry(
-        self, ticket: Ticket, failed: Attempt
+        self, ticket: Ticket, failed: Attempt, is_reserved: bool = False
     ) -> Dispatch | Refuse:
-        """Waits for the placement decision for a retry."""
+        """Waits for the placement decision for a retry.
+
+        Args:
+            ticket: The request.
+            failed: Its attempt that failed.
+            is_reserved: Whether `reserve_retry` has reserved the retry.
+        """
+
+    def reserve_retry(self, ticket: Ticket, silent: Attempt) -> bool:
+        """Reserves a retry of an attempt whose runner is silent.
+
+        Returns:
+            Whether another runner may go on; if not, nothing has changed.
+        """
 
     def service_endpoints(self, name: str) -> Sequence[Endpoint]:
         """Returns the active endpoints of a service, nearest first."""
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -228,10 +228,14 @@
         return await self._dispatcher.place(ticket)
 
     async def place_retry(
-        self, ticket: Ticket, failed: Attempt
+        self, ticket: Ticket, failed: Attempt, is_reserved: bool = False
     ) -> Dispatch | Refuse:
         """Waits for the placement decision for a retry."""
-        return await self._dispatcher.place_retry(ticket, failed)
+        return await self._dispatcher.place_retry(ticket, failed, is_reserved)
+
+    def reserve_retry(self, ticket: Ticket, silent: Attempt) -> bool:
+        """Reserves a retry of an attempt whose runner is silent."""
+        return self.scheduler.reserve_retry(ticket, silent, self.clock.now())
 
     async def _set_rules(self, version: int, text: str) -> None:
         try:
--- a/knapweedarch/scheduler.py
+++ b/knapweedarch/scheduler.py
@@ -185,13 +185,58 @@
                 self._release(ticket)
         return decision
 
+    def reserve_retry(
+        self, ticket: models.Ticket, silent: models.Attempt, now: float
+    ) -> bool:
+        """Counts a retry of a silent attempt if another runner may go on.
+
+        Its runner must be healthy, in time and have capacity now. The following
+        `retry` of the request is then called with `is_reserved`.
+
+        Returns:
+            Whether the retry is counted; if not, nothing has changed.
+        """
+        count = self._retry_counts.get(ticket.id, 0) + 1
+        if count > self._cfg.retry_cfg.max_retries_per_request:
+            return False
+        others = [
+            e
+            for e in self._capable(ticket)
+            if e.id != silent.endpoint.id
+            and e.id not in self._feed_lost
+            and not self._health.is_ejected(e.id, now)
+        ]
+        rank = self._queue(ticket.model).rank(
+            admission.QueuedRequest(ticket, now), now
+        )
+        choices = self._timely(
+            self._candidates(ticket, others, now), ticket, now
+        )
+        return (
+            any(
+                self._has_capacity(c.endpoint, ticket, rank, now)
+                for c in choices[: self._placer.tries]
+            )
+            and self._budget.try_spend()
+        )
+
     def retry(
-        self, ticket: models.Ticket, failed: models.Attempt, now: float
+        self,
+        ticket: models.Ticket,
+        failed: models.Attempt,
+        now: float,
+        is_reserved: bool = False,
     ) -> models.Decision:
         """Queues a request whose attempt failed, or refuses a further attempt.
 
         The ticket may differ from that of the failed attempt: a resumed
         stream requires a weights version and has a new deadline.
+
+        Args:
+            ticket: The request.
+            failed: Its attempt that failed.
+            now: Time in seconds.
+            is_reserved: Whether `reserve_retry` has counted the retry.
         """
         if failed.number in self._running:
             self.finished(
@@ -200,9 +245,8 @@
                 now,
             )
         count = self._retry_counts.get(ticket.id, 0) + 1
-        if (
-            count > self._cfg.retry_cfg.max_retries_per_request
-            or not self._budget.try_spend()
+        if count > self._cfg.retry_cfg.max_retries_per_request or not (
+            is_reserved or self._budget.try_spend()
         ):
             self._release(ticket)
             return models.Refuse(models.RefusalReason.RETRIES_EXHAUSTED)
@@ -385,17 +429,8 @@
         endpoints = self._eligible(ticket, entry.avoid, now)
         if not endpoints:
             return models.Refuse(models.RefusalReason.NO_CAPACITY)
-        candidates = self._placer.candidates(
-            ticket,
-            endpoints,
-            self._loads,
-            self._index.depths(ticket.blocks, now),
-            {e.id: self._cache_fill(e) for e in endpoints},
-            now,
-        )
-        timely = [
-            c for c in candidates if now + c.first_token_s < ticket.deadline
-        ]
+        candidates = self._candidates(ticket, endpoints, now)
+        timely = self._timely(candidates, ticket, now)
         if not timely:
             soonest = min(c.first_token_s for c in candidates)
             return models.Refuse(models.RefusalReason.DEADLINE, soonest)
@@ -409,6 +444,35 @@
         self._set_target(entry, timely[0].endpoint.id)
         return models.Wait()
 
+    def _candidates(
+        self,
+        ticket: models.Ticket,
+        endpoints: Sequence[models.Endpoint],
+        now: float,
+    ) -> list[placement.Candidate]:
+        """Returns runners with their costs, cheapest first."""
+        if not endpoints:
+            return []
+        return self._placer.candidates(
+            ticket,
+            endpoints,
+            self._loads,
+            self._index.depths(ticket.blocks, now),
+            {e.id: self._cache_fill(e) for e in endpoints},
+            now,
+        )
+
+    def _timely(
+        self,
+        candidates: Sequence[placement.Candidate],
+        ticket: models.Ticket,
+        now: float,
+    ) -> list[placement.Candidate]:
+        """Returns those that would send the first token in time."""
+        return [
+            c for c in candidates if now + c.first_token_s < ticket.deadline
+        ]
+
     def _set_target(self, entry: admission.QueuedRequest, target: str) -> None:
         """Sets a request's target and updates the counts per runner."""
         priority = entry.ticket.priority
@@ -458,12 +522,20 @@
         Ejected runners, runners whose feed is lost and runners in `avoid` are
         excluded as long as others remain.
         """
+        capable = self._capable(ticket)
+        healthy = [e for e in capable if not self._health.is_ejected(e.id, now)]
+        with_feed = [e for e in healthy if e.id not in self._feed_lost]
+        untried = [e for e in with_feed if e.id not in avoid]
+        return untried or with_feed or healthy or capable
+
+    def _capable(self, ticket: models.Ticket) -> list[models.Endpoint]:
+        """Returns the active runners with the versions of a request."""
         # Only a resumed stream requires versions. During a roll-out runners
         # with the older version keep serving, otherwise capacity would drop
         # to the few that have loaded the new one. A runner that reports no
         # version is excluded if the rules require one.
         version, software = ticket.weights_version, ticket.software_version
-        capable = [
+        return [
             e
             for e in self._endpoints.values()
             if ticket.model in e.serves
@@ -472,10 +544,6 @@
             and software in (None, e.software_version)
             and (e.weights_version or not self._versions.get(ticket.model))
         ]
-        healthy = [e for e in capable if not self._health.is_ejected(e.id, now)]
-        with_feed = [e for e in healthy if e.id not in self._feed_lost]
-        untried = [e for e in with_feed if e.id not in avoid]
-        return untried or with_feed or healthy or capable
 
     def _cache_fill(self, endpoint: models.Endpoint) -> float:
         if not endpoint.cache_blocks:
--- a/standins/fake_router.py
+++ b/standins/fake_router.py
@@ -132,14 +132,26 @@
         return self._choose(ticket, self.runners)
 
     async def place_retry(
-        self, ticket: Ticket, failed: Attempt
+        self, ticket: Ticket, failed: Attempt, is_reserved: bool = False
     ) -> Dispatch | Refuse:
         """Chooses another runner than the failed one while retries are left."""
-        if self.retries_left == 0:
+        if not is_reserved and not self._spend_retry():
             return Refuse(RefusalReason.RETRIES_EXHAUSTED)
+        return self._choose(ticket, self._others(failed))
+
+    def reserve_retry(self, ticket: Ticket, silent: Attempt) -> bool:
+        """Spends a retry if another runner has the versions of the ticket."""
+        choice = self._choose(ticket, self._others(silent))
+        return isinstance(choice, Dispatch) and self._spend_retry()
+
+    def _others(self, failed: Attempt) -> list[Endpoint]:
+        return [r for r in self.runners if r != failed.endpoint]
+
+    def _spend_retry(self) -> bool:
+        if self.retries_left == 0:
+            return False
         self.retries_left -= 1
-        others = [r for r in self.runners if r != failed.endpoint]
-        return self._choose(ticket, others)
+        return True
 
     def _choose(self, ticket: Ticket, runners) -> Dispatch | Refuse:
         if self.rotate:
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -3,6 +3,7 @@
 Fault modes of a stream at its token `at`, counted from 0 in each attempt:
 - `break` closes the connection.
 - `silent` sends nothing more.
+- `pause` sends nothing for `PAUSE_S` and then goes on.
 - `gap` skips a token.
 - `repeat` sends a token twice.
 - `crossed` sends a token with the id of another attempt.
@@ -29,6 +30,8 @@
 
 LOAD_REPORT_PERIOD_S = 0.2
 LOAD_WEIGHTS_S = 0.5
+# Longer than a router waits for an event if another runner may go on.
+PAUSE_S = 2.6
 DEFAULT_TOKENS = 32
 MAX_STATS_REQUESTS = 10_000
 
@@ -313,6 +316,8 @@
                 return
             if offset == at and mode == "silent":
                 await anyio.sleep_forever()
+            if offset == at and mode == "pause":
+                await anyio.sleep(PAUSE_S)
             if offset == at and mode == "gap":
                 continue
             chunk = self._chunk(job, offset, texts.token(digest, offset))
