A late call of a service is ended only for a reserved repeat

What callers saw: a call through the gateway that took more than half of its time got 502 `endpoint_failed` with outcome unknown, although the only endpoint of the service was about to answer, or although the call may not be repeated at all (POST without a key).

Cause: every attempt but the third got half of the remaining time, "kept for further attempts", without a look whether one may follow: not at a second endpoint, not for the method, not within the retry budget. With one endpoint the call was cut and sent to the same endpoint again.

Why this works: an attempt has all of the remaining time. From half of it on, and ten times a second, the router looks whether the next endpoint is another one that is still active and whether the budget has a retry, takes it in the same step, and only then ends the attempt. A dead desk is left as fast as before.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -117,6 +117,29 @@
       | a runner "b" with software "v9" | a stream       |
       | a runner "b" without retries    | a stream       |
 
+  # Guards against a call that is cut at half of its time for a repeat that no
+  # desk could take, or that may not be repeated at all.
+  Scenario Outline: A late desk is waited for while no other may repeat the call
+    Given a desk "d" with fault "delay" at 0.7
+    And <other>
+    When a caller sends a <method> without a key
+    Then the last answer has status 200
+    And no attempt failed
+
+    Examples:
+      | other                         | method |
+      | no other desk                 | GET    |
+      | a desk "e"                    | POST   |
+      | a desk "e", but no retry left | GET    |
+
+  # Guards against a call that waits for a dead desk although another is there.
+  Scenario: A dead desk is left at half of the time if another may repeat the call
+    Given a desk "d" with fault "delay" at 9
+    And a desk "e"
+    When a caller sends a GET without a key
+    Then the last answer has status 200
+    And attempts failed once with "first_token_timeout"
+
   # Guards against a stream that waits without end for a runner that is dead.
   Scenario: A dead runner is given up at the time limit of a token
     Given a runner "a" with fault "silent" at token 5
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -114,6 +114,31 @@
     assert len(context.runners) == 1
 
 
+@given("no other desk")
+def add_no_desk(context):
+    assert len(context.desks) == 1
+
+
+@given('a desk "{name:w}", but no retry left')
+def add_desk_without_retries(context, name):
+    add_plain_desk(context, name)
+    for gateway in context.harness.gateways:
+        while gateway._services._retry_budget.try_spend():
+            pass
+
+
+@when("a caller sends a {method} without a key")
+def call_without_key(context, method):
+    path = {"GET": "availability", "POST": "bookings"}[method]
+
+    async def run():
+        return await context.harness.call_service(
+            f"booking/{path}", method=method
+        )
+
+    context.answers.append(run_async(context, run))
+
+
 @given('a runner "{name:w}" without retries')
 def add_runner_without_retries(context, name):
     add_runner(context, name)
--- a/knapweedarch/adapters.py
+++ b/knapweedarch/adapters.py
@@ -162,6 +162,7 @@
         timeout_s: float,
         check_send: CheckSend,
         own_connection: bool = False,
+        leave: anyio.CancelScope | None = None,
     ) -> ServiceResponse:
         """Calls a plain service and reads the complete response.
 
@@ -175,6 +176,7 @@
             timeout_s: Timeout for the complete response in seconds.
             check_send: Called right before the first byte is written.
             own_connection: Whether to use a new connection, not a pooled one.
+            leave: Its cancellation ends the call before the timeout.
 
         Raises:
             EndpointError: No complete response to this request was received.
@@ -183,7 +185,7 @@
         exchange = self._exchange(method, endpoint.url + path, headers, body)
         exchange.request.extensions["own_connection"] = own_connection
         try:
-            with anyio.fail_after(timeout_s):
+            with anyio.fail_after(timeout_s), leave or anyio.CancelScope():
                 async with send(
                     self._transport, exchange, check_send, timeout_s
                 ):
@@ -193,6 +195,10 @@
                 RetryReason.FIRST_TOKEN_TIMEOUT,
                 f"no complete response within {timeout_s} s",
             ) from exc
+        raise exchange.create_error(
+            RetryReason.FIRST_TOKEN_TIMEOUT,
+            "no complete response yet, and another endpoint is free",
+        )
 
     async def follow_feed(self, endpoint: Endpoint) -> AsyncIterator[FeedItem]:
         """Yields load reports, cache snapshots and events until the feed ends.
--- a/knapweedarch/services.py
+++ b/knapweedarch/services.py
@@ -67,6 +67,10 @@
 MAX_STORED_BYTES = 64 * 1024
 MAX_RUNNING_CALLS = 256
 MAX_ATTEMPTS = 3
+# Fraction of the remaining time after which an attempt may be ended for another
+# endpoint, and the time between two looks whether one may repeat the call.
+LATE_FRACTION = 0.5
+LOOK_INTERVAL_S = 0.1
 RESERVE_TIMEOUT_S = 3.0
 SETTLE_TIMEOUT_S = 3.0
 # Settling is retried in the background for this long; after that the record
@@ -79,6 +83,21 @@
 MAX_POLL_INTERVAL_S = 1.0
 
 
+@attrs.define
+class _LateAttempt:
+    """When an attempt is ended for another endpoint.
+
+    Attributes:
+        successor: Endpoint of the next attempt; None if there is none.
+        has_retry: Whether that attempt is counted already.
+        scope: Ends the attempt.
+    """
+
+    successor: Endpoint | None = None
+    has_retry: bool = False
+    scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+
+
 class ServiceHandler:
     """Handles `/services/{service}/...`."""
 
@@ -187,6 +206,7 @@
         service_call: ServiceCall,
         limit_s: float,
         check_send: Callable[[], RefusalReason | None],
+        leave: anyio.CancelScope | None = None,
     ) -> ServiceResponse:
         attempt_id = f"{self._router.incarnation}/s{next(self._numbers)}"
 
@@ -203,6 +223,7 @@
                 limit_s,
                 check,
                 own_connection=bool(service_call.key),
+                leave=leave,
             )
         except SendRefusedError:
             raise
@@ -248,16 +269,12 @@
         written = False
         for number in range(MAX_ATTEMPTS):
             endpoint = endpoints[number % len(endpoints)]
-            # Half of the remaining time is kept for further attempts.
-            time_share = 1.0 if number == MAX_ATTEMPTS - 1 else 0.5
+            late = _LateAttempt()
+            if number + 1 < MAX_ATTEMPTS:
+                late.successor = endpoints[(number + 1) % len(endpoints)]
             try:
-                answer = await self._send(
-                    endpoint,
-                    service_call,
-                    time_share * self._remaining_s(service_call),
-                    functools.partial(
-                        reason_not_to_send, self._router.start_refusal
-                    ),
+                answer = await self._send_until_late(
+                    endpoint, service_call, late
                 )
                 return _check_size(answer)
             except SendRefusedError as exc:
@@ -266,7 +283,9 @@
                 written = written or exc.written
                 if written and service_call.method not in IDEMPOTENT_METHODS:
                     break
-                if not self._may_repeat(service_call, exc):
+                if not late.has_retry and not self._may_repeat(
+                    service_call, exc
+                ):
                     break
             # The first attempt at each endpoint needs no delay.
             if number + 1 >= len(endpoints):
@@ -278,6 +297,54 @@
             Outcome.UNKNOWN if written else Outcome.NOT_RUN,
         )
 
+    async def _send_until_late(
+        self, endpoint: Endpoint, service_call: ServiceCall, late: _LateAttempt
+    ) -> ServiceResponse:
+        """Sends a call; ends it when it is late and a retry is reserved."""
+        answer, failure = None, None
+        async with anyio.create_task_group() as group:
+            if (
+                late.successor not in (None, endpoint)
+                and service_call.method in IDEMPOTENT_METHODS
+            ):
+                group.start_soon(self._leave_when_late, service_call, late)
+            try:
+                answer = await self._send(
+                    *(endpoint, service_call, self._remaining_s(service_call)),
+                    functools.partial(
+                        reason_not_to_send, self._router.start_refusal
+                    ),
+                    late.scope,
+                )
+            except EndpointError as exc:
+                # Raised outside the task group, which would wrap it.
+                failure = exc
+            group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return answer
+
+    async def _leave_when_late(
+        self, service_call: ServiceCall, late: _LateAttempt
+    ) -> None:
+        delay_s = LATE_FRACTION * self._remaining_s(service_call)
+        while not late.has_retry:
+            await anyio.sleep(delay_s)
+            late.has_retry = self._reserve_retry(service_call, late.successor)
+            delay_s = LOOK_INTERVAL_S
+        late.scope.cancel()
+
+    def _reserve_retry(
+        self, service_call: ServiceCall, successor: Endpoint
+    ) -> bool:
+        """Counts a retry if its endpoint may get the call now."""
+        name = service_call.rule.name
+        return (
+            successor in self._router.service_endpoints(name)
+            and self._held_reason(service_call) is None
+            and self._retry_budget.try_spend()
+        )
+
     def _may_repeat(
         self, service_call: ServiceCall, exc: EndpointError
     ) -> bool:
