A long silence is logged once, not with each byte

Cause: each read began the wait anew, so an endpoint that sends bytes without events had the line `silence_borne` and its counter each tenth of a second.

Evidence, before (features/silence.feature, "A long silence is logged once"): ASSERT FAILED: 30

Why this works: a silence is known by the time at which it became too long, which moves only with an event.

--- a/features/silence.feature
+++ b/features/silence.feature
@@ -41,6 +41,11 @@
     When a caller sends a request that may run many times
     Then the caller gets status 200
 
+  # Guards against a log line for each byte of an endpoint that sends no events.
+  Scenario: A long silence is logged once
+    When a stream meets an endpoint that trickles, and no other one
+    Then its silence is counted once
+
   # Guards against an endpoint that is asked for once only: another one that is
   # free later would then never get the stream of a dead endpoint.
   Scenario: A silent endpoint is left as soon as another one may go on
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -67,11 +67,15 @@
 
 @attrs.frozen
 class Met:
-    """What a caller got, in which time, and what the other endpoint got."""
+    """What a caller got, in which time, and what the other endpoint got.
+
+    The silences that were counted as borne are noted as well.
+    """
 
     data: bytes
     took_s: float
     received: list[ReceivedRequest]
+    borne: int
 
 
 async def read_stream(port: int) -> tuple[bytes, float]:
@@ -111,7 +115,8 @@
             fixture.group.start_soon(release_later, fixture)
         data, took_s = await read_stream(fixture.port)
         received = [part for r in fixture.runners[1:] for part in r.received]
-        context.met[reason] = Met(data, took_s, received)
+        borne = fixture.metrics.counts["silences.borne"]
+        context.met[reason] = Met(data, took_s, received, borne)
 
 
 async def release_later(fixture: ProxyFixture) -> None:
@@ -141,6 +146,17 @@
     meet_all(context, does, ["another one is free"])
 
 
+@when("a stream meets an endpoint that trickles, and no other one")
+def meet_trickle(context):
+    meet_all(context, "sends bytes without events", ["there is none"])
+
+
+@then("its silence is counted once")
+def check_counted_once(context):
+    (met,) = context.met.values()
+    assert met.borne == 1, met.borne
+
+
 @when("a stream meets a dead endpoint and another one is free 1 s later")
 def meet_released(context):
     meet_all(context, SILENT_FOR_GOOD, ["it is free later"])
@@ -156,6 +172,8 @@
     check_whole(context)
     left = {why: met.received for why, met in context.met.items()}
     assert not any(left.values()), left
+    borne = {why: met.borne for why, met in context.met.items()}
+    assert set(borne.values()) == {1}, borne
 
 
 @then("each caller has the whole stream")
--- a/knapweedarch/silence_watch.py
+++ b/knapweedarch/silence_watch.py
@@ -42,7 +42,7 @@
         self._wakes_at = math.inf
         self._is_earlier = anyio.Event()
         self._is_running = False
-        self._is_borne = False
+        self._borne_due = -math.inf
         self._task_scope = anyio.CancelScope()
         self._wait_scope = anyio.CancelScope()
         self._error: Exception | None = None
@@ -91,7 +91,6 @@
 
     def _begin(self, due: float) -> None:
         self._due = due
-        self._is_borne = False
         if not self._is_running:
             self._is_running = True
             self._attempts.spawn(self._run)
@@ -125,8 +124,8 @@
         """Leaves the wait as it is until the next look."""
         now = self._attempts.now()
         self._look_at = now + LOOK_INTERVAL_S
-        if not self._is_borne:
-            self._is_borne = True
+        if self._due != self._borne_due:
+            self._borne_due = self._due
             self._attempts.metrics.count("silences.borne")
             log(
                 "silence_borne",
