--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -261,6 +261,21 @@
     Then both are answered by the runner's own answers
     And runner 1 accepted 2 connections
 
+  Scenario Outline: Idle connections are closed while others use the pool
+    Other tasks run while the first connection is closed. Guards against a router
+    that ends, and cuts all its requests, as a connection that its sweep of expired
+    ones is about to close is gone.
+    Given a proxied runner that answers
+    And 2 idle connections to it whose time has expired
+    When the pool closes expired connections while <other>
+    Then the 2 idle connections are closed
+
+    Examples:
+      | other                           |
+      | a request opens a connection    |
+      | it closes all idle connections  |
+      | it closes expired ones          |
+
   Scenario: A server that refuses new work completes its open requests
     Guards against a request that is accepted late in a drain and then cut off.
     Given a proxied runner that answers late
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -17,8 +17,12 @@
     receive_all,
     request,
 )
+from knapweedarch.attempt_scope import read_full_answer
 from knapweedarch.event_stream import EventSplitter
+from knapweedarch.http_messages import Request
+from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.models import RefusalReason
+from knapweedarch.timers import ManualClock
 
 ROUTE_NAMES = {
     "may run once": "once",
@@ -41,6 +45,11 @@
 )
 CHUNK_OF_EVENTS = rb"[0-9a-f]+\r\n((?:id: .*?\n\n)+)\r\n"
 FORGED = "forged-by-the-caller"
+# Longer than a connection to a runner that names no limit stays idle.
+EXPIRED_AFTER_S = 60.0
+CALL = Request(
+    method=b"GET", target=b"/many/x", headers=((b"host", HOST.encode()),)
+)
 
 
 def send_requests(context, *data: bytes, **options) -> list[RawAnswer]:
@@ -467,6 +476,61 @@
     assert context.runners[0].connections == count
 
 
+@given("{count:d} idle connections to it whose time has expired")
+def has_expired_connections(context, count):
+    context.idle_count = count
+
+
+@when("the pool closes expired connections while {other}")
+def closes_expired(context, other):
+    async def run():
+        clock = ManualClock()
+        async with open_proxy() as fixture, OutboundPool(clock) as pool:
+            runner = await fixture.add_runner(context.modes[0])
+            await leave_idle(pool, runner, context.idle_count)
+            clock.time += EXPIRED_AFTER_S
+            next_exchange = pool.exchange(runner.address, CALL, is_own)
+            tasks = {
+                "a request opens a connection": lambda: next_exchange.open(
+                    lambda: None
+                ),
+                "it closes all idle connections": pool.close_idle,
+                "it closes expired ones": pool.close_expired,
+            }
+            async with anyio.create_task_group() as group:
+                group.start_soon(pool.close_expired)
+                group.start_soon(tasks[other])
+            await runner.wait(
+                lambda: runner.closed_connections == context.idle_count
+            )
+            context.runners = fixture.runners
+
+    anyio.run(run)
+
+
+async def leave_idle(pool, runner, count: int) -> None:
+    """Leaves idle connections to a runner in a pool."""
+    exchanges = [
+        pool.exchange(runner.address, CALL, is_own) for _ in range(count)
+    ]
+    for exchange in exchanges:
+        await exchange.open(lambda: None)
+    for exchange in exchanges:
+        head = await exchange.send_request()
+        await read_full_answer(exchange, head)
+        await exchange.close(head)
+
+
+def is_own(headers) -> bool:
+    """Takes every answer for one to its own request."""
+    return True
+
+
+@then("the {count:d} idle connections are closed")
+def idle_are_closed(context, count):
+    assert context.runners[0].closed_connections == count
+
+
 @when("the server refuses new work with 1 request and 1 idle connection open")
 def refuses_new(context):
     async def run():
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -445,13 +445,26 @@
 
     async def close_expired(self) -> None:
         """Closes connections whose idle time has expired."""
+        for conn in self._take_expired():
+            await _close_connection(conn)
+
+    def _take_expired(self) -> list[_Connection]:
+        """Removes and returns the connections whose idle time has expired.
+
+        All are removed before the first one is closed: other tasks take and
+        add connections meanwhile.
+        """
         now = self._clock.now()
-        for address, idle in list(self._idle.items()):
-            for conn in [c for c in idle if c.idle_until <= now]:
-                idle.remove(conn)
-                await _close_connection(conn)
-            if not idle:
-                del self._idle[address]
+        kept: dict[str, list[_Connection]] = {}
+        expired = []
+        for address, idle in self._idle.items():
+            for conn in idle:
+                if conn.idle_until <= now:
+                    expired.append(conn)
+                else:
+                    kept.setdefault(address, []).append(conn)
+        self._idle = kept
+        return expired
 
 
 def _idle_limit_s(head: AnswerHead) -> float:
