Refuse a request that HTTP cannot carry instead of ending the router

What callers see: with a body of over 8 KiB, every request of the router ends without an answer, as its process ends; with a shorter one, only the caller's own request does (`request_failed`, way 1 of docs/incidents/bindery-lost.md). Now it gets 503, or its stream is broken off where it has begun; other requests go on.

Cause: h11 raises LocalProtocolError as the request is encoded, if a header has a value that HTTP has no form for. Nothing expected that error, and long bodies are encoded in a task of the pool's group, whose error ends the process. Values come from outside: the name of a customer in a configuration ("a\nb", " a", "\0" are accepted) and the id of the last event of a stream that is resumed ("2 ", "2\0", "2\f" from an endpoint).

Evidence: before, 1 byte: "ASSERT FAILED: [RawAnswer(data=b''), ..."; 9000 bytes: error "h11._util.LocalProtocolError: Illegal header value b'a\nb'" out of the pool. The resumed stream with 9000 bytes: "LocalProtocolError: Illegal header value b'2 '" out of the pool; its row with 1 byte passed before and stays as a guard.

Why this works: the request is encoded before anything is sent or started, and a LocalProtocolError becomes an ExchangeError with a reason and counter of its own (`request_unsendable`), logged by `attempt_ended`. Nothing was written, so that 503 is a true promise, and no runner is avoided for it (the second request of the test).

Not done: such names in a configuration are still accepted, as the platform's pages do not call them invalid.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -571,6 +571,34 @@
       | 127.0.0.1:99999  | may run once        |
       | 127.0.0.1:x      | may run once        |
 
+  Scenario Outline: A request that no header can carry to a runner is refused
+    The customer's name has a line end. Long bodies are sent by a task of their own.
+    Guards against a caller that gets no answer, against a router that ends with all
+    its requests, and against a runner that is avoided for it.
+    Given a proxied runner that answers
+    When a customer with a line end in its name sends <bytes> bytes, then another one
+    Then the first answer is a refusal and the second one a success
+    And runner 1 has received 1 requests
+
+    Examples:
+      | bytes |
+      | 1     |
+      | 9000  |
+
+  Scenario Outline: A stream whose last event id no header can carry is cut
+    Guards against a router that ends, with all its requests, as it resumes such a
+    stream with a long body.
+    Given a proxied runner that breaks off after the event id "2 "
+    And a proxied runner that streams
+    When a caller sends a request with <bytes> bytes that may be resumed
+    Then the relayed stream has no end
+    And runner 2 has received 0 requests
+
+    Examples:
+      | bytes |
+      | 1     |
+      | 9000  |
+
   Scenario Outline: A request that is whole only during a stop is refused
     Its caller sends the rest after the router has stopped to take requests.
     Guards against a request that is passed on late in a planned stop and cut at
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -296,6 +296,9 @@
                 await _stream_to_close(stream, received, 4, line_end=b"\r\n")
             case "ends before event 1 without a length":
                 await _stream_to_close(stream, received, 0)
+            case 'breaks off after the event id "2 "':
+                await _stream(stream, received, 1, b"id: 2 \ndata: x\n\n")
+                await stream.aclose()
             case "breaks off within event 3":
                 await _stream(stream, received, 2, b"id: 3\ndata: pie")
                 await stream.aclose()
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -4,6 +4,7 @@
 import re
 
 import anyio
+import attrs
 from behave import given, then, when
 
 from features.proxy_harness import (
@@ -18,6 +19,7 @@
     request,
 )
 from knapweedarch.attempt_scope import read_full_answer
+from knapweedarch.deployments import Customer
 from knapweedarch.event_stream import EventSplitter
 from knapweedarch.http_messages import Request
 from knapweedarch.http_outbound import OutboundPool
@@ -45,6 +47,7 @@
 )
 CHUNK_OF_EVENTS = rb"[0-9a-f]+\r\n((?:id: .*?\n\n)+)\r\n"
 FORGED = "forged-by-the-caller"
+ODD_KEY = "key-9"
 # Longer than a connection to a runner that names no limit stays idle.
 EXPIRED_AFTER_S = 60.0
 CALL = Request(
@@ -209,6 +212,36 @@
     send_requests(context, request("stream", prompt_headers(parts)))
 
 
+@when("a caller sends a request with {count:d} bytes that {kind}")
+def sends_bytes(context, count, kind):
+    send_requests(context, request(ROUTE_NAMES[kind], body=b"x" * count))
+
+
+@when(
+    "a customer with a line end in its name sends {count:d} bytes, then another"
+    " one"
+)
+def odd_customer_sends(context, count):
+    async def run():
+        async with open_proxy() as fixture:
+            await fixture.add_runner(context.modes[0])
+            usual = fixture.gateway.deployment
+            odd = Customer("a\nb", (ODD_KEY,))
+            fixture.gateway.set_deployment(
+                attrs.evolve(usual, customers=(*usual.customers, odd))
+            )
+            data = request(body=b"x" * count)
+            context.answers = [
+                await fixture.send(
+                    data.replace(KEY.encode(), ODD_KEY.encode())
+                ),
+                await fixture.send(data),
+            ]
+            context.runners = fixture.runners
+
+    anyio.run(run)
+
+
 @when("a caller sends headers that only the system may set")
 def sends_reserved_headers(context):
     extra = "".join(f"{name}: {FORGED}\r\n" for name in RESERVED_HEADERS)
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import functools
 import select
 from collections.abc import Awaitable, Callable
 
@@ -161,12 +162,13 @@
         Raises:
             ExchangeError: No valid answer to this request was received.
         """
+        data = self._encode()
         # The endpoint may answer before it has read a long body, so the answer
         # is read while the body is sent.
         if len(self._req.body) > MAX_INLINE_BODY_BYTES:
-            self._pool.spawn(self._send_in_background)
+            self._pool.spawn(functools.partial(self._send_in_background, data))
         else:
-            await self._send()
+            await self._send(data)
         for _ in range(MAX_MISMATCHED_ANSWERS):
             head = await self._read_head()
             if self._is_own_answer(head.headers):
@@ -176,21 +178,34 @@
             RetryReason.CROSSED_ANSWER, "answers belong to other requests"
         )
 
-    async def _send_in_background(self) -> None:
-        with self._send_scope:
-            await self._send()
+    def _encode(self) -> bytes:
+        """Returns the bytes of the request.
 
-    async def _send(self) -> None:
+        Raises:
+            ExchangeError: HTTP has no form for the request, as for a header
+                whose value has a line end; nothing was written.
+        """
         protocol = self._conn.protocol
-        head = h11.Request(
-            method=self._req.method,
-            target=self._req.target,
-            headers=list(self._req.headers),
-        )
-        data = protocol.send(head)
-        if self._req.body:
-            data += protocol.send(h11.Data(self._req.body))
-        data += protocol.send(h11.EndOfMessage())
+        try:
+            head = h11.Request(
+                method=self._req.method,
+                target=self._req.target,
+                headers=list(self._req.headers),
+            )
+            data = protocol.send(head)
+            if self._req.body:
+                data += protocol.send(h11.Data(self._req.body))
+            return data + protocol.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as exc:
+            raise self._create_error(
+                RetryReason.REQUEST_UNSENDABLE, str(exc)
+            ) from exc
+
+    async def _send_in_background(self, data: bytes) -> None:
+        with self._send_scope:
+            await self._send(data)
+
+    async def _send(self, data: bytes) -> None:
         self.written = True
         # After a failed write, reading returns an early answer or the error.
         with contextlib.suppress(*STREAM_ERRORS):
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -77,6 +77,7 @@
     WRONG_VERSION = "wrong_version"
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_ERROR = "endpoint_error"
+    REQUEST_UNSENDABLE = "request_unsendable"
 
 
 class Priority(enum.IntEnum):
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -646,7 +646,7 @@
             self._record_crash(call, endpoint, exc, progress)
         elif exc.reason is RetryReason.WRONG_INCARNATION:
             self.chooser.record_replaced(endpoint, now)
-        else:
+        elif exc.reason is not RetryReason.REQUEST_UNSENDABLE:
             self.chooser.record_connection_refused(endpoint, now)
         return self.record_failure(
             call,
