Keep the Host header where Connection lists it

Cause: what `Connection` lists is removed from the request as hop-by-hop, Host too, and a request without Host has no form in HTTP/1.1 ("LocalProtocolError: Missing mandatory Host: header"). RFC 9110, section 7.6.1: a sender must not list headers that all recipients need.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -203,6 +203,14 @@
     And the runner got no key
     And the runner was given less than 2000 ms
 
+  Scenario: A request whose Connection header lists Host is served
+    Guards against a request that is sent without its host, which has no form in
+    HTTP, and whose caller gets no answer.
+    Given a proxied runner that answers
+    When a caller sends a request with the header "Connection: x-odd, Host"
+    Then the caller gets status 200
+    And the runner got the customer "huts" and the instance "i-0"
+
   Scenario Outline: An ambiguous, oversized or unauthorised request is refused
     Guards against request smuggling, and against oversized or unauthorised
     requests that reach a runner.
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -259,6 +259,11 @@
 }
 
 
+@when('a caller sends a request with the header "{header}"')
+def sends_header(context, header):
+    send_requests(context, request(extra=f"{header}\r\n"))
+
+
 @when("a caller sends a request with {fault}")
 def sends_malformed(context, fault):
     send_requests(context, MALFORMED_REQUESTS[fault])
--- a/knapweedarch/http_messages.py
+++ b/knapweedarch/http_messages.py
@@ -30,11 +30,13 @@
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
-    """Removes hop-by-hop headers, also those that `Connection` lists."""
+    """Removes hop-by-hop headers, also those that `Connection` lists.
+
+    `Host` is kept: no request may be sent without it.
+    """
     connection_options = find_header(headers, b"connection").lower().split(b",")
-    hop_by_hop = HOP_BY_HOP_HEADERS.union(
-        name.strip() for name in connection_options
-    )
+    listed = {name.strip() for name in connection_options}
+    hop_by_hop = HOP_BY_HOP_HEADERS | listed - {b"host"}
     return tuple((k, v) for k, v in headers if k.lower() not in hop_by_hop)
 
 
