Read the numbers of callers' headers as digits 0 to 9 only

Cause: `str.isdigit` holds for digits that `int` refuses, such as a superscript 2 (byte B2), and `int` refuses more than 4300 digits, while a head may have 16 KiB. With 400 digits the division or a comparison with a float raises OverflowError. It concerned the deadline, the token counts and the parts of the prompt: "ValueError: invalid literal for int() with base 10" at headers.py:65, 167 and 183, "OverflowError: integer division result too large for a float" at headers.py:65 and "int too large to convert to float" at runner_roles.py:77.

Why this works: one function reads all of them, 1 to 15 digits from 0 to 9, as the answers of endpoints are read already. A number that cannot be read says nothing, as other text in its place did before; it isn't refused, so that a proper request is never denied for it. It is logged now (`request_header_malformed`).

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -203,6 +203,25 @@
     And the runner got no key
     And the runner was given less than 2000 ms
 
+  Scenario Outline: A number of a caller that cannot be read says nothing
+    Guards against a caller that gets no answer, since decoding its headers fails on
+    what Python takes for a digit, or on more digits than it converts.
+    Given a proxied runner that answers
+    When a caller sends <value> as its <name>
+    Then the caller gets status 200
+    And the body is the runner's
+
+    Examples:
+      | value         | name        |
+      | superscript 2 | deadline    |
+      | 400 digits    | deadline    |
+      | 5000 digits   | deadline    |
+      | superscript 2 | token count |
+      | 400 digits    | token count |
+      | 5000 digits   | token count |
+      | superscript 2 | prefix hash |
+      | 5000 digits   | prefix hash |
+
   Scenario: A request whose Connection header lists Host is served
     Guards against a request that is sent without its host, which has no form in
     HTTP, and whose caller gets no answer.
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -259,6 +259,25 @@
 }
 
 
+ODD_NUMBERS = {
+    "superscript 2": "\xb2",
+    "400 digits": "9" * 400,
+    "5000 digits": "9" * 5_000,
+}
+
+
+@when("a caller sends {value} as its {name}")
+def sends_odd_number(context, value, name):
+    number = ODD_NUMBERS[value].encode("latin-1")
+    data = request(extra=prompt_headers("p1:100"))
+    before, usual = {
+        "deadline": (b"Deadline-Ms: ", b"2000"),
+        "token count": (b"Token-Count: ", b"100"),
+        "prefix hash": (b"Prefix-Hash: p1:", b"100"),
+    }[name]
+    send_requests(context, data.replace(before + usual, before + number))
+
+
 @when('a caller sends a request with the header "{header}"')
 def sends_header(context, header):
     send_requests(context, request(extra=f"{header}\r\n"))
--- a/knapweedarch/dialects.py
+++ b/knapweedarch/dialects.py
@@ -24,6 +24,7 @@
         resumes: Id of the caller's attempt that brought the first event of
             that stream; empty if not named.
         prompt: The prompt; None if the request names no model.
+        malformed: Names of headers that cannot be read; they say nothing.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     last_event_id: str = ""
     resumes: str = ""
     prompt: Prompt | None = None
+    malformed: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -178,6 +178,12 @@
         507, "outcome_unknown", _W, "It is unknown whether a call was executed."
     ),
     Event(508, "request_malformed", _I, "A request could not be parsed."),
+    Event(
+        541,
+        "request_header_malformed",
+        _I,
+        "Numbers in headers of a request cannot be read and say nothing.",
+    ),
     Event(
         509,
         "request_refused_early",
--- a/knapweedarch/proxy_gateway.py
+++ b/knapweedarch/proxy_gateway.py
@@ -93,6 +93,12 @@
         self._metrics.count("requests.started")
         options = self._dialect.read_options(req)
         responder.request_id = options.request_id
+        if options.malformed:
+            log(
+                "request_header_malformed",
+                request=options.request_id,
+                headers=list(options.malformed),
+            )
         if not self.started.is_set():
             await self._wait_for_first_lease(options)
         match self._admit(req, options):
