Pass on an answer whose idle limit has too many digits

Cause: the `timeout` of the endpoint's Keep-Alive header is converted as its connection is put aside, before the answer is passed on: "OverflowError: int too large to convert to float" with 400 digits, "ValueError: Exceeds the limit (4300 digits)" with 5000, both at http_outbound.py:449.

Evidence: both rows failed before, the callers got no byte ("A request failed with an internal error").

Why this works: a limit of more than 9 digits counts as none is named.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -288,6 +288,18 @@
     Then both are answered by the runner's own answers
     And runner 1 accepted 2 connections
 
+  Scenario Outline: An answer with an odd idle limit is passed on
+    Guards against a whole answer that its caller doesn't get, since the limit fails
+    to be converted as the connection is put aside.
+    Given a proxied runner that names an idle limit of <digits> digits
+    When a caller sends 2 requests one after the other
+    Then both are answered by the runner's own answers
+
+    Examples:
+      | digits |
+      | 400    |
+      | 5000   |
+
   Scenario Outline: Idle connections are closed while others use the pool
     Other tasks run while the first connection is closed. Guards against a router
     that ends, and cuts all its requests, as a connection that its sweep of expired
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -214,6 +214,13 @@
             case "is full and asks for a wait of 1 s":
                 wait = "X-Knapweedarch-Not-Executed: 1\r\nRetry-After: 1\r\n"
                 await stream.send(_response(request_id, b"", "503 Full", wait))
+            case (
+                "names an idle limit of 400 digits"
+                | "names an idle limit of 5000 digits"
+            ):
+                digits = "9" * int(self.mode.split()[-2])
+                limit = f"Keep-Alive: timeout={digits}\r\n"
+                await stream.send(_response(request_id, BODY, extra=limit))
             case "answers late":
                 await anyio.sleep(LATE_ANSWER_S)
                 await stream.send(_response(request_id, BODY))
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import functools
+import re
 import select
 from collections.abc import Awaitable, Callable
 
@@ -26,6 +27,8 @@
 CONNECT_TIMEOUT_S = 0.35
 # Assumed idle timeout of endpoints that send no keep-alive timeout.
 DEFAULT_IDLE_S = 3.0
+# More digits are malformed; Python converts no more than some thousand.
+WHOLE_SECONDS = re.compile(rb"[0-9]{1,9}")
 # Subtracted from the endpoint's idle timeout, since the endpoint may close the
 # connection while a request is on its way.
 IDLE_MARGIN_S = 0.6
@@ -486,6 +489,6 @@
     """Returns how long a connection may stay idle, in seconds."""
     for part in head.header(b"keep-alive").split(b","):
         name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.isdigit():
+        if name.lower() == b"timeout" and WHOLE_SECONDS.fullmatch(value):
             return max(0.0, int(value) - IDLE_MARGIN_S)
     return DEFAULT_IDLE_S - IDLE_MARGIN_S
