Proxy: an endpoint that does not say when it started is asked once a connection

Cause: an endpoint without a start in its report was asked again before each stream that goes on, as the moment of the question was kept only for those that name one.

--- a/knapweedarch/endpoint_identity.py
+++ b/knapweedarch/endpoint_identity.py
@@ -39,7 +39,7 @@
 
 
 class EndpointIdentities:
-    """Endpoints that have said which incarnation they are.
+    """Endpoints that were asked which incarnation they are.
 
     Args:
         port: Asks endpoints.
@@ -60,7 +60,7 @@
         self._heard_at = heard_at
         self._clock = clock
         self._metrics = metrics
-        # When each incarnation, by id, was asked that has said who it is.
+        # When each incarnation, by id, was asked that has not said another.
         self._asked_at: dict[tuple[str, str], float] = {}
         # When a connection to an endpoint broke last, by its id.
         self._broken_at: dict[str, float] = {}
@@ -112,8 +112,7 @@
         found = await self._ask(endpoint)
         if found is None:
             self._metrics.count("identities.unsaid")
-            return
-        if found != endpoint.incarnation:
+        elif found != endpoint.incarnation:
             raise self._replaced(endpoint, found)
         self._asked_at[key] = asked_at
 
