Room for a resume is judged by loads that are known

What callers would have seen: where many routers run and the loads of the others are not known, a dead endpoint is waited for until the request's time is over.

Cause: without fresh loads a router multiplies its own by the number of routers. That orders endpoints, but as a condition for a resume it made each of them full: at 195 routers one request counts as 69.

Why this works: the condition uses all loads while they are fresh, and a router's own requests alone otherwise.

--- a/features/silence.feature
+++ b/features/silence.feature
@@ -71,6 +71,18 @@
     When a stream meets a dead endpoint, one that turns it away and a third one
     Then each caller has the whole stream
 
+  # Guards against a dead endpoint that is never left by a router that does not know
+  # the loads of the others, since it takes each of its own requests for many.
+  Scenario Outline: Without the loads of others a router still finds room
+    When one of <routers> routers has a request at each of 4 endpoints of 8 slots
+    Then it finds one with room while the loads of the others are unknown
+    And it finds none once they are known to fill all slots
+
+    Examples:
+      | routers |
+      | 9       |
+      | 195     |
+
   # Load: a spell in which many endpoints are silent at once, at each router.
   # Guards against silences that use up the repeats of the service, so that
   # requests at endpoints that really end are lost afterwards.
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -17,19 +17,24 @@
     request,
 )
 from knapweedarch.chats import _AttemptRelay
+from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
 from knapweedarch.exceptions import EndpointError
 from knapweedarch.http_outbound import AnswerHead
 from knapweedarch.models import (
     Attempt,
+    Endpoint,
+    EndpointKind,
     EndpointStatus,
     Priority,
     RetryReason,
     Ticket,
 )
+from knapweedarch.relay_messages import EndpointLoad, endpoint_digest
 from knapweedarch.repeat_budget import RepeatBudget
 from knapweedarch.request_digests import RequestDigests
 from knapweedarch.silence_watch import SilenceWatch
 from knapweedarch.state import ControlState
+from knapweedarch.stored_parts import PartsIndex
 from knapweedarch.streams import Chunk, StreamState
 from knapweedarch.timers import ManualClock
 from knapweedarch.watchdogs import Watchdog
@@ -232,6 +237,43 @@
     assert sum(context.broken) >= sum(context.silent), context.broken
 
 
+@when(
+    "one of {count:d} routers has a request at each of 4 endpoints of 8 slots"
+)
+def request_at_each(context, count):
+    context.chooser = EndpointChooser(ChoiceConfig(), PartsIndex())
+    context.chooser.set_router_count(count)
+    context.endpoints = [
+        Endpoint(
+            *(f"i-{n}", "1", f"http://10.0.0.{n}:80", EndpointKind.SERVICE),
+            *(("desk",),),
+            slots=8,
+        )
+        for n in range(4)
+    ]
+    for endpoint in context.endpoints:
+        context.chooser.record_sent(endpoint, None, 0, 0.0)
+
+
+def endpoint_with_room(context) -> Endpoint | None:
+    return context.chooser.choose(
+        context.endpoints, None, (), 0.0, needs_room=True
+    )
+
+
+@then("it finds one with room while the loads of the others are unknown")
+def check_room(context):
+    assert endpoint_with_room(context) is not None
+
+
+@then("it finds none once they are known to fill all slots")
+def check_no_room(context):
+    digests = [endpoint_digest(e.id) for e in context.endpoints]
+    loads = [EndpointLoad(digest, 7, 0, 0) for digest in digests]
+    context.chooser.set_peer_loads(loads, 0.0)
+    assert endpoint_with_room(context) is None
+
+
 class LateStream:
     """Brings its second event as its runner is left."""
 
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -237,7 +237,8 @@
                 plain services.
             barred: Ids of endpoints that may not get the request now.
             cautious: Ids of endpoints that get it only if they have room.
-            needs_room: Whether any endpoint gets it only if it has room.
+            needs_room: Whether any endpoint gets it only if it has room, as far
+                as loads are known.
         """
         untried = [
             e for e in endpoints if e.id not in tried and e.id not in barred
@@ -252,10 +253,7 @@
             usable = [
                 e
                 for e in usable
-                if not _is_full(
-                    *(e, self._total_load(e, self._stats[e.id])),
-                    *(prompt, memory_tokens),
-                )
+                if not _is_full(e, self._known_load(e), prompt, memory_tokens)
             ]
         if cautious:
             usable = self._with_room(usable, cautious, prompt, memory_tokens)
@@ -591,6 +589,16 @@
             found[endpoint.id] = cached.leading_tokens(shared[text], now)
         return found
 
+    def _known_load(self, endpoint: Endpoint) -> EndpointLoad:
+        """Returns the load at an endpoint without any that is estimated."""
+        stats = self._stats[endpoint.id]
+        if self._peer_loads_fresh:
+            return self._total_load(endpoint, stats)
+        return EndpointLoad(
+            *(stats.digest, stats.requests + stats.claimed),
+            *(stats.unread_tokens, stats.held_tokens),
+        )
+
     def _total_load(
         self, endpoint: Endpoint, stats: _EndpointStats
     ) -> EndpointLoad:
