--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -10,6 +10,7 @@
 import time
 import types
 from collections.abc import AsyncIterator
+from unittest import mock
 
 import anyio
 import anyio.lowlevel
@@ -129,12 +130,14 @@
 async def open_server(context) -> AsyncIterator[CallersServer]:
     """Opens a server with the handler and the limits of the scenario."""
     limits = getattr(context, "limits", CallerLimits())
-    inbound_limits.CHANGE_GRACE_S = GRACE_S
     fixture = CallersServer(ScriptedHandler(context.mode), limits)
     fixture.server = InboundServer(
         fixture.handler.handle, Clock(), lambda: fixture.limits
     )
-    with anyio.fail_after(SCENARIO_TIMEOUT_S):
+    with (
+        anyio.fail_after(SCENARIO_TIMEOUT_S),
+        mock.patch.object(inbound_limits, "CHANGE_GRACE_S", GRACE_S),
+    ):
         async with anyio.create_task_group() as group:
             fixture.stop = group.cancel_scope
             fixture.port = await group.start(
