Sleep while a stop drains soon after a change of limits

What callers would have seen: streams that drain slowly at a stop which comes within 2 s of a change of any limit. After a stop the loop waits for nothing but new waits, which end by themselves.

--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -152,6 +152,14 @@
     When 300 connections wait until the server has ended them
     Then at most 64 of them ended in one turn
 
+  Scenario: A stop soon after a change of limits leaves the processor to requests
+    Guards against a loop that never sleeps while a router drains.
+    Given a server of callers whose handler answers after 1.0 s
+    And an idle limit of 5.0 s, changed after 0.1 s to 1.0 s
+    When the server is stopped after the change while a request is under way
+    Then the answers are 200
+    And at most 0.4 s of processor time were used meanwhile
+
   Scenario Outline: A caller that closes its sending side gets its answer
     Guards against an end of the input that is taken for a caller that has left.
     Given a server of callers whose handler <does>
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -430,6 +430,27 @@
     assert name not in context.log_stream.getvalue()
 
 
+@when("the server is stopped after the change while a request is under way")
+def stops_after_change(context):
+    async def scenario(fixture):
+        async with await fixture.connect() as stream:
+            await change_limits(context, fixture)
+            await stream.send(REQUEST)
+            await fixture.handler.started.wait()
+            fixture.server.stop_accepting()
+            began_s = time.process_time()
+            await fixture.server.drain(3.0)
+            context.used_s = time.process_time() - began_s
+            context.data = await receive_all(stream, SILENCE_S)
+
+    run_with_server(context, scenario)
+
+
+@then("at most {most:f} s of processor time were used meanwhile")
+def check_used(context, most):
+    assert context.used_s <= most, context.used_s
+
+
 @when("{count:d} connections wait until the server has ended them")
 def many_wait(context, count):
     context.ended_in_turn = []
--- a/knapweedarch/idle_connections.py
+++ b/knapweedarch/idle_connections.py
@@ -86,8 +86,9 @@
         for scope in due:
             del self._waits[scope]
             scope.cancel()
+        if self._stopped:
+            return len(due), math.inf
         # A wait that begins later is not due before `limit_s` from now.
         first = next(iter(self._waits.values()), now)
-        next_due = math.inf if self._stopped else first + limit_s
         lapse = self._limits.next_change()
-        return len(due), min(next_due, lapse or math.inf) - now
+        return len(due), min(first + limit_s, lapse or math.inf) - now
