Let requests that are half read become whole at a stop

What callers saw: a request whose last bytes came after a stop had begun ended without an answer if no other request was under way, and got 503 if one was. Cause: the drain waits for requests that were read whole. With none it returned at once, and the process ended with those on their way, and with those that the stop had just let read on. Evidence: before, "A request that is half read at the stop is still answered" fails at "the server was not drained before". The drain now waits, for at most 1 s, until no request is being read, and then for those that were read, within its limit as before.

--- a/features/inbound.feature
+++ b/features/inbound.feature
@@ -160,6 +160,13 @@
     Then the answers are 200
     And at most 0.4 s of processor time were used meanwhile
 
+  Scenario: A request that is half read at the stop is still answered
+    Guards against a stop that ends at once, since no request is whole yet.
+    Given a server of callers whose handler answers
+    When the rest of a request comes 0.2 s after the stop
+    Then the answers are 200
+    And the server was not drained before
+
   Scenario Outline: A caller that closes its sending side gets its answer
     Guards against an end of the input that is taken for a caller that has left.
     Given a server of callers whose handler <does>
--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -451,6 +451,33 @@
     assert context.used_s <= most, context.used_s
 
 
+@when("the rest of a request comes {after:f} s after the stop")
+def comes_after_stop(context, after):
+    drained = anyio.Event()
+
+    async def drain(fixture):
+        await fixture.server.drain(3.0)
+        drained.set()
+
+    async def scenario(fixture):
+        async with await fixture.connect() as stream:
+            await stream.send(REQUEST[:-2])
+            await anyio.sleep(0.1)
+            fixture.server.stop_accepting()
+            async with anyio.create_task_group() as group:
+                group.start_soon(drain, fixture)
+                await anyio.sleep(after)
+                context.drained_first = drained.is_set()
+                context.data = await exchange(stream, REQUEST[-2:])
+
+    run_with_server(context, scenario)
+
+
+@then("the server was not drained before")
+def check_not_drained(context):
+    assert not context.drained_first
+
+
 @when("{count:d} connections wait until the server has ended them")
 def many_wait(context, count):
     context.ended_in_turn = []
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -10,7 +10,7 @@
 import contextlib
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import anyio
 import anyio.abc
@@ -34,6 +34,9 @@
 ARRIVED_TIMEOUT_S = 0.005
 EVENT_STREAM = b"text/event-stream"
 STREAM_COMMENT = b":\n\n"
+# Time in seconds that requests on their way get at a stop, and between looks.
+READ_DRAIN_S = 1.0
+DRAIN_INTERVAL_S = 0.01
 # SO_LINGER with a timeout of 0 s: closing the connection resets it.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # States of a server that has sent a whole response.
@@ -235,6 +238,13 @@
         )
         if awaits_first_byte and not await self._wait_for_first_byte():
             return None
+        with self._server.reading():
+            return await self._read_whole(head, awaits_first_byte)
+
+    async def _read_whole(
+        self, head: object, awaits_first_byte: bool
+    ) -> Request | None:
+        """Reads a request of which bytes have arrived; see `_read_request`."""
         limits = self._server.recent_limits.get()
         if head is h11.NEED_DATA:
             self._apply_head_limit(limits.header_bytes)
@@ -582,6 +592,7 @@
         self.idle = IdleConnections(self.recent_limits, clock)
         self.closing = self.refusing = False
         self.active = 0
+        self._reading = 0
         self._accept_scope = anyio.CancelScope()
         self._no_active_requests = anyio.Event()
 
@@ -617,6 +628,15 @@
             log("connection_failed", reason=traceback_text(exc))
             await anyio.aclose_forcefully(stream)
 
+    @contextlib.contextmanager
+    def reading(self) -> Iterator[None]:
+        """Counts a request that is being read, for the drain."""
+        self._reading += 1
+        try:
+            yield
+        finally:
+            self._reading -= 1
+
     def record_request_start(self, conn: InboundConnection) -> None:
         """Records that a request was read."""
         self.active += 1
@@ -642,8 +662,19 @@
         self.idle.stop()
 
     async def drain(self, timeout_s: float) -> None:
-        """Waits until no request is active, or until the timeout."""
+        """Waits until no request is active, or until the timeout.
+
+        Requests of which a part has arrived get a moment to become whole.
+        """
         with anyio.move_on_after(timeout_s):
+            await self._drain_reading()
             while self.active:
                 self._no_active_requests = anyio.Event()
                 await self._no_active_requests.wait()
+
+    async def _drain_reading(self) -> None:
+        with anyio.move_on_after(READ_DRAIN_S):
+            while True:
+                if not (self._reading or len(self.idle)):
+                    return
+                await anyio.sleep(DRAIN_INTERVAL_S)
