Stand-in: name each port of a deployment once

The background step of deployment.feature failed once beside load with "members: duplicate host and port": the kernel named a port twice, as the probe that got it first was closed.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -77,6 +77,7 @@
             self._endpoint_host = f"{network}.{FIRST_ENDPOINT_NUMBER + 1}"
         self.processes: dict[str, Process] = {}
         self.metrics_ports: dict[str, int] = {}
+        self._used_ports: set[int] = set()
         names = [f"member-{i}" for i in range(1, members + 1)]
         self.members = [
             {"name": n, "host": self.host, "port": self._free_port()}
@@ -91,9 +92,14 @@
             self.kill(name)
 
     def _free_port(self) -> int:
-        with socket.socket() as probe:
-            probe.bind((self.host, 0))
-            return probe.getsockname()[1]
+        while True:
+            with socket.socket() as probe:
+                probe.bind((self.host, 0))
+                port = probe.getsockname()[1]
+            # The kernel may name a port again that nothing listens on yet.
+            if port not in self._used_ports:
+                self._used_ports.add(port)
+                return port
 
     def _start(self, name: str, command: list[str]) -> Process:
         environment = dict(os.environ, PYTHONPATH=str(ROOT))
