Ask a silent endpoint once for many streams, and bar it for those streams only

What callers would have seen: while an endpoint is silent for a moment, streams that go on there ask it when it started, and get no answer within 0.3 s. That counted as a refused connection, so that the router avoided a sound endpoint for 2 s for all requests, one after the other. Cause: one reason for two things; and each stream asked for itself, with a connection of its own that nothing closed again. The gateway's pool checks again that a connection is idle right before it closes it. Evidence: before, "An endpoint that does not answer when asked serves other requests" fails with "ASSERT FAILED: 20", the questions of 20 streams where 4 may be. Ran: proxy, observability, routing and silence features.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -521,6 +521,16 @@
       | has started again            | 0     | 1      |
       | does not say when it started | 1     | 0      |
 
+  Scenario: An endpoint that does not answer when asked serves other requests
+    Streams that go on ask it when it started. Guards against a sound endpoint,
+    silent for a moment, that all requests avoid as if it refused connections, and
+    against a question for each of many streams.
+    Given a proxied runner that streams
+    And runner 1 does not answer when asked, which the router has not heard
+    When 20 callers at once take up streams that began at software v1
+    Then the caller gets status 200
+    And runners were asked at most 4 times when they started
+
   Scenario: A router does not resume its stream at an endpoint that started again
     Guards against a stream that a router joins from two software versions, as
     one of its endpoints started again while the router was out of step.
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -46,6 +46,9 @@
 # must leave time for a retry would time out.
 LATE_ANSWER_S = 1.2
 
+# Incarnation of a runner that does not answer when it is asked for it.
+SILENT = "silent"
+
 BODY = b'{"seats":2}'
 CHUNK = b"10000\r\n" + b"a" * 65_536 + b"\r\n"
 # What a runner does that is silent for some seconds and then goes on.
@@ -598,7 +601,10 @@
     async def incarnation(self, endpoint: Endpoint) -> str | None:
         """Returns the incarnation of a runner, as the runner says."""
         self.asked.append(endpoint.id)
-        return next(r.born for r in self.runners if r.id == endpoint.id)
+        born = next(r.born for r in self.runners if r.id == endpoint.id)
+        if born == SILENT:
+            await anyio.sleep_forever()
+        return born
 
     def endpoints(self) -> list[Endpoint]:
         """Returns the endpoints of all runners."""
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -13,6 +13,7 @@
     HOST,
     KEY,
     MODEL,
+    SILENT,
     RawAnswer,
     open_proxy,
     receive_all,
@@ -101,7 +102,11 @@
 
 @given("runner {number:d} {has_started_again}, which the router has not heard")
 def started_again(context, number, has_started_again):
-    born = {"has started again": "2", "does not say when it started": None}
+    born = {
+        "has started again": "2",
+        "does not say when it started": None,
+        "does not answer when asked": SILENT,
+    }
     context.born = getattr(context, "born", {})
     context.born[number] = born[has_started_again]
 
@@ -165,11 +170,35 @@
     context.known_age_s = age
 
 
+@when("{count:d} callers at once take up streams that began at software v1")
+def take_up_at_once(context, count):
+    extra = "Last-Event-Id: 2\r\nResumes: r0\r\n"
+
+    async def run():
+        async with open_proxy() as fixture:
+            fixture.origins.versions["r0"] = "v1"
+            for number, mode in enumerate(context.modes, 1):
+                runner = await fixture.add_runner(mode, "v1")
+                runner.born = context.born[number]
+            async with anyio.create_task_group() as group:
+                for _ in range(count):
+                    group.start_soon(fixture.send, request("resume", extra), 2)
+            context.asked = fixture.asked
+            context.answer = await fixture.send(request("stream"), 2)
+
+    anyio.run(run)
+
+
 @when("callers send {count:d} requests that may be resumed")
 def sends_streams(context, count):
     send_requests(context, *(request("resume") for _ in range(count)))
 
 
+@then("runners were asked at most {count:d} times when they started")
+def check_asked_at_most(context, count):
+    assert len(context.asked) <= count, len(context.asked)
+
+
 @then("runners were asked {count:d} times when they started")
 def check_asked(context, count):
     assert len(context.asked) == count, context.asked
--- a/knapweedarch/endpoint_identity.py
+++ b/knapweedarch/endpoint_identity.py
@@ -62,14 +62,18 @@
         self._metrics = metrics
         # When each incarnation, by id, was asked that has not said another.
         self._asked_at: dict[tuple[str, str], float] = {}
+        # When each incarnation was asked last that did not answer.
+        self._unanswered_at: dict[tuple[str, str], float] = {}
+        self._asking: dict[tuple[str, str], anyio.Lock] = {}
         # When a connection to an endpoint broke last, by its id.
         self._broken_at: dict[str, float] = {}
 
     def retain(self, kept: Iterable[Endpoint]) -> None:
         """Forgets all incarnations but those given."""
         keys = {(e.id, e.incarnation) for e in kept}
-        for gone in self._asked_at.keys() - keys:
-            del self._asked_at[gone]
+        for known in (self._asked_at, self._unanswered_at, self._asking):
+            for gone in known.keys() - keys:
+                del known[gone]
         for gone in self._broken_at.keys() - {
             endpoint_id for endpoint_id, _ in keys
         }:
@@ -106,27 +110,30 @@
                 answer. Nothing of the request was written.
         """
         key = (endpoint.id, endpoint.incarnation)
-        if self._asked_at.get(key, -math.inf) >= opened_at:
-            return
-        asked_at = self._clock.now()
-        found = await self._ask(endpoint)
-        if found is None:
-            self._metrics.count("identities.unsaid")
-        elif found != endpoint.incarnation:
-            raise self._replaced(endpoint, found)
-        self._asked_at[key] = asked_at
+        # Streams that come together share one question.
+        async with self._asking.setdefault(key, anyio.Lock()):
+            if self._asked_at.get(key, -math.inf) >= opened_at:
+                return
+            if self._unanswered_at.get(key, -math.inf) >= opened_at:
+                raise _unanswered("asked for another stream")
+            asked_at = self._clock.now()
+            found = await self._ask(endpoint)
+            if found is None:
+                self._metrics.count("identities.unsaid")
+            elif found != endpoint.incarnation:
+                raise self._replaced(endpoint, found)
+            self._asked_at[key] = asked_at
 
     async def _ask(self, endpoint: Endpoint) -> str | None:
+        asked_at = self._clock.now()
         try:
             with anyio.fail_after(CHECK_TIMEOUT_S):
                 return await self._port.incarnation(endpoint)
         except (ExchangeError, TimeoutError) as exc:
+            key = (endpoint.id, endpoint.incarnation)
+            self._unanswered_at[key] = asked_at
             self._metrics.count("identities.unanswered")
-            raise ExchangeError(
-                RetryReason.CONNECT_REFUSED,
-                f"the endpoint does not say who it is: {exc!r}",
-                written=False,
-            ) from exc
+            raise _unanswered(repr(exc)) from exc
 
     def _replaced(self, endpoint: Endpoint, found: str) -> ExchangeError:
         self._metrics.count("identities.replaced")
@@ -146,3 +153,11 @@
             f"incarnation {found} answers",
             written=False,
         )
+
+
+def _unanswered(reason: str) -> ExchangeError:
+    return ExchangeError(
+        RetryReason.IDENTITY_UNKNOWN,
+        f"the endpoint does not say who it is: {reason}",
+        written=False,
+    )
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -78,6 +78,7 @@
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_ERROR = "endpoint_error"
     REQUEST_UNSENDABLE = "request_unsendable"
+    IDENTITY_UNKNOWN = "identity_unknown"
 
 
 class Priority(enum.IntEnum):
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -54,6 +54,12 @@
 # share the store's network bandwidth.
 SAVES_PER_S = 1.2
 MALFORMED_LOG_INTERVAL_S = 60.0
+# The connection broke or was refused: the endpoint may have started again.
+BREAK_REASONS = CRASH_REASONS | {RetryReason.CONNECT_REFUSED}
+# Why nothing was written although the endpoint may be sound for other requests.
+OWN_REASONS = frozenset(
+    (RetryReason.REQUEST_UNSENDABLE, RetryReason.IDENTITY_UNKNOWN)
+)
 
 
 @attrs.frozen
@@ -640,13 +646,14 @@
             if exc.written
             else ExecutionStatus.NOT_RUN
         )
-        self._identities.record_broken(endpoint)
+        if exc.reason in BREAK_REASONS:
+            self._identities.record_broken(endpoint)
         if exc.written:
             self.chooser.record_failure(endpoint, now)
             self._record_crash(call, endpoint, exc, progress)
         elif exc.reason is RetryReason.WRONG_INCARNATION:
             self.chooser.record_replaced(endpoint, now)
-        elif exc.reason is not RetryReason.REQUEST_UNSENDABLE:
+        elif exc.reason not in OWN_REASONS:
             self.chooser.record_connection_refused(endpoint, now)
         return self.record_failure(
             call,
--- a/knapweedarch/transports.py
+++ b/knapweedarch/transports.py
@@ -216,8 +216,10 @@
     async def close_idle(self) -> None:
         """Closes the connections without an exchange."""
         for pool in list(self._pools.values()):
-            for conn in [c for c in pool.connections if c.is_idle()]:
-                await conn.aclose()
+            for conn in pool.connections:
+                # Each close lets other tasks take a connection.
+                if conn.is_idle():
+                    await conn.aclose()
 
     def _create_pool(
         self, max_idle_connections: int
