--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -86,17 +86,17 @@
     Then its version is <found> within 0.8 s
 
     Examples:
-      | member             | leader               | found   |
-      | knows v2           | is not reached       | v2      |
-      | knows nothing      | names only v1        | v1      |
-      | knows nothing      | names v1 and v2      | unknown |
-      | knows nothing      | is not reached       | unknown |
-      | is not reached     | names only v1        | unknown |
-      | is not reached     | knows v2             | v2      |
-      | does not answer    | knows v2             | v2      |
-      | does not answer    | is not reached       | unknown |
-      | is asked twice and knows v2 | names only v1 | v2    |
-      | knows nothing      | knows v2             | v2      |
+      | member                      | leader          | found   |
+      | knows v2                    | is not reached  | v2      |
+      | knows nothing               | names only v1   | v1      |
+      | knows nothing               | names v1 and v2 | unknown |
+      | knows nothing               | is not reached  | unknown |
+      | is not reached              | names only v1   | unknown |
+      | is not reached              | knows v2        | v2      |
+      | does not answer             | knows v2        | v2      |
+      | does not answer             | is not reached  | unknown |
+      | is asked twice and knows v2 | names only v1   | v2      |
+      | knows nothing               | knows v2        | v2      |
 
   Scenario Outline: Routers out of step find the version or none
     Routers are cut off, one way too, frozen or killed, and members cut off from
