Hold the counts of an endpoint by its incarnation

Cause: the chooser held counts by id. Each result of an earlier incarnation replaced those of the present one by an empty set, and the requests of before were subtracted from it. retain() dropped the counts of an endpoint that one list left out, with the same end.

Ruled out: parts that exceed the prompt's tokens (the requests of the case agree; a fault of its own), large counts (cut to the field).

Change: counts are held by id and incarnation, in a module of their own, until the requests counted in them have ended. So one is subtracted only where it was added. The gateway's scheduler asks for the incarnation already; a scenario holds it to that.

--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -15,12 +15,12 @@
 import attrs
 import xxhash
 
-from knapweedarch.exponential import decay_factor
+from knapweedarch.endpoint_stats import EndpointStats, EndpointStatsTable
 from knapweedarch.load_relay import no_load
 from knapweedarch.models import Endpoint
 from knapweedarch.prefill_rates import PrefillRates
 from knapweedarch.prompt_parts import Prompt
-from knapweedarch.relay_messages import EndpointLoad, endpoint_digest
+from knapweedarch.relay_messages import EndpointLoad
 from knapweedarch.runner_roles import RunnerRoles, WorkMix, is_prompt_heavy
 from knapweedarch.stored_parts import PartsIndex, shared_digests
 from knapweedarch.target_weights import TargetWeights
@@ -102,62 +102,6 @@
     fetch_cost_ratio: float = 0.25
 
 
-@attrs.define
-class _EndpointStats:
-    """Observations of one incarnation of an endpoint by this router.
-
-    Attributes:
-        incarnation: Incarnation that was observed.
-        digest: Hash of the endpoint's id in messages of loads.
-        requests: Requests that have not ended.
-        unread_tokens: Their prompt tokens that are still to be prefilled.
-        held_tokens: Their prompt tokens and maximum answer tokens.
-        failures: Decayed number of failures.
-        successes: Decayed number of successes.
-        decayed_at: Time up to which outcomes are decayed.
-        claimed: Requests that count as under way since the endpoint had less
-            room than was known.
-        claimed_until: Time until which they count.
-        avoided_until: Time until which the endpoint gets no requests.
-        refused_until: The same after a connection that failed.
-        lateness_s: Decayed moving average of the time by which answers missed
-            the latency goal.
-    """
-
-    incarnation: str
-    digest: int
-    requests: int = 0
-    unread_tokens: int = 0
-    held_tokens: int = 0
-    failures: float = 0.0
-    successes: float = 0.0
-    decayed_at: float = 0.0
-    claimed: int = 0
-    claimed_until: float = -math.inf
-    avoided_until: float = -math.inf
-    refused_until: float = -math.inf
-    lateness_s: float = 0.0
-
-    @property
-    def next_use_at(self) -> float:
-        """Time from which the endpoint gets requests."""
-        return max(self.avoided_until, self.refused_until)
-
-    def decay(self, now: float, half_life_s: float) -> None:
-        """Decays the outcomes for the time since the last decay."""
-        if self.claimed_until <= now:
-            self.claimed = 0
-        factor = decay_factor(now - self.decayed_at, half_life_s)
-        self.failures *= factor
-        self.successes *= factor
-        self.lateness_s *= factor
-        self.decayed_at = now
-
-    def failure_rate(self) -> float:
-        """Returns the ratio of recent failures, with one success assumed."""
-        return self.failures / (self.failures + self.successes + 1.0)
-
-
 class EndpointChooser:
     """Tracks loads and outcomes of endpoints and chooses among them."""
 
@@ -166,7 +110,7 @@
         self._router_count = 1
         self._cfg = cfg
         self._index = index
-        self._stats: dict[str, _EndpointStats] = {}
+        self._stats = EndpointStatsTable(cfg.failure_half_life_s)
         self._silent: set[str] = set()
         self._peer_loads: dict[int, EndpointLoad] = {}
         self._peer_loads_at = -math.inf
@@ -290,7 +234,7 @@
         found = []
         for endpoint in usable:
             if endpoint.id in cautious:
-                load = self._total_load(endpoint, self._stats[endpoint.id])
+                load = self._total_load(endpoint, self._stats.get(endpoint))
                 if _is_full(endpoint, load, prompt, memory_tokens):
                     continue
                 room = (endpoint.slots - load.requests) / endpoint.slots
@@ -305,7 +249,7 @@
         """Returns whether an endpoint is neither silent nor avoided."""
         return (
             endpoint.address not in self._silent
-            and self._stats_of(endpoint, now).next_use_at <= now
+            and self._stats.at(endpoint, now).next_use_at <= now
         )
 
     def record_activity(self, address: str) -> None:
@@ -331,7 +275,7 @@
             unread_tokens: Prompt tokens that the runner has to prefill.
             now: Seconds on the router's clock.
         """
-        stats = self._stats_of(endpoint, now)
+        stats = self._stats.at(endpoint, now)
         stats.requests += 1
         if prompt is not None:
             rate = self._rates.rate(prompt.model)
@@ -345,8 +289,8 @@
         self, endpoint: Endpoint, unread_tokens: int
     ) -> None:
         """Records that a runner has prefilled the prompt of a request."""
-        stats = self._stats.get(endpoint.id)
-        if stats is not None and stats.incarnation == endpoint.incarnation:
+        stats = self._stats.get(endpoint)
+        if stats is not None:
             stats.unread_tokens -= unread_tokens
 
     def record_ended(self, endpoint: Endpoint, prompt: Prompt | None) -> None:
@@ -354,8 +298,8 @@
 
         Its unread tokens must have been removed by `record_prompt_read`.
         """
-        stats = self._stats.get(endpoint.id)
-        if stats is None or stats.incarnation != endpoint.incarnation:
+        stats = self._stats.get(endpoint)
+        if stats is None:
             return
         stats.requests -= 1
         if prompt is not None:
@@ -363,14 +307,7 @@
 
     def own_loads(self) -> tuple[EndpointLoad, ...]:
         """Returns the load of this router's own requests."""
-        return tuple(
-            EndpointLoad(
-                *(stats.digest, stats.requests + stats.claimed),
-                *(stats.unread_tokens, stats.held_tokens),
-            )
-            for stats in self._stats.values()
-            if stats.requests + stats.claimed
-        )
+        return self._stats.loads()
 
     def set_peer_loads(self, loads: Iterable[EndpointLoad], now: float) -> None:
         """Sets the loads reported for all other routers together."""
@@ -395,23 +332,23 @@
                 it was met.
             now: Seconds on the router's clock.
         """
-        stats = self._stats_of(endpoint, now)
+        stats = self._stats.at(endpoint, now)
         stats.successes += 1.0
         stats.lateness_s += 0.3 * (max(0.0, lateness_s) - stats.lateness_s)
 
     def record_failure(self, endpoint: Endpoint, now: float) -> None:
         """Records a failed request."""
-        self._stats_of(endpoint, now).failures += 1.0
+        self._stats.at(endpoint, now).failures += 1.0
 
     def record_connection_refused(self, endpoint: Endpoint, now: float) -> None:
         """Records a refused connection and avoids the endpoint for a while."""
-        stats = self._stats_of(endpoint, now)
+        stats = self._stats.at(endpoint, now)
         stats.failures += 1.0
         stats.refused_until = now + self._cfg.refused_backoff_s
 
     def forget_refused_connections(self) -> None:
         """Uses endpoints again whose connections failed."""
-        for stats in self._stats.values():
+        for stats in self._stats:
             stats.refused_until = -math.inf
 
     def record_replaced(self, endpoint: Endpoint, now: float) -> None:
@@ -419,43 +356,28 @@
 
         This incarnation of the endpoint gets no more requests.
         """
-        self._stats_of(endpoint, now).avoided_until = math.inf
+        self._stats.at(endpoint, now).avoided_until = math.inf
 
     def claim_room(self, endpoint: Endpoint, now: float) -> None:
         """Lets an endpoint that had no room look fuller, to all routers.
 
         They learn of it with the loads, before they are turned away as well.
         """
-        stats = self._stats_of(endpoint, now)
+        stats = self._stats.at(endpoint, now)
         stats.claimed += max(1, round(self._cfg.claimed_room * endpoint.slots))
         stats.claimed_until = now + self._cfg.claim_s
 
     def record_overload(self, endpoint: Endpoint, now: float) -> None:
         """Records that an endpoint is full and avoids it for a moment."""
-        self._stats_of(endpoint, now).avoided_until = (
+        self._stats.at(endpoint, now).avoided_until = (
             now + self._cfg.busy_backoff_s
         )
 
     def retain(self, kept: Iterable[Endpoint]) -> None:
-        """Discards the state of all endpoints but those given."""
+        """Discards the state of endpoints that are not used any more."""
         found = list(kept)
-        ids = {e.id for e in found}
-        addresses = {e.address for e in found}
-        for gone in self._stats.keys() - ids:
-            del self._stats[gone]
-        self._silent &= addresses
-
-    def _stats_of(self, endpoint: Endpoint, now: float) -> _EndpointStats:
-        stats = self._stats.get(endpoint.id)
-        if stats is None or stats.incarnation != endpoint.incarnation:
-            stats = _EndpointStats(
-                endpoint.incarnation,
-                endpoint_digest(endpoint.id),
-                decayed_at=now,
-            )
-            self._stats[endpoint.id] = stats
-        stats.decay(now, self._cfg.failure_half_life_s)
-        return stats
+        self._stats.retain(found)
+        self._silent &= {e.address for e in found}
 
     def _cost(
         self,
@@ -481,7 +403,7 @@
             max_cached_tokens: Largest `cached_tokens` of any endpoint with the
                 same weights, from which the parts can be fetched.
         """
-        cfg, stats = self._cfg, self._stats[endpoint.id]
+        cfg, stats = self._cfg, self._stats.get(endpoint)
         distance_s = cfg.distance_s.get(
             endpoint.data_centre, cfg.unlisted_distance_s
         )
@@ -553,7 +475,7 @@
 
     def tokens_ahead(self, endpoint: Endpoint) -> int:
         """Returns the tokens that a runner has to prefill at the moment."""
-        stats = self._stats.get(endpoint.id)
+        stats = self._stats.get(endpoint)
         if stats is None:
             return 0
         return self._total_load(endpoint, stats).unread_tokens
@@ -591,16 +513,13 @@
 
     def _known_load(self, endpoint: Endpoint) -> EndpointLoad:
         """Returns the load at an endpoint without any that is estimated."""
-        stats = self._stats[endpoint.id]
+        stats = self._stats.get(endpoint)
         if self._peer_loads_fresh:
             return self._total_load(endpoint, stats)
-        return EndpointLoad(
-            *(stats.digest, stats.requests + stats.claimed),
-            *(stats.unread_tokens, stats.held_tokens),
-        )
+        return stats.load()
 
     def _total_load(
-        self, endpoint: Endpoint, stats: _EndpointStats
+        self, endpoint: Endpoint, stats: EndpointStats
     ) -> EndpointLoad:
         """Returns the load of all routers at an endpoint.
 
