Leave out spoiled cache events, and let no feed end its process

Cause: the decoder of cache events took any text, which a digest then encodes (UnicodeEncodeError), and a feed's task expected ExchangeError only, so any other error ended the member's task group.

Change: an event that cannot be read is left out, counted and logged; an unexpected error ends one poll of one feed, in members and routers; numbers of events are checked where they are parsed.

Changed check: 'Cache events that cannot be read are refused' held that one bad row refuses the whole list. That kept all events of such a runner unread for good.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -90,10 +90,14 @@
       | "born": "1700000000123" | refused       |
       | "born": 1.5             | refused       |
 
-  Scenario Outline: Cache events that cannot be read are refused
-    Guards against malformed events that enter the index of cached parts.
+  # One spoiled event ended every member that read it, and kept all other events
+  # of its runner from being read.
+  Scenario Outline: A cache event that cannot be read is left out
+    Guards against malformed events that enter the index of cached parts, and
+    against events of a faulty runner that no member can go on with.
     When cache events with the row <row> arrive
-    Then the cache events are refused
+    Then the row is left out and counted, and the others are kept
+    And each part that is kept has a digest
 
     Examples:
       | row                                |
@@ -101,6 +105,31 @@
       | [1, "+", 7, "p", 5, "m"]           |
       | {"number": 1}                      |
       | ["1", "+", "s", "p", 5, "m"]       |
+      | [1, "+", "s", "5c\ud83d7a", 5, "m"] |
+      | [1, "+", "\udc00s", "p", 5, "m"]   |
+      | [1, "-", "s", "\ud83d", 5, "m"]    |
+      | [1, "+", "s"]                      |
+      | [true, "+", "s", "p", 5, "m"]      |
+      | null                               |
+      | []                                 |
+
+  Scenario: Any cache events are either refused or can be used
+    Guards against an error other than a refusal, which ended the process.
+    Then 3000 random lists of cache events are refused or can be used, seed 1
+
+  Scenario Outline: A list of cache events that cannot be read is refused
+    Guards against events that are taken up at the wrong place.
+    When a list of cache events with <field> arrives
+    Then the list is refused
+
+    Examples:
+      | field                         |
+      | "changes": {}                 |
+      | "changes": "none"             |
+      | "bootEpoch": -1               |
+      | "nextToken": 1.5              |
+      | "nextToken": 1e400            |
+      | "lost": "\ud83d"              |
 
   Scenario: The settings file is checked and unknown fields are ignored
     Guards against a process that starts with missing or invalid settings.
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -577,7 +577,10 @@
     async def run():
         clock = ManualClock()
         async with anyio.create_task_group() as group:
-            feeds = CacheFeeds(context.feed, context.silence, clock, group)
+            feeds = CacheFeeds(
+                *(context.feed, context.silence, clock),
+                *(create_metrics(None, 0, "m"), group),
+            )
             feeds.set_sources(context.sources)
             await anyio.sleep(0.05)
             clock.time += context.age
--- a/knapweedarch/adapters.py
+++ b/knapweedarch/adapters.py
@@ -35,6 +35,7 @@
 )
 from knapweedarch.orders import ORDER_TIMEOUT_S
 from knapweedarch.streams import (
+    PARSE_ERRORS,
     SseDecoder,
     StreamProtocolError,
 )
@@ -324,9 +325,7 @@
 
     async def _read_refusal_reason(self, exchange: Exchange) -> RetryReason:
         reason = ""
-        with contextlib.suppress(
-            ValueError, KeyError, TypeError, httpx.HTTPError, TimeoutError
-        ):
+        with contextlib.suppress(*PARSE_ERRORS, httpx.HTTPError, TimeoutError):
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 body = await read_body(exchange, MAX_ERROR_BYTES)
             reason = json.loads(body or b"{}")["error"]["reason"]
@@ -384,12 +383,7 @@
                 raise exchange.create_error(
                     RetryReason.CONNECTION_CLOSED, repr(exc)
                 ) from exc
-            except (
-                ValueError,
-                KeyError,
-                TypeError,
-                StreamProtocolError,
-            ) as exc:
+            except (*PARSE_ERRORS, StreamProtocolError) as exc:
                 raise exchange.create_error(
                     RetryReason.ENDPOINT_ERROR, f"malformed feed event: {exc!r}"
                 ) from exc
--- a/knapweedarch/cache_feeds.py
+++ b/knapweedarch/cache_feeds.py
@@ -7,7 +7,8 @@
 import attrs
 
 from knapweedarch.exceptions import ExchangeError
-from knapweedarch.logs import log
+from knapweedarch.logs import log, traceback_text
+from knapweedarch.metrics import Metrics
 from knapweedarch.models import RetryReason
 from knapweedarch.source_relay import FeedSource
 from knapweedarch.stored_parts import CacheChanges
@@ -67,12 +68,20 @@
             seconds on the process's clock.
         refusals: Connections refused since the last answer.
         is_lost: Whether the last call failed.
+        since: Number of the first event of the next call.
+        epoch: Epoch of the events so far; None before the first answer.
     """
 
     answered_at: float
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     refusals: int = 0
     is_lost: bool = True
+    since: int = 0
+    epoch: int | None = None
+
+    def restart(self) -> None:
+        """Lets the next call ask for all events."""
+        self.since, self.epoch = 0, None
 
 
 class CacheFeeds:
@@ -82,6 +91,7 @@
         feed: Requests for events.
         listener: Receives the events.
         clock: Clock of the process.
+        metrics: Metrics of the process.
         group: Task group of the polling tasks.
     """
 
@@ -90,11 +100,13 @@
         feed: CacheFeed,
         listener: FeedListener,
         clock: Clock,
+        metrics: Metrics,
         group: anyio.abc.TaskGroup,
     ):
         self._feed = feed
         self._listener = listener
         self._clock = clock
+        self._metrics = metrics
         self._group = group
         self._following: dict[FeedSource, _Following] = {}
 
@@ -127,26 +139,38 @@
             following.answered_at += pause_s
 
     async def _follow(self, source: FeedSource, following: _Following) -> None:
-        since, epoch = 0, None
         with following.scope:
             while True:
                 try:
-                    changes = await self._feed.cache_changes(
-                        source.address, since, POLL_WAIT_S
-                    )
+                    await self._poll(source, following)
                 except ExchangeError as exc:
                     self._record_failure(source, following, exc)
-                    since, epoch = 0, None
-                    await anyio.sleep(RETRY_DELAY_S)
-                    continue
-                if epoch not in (None, changes.epoch):
-                    # The source has restarted and numbers its events anew.
-                    since, epoch = 0, None
+                except Exception as exc:
+                    # A fault in one feed must not end the other feeds, nor the
+                    # member: the next one to follow the source would meet it.
+                    self._record_error(source, following, exc)
+                else:
                     continue
-                is_first = epoch is None
-                since, epoch = changes.next_number, changes.epoch
-                self._record_answer(source, following, changes, is_first)
-                await anyio.sleep(POLL_PAUSE_S)
+                following.restart()
+                await anyio.sleep(RETRY_DELAY_S)
+
+    async def _poll(self, source: FeedSource, following: _Following) -> None:
+        """Requests events once and pauses after the answer.
+
+        Raises:
+            ExchangeError: The source did not answer.
+        """
+        changes = await self._feed.cache_changes(
+            source.address, following.since, POLL_WAIT_S
+        )
+        if following.epoch not in (None, changes.epoch):
+            # The source has restarted and numbers its events anew.
+            following.restart()
+            return
+        is_first = following.epoch is None
+        following.since, following.epoch = changes.next_number, changes.epoch
+        self._record_answer(source, following, changes, is_first)
+        await anyio.sleep(POLL_PAUSE_S)
 
     def _record_answer(
         self,
@@ -160,8 +184,29 @@
         following.is_lost = False
         following.refusals = 0
         following.answered_at = self._clock.now()
+        if changes.malformed:
+            self._metrics.count("feeds.events_malformed", changes.malformed)
+            log(
+                "feed_events_malformed",
+                endpoint=source.address,
+                count=changes.malformed,
+            )
         self._listener.record_changes(source.address, changes, is_first)
 
+    def _record_error(
+        self, source: FeedSource, following: _Following, exc: Exception
+    ) -> None:
+        """Records an unexpected error; the source has answered."""
+        self._metrics.count("feeds.failed")
+        log(
+            "feed_failed",
+            endpoint=source.address,
+            reason=traceback_text(exc),
+        )
+        following.is_lost = True
+        following.refusals = 0
+        following.answered_at = self._clock.now()
+
     def _record_failure(
         self, source: FeedSource, following: _Following, exc: ExchangeError
     ) -> None:
--- a/knapweedarch/endpoint_table.py
+++ b/knapweedarch/endpoint_table.py
@@ -9,7 +9,7 @@
 from knapweedarch.adapters import Adapter
 from knapweedarch.exceptions import EndpointError
 from knapweedarch.feeds import FeedItem
-from knapweedarch.logs import log
+from knapweedarch.logs import log, traceback_text
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import (
     CacheEvent,
@@ -151,13 +151,24 @@
                         pause_s = FEED_RETRY_S
                         self._apply_feed_item(item)
                 except EndpointError as exc:
-                    self._metrics.count("feed.lost")
                     log("feed_lost", endpoint=endpoint.id, reason=exc.reason)
-                    self._scheduler.feed_lost(endpoint.id, self._clock.now())
+                    self._record_lost(endpoint)
+                except Exception as exc:
+                    # A fault in one feed must not end the router.
+                    log(
+                        "feed_failed",
+                        endpoint=endpoint.id,
+                        reason=traceback_text(exc),
+                    )
+                    self._record_lost(endpoint)
                 # The growing delay limits the cost of a runner that is gone.
                 await anyio.sleep(pause_s * self._random.uniform(0.5, 1.0))
                 pause_s = min(2 * pause_s, FEED_RETRY_MAX_S)
 
+    def _record_lost(self, endpoint: Endpoint) -> None:
+        self._metrics.count("feed.lost")
+        self._scheduler.feed_lost(endpoint.id, self._clock.now())
+
     def _apply_feed_item(self, item: FeedItem) -> None:
         now = self._clock.now()
         match item:
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -157,6 +157,18 @@
     Event(
         416, "feed_found", _I, "The event feed of a runner or store responds."
     ),
+    Event(
+        417,
+        "feed_failed",
+        _E,
+        "An unexpected error ended a feed, which is read anew.",
+    ),
+    Event(
+        418,
+        "feed_events_malformed",
+        _W,
+        "Events of a feed could not be read and were left out.",
+    ),
     Event(413, "endpoint_known", _I, "A router added or updated an endpoint."),
     Event(406, "feed_lost", _W, "The event feed of a runner or store failed."),
     Event(
--- a/knapweedarch/feeds.py
+++ b/knapweedarch/feeds.py
@@ -7,7 +7,7 @@
     Endpoint,
     LoadReport,
 )
-from knapweedarch.streams import parse_load
+from knapweedarch.streams import parse_load, read_number
 
 FeedItem = LoadReport | CacheEvent | CacheSnapshot
 
@@ -16,7 +16,7 @@
     """Parses one feed event.
 
     Raises:
-        ValueError, TypeError, KeyError: The event is malformed or belongs to
+        One of `streams.PARSE_ERRORS`: The event is malformed or belongs to
             another incarnation.
     """
     if body["incarnation"] != endpoint.incarnation:
@@ -28,12 +28,12 @@
         case "load":
             return parse_load(body, *source)
         case "snapshot":
-            return CacheSnapshot(*source, int(body["number"]), _blocks(body))
+            number = read_number(body["number"])
+            return CacheSnapshot(*source, number, _blocks(body))
         case kind:
             change = CacheChange(kind)
-            return CacheEvent(
-                *source, int(body["number"]), change, _blocks(body)
-            )
+            number = read_number(body["number"])
+            return CacheEvent(*source, number, change, _blocks(body))
 
 
 def _blocks(body: dict) -> tuple[int, ...]:
--- a/knapweedarch/member_relay.py
+++ b/knapweedarch/member_relay.py
@@ -111,7 +111,8 @@
         """Starts the periodic messages; sources are polled in the group."""
         if self._feed is not None:
             self._feeds = CacheFeeds(
-                self._feed, self._sources, self._clock, group
+                *(self._feed, self._sources, self._clock),
+                *(self._metrics, group),
             )
         timers.every(FLUSH_INTERVAL_S, self._flush)
 
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -144,6 +144,14 @@
     Metric("rules.version", _G, "Version of the rules in use."),
     Metric("endpoints.active", _G, "Endpoints that may receive new requests."),
     Metric("endpoints.announced", _C, "Announcements received."),
+    Metric(
+        "feeds.failed", _C, "Unexpected errors in feeds of runners and stores."
+    ),
+    Metric(
+        "feeds.events_malformed",
+        _C,
+        "Events of runners and stores that could not be read.",
+    ),
     Metric("feed.lost", _C, "Failures of the event feeds of runners."),
     Metric("orders.failed", _C, "Orders that a runner did not confirm."),
     Metric("member.leads", _G, "1 while this member leads, else 0."),
--- a/knapweedarch/stored_parts.py
+++ b/knapweedarch/stored_parts.py
@@ -33,7 +33,10 @@
 
 @attrs.frozen
 class PartKey:
-    """Key of a cached part: its cache salt and its id."""
+    """Key of a cached part: its cache salt and its id.
+
+    Both are texts that can be encoded; see `settings_reader.is_text`.
+    """
 
     salt: str
     part: str
@@ -66,12 +69,14 @@
         next_number: Number of the first event after these.
         lost: Whether events before these are missing.
         changes: The changes in order.
+        malformed: Number of events that could not be read.
     """
 
     epoch: int
     next_number: int
     lost: bool
     changes: tuple[PartChange, ...]
+    malformed: int = 0
 
 
 class CachedParts:
--- a/knapweedarch/streams.py
+++ b/knapweedarch/streams.py
@@ -11,12 +11,21 @@
 
 from knapweedarch.exceptions import KnapweedarchError
 from knapweedarch.models import LoadReport, RetryReason
+from knapweedarch.settings_reader import is_text
 
 # Longest text kept for a resume, in characters: about 260,000 tokens. A longer
 # response is still delivered, but its stream cannot be resumed.
 MAX_RESUME_CHARS = 1024 * 1024
 # Longest event accepted from a runner; typical ones have a few hundred bytes.
 MAX_EVENT_BYTES = 256 * 1024
+# Largest number in an event. Larger ones are not exact in all parsers of JSON,
+# and no float.
+MAX_NUMBER = 2**53
+# What parsing an event may raise, whatever its bytes are.
+PARSE_ERRORS = (
+    *(ValueError, KeyError, TypeError, IndexError),
+    *(AttributeError, OverflowError, RecursionError),
+)
 DONE_MARKER = b"[DONE]"
 DATA_PREFIX = b"data:"
 
@@ -137,13 +146,13 @@
         if "error" in body:
             return Malformed(f"the runner reported an error: {body['error']!r}")
         return _parse_chunk(body, data)
-    except (ValueError, KeyError, TypeError, IndexError) as exc:
+    except PARSE_ERRORS as exc:
         return Malformed(f"unreadable event: {exc!r}")
 
 
 def _parse_chunk(body: dict, data: bytes) -> Chunk | Finish:
     request_id, attempt_id = str(body["request_id"]), str(body["attempt_id"])
-    offset, tokens = int(body["offset"]), int(body["tokens"])
+    offset, tokens = read_number(body["offset"]), read_number(body["tokens"])
     choice = body["choices"][0]
     reason = choice.get("finish_reason")
     load = parse_load(body["load"]) if "load" in body else None
@@ -153,10 +162,12 @@
         data = json.dumps(body, separators=(",", ":")).encode()
     if reason is None:
         text = choice["delta"].get("content") or ""
+        if not is_text(text):
+            raise ValueError("the content is no text")
         cached = body.get("cached_tokens")
         return Chunk(
             *(request_id, attempt_id, offset, tokens, text, data),
-            *(cached if cached is None else int(cached), load),
+            *(cached if cached is None else read_number(cached), load),
         )
     usage = body.get("usage") or {}
     if tokens or choice.get("delta", {}).get("content"):
@@ -166,22 +177,35 @@
     )
 
 
+def read_number(value: object) -> int:
+    """Reads a number of an event.
+
+    Raises:
+        ValueError, TypeError, OverflowError: It is none from 0 to `MAX_NUMBER`.
+    """
+    number = int(value)
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError("a number is out of range")
+    return number
+
+
 def parse_load(
     fields: dict, endpoint_id: str = "", incarnation: str = ""
 ) -> LoadReport:
     """Parses the load fields of an event.
 
     Raises:
-        ValueError, TypeError, KeyError: A field is missing or not a number.
+        One of `PARSE_ERRORS`: A field is missing or not a number.
     """
+    urgent_tokens = fields.get("urgent_tokens")
     return LoadReport(
         endpoint_id,
         incarnation,
-        int(fields["running"]),
-        int(fields["queued"]),
-        int(fields["queued_tokens"]),
-        int(fields.get("acknowledged", 0)),
-        int(fields["urgent_tokens"]) if "urgent_tokens" in fields else None,
+        read_number(fields["running"]),
+        read_number(fields["queued"]),
+        read_number(fields["queued_tokens"]),
+        read_number(fields.get("acknowledged", 0)),
+        None if urgent_tokens is None else read_number(urgent_tokens),
     )
 
 
