Repeat what may run once on no route, resumable or not

Cause: Route.repeatable was true for each route with resumable, whatever its kind. Only a stream can be resumed.

Change: Route.may_resume is true for streams alone; repeatable and all users of the flag go by it. It is decided at use, since journals hold configurations that an earlier build has read.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -23,6 +23,43 @@
       | refuses connections          | 200    | 1      |
       | is silent                    | 504    | 0      |
 
+  Scenario Outline: A call that may run once does so on a resumable route
+    Guards against a deposit that is charged twice, as its route allows a second
+    endpoint and says of its streams, of which it has none, that they may be
+    resumed.
+    Given a proxied runner that <does>
+    And a proxied runner that answers
+    When a caller sends a request that may run once on a resumable route
+    Then the caller gets status <status>
+    And runner 2 has received <others> requests
+
+    Examples:
+      | does                         | status | others |
+      | answers                      | 200    | 0      |
+      | answers twice                | 200    | 0      |
+      | answers another request first | 200   | 0      |
+      | answers late                 | 200    | 0      |
+      | breaks off                   | 502    | 0      |
+      | sends garbage                | 502    | 0      |
+      | fails                        | 500    | 0      |
+      | is silent                    | 504    | 0      |
+      | is full                      | 200    | 1      |
+      | is another instance          | 200    | 1      |
+      | refuses connections          | 200    | 1      |
+
+  Scenario Outline: What may run more than once follows from the kind of route
+    Guards against the same in a configuration that an earlier build has stored.
+    Then requests of <kind> routes that say <flag> may <run> and <resume>
+
+    Examples:
+      | kind       | flag          | run            | resume        |
+      | once       | not resumable | run once       | not resume    |
+      | once       | resumable     | run once       | not resume    |
+      | idempotent | not resumable | run many times | not resume    |
+      | idempotent | resumable     | run many times | not resume    |
+      | stream     | not resumable | run once       | not resume    |
+      | stream     | resumable     | run many times | resume        |
+
   Scenario Outline: A call that may be repeated is retried at another runner
     Guards against an error that a retry at a second runner would have avoided.
     Given a proxied runner that <does>
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -497,6 +497,7 @@
         version=1,
         routes=(
             _route("once", Repeatability.ONCE),
+            _route("deposit", Repeatability.ONCE, attempts=2, resumable=True),
             _route("many", Repeatability.IDEMPOTENT, attempts=2),
             _route("single", Repeatability.IDEMPOTENT),
             _route("stream", Repeatability.STREAM),
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -277,6 +277,20 @@
       | crossed | 1    |
       | close   | 0    |
 
+  # Guards against a deposit that runs twice since its method may be repeated on
+  # other routes.
+  Scenario Outline: What may run once is decided by the route, not by the method
+    Given a desk "d" with fault "crash" at 1.5
+    And a desk "e"
+    When the caller deposits by <method> with key "k"
+    Then each answer is an error "outcome_unknown" with outcome "unknown"
+    And the desks ran key "k" 1 times
+
+    Examples:
+      | method |
+      | POST   |
+      | PUT    |
+
   Scenario: A call that no desk accepted is not run and releases its key
     Given a desk on a port that refuses connections
     When the caller deposits with key "k" through router 1
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -20,7 +20,7 @@
     request,
 )
 from knapweedarch.attempt_scope import read_full_answer
-from knapweedarch.deployments import Customer
+from knapweedarch.deployments import Customer, Repeatability, Route
 from knapweedarch.event_stream import EventSplitter
 from knapweedarch.http_messages import Request
 from knapweedarch.http_outbound import OutboundPool
@@ -29,6 +29,7 @@
 
 ROUTE_NAMES = {
     "may run once": "once",
+    "may run once on a resumable route": "deposit",
     "may run many times": "many",
     "may be resumed": "resume",
     "streams": "stream",
@@ -83,6 +84,16 @@
     return context.answers
 
 
+@then("requests of {kind} routes that say {flag} may {runs} and {resumes}")
+def check_kind(context, kind, flag, runs, resumes):
+    route = Route(
+        *("r", "h", "/", Repeatability(kind), 1.0, 1.0, 0, ()),
+        resumable=flag == "resumable",
+    )
+    assert route.repeatable == (runs == "run many times"), route
+    assert route.may_resume == (resumes == "resume"), route
+
+
 @given("a proxied runner whose address is {address}")
 def proxied_runner_at(context, address):
     context.modes = [*getattr(context, "modes", []), f"is at {address}"]
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -386,7 +386,9 @@
     run_async(context, run)
 
 
-def send_deposit(context, key: str, number: int, body: bytes = b"{}") -> None:
+def send_deposit(
+    context, key: str, number: int, body: bytes = b"{}", method: str = "POST"
+) -> None:
     answer = run_async(
         context,
         context.harness.call_service,
@@ -394,6 +396,7 @@
         key,
         body,
         number - 1,
+        method,
     )
     context.answers.append(answer)
 
@@ -403,6 +406,11 @@
     send_deposit(context, key, number)
 
 
+@when('the caller deposits by {method} with key "{key:w}"')
+def send_deposit_by(context, method, key):
+    send_deposit(context, key, 1, method=method)
+
+
 @when('the caller deposits another body with key "{key:w}"')
 def send_other_deposit(context, key):
     send_deposit(context, key, 1, b'{"amount": 2}')
--- a/knapweedarch/deployments.py
+++ b/knapweedarch/deployments.py
@@ -55,7 +55,8 @@
         split: Services and their shares.
         attempts: Maximum number of endpoints that a request is sent to.
         public: Whether callers need no key.
-        resumable: Whether a broken stream may be resumed at another endpoint.
+        resumable: Whether a broken stream may be resumed at another endpoint;
+            says nothing of routes without streams (see `may_resume`).
         event_gap_s: Longest useful pause between events of a stream, in
             seconds.
     """
@@ -76,7 +77,15 @@
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
-        return self.repeatability is Repeatability.IDEMPOTENT or self.resumable
+        return self.repeatability is Repeatability.IDEMPOTENT or self.may_resume
+
+    @property
+    def may_resume(self) -> bool:
+        """Whether a broken answer may be resumed at another endpoint.
+
+        Only a stream can be, whatever else the configuration says.
+        """
+        return self.streams and self.resumable
 
     @property
     def streams(self) -> bool:
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -201,7 +201,7 @@
     def record_origin(self, call: ProxyCall, endpoint: Endpoint) -> None:
         """Records the endpoint that wrote the first event of an answer."""
         call.software_version = endpoint.software_version
-        if not call.route.resumable:
+        if not call.route.may_resume:
             return
         limit_s = max(call.route.timeout_s, call.options.limit_s or 0.0)
         ids = {call.options.request_id}
@@ -502,7 +502,7 @@
             stack.push_async_callback(exchange.close, None)
             await exchange.open(self._check_start)
             if call.software_version is not None or (
-                call.route.resumable and self._identities.is_doubtful(endpoint)
+                call.route.may_resume and self._identities.is_doubtful(endpoint)
             ):
                 await self._identities.check(endpoint, exchange.opened_at)
                 self._check_start()
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -90,7 +90,7 @@
                 case None:
                     return RequestEnd.ANSWERED
                 case Failure(execution=ExecutionStatus.MAY_HAVE_RUN) if (
-                    not call.route.resumable
+                    not call.route.may_resume
                 ):
                     break
             if not attempts.may_repeat(call):
@@ -150,7 +150,7 @@
         another runner.
         """
         route = self._call.route
-        if not route.resumable or not self._attempts.has_attempts(self._call):
+        if not route.may_resume or not self._attempts.has_attempts(self._call):
             return math.inf
         if self._event_count:
             return max(route.event_gap_s * EVENT_LIMIT_GAPS, 0.5)
--- a/standins/desk.py
+++ b/standins/desk.py
@@ -79,7 +79,7 @@
         if not serving.is_authorized(scope, headers, self.credential):
             return await serving.answer(send, 401, {"error": "credential"})
         match scope["method"], scope["path"]:
-            case "POST", "/deposits" | "/bookings" | "/orders":
+            case "POST" | "PUT", "/deposits" | "/bookings" | "/orders":
                 await self._handle_write(scope["path"], headers, receive, send)
             case "GET", "/availability":
                 await self._handle_read(
