Ask a source of endless lists less and less often

A member spends as much on it as on all other sources.

Cause: any failure but an error status was followed by the same 0.15 s.

Change: after an answer that cannot be used (too long, or an unexpected error as it is taken up) the delay doubles up to 5 s. The source has answered, so it does not count as silent meanwhile and goes on getting requests.

--- a/features/spoiled_events.feature
+++ b/features/spoiled_events.feature
@@ -20,6 +20,14 @@
     When 3 events of the runner cannot be read
     Then 3 events are counted and one line is logged
 
+  Scenario: Lists of events without end are asked for less and less often
+    Guards against a member that is busy with one faulty runner alone. The runner
+    answers, so it goes on getting requests.
+    Given a member that follows a runner and a store
+    When the runner's list of events has no end for 3 s
+    Then the runner was asked at most 6 times and does not count as silent
+    And once its list has an end it is followed as before
+
   # The same for the feeds that routers follow themselves.
   Scenario Outline: A spoiled event ends only its feed in the gateway
     Guards against a router that ends, with all its requests.
--- a/features/steps/spoiled_event_steps.py
+++ b/features/steps/spoiled_event_steps.py
@@ -14,9 +14,15 @@
 from knapweedarch.adapters import create_adapter
 from knapweedarch.cache_feeds import CacheFeeds
 from knapweedarch.endpoint_table import EndpointTable
+from knapweedarch.exceptions import ExchangeError
 from knapweedarch.exchanges import Exchange
 from knapweedarch.metrics import create_metrics
-from knapweedarch.models import Endpoint, EndpointKind, LoadReport
+from knapweedarch.models import (
+    Endpoint,
+    EndpointKind,
+    LoadReport,
+    RetryReason,
+)
 from knapweedarch.source_relay import FeedSource
 from knapweedarch.state import EndpointEntry
 from knapweedarch.stored_parts import CacheChanges
@@ -83,8 +89,14 @@
     context.metrics = create_metrics(None, 0, "member")
 
 
-def follow_sources(context) -> None:
-    """Follows both sources for a time; checks that the group still runs."""
+def follow_sources(context, watched_s: float = WATCHED_S, beside=None) -> None:
+    """Follows both sources for a time; checks that the group still runs.
+
+    Args:
+        context: The scenario.
+        watched_s: The time.
+        beside: Runs at the same time, if given.
+    """
 
     async def run():
         context.runs = False
@@ -96,7 +108,9 @@
             feeds.set_sources(
                 {FeedSource(address, "z") for address in (RUNNER, STORE)}
             )
-            with anyio.move_on_after(WATCHED_S):
+            if beside is not None:
+                group.start_soon(beside)
+            with anyio.move_on_after(watched_s):
                 while True:
                     await anyio.sleep(0.05)
                     feeds.check_silence(clock.now())
@@ -147,6 +161,43 @@
     assert context.log.getvalue().count("feed_events_malformed") == 1
 
 
+class EndlessListFeed(CountingFeed):
+    """Fails for the runner with answers that are too long."""
+
+    def __init__(self):
+        super().__init__()
+        self.error = ExchangeError(
+            RetryReason.ANSWER_TOO_LONG, "scripted", written=True
+        )
+
+
+@when("the runner's list of events has no end for {seconds:d} s")
+def follow_endless_list(context, seconds):
+    context.feed = EndlessListFeed()
+    follow_sources(context, seconds)
+    context.endless_calls = context.feed.calls[RUNNER]
+
+
+@then(
+    "the runner was asked at most {count:d} times and does not count as silent"
+)
+def check_asked(context, count):
+    assert 1 < context.endless_calls <= count, context.endless_calls
+    assert not context.listener.silent
+
+
+@then("once its list has an end it is followed as before")
+def check_followed_again(context):
+    context.feed = EndlessListFeed()
+
+    async def mend():
+        await anyio.sleep(1.0)
+        context.feed.error = None
+
+    follow_sources(context, 3.0, mend)
+    assert context.feed.calls[RUNNER] > 10, context.feed.calls
+
+
 def runner(number: int) -> Endpoint:
     return Endpoint(
         *(f"r{number}", "1", f"http://10.0.0.{number}:80"),
--- a/knapweedarch/cache_feeds.py
+++ b/knapweedarch/cache_feeds.py
@@ -15,6 +15,9 @@
 from knapweedarch.timers import Clock
 
 RETRY_DELAY_S = 0.15
+# A source that answers with what cannot be used is asked again after a delay
+# that doubles up to this one. Each such answer may cost as much as all sources.
+MAX_RETRY_DELAY_S = 5.0
 # Longest time for which a source waits for an event before it answers. A longer
 # wait would save calls, but a source that has stopped would be noticed later.
 POLL_WAIT_S = 0.25
@@ -70,6 +73,7 @@
         is_lost: Whether the last call failed.
         since: Number of the first event of the next call.
         epoch: Epoch of the events so far; None before the first answer.
+        delay_s: Time until the next call after an answer of no use.
     """
 
     answered_at: float
@@ -78,6 +82,7 @@
     is_lost: bool = True
     since: int = 0
     epoch: int | None = None
+    delay_s: float = RETRY_DELAY_S
 
     def restart(self) -> None:
         """Lets the next call ask for all events."""
@@ -152,7 +157,7 @@
                 else:
                     continue
                 following.restart()
-                await anyio.sleep(RETRY_DELAY_S)
+                await anyio.sleep(following.delay_s)
 
     async def _poll(self, source: FeedSource, following: _Following) -> None:
         """Requests events once and pauses after the answer.
@@ -183,6 +188,7 @@
             log("feed_found", address=source.address)
         following.is_lost = False
         following.refusals = 0
+        following.delay_s = RETRY_DELAY_S
         following.answered_at = self._clock.now()
         if changes.malformed:
             self._metrics.count("feeds.events_malformed", changes.malformed)
@@ -203,9 +209,7 @@
             endpoint=source.address,
             reason=traceback_text(exc),
         )
-        following.is_lost = True
-        following.refusals = 0
-        following.answered_at = self._clock.now()
+        self._record_useless_answer(following)
 
     def _record_failure(
         self, source: FeedSource, following: _Following, exc: ExchangeError
@@ -214,11 +218,22 @@
             log("feed_lost", endpoint=source.address, reason=str(exc))
         following.is_lost = True
         match exc.reason:
+            case RetryReason.ANSWER_TOO_LONG:
+                self._record_useless_answer(following)
+                return
             case RetryReason.CONNECT_REFUSED:
                 following.refusals += 1
             case RetryReason.ENDPOINT_ERROR:
                 # An error status is an answer: the source serves requests.
                 following.refusals = 0
                 following.answered_at = self._clock.now()
+        following.delay_s = RETRY_DELAY_S
         if following.refusals >= MAX_REFUSALS:
             self._listener.record_silence(source.address)
+
+    def _record_useless_answer(self, following: _Following) -> None:
+        """Lets a source rest; it does not count as silent meanwhile."""
+        following.is_lost = True
+        following.refusals = 0
+        following.delay_s = min(2 * following.delay_s, MAX_RETRY_DELAY_S)
+        following.answered_at = self._clock.now() + following.delay_s
