End a stream whose runner does not stop

The gateway has no time limit for a whole stream, and each event resets the limit of silence, so a faulty runner kept its request, its slot and its caller for as long as it sent. The proxy ends such a stream at its request's time limit.

Cause: the tokens asked for were never compared with those that came, and events without tokens were taken without a limit.

Evidence: 'A stream of a runner that does not stop is ended': both rows failed with a state that is given the limit and does not use it.

Change: more tokens than max_tokens, which every request names (docs/ENDPOINTS.md), or over 1,000 events in a row without any, end the attempt.

--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -1,5 +1,6 @@
 """Steps for the validation and the resume of token streams."""
 
+import contextlib
 import json
 import random
 
@@ -249,3 +250,26 @@
 @then("its kept text is within the resume limit")
 def check_kept_text_limit(context):
     assert len(context.state.text) <= MAX_RESUME_CHARS
+
+
+@given("a stream of at most {count:d} tokens")
+def create_stream(context, count):
+    context.state = StreamState("r", count)
+    context.state.begin("a")
+
+
+@when("its runner goes on with {events}")
+def go_on(context, events):
+    tokens = 1 if events == "tokens" else 0
+    context.events = 0
+    with contextlib.suppress(StreamProtocolError):
+        while context.events < 10_000:
+            context.events += 1
+            offset = context.state.offset
+            text = "x" * tokens
+            context.state.accept(Chunk("r", "a", offset, tokens, text, b""))
+
+
+@then("the stream is given up after at most {count:d} events")
+def check_given_up(context, count):
+    assert context.events <= count, context.events
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -46,3 +46,14 @@
     Given a stream whose text exceeds the resume limit
     Then the stream cannot be resumed
     And its kept text is within the resume limit
+
+  Scenario Outline: A stream of a runner that does not stop is ended
+    Guards against whole events without end, which no other limit ends.
+    Given a stream of at most 20 tokens
+    When its runner goes on with <events>
+    Then the stream is given up after at most <count> events
+
+    Examples:
+      | events                | count |
+      | tokens                | 21    |
+      | events without tokens | 1001  |
--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -184,7 +184,7 @@
         self._sink = sink
         self.ended = False
         self.watchdog = Watchdog(router.clock)
-        self._state = StreamState(ticket.id)
+        self._state = StreamState(ticket.id, request.max_tokens)
         self._outcome = Outcome.NOT_RUN
         self._digests = digests
         self._broke_off = False
--- a/knapweedarch/streams.py
+++ b/knapweedarch/streams.py
@@ -16,6 +16,8 @@
 # Longest text kept for a resume, in characters: about 260,000 tokens. A longer
 # response is still delivered, but its stream cannot be resumed.
 MAX_RESUME_CHARS = 1024 * 1024
+# Events in a row that may have no tokens.
+MAX_EMPTY_EVENTS = 1000
 # Longest event accepted from a runner; typical ones have a few hundred bytes.
 MAX_EVENT_BYTES = 256 * 1024
 # Largest number in an event. Larger ones are not exact in all parsers of JSON,
@@ -212,16 +214,22 @@
 class StreamState:
     """Progress of one stream across its attempts.
 
+    Args:
+        request_id: Id of the request.
+        max_tokens: Most tokens that a runner may send; None for any number.
+
     Attributes:
         offset: Number of tokens accepted; offset of the next token.
         finish: The finishing event, set when the `[DONE]` marker arrives.
         attempts: Number of attempts started.
     """
 
-    def __init__(self, request_id: str):
+    def __init__(self, request_id: str, max_tokens: int | None = None):
         self.offset = 0
         self.finish: Finish | None = None
         self.attempts = 0
+        self._max_tokens = max_tokens
+        self._empty_events = 0
         self._request_id = request_id
         self._attempt_id = ""
         self._pending_finish: Finish | None = None
@@ -304,9 +312,29 @@
                 RetryReason.STREAM_GAP,
                 "an event has text but no tokens, or a negative token count",
             )
+        self._check_progress(chunk)
         self.offset += chunk.tokens
         self._append_text(chunk.text)
 
+    def _check_progress(self, chunk: Chunk) -> None:
+        """Checks that a runner does not go on without end.
+
+        Raises:
+            StreamProtocolError: It sends too many tokens, or events without.
+        """
+        self._empty_events = 0 if chunk.tokens else self._empty_events + 1
+        if self._empty_events > MAX_EMPTY_EVENTS:
+            raise StreamProtocolError(
+                RetryReason.ENDPOINT_ERROR,
+                f"over {MAX_EMPTY_EVENTS} events without tokens",
+            )
+        offset = self.offset + chunk.tokens
+        if self._max_tokens is not None and offset > self._max_tokens:
+            raise StreamProtocolError(
+                RetryReason.ANSWER_TOO_LONG,
+                f"over {self._max_tokens} tokens",
+            )
+
     def _accept_finish(self, finish: Finish) -> None:
         self._check_ids(finish)
         if self._pending_finish is not None:
