Bound the memory that all unfinished answers take together

What callers would see: a process that runs out of memory ends, and all requests on it with it.

Cause: each answer had a limit (8 MiB), all answers of a process had none. What was held was kept for longer than needed: until the caller had read it, in two copies.

Change: all answers of a process share 32 MiB until they are passed on; the longest one is given up, its bytes are dropped and its attempt fails with memory_full.

Ruled out: a limit of concurrent answers (refuses sound requests), giving up the one that asks for more (a sound one as often as not).

--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -51,6 +51,10 @@
 
 BODY = b'{"seats":2}'
 CHUNK = b"10000\r\n" + b"a" * 65_536 + b"\r\n"
+# Header of the requests at which a runner is faulty that is so at times.
+FAULTY = "X-Faulty: 1\r\n"
+LONG_BODY = b"a" * (4 * 1024 * 1024)
+WHOLE_EVENTS = b"id: 1\ndata: " + b"a" * 1000 + b"\n\n"
 # What a runner does that is silent for some seconds and then goes on.
 SILENCE = re.compile(
     r"is silent for ([\d.]+) s"
@@ -205,7 +209,11 @@
                 sent = 2 if place == "after event 2" else 0
                 await _stream_with_pause(stream, received, sent, silent_s)
             return
-        match self.mode:
+        mode = self.mode
+        if mode.startswith("at times "):
+            is_faulty = FAULTY.strip() in received.head.title()
+            mode = mode.removeprefix("at times ") if is_faulty else "answers"
+        match mode:
             case "answers":
                 await stream.send(_response(request_id, BODY))
             case "names a limit of 1 a second":
@@ -274,6 +282,28 @@
             case "sends an endless body":
                 await stream.send(_endless_head(request_id))
                 await self._send_endlessly(stream, CHUNK)
+            case "sends an endless body of a length":
+                length = f"Content-Length: {10**18}"
+                head = _endless_head(request_id).decode()
+                head = head.replace("Transfer-Encoding: chunked", length)
+                await stream.send(head.encode())
+                await self._send_endlessly(stream, CHUNK)
+            case "sends an endless refusal":
+                head = _endless_head(request_id, "503 Full").decode()
+                not_run = "\r\nX-Knapweedarch-Not-Executed: 1\r\n\r\n"
+                head = head.replace("\r\n\r\n", not_run)
+                await stream.send(head.encode())
+                await self._send_endlessly(stream, CHUNK)
+            case "sends an endless error":
+                await stream.send(_endless_head(request_id, "500 Error"))
+                await self._send_endlessly(stream, CHUNK)
+            case "sends whole events without end":
+                await stream.send(_endless_head(request_id))
+                size = b"%x\r\n" % (60 * len(WHOLE_EVENTS))
+                chunk = size + WHOLE_EVENTS * 60 + b"\r\n"
+                await self._send_endlessly(stream, chunk)
+            case "sends a long answer":
+                await stream.send(_response(request_id, LONG_BODY))
             case "sends an endless answer to another request":
                 await stream.send(_endless_head("earlier"))
                 await self._send_endlessly(stream, CHUNK)
@@ -314,9 +344,9 @@
                 await stream.aclose()
 
 
-def _endless_head(request_id: str) -> bytes:
+def _endless_head(request_id: str, status: str = "200 OK") -> bytes:
     return (
-        f"HTTP/1.1 200 OK\r\nX-Knapweedarch-Request-Id: {request_id}\r\n"
+        f"HTTP/1.1 {status}\r\nX-Knapweedarch-Request-Id: {request_id}\r\n"
         "Transfer-Encoding: chunked\r\n\r\n"
     ).encode()
 
--- a/features/raw_server.py
+++ b/features/raw_server.py
@@ -1,13 +1,21 @@
 """TCP server that sends faulty HTTP responses."""
 
+import json
+
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import attrs
 
 from knapweedarch.models import Endpoint, EndpointKind
 
 _CLOSING_REQUESTS = {("close_first", 1), ("close_second", 2)}
 OK_BODY = b'{"from":"raw"}'
+FAULTY = b"faulty"
+FILLER = b"a" * 65_536
+LONG_TEXT = "a" * 50_000
+LONG_EVENTS = 24
+EVENT_PAUSE_S = 0.02
 
 
 @attrs.define
@@ -24,6 +32,8 @@
         head_cut: The connection closes within the headers of a response.
         no_length: A response without a length and with a truncated body.
         silent: The headers of a stream and one event, then nothing.
+        at times sends ...: Bytes without end, to requests whose body has the
+            word `FAULTY`, or a model's stream of long events.
 
     Attributes:
         mode: One of the modes.
@@ -45,13 +55,17 @@
         number = 0
         try:
             async with stream:
-                while headers := await _read_request(stream):
+                while found := await _read_request(stream):
+                    headers, body = found
                     number += 1
                     self.requests += 1
                     self._notify()
                     if (self.mode, number) in _CLOSING_REQUESTS:
                         break
-                    await self._answer(stream, headers)
+                    if self.mode.startswith("at times "):
+                        await self._answer_at_times(stream, headers, body)
+                    else:
+                        await self._answer(stream, headers)
         except (
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
@@ -70,6 +84,39 @@
         while not condition():
             await self.changed.wait()
 
+    async def _answer_at_times(self, stream, headers, body: bytes) -> None:
+        ids = headers.get("x-request-id", ""), headers.get("x-attempt-id", "")
+        mode = self.mode.removeprefix("at times ")
+        if FAULTY not in body:
+            if b'"prefix_blocks"' in body:
+                await stream.send(_whole_stream(ids))
+            else:
+                await stream.send(_response(b"200 OK", ids, OK_BODY))
+            return
+        head = _endless_head(ids, b"200 OK")
+        match mode:
+            case "sends an endless head":
+                await stream.send(b"HTTP/1.1 200 OK\r\nx-filler: ")
+                await _send_endlessly(stream, FILLER)
+            case "sends an endless body" | "sends an endless event":
+                await stream.send(head)
+                await _send_endlessly(stream, _chunk(FILLER))
+            case "sends a body of a length":
+                length = b"content-length: %d" % 10**18
+                head = head.replace(b"transfer-encoding: chunked", length)
+                await stream.send(head)
+                await _send_endlessly(stream, FILLER)
+            case "sends an endless refusal":
+                await stream.send(_endless_head(ids, b"409 Conflict"))
+                await _send_endlessly(stream, _chunk(FILLER))
+            case "sends long events":
+                await stream.send(head)
+                for offset in range(LONG_EVENTS):
+                    event = _event(ids, offset, LONG_TEXT)
+                    await stream.send(_chunk(event))
+                    await anyio.sleep(EVENT_PAUSE_S)
+                await anyio.sleep_forever()
+
     async def _answer(self, stream, headers: dict[str, str]) -> None:
         ids = headers.get("x-request-id", ""), headers.get("x-attempt-id", "")
         match self.mode:
@@ -95,7 +142,51 @@
                 await stream.send(_response(b"200 OK", ids, OK_BODY))
 
 
-async def _read_request(stream) -> dict[str, str] | None:
+async def _send_endlessly(stream, data: bytes) -> None:
+    while True:
+        await stream.send(data)
+        await anyio.lowlevel.checkpoint()
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def _endless_head(ids: tuple[str, str], status: bytes) -> bytes:
+    return (
+        b"HTTP/1.1 %b\r\nx-request-id: %b\r\nx-attempt-id: %b\r\n"
+        b"transfer-encoding: chunked\r\n\r\n"
+    ) % (status, ids[0].encode(), ids[1].encode())
+
+
+def _event(ids: tuple[str, str], offset: int, text: str) -> bytes:
+    event = {
+        "request_id": ids[0],
+        "attempt_id": ids[1],
+        "offset": offset,
+        "tokens": 1,
+        "choices": [{"delta": {"content": text}, "finish_reason": None}],
+    }
+    return b"data: " + json.dumps(event).encode() + b"\n\n"
+
+
+def _whole_stream(ids: tuple[str, str]) -> bytes:
+    finish = {
+        "request_id": ids[0],
+        "attempt_id": ids[1],
+        "offset": 1,
+        "tokens": 0,
+        "choices": [{"delta": {}, "finish_reason": "stop"}],
+        "usage": {"completion_tokens": 1},
+    }
+    events = _event(ids, 0, "x")
+    events += b"data: " + json.dumps(finish).encode() + b"\n\n"
+    events += b"data: [DONE]\n\n"
+    head = _endless_head(ids, b"200 OK")
+    return head + _chunk(events) + b"0\r\n\r\n"
+
+
+async def _read_request(stream) -> tuple[dict[str, str], bytes] | None:
     data = b""
     while b"\r\n\r\n" not in data:
         try:
@@ -110,7 +201,7 @@
     }
     while len(body) < int(headers.get("content-length", 0)):
         body += await stream.receive()
-    return headers
+    return headers, body
 
 
 def _response(status: bytes, ids: tuple[str, str], body: bytes) -> bytes:
--- a/knapweedarch/adapters.py
+++ b/knapweedarch/adapters.py
@@ -15,6 +15,7 @@
 import attrs
 import httpx
 
+from knapweedarch.answer_memory import AnswerMemory, HeldAnswer
 from knapweedarch.chat_streams import ChatStream
 from knapweedarch.exceptions import EndpointError
 from knapweedarch.exchanges import (
@@ -22,10 +23,15 @@
     Exchange,
     has_framing,
     read_body,
+    resize_answer,
     send,
 )
 from knapweedarch.feeds import FeedItem, parse_feed_event
-from knapweedarch.http_outbound import Connect, connect_directly
+from knapweedarch.http_outbound import (
+    Connect,
+    connect_directly,
+    log_given_up,
+)
 from knapweedarch.models import (
     Attempt,
     CacheEvent,
@@ -84,7 +90,11 @@
 
 
 class Adapter:
-    """Calls endpoints; create it with `create_adapter`."""
+    """Calls endpoints; create it with `create_adapter`.
+
+    Attributes:
+        memory: The memory that all answers share until they are passed on.
+    """
 
     def __init__(
         self,
@@ -96,6 +106,7 @@
         self._credential = credential
         self._clock = clock
         self._incarnation = incarnation
+        self.memory = AnswerMemory(on_give_up=log_given_up)
         self._transport = EndpointTransport(connect)
 
     async def close(self) -> None:
@@ -149,9 +160,12 @@
         async with send(self._transport, exchange, check_send, first_event_s):
             await self._check_chat_response(exchange, request_id, attempt_id)
             elapsed_s = self._clock.now() - started_at
-            stream = ChatStream(exchange, max(0.0, first_event_s - elapsed_s))
-            yield stream
-            await stream.drain_body()
+            decoder = SseDecoder()
+            with self.memory.hold(decoder.clear) as held:
+                left_s = max(0.0, first_event_s - elapsed_s)
+                stream = ChatStream(exchange, left_s, decoder, held)
+                yield stream
+                await stream.drain_body()
 
     async def call_service(
         self,
@@ -327,7 +341,7 @@
         reason = ""
         with contextlib.suppress(*PARSE_ERRORS, httpx.HTTPError, TimeoutError):
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                body = await read_body(exchange, MAX_ERROR_BYTES)
+                body = await read_body(exchange, MAX_ERROR_BYTES, self.memory)
             reason = json.loads(body or b"{}")["error"]["reason"]
         if reason in (RetryReason.WRONG_INCARNATION, RetryReason.WRONG_VERSION):
             return RetryReason(reason)
@@ -347,7 +361,7 @@
                 "response has neither a length nor chunked encoding",
             )
         try:
-            body = await read_body(exchange, MAX_RESPONSE_BYTES)
+            body = await read_body(exchange, MAX_RESPONSE_BYTES, self.memory)
         except httpx.HTTPError as exc:
             raise exchange.create_error(
                 RetryReason.CONNECTION_CLOSED, repr(exc)
@@ -363,6 +377,20 @@
         self, exchange: Exchange, endpoint: Endpoint
     ) -> AsyncIterator[FeedItem]:
         decoder = SseDecoder()
+        with self.memory.hold(decoder.clear) as held:
+            async for items in self._feed_batches(
+                exchange, endpoint, decoder, held
+            ):
+                for item in items:
+                    yield item
+
+    async def _feed_batches(
+        self,
+        exchange: Exchange,
+        endpoint: Endpoint,
+        decoder: SseDecoder,
+        held: HeldAnswer,
+    ) -> AsyncIterator[list[FeedItem]]:
         chunks = aiter(exchange.response.stream)
         while True:
             try:
@@ -374,6 +402,7 @@
                     parse_feed_event(json.loads(event), endpoint)
                     for event in decoder.feed(data)
                 ]
+                resize_answer(exchange, held, decoder.pending_bytes)
             except TimeoutError as exc:
                 raise exchange.create_error(
                     RetryReason.STREAM_SILENT,
@@ -387,8 +416,7 @@
                 raise exchange.create_error(
                     RetryReason.ENDPOINT_ERROR, f"malformed feed event: {exc!r}"
                 ) from exc
-            for item in items:
-                yield item
+            yield items
 
 
 def create_adapter(
--- a/knapweedarch/attempt_scope.py
+++ b/knapweedarch/attempt_scope.py
@@ -4,7 +4,8 @@
 
 import anyio
 
-from knapweedarch.exceptions import ExchangeError
+from knapweedarch.answer_memory import HeldAnswer
+from knapweedarch.exceptions import AnswerGivenUpError, ExchangeError
 from knapweedarch.http_messages import Answer
 from knapweedarch.http_outbound import AnswerHead, Exchange
 from knapweedarch.models import Endpoint, RetryReason
@@ -145,20 +146,50 @@
         )
 
 
-async def read_full_answer(exchange: Exchange, head: AnswerHead) -> Answer:
+async def read_full_answer(
+    exchange: Exchange, head: AnswerHead, max_bytes: int = MAX_ANSWER_BYTES
+) -> Answer:
     """Reads the body of an answer to its end.
 
+    Args:
+        exchange: The exchange.
+        head: Status and headers of the answer.
+        max_bytes: Longest body.
+
     Raises:
-        ExchangeError: The body is incomplete, or longer than
-            `MAX_ANSWER_BYTES`.
+        ExchangeError: The body is incomplete or longer than `max_bytes`, or
+            was given up, as all answers took too much memory.
     """
     body = bytearray()
-    while (part := await exchange.read()) is not None:
-        body += part
-        if len(body) > MAX_ANSWER_BYTES:
-            raise ExchangeError(
-                RetryReason.ANSWER_TOO_LONG,
-                f"body of over {MAX_ANSWER_BYTES} bytes",
-                written=True,
-            )
-    return Answer(status=head.status, headers=head.headers, body=bytes(body))
+    with exchange.memory.hold(body.clear) as held:
+        while (part := await exchange.read()) is not None:
+            body += part
+            # Only now: an answer to HEAD names a length and has no body.
+            _check_length(max(len(body), head.body_bytes), max_bytes)
+            resize_answer(held, len(body))
+        return Answer(
+            status=head.status, headers=head.headers, body=bytes(body)
+        )
+
+
+def _check_length(length: int, max_bytes: int) -> None:
+    if length > max_bytes:
+        raise ExchangeError(
+            RetryReason.ANSWER_TOO_LONG,
+            f"body of over {max_bytes} bytes",
+            written=True,
+        )
+
+
+def resize_answer(held: HeldAnswer, size: int) -> None:
+    """Counts the bytes that are held of an answer.
+
+    Raises:
+        ExchangeError: The answer was given up.
+    """
+    try:
+        held.resize(size)
+    except AnswerGivenUpError as exc:
+        raise ExchangeError(
+            RetryReason.MEMORY_FULL, str(exc), written=True
+        ) from exc
--- a/knapweedarch/cache_feeds.py
+++ b/knapweedarch/cache_feeds.py
@@ -218,7 +218,7 @@
             log("feed_lost", endpoint=source.address, reason=str(exc))
         following.is_lost = True
         match exc.reason:
-            case RetryReason.ANSWER_TOO_LONG:
+            case RetryReason.ANSWER_TOO_LONG | RetryReason.MEMORY_FULL:
                 self._record_useless_answer(following)
                 return
             case RetryReason.CONNECT_REFUSED:
--- a/knapweedarch/chat_streams.py
+++ b/knapweedarch/chat_streams.py
@@ -5,8 +5,9 @@
 import anyio
 import httpx
 
+from knapweedarch.answer_memory import HeldAnswer
 from knapweedarch.exceptions import EndpointError
-from knapweedarch.exchanges import Exchange
+from knapweedarch.exchanges import Exchange, resize_answer
 from knapweedarch.models import RetryReason
 from knapweedarch.streams import SseDecoder, StreamEvent, parse_event
 
@@ -22,26 +23,42 @@
     `read` has no timeout of its own; the code that reads applies one (see
     `watchdogs`).
 
+    Args:
+        exchange: The exchange.
+        first_event_s: See the attribute.
+        decoder: Decodes the body.
+        held: Counts the bytes that the decoder holds.
+
     Attributes:
         first_event_s: Timeout for the first event in seconds.
     """
 
-    def __init__(self, exchange: Exchange, first_event_s: float):
+    def __init__(
+        self,
+        exchange: Exchange,
+        first_event_s: float,
+        decoder: SseDecoder,
+        held: HeldAnswer,
+    ):
         self.first_event_s = first_event_s
         self._exchange = exchange
         self._body = exchange.response.stream
-        self._decoder = SseDecoder()
+        self._decoder = decoder
+        self._held = held
 
     async def read(self) -> list[StreamEvent]:
         """Reads the next batch of events; empty at the end of the stream.
 
         Raises:
-            EndpointError: The connection failed.
+            EndpointError: The connection failed, or the answer was given up.
             StreamProtocolError: An event is too long.
         """
         try:
             async for data in self._body:
-                if items := self._decoder.feed(data):
+                items = self._decoder.feed(data)
+                pending_bytes = self._decoder.pending_bytes
+                resize_answer(self._exchange, self._held, pending_bytes)
+                if items:
                     return [parse_event(item) for item in items]
         except httpx.HTTPError as exc:
             raise self.create_error(
--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -103,14 +103,35 @@
         ticket = await self._create_ticket(
             request, customer, request_id, arrived
         )
-        sink: Sink = EventSink(call, request_id)
-        if not request.stream:
-            sink = BufferedSink(call, request_id, request.rule.name)
         digests = RequestDigests(
             request_digest(customer.name, f"POST {call.path}", data),
             block_digests(ticket.model, ticket.blocks),
         )
-        run = ChatRun(router, self._background, request, ticket, sink, digests)
+        with contextlib.ExitStack() as stack:
+            sink = self._create_sink(call, request, request_id, stack)
+            run = ChatRun(
+                *(router, self._background, request, ticket, sink, digests)
+            )
+            run.hold_text(stack)
+            await self._run(call, run)
+
+    def _create_sink(
+        self,
+        call: HttpCall,
+        request: ChatRequest,
+        request_id: str,
+        stack: contextlib.ExitStack,
+    ) -> Sink:
+        """Creates a sink; what it holds is counted until the stack closes."""
+        if request.stream:
+            return EventSink(call, request_id)
+        sink = BufferedSink(call, request_id, request.rule.name)
+        memory = self._router.adapter.memory
+        sink.held = stack.enter_context(memory.hold(sink.forget_text))
+        return sink
+
+    async def _run(self, call: HttpCall, run: "ChatRun") -> None:
+        """Runs a request until its end, or until its caller leaves."""
         caller_disconnected = False
         failure: Exception | None = None
         async with anyio.create_task_group() as group:
@@ -190,6 +211,12 @@
         self._broke_off = False
         self._has_retry = False
 
+    def hold_text(self, stack: contextlib.ExitStack) -> None:
+        """Counts the text kept for a resume until the stack closes."""
+        memory = self._router.adapter.memory
+        release = self._state.forget_text
+        self._state.held = stack.enter_context(memory.hold(release))
+
     async def run(self) -> None:
         """Makes attempts until the response is complete or retries run out.
 
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -238,6 +238,12 @@
         _I,
         "An endpoint had started again before this router heard of it.",
     ),
+    Event(
+        521,
+        "answer_given_up",
+        _W,
+        "The longest answer was given up, as all took too much memory.",
+    ),
     Event(510, "attempt_ended", _I, "An attempt ended without a response."),
     Event(
         540,
--- a/knapweedarch/exceptions.py
+++ b/knapweedarch/exceptions.py
@@ -130,6 +130,13 @@
         super().__init__(message)
 
 
+class AnswerGivenUpError(KnapweedarchError):
+    """An answer was given up, as all answers took too much memory."""
+
+    def __init__(self):
+        super().__init__("given up, as answers take too much memory")
+
+
 class CallerGoneError(KnapweedarchError):
     """The caller closed its connection before the answer was complete.
 
--- a/knapweedarch/exchanges.py
+++ b/knapweedarch/exchanges.py
@@ -10,7 +10,8 @@
 import attrs
 import httpx
 
-from knapweedarch.exceptions import EndpointError
+from knapweedarch.answer_memory import AnswerMemory, HeldAnswer
+from knapweedarch.exceptions import AnswerGivenUpError, EndpointError
 from knapweedarch.models import RefusalReason, RetryReason
 from knapweedarch.transports import EndpointTransport
 
@@ -113,15 +114,37 @@
     )
 
 
-async def read_body(exchange: Exchange, max_bytes: int) -> bytes | None:
+async def read_body(
+    exchange: Exchange, max_bytes: int, memory: AnswerMemory
+) -> bytes | None:
     """Reads the complete body; returns None if it exceeds the limit.
 
+    Args:
+        exchange: The exchange.
+        max_bytes: The limit.
+        memory: The memory that all answers share.
+
     Raises:
         httpx.HTTPError: The response ended early.
+        EndpointError: It was given up, as all answers took too much memory.
     """
     body = bytearray()
-    async for chunk in exchange.response.stream:
-        body += chunk
-        if len(body) > max_bytes:
-            return None
-    return bytes(body)
+    with memory.hold(body.clear) as held:
+        async for chunk in exchange.response.stream:
+            body += chunk
+            if len(body) > max_bytes:
+                return None
+            resize_answer(exchange, held, len(body))
+        return bytes(body)
+
+
+def resize_answer(exchange: Exchange, held: HeldAnswer, size: int) -> None:
+    """Counts the bytes that are held of an answer.
+
+    Raises:
+        EndpointError: The answer was given up.
+    """
+    try:
+        held.resize(size)
+    except AnswerGivenUpError as exc:
+        raise exchange.create_error(RetryReason.MEMORY_FULL, str(exc)) from exc
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -27,6 +27,8 @@
 from knapweedarch.timers import Clock
 
 READ_BYTES = 65_536
+# Most bytes of a body in one write.
+WRITE_BYTES = 65_536
 # Closing a connection with unread bytes resets it and loses the last response,
 # so the peer gets this long to close its side first.
 LINGER_TIMEOUT_S = 1.0
@@ -89,7 +91,10 @@
         headers = answer.headers
         if answer.status not in (204, 304):
             headers = (*headers, (b"content-length", length))
-        await self.start(answer.status, headers, answer.body)
+        # A long body is not copied whole for a caller that reads slowly.
+        await self.start(answer.status, headers, answer.body[:WRITE_BYTES])
+        for start in range(WRITE_BYTES, len(answer.body), WRITE_BYTES):
+            await self.write(answer.body[start : start + WRITE_BYTES])
         await self.end()
 
     async def start(
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -16,8 +16,10 @@
 import attrs
 import h11
 
+from knapweedarch.answer_memory import AnswerMemory
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.http_messages import Headers, Request, find_header
+from knapweedarch.logs import log
 from knapweedarch.models import RetryReason
 from knapweedarch.task_groups import TaskOwner
 from knapweedarch.timers import Clock
@@ -100,6 +102,11 @@
         """
         return find_header(self.headers, name)
 
+    @property
+    def body_bytes(self) -> int:
+        """Length of the body as named; 0 if none is."""
+        return int(self.header(b"content-length") or 0)
+
     @property
     def has_length(self) -> bool:
         """Whether a body that ends early can be told from a complete one."""
@@ -133,6 +140,11 @@
         self._complete = False
         self._is_reusable = True
 
+    @property
+    def memory(self) -> AnswerMemory:
+        """The memory that its answer shares with others."""
+        return self._pool.memory
+
     @property
     def opened_at(self) -> float:
         """When its connection was open, in seconds on the pool's clock."""
@@ -348,6 +360,11 @@
             await _close_connection(conn)
 
 
+def log_given_up(size: int, held_bytes: int) -> None:
+    """Logs that the longest answer was given up for others."""
+    log("answer_given_up", bytes=size, held=held_bytes)
+
+
 async def connect_directly(address: str) -> anyio.abc.SocketStream:
     """Connects to an endpoint.
 
@@ -386,10 +403,12 @@
 
     Attributes:
         connect: Opens connections.
+        memory: The memory that all answers share until they are passed on.
     """
 
     def __init__(self, clock: Clock):
         self.connect: Connect = connect_directly
+        self.memory = AnswerMemory(on_give_up=log_given_up)
         self._clock = clock
         self._idle: dict[str, list[_Connection]] = {}
 
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -72,6 +72,7 @@
     STREAM_GAP = "stream_gap"
     STREAM_TRUNCATED = "stream_truncated"
     ANSWER_TOO_LONG = "answer_too_long"
+    MEMORY_FULL = "memory_full"
     CROSSED_ANSWER = "crossed_answer"
     WRONG_INCARNATION = "wrong_incarnation"
     WRONG_VERSION = "wrong_version"
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from knapweedarch.answer_memory import AnswerMemory
 from knapweedarch.caller_ends import DropCause
 from knapweedarch.crash_guard import (
     CRASH_REASONS,
@@ -273,6 +274,11 @@
             call.reserved = None
             self._budget(call).release()
 
+    @property
+    def memory(self) -> AnswerMemory:
+        """The memory that all answers share until they are passed on."""
+        return self._pool.memory
+
     def spawn(self, task: Callable[[], Awaitable[None]]) -> None:
         """Starts a task of a request; it must not raise an error."""
         self._pool.spawn(task)
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -3,9 +3,11 @@
 import functools
 import math
 
+from knapweedarch.answer_memory import HeldAnswer
 from knapweedarch.attempt_scope import (
     AttemptScope,
     read_full_answer,
+    resize_answer,
     run_attempt,
 )
 from knapweedarch.crash_guard import SOUND_EVENTS
@@ -187,6 +189,22 @@
         self, endpoint: Endpoint, scope: AttemptScope, head: AnswerHead
     ) -> None:
         splitter = EventSplitter()
+        with scope.exchange.memory.hold(splitter.clear) as held:
+            await self._relay_events(endpoint, scope, head, splitter, held)
+            _check_end(splitter, scope.progress, head)
+        if scope.progress.events < SOUND_EVENTS and head.has_length:
+            self._attempts.record_sound(self._call)
+        await self._responder.end()
+
+    async def _relay_events(
+        self,
+        endpoint: Endpoint,
+        scope: AttemptScope,
+        head: AnswerHead,
+        splitter: EventSplitter,
+        held: HeldAnswer,
+    ) -> None:
+        """Relays events up to the end of the runner's answer."""
         if not self._responder.started:
             self._status = head.status
             await self._responder.start(
@@ -199,6 +217,7 @@
         ) is not None:
             self._attempts.record_activity(endpoint.address)
             events = _feed(splitter, part)
+            resize_answer(held, splitter.pending_bytes)
             if events.data:
                 scope.record_first_event()
                 self._record_progress(scope, events.count)
@@ -206,10 +225,6 @@
                 await self._responder.write(events.data)
                 # After the write: a caller that reads slowly delays it.
                 silent_since = self._attempts.clock.now()
-        _check_end(splitter, scope.progress, head)
-        if scope.progress.events < SOUND_EVENTS and head.has_length:
-            self._attempts.record_sound(self._call)
-        await self._responder.end()
 
     def _record_progress(self, scope: AttemptScope, count: int) -> None:
         before = scope.progress.events
--- a/knapweedarch/proxy_unary.py
+++ b/knapweedarch/proxy_unary.py
@@ -36,7 +36,9 @@
         CallerGoneError: The caller disconnected before the answer was sent.
     """
     answer = await _answer(attempts, call)
-    await responder.send(answer)
+    # A caller that reads slowly keeps a long answer in memory.
+    with attempts.memory.keep(len(answer.body)):
+        await responder.send(answer)
     log(
         "request_answered",
         request=call.options.request_id,
--- a/knapweedarch/services.py
+++ b/knapweedarch/services.py
@@ -134,12 +134,14 @@
         finally:
             self._running -= 1
         self._router.count("requests.finished")
-        await call.send_response(
-            answer.code,
-            answer.body,
-            answer.content_type,
-            {"x-request-id": request_id},
-        )
+        # A caller that reads slowly keeps a long answer in memory.
+        with self._router.adapter.memory.keep(len(answer.body)):
+            await call.send_response(
+                answer.code,
+                answer.body,
+                answer.content_type,
+                {"x-request-id": request_id},
+            )
 
     def _check_admission(self, service_call: ServiceCall) -> None:
         reason, message = (
--- a/knapweedarch/sinks.py
+++ b/knapweedarch/sinks.py
@@ -1,11 +1,14 @@
 """Writes the response to the caller, as an event stream or as one body."""
 
 import json
+import sys
 from typing import Protocol
 
 import attrs
 
+from knapweedarch.answer_memory import HeldAnswer
 from knapweedarch.callers import HttpCall, RefusedError
+from knapweedarch.exceptions import AnswerGivenUpError
 from knapweedarch.models import Outcome, RefusalReason
 from knapweedarch.streams import Chunk, Finish
 
@@ -80,24 +83,36 @@
     call: HttpCall
     request_id: str
     model: str
+    held: HeldAnswer | None = None
     _parts: list[str] = attrs.field(factory=list)
     _text_chars: int = 0
+    _held_bytes: int = 0
 
     async def deliver(self, chunks: list[Chunk]) -> None:
         """Buffers the text.
 
         Raises:
-            RefusedError: The text exceeds `MAX_ANSWER_CHARS`.
+            RefusedError: The text exceeds `MAX_ANSWER_CHARS`, or was given up,
+                as all answers took too much memory.
         """
         for chunk in chunks:
             self._parts.append(chunk.text)
             self._text_chars += len(chunk.text)
+            self._held_bytes += sys.getsizeof(chunk.text)
         if self._text_chars > MAX_ANSWER_CHARS:
-            raise RefusedError(
-                RefusalReason.ANSWER_TOO_LARGE,
-                f"the response exceeds {MAX_ANSWER_CHARS} characters",
-                Outcome.RUN,
-            )
+            raise _too_large(f"exceeds {MAX_ANSWER_CHARS} characters")
+        if self.held is not None:
+            self._resize(self.held)
+
+    def _resize(self, held: HeldAnswer) -> None:
+        try:
+            held.resize(self._held_bytes)
+        except AnswerGivenUpError as exc:
+            raise _too_large(f"was {exc}") from exc
+
+    def forget_text(self) -> None:
+        """Drops the text, which cannot be sent any more."""
+        self._parts.clear()
 
     async def finish(self, finish: Finish) -> None:
         """Sends the complete response."""
@@ -124,3 +139,9 @@
     async def fail(self, refused: RefusedError) -> None:
         """Sends an error response."""
         await self.call.send_error(refused)
+
+
+def _too_large(why: str) -> RefusedError:
+    return RefusedError(
+        RefusalReason.ANSWER_TOO_LARGE, f"the response {why}", Outcome.RUN
+    )
--- a/knapweedarch/streams.py
+++ b/knapweedarch/streams.py
@@ -5,11 +5,14 @@
 of every event is checked before the event is relayed.
 """
 
+import contextlib
 import json
+import sys
 
 import attrs
 
-from knapweedarch.exceptions import KnapweedarchError
+from knapweedarch.answer_memory import HeldAnswer
+from knapweedarch.exceptions import AnswerGivenUpError, KnapweedarchError
 from knapweedarch.models import LoadReport, RetryReason
 from knapweedarch.settings_reader import is_text
 
@@ -114,6 +117,15 @@
     def __init__(self):
         self._buffer = b""
 
+    @property
+    def pending_bytes(self) -> int:
+        """Number of bytes of the line that is not complete."""
+        return len(self._buffer)
+
+    def clear(self) -> None:
+        """Drops the line that is not complete."""
+        self._buffer = b""
+
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the data of the events completed by these bytes.
 
@@ -222,12 +234,14 @@
         offset: Number of tokens accepted; offset of the next token.
         finish: The finishing event, set when the `[DONE]` marker arrives.
         attempts: Number of attempts started.
+        held: Counts the text; None if its size does not matter.
     """
 
     def __init__(self, request_id: str, max_tokens: int | None = None):
         self.offset = 0
         self.finish: Finish | None = None
         self.attempts = 0
+        self.held: HeldAnswer | None = None
         self._max_tokens = max_tokens
         self._empty_events = 0
         self._request_id = request_id
@@ -235,6 +249,8 @@
         self._pending_finish: Finish | None = None
         self._parts: list[str] = []
         self._text_chars = 0
+        self._held_bytes = 0
+        self._is_forgotten = False
 
     @property
     def started(self) -> bool:
@@ -244,7 +260,13 @@
     @property
     def resumable(self) -> bool:
         """Whether all text so far is kept, so that a runner can continue it."""
-        return self._text_chars <= MAX_RESUME_CHARS
+        return not self._is_forgotten and self._text_chars <= MAX_RESUME_CHARS
+
+    def forget_text(self) -> None:
+        """Drops the text; a complete answer is still delivered."""
+        self._is_forgotten = True
+        self._parts.clear()
+        self._held_bytes = 0
 
     @property
     def text(self) -> str:
@@ -367,3 +389,10 @@
         self._text_chars += len(text)
         if self.resumable:
             self._parts.append(text)
+            self._held_bytes += sys.getsizeof(text)
+        else:
+            self.forget_text()
+        if self.held is not None:
+            # If it is given up, the stream goes on and cannot be resumed.
+            with contextlib.suppress(AnswerGivenUpError):
+                self.held.resize(self._held_bytes)
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -30,7 +30,7 @@
     *("part_quarantine", "report_queue", "crash_guard", "quarantine_relay"),
     *("request_digests", "endpoint_statements", "software_versions"),
     *("origin_messages", "origin_table", "origin_relay"),
-    *("tunnel_messages", "endpoint_paths"),
+    *("tunnel_messages", "endpoint_paths", "endpoint_stats", "answer_memory"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
