Take a prompt to be as long as its parts

Cause: the tokens of the prompt and those of its parts came from two headers and were never compared. A runner that has the parts cached had fewer than none left to read, which no report of loads can carry.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -90,6 +90,24 @@
       | "born": "1700000000123" | refused       |
       | "born": 1.5             | refused       |
 
+  # A prompt whose parts had more tokens than the prompt ended its router, as the
+  # tokens that are left to read were negative in the loads it reports.
+  Scenario Outline: The counts of a prompt agree whatever its headers say
+    Guards against a caller that ends the process, and all other requests on it.
+    When a caller names the token count <count> and the parts <parts>
+    Then the prompt has <tokens> tokens, and a runner that has all parts reads <read>
+    And the header is <header>
+
+    Examples:
+      | count  | parts          | tokens | read | header       |
+      | 900,20 | a:500,b:400    | 900    | 400  | not reported |
+      | 950,20 | a:500,b:400    | 950    | 450  | not reported |
+      | none   | a:500,b:400    | 900    | 400  | reported     |
+      | 0,20   | a:500,b:400    | 900    | 400  | reported     |
+      | 400,20 | a:500,b:400    | 900    | 400  | reported     |
+      | none   | a:999999999999999,b:1 | 1000000000000000 | 1 | reported |
+      | none   | none           | 0      | 0    | not reported |
+
   # One spoiled event ended every member that read it, and kept all other events
   # of its runner from being read.
   Scenario Outline: A cache event that cannot be read is left out
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -15,11 +15,15 @@
     read_heartbeat,
     read_incarnation,
 )
+from adapter.headers import PlatformDialect
 from adapter.settings import Node, member_settings
+from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
 from knapweedarch.exceptions import DeploymentError, SettingsError
 from knapweedarch.http_messages import Request
 from knapweedarch.models import Endpoint, EndpointKind, EndpointStatus
+from knapweedarch.relay_messages import pack_loads, unpack_loads
 from knapweedarch.state import COMMANDS, RESULTS, Announce, ControlState
+from knapweedarch.stored_parts import PartsIndex
 
 CONFIGURATION = {
     "version": 7,
@@ -304,6 +308,45 @@
     assert found == incarnation, found
 
 
+@when("a caller names the token count {count} and the parts {parts}")
+def name_counts(context, count, parts):
+    named = {"token-count": count, "prefix-hash": parts}
+    headers = [
+        (b"x-knapweedarch-" + name.encode(), value.encode())
+        for name, value in named.items()
+        if value != "none"
+    ]
+    req = Request(
+        method=b"POST",
+        target=b"/",
+        headers=((b"x-knapweedarch-model", b"m"), *headers),
+    )
+    context.options = PlatformDialect().read_options(req)
+
+
+@then(
+    "the prompt has {tokens:d} tokens, and a runner that has all parts reads "
+    "{read:d}"
+)
+def check_counts(context, tokens, read):
+    prompt = context.options.prompt
+    unread_tokens = prompt.tokens - prompt.shared_tokens
+    assert (prompt.tokens, unread_tokens) == (tokens, read), prompt
+    chooser = EndpointChooser(ChoiceConfig(), PartsIndex())
+    runner = Endpoint(
+        *("i-1", "1", "http://10.0.0.1:80", EndpointKind.RUNNER, ("m",))
+    )
+    chooser.record_sent(runner, prompt, unread_tokens, 0.0)
+    (load,) = unpack_loads(pack_loads(chooser.own_loads()))
+    assert load.requests == 1
+
+
+@then("the header is {reported}")
+def check_reported(context, reported):
+    found = "x-knapweedarch-token-count" in context.options.malformed
+    assert found == (reported == "reported"), context.options.malformed
+
+
 @when("cache events with the row {row} arrive")
 def build_cache_events(context, row):
     good, other = [1, "+", "s", "p", 5, "m"], [2, "+", "s", "q", 5, "m"]
--- a/knapweedarch/prompt_parts.py
+++ b/knapweedarch/prompt_parts.py
@@ -26,7 +26,7 @@
 
     Attributes:
         model: Name of the model.
-        tokens: Length of the prompt in tokens.
+        tokens: Length of the prompt in tokens; at least that of all parts.
         max_tokens: Maximum number of tokens to generate.
         parts: Parts in order; the last one is specific to the request or
             session.
