--- a/knapweedarch/endpoint_table.py
+++ b/knapweedarch/endpoint_table.py
@@ -1,5 +1,6 @@
 """Endpoints known to a router, and the feeds of its runners."""
 
+import contextlib
 import random
 from collections.abc import Sequence
 
@@ -147,9 +148,13 @@
             pause_s = FEED_RETRY_S
             while True:
                 try:
-                    async for item in self._adapter.follow_feed(endpoint):
-                        pause_s = FEED_RETRY_S
-                        self._apply_feed_item(item)
+                    # An error here must not leave the feed's connection open.
+                    async with contextlib.aclosing(
+                        self._adapter.follow_feed(endpoint)
+                    ) as items:
+                        async for item in items:
+                            pause_s = FEED_RETRY_S
+                            self._apply_feed_item(item)
                 except EndpointError as exc:
                     log("feed_lost", endpoint=endpoint.id, reason=exc.reason)
                     self._record_lost(endpoint)
