Accept halves of a character in two events of an answer

A runner may divide a character between two events; nothing here encodes the text of an answer, so a sound stream was given up for it.

Also: events without tokens are counted anew for each attempt.

--- a/features/spoiled_events.feature
+++ b/features/spoiled_events.feature
@@ -52,6 +52,12 @@
     When the scheduler raises an unexpected error for an item of a feed
     Then the router gives up this feed and opens it again
 
+  Scenario: A character may be split between two events of an answer
+    Guards against a sound stream that is given up, as a runner divides the two
+    halves of a surrogate pair. They are passed on as they are.
+    When a stream has the halves of a character in two events
+    Then both are accepted, and the text of the answer has the character
+
   Scenario Outline: A spoiled event of an answer is a malformed event
     Guards against a stream that ends with its runner's fault in place of going
     on at another runner.
@@ -66,7 +72,6 @@
       | "choices": {}                                  |
       | "choices": [{"delta": {"content": 5}}]         |
       | "choices": [{"delta": "x"}]                    |
-      | "choices": [{"delta": {"content": "\ud83d"}}]  |
       | "offset": 1e400                                |
       | "tokens": 1e300                                |
       | "cached_tokens": 1e400                         |
--- a/features/steps/spoiled_event_steps.py
+++ b/features/steps/spoiled_event_steps.py
@@ -26,7 +26,7 @@
 from knapweedarch.source_relay import FeedSource
 from knapweedarch.state import EndpointEntry
 from knapweedarch.stored_parts import CacheChanges
-from knapweedarch.streams import Malformed, parse_event
+from knapweedarch.streams import Malformed, StreamState, parse_event
 from knapweedarch.timers import Clock
 
 RUNNER = "10.0.0.1:80"
@@ -335,3 +335,27 @@
 def check_malformed(context):
     found = parse_event(context.data)
     assert isinstance(found, Malformed), found
+
+
+@when("a stream has the halves of a character in two events")
+def split_character(context):
+    context.state = StreamState("r")
+    context.state.begin("a")
+    context.chunks = []
+    for offset, half in enumerate(("\\ud83d", "\\ude00")):
+        fields = {
+            "request_id": "r",
+            "attempt_id": "a",
+            "offset": offset,
+            "tokens": 1,
+            "choices": [{"delta": {"content": "HALF"}}],
+        }
+        data = json.dumps(fields).replace("HALF", half).encode()
+        context.chunks.append(parse_event(data))
+
+
+@then("both are accepted, and the text of the answer has the character")
+def check_character(context):
+    assert all(context.state.accept(chunk) for chunk in context.chunks)
+    sent = json.loads(json.dumps(context.state.text))
+    assert sent == "\U0001f600", sent
--- a/knapweedarch/streams.py
+++ b/knapweedarch/streams.py
@@ -14,7 +14,6 @@
 from knapweedarch.answer_memory import HeldAnswer
 from knapweedarch.exceptions import AnswerGivenUpError, KnapweedarchError
 from knapweedarch.models import LoadReport, RetryReason
-from knapweedarch.settings_reader import is_text
 
 # Longest text kept for a resume, in characters: about 260,000 tokens. A longer
 # response is still delivered, but its stream cannot be resumed.
@@ -176,7 +175,7 @@
         data = json.dumps(body, separators=(",", ":")).encode()
     if reason is None:
         text = choice["delta"].get("content") or ""
-        if not is_text(text):
+        if not isinstance(text, str):
             raise ValueError("the content is no text")
         cached = body.get("cached_tokens")
         return Chunk(
@@ -278,6 +277,7 @@
         self.attempts += 1
         self._attempt_id = attempt_id
         self._pending_finish = None
+        self._empty_events = 0
 
     def accept(self, event: StreamEvent) -> bool:
         """Validates an event of the current attempt and updates the state.
