Read shorter lists of cache events

A whole list of 8 MiB takes 80 to 217 MiB once it is parsed (tracemalloc, a trial: events, short events, empty lists and objects, numbers), beside the 34 MB of a member; a core of the users' huts has 296 MB, and no other task of the member runs meanwhile.

Cause: the list had the limit of any answer.

Change: a list may have 2 MiB, some 45,000 events.

--- a/features/answers_without_end.feature
+++ b/features/answers_without_end.feature
@@ -41,7 +41,21 @@
       | a request of its state | 1000000 |
       | a question who it is   | 1000000 |
       | an order               | 1000000 |
-      | a poll of its events   | 16000000 |
+      | a poll of its events   | 4000000 |
+
+  # A list that has an end, of values that take much memory once they are parsed.
+  Scenario Outline: The longest list of events leaves a member its memory
+    Guards against a member that runs out of memory by one whole answer.
+    When the longest list of events that is read holds only <rows>
+    Then the process has held at most 64 MiB more than before
+
+    Examples:
+      | rows          |
+      | events        |
+      | short events  |
+      | empty lists   |
+      | empty objects |
+      | numbers       |
 
   # The product's own gateway.
   Scenario Outline: Many answers without end leave a gateway its memory
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -9,7 +9,8 @@
 import anyio.abc
 from behave import given, then, when
 
-from adapter.runner_calls import RunnerCalls
+from adapter.documents import read_cache_changes
+from adapter.runner_calls import MAX_EVENTS_BYTES, RunnerCalls
 from features import request_harness
 from features.proxy_harness import FAULTY, open_proxy, request
 from features.raw_server import RawServer, raw_endpoint
@@ -229,6 +230,23 @@
     assert context.server.sent <= count, context.server.sent
 
 
+@when("the longest list of events that is read holds only {rows}")
+def read_longest_list(context, rows):
+    row = {
+        "events": b'[1,"+","s1","5c1e07a2",800,"daka510000"]',
+        "short events": b'[1,"+","",""]',
+        "empty lists": b"[]",
+        "empty objects": b"{}",
+        "numbers": b"1.5",
+    }[rows]
+    head = b'{"bootEpoch":1,"nextToken":2,"lost":false,"changes":['
+    count = (MAX_EVENTS_BYTES - len(head)) // (len(row) + 1)
+    body = head + b",".join([row] * count) + b"]}"
+    with traced_memory(context):
+        changes = read_cache_changes(body)
+    assert changes.malformed in (0, count), changes.malformed
+
+
 class SharingAnswer:
     """An answer of a random length that shares a memory."""
 
