End no leader by an error in the update of one runner

Cause: the task that reads a runner's state and sends its order expected ExchangeError only. No input is known that raises another one there.

Evidence: 'An unexpected error in the update of one runner' ended the member's tasks before (1 error).

Change: such an error is logged with its traceback, the runner is used again, and its update is tried once more; errors after which a member must not go on still end it.

--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -113,6 +113,7 @@
         refused_orders: Orders that a runner refused.
         most_loading: Largest number of runners that loaded concurrently.
         orders_while_queued: Number of orders to runners with queued requests.
+        error: Raised for orders that are not answered.
     """
 
     def __init__(self, member: FakeMember, group):
@@ -123,6 +124,9 @@
         self.refused_orders: list[LoadWeightsOrder] = []
         self.most_loading = 0
         self.orders_while_queued = 0
+        self.error: Exception = ExchangeError(
+            RetryReason.ANSWER_TIMEOUT, "no answer", True
+        )
 
     async def report(self, endpoint: Endpoint) -> RunnerState:
         """Returns a runner's state."""
@@ -142,7 +146,7 @@
         self.orders.append((endpoint.id, order))
         if runner.unanswered_orders:
             runner.unanswered_orders -= 1
-            raise ExchangeError(RetryReason.ANSWER_TIMEOUT, "no answer", True)
+            raise self.error
         self.orders_while_queued += Clock().now() < runner.queue_ends_at
         if order.expected_orders != runner.accepted or runner.loading:
             self.refused_orders.append(order)
@@ -204,6 +208,12 @@
     context.unanswered_runners = (number,)
 
 
+@given("runner {number:d} makes its first order raise an unexpected error")
+def fail_first_order(context, number):
+    context.unanswered_runners = (number,)
+    context.order_error = UnicodeEncodeError("utf-8", "\ud83d", 0, 1, "half")
+
+
 @when("weights {version:d} are named")
 def weights_named(context, version):
     context.named = [(0.0, version)]
@@ -228,6 +238,7 @@
     timers = Timers(Clock())
     async with anyio.create_task_group() as group:
         orders = FakeOrders(member, group)
+        orders.error = getattr(context, "order_error", orders.error)
         for number, version in context.versions.items():
             endpoint = runner_endpoint(number, version)
             member.apply(Announce(endpoint))
--- a/features/weights_rollout.feature
+++ b/features/weights_rollout.feature
@@ -45,6 +45,14 @@
     Then within 9.0 s every runner is in use with weights 2
     And each order contains the number of orders accepted before it
 
+  Scenario: An unexpected error in the update of one runner
+    Guards against a member that ends, and each next leader with it, by what a
+    faulty runner makes another part raise.
+    Given a leading member and 3 runners with weights 1
+    And runner 1 makes its first order raise an unexpected error
+    When weights 2 are named
+    Then within 9.0 s every runner is in use with weights 2
+
   Scenario: A runner starts its queued requests before it loads weights
     New weights arrive while runners are fully loaded. Guards against an order
     that makes a runner refuse requests that waited in its queue, and so uses up
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -15,7 +15,8 @@
 import attrs
 
 from knapweedarch.exceptions import ExchangeError
-from knapweedarch.logs import log
+from knapweedarch.links import FATAL_ERRORS
+from knapweedarch.logs import log, traceback_text
 from knapweedarch.member import Member
 from knapweedarch.models import (
     Endpoint,
@@ -319,6 +320,17 @@
                     endpoint, EndpointStatus.SILENT, "connection refused"
                 )
             await self._reactivate(endpoint)
+        except FATAL_ERRORS:
+            raise
+        except Exception as exc:
+            # A fault in one update must not end the member: the next leader
+            # would meet it too.
+            log(
+                "order_failed",
+                endpoint=endpoint.id,
+                reason=traceback_text(exc),
+            )
+            await self._reactivate(endpoint)
         finally:
             paused_until = self._clock.now() + RETRY_DELAY_S
             self._paused_until[endpoint.id] = paused_until
