Tell why members change, and why no member leads

Added, without a change of logic: - member_change (217): what the leader adds, removes or promotes and why, with voters and learners; counter member.changes by kind; - join_asked (218): a new name, identity or address asked this leader to join; - leader_missing (219): role, term, blank, suspended, and which voters answered and granted a vote, after 2 s without a leader and each 5 s; - leader_stopped: the reason, and the voters that were silent; - group_not_found: what each address answered, whether this member forms the group; - gauges member.voters, learners, silent_voters, follows; counter member.joins_failed.

The lines are bounded: by changes of the list, by new names, and by time. next_change returns the change with its kind in place of the bare list.

--- a/bench/virtual_group.py
+++ b/bench/virtual_group.py
@@ -119,6 +119,7 @@
         save_before_send: Whether output is saved before it is sent. If not, a
             member that crashes before a save has sent its messages.
         keep_identity: Whether a member that lost its disk keeps its identity.
+        voters: Target number of voters; 0 if no other members may join.
         record_message_sizes: Whether `largest_message` is kept up to date.
         largest_message: Size in bytes of the largest message sent.
         elections: Number of terms in which a leader was seen.
@@ -132,6 +133,7 @@
         replica_class: type[Replica] = Replica,
         save_before_send: bool = True,
         keep_identity: bool = False,
+        voters: int = 0,
     ):
         self.random = random.Random(seed)
         self.now = 0.0
@@ -143,6 +145,7 @@
         self.replica_class = replica_class
         self.save_before_send = save_before_send
         self.keep_identity = keep_identity
+        self.voters = voters
         self.record_message_sizes = False
         self.largest_message = 0
         self.elections = 0
@@ -180,7 +183,7 @@
         node = self.nodes[name]
         restored = node.disk.restored()
         node.replica = self.replica_class(
-            ReplicaConfig(name, kept_entries=4),
+            ReplicaConfig(name, kept_entries=4, voters=self.voters),
             restored,
             self.random.getrandbits(32),
         )
--- /dev/null
+++ b/features/steps/member_change_steps.py
@@ -0,0 +1,98 @@
+"""Steps for members that are replaced by new ones."""
+
+import random
+
+from behave import given, then, when
+
+from features.joining_group import JoiningGroup, replace_in_series
+
+
+@given("{count:d} members whose leader has led for {seconds:f} s")
+def members_with_old_leader(context, count, seconds):
+    context.group = group = JoiningGroup(count, seed=1)
+    group.wait_for_leader()
+    group.run(seconds)
+    group.changes.clear()
+    context.entries_before = group.member_entries()
+
+
+def following_member(group):
+    leader = group.leader().name
+    return next(name for name in group.nodes if name != leader)
+
+
+@when("a following member is replaced after {seconds:f} s")
+def replace_follower(context, seconds):
+    context.group.replace([following_member(context.group)], seconds)
+
+
+@when(
+    "a following member is replaced, and the new one is cut off as a learner"
+    " for {seconds:f} s"
+)
+def cut_off_learner(context, seconds):
+    group = context.group
+    (name,) = group.replace([following_member(group)], 0.5)
+    replica = group.nodes[name].replica
+    group.run_until(lambda: not replica.blank, 4.0)
+    group.isolate(name)
+    group.run(seconds)
+    group.heal()
+
+
+@when("three of them stop, the leader among them")
+def stop_majority(context):
+    group = context.group
+    leader = group.leader().name
+    others = [name for name in group.nodes if name != leader]
+    for name in (leader, *others[:2]):
+        group.crash(name)
+
+
+@when("{seconds:f} s pass")
+def pass_time(context, seconds):
+    context.group.run(seconds)
+
+
+@then("all members are voters within {limit:f} s")
+def check_all_voters(context, limit):
+    context.group.run_until(context.group.membership_repaired, limit)
+
+
+@then("the list of members has changed {count:d} times")
+def check_member_entries(context, count):
+    context.group.run(1.0)
+    changed = context.group.member_entries() - context.entries_before
+    assert changed == count, f"{changed} changes"
+
+
+@then(
+    "in {runs:d} runs of {rounds:d} rounds all members are voters within 4.0 s"
+    " of each start"
+)
+def check_series(context, runs, rounds):
+    for seed in range(runs):
+        group = JoiningGroup(5, seed)
+        group.wait_for_leader()
+        group.run(22.0)
+        try:
+            replace_in_series(group, rounds, 2, random.Random(seed))
+        except AssertionError as exc:
+            raise AssertionError(f"seed {seed}: {exc}") from exc
+
+
+@then("the changes were {kinds}")
+def check_changes(context, kinds):
+    told = [kind.value for kind in context.group.changes]
+    assert told == kinds.split(", "), told
+
+
+@then(
+    "a member that is left tells that {answered:d} of {count:d} voters answer"
+)
+def check_election_report(context, answered, count):
+    (node, *_) = context.group.running()
+    report = node.replica.election_report()
+    assert len(report.voters) == count, report
+    # Its own vote is no answer of another voter.
+    assert len(report.answered) + 1 == answered, report
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -76,6 +76,7 @@
 RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.1
 REPLY_TIMEOUT_S = 1.0
+MAX_REPORTED_OUTCOMES = 4
 
 
 class ControlClient(TaskOwner):
@@ -165,17 +166,21 @@
         """
         until = self._clock.now() + timeout_s
         outcome_unknown = False
+        # What each address answered, in the order of the newest answers.
+        outcomes: dict[str, None] = {}
         delay_s = RETRY_DELAY_S
         while (remaining_s := until - self._clock.now()) > 0:
             try:
                 link = await self._connect()
-            except LinkError:
+            except LinkError as exc:
+                outcomes[str(exc)] = None
                 await self._sleep(delay_s, until)
                 delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
                 continue
             try:
                 reply = await link.call(message, remaining_s)
-            except LinkError:
+            except LinkError as exc:
+                outcomes[f"{link.peer}: {exc}"] = None
                 # Stays set: a redirect by another member does not show
                 # whether the earlier message took effect.
                 outcome_unknown = True
@@ -183,6 +188,7 @@
             else:
                 match reply:
                     case Redirect():
+                        outcomes[f"{link.peer}: leader {reply.leader!r}"] = None
                         self._follow_redirect(reply)
                     case Refused(reason="unknown_outcome"):
                         # A retry can still obtain the outcome, such as from
@@ -195,7 +201,10 @@
             await self._sleep(delay_s, until)
             delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
         reason = "unknown_outcome" if outcome_unknown else "unreachable"
-        raise ControlError(reason, "no control member answered in time")
+        told = "; ".join([*outcomes][-MAX_REPORTED_OUTCOMES:])
+        raise ControlError(
+            reason, f"no control member answered in time ({told or 'none'})"
+        )
 
     async def _sleep(self, delay_s: float, until: float) -> None:
         await anyio.sleep(min(delay_s, max(until - self._clock.now(), 0)))
@@ -290,7 +299,9 @@
                 link.close()
         except LinkError as exc:
             raise ControlError(
-                "unreachable", f"member {member.name} does not answer"
+                "unreachable",
+                f"member {member.name or '(name unknown)'} at {member.host}:"
+                f"{member.port} does not answer: {exc}",
             ) from exc
 
 
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -114,6 +114,19 @@
         206, "group_not_found", _W, "No group has been formed or joined yet."
     ),
     Event(207, "members_changed", _I, "The list of members changed."),
+    Event(
+        217,
+        "member_change",
+        _I,
+        "The leader adds, removes or promotes a member.",
+    ),
+    Event(218, "join_asked", _I, "A member asked this leader to join."),
+    Event(
+        219,
+        "leader_missing",
+        _W,
+        "This member has known no leader for some seconds.",
+    ),
     Event(208, "proposal_failed", _W, "A change was not appended to the log."),
     Event(209, "endpoint_status", _I, "The status of an endpoint changed."),
     Event(301, "lease_granted", _I, "The router acquired a lease."),
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -179,7 +179,12 @@
             log("leader_started", term=self._replica.term)
         if not is_leader and self._leases is not None:
             self._leases, self._active_term = None, 0
-            log("leader_stopped", term=self._replica.term)
+            log(
+                "leader_stopped",
+                term=self._replica.term,
+                reason=self._replica.leadership_end,
+                silent=self._replica.silent_at_end,
+            )
             for proposal in self._proposals.values():
                 proposal.done.set()
             self._proposals.clear()
@@ -309,7 +314,15 @@
         """Registers a member that wants to join the group."""
         if not self._can_serve():
             return self._redirect()
-        self._replica.note_peer(join.name, join.identity, join.host, join.port)
+        if self._replica.note_peer(
+            *(join.name, join.identity, join.host, join.port)
+        ):
+            log(
+                "join_asked",
+                member=join.name,
+                identity=join.identity,
+                address=f"{join.host}:{join.port}",
+            )
         return control.Joining(self.addresses())
 
     async def submit(
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -32,6 +32,10 @@
 
 TICK_S = 0.04
 METRICS_INTERVAL_S = 1.0
+# A member that has known no leader for the first time tells so, and again each
+# time that the second one has passed.
+LEADERLESS_S = 2.0
+LEADERLESS_REPORT_S = 5.0
 HAND_OVER_TIMEOUT_S = 1.0
 JOIN_INTERVAL_S = 0.25
 JOIN_TIMEOUT_S = 1.0
@@ -82,6 +86,7 @@
         self._work = anyio.Event()
         self._timers = Timers(clock)
         self._addresses: tuple[control.MemberAddress, ...] = ()
+        self._leader_known_at = self._leaderless_told_at = clock.now()
         self.port = 0
 
     def _load_journal(self) -> None:
@@ -194,12 +199,17 @@
                             for seed in self._settings.seeds
                         )
                     )
-                elif (
-                    self._replica.leader is None or not self._is_group_member()
-                ):
+                elif not self._replica.knows_group:
                     await self._join()
             except ControlError as exc:
-                log("group_not_found", reason=str(exc))
+                self._metrics.count("member.joins_failed")
+                log(
+                    "group_not_found",
+                    reason=str(exc),
+                    blank=self._replica.blank,
+                    forms=self._should_form(),
+                    leader=self._replica.leader,
+                )
             await anyio.sleep(JOIN_INTERVAL_S)
 
     def _should_form(self) -> bool:
@@ -215,10 +225,6 @@
             and seeds[0] == self._settings.listen
         )
 
-    def _is_group_member(self) -> bool:
-        identity = self._journal.identity
-        return any(m.identity == identity for m in self._replica.members)
-
     async def _join(self) -> None:
         listen = self._settings.listen
         joining = await self._control.request(
@@ -239,6 +245,46 @@
             self._control.set_members(addresses)
             log("members_changed", members=[a.name for a in addresses])
 
+    def _report_member_changes(self) -> None:
+        for change in self._replica.take_member_changes():
+            self._metrics.count(f"member.changes.{change.kind.value}")
+            log(
+                "member_change",
+                change=change.kind,
+                member=change.member.name,
+                identity=change.member.identity,
+                voters=[m.name for m in change.members if m.voter],
+                learners=[m.name for m in change.members if not m.voter],
+            )
+
+    def _report_missing_leader(self, now: float) -> None:
+        """Tells why no member leads, as far as this one can know."""
+        if self._replica.leader is not None:
+            self._leader_known_at = self._leaderless_told_at = now
+            return
+        waited_s = now - self._leader_known_at
+        interval_s = (
+            LEADERLESS_S
+            if self._leaderless_told_at == self._leader_known_at
+            else LEADERLESS_REPORT_S
+        )
+        if now - self._leaderless_told_at < interval_s:
+            return
+        self._leaderless_told_at = now
+        report = self._replica.election_report()
+        log(
+            "leader_missing",
+            for_s=round(waited_s, 3),
+            role=self._replica.role,
+            term=self._replica.term,
+            last_index=self._replica.last_index,
+            blank=self._replica.blank,
+            suspended=self._replica.suspended,
+            voters=report.voters,
+            answered=report.answered,
+            granted=report.granted,
+        )
+
     def _check_silence(self, now: float) -> None:
         self._group.start_soon(self._leader.mark_silent)
 
@@ -290,6 +336,7 @@
             for entry in output.committed:
                 self._leader.apply(entry)
             self._leader.update_role()
+            self._report_member_changes()
             self._apply_member_list()
             self._update_sources()
             self._compact_if_due()
@@ -331,6 +378,17 @@
             self._leader.applied = output.snapshot.index
 
     def _report_metrics(self, now: float) -> None:
+        self._report_missing_leader(now)
+        members = self._replica.members
+        voters = sum(m.voter for m in members)
+        self._metrics.gauge("member.voters", voters)
+        self._metrics.gauge("member.learners", len(members) - voters)
+        self._metrics.gauge(
+            "member.silent_voters", len(self._replica.silent_voters)
+        )
+        self._metrics.gauge(
+            "member.follows", int(self._replica.leader is not None)
+        )
         routers = self._leader.router_count(now)
         self._metrics.gauge("member.leads", int(self._leader.is_active))
         self._metrics.gauge("member.term", self._replica.term)
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -15,7 +15,12 @@
 
 from knapweedarch.caller_ends import DropCause
 from knapweedarch.deployments import Repeatability
-from knapweedarch.models import RefusalReason, RequestEnd, RetryReason
+from knapweedarch.models import (
+    MemberChangeKind,
+    RefusalReason,
+    RequestEnd,
+    RetryReason,
+)
 
 NAMESPACE = "knapweedarch"
 # Upper bounds of the histogram buckets: from one step of a runner to the
@@ -158,6 +163,19 @@
     Metric("member.term", _G, "Term of this member."),
     Metric("member.commit_index", _G, "Highest committed log index."),
     Metric("member.routers", _G, "Routers with an unexpired lease."),
+    Metric("member.voters", _G, "Voters in this member's list of members."),
+    Metric("member.learners", _G, "Learners in this member's list of members."),
+    Metric(
+        "member.silent_voters",
+        _G,
+        "Voters that have not answered this leader lately; 0 elsewhere.",
+    ),
+    Metric("member.follows", _G, "1 while this member knows a leader, else 0."),
+    Metric(
+        "member.joins_failed",
+        _C,
+        "Attempts of this member to form or join a group that failed.",
+    ),
     Metric(
         "member.messages_ignored",
         _C,
@@ -195,6 +213,10 @@
         _create_reason_counter("dropped", "Requests without a whole answer", c)
         for c in DropCause
     ),
+    *(
+        _create_reason_counter("member.changes", "Changes of the members", k)
+        for k in MemberChangeKind
+    ),
     *(_create_answer_timing(k, o) for k in Repeatability for o in RequestEnd),
 )
 METRICS = {metric.name: metric for metric in ALL_METRICS}
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -48,6 +48,19 @@
     TOO_MANY_RECORDS = "too_many_records"
 
 
+class MemberChangeKind(str, enum.Enum):
+    """What a leader changes in the member list, and why."""
+
+    JOINING_ADDED = "joining_added"
+    REPLACEMENT_ADDED = "replacement_added"
+    LEARNER_REPLACED = "learner_replaced"
+    LEARNER_PROMOTED = "learner_promoted"
+    SILENT_LEARNER_REMOVED = "silent_learner_removed"
+    SILENT_VOTER_REMOVED = "silent_voter_removed"
+    REPLACED_VOTER_REMOVED = "replaced_voter_removed"
+    ORIGINAL_RETURNED = "original_returned"
+
+
 class RequestEnd(str, enum.Enum):
     """Result of a caller's request.
 
--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -38,7 +38,11 @@
     encode_members,
     initial_members_entry,
 )
-from knapweedarch.replica_status import ReplicaConfig, ReplicaStatus
+from knapweedarch.replica_status import (
+    LeadershipEnd,
+    ReplicaConfig,
+    ReplicaStatus,
+)
 
 __all__ = [
     "MESSAGES",
@@ -182,6 +186,7 @@
         transfer_target = self._leadership.transfer_target(self._log.last_index)
         if transfer_target is None:
             return False
+        self._end_leadership(LeadershipEnd.HANDED_OVER)
         self._become_follower(self.term, None, now)
         self._send(transfer_target, HandOver(self.identity, self.term))
         return True
@@ -204,6 +209,7 @@
         if leadership is None:
             return ()
         transfer_target = leadership.transfer_target(self._log.commit_index)
+        self._end_leadership(LeadershipEnd.DISK_FULL)
         self._become_follower(self.term, None, now)
         if transfer_target is None:
             return ()
@@ -217,13 +223,19 @@
         """
         self.suspended = False
 
-    def note_peer(self, name: str, identity: str, host: str, port: int) -> None:
+    def note_peer(self, name: str, identity: str, host: str, port: int) -> bool:
         """Records the identity that a member announced on a new link.
 
         A member that returns with another identity has lost its disk. The
         leader then adds it as a learner and replaces the old identity.
+
+        Returns:
+            Whether the name, its identity or its address is new.
         """
-        self._peer_identities[name] = PeerIdentity(name, identity, host, port)
+        peer = PeerIdentity(name, identity, host, port)
+        is_new = self._peer_identities.get(name) != peer
+        self._peer_identities[name] = peer
+        return is_new
 
     def compact(self, index: int, snapshot_data: bytes, now: float) -> None:
         """Replaces the entries up to `index` with a snapshot.
@@ -281,10 +293,17 @@
         leads = self._leadership is not None
         return leads or self._election.has_recent_leader(now)
 
+    def _end_leadership(self, reason: LeadershipEnd) -> None:
+        """Records why this leader is about to become a follower."""
+        self.leadership_end = reason
+        self.silent_at_end = self.silent_voters
+
     def _become_follower(
         self, term: int, leader: str | None, now: float
     ) -> None:
         if self._leadership is not None:
+            if term > self.term:
+                self._end_leadership(LeadershipEnd.NEWER_TERM)
             # This replica's own leader lease may not have expired yet, so it
             # grants no votes until it has.
             self._election.record_leader_contact(now)
@@ -398,6 +417,7 @@
     def _on_vote_reply(self, reply: VoteReply, now: float) -> None:
         if self.role not in (Role.PRE_CANDIDATE, Role.CANDIDATE):
             return
+        self._election.record_answer(reply)
         if (
             reply.restarted
             and self.role is Role.PRE_CANDIDATE
@@ -429,6 +449,7 @@
     def _tick_leader(self, now: float) -> None:
         leadership = self._leadership
         if leadership.quorum_lost(now):
+            self._end_leadership(LeadershipEnd.QUORUM_LOST)
             self._become_follower(self.term, None, now)
             return
         leadership.tick(now)
@@ -442,6 +463,7 @@
 
     def _step_down_if_removed(self, now: float) -> None:
         if not self.members_pending and not self._is_voter():
+            self._end_leadership(LeadershipEnd.REMOVED)
             self._become_follower(self.term, None, now)
 
     def _change_members(self, now: float) -> None:
@@ -452,28 +474,17 @@
             or self.members_pending
         ):
             return
-        members = next_change(
+        change = next_change(
             self.members,
             self._peer_identities,
             self.identity,
             self._caught_up,
-            lambda i: self._silence(i, now),
+            lambda identity: leadership.silence(identity, now),
             self._cfg.voters,
         )
-        if members is not None:
-            self.propose_members(members, now)
-
-    def _silence(self, identity: str, now: float) -> float:
-        """Returns the seconds since a member last answered this leader.
-
-        The time before this replica became leader does not count.
-        """
-        leadership = self._leadership
-        peer = leadership.peer(identity)
-        # The leader is not among its own peers and is never silent to itself.
-        return (
-            now - max(peer.last_contact, leadership.started_at) if peer else 0.0
-        )
+        if change is not None:
+            self.propose_members(change.members, now)
+            self._member_changes.append(change)
 
     def _on_append_reply(self, reply: AppendReply, now: float) -> None:
         if self._should_ignore_reply(reply.identity, reply.term, now):
--- a/knapweedarch/replica_election.py
+++ b/knapweedarch/replica_election.py
@@ -22,6 +22,8 @@
         hard_state: Term and vote.
         just_restarted: Whether the process has not heard from a leader since
             it started.
+        answers: Identities of the voters that answered since a leader was last
+            heard from, and whether the newest answer was a vote or pre-vote.
     """
 
     def __init__(self, identity: str, hard_state: HardState, seed: int):
@@ -32,6 +34,7 @@
         # Identities that granted a vote in this term; the key is whether it is
         # a pre-vote.
         self._votes: dict[bool, set[str]] = {True: set(), False: set()}
+        self.answers: dict[str, bool] = {}
         self.just_restarted = False
         self._restarted_voters: set[str] = set()
         self._refuse_votes_until = 0.0
@@ -55,6 +58,7 @@
     def record_leader_contact(self, now: float) -> None:
         """Restarts the period in which this replica grants no votes."""
         self.just_restarted = False
+        self.answers = {}
         self._votes = {True: set(), False: set()}
         self._refuse_votes_until = now + MIN_ELECTION_S
         self._restart_timer(now, MIN_ELECTION_S, MAX_ELECTION_S)
@@ -168,6 +172,10 @@
         self._restart_timer(now, MIN_ELECTION_S, MAX_ELECTION_S)
         return True
 
+    def record_answer(self, reply: VoteReply) -> None:
+        """Records that a voter answered, for reports only."""
+        self.answers[reply.identity] = reply.granted
+
     def count_vote(self, reply: VoteReply, voters: set[str]) -> bool:
         """Counts a granted vote; returns whether there is a majority."""
         if reply.term != self.term + reply.pre:
--- a/knapweedarch/replica_leadership.py
+++ b/knapweedarch/replica_leadership.py
@@ -142,6 +142,17 @@
         newest = max(eligible, key=lambda p: (p.match_index, p.last_contact))
         return newest.member.name
 
+    def silence(self, identity: str, now: float) -> float:
+        """Returns the seconds since a member last answered this leader.
+
+        The time before this replica became leader does not count.
+        """
+        peer = self._peers.get(identity)
+        # The leader is not among its own peers and is never silent to itself.
+        if peer is None:
+            return 0.0
+        return now - max(peer.last_contact, self.started_at)
+
     def quorum_lost(self, now: float) -> bool:
         """Returns whether no majority answered for `MAX_ELECTION_S`."""
         last_contact = max(self.quorum_last_contact(now), self.started_at)
--- a/knapweedarch/replica_membership.py
+++ b/knapweedarch/replica_membership.py
@@ -5,6 +5,7 @@
 import attrs
 
 from knapweedarch.exceptions import MembershipError
+from knapweedarch.models import MemberChangeKind
 from knapweedarch.replica_messages import Member
 
 # A voter that has answered within this time is alive. Another process with its
@@ -27,6 +28,21 @@
     port: int
 
 
+@attrs.frozen
+class MemberChange:
+    """A change that a leader proposes itself.
+
+    Attributes:
+        kind: What changes, and why.
+        member: The member that is added, removed or promoted.
+        members: The list after the change.
+    """
+
+    kind: MemberChangeKind
+    member: Member
+    members: Members
+
+
 def check_change(
     old: Members,
     new: Members,
@@ -67,8 +83,8 @@
     caught_up: Callable[[str], bool],
     silence: Callable[[str], float],
     voters: int = 0,
-) -> Members | None:
-    """Returns the next member list towards a complete group, if any.
+) -> MemberChange | None:
+    """Returns the next change towards a complete group, if any.
 
     Args:
         members: Current list.
@@ -107,16 +123,37 @@
 
 def _add_joining_learner(
     members: Members, announced: Mapping[str, PeerIdentity]
-) -> Members | None:
+) -> MemberChange | None:
     """Adds a learner for an announced name that is not in the list."""
     if len(members) >= MAX_MEMBERS:
         return None
     names = {m.name for m in members}
     for name in sorted(announced.keys() - names):
-        return (*members, Member(*attrs.astuple(announced[name]), voter=False))
+        learner = _create_learner(announced[name])
+        return MemberChange(
+            MemberChangeKind.JOINING_ADDED, learner, (*members, learner)
+        )
     return None
 
 
+def _create_learner(peer: PeerIdentity) -> Member:
+    return Member(*attrs.astuple(peer), voter=False)
+
+
+def _replace_learner(others: Members, peer: PeerIdentity) -> MemberChange:
+    learner = _create_learner(peer)
+    return MemberChange(
+        MemberChangeKind.LEARNER_REPLACED, learner, (*others, learner)
+    )
+
+
+def _promote(others: Members, learner: Member) -> MemberChange:
+    voter = attrs.evolve(learner, voter=True)
+    return MemberChange(
+        MemberChangeKind.LEARNER_PROMOTED, voter, (*others, voter)
+    )
+
+
 def _advance_joining_learner(
     members: Members,
     learner: Member,
@@ -125,23 +162,30 @@
     silence: Callable[[str], float],
     voters: int,
     own_identity: str,
-) -> Members | None:
+) -> MemberChange | None:
     """Promotes a joining learner; in a full group, removes a silent voter.
 
     A removed voter that returns later joins again as a learner.
     """
     others = tuple(m for m in members if m is not learner)
     if peer is not None and peer.identity != learner.identity:
-        return (*others, Member(*attrs.astuple(peer), voter=False))
+        return _replace_learner(others, peer)
     if not caught_up(learner.identity):
-        timed_out = silence(learner.identity) > LEARNER_SILENCE_S
-        return others if timed_out else None
+        if silence(learner.identity) <= LEARNER_SILENCE_S:
+            return None
+        return MemberChange(
+            MemberChangeKind.SILENT_LEARNER_REMOVED, learner, others
+        )
     if sum(m.voter for m in members) < voters:
-        return (*others, attrs.evolve(learner, voter=True))
+        return _promote(others, learner)
     for member in members:
         is_other_voter = member.voter and member.identity != own_identity
         if is_other_voter and silence(member.identity) >= REPLACE_SILENCE_S:
-            return tuple(m for m in members if m is not member)
+            return MemberChange(
+                MemberChangeKind.SILENT_VOTER_REMOVED,
+                member,
+                tuple(m for m in members if m is not member),
+            )
     return None
 
 
@@ -150,7 +194,7 @@
     voter: Member,
     peer: PeerIdentity | None,
     silence: Callable[[str], float],
-) -> Members | None:
+) -> MemberChange | None:
     """Adds a learner for a voter that returned with another identity."""
     if (
         peer is None
@@ -159,8 +203,10 @@
         or silence(voter.identity) < REPLACE_SILENCE_S
     ):
         return None
-    learner = Member(*attrs.astuple(peer), voter=False)
-    return (*members, learner)
+    learner = _create_learner(peer)
+    return MemberChange(
+        MemberChangeKind.REPLACEMENT_ADDED, learner, (*members, learner)
+    )
 
 
 def _advance_replacement_learner(
@@ -168,7 +214,7 @@
     learner: Member,
     peer: PeerIdentity | None,
     caught_up: Callable[[str], bool],
-) -> Members | None:
+) -> MemberChange | None:
     """Replaces a lost learner, or advances a learner towards voting.
 
     Once a learner has caught up, one change removes the voter that it replaces,
@@ -182,11 +228,18 @@
         others = tuple(m for m in members if m is not learner)
         if any(m.identity == peer.identity for m in others):
             # The original disk returned before its voter was removed.
-            return others
-        return (*others, Member(*attrs.astuple(peer), voter=False))
+            return MemberChange(
+                MemberChangeKind.ORIGINAL_RETURNED, learner, others
+            )
+        return _replace_learner(others, peer)
     if not caught_up(learner.identity):
         return None
     others = tuple(m for m in members if m.name != learner.name)
-    if any(m.name == learner.name and m.voter for m in members):
-        return (*others, learner)
-    return (*others, attrs.evolve(learner, voter=True))
+    for member in members:
+        if member.name == learner.name and member.voter:
+            return MemberChange(
+                MemberChangeKind.REPLACED_VOTER_REMOVED,
+                member,
+                (*others, learner),
+            )
+    return _promote(others, learner)
--- a/knapweedarch/replica_status.py
+++ b/knapweedarch/replica_status.py
@@ -1,12 +1,19 @@
 """State of a replica, with the properties that its driver reads."""
 
+import collections
+import enum
+
 import attrs
 
 from knapweedarch.replica_election import Election
 from knapweedarch.replica_follower import Follower
-from knapweedarch.replica_leadership import MAX_ELECTION_S, Leadership
+from knapweedarch.replica_leadership import (
+    MAX_ELECTION_S,
+    MIN_ELECTION_S,
+    Leadership,
+)
 from knapweedarch.replica_log import ReplicaLog
-from knapweedarch.replica_membership import PeerIdentity
+from knapweedarch.replica_membership import MemberChange, PeerIdentity
 from knapweedarch.replica_messages import (
     Member,
     Message,
@@ -15,6 +22,34 @@
     Snapshot,
 )
 
+# Changes of the member list that wait for the driver to report them.
+MAX_UNREPORTED_CHANGES = 64
+
+
+class LeadershipEnd(str, enum.Enum):
+    """Why a replica is no longer the leader."""
+
+    QUORUM_LOST = "quorum_lost"
+    NEWER_TERM = "newer_term"
+    REMOVED = "removed"
+    HANDED_OVER = "handed_over"
+    DISK_FULL = "disk_full"
+
+
+@attrs.frozen
+class ElectionReport:
+    """What a replica without a leader knows of the other voters.
+
+    Attributes:
+        voters: Names of the voters.
+        answered: Names of those that answered since the last leader was lost.
+        granted: Names of those whose newest answer was a vote or pre-vote.
+    """
+
+    voters: tuple[str, ...]
+    answered: tuple[str, ...]
+    granted: tuple[str, ...]
+
 
 @attrs.frozen
 class ReplicaConfig:
@@ -48,6 +83,10 @@
             driver's clock; None if it is not the leader.
         suspended: Whether the last output is not saved yet; see
             `Replica.suspend`.
+        leadership_end: Why this replica last ceased to be the leader, if it
+            ever was.
+        silent_at_end: Names of the voters that had not answered it for the
+            shortest election timeout at that time.
     """
 
     def __init__(self, cfg: ReplicaConfig, restored: Restored, seed: int):
@@ -57,6 +96,11 @@
         self.leader: str | None = None
         self.leader_since: float | None = None
         self.suspended = False
+        self.leadership_end: LeadershipEnd | None = None
+        self.silent_at_end: tuple[str, ...] = ()
+        self._member_changes: collections.deque[MemberChange] = (
+            collections.deque(maxlen=MAX_UNREPORTED_CHANGES)
+        )
         self._cfg = cfg
         self._log = ReplicaLog(restored)
         self._election = Election(self.identity, restored.hard_state, seed)
@@ -73,6 +117,46 @@
         """Newest known term."""
         return self._election.term
 
+    @property
+    def knows_group(self) -> bool:
+        """Whether this replica has a leader and is in its own member list."""
+        return self.leader is not None and any(
+            m.identity == self.identity for m in self.members
+        )
+
+    @property
+    def silent_voters(self) -> tuple[str, ...]:
+        """Names of the other voters that have not answered this leader lately.
+
+        Empty if this replica is not the leader.
+        """
+        leadership = self._leadership
+        if leadership is None:
+            return ()
+        return tuple(
+            member.name
+            for member in self.members
+            if member.voter
+            and member.identity != self.identity
+            and leadership.silence(member.identity, self._now) > MIN_ELECTION_S
+        )
+
+    def election_report(self) -> ElectionReport:
+        """Returns which voters answered in the present search for a leader."""
+        voters = [m for m in self.members if m.voter]
+        answers = self._election.answers
+        return ElectionReport(
+            tuple(m.name for m in voters),
+            tuple(m.name for m in voters if m.identity in answers),
+            tuple(m.name for m in voters if answers.get(m.identity)),
+        )
+
+    def take_member_changes(self) -> tuple[MemberChange, ...]:
+        """Returns the changes that this leader proposed, and clears them."""
+        changes = tuple(self._member_changes)
+        self._member_changes.clear()
+        return changes
+
     @property
     def commit_index(self) -> int:
         """Index of the last entry known to be committed."""
