--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -3,6 +3,41 @@
   Members with other names and empty disks take the place of lost ones, as an
   operator's platform starts them.
 
+  Scenario: A new member is added once, however long its leader has led
+    Guards against a leader that takes a member that has not answered yet for one
+    that has been silent for as long as the leader has led.
+    Given 5 members whose leader has led for 20.0 s
+    When a following member is replaced after 0.5 s
+    Then all members are voters within 4.0 s
+    And the list of members has changed 3 times
+
+  Scenario: A member that is gone is not added again
+    Guards against a log that grows without end by a name that nobody bears.
+    Given 5 members whose leader has led for 20.0 s
+    When a following member is replaced after 0.5 s
+    And 30.0 s pass
+    Then the list of members has changed 3 times
+
+  Scenario: A lost member keeps no later one from joining
+    Load: every 4.5 s two members are lost at a time, the leader among them now and
+    then, and new ones come 0.5 s later. Guards against lost voters that nobody
+    replaces because an earlier lost member is added again and again.
+    Then in 40 runs of 8 rounds all members are voters within 4.0 s of each start
+
+  Scenario: A learner that was cut off for long joins when the cut heals
+    Guards against a member that believes itself to be in a group which has given
+    it up.
+    Given 5 members whose leader has led for 20.0 s
+    When a following member is replaced, and the new one is cut off as a learner for 25.0 s
+    Then all members are voters within 4.0 s
+
+  Scenario: The leader tells why it changes the members
+    Guards against changes of the members that nobody can explain.
+    Given 5 members whose leader has led for 20.0 s
+    When a following member is replaced after 0.5 s
+    Then all members are voters within 4.0 s
+    And the changes were joining_added, silent_voter_removed, learner_promoted
+
   Scenario: A member without a leader tells which voters answer
     Guards against an outage of which no member can say why nobody leads.
     Given 5 members whose leader has led for 20.0 s
