Add only members that ask to join at present, in the order in which they asked

Callers saw 503 for the configuration once three of five voters were gone, though new members had asked to join for 8 s: the leader kept what each name had once announced for ever, added the first of the names in alphabetical order, and so added a removed voter that was gone again and again.

Since a leader no longer adds a forgotten name by itself, a learner that was cut off for long must ask again: it held the old leader for its leader for ever, as learners hold no elections. It now knows its group only while it hears from a leader.

Without the second half of the change 'A learner that was cut off for long joins' fails.

--- a/features/joining_group.py
+++ b/features/joining_group.py
@@ -39,7 +39,10 @@
             return
         links = {(node.name, leader.name), (leader.name, node.name)}
         if not links & self.blocked_links:
-            self._note_peer(leader, node)
+            leader.replica.note_join(
+                *(node.name, node.disk.identity, "127.0.0.1", 1),
+                leader.clock(self.now),
+            )
 
     def remove(self, name: str) -> None:
         """Takes a member away for good, with its disk."""
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -314,8 +314,9 @@
         """Registers a member that wants to join the group."""
         if not self._can_serve():
             return self._redirect()
-        if self._replica.note_peer(
-            *(join.name, join.identity, join.host, join.port)
+        if self._replica.note_join(
+            *(join.name, join.identity, join.host, join.port),
+            self._clock.now(),
         ):
             log(
                 "join_asked",
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -259,7 +259,7 @@
 
     def _report_missing_leader(self, now: float) -> None:
         """Tells why no member leads, as far as this one can know."""
-        if self._replica.leader is not None:
+        if self._replica.knows_group:
             self._leader_known_at = self._leaderless_told_at = now
             return
         waited_s = now - self._leader_known_at
@@ -386,9 +386,7 @@
         self._metrics.gauge(
             "member.silent_voters", len(self._replica.silent_voters)
         )
-        self._metrics.gauge(
-            "member.follows", int(self._replica.leader is not None)
-        )
+        self._metrics.gauge("member.follows", int(self._replica.knows_group))
         routers = self._leader.router_count(now)
         self._metrics.gauge("member.leads", int(self._leader.is_active))
         self._metrics.gauge("member.term", self._replica.term)
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -170,7 +170,7 @@
         _G,
         "Voters that have not answered this leader lately; 0 elsewhere.",
     ),
-    Metric("member.follows", _G, "1 while this member knows a leader, else 0."),
+    Metric("member.follows", _G, "1 while this member hears a leader, else 0."),
     Metric(
         "member.joins_failed",
         _C,
--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -13,6 +13,7 @@
 )
 from knapweedarch.replica_leadership import Leadership
 from knapweedarch.replica_membership import (
+    JOIN_REQUEST_S,
     PeerIdentity,
     check_change,
     next_change,
@@ -223,19 +224,28 @@
         """
         self.suspended = False
 
-    def note_peer(self, name: str, identity: str, host: str, port: int) -> bool:
+    def note_peer(self, name: str, identity: str, host: str, port: int) -> None:
         """Records the identity that a member announced on a new link.
 
         A member that returns with another identity has lost its disk. The
         leader then adds it as a learner and replaces the old identity.
+        """
+        self._peer_identities[name] = PeerIdentity(name, identity, host, port)
+
+    def note_join(
+        self, name: str, identity: str, host: str, port: int, now: float
+    ) -> bool:
+        """Records that a member asks to join; it must repeat this to be added.
 
         Returns:
-            Whether the name, its identity or its address is new.
+            Whether it did not ask before, or asks with another identity or
+            address.
         """
-        peer = PeerIdentity(name, identity, host, port)
-        is_new = self._peer_identities.get(name) != peer
-        self._peer_identities[name] = peer
-        return is_new
+        self.note_peer(name, identity, host, port)
+        peer = self._peer_identities[name]
+        known = self._join_requests.get(name)
+        self._join_requests[name] = (peer, now)
+        return known is None or known[0] != peer
 
     def compact(self, index: int, snapshot_data: bytes, now: float) -> None:
         """Replaces the entries up to `index` with a snapshot.
@@ -474,9 +484,11 @@
             or self.members_pending
         ):
             return
+        self._forget_peers(now)
         change = next_change(
             self.members,
             self._peer_identities,
+            [peer for peer, _ in self._join_requests.values()],
             self.identity,
             self._caught_up,
             lambda identity: leadership.silence(identity, now),
@@ -486,6 +498,24 @@
             self.propose_members(change.members, now)
             self._member_changes.append(change)
 
+    def _forget_peers(self, now: float) -> None:
+        """Forgets members that no longer ask to join and are not in the list.
+
+        A member that is gone for good would otherwise be added again as soon as
+        it was removed.
+        """
+        self._join_requests = {
+            name: (peer, asked_at)
+            for name, (peer, asked_at) in self._join_requests.items()
+            if now - asked_at < JOIN_REQUEST_S
+        }
+        kept = {m.name for m in self.members} | self._join_requests.keys()
+        self._peer_identities = {
+            name: peer
+            for name, peer in self._peer_identities.items()
+            if name in kept
+        }
+
     def _on_append_reply(self, reply: AppendReply, now: float) -> None:
         if self._should_ignore_reply(reply.identity, reply.term, now):
             return
@@ -521,6 +551,7 @@
             return False
         self._become_follower(request.term, sender, now)
         self._election.record_leader_contact(now)
+        self._leader_heard_at = now
         return True
 
     def _on_append_request(
--- a/knapweedarch/replica_membership.py
+++ b/knapweedarch/replica_membership.py
@@ -1,6 +1,6 @@
 """Membership change rules, and the changes that a leader proposes itself."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -14,6 +14,8 @@
 # A learner that has not answered for this long is presumed lost.
 LEARNER_SILENCE_S = 15.0
 MAX_MEMBERS = 16
+# A request to join counts for this long; members that wait repeat it earlier.
+JOIN_REQUEST_S = 3.0
 
 Members = tuple[Member, ...]
 
@@ -79,6 +81,7 @@
 def next_change(
     members: Members,
     announced: Mapping[str, PeerIdentity],
+    joining: Iterable[PeerIdentity],
     own_identity: str,
     caught_up: Callable[[str], bool],
     silence: Callable[[str], float],
@@ -88,7 +91,8 @@
 
     Args:
         members: Current list.
-        announced: Newest announced identity of each name.
+        announced: Newest announced identity of each name in the list.
+        joining: Members that ask to join at present, in the order of service.
         own_identity: Identity of the leader.
         caught_up: Returns whether an identity holds every committed entry and
             has answered the leader recently.
@@ -113,7 +117,7 @@
             )
         if change is not None:
             return change
-    return _add_joining_learner(members, announced) if voters else None
+    return _add_joining_learner(members, joining) if voters else None
 
 
 def _is_joining(members: Members, learner: Member) -> bool:
@@ -122,17 +126,18 @@
 
 
 def _add_joining_learner(
-    members: Members, announced: Mapping[str, PeerIdentity]
+    members: Members, joining: Iterable[PeerIdentity]
 ) -> MemberChange | None:
-    """Adds a learner for an announced name that is not in the list."""
+    """Adds a learner for a member that asks to join and is not in the list."""
     if len(members) >= MAX_MEMBERS:
         return None
     names = {m.name for m in members}
-    for name in sorted(announced.keys() - names):
-        learner = _create_learner(announced[name])
-        return MemberChange(
-            MemberChangeKind.JOINING_ADDED, learner, (*members, learner)
-        )
+    for peer in joining:
+        if peer.name not in names:
+            learner = _create_learner(peer)
+            return MemberChange(
+                MemberChangeKind.JOINING_ADDED, learner, (*members, learner)
+            )
     return None
 
 
--- a/knapweedarch/replica_status.py
+++ b/knapweedarch/replica_status.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import math
 
 import attrs
 
@@ -108,9 +109,12 @@
         self._leadership: Leadership | None = None
         self._applied_index = self._log.commit_index
         self._peer_identities: dict[str, PeerIdentity] = {}
+        # Requests to join by name, each with the time of the newest one.
+        self._join_requests: dict[str, tuple[PeerIdentity, float]] = {}
         self._messages: list[tuple[str, Message]] = []
         self._compacted: Snapshot | None = None
         self._now: float | None = None
+        self._leader_heard_at = -math.inf
 
     @property
     def term(self) -> int:
@@ -119,10 +123,17 @@
 
     @property
     def knows_group(self) -> bool:
-        """Whether this replica has a leader and is in its own member list."""
-        return self.leader is not None and any(
-            m.identity == self.identity for m in self.members
-        )
+        """Whether this replica is in the member list and hears from a leader.
+
+        A learner that was cut off may have been removed from the list, which
+        nobody can have told it, and holds no elections.
+        """
+        if not any(m.identity == self.identity for m in self.members):
+            return False
+        if self._leadership is not None:
+            return True
+        silent_s = self._now - self._leader_heard_at
+        return self.leader is not None and silent_s < MAX_ELECTION_S
 
     @property
     def silent_voters(self) -> tuple[str, ...]:
