--- a/features/joining_group.py
+++ b/features/joining_group.py
@@ -16,16 +16,25 @@
 
     Attributes:
         changes: Automatic changes of the member list by all leaders, in order.
+        entries_per_s: Rate at which entries are proposed to the leader.
+        slow: Names of the members whose messages take `slow_delay`.
+        slow_delay: Minimum and maximum delay of their messages in seconds.
     """
 
     def __init__(self, members: int = 5, seed: int = 0):
         self._join_at: dict[str, float] = {}
         self._named = members
         self.changes: list[MemberChange] = []
+        self.entries_per_s = 0.0
+        self.slow: set[str] = set()
+        self.slow_delay = (0.3, 0.4)
+        self._proposed = 0
+        self._due_entries = 0.0
         super().__init__("abcdefgh"[:members], seed, voters=members)
 
     def step(self) -> None:
         """Runs one step; members without a group ask the leader to join."""
+        self._propose_load()
         super().step()
         for node in self.running():
             self.changes += node.replica.take_member_changes()
@@ -33,6 +42,21 @@
                 self._join_at[node.name] = self.now + JOIN_INTERVAL_S
                 self._ask_to_join(node)
 
+    def _propose_load(self) -> None:
+        self._due_entries += self.entries_per_s * self.step_s
+        while self._due_entries >= 1.0:
+            self._due_entries -= 1.0
+            self._proposed += 1
+            self.propose(b"load %d" % self._proposed)
+
+    def _send(self, node, messages) -> None:
+        usual = self.delay
+        for receiver, message in messages:
+            if {node.name, receiver} & self.slow:
+                self.delay = self.slow_delay
+            super()._send(node, [(receiver, message)])
+            self.delay = usual
+
     def _ask_to_join(self, node: Node) -> None:
         leader = self.lease_holder()
         if node.replica.knows_group or leader is None or leader is node:
--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -44,3 +44,17 @@
     When three of them stop, the leader among them
     And 3.0 s pass
     Then a member that is left tells that 2 of 5 voters answer
+
+  Scenario Outline: A new member becomes a voter under a steady load
+    Guards against a learner that never votes, since it always lacks the entries of
+    the last round trip.
+    Given 5 members whose leader has led for 20.0 s
+    And <rate> entries a second
+    When a following member is replaced by one that is <delay> s away
+    Then all members are voters within 4.0 s
+
+    Examples:
+      | rate | delay |
+      | 40   | 0.04  |
+      | 200  | 0.02  |
+      | 500  | 0.04  |
--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -17,6 +17,12 @@
     context.entries_before = group.member_entries()
 
 
+@given("{rate:d} entries a second")
+def steady_load(context, rate):
+    context.group.entries_per_s = rate
+    context.group.step_s = 0.005  # Shorter than any round trip.
+
+
 def following_member(group):
     leader = group.leader().name
     return next(name for name in group.nodes if name != leader)
@@ -42,6 +48,16 @@
     group.heal()
 
 
+@when("a following member is replaced by one that is {delay:f} s away")
+def replace_by_remote(context, delay):
+    group = context.group
+    group.slow_delay = (delay / 2, delay)
+    group.remove(following_member(group))
+    group.run(0.5)
+    context.new = group.add_new()
+    group.slow = {context.new}
+
+
 @when("three of them stop, the leader among them")
 def stop_majority(context):
     group = context.group
--- a/knapweedarch/replica_leadership.py
+++ b/knapweedarch/replica_leadership.py
@@ -1,5 +1,6 @@
 """Leader state of a replica: replication progress and the leader lease."""
 
+import collections
 import math
 from collections.abc import Callable, Iterator
 
@@ -90,6 +91,10 @@
         self._log = log
         self._heartbeat_at = now
         self._peers: dict[str, Peer] = {}
+        # Times of the last heartbeats, each with the commit index then.
+        self._commit_indexes: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self.update_members(now)
 
     def update_members(self, now: float) -> None:
@@ -155,6 +160,30 @@
             return 0.0
         return now - max(peer.last_contact, peer.added_at)
 
+    def caught_up(self, identity: str, now: float) -> bool:
+        """Returns whether a member answers and holds the committed entries.
+
+        It need not hold those that were committed in the last `MAX_ELECTION_S`:
+        under a steady load there always are some that it is yet to answer.
+        """
+        peer = self._peers.get(identity)
+        if peer is None or now - peer.last_contact >= MAX_ELECTION_S:
+            return False
+        needed = max(
+            self.first_index,
+            self._log.members_index,
+            self._committed_at(now - MAX_ELECTION_S),
+        )
+        return peer.match_index >= needed
+
+    def _committed_at(self, time: float) -> int:
+        """Returns the commit index at the last heartbeat up to a time.
+
+        It is 0 if that heartbeat is none of this leader's.
+        """
+        indexes = (i for at, i in reversed(self._commit_indexes) if at <= time)
+        return next(indexes, 0)
+
     def quorum_lost(self, now: float) -> bool:
         """Returns whether no majority answered for `MAX_ELECTION_S`."""
         last_contact = max(self.quorum_last_contact(now), self.started_at)
@@ -179,10 +208,16 @@
         if now < self._heartbeat_at:
             return
         self._heartbeat_at = now + HEARTBEAT_S
+        self._record_commit_index(now)
         for peer in self._peers.values():
             peer.heartbeat_due = True
             peer.probe_sent = False
 
+    def _record_commit_index(self, now: float) -> None:
+        self._commit_indexes.append((now, self._log.commit_index))
+        while now - self._commit_indexes[0][0] > MAX_ELECTION_S + HEARTBEAT_S:
+            self._commit_indexes.popleft()
+
     def requests(self, now: float) -> Requests:
         """Yields the pending requests to the other members."""
         for peer in self._peers.values():
--- a/knapweedarch/replica_status.py
+++ b/knapweedarch/replica_status.py
@@ -218,10 +218,6 @@
         return end if end > now else 0.0
 
     def _caught_up(self, identity: str) -> bool:
-        """Returns whether a member holds every committed entry and answers."""
-        peer = self._leadership and self._leadership.peer(identity)
-        return bool(
-            peer
-            and peer.match_index >= self._log.commit_index
-            and self._now - peer.last_contact < MAX_ELECTION_S
-        )
+        """Returns whether a learner may become a voter."""
+        leadership = self._leadership
+        return bool(leadership and leadership.caught_up(identity, self._now))
