Pass the joining members to the membership rules in the steps of routing

'Joining members become voters up to the target number' and 'A joining member replaces only a silent voter' failed since: the steps passed the leader's identity in the place of the members that ask to join, and read the change as the list that it holds. What the scenarios check is unchanged; both pass.

--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -256,7 +256,8 @@
     """
     for _ in range(50):
         change = next_change(
-            *(context.members, context.announced, OWN_IDENTITY),
+            *(context.members, context.announced),
+            *(context.announced.values(), OWN_IDENTITY),
             lambda identity: silence_s(context, identity) < 1.0,
             lambda identity: silence_s(context, identity),
             context.wanted,
@@ -264,9 +265,9 @@
         if change is None:
             return
         before = {m.identity for m in context.members if m.voter}
-        after = {m.identity for m in change if m.voter}
+        after = {m.identity for m in change.members if m.voter}
         assert len(before ^ after) <= 1
-        context.members = change
+        context.members = change.members
     raise AssertionError("the membership changes did not end")
 
 
