Replace a voter once a majority has answered for 0.6 s and it has not

Callers would see 503 for the configuration after losses within the budget: a lost voter still voted 4 s after the start of its successor if the next leader was lost as well, so that a further loss was the third of five. Each leader waited for 2 s of silence from its own election on (REPLACE_SILENCE_S), and elections take up to 1.2 s.

The leader now compares a voter with the majority: how long it has answered heartbeats that the voter has not. Two such waits of 0.6 s and two elections fit into the 4 s. A pause of the leader or a long round trip to all does not count, which is why 0.6 s are enough; in the 2 s before, a pause could not exceed them without an election. Only a voter for which a successor waits is replaced; if it comes back, it joins as a learner.

--- a/features/joining_group.py
+++ b/features/joining_group.py
@@ -4,13 +4,19 @@
 
 from bench.virtual_group import Node
 from features.checked_group import CheckedGroup
-from knapweedarch.replica import EntryKind
+from knapweedarch.replica import Entry, EntryKind, Member
 from knapweedarch.replica_membership import MemberChange
+from knapweedarch.replica_messages import decode_members
 
 # As the member daemon asks.
 JOIN_INTERVAL_S = 0.25
 
 
+def is_member_list(entry: Entry) -> bool:
+    """Returns whether an entry holds a member list."""
+    return entry.kind is EntryKind.MEMBERS
+
+
 class JoiningGroup(CheckedGroup):
     """A checked group of members that ask to join while they have no leader.
 
@@ -92,11 +98,17 @@
         self.run(after_s)
         return [self.add_new() for _ in names]
 
+    def member_list(self) -> tuple[Member, ...]:
+        """Returns the newest committed member list."""
+        newest = max(
+            (e for e in self._committed.values() if is_member_list(e)),
+            key=lambda e: e.index,
+        )
+        return decode_members(newest.data)
+
     def member_entries(self) -> int:
         """Counts the committed member lists."""
-        return sum(
-            e.kind is EntryKind.MEMBERS for e in self._committed.values()
-        )
+        return sum(is_member_list(e) for e in self._committed.values())
 
 
 def replace_in_series(
@@ -117,3 +129,23 @@
         group.propose(f"round {number}".encode())
         group.run_until(group.membership_repaired, 4.0)
         group.run(max(begins_at + 4.5 - group.now, 0.0))
+
+
+def lose_two_leaders(
+    group: JoiningGroup, rng: random.Random
+) -> tuple[str, float]:
+    """Replaces the leader; the next one loses its disk soon after its election.
+
+    Returns:
+        The name of the first leader, and when the new member started.
+    """
+    lost = group.leader().name
+    group.replace([lost], 0.5)
+    started_at = group.now
+    group.run_until(group.leader, 4.0)
+    group.run(rng.uniform(0.1, 1.9))
+    second = group.leader().name
+    group.lose_disk(second)
+    group.run(0.5)
+    group.start(second)
+    return lost, started_at
--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -58,3 +58,24 @@
       | 40   | 0.04  |
       | 200  | 0.02  |
       | 500  | 0.04  |
+
+  Scenario: A lost voter is replaced though its next leader is lost as well
+    Load: a leader is lost for good, and the next one loses its disk up to 1.9 s after
+    its election. Guards against voters that are gone while leaders change, and of
+    which a third loss would end the group.
+    Then in 40 runs no lost leader votes 4.0 s after the start of the new member
+
+  Scenario: Members that are all far away are not replaced by a spare one
+    Guards against a round trip that is taken for a loss, and changes without end.
+    Given 5 members whose leader has led for 20.0 s
+    When a spare member joins
+    And all links take 0.4 s
+    And 30.0 s pass
+    Then the list of members has changed 1 times
+
+  Scenario: A pause of the leader costs no voter its vote
+    Guards against a leader that takes its own pause for the silence of others.
+    Given 5 members whose leader has led for 20.0 s
+    When a spare member joins
+    And the leader stands still 10 times for 0.3 to 1.1 s
+    Then the list of members has changed 1 times
--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -4,7 +4,11 @@
 
 from behave import given, then, when
 
-from features.joining_group import JoiningGroup, replace_in_series
+from features.joining_group import (
+    JoiningGroup,
+    lose_two_leaders,
+    replace_in_series,
+)
 from knapweedarch.models import MemberChangeKind
 
 
@@ -58,6 +62,26 @@
     group.slow = {context.new}
 
 
+@when("a spare member joins")
+def join_spare(context):
+    context.group.add_new()
+    context.group.run(1.0)
+
+
+@when("all links take {seconds:f} s")
+def delay_links(context, seconds):
+    context.group.delay = (0.9 * seconds, seconds)
+
+
+@when("the leader stands still {times:d} times for {low:f} to {high:f} s")
+def pause_leader(context, times, low, high):
+    group = context.group
+    for _ in range(times):
+        pause_s = group.random.uniform(low, high)
+        group.freeze(group.leader().name, pause_s)
+        group.run(pause_s + 3.0)
+
+
 @when("three of them stop, the leader among them")
 def stop_majority(context):
     group = context.group
@@ -110,6 +134,24 @@
             raise AssertionError(f"seed {seed}: {exc}") from exc
 
 
+@then(
+    "in {runs:d} runs no lost leader votes {limit:f} s after the start of the"
+    " new member"
+)
+def check_lost_leaders(context, runs, limit):
+    for seed in range(runs):
+        group = JoiningGroup(5, seed)
+        group.wait_for_leader()
+        group.run(20.0)
+        try:
+            lost, started_at = lose_two_leaders(group, random.Random(seed))
+            group.run(started_at + limit - group.now)
+            votes = [m.name for m in group.member_list() if m.voter]
+            assert lost not in votes, f"{lost} votes"
+        except AssertionError as exc:
+            raise AssertionError(f"seed {seed}: {exc}") from exc
+
+
 @then("the changes were {kinds}")
 def check_changes(context, kinds):
     told = [change.kind.value for change in context.group.changes]
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -260,6 +260,7 @@
             *(context.announced.values(), OWN_IDENTITY),
             lambda identity: silence_s(context, identity) < 1.0,
             lambda identity: silence_s(context, identity),
+            lambda identity: silence_s(context, identity),
             context.wanted,
         )
         if change is None:
--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -492,6 +492,7 @@
             self.identity,
             self._caught_up,
             lambda identity: leadership.silence(identity, now),
+            lambda identity: leadership.absence(identity, now),
             self._cfg.voters,
         )
         if change is not None:
--- a/knapweedarch/replica_leadership.py
+++ b/knapweedarch/replica_leadership.py
@@ -49,6 +49,7 @@
         probe_sent: Whether a probe has been sent since the last heartbeat.
         in_flight: Number of unacknowledged batches.
         last_contact: Send time of the newest request that it answered.
+        unanswered_since: Send time of the first heartbeat after that.
         heartbeat_due: Whether a heartbeat must be sent.
         snapshot: Snapshot being sent. It is not replaced until it is
             installed; otherwise frequent compaction would restart the
@@ -66,11 +67,18 @@
     probe_sent: bool = False
     in_flight: int = 0
     last_contact: float = -math.inf
+    unanswered_since: float = math.inf
     heartbeat_due: bool = True
     snapshot: Snapshot | None = None
     offset: int = 0
     part_sent_at: float = -math.inf
 
+    def record_contact(self, sent_at: float) -> None:
+        """Records the send time of a request that it answered."""
+        self.last_contact = max(self.last_contact, sent_at)
+        if sent_at >= self.unanswered_since:
+            self.unanswered_since = math.inf
+
 
 class Leadership:
     """Leader state for one term.
@@ -160,6 +168,18 @@
             return 0.0
         return now - max(peer.last_contact, peer.added_at)
 
+    def absence(self, identity: str, now: float) -> float:
+        """Returns for how many seconds only a majority answered this leader.
+
+        Unlike `silence`, it grows neither while the leader itself stands still
+        nor by the round trip, if a majority of the voters is as far away.
+        """
+        peer = self._peers.get(identity)
+        if peer is None:
+            return 0.0
+        answered_at = self.quorum_last_contact(now)
+        return max(answered_at - peer.unanswered_since, 0.0)
+
     def caught_up(self, identity: str, now: float) -> bool:
         """Returns whether a member answers and holds the committed entries.
 
@@ -227,6 +247,8 @@
                 yield from self._probe(peer, now)
             else:
                 yield from self._batches(peer, now)
+            if peer.heartbeat_due:
+                peer.unanswered_since = min(peer.unanswered_since, now)
             peer.heartbeat_due = False
 
     def _probe(self, peer: Peer, now: float) -> Requests:
@@ -301,7 +323,7 @@
         peer = self._peers.get(reply.identity)
         if peer is None:
             return
-        peer.last_contact = max(peer.last_contact, reply.sent_at)
+        peer.record_contact(reply.sent_at)
         if reply.accepted:
             self._record_match(peer, reply.index, now)
             peer.probing = False
@@ -327,7 +349,7 @@
         peer = self._peers.get(reply.identity)
         if peer is None:
             return
-        peer.last_contact = max(peer.last_contact, reply.sent_at)
+        peer.record_contact(reply.sent_at)
         if reply.installed:
             self._record_match(peer, reply.index, now)
             peer.snapshot = None
--- a/knapweedarch/replica_membership.py
+++ b/knapweedarch/replica_membership.py
@@ -6,11 +6,14 @@
 
 from knapweedarch.exceptions import MembershipError
 from knapweedarch.models import MemberChangeKind
+from knapweedarch.replica_leadership import MIN_ELECTION_S
 from knapweedarch.replica_messages import Member
 
-# A voter that has answered within this time is alive. Another process with its
-# name is then a configuration error and must not replace it.
-REPLACE_SILENCE_S = 2.0
+# A voter that has answered within this time, as a majority has, is alive.
+# Another process with its name is then a configuration error and must not
+# replace it. Twice this time and two elections fit into the 4 s in which a
+# lost voter is replaced, so that two leaders may be lost meanwhile.
+REPLACE_ABSENCE_S = MIN_ELECTION_S
 # A learner that has not answered for this long is presumed lost.
 LEARNER_SILENCE_S = 15.0
 MAX_MEMBERS = 16
@@ -85,6 +88,7 @@
     own_identity: str,
     caught_up: Callable[[str], bool],
     silence: Callable[[str], float],
+    absence: Callable[[str], float],
     voters: int = 0,
 ) -> MemberChange | None:
     """Returns the next change towards a complete group, if any.
@@ -97,6 +101,8 @@
         caught_up: Returns whether an identity holds every committed entry and
             has answered the leader recently.
         silence: Returns the seconds since an identity answered the leader.
+        absence: Returns for how many seconds a majority answered the leader
+            and an identity did not.
         voters: Target number of voters; if 0, members that ask to join are
             not admitted.
     """
@@ -105,11 +111,11 @@
             continue
         peer = announced.get(member.name)
         if member.voter:
-            change = _add_replacement_learner(members, member, peer, silence)
+            change = _add_replacement_learner(members, member, peer, absence)
         elif _is_joining(members, member) and voters:
             change = _advance_joining_learner(
-                *(members, member, peer, caught_up, silence, voters),
-                own_identity,
+                *(members, member, peer, caught_up, silence, absence),
+                *(voters, own_identity),
             )
         else:
             change = _advance_replacement_learner(
@@ -165,6 +171,7 @@
     peer: PeerIdentity | None,
     caught_up: Callable[[str], bool],
     silence: Callable[[str], float],
+    absence: Callable[[str], float],
     voters: int,
     own_identity: str,
 ) -> MemberChange | None:
@@ -185,7 +192,7 @@
         return _promote(others, learner)
     for member in members:
         is_other_voter = member.voter and member.identity != own_identity
-        if is_other_voter and silence(member.identity) >= REPLACE_SILENCE_S:
+        if is_other_voter and absence(member.identity) >= REPLACE_ABSENCE_S:
             return MemberChange(
                 MemberChangeKind.SILENT_VOTER_REMOVED,
                 member,
@@ -198,14 +205,14 @@
     members: Members,
     voter: Member,
     peer: PeerIdentity | None,
-    silence: Callable[[str], float],
+    absence: Callable[[str], float],
 ) -> MemberChange | None:
     """Adds a learner for a voter that returned with another identity."""
     if (
         peer is None
         or any(m.identity == peer.identity for m in members)
         or any(m.name == voter.name and not m.voter for m in members)
-        or silence(voter.identity) < REPLACE_SILENCE_S
+        or absence(voter.identity) < REPLACE_ABSENCE_S
     ):
         return None
     learner = _create_learner(peer)
