--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -79,3 +79,17 @@
     When a spare member joins
     And the leader stands still 10 times for 0.3 to 1.1 s
     Then the list of members has changed 1 times
+
+  Scenario Outline: A new member takes a large snapshot under a steady load
+    Guards against a member that needs one snapshot after another, since the entries
+    after each are gone before it is taken.
+    Given 5 members whose leader has led for 20.0 s
+    And 12 entries of 900000 bytes, and a snapshot each 12 entries
+    And <rate> entries a second
+    When a following member is replaced by one that is <delay> s away
+    Then all members are voters within 4.0 s
+
+    Examples:
+      | rate | delay |
+      | 100  | 0.08  |
+      | 200  | 0.1   |
--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -27,6 +27,18 @@
     context.group.step_s = 0.005  # Shorter than any round trip.
 
 
+@given(
+    "{count:d} entries of {size:d} bytes, and a snapshot each {interval:d}"
+    " entries"
+)
+def large_state(context, count, size, interval):
+    group = context.group
+    for number in range(count):
+        group.propose(b"%02d" % number + b"x" * size)
+        group.run(0.05)
+    group.compact_interval = interval
+
+
 def following_member(group):
     leader = group.leader().name
     return next(name for name in group.nodes if name != leader)
--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -72,6 +72,8 @@
 MAX_ENTRY_BYTES = 4 * 1024 * 1024
 MAX_UNCOMMITTED_ENTRIES = 20_000
 MAX_UNCOMMITTED_BYTES = 64 * 1024 * 1024
+# Limits the entries kept for a member that is taking a snapshot.
+MAX_NEEDED_ENTRIES = 20_000
 # Limits the entries kept before a snapshot beside `ReplicaConfig.kept_entries`.
 MAX_KEPT_ENTRY_BYTES = 8 * 1024 * 1024
 
@@ -259,9 +261,24 @@
         if index > self._applied_index or (old and index <= old.index):
             raise ReplicaError(f"cannot compact the log up to entry {index}")
         self._compacted = self._log.compact(
-            index, snapshot_data, self._cfg.kept_entries, MAX_KEPT_ENTRY_BYTES
+            index,
+            snapshot_data,
+            self._first_kept_index(index, now),
+            MAX_KEPT_ENTRY_BYTES,
         )
 
+    def _first_kept_index(self, index: int, now: float) -> int:
+        """Returns the first entry to keep when the log is compacted.
+
+        A member that is taking an older snapshot still needs the entries after
+        it. Otherwise it would need one snapshot after another under load.
+        """
+        kept = index - self._cfg.kept_entries + 1
+        if self._leadership is None:
+            return kept
+        needed = self._leadership.first_needed_index(now)
+        return min(kept, max(needed, index - MAX_NEEDED_ENTRIES))
+
     def take_output(self) -> Output:
         """Returns the pending data to save, send and apply, and clears it."""
         if self._leadership is not None:
--- a/knapweedarch/replica_leadership.py
+++ b/knapweedarch/replica_leadership.py
@@ -73,6 +73,14 @@
     offset: int = 0
     part_sent_at: float = -math.inf
 
+    def record_match(self, index: int, now: float) -> None:
+        """Records that its synced log holds the entries up to an index."""
+        if index > self.match_index:
+            self.match_index, self.matched_at = index, now
+        self.next_index = max(self.next_index, self.match_index + 1)
+        if self.snapshot and self.snapshot.index <= self.match_index:
+            self.snapshot = None
+
     def record_contact(self, sent_at: float) -> None:
         """Records the send time of a request that it answered."""
         self.last_contact = max(self.last_contact, sent_at)
@@ -318,6 +326,20 @@
             ),
         )
 
+    def first_needed_index(self, now: float) -> float:
+        """Returns the first entry that follows a snapshot being sent.
+
+        Without one, it is `inf`. Members that do not answer need none.
+        """
+        return min(
+            (
+                peer.snapshot.index + 1
+                for peer in self._peers.values()
+                if peer.snapshot and now - peer.last_contact < MAX_ELECTION_S
+            ),
+            default=math.inf,
+        )
+
     def handle_append_reply(self, reply: AppendReply, now: float) -> None:
         """Updates a peer after a reply to an append request."""
         peer = self._peers.get(reply.identity)
@@ -325,7 +347,7 @@
             return
         peer.record_contact(reply.sent_at)
         if reply.accepted:
-            self._record_match(peer, reply.index, now)
+            peer.record_match(reply.index, now)
             peer.probing = False
             caught_up = peer.match_index + 1 >= peer.next_index
             peer.in_flight = 0 if caught_up else max(peer.in_flight - 1, 0)
@@ -338,12 +360,6 @@
         peer.next_index = min(reply.index, self._log.last_index + 1)
         peer.probing, peer.probe_sent, peer.in_flight = True, False, 0
 
-    @staticmethod
-    def _record_match(peer: Peer, index: int, now: float) -> None:
-        if index > peer.match_index:
-            peer.match_index, peer.matched_at = index, now
-        peer.next_index = max(peer.next_index, peer.match_index + 1)
-
     def handle_snapshot_reply(self, reply: SnapshotReply, now: float) -> None:
         """Updates a peer after a reply to a part of a snapshot."""
         peer = self._peers.get(reply.identity)
@@ -351,7 +367,7 @@
             return
         peer.record_contact(reply.sent_at)
         if reply.installed:
-            self._record_match(peer, reply.index, now)
+            peer.record_match(reply.index, now)
             peer.snapshot = None
         elif peer.snapshot and reply.index == peer.snapshot.index:
             peer.offset = reply.offset
--- a/knapweedarch/replica_log.py
+++ b/knapweedarch/replica_log.py
@@ -183,14 +183,18 @@
         self._truncate_from = None
 
     def compact(
-        self, index: int, data: bytes, keep_entries: int, keep_bytes: int
+        self,
+        index: int,
+        data: bytes,
+        keep_from: int,
+        keep_bytes: int,
     ) -> Snapshot:
         """Creates a snapshot after `index` and removes entries up to it.
 
         Args:
             index: Index of the last entry that the snapshot covers.
             data: Application state after that entry.
-            keep_entries: Number of entries up to `index` to keep in memory.
+            keep_from: First entry to keep in memory.
             keep_bytes: Maximum data of these entries in bytes; fewer entries
                 are kept if they exceed it.
 
@@ -204,7 +208,7 @@
         self.snapshot = Snapshot(index, term, lists[-1][1], data)
         self._member_lists = self._member_lists[len(lists) - 1 :]
         base = index
-        while base > max(index - keep_entries, self._base_index):
+        while base > max(keep_from - 1, self._base_index):
             keep_bytes -= len(self._entries[base - self._base_index - 1].data)
             if keep_bytes < 0:
                 break
