Replace the voter that has been absent longest

Callers would see no failure of their own: with two absent voters, one lost and one paused, the leader removed the first in the order of the list, the paused one too. The lost one then still voted until the paused one had joined again as a learner, with three more changes of the list; another loss meanwhile is the third.

Evidence: 'The voter that has been gone longest is replaced first' failed before: the changes were not the three that are needed. features/routing.feature passes.

--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -93,3 +93,13 @@
       | rate | delay |
       | 100  | 0.08  |
       | 200  | 0.1   |
+
+  Scenario: The voter that has been gone longest is replaced first
+    Guards against a voter that is removed for a short pause while a lost one stays.
+    Given 5 members whose leader has led for 20.0 s
+    When the last of the following members is removed
+    And 3.0 s pass
+    And a new member joins as the first of them has paused for 0.7 s
+    And 3.0 s pass
+    Then the removed member does not vote, and the paused one does
+    And the changes were joining_added, silent_voter_removed, learner_promoted
--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -74,6 +74,27 @@
     group.slow = {context.new}
 
 
+def listed_followers(group):
+    """Returns the names of the following members in the order of the list."""
+    leader = group.leader()
+    return [m.name for m in leader.replica.members if m.name != leader.name]
+
+
+@when("the last of the following members is removed")
+def remove_last_listed(context):
+    context.removed = listed_followers(context.group)[-1]
+    context.group.remove(context.removed)
+
+
+@when("a new member joins as the first of them has paused for {seconds:f} s")
+def join_during_pause(context, seconds):
+    group = context.group
+    context.paused = listed_followers(group)[0]
+    group.freeze(context.paused, seconds + 0.3)
+    group.run(seconds)
+    group.add_new()
+
+
 @when("a spare member joins")
 def join_spare(context):
     context.group.add_new()
@@ -164,6 +185,13 @@
             raise AssertionError(f"seed {seed}: {exc}") from exc
 
 
+@then("the removed member does not vote, and the paused one does")
+def check_longest_absent(context):
+    votes = {m.name for m in context.group.member_list() if m.voter}
+    assert context.removed not in votes, votes
+    assert context.paused in votes, votes
+
+
 @then("the changes were {kinds}")
 def check_changes(context, kinds):
     told = [change.kind.value for change in context.group.changes]
--- a/knapweedarch/replica_membership.py
+++ b/knapweedarch/replica_membership.py
@@ -190,15 +190,22 @@
         )
     if sum(m.voter for m in members) < voters:
         return _promote(others, learner)
-    for member in members:
-        is_other_voter = member.voter and member.identity != own_identity
-        if is_other_voter and absence(member.identity) >= REPLACE_ABSENCE_S:
-            return MemberChange(
-                MemberChangeKind.SILENT_VOTER_REMOVED,
-                member,
-                tuple(m for m in members if m is not member),
-            )
-    return None
+    return _remove_lost_voter(members, absence, own_identity)
+
+
+def _remove_lost_voter(
+    members: Members, absence: Callable[[str], float], own_identity: str
+) -> MemberChange | None:
+    """Removes the voter that has been absent longest, if it is lost."""
+    others = [m for m in members if m.voter and m.identity != own_identity]
+    lost = max(others, key=lambda m: absence(m.identity), default=None)
+    if lost is None or absence(lost.identity) < REPLACE_ABSENCE_S:
+        return None
+    return MemberChange(
+        MemberChangeKind.SILENT_VOTER_REMOVED,
+        lost,
+        tuple(m for m in members if m is not lost),
+    )
 
 
 def _add_replacement_learner(
