Keep the leader alive when a listed disk asks to join under another name

Callers would see 503 for the configuration as one leader after another stops: a request to join with an identity that the list holds under another name, as of a renamed machine, made next_change build a list with that identity twice, and MembershipError ended the process.

Such a request now changes nothing; the disk counts under its listed name until that is removed.

Evidence: 'A disk that asks under another name does not stop the leader' raised 'the member list contains an identity twice' before, for a name that is new and for one of a learner.

--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -103,3 +103,12 @@
     And 3.0 s pass
     Then the removed member does not vote, and the paused one does
     And the changes were joining_added, silent_voter_removed, learner_promoted
+
+  Scenario: A disk that asks under another name does not stop the leader
+    Guards against leaders that stop one after another as they build a list which the
+    rules forbid.
+    Given 5 members whose leader has led for 20.0 s
+    When a spare member joins
+    And requests to join as it and as a new one name the identity of a voter
+    And 3.0 s pass
+    Then the list of members has changed 1 times
--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -95,9 +95,26 @@
     group.add_new()
 
 
+def request_join(group, name, identity):
+    """Asks the leader to add a member, as a process would that is not there."""
+    leader = group.lease_holder()
+    leader.replica.note_join(
+        *(name, identity, "127.0.0.1", 1), leader.clock(group.now)
+    )
+
+
+@when("requests to join as it and as a new one name the identity of a voter")
+def request_known_identity(context):
+    group = context.group
+    identity = group.nodes[following_member(group)].disk.identity
+    request_join(group, context.new, identity)
+    group.run(0.5)
+    request_join(group, "renamed", identity)
+
+
 @when("a spare member joins")
 def join_spare(context):
-    context.group.add_new()
+    context.new = context.group.add_new()
     context.group.run(1.0)
 
 
--- a/knapweedarch/replica_membership.py
+++ b/knapweedarch/replica_membership.py
@@ -110,6 +110,8 @@
         if member.identity == own_identity:
             continue
         peer = announced.get(member.name)
+        if peer is not None and _is_renamed(members, peer):
+            peer = None
         if member.voter:
             change = _add_replacement_learner(members, member, peer, absence)
         elif _is_joining(members, member) and voters:
@@ -131,6 +133,13 @@
     return not any(m.name == learner.name and m.voter for m in members)
 
 
+def _is_renamed(members: Members, peer: PeerIdentity) -> bool:
+    """Returns whether the list holds an identity under another name."""
+    return any(
+        m.identity == peer.identity and m.name != peer.name for m in members
+    )
+
+
 def _add_joining_learner(
     members: Members, joining: Iterable[PeerIdentity]
 ) -> MemberChange | None:
@@ -139,7 +148,7 @@
         return None
     names = {m.name for m in members}
     for peer in joining:
-        if peer.name not in names:
+        if peer.name not in names and not _is_renamed(members, peer):
             learner = _create_learner(peer)
             return MemberChange(
                 MemberChangeKind.JOINING_ADDED, learner, (*members, learner)
