--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -112,3 +112,19 @@
     And requests to join as it and as a new one name the identity of a voter
     And 3.0 s pass
     Then the list of members has changed 1 times
+
+  Scenario: A second process under the name of a live learner changes nothing
+    Guards against a learner that is replaced again and again, an entry of the log for
+    each request.
+    Given 5 members whose leader has led for 20.0 s
+    When a spare member joins
+    And another process asks to join under its name for 10.0 s
+    Then the list of members has changed 1 times
+
+  Scenario: A learner that lost its disk is replaced
+    Guards against a learner that is held for alive after its disk is gone.
+    Given 5 members whose leader has led for 20.0 s
+    When a spare member joins
+    And it loses its disk and is back after 0.2 s
+    And a following member is removed
+    Then all members are voters within 4.0 s
--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from features.joining_group import (
+    JOIN_INTERVAL_S,
     JoiningGroup,
     lose_two_leaders,
     replace_in_series,
@@ -41,7 +42,8 @@
 
 def following_member(group):
     leader = group.leader().name
-    return next(name for name in group.nodes if name != leader)
+    voters = [m.name for m in group.member_list() if m.voter]
+    return next(name for name in voters if name != leader)
 
 
 @when("a following member is replaced after {seconds:f} s")
@@ -112,6 +114,27 @@
     request_join(group, "renamed", identity)
 
 
+@when("another process asks to join under its name for {seconds:f} s")
+def request_live_name(context, seconds):
+    group = context.group
+    end = group.now + seconds
+    while group.now < end:
+        request_join(group, context.new, "another")
+        group.run(JOIN_INTERVAL_S)
+
+
+@when("it loses its disk and is back after {seconds:f} s")
+def lose_disk_of_new(context, seconds):
+    context.group.lose_disk(context.new)
+    context.group.run(seconds)
+    context.group.start(context.new)
+
+
+@when("a following member is removed")
+def remove_follower(context):
+    context.group.remove(following_member(context.group))
+
+
 @when("a spare member joins")
 def join_spare(context):
     context.new = context.group.add_new()
--- a/knapweedarch/replica_membership.py
+++ b/knapweedarch/replica_membership.py
@@ -9,7 +9,7 @@
 from knapweedarch.replica_leadership import MIN_ELECTION_S
 from knapweedarch.replica_messages import Member
 
-# A voter that has answered within this time, as a majority has, is alive.
+# A member that has answered within this time, as a majority has, is alive.
 # Another process with its name is then a configuration error and must not
 # replace it. Twice this time and two elections fit into the 4 s in which a
 # lost voter is replaced, so that two leaders may be lost meanwhile.
@@ -121,7 +121,7 @@
             )
         else:
             change = _advance_replacement_learner(
-                members, member, peer, caught_up
+                members, member, peer, caught_up, absence
             )
         if change is not None:
             return change
@@ -156,6 +156,19 @@
     return None
 
 
+def _is_superseded(
+    learner: Member,
+    peer: PeerIdentity | None,
+    absence: Callable[[str], float],
+) -> bool:
+    """Returns whether a lost learner returned with another identity."""
+    return (
+        peer is not None
+        and peer.identity != learner.identity
+        and absence(learner.identity) >= REPLACE_ABSENCE_S
+    )
+
+
 def _create_learner(peer: PeerIdentity) -> Member:
     return Member(*attrs.astuple(peer), voter=False)
 
@@ -189,7 +202,7 @@
     A removed voter that returns later joins again as a learner.
     """
     others = tuple(m for m in members if m is not learner)
-    if peer is not None and peer.identity != learner.identity:
+    if _is_superseded(learner, peer, absence):
         return _replace_learner(others, peer)
     if not caught_up(learner.identity):
         if silence(learner.identity) <= LEARNER_SILENCE_S:
@@ -242,6 +255,7 @@
     learner: Member,
     peer: PeerIdentity | None,
     caught_up: Callable[[str], bool],
+    absence: Callable[[str], float],
 ) -> MemberChange | None:
     """Replaces a lost learner, or advances a learner towards voting.
 
@@ -252,7 +266,7 @@
     removes it also adds its successor. This is safe, as learners count in no
     majority.
     """
-    if peer is not None and peer.identity != learner.identity:
+    if _is_superseded(learner, peer, absence):
         others = tuple(m for m in members if m is not learner)
         if any(m.identity == peer.identity for m in others):
             # The original disk returned before its voter was removed.
