Make room for a new member in a list full of lost learners

Callers would see 503 for the configuration after two more losses: while the list held MAX_MEMBERS (16), of which 11 were learners that were added and then lost, no new member was added for a lost voter until the first learner had been silent for 15 s under one leader.

The leader now removes the learner that has been absent longest, if it is lost (0.6 s), when a member asks to join and the list is full. Learners that answer stay.

Evidence: 'Learners that are gone keep no new member out of a full list' failed before, 'the condition did not hold within 4.0 s'. 'Spare members in a full list stay' guards against changes without end; it passed before.

--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -128,3 +128,18 @@
     And it loses its disk and is back after 0.2 s
     And a following member is removed
     Then all members are voters within 4.0 s
+
+  Scenario: Learners that are gone keep no new member out of a full list
+    Guards against a lost voter that stays as long as the list is full of members that
+    were added and then lost.
+    Given 5 members whose leader has led for 20.0 s
+    When 11 members that are gone are in the list as learners
+    And a following member is replaced after 0.5 s
+    Then all members are voters within 4.0 s
+
+  Scenario: Spare members in a full list stay
+    Guards against changes without end between members that all answer.
+    Given 5 members whose leader has led for 20.0 s
+    When 13 spare members join
+    And 30.0 s pass
+    Then the list of members has changed 11 times
--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -135,6 +135,21 @@
     context.group.remove(following_member(context.group))
 
 
+@when("{count:d} members that are gone are in the list as learners")
+def list_gone_learners(context, count):
+    group = context.group
+    for number in range(count):
+        request_join(group, f"gone {number}", f"identity {number}")
+    group.run(1.0)
+    assert len(group.member_list()) == 5 + count
+
+
+@when("{count:d} spare members join")
+def join_spares(context, count):
+    for _ in range(count):
+        context.group.add_new()
+
+
 @when("a spare member joins")
 def join_spare(context):
     context.new = context.group.add_new()
--- a/knapweedarch/replica_membership.py
+++ b/knapweedarch/replica_membership.py
@@ -98,7 +98,7 @@
         announced: Newest announced identity of each name in the list.
         joining: Members that ask to join at present, in the order of service.
         own_identity: Identity of the leader.
-        caught_up: Returns whether an identity holds every committed entry and
+        caught_up: Returns whether an identity holds the committed entries and
             has answered the leader recently.
         silence: Returns the seconds since an identity answered the leader.
         absence: Returns for how many seconds a majority answered the leader
@@ -125,7 +125,9 @@
             )
         if change is not None:
             return change
-    return _add_joining_learner(members, joining) if voters else None
+    if not voters:
+        return None
+    return _add_joining_learner(members, joining, absence)
 
 
 def _is_joining(members: Members, learner: Member) -> bool:
@@ -141,21 +143,45 @@
 
 
 def _add_joining_learner(
-    members: Members, joining: Iterable[PeerIdentity]
+    members: Members,
+    joining: Iterable[PeerIdentity],
+    absence: Callable[[str], float],
 ) -> MemberChange | None:
-    """Adds a learner for a member that asks to join and is not in the list."""
-    if len(members) >= MAX_MEMBERS:
-        return None
+    """Adds a learner for a member that asks to join and is not in the list.
+
+    If the list is full, it removes a lost learner first.
+    """
     names = {m.name for m in members}
     for peer in joining:
-        if peer.name not in names and not _is_renamed(members, peer):
-            learner = _create_learner(peer)
-            return MemberChange(
-                MemberChangeKind.JOINING_ADDED, learner, (*members, learner)
+        if peer.name in names or _is_renamed(members, peer):
+            continue
+        if len(members) >= MAX_MEMBERS:
+            return _remove_lost(
+                members,
+                [m for m in members if not m.voter],
+                MemberChangeKind.SILENT_LEARNER_REMOVED,
+                absence,
             )
+        learner = _create_learner(peer)
+        return MemberChange(
+            MemberChangeKind.JOINING_ADDED, learner, (*members, learner)
+        )
     return None
 
 
+def _remove_lost(
+    members: Members,
+    candidates: Iterable[Member],
+    kind: MemberChangeKind,
+    absence: Callable[[str], float],
+) -> MemberChange | None:
+    """Removes the candidate that has been absent longest, if it is lost."""
+    lost = max(candidates, key=lambda m: absence(m.identity), default=None)
+    if lost is None or absence(lost.identity) < REPLACE_ABSENCE_S:
+        return None
+    return MemberChange(kind, lost, tuple(m for m in members if m is not lost))
+
+
 def _is_superseded(
     learner: Member,
     peer: PeerIdentity | None,
@@ -212,21 +238,11 @@
         )
     if sum(m.voter for m in members) < voters:
         return _promote(others, learner)
-    return _remove_lost_voter(members, absence, own_identity)
-
-
-def _remove_lost_voter(
-    members: Members, absence: Callable[[str], float], own_identity: str
-) -> MemberChange | None:
-    """Removes the voter that has been absent longest, if it is lost."""
-    others = [m for m in members if m.voter and m.identity != own_identity]
-    lost = max(others, key=lambda m: absence(m.identity), default=None)
-    if lost is None or absence(lost.identity) < REPLACE_ABSENCE_S:
-        return None
-    return MemberChange(
+    return _remove_lost(
+        members,
+        [m for m in members if m.voter and m.identity != own_identity],
         MemberChangeKind.SILENT_VOTER_REMOVED,
-        lost,
-        tuple(m for m in members if m is not lost),
+        absence,
     )
 
 
