Answer whether a group is known before the first tick

No caller saw it: the daemon ticks a replica as it creates it. It now looks for a leader first, and there is none then.

Evidence: 'A member that has just started knows no group' raised 'unsupported operand type(s) for -: NoneType and float' before.

--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -151,3 +151,9 @@
     still count, a group that is not whole 4 s after the last loss, and a list of members
     that changes more often than the losses explain.
     Then 60 seeded schedules of member faults keep the group whole
+
+  Scenario: A member that has just started knows no group
+    Guards against a process that ends because it is asked before its first tick.
+    Given 5 members whose leader has led for 20.0 s
+    When a following member restarts
+    Then it knows no group before it hears from a leader
--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -131,6 +131,21 @@
     context.group.start(context.new)
 
 
+@when("a following member restarts")
+def restart_follower(context):
+    context.restarted = following_member(context.group)
+    context.group.crash(context.restarted)
+    context.group.start(context.restarted)
+
+
+@then("it knows no group before it hears from a leader")
+def check_no_group(context):
+    replica = context.group.nodes[context.restarted].replica
+    assert not replica.knows_group
+    context.group.run(0.5)
+    assert replica.knows_group
+
+
 @when("a following member is removed")
 def remove_follower(context):
     context.group.remove(following_member(context.group))
--- a/knapweedarch/replica_status.py
+++ b/knapweedarch/replica_status.py
@@ -132,8 +132,9 @@
             return False
         if self._leadership is not None:
             return True
-        silent_s = self._now - self._leader_heard_at
-        return self.leader is not None and silent_s < MAX_ELECTION_S
+        if self.leader is None:
+            return False
+        return self._now - self._leader_heard_at < MAX_ELECTION_S
 
     @property
     def silent_voters(self) -> tuple[str, ...]:
