Answer a leader that this member's list does not name yet

Callers saw: a member that was down while others were replaced takes no part under a leader among the new ones, so that the group stops one loss earlier and answers 503.

Cause: replies go by the sender's name over the links that a member keeps to the names of its own list, or that a member of that list has opened. The leader's link was not used, as the list did not name it. The member hears from the leader, so it does not ask to join either, and the leader cannot step back to the entry at which their logs part.

Evidence: the new scenario of control.feature failed before (no message over the link that the unknown member opened). That it is reached with real processes was not shown: in the one play tried the new member did not get to lead.

Each link that a member has opened is now used for answers until it closes; only members of the list are noted as peers, as before.

--- a/features/control.feature
+++ b/features/control.feature
@@ -64,3 +64,12 @@
     Then messages to member "b" are sent over that link
     When that link closes
     Then messages to member "b" are not sent
+
+  Scenario: A member answers a leader that its member list does not name
+    Guards against a member that was down while others were replaced, and whose
+    answers a leader among the new ones never gets.
+    Given a member that has not connected to member "b" yet
+    When member "new" opens a link and identifies itself
+    Then messages to member "new" are sent over that link
+    When that link closes
+    Then messages to member "new" are not sent
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -455,9 +455,11 @@
     def _register_peer(
         self, link: links.Link, name: str, identity: str
     ) -> None:
+        # A member that was down while others were replaced must be able to
+        # answer a leader that its own list does not name yet.
+        self._peers.add_incoming(name, link)
         for address in self._settings.members or self._leader.addresses():
             if address.name == name:
-                self._peers.add_incoming(name, link)
                 self._replica.note_peer(
                     name, identity, address.host, address.port
                 )
