Keep the seeds beside the list of members, and few of them

Callers saw: 503 (`no control member answered in time`) for as long as a member or proxy runs that was down or cut off while all others were replaced, although the group has a leader and the settings name living seeds.

Cause: `ControlClient.set_members` replaced all addresses. These were added without a bound until the next list came.

The bound is tested on the new module.

--- /dev/null
+++ b/features/finding_leader.feature
@@ -0,0 +1,30 @@
+Feature: Finding the leader
+
+  Members and routers look for the leader at the addresses of their settings, of
+  the newest list of members and of redirects.
+
+  Scenario Outline: The seeds or the list name only members that are gone
+    Guards against a process that was down or cut off while members were
+    replaced, and that never finds the group again.
+    Given a client whose seeds are <seeds> and whose list is <members>
+    When it sends a request with a timeout of 3.0 s
+    Then the request is answered
+
+    Examples:
+      | seeds | members |
+      | alive | gone    |
+      | gone  | alive   |
+
+  Scenario: The list is replaced many times while the seeds stay
+    Guards against a process that forgets the seeds once it knows a list.
+    Given a client whose seeds are alive and whose list is gone
+    When the list is replaced 50 times by members that are gone
+    And it sends a request with a timeout of 3.0 s
+    Then the request is answered
+
+  Scenario: The known addresses stay few while seeds and members change
+    Guards against a search that takes ever longer, at addresses long gone.
+    Given a directory with 3 seeds
+    When the seeds, the 5 members and the leader change 200 times
+    Then it knows at most 15 addresses
+    And the newest seeds and members are among them
--- /dev/null
+++ b/features/steps/finding_leader_steps.py
@@ -0,0 +1,150 @@
+"""Steps for clients that look for the leader."""
+
+import random
+import socket
+
+import anyio
+import anyio.abc
+from behave import given, then, when
+
+from knapweedarch import control, links
+from knapweedarch.exceptions import ControlError
+from knapweedarch.member_directory import MemberDirectory
+from knapweedarch.timers import Clock
+from standins.deployment import CREDENTIAL
+
+HOST = "127.0.0.1"
+
+
+class Search:
+    """A client and the members that it may find.
+
+    Attributes:
+        seeds: Addresses that the client begins with.
+        lists: Lists of members that it is told, one after the other.
+        outcomes: What the requests returned, or why they failed.
+    """
+
+    def __init__(self):
+        self.seeds = []
+        self.lists = []
+        self.outcomes = []
+        self._listening = []
+
+    def add_member(self, name, handle):
+        """Adds a member that answers with `handle`; returns its address."""
+        sock = socket.create_server((HOST, 0))
+        self._listening.append((sock, handle))
+        return control.MemberAddress(name, *sock.getsockname())
+
+    def run(self, action):
+        """Runs an action with the client while the members listen."""
+
+        async def run():
+            async with anyio.create_task_group() as group:
+                for sock, handle in self._listening:
+                    group.start_soon(self._serve, sock, handle)
+                async with create_client(self.seeds) as client:
+                    for members in self.lists:
+                        client.set_members(members)
+                    await action(client)
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    async def _serve(self, sock, handle):
+        listener = await anyio.abc.SocketListener.from_socket(sock)
+        await links.serve(
+            *(listener, CREDENTIAL.encode(), control.CONTROL, handle, print)
+        )
+
+    async def request(self, client, timeout_s):
+        """Sends a request and records its outcome."""
+        try:
+            reply = await client.request(control.FindPeers("r"), timeout_s)
+        except ControlError as exc:
+            reply = exc
+        self.outcomes.append(reply)
+
+
+def create_client(seeds):
+    return control.create_control_client(seeds, CREDENTIAL.encode(), Clock())
+
+
+async def lead(link, message):
+    """Answers as the leader."""
+    return control.PeersFound(())
+
+
+def gone(name):
+    """Returns an address at which nothing listens."""
+    with socket.create_server((HOST, 0)) as sock:
+        return control.MemberAddress(name, *sock.getsockname())
+
+
+@given("a client whose seeds are {seeds} and whose list is {members}")
+def client_with_addresses(context, seeds, members):
+    context.search = search = Search()
+
+    def address(state, name):
+        return search.add_member(name, lead) if state == "alive" else gone(name)
+
+    search.seeds = [address(seeds, "seed"), gone("old-seed")]
+    search.lists.append([gone("a"), address(members, "b"), gone("c")])
+
+
+@when("the list is replaced {count:d} times by members that are gone")
+def replace_list(context, count):
+    for number in range(count):
+        names = (f"{letter}{number}" for letter in "abc")
+        context.search.lists.append([gone(name) for name in names])
+
+
+@when("it sends a request with a timeout of {timeout_s:f} s")
+def send_request(context, timeout_s):
+    search = context.search
+    search.run(lambda client: search.request(client, timeout_s))
+
+
+@then("the request is answered")
+def request_answered(context):
+    assert context.search.outcomes == [control.PeersFound(())], (
+        context.search.outcomes
+    )
+
+
+def addresses(prefix, number, count):
+    """Returns addresses that no other number has."""
+    return [
+        control.MemberAddress(f"{prefix}{number}-{i}", f"{prefix}{number}", i)
+        for i in range(count)
+    ]
+
+
+@given("a directory with {count:d} seeds")
+def directory_with_seeds(context, count):
+    seeds = addresses("seed", 0, count)
+    context.directory = MemberDirectory(seeds, random.Random(1))
+
+
+@when("the seeds, the {count:d} members and the leader change {times:d} times")
+def change_addresses(context, count, times):
+    for number in range(1, times + 1):
+        context.newest = addresses("seed", number, 3)
+        context.newest += addresses("member", number, count)
+        context.directory.add_seeds(context.newest[:3])
+        context.directory.set_members(context.newest[3:])
+        (leader,) = addresses("leader", number, 1)
+        context.directory.set_leader(leader.name, leader)
+        for _ in range(20):
+            context.directory.next_address()
+
+
+@then("it knows at most {most:d} addresses")
+def knows_few(context, most):
+    assert len(context.directory.addresses()) <= most
+
+
+@then("the newest seeds and members are among them")
+def knows_newest(context):
+    assert set(context.newest) <= set(context.directory.addresses())
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -37,6 +37,7 @@
     Submit,
 )
 from knapweedarch.exceptions import ControlError, CredentialError, LinkError
+from knapweedarch.member_directory import MemberDirectory
 from knapweedarch.state import COMMANDS, RESULTS
 from knapweedarch.task_groups import TaskOwner
 from knapweedarch.timers import Clock
@@ -92,38 +93,20 @@
         clock: Clock,
         on_changed: Callable[[], None],
     ):
-        self._members = {m.name: m for m in members}
+        self._directory = MemberDirectory(members, random.Random())
         self._credential = credential
         self._clock = clock
         self._on_changed = on_changed
         self._link: links.Link | None = None
-        self._leader = ""
-        self._connect_order = sorted(self._members)
-        # Routers that restart together must not all try the same member.
-        random.Random().shuffle(self._connect_order)
         self._connecting = anyio.Lock()
 
     def set_members(self, members: Sequence[MemberAddress]) -> None:
-        """Replaces the addresses of the members; ignores an empty sequence."""
-        if not members or list(members) == list(self._members.values()):
-            return
-        self._members = {m.name: m for m in members}
-        self._connect_order = [
-            n for n in self._connect_order if n in self._members
-        ]
-        self._connect_order += [
-            n for n in self._members if n not in self._connect_order
-        ]
-        if self._leader not in self._members:
-            self._leader = ""
+        """Replaces the list of members; see `MemberDirectory`."""
+        self._directory.set_members(members)
 
     def add_members(self, members: Sequence[MemberAddress]) -> None:
         """Adds addresses of members, such as new seeds."""
-        known = {(m.host, m.port) for m in self._members.values()}
-        for member in members:
-            if (member.host, member.port) not in known:
-                self._members[member.name] = member
-                self._connect_order.append(member.name)
+        self._directory.add_seeds(members)
 
     async def submit(
         self, command: object, timeout_s: float, in_force: bool = True
@@ -211,28 +194,19 @@
 
     def _follow_redirect(self, redirect: Redirect) -> None:
         self.close_link()
-        if redirect.address is not None:
-            # A known address takes precedence: it may be that of a relay.
-            self._members.setdefault(redirect.leader, redirect.address)
-        if redirect.leader in self._members:
-            self._leader = redirect.leader
+        self._directory.set_leader(redirect.leader, redirect.address)
 
     def close_link(self) -> None:
         """Closes the link; the next message opens a new one."""
         if self._link is not None:
             self._link.close()
             self._link = None
-        self._leader = ""
 
     async def _connect(self) -> links.Link:
         async with self._connecting:
             if self._link is not None and not self._link.closed.is_set():
                 return self._link
-            name = self._leader or self._connect_order[0]
-            self._leader = ""
-            if name == self._connect_order[0]:
-                self._connect_order.append(self._connect_order.pop(0))
-            self._link = await self._open(self._members[name])
+            self._link = await self._open(self._directory.next_address())
             self._group.start_soon(self._link.run)
             return self._link
 
