Send a call again when its link has fallen silent

Callers saw: calls of endpoints end in 503 or without an answer while open connections between members no longer forward anything, although new ones work.

Cause: a call waited on its link for all of its remaining time. The link closes itself only after 1 s of silence, and the control API gives a call 0.9 s.

Evidence: the new scenario of finding_leader.feature failed before (a call with a timeout of 0.9 s on a silenced connection, the leader reachable by a new one).

A waiting call now closes its link after two keep-alive intervals in which nothing arrived, and so can be sent again on another one; all calls are idempotent. Its outcome stays unknown unless another member answers it.

--- a/features/finding_leader.feature
+++ b/features/finding_leader.feature
@@ -28,3 +28,11 @@
     When the seeds, the 5 members and the leader change 200 times
     Then it knows at most 15 addresses
     And the newest seeds and members are among them
+
+  Scenario: A call on a connection that falls silent is sent on another one
+    Guards against calls that wait for an answer on a connection that no longer
+    forwards anything, until their callers give up.
+    Given a client with an open link to the leader
+    When the link falls silent
+    And it sends a request with a timeout of 0.9 s
+    Then the request is answered
--- a/features/steps/finding_leader_steps.py
+++ b/features/steps/finding_leader_steps.py
@@ -12,6 +12,7 @@
 from knapweedarch.member_directory import MemberDirectory
 from knapweedarch.timers import Clock
 from standins.deployment import CREDENTIAL
+from standins.relay import Relay
 
 HOST = "127.0.0.1"
 
@@ -23,12 +24,14 @@
         seeds: Addresses that the client begins with.
         lists: Lists of members that it is told, one after the other.
         outcomes: What the requests returned, or why they failed.
+        before: Called with the client before the requests, in order.
     """
 
     def __init__(self):
         self.seeds = []
         self.lists = []
         self.outcomes = []
+        self.before = []
         self._listening = []
 
     def add_member(self, name, handle):
@@ -47,6 +50,8 @@
                 async with create_client(self.seeds) as client:
                     for members in self.lists:
                         client.set_members(members)
+                    for prepare in self.before:
+                        await prepare(client)
                     await action(client)
                 group.cancel_scope.cancel()
 
@@ -121,6 +126,28 @@
     ]
 
 
+@given("a client with an open link to the leader")
+def client_with_link(context):
+    context.search = search = Search()
+    leader = search.add_member("leader", lead)
+    context.relay = Relay(HOST, (leader.host, leader.port))
+    context.add_cleanup(context.relay.__exit__)
+    search.seeds = [control.MemberAddress("leader", HOST, context.relay.port)]
+
+    async def open_link(client):
+        await client.request(control.FindPeers("r"), 3.0)
+
+    search.before.append(open_link)
+
+
+@when("the link falls silent")
+def silence_link(context):
+    async def silence(client):
+        assert context.relay.silence() == 1
+
+    context.search.before.append(silence)
+
+
 @given("a directory with {count:d} seeds")
 def directory_with_seeds(context, count):
     seeds = addresses("seed", 0, count)
--- a/knapweedarch/links.py
+++ b/knapweedarch/links.py
@@ -30,6 +30,9 @@
 
 KEEP_ALIVE_INTERVAL_S = 0.3
 LINK_TIMEOUT_S = 1.0
+# A call gives up its link after this many intervals without any frame. A live
+# end sends one at least every one and a half intervals.
+CALL_QUIET_INTERVALS = 2
 # A connection attempt to an instance that is powered off hangs, and the kernel
 # resends the SYN only after 1 s. By then the instance may have been up for most
 # of that time, and a new attempt would have reached it.
@@ -149,8 +152,8 @@
             CodecError: The message's class is unknown to the link's codec, or
                 the reply is malformed.
             LinkError: The message could not be queued (see `send`), the link
-                closed, or no reply arrived within `timeout_s` seconds. The
-                peer may have processed the message.
+                closed or fell silent, or no reply arrived within `timeout_s`
+                seconds. The peer may have processed the message.
         """
         if self.closed.is_set():
             raise LinkError("the link is closed")
@@ -161,7 +164,7 @@
         try:
             self._queue_frame(Call(number, self._codec.encode(message)))
             with anyio.move_on_after(timeout_s):
-                await pending[0].wait()
+                await self._wait_for_reply(pending[0])
         finally:
             del self._pending_calls[number]
         if pending[1] is None:
@@ -172,6 +175,24 @@
             )
         return self._codec.decode(pending[1])
 
+    async def _wait_for_reply(self, replied: anyio.Event) -> None:
+        """Waits for a reply; closes the link if it falls silent meanwhile.
+
+        Counting intervals instead of seconds leaves time to read what has
+        arrived while this process was frozen.
+        """
+        quiet_intervals = 0
+        while not replied.is_set():
+            received_at = self._last_receive_at
+            with anyio.move_on_after(KEEP_ALIVE_INTERVAL_S):
+                await replied.wait()
+            if self._last_receive_at != received_at:
+                quiet_intervals = 0
+                continue
+            quiet_intervals += 1
+            if quiet_intervals == CALL_QUIET_INTERVALS:
+                self.close()
+
     def _queue_frame(self, frame: object) -> None:
         if self.closed.is_set():
             return
