Let calls that share a link to a member end apart

Callers saw: calls of endpoints at one member fail together: as one of them was redirected or timed out, all others on the link ended with an unknown outcome, were sent a second time, and got 503 if too little of their time was left.

Cause: `ControlClient` closed the shared link at the first redirect and at each reply that did not come in time, however alive the link was.

Evidence: two new scenarios of finding_leader.feature failed before: a call that nobody had processed ended as unknown_outcome instead of unreachable, and the leader got a call twice because another one had timed out.

A redirected call now takes the client to the named leader, and the link is closed after the last call on it. A call that times out leaves its link open: a silent link closes itself, and a member that cannot serve redirects.

--- a/features/finding_leader.feature
+++ b/features/finding_leader.feature
@@ -36,3 +36,18 @@
     When the link falls silent
     And it sends a request with a timeout of 0.9 s
     Then the request is answered
+
+  Scenario: A redirect of one call leaves the others on its link alone
+    Guards against calls that end with an unknown outcome because another call was
+    told to go elsewhere.
+    Given a client of a member that names a leader that is gone, to every second call 0.3 s later
+    When it sends 2 requests with a timeout of 0.9 s at once
+    Then each request ends as unreachable
+
+  Scenario: A call that the leader answers late leaves the others alone
+    Guards against calls that are sent again, or fail, because another one on the
+    same link has timed out.
+    Given a client of a leader that never answers the first call and the second after 0.4 s
+    When it sends requests with timeouts of 0.2 s and 0.9 s at once
+    Then the leader got each request once
+    And only the request with the longer timeout is answered
--- a/features/steps/finding_leader_steps.py
+++ b/features/steps/finding_leader_steps.py
@@ -63,10 +63,10 @@
             *(listener, CREDENTIAL.encode(), control.CONTROL, handle, print)
         )
 
-    async def request(self, client, timeout_s):
+    async def request(self, client, timeout_s, name="r"):
         """Sends a request and records its outcome."""
         try:
-            reply = await client.request(control.FindPeers("r"), timeout_s)
+            reply = await client.request(control.FindPeers(name), timeout_s)
         except ControlError as exc:
             reply = exc
         self.outcomes.append(reply)
@@ -148,6 +148,84 @@
     context.search.before.append(silence)
 
 
+@given(
+    "a client of a member that names a leader that is gone, to every second"
+    " call {later_s:f} s later"
+)
+def redirecting_member(context, later_s):
+    context.search = search = Search()
+    calls = []
+
+    async def redirect(link, message):
+        calls.append(message)
+        await anyio.sleep(later_s * ((len(calls) - 1) % 2))
+        return control.Redirect("leader", gone("leader"))
+
+    search.seeds = [search.add_member("other", redirect)]
+
+
+@given(
+    "a client of a leader that never answers the first call and the second"
+    " after {later_s:f} s"
+)
+def late_leader(context, later_s):
+    context.search = search = Search()
+    context.at_leader = []
+
+    async def answer_late(link, message):
+        context.at_leader.append(message)
+        if len(context.at_leader) == 1:
+            return None
+        await anyio.sleep(later_s)
+        return control.PeersFound(())
+
+    search.seeds = [search.add_member("leader", answer_late)]
+
+
+@when("it sends {count:d} requests with a timeout of {timeout_s:f} s at once")
+def send_requests(context, count, timeout_s):
+    send_at_once(context.search, [timeout_s] * count)
+
+
+@when(
+    "it sends requests with timeouts of {first_s:f} s and {second_s:f} s at"
+    " once"
+)
+def send_two_requests(context, first_s, second_s):
+    send_at_once(context.search, [first_s, second_s])
+
+
+def send_at_once(search, timeouts_s):
+    """Sends requests at once, over one link if the first one opens it."""
+
+    async def send(client):
+        async with anyio.create_task_group() as group:
+            for number, timeout_s in enumerate(timeouts_s):
+                group.start_soon(search.request, client, timeout_s, f"{number}")
+
+    search.run(send)
+
+
+@then("the leader got each request once")
+def leader_got_each_once(context):
+    names = sorted(message.router for message in context.at_leader)
+    assert names == ["0", "1"], names
+
+
+@then("each request ends as {reason}")
+def requests_end_as(context, reason):
+    reasons = [outcome.reason for outcome in context.search.outcomes]
+    assert reasons and set(reasons) == {reason}, reasons
+
+
+@then("only the request with the longer timeout is answered")
+def longer_one_answered(context):
+    first, second = context.search.outcomes
+    assert isinstance(first, ControlError), first
+    assert first.reason == "unknown_outcome", first
+    assert second == control.PeersFound(()), second
+
+
 @given("a directory with {count:d} seeds")
 def directory_with_seeds(context, count):
     seeds = addresses("seed", 0, count)
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -161,18 +161,17 @@
                 delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
                 continue
             try:
-                reply = await link.call(message, remaining_s)
+                reply = await self._call(link, message, remaining_s)
             except LinkError as exc:
                 outcomes[f"{link.peer}: {exc}"] = None
                 # Stays set: a redirect by another member does not show
                 # whether the earlier message took effect.
                 outcome_unknown = True
-                self.close_link()
             else:
                 match reply:
                     case Redirect():
                         outcomes[f"{link.peer}: leader {reply.leader!r}"] = None
-                        self._follow_redirect(reply)
+                        self._follow_redirect(link, reply)
                     case Refused(reason="unknown_outcome"):
                         # A retry can still obtain the outcome, such as from
                         # the next leader.
@@ -192,15 +191,25 @@
     async def _sleep(self, delay_s: float, until: float) -> None:
         await anyio.sleep(min(delay_s, max(until - self._clock.now(), 0)))
 
-    def _follow_redirect(self, redirect: Redirect) -> None:
-        self.close_link()
-        self._directory.set_leader(redirect.leader, redirect.address)
+    async def _call(
+        self, link: links.Link, message: object, timeout_s: float
+    ) -> object:
+        try:
+            return await link.call(message, timeout_s)
+        finally:
+            self._close_if_left(link)
 
-    def close_link(self) -> None:
-        """Closes the link; the next message opens a new one."""
-        if self._link is not None:
-            self._link.close()
+    def _follow_redirect(self, link: links.Link, redirect: Redirect) -> None:
+        """Leaves the link that a redirect came on; others may have before."""
+        if self._link is link:
             self._link = None
+            self._directory.set_leader(redirect.leader, redirect.address)
+        self._close_if_left(link)
+
+    def _close_if_left(self, link: links.Link) -> None:
+        """Closes a link that is no longer used, after the last call on it."""
+        if link is not self._link and link.is_idle:
+            link.close()
 
     async def _connect(self) -> links.Link:
         async with self._connecting:
--- a/knapweedarch/links.py
+++ b/knapweedarch/links.py
@@ -193,6 +193,11 @@
             if quiet_intervals == CALL_QUIET_INTERVALS:
                 self.close()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call waits for its reply."""
+        return not self._pending_calls
+
     def _queue_frame(self, frame: object) -> None:
         if self.closed.is_set():
             return
