End calls in time that wait for a connection to a member

Callers saw: no answer within a second, again and again at the same member, for several seconds after machines of the core had lost power or were frozen.

Cause: the calls of a member share one connection attempt at a time. A call checked its deadline neither while it waited for the attempts of the calls before it nor during its own, so that each of them added up to 0.4 s (1.4 s with a frozen member), and it was sent with the time it had before the wait.

Evidence: eight calls with a timeout of 0.5 s at three addresses that hang; the last one ended after 3.6 s in the new scenario of finding_leader.feature.

The wait for a connection now ends with the call's time, and the call is given what is left of it. `request` is split, as it had grown long.

--- a/features/finding_leader.feature
+++ b/features/finding_leader.feature
@@ -51,3 +51,12 @@
     When it sends requests with timeouts of 0.2 s and 0.9 s at once
     Then the leader got each request once
     And only the request with the longer timeout is answered
+
+  Scenario: Calls that wait for a connection end in time
+    Load: as many calls at once as a member gets of its runners. Guards against
+    answers that come long after their callers have given up, because each call
+    waits for the attempts of those before it.
+    Given a client that knows 3 members without power
+    When it sends 8 requests with a timeout of 0.5 s at once
+    Then each request ends as unreachable
+    And the last one ended after at most 0.8 s
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -2,7 +2,6 @@
 
 import pathlib
 import shutil
-import socket
 import subprocess
 import sys
 import tempfile
@@ -11,6 +10,7 @@
 import attrs
 from behave import given, then, when
 
+from features.hanging_address import hanging_address
 from knapweedarch import control, links, replica, state
 from knapweedarch.dispatcher import Dispatcher
 from knapweedarch.endpoint_table import EndpointTable
@@ -299,22 +299,16 @@
 
 
 @given("an address where connection attempts hang")
-def hanging_address(context):
-    context.listener = socket.create_server(("127.0.0.1", 0), backlog=0)
-    context.add_cleanup(context.listener.close)
-    # Once these fill the backlog, the kernel drops the first packet of any
-    # further connection.
-    for _ in range(4):
-        filler = socket.socket()
-        filler.setblocking(False)
-        filler.connect_ex(context.listener.getsockname())
-        context.add_cleanup(filler.close)
+def address_that_hangs(context):
+    hanging = hanging_address()
+    context.hanging = hanging.__enter__()
+    context.add_cleanup(hanging.__exit__, None, None, None)
 
 
 @when("a link to it is opened")
 def open_link(context):
     async def run():
-        host, port = context.listener.getsockname()
+        host, port = context.hanging
         began_at = anyio.current_time()
         try:
             await links.connect(
--- a/features/steps/finding_leader_steps.py
+++ b/features/steps/finding_leader_steps.py
@@ -7,6 +7,7 @@
 import anyio.abc
 from behave import given, then, when
 
+from features.hanging_address import hanging_address
 from knapweedarch import control, links
 from knapweedarch.exceptions import ControlError
 from knapweedarch.member_directory import MemberDirectory
@@ -25,6 +26,7 @@
         lists: Lists of members that it is told, one after the other.
         outcomes: What the requests returned, or why they failed.
         before: Called with the client before the requests, in order.
+        slowest_s: Longest time in seconds that a request took.
     """
 
     def __init__(self):
@@ -32,6 +34,7 @@
         self.lists = []
         self.outcomes = []
         self.before = []
+        self.slowest_s = 0.0
         self._listening = []
 
     def add_member(self, name, handle):
@@ -65,11 +68,14 @@
 
     async def request(self, client, timeout_s, name="r"):
         """Sends a request and records its outcome."""
+        began_at = anyio.current_time()
         try:
             reply = await client.request(control.FindPeers(name), timeout_s)
         except ControlError as exc:
             reply = exc
         self.outcomes.append(reply)
+        taken_s = anyio.current_time() - began_at
+        self.slowest_s = max(self.slowest_s, taken_s)
 
 
 def create_client(seeds):
@@ -140,6 +146,26 @@
     search.before.append(open_link)
 
 
+def without_power(context, name):
+    """Returns an address at which connection attempts hang."""
+    hanging = hanging_address(HOST)
+    context.add_cleanup(hanging.__exit__, None, None, None)
+    return control.MemberAddress(name, *hanging.__enter__())
+
+
+@given("a client that knows {count:d} members without power")
+def client_without_members(context, count):
+    context.search = Search()
+    context.search.seeds = [
+        without_power(context, f"m{number}") for number in range(count)
+    ]
+
+
+@then("the last one ended after at most {limit_s:f} s")
+def ended_in_time(context, limit_s):
+    assert context.search.slowest_s <= limit_s, context.search.slowest_s
+
+
 @when("the link falls silent")
 def silence_link(context):
     async def silence(client):
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -5,6 +5,7 @@
 
 import anyio
 import anyio.abc
+import attrs
 
 from knapweedarch import links
 from knapweedarch.control_messages import (
@@ -80,6 +81,33 @@
 MAX_REPORTED_OUTCOMES = 4
 
 
+@attrs.define
+class _Outcomes:
+    """What came of the attempts to have one message answered.
+
+    Attributes:
+        is_unknown: Whether a member may have processed the message. A later
+            redirect by another member does not show whether it did.
+        told: What each address answered, in the order of the newest answers.
+    """
+
+    is_unknown: bool = False
+    told: dict[str, None] = attrs.field(factory=dict)
+
+    def record(self, text: str, is_unknown: bool = False) -> None:
+        """Records the outcome of one attempt."""
+        self.told[text] = None
+        self.is_unknown = self.is_unknown or is_unknown
+
+    def error(self) -> ControlError:
+        """Returns the error for a message that was not answered in time."""
+        reason = "unknown_outcome" if self.is_unknown else "unreachable"
+        told = "; ".join([*self.told][-MAX_REPORTED_OUTCOMES:])
+        return ControlError(
+            reason, f"no control member answered in time ({told or 'none'})"
+        )
+
+
 class ControlClient(TaskOwner):
     """Client of the leader; it finds the new leader after a change.
 
@@ -148,48 +176,58 @@
             ControlError: See `submit`.
         """
         until = self._clock.now() + timeout_s
-        outcome_unknown = False
-        # What each address answered, in the order of the newest answers.
-        outcomes: dict[str, None] = {}
+        outcomes = _Outcomes()
         delay_s = RETRY_DELAY_S
-        while (remaining_s := until - self._clock.now()) > 0:
-            try:
-                link = await self._connect()
-            except LinkError as exc:
-                outcomes[str(exc)] = None
-                await self._sleep(delay_s, until)
-                delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
-                continue
+        while self._clock.now() < until:
+            link = await self._connect_before(until, outcomes)
+            if link is not None:
+                reply = await self._send(link, message, until, outcomes)
+                if reply is not None:
+                    return reply
+            await anyio.sleep(min(delay_s, self._remaining_s(until)))
+            delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
+        raise outcomes.error()
+
+    def _remaining_s(self, until: float) -> float:
+        return max(until - self._clock.now(), 0)
+
+    async def _connect_before(
+        self, until: float, outcomes: _Outcomes
+    ) -> links.Link | None:
+        """Returns an open link; None if there is none yet."""
+        with anyio.move_on_after(self._remaining_s(until)):
             try:
-                reply = await self._call(link, message, remaining_s)
+                return await self._connect()
             except LinkError as exc:
-                outcomes[f"{link.peer}: {exc}"] = None
-                # Stays set: a redirect by another member does not show
-                # whether the earlier message took effect.
-                outcome_unknown = True
-            else:
-                match reply:
-                    case Redirect():
-                        outcomes[f"{link.peer}: leader {reply.leader!r}"] = None
-                        self._follow_redirect(link, reply)
-                    case Refused(reason="unknown_outcome"):
-                        # A retry can still obtain the outcome, such as from
-                        # the next leader.
-                        outcome_unknown = True
-                    case Refused(reason=reason, message=text):
-                        raise ControlError(reason, text)
-                    case _:
-                        return reply
-            await self._sleep(delay_s, until)
-            delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
-        reason = "unknown_outcome" if outcome_unknown else "unreachable"
-        told = "; ".join([*outcomes][-MAX_REPORTED_OUTCOMES:])
-        raise ControlError(
-            reason, f"no control member answered in time ({told or 'none'})"
-        )
+                outcomes.record(str(exc))
+        return None
 
-    async def _sleep(self, delay_s: float, until: float) -> None:
-        await anyio.sleep(min(delay_s, max(until - self._clock.now(), 0)))
+    async def _send(
+        self,
+        link: links.Link,
+        message: object,
+        until: float,
+        outcomes: _Outcomes,
+    ) -> object | None:
+        """Sends a message; returns None if another attempt may succeed."""
+        try:
+            reply = await self._call(link, message, self._remaining_s(until))
+        except LinkError as exc:
+            outcomes.record(f"{link.peer}: {exc}", is_unknown=True)
+            return None
+        match reply:
+            case Redirect():
+                outcomes.record(f"{link.peer}: leader {reply.leader!r}")
+                self._follow_redirect(link, reply)
+                return None
+            case Refused(reason="unknown_outcome", message=text):
+                # A retry can still obtain the outcome, such as from the next
+                # leader.
+                outcomes.record(f"{link.peer}: {text}", is_unknown=True)
+                return None
+            case Refused(reason=reason, message=text):
+                raise ControlError(reason, text)
+        return reply
 
     async def _call(
         self, link: links.Link, message: object, timeout_s: float
