Try other members while an attempt to connect to one hangs

Callers saw: calls of endpoints (PUT) end in 503 or unanswered at members old and new for seconds after machines were lost, although a new leader was there soon.

Cause: members name a leader that is gone until they elect another one. A client followed each such redirect with an attempt that hangs for 0.4 s (1.4 s if the member is frozen), and tried the addresses of other lost members one after the other in between; the control API gives a call 0.9 s.

An attempt that hangs no longer holds up the next address, goes on in the background and is used if it succeeds first; so a slow leader is reached as well. An address that has just failed is tried after the others for a second, whoever names it. A leader named for the first time in a call is asked without a pause.

The scenario of redirected calls now checks that the other call is sent once: a call in flight at its deadline has an unknown outcome whatever the client does, so the former check failed now and then.

--- a/features/finding_leader.feature
+++ b/features/finding_leader.feature
@@ -38,11 +38,11 @@
     Then the request is answered
 
   Scenario: A redirect of one call leaves the others on its link alone
-    Guards against calls that end with an unknown outcome because another call was
-    told to go elsewhere.
-    Given a client of a member that names a leader that is gone, to every second call 0.3 s later
+    Guards against calls that are sent again, or end with an unknown outcome,
+    because another call was told to go elsewhere.
+    Given a client of a member that answers only the second call, 0.3 s later, and redirects the others
     When it sends 2 requests with a timeout of 0.9 s at once
-    Then each request ends as unreachable
+    Then the second request is answered and was sent once
 
   Scenario: A call that the leader answers late leaves the others alone
     Guards against calls that are sent again, or fail, because another one on the
@@ -60,3 +60,28 @@
     When it sends 8 requests with a timeout of 0.5 s at once
     Then each request ends as unreachable
     And the last one ended after at most 0.8 s
+
+  Scenario: Members without power keep no call from the leader
+    Load: two members have no power, the former leader is one of them, and one of
+    the others still names it. Guards against a call that ends unanswered because
+    one attempt to connect after the other hangs.
+    Given a client that knows a follower of a leader without power, one of the leader, and another member without power
+    When each of 12 such clients sends a request with a timeout of 0.9 s
+    Then each request is answered
+
+  Scenario: A leader that accepts connections slowly is reached all the same
+    Guards against attempts to connect that start anew each time that another
+    member names the leader.
+    Given a client that knows a follower of a leader that accepts after 0.6 s
+    When it sends a request with a timeout of 0.9 s
+    Then the request is answered
+
+  Scenario: An address that has failed is tried after the others for a second
+    Guards against calls that go to a leader that is gone as long as members
+    name it.
+    Given a directory with 3 seeds
+    When an attempt to connect to the first seed fails
+    And a redirect names the first seed as the leader 0.5 s later
+    Then the next 4 addresses are others
+    When a redirect names the first seed as the leader 1.1 s later
+    Then the next address is the first seed
--- a/features/steps/finding_leader_steps.py
+++ b/features/steps/finding_leader_steps.py
@@ -37,10 +37,14 @@
         self.slowest_s = 0.0
         self._listening = []
 
-    def add_member(self, name, handle):
-        """Adds a member that answers with `handle`; returns its address."""
+    def add_member(self, name, handle, after_s=0.0):
+        """Adds a member that answers with `handle`; returns its address.
+
+        It accepts no connections for `after_s` seconds, but does not refuse
+        them.
+        """
         sock = socket.create_server((HOST, 0))
-        self._listening.append((sock, handle))
+        self._listening.append((sock, handle, after_s))
         return control.MemberAddress(name, *sock.getsockname())
 
     def run(self, action):
@@ -48,8 +52,8 @@
 
         async def run():
             async with anyio.create_task_group() as group:
-                for sock, handle in self._listening:
-                    group.start_soon(self._serve, sock, handle)
+                for listening in self._listening:
+                    group.start_soon(self._serve, *listening)
                 async with create_client(self.seeds) as client:
                     for members in self.lists:
                         client.set_members(members)
@@ -60,7 +64,8 @@
 
         anyio.run(run)
 
-    async def _serve(self, sock, handle):
+    async def _serve(self, sock, handle, after_s):
+        await anyio.sleep(after_s)
         listener = await anyio.abc.SocketListener.from_socket(sock)
         await links.serve(
             *(listener, CREDENTIAL.encode(), control.CONTROL, handle, print)
@@ -161,6 +166,72 @@
     ]
 
 
+def follower_of(search, leader):
+    """Adds a member that names a leader."""
+
+    async def redirect(link, message):
+        return control.Redirect(leader.name, leader)
+
+    return search.add_member(f"follower of {leader.name}", redirect)
+
+
+@given(
+    "a client that knows a follower of a leader without power, one of the"
+    " leader, and another member without power"
+)
+def client_amid_outage(context):
+    context.search = search = Search()
+    old, other = (without_power(context, name) for name in ("old", "other"))
+    new = search.add_member("new", lead)
+    search.seeds = [follower_of(search, old), follower_of(search, new), other]
+
+
+@when(
+    "each of {count:d} such clients sends a request with a timeout of"
+    " {timeout_s:f} s"
+)
+def send_from_each(context, count, timeout_s):
+    search = context.search
+
+    async def send(client):
+        async with anyio.create_task_group() as group:
+            for _ in range(count):
+                group.start_soon(send_from_new_client, timeout_s)
+
+    async def send_from_new_client(timeout_s):
+        async with create_client(search.seeds) as client:
+            await search.request(client, timeout_s)
+
+    search.run(send)
+    assert len(search.outcomes) == count
+
+
+@then("each request is answered")
+def requests_answered(context):
+    wrong = [
+        str(outcome)
+        for outcome in context.search.outcomes
+        if outcome != control.PeersFound(())
+    ]
+    assert not wrong, wrong
+
+
+@given(
+    "a client that knows a follower of a leader that accepts after"
+    " {after_s:f} s"
+)
+def client_of_slow_leader(context, after_s):
+    context.search = search = Search()
+    context.links = set()
+
+    async def lead_and_count(link, message):
+        context.links.add(link)
+        return control.PeersFound(())
+
+    leader = search.add_member("leader", lead_and_count, after_s)
+    search.seeds = [follower_of(search, leader)]
+
+
 @then("the last one ended after at most {limit_s:f} s")
 def ended_in_time(context, limit_s):
     assert context.search.slowest_s <= limit_s, context.search.slowest_s
@@ -175,17 +246,19 @@
 
 
 @given(
-    "a client of a member that names a leader that is gone, to every second"
-    " call {later_s:f} s later"
+    "a client of a member that answers only the second call, {later_s:f} s"
+    " later, and redirects the others"
 )
 def redirecting_member(context, later_s):
     context.search = search = Search()
-    calls = []
+    calls = context.calls = []
 
     async def redirect(link, message):
-        calls.append(message)
-        await anyio.sleep(later_s * ((len(calls) - 1) % 2))
-        return control.Redirect("leader", gone("leader"))
+        calls.append(message.router)
+        if len(calls) != 2:
+            return control.Redirect("leader", gone("leader"))
+        await anyio.sleep(later_s)
+        return control.PeersFound(())
 
     search.seeds = [search.add_member("other", redirect)]
 
@@ -238,6 +311,12 @@
     assert names == ["0", "1"], names
 
 
+@then("the second request is answered and was sent once")
+def second_answered(context):
+    assert control.PeersFound(()) in context.search.outcomes
+    assert context.calls.count("1") == 1, context.calls
+
+
 @then("each request ends as {reason}")
 def requests_end_as(context, reason):
     reasons = [outcome.reason for outcome in context.search.outcomes]
@@ -268,7 +347,7 @@
         (leader,) = addresses("leader", number, 1)
         context.directory.set_leader(leader.name, leader)
         for _ in range(20):
-            context.directory.next_address()
+            context.directory.next_address(float(number))
 
 
 @then("it knows at most {most:d} addresses")
@@ -279,3 +358,26 @@
 @then("the newest seeds and members are among them")
 def knows_newest(context):
     assert set(context.newest) <= set(context.directory.addresses())
+
+
+@when("an attempt to connect to the first seed fails")
+def first_seed_fails(context):
+    context.first = context.directory.addresses()[0]
+    context.directory.note_failure(context.first, 0.0)
+
+
+@when("a redirect names the first seed as the leader {later_s:f} s later")
+def redirect_to_first_seed(context, later_s):
+    context.now = later_s
+    context.directory.set_leader(context.first.name, context.first)
+
+
+@then("the next {count:d} addresses are others")
+def next_are_others(context, count):
+    for _ in range(count):
+        assert context.directory.next_address(context.now) != context.first
+
+
+@then("the next address is the first seed")
+def next_is_first(context):
+    assert context.directory.next_address(context.now) == context.first
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -37,7 +37,12 @@
     StatusReply,
     Submit,
 )
-from knapweedarch.exceptions import ControlError, CredentialError, LinkError
+from knapweedarch.exceptions import (
+    CodecError,
+    ControlError,
+    CredentialError,
+    LinkError,
+)
 from knapweedarch.member_directory import MemberDirectory
 from knapweedarch.state import COMMANDS, RESULTS
 from knapweedarch.task_groups import TaskOwner
@@ -79,6 +84,8 @@
 MAX_RETRY_DELAY_S = 0.1
 REPLY_TIMEOUT_S = 1.0
 MAX_REPORTED_OUTCOMES = 4
+# An attempt to connect that takes longer does not hold up the next one.
+NEXT_ATTEMPT_DELAY_S = 0.1
 
 
 @attrs.define
@@ -89,16 +96,33 @@
         is_unknown: Whether a member may have processed the message. A later
             redirect by another member does not show whether it did.
         told: What each address answered, in the order of the newest answers.
+        leaders: Names of the leaders in redirects.
     """
 
     is_unknown: bool = False
     told: dict[str, None] = attrs.field(factory=dict)
+    leaders: set[str] = attrs.field(factory=set)
+    _has_new_leader: bool = False
 
     def record(self, text: str, is_unknown: bool = False) -> None:
         """Records the outcome of one attempt."""
         self.told[text] = None
         self.is_unknown = self.is_unknown or is_unknown
 
+    def note_leader(self, name: str) -> None:
+        """Records the leader of a redirect; the name is empty if unknown."""
+        if name and name not in self.leaders:
+            self.leaders.add(name)
+            self._has_new_leader = True
+
+    def take_new_leader(self) -> bool:
+        """Returns whether the last redirect named a leader for the first time.
+
+        It can be asked without a pause.
+        """
+        found, self._has_new_leader = self._has_new_leader, False
+        return found
+
     def error(self) -> ControlError:
         """Returns the error for a message that was not answered in time."""
         reason = "unknown_outcome" if self.is_unknown else "unreachable"
@@ -108,6 +132,21 @@
         )
 
 
+@attrs.define
+class _Attempt:
+    """An attempt to open a link.
+
+    Attributes:
+        address: Address of the member.
+        has_ended: Whether it has ended.
+        error: Why it failed; None if it did not.
+    """
+
+    address: MemberAddress
+    has_ended: bool = False
+    error: Exception | None = None
+
+
 class ControlClient(TaskOwner):
     """Client of the leader; it finds the new leader after a change.
 
@@ -127,6 +166,9 @@
         self._on_changed = on_changed
         self._link: links.Link | None = None
         self._connecting = anyio.Lock()
+        # Connection attempts that have not ended, by address.
+        self._attempts: dict[MemberAddress, _Attempt] = {}
+        self._attempt_ended = anyio.Event()
 
     def set_members(self, members: Sequence[MemberAddress]) -> None:
         """Replaces the list of members; see `MemberDirectory`."""
@@ -184,6 +226,8 @@
                 reply = await self._send(link, message, until, outcomes)
                 if reply is not None:
                     return reply
+            if outcomes.take_new_leader():
+                continue
             await anyio.sleep(min(delay_s, self._remaining_s(until)))
             delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
         raise outcomes.error()
@@ -218,6 +262,7 @@
         match reply:
             case Redirect():
                 outcomes.record(f"{link.peer}: leader {reply.leader!r}")
+                outcomes.note_leader(reply.leader)
                 self._follow_redirect(link, reply)
                 return None
             case Refused(reason="unknown_outcome", message=text):
@@ -251,12 +296,67 @@
 
     async def _connect(self) -> links.Link:
         async with self._connecting:
-            if self._link is not None and not self._link.closed.is_set():
-                return self._link
-            self._link = await self._open(self._directory.next_address())
-            self._group.start_soon(self._link.run)
+            while not self._is_open():
+                await self._try_next()
             return self._link
 
+    def _is_open(self) -> bool:
+        return self._link is not None and not self._link.closed.is_set()
+
+    async def _try_next(self) -> None:
+        """Tries one more address; returns once a link is open or it hangs.
+
+        The attempt goes on in the background: one that is slow, but not lost,
+        must not start again and again.
+
+        Raises:
+            ControlError: The member holds a different credential.
+            LinkError: The attempt failed.
+        """
+        now = self._clock.now()
+        patience_s = (
+            links.CONNECT_TIMEOUT_S
+            if self._directory.follows_redirect(now)
+            else NEXT_ATTEMPT_DELAY_S
+        )
+        address = self._directory.next_address(now)
+        attempt = self._attempts.get(address)
+        if attempt is None:
+            attempt = self._attempts[address] = _Attempt(address)
+            self._group.start_soon(self._run_attempt, attempt)
+        with anyio.move_on_after(patience_s):
+            while not attempt.has_ended and not self._is_open():
+                await self._attempt_ended.wait()
+        if attempt.error is not None:
+            raise attempt.error
+        if not self._is_open():
+            self._directory.note_failure(address, self._clock.now())
+
+    async def _run_attempt(self, attempt: _Attempt) -> None:
+        try:
+            link = await self._open(attempt.address)
+        except (ControlError, LinkError) as exc:
+            attempt.error = exc
+            self._directory.note_failure(attempt.address, self._clock.now())
+        except CodecError as exc:
+            attempt.error = LinkError(str(exc))
+            self._directory.note_failure(attempt.address, self._clock.now())
+        else:
+            self._directory.note_success(attempt.address)
+            self._use(link)
+        attempt.has_ended = True
+        del self._attempts[attempt.address]
+        self._attempt_ended.set()
+        self._attempt_ended = anyio.Event()
+
+    def _use(self, link: links.Link) -> None:
+        """Runs a new link; closes it if another one was open sooner."""
+        self._group.start_soon(link.run)
+        if self._is_open():
+            link.close()
+        else:
+            self._link = link
+
     async def _open(self, member: MemberAddress) -> links.Link:
         try:
             return await links.connect(
--- a/knapweedarch/member_directory.py
+++ b/knapweedarch/member_directory.py
@@ -5,16 +5,39 @@
 beside the seeds, which may name members that are gone.
 """
 
+import math
 import random
 from collections.abc import Sequence
 
+import attrs
+
 from knapweedarch.control_messages import MemberAddress
 
 # Seeds of the last few settings; older ones are dropped.
 MAX_SEEDS = 9
+# An address at which an attempt has failed is tried after the others for this
+# time, even if a redirect names it as the leader's: members name a leader that
+# is gone until they elect another one.
+AVOID_S = 1.0
+
 _Key = tuple[str, int]
 
 
+@attrs.define
+class _Attempts:
+    """What is known of the attempts to connect to an address.
+
+    Attributes:
+        tie: Random number that orders addresses not tried yet.
+        turn: Number of the last attempt; 0 if there was none.
+        failed_at: When the last attempt failed, in seconds; -inf if it did not.
+    """
+
+    tie: float
+    turn: int = 0
+    failed_at: float = -math.inf
+
+
 class MemberDirectory:
     """Known addresses and the order in which they are tried.
 
@@ -31,8 +54,7 @@
         # The leader of the last redirect, and whether it is to be tried next.
         self._leader: MemberAddress | None = None
         self._leader_is_next = False
-        # Number of the last attempt, and the order of those not tried yet.
-        self._tried: dict[_Key, tuple[int, float]] = {}
+        self._attempts: dict[_Key, _Attempts] = {}
         self._turns = 0
         self.add_seeds(seeds)
 
@@ -75,31 +97,53 @@
             known.setdefault(_key(self._leader), self._leader)
         return list(known.values())
 
-    def next_address(self) -> MemberAddress:
+    def follows_redirect(self, now: float) -> bool:
+        """Whether the next address is that of the leader in a redirect."""
+        return self._leader_is_next and not self._is_avoided(self._leader, now)
+
+    def next_address(self, now: float) -> MemberAddress:
         """Returns the address to try next, and counts it as tried.
 
         It is that of the leader once after each redirect, else the one not
-        tried for longest.
+        tried for longest. Addresses that have just failed come last.
         """
         chosen = (
             self._leader
-            if self._leader_is_next
-            else min(self.addresses(), key=self._last_turn)
+            if self.follows_redirect(now)
+            else min(self.addresses(), key=lambda a: self._rank(a, now))
         )
         self._leader_is_next = False
         self._turns += 1
-        self._tried[_key(chosen)] = (self._turns, 0.0)
+        self._attempts_to(chosen).turn = self._turns
         return chosen
 
-    def _last_turn(self, address: MemberAddress) -> tuple[int, float]:
-        """Returns when an address was last tried; random if it never was."""
+    def note_failure(self, address: MemberAddress, now: float) -> None:
+        """Records that an attempt to connect has failed or hangs."""
+        self._attempts_to(address).failed_at = now
+
+    def note_success(self, address: MemberAddress) -> None:
+        """Records that an attempt to connect has succeeded."""
+        self._attempts_to(address).failed_at = -math.inf
+
+    def _rank(
+        self, address: MemberAddress, now: float
+    ) -> tuple[bool, int, float]:
+        attempts = self._attempts_to(address)
+        return self._is_avoided(address, now), attempts.turn, attempts.tie
+
+    def _is_avoided(self, address: MemberAddress, now: float) -> bool:
+        return now - self._attempts_to(address).failed_at < AVOID_S
+
+    def _attempts_to(self, address: MemberAddress) -> _Attempts:
         key = _key(address)
-        return self._tried.setdefault(key, (0, self._rng.random()))
+        if key not in self._attempts:
+            self._attempts[key] = _Attempts(self._rng.random())
+        return self._attempts[key]
 
     def _forget_unknown(self) -> None:
         known = {_key(a) for a in self.addresses()}
-        for key in self._tried.keys() - known:
-            del self._tried[key]
+        for key in self._attempts.keys() - known:
+            del self._attempts[key]
 
 
 def _key(address: MemberAddress) -> _Key:
