Use seeds that changed before the settings are watched

Callers saw: 503 from a member that began to run late, such as after a wait for space on its disk, when the seeds with which it was started are gone.

Cause: `watch_settings` took the file as it was at its own start for what is in force. A change between the first read of the settings and that moment was never applied; an invalid file at that moment ended the process.

--- a/features/finding_leader.feature
+++ b/features/finding_leader.feature
@@ -85,3 +85,10 @@
     Then the next 4 addresses are others
     When a redirect names the first seed as the leader 1.1 s later
     Then the next address is the first seed
+
+  Scenario: Seeds that change before the settings are watched are used
+    Guards against a member that starts while its disk is full, and never learns of
+    the seeds that came meanwhile.
+    Given settings that changed after they were applied
+    When they are watched for 0.5 s
+    Then the changed settings are applied once
--- a/features/steps/finding_leader_steps.py
+++ b/features/steps/finding_leader_steps.py
@@ -11,6 +11,7 @@
 from knapweedarch import control, links
 from knapweedarch.exceptions import ControlError
 from knapweedarch.member_directory import MemberDirectory
+from knapweedarch.settings_watch import watch_settings
 from knapweedarch.timers import Clock
 from standins.deployment import CREDENTIAL
 from standins.relay import Relay
@@ -381,3 +382,28 @@
 @then("the next address is the first seed")
 def next_is_first(context):
     assert context.directory.next_address(context.now) == context.first
+
+
+@given("settings that changed after they were applied")
+def changed_settings(context):
+    context.in_force, context.in_file = ("old-seed",), ("new-seed",)
+
+
+@when("they are watched for {seconds:f} s")
+def watch(context, seconds):
+    context.applied = []
+
+    async def run():
+        with anyio.move_on_after(seconds):
+            await watch_settings(
+                lambda: context.in_file,
+                context.applied.append,
+                context.in_force,
+            )
+
+    anyio.run(run)
+
+
+@then("the changed settings are applied once")
+def applied_once(context):
+    assert context.applied == [context.in_file], context.applied
