Look for the leader at the members that a request to join brought

Callers saw: 503 from a new member that waits to be added, once the seeds with which it was started have been replaced in turn.

Cause: the reply to its request to join named all members, but only the links to peers were set to them. The member went on to look for the leader at its seeds and the leader that was named last.

Evidence: the new scenario of finding_leader.feature failed before: a member whose only seed lost its disk after one reply never asked the member that the reply had named.

--- a/features/finding_leader.feature
+++ b/features/finding_leader.feature
@@ -92,3 +92,10 @@
     Given settings that changed after they were applied
     When they are watched for 0.5 s
     Then the changed settings are applied once
+
+  Scenario: A new member keeps the list that its request to join brought
+    Guards against a member that waits to be added, and loses the group once its
+    seeds are replaced.
+    Given a new member whose seed answers one request to join, and loses its disk
+    When it runs until another member of that list gets its request, or for 3.0 s
+    Then that member got its request to join
--- a/features/steps/finding_leader_steps.py
+++ b/features/steps/finding_leader_steps.py
@@ -1,7 +1,10 @@
 """Steps for clients that look for the leader."""
 
+import pathlib
 import random
+import shutil
 import socket
+import tempfile
 
 import anyio
 import anyio.abc
@@ -10,7 +13,10 @@
 from features.hanging_address import hanging_address
 from knapweedarch import control, links
 from knapweedarch.exceptions import ControlError
+from knapweedarch.member import create_member
 from knapweedarch.member_directory import MemberDirectory
+from knapweedarch.metrics import create_metrics
+from knapweedarch.settings import Address, MemberSettings
 from knapweedarch.settings_watch import watch_settings
 from knapweedarch.timers import Clock
 from standins.deployment import CREDENTIAL
@@ -407,3 +413,64 @@
 @then("the changed settings are applied once")
 def applied_once(context):
     assert context.applied == [context.in_file], context.applied
+
+
+@given(
+    "a new member whose seed answers one request to join, and loses its disk"
+)
+def member_with_seed(context):
+    context.search = search = Search()
+    context.asked = anyio.Event()
+    at_seed = []
+
+    async def lead_later(link, message):
+        if isinstance(message, control.Join):
+            context.asked.set()
+        return control.Joining((later,))
+
+    later = search.add_member("later", lead_later)
+
+    async def lead_once(link, message):
+        if not isinstance(message, control.Join):
+            return None
+        at_seed.append(message)
+        if len(at_seed) == 1:
+            return control.Joining((later,))
+        return control.Redirect("")
+
+    seed = search.add_member("seed", lead_once)
+    folder = tempfile.mkdtemp()
+    context.add_cleanup(shutil.rmtree, folder)
+    settings = MemberSettings(
+        name="new",
+        data_centre="z",
+        credential=CREDENTIAL,
+        members=(),
+        listen=Address(HOST, 0),
+        data_folder=pathlib.Path(folder),
+        seeds=(Address(seed.host, seed.port),),
+        voters=3,
+    )
+    metrics = create_metrics(None, 0, "new")
+    context.member = create_member(settings, Clock(), metrics)
+
+
+@when(
+    "it runs until another member of that list gets its request, or for"
+    " {limit_s:f} s"
+)
+def run_member(context, limit_s):
+    async def run(client):
+        async with anyio.create_task_group() as group:
+            await group.start(context.member.run)
+            with anyio.move_on_after(limit_s):
+                await context.asked.wait()
+            group.cancel_scope.cancel()
+
+    context.search.seeds = [gone("unused")]
+    context.search.run(run)
+
+
+@then("that member got its request to join")
+def later_member_asked(context):
+    assert context.asked.is_set()
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -235,6 +235,7 @@
             JOIN_TIMEOUT_S,
         )
         self._peers.set_members(joining.members)
+        self._control.set_members(joining.members)
 
     def _apply_member_list(self) -> None:
         """Applies the addresses of the member list if they changed."""
