Wait little for a new connection to a leader that has just been lost

Callers saw: 503 from members that had a link to a leader without power, for calls that came before or while another leader was elected.

Cause: a call gave up its silent link after 0.6 s, was sent back to the same leader by the first follower asked, and spent its last 0.3 s on a new connection to it.

The first attempt to reach such a leader anew goes on in the background, as any other; a leader whose connections alone fell silent is connected in that time.

--- a/features/finding_leader.feature
+++ b/features/finding_leader.feature
@@ -99,3 +99,12 @@
     Given a new member whose seed answers one request to join, and loses its disk
     When it runs until another member of that list gets its request, or for 3.0 s
     Then that member got its request to join
+
+  Scenario: A call on a link to a leader without power finds the new leader
+    Guards against calls that wait for a new connection to a leader that has just
+    fallen silent, because its followers still name it.
+    Given a client with an open link to the leader
+    And a follower that names this leader, and another one 0.7 s later
+    When the leader loses power
+    And it sends a request with a timeout of 0.9 s
+    Then the request is answered
--- a/features/steps/finding_leader_steps.py
+++ b/features/steps/finding_leader_steps.py
@@ -244,6 +244,34 @@
     assert context.search.slowest_s <= limit_s, context.search.slowest_s
 
 
+@given("a follower that names this leader, and another one {later_s:f} s later")
+def follower_after_change(context, later_s):
+    search = context.search
+    (old,) = search.seeds
+    new = search.add_member("new", lead)
+
+    async def redirect(link, message):
+        lost_s = anyio.current_time() - context.lost_at
+        leader = new if lost_s > later_s else old
+        return control.Redirect(leader.name, leader)
+
+    follower = search.add_member("follower", redirect)
+
+    async def add_follower(client):
+        client.add_members([follower])
+
+    search.before.append(add_follower)
+
+
+@when("the leader loses power")
+def leader_loses_power(context):
+    async def lose_power(client):
+        context.relay.set_partitioned(True)
+        context.lost_at = anyio.current_time()
+
+    context.search.before.append(lose_power)
+
+
 @when("the link falls silent")
 def silence_link(context):
     async def silence(client):
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -165,6 +165,9 @@
         self._clock = clock
         self._on_changed = on_changed
         self._link: links.Link | None = None
+        self._link_address: MemberAddress | None = None
+        # Address of the last link that has closed by itself.
+        self._lost: MemberAddress | None = None
         self._connecting = anyio.Lock()
         # Connection attempts that have not ended, by address.
         self._attempts: dict[MemberAddress, _Attempt] = {}
@@ -296,6 +299,8 @@
 
     async def _connect(self) -> links.Link:
         async with self._connecting:
+            if self._link is not None and not self._is_open():
+                self._link, self._lost = None, self._link_address
             while not self._is_open():
                 await self._try_next()
             return self._link
@@ -314,12 +319,14 @@
             LinkError: The attempt failed.
         """
         now = self._clock.now()
+        is_leader = self._directory.follows_redirect(now)
+        address = self._directory.next_address(now)
+        # Members name a leader that is gone until they elect another one.
         patience_s = (
             links.CONNECT_TIMEOUT_S
-            if self._directory.follows_redirect(now)
+            if is_leader and address != self._lost
             else NEXT_ATTEMPT_DELAY_S
         )
-        address = self._directory.next_address(now)
         attempt = self._attempts.get(address)
         if attempt is None:
             attempt = self._attempts[address] = _Attempt(address)
@@ -343,19 +350,21 @@
             self._directory.note_failure(attempt.address, self._clock.now())
         else:
             self._directory.note_success(attempt.address)
-            self._use(link)
+            self._use(link, attempt.address)
         attempt.has_ended = True
         del self._attempts[attempt.address]
         self._attempt_ended.set()
         self._attempt_ended = anyio.Event()
 
-    def _use(self, link: links.Link) -> None:
+    def _use(self, link: links.Link, address: MemberAddress) -> None:
         """Runs a new link; closes it if another one was open sooner."""
         self._group.start_soon(link.run)
         if self._is_open():
             link.close()
-        else:
-            self._link = link
+            return
+        self._link, self._link_address = link, address
+        if address == self._lost:
+            self._lost = None
 
     async def _open(self, member: MemberAddress) -> links.Link:
         try:
