--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -235,6 +235,7 @@
             JOIN_TIMEOUT_S,
         )
         self._peers.set_members(joining.members)
+        self._control.set_members(joining.members)
 
     def _apply_member_list(self) -> None:
         """Applies the addresses of the member list if they changed."""
@@ -455,9 +456,11 @@
     def _register_peer(
         self, link: links.Link, name: str, identity: str
     ) -> None:
+        # A member that was down while others were replaced must be able to
+        # answer a leader that its own list does not name yet.
+        self._peers.add_incoming(name, link)
         for address in self._settings.members or self._leader.addresses():
             if address.name == name:
-                self._peers.add_incoming(name, link)
                 self._replica.note_peer(
                     name, identity, address.host, address.port
                 )
