Refuse to form a group that lists another identity

Callers saw: 503 while a member restarted; no group if it kept happening. A seed that loses its disk between Describe and Form is asked to form a group that lists its earlier identity.

Evidence: the new scenario of failure_containment.feature ended with JournalError ('this member is not an initial voter of the group') before.

--- a/features/failure_containment.feature
+++ b/features/failure_containment.feature
@@ -15,6 +15,13 @@
     And the member is asked to form the group
     Then it answers that the group is formed
 
+  Scenario: A member is asked to form a group that lists its earlier disk
+    Guards against a member that ends by itself, or says that it is formed, when
+    it lost its disk between the two messages that form the group.
+    Given a blank member of a group of 3
+    When the member is asked to form the group with another identity for it
+    Then it refuses, and forms the group that lists it
+
   Scenario: A handler of a link raises an unexpected error
     Guards against one message that ends the whole process.
     Given a server whose handler raises an unexpected error for some messages
--- a/features/steps/failure_containment_steps.py
+++ b/features/steps/failure_containment_steps.py
@@ -10,6 +10,7 @@
 
 import anyio
 import anyio.abc
+import attrs
 from behave import given, then, when
 
 from knapweedarch import control, links, logs, process, replica
@@ -96,6 +97,24 @@
     context.reply = anyio.run(context.member._handle, None, context.form)
 
 
+@when("the member is asked to form the group with another identity for it")
+def ask_with_other_identity(context):
+    members = [
+        attrs.evolve(m, identity="aa" * 8) if m.name == "a" else m
+        for m in context.form.members
+    ]
+    message = control.Form(tuple(members))
+    context.reply = anyio.run(context.member._handle, None, message)
+
+
+@then("it refuses, and forms the group that lists it")
+def check_refused_then_formed(context):
+    assert isinstance(context.reply, control.Refused), context.reply
+    assert context.member._journal.blank
+    reply = anyio.run(context.member._handle, None, context.form)
+    assert reply == control.Formed(), reply
+
+
 @then("it answers that the group is formed")
 def check_formed(context):
     assert context.reply == control.Formed(), context.reply
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -474,6 +474,10 @@
                 "refused",
                 f"member {self._settings.name} belongs to another group",
             )
+        if self._journal.identity not in {m.identity for m in members}:
+            return control.Refused(
+                "refused", f"the group does not list {self._settings.name}"
+            )
         if self._replica.suspended:
             return control.Refused(
                 "refused", f"the disk of {self._settings.name} is full"
