Complete a group that only some members were told of

Callers saw: 503 from all members, for ever, after a first start in which the member that forms the group was killed, or a call of it failed, between two members.

Cause: only a blank member formed the group. One that had told itself or a part of the others was not blank any more and did not go on; the blank ones grant no votes.

A member that holds the first entry and hears from no leader hands it to the listed members that are still blank and have the listed identity. That is always safe: nobody relies on anything that a blank member has said. Members describe and form over one link. A member closes its listener as it ends, so that one event loop can start it again.

--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -5,6 +5,7 @@
 
 import anyio
 import anyio.abc
+import attrs
 
 from knapweedarch import links
 from knapweedarch.control_messages import (
@@ -36,7 +37,12 @@
     StatusReply,
     Submit,
 )
-from knapweedarch.exceptions import ControlError, CredentialError, LinkError
+from knapweedarch.exceptions import (
+    CodecError,
+    ControlError,
+    CredentialError,
+    LinkError,
+)
 from knapweedarch.state import COMMANDS, RESULTS
 from knapweedarch.task_groups import TaskOwner
 from knapweedarch.timers import Clock
@@ -79,6 +85,15 @@
 MAX_REPORTED_OUTCOMES = 4
 
 
+@attrs.frozen
+class _Contact:
+    """A member that forms a group, and the link that described it."""
+
+    member: MemberAddress
+    link: links.Link
+    description: Description
+
+
 class ControlClient(TaskOwner):
     """Client of the leader; it finds the new leader after a change.
 
@@ -257,30 +272,81 @@
             ControlError: A member belongs to another group, has another name
                 or does not answer, or all members already belong to a group.
         """
-        descriptions = [await self._describe(member) for member in members]
+        contacts: list[_Contact] = []
+        try:
+            for member in members:
+                contacts.append(await self._contact(member))
+            await self._form_all(contacts)
+        finally:
+            for contact in contacts:
+                contact.link.close()
+
+    async def _form_all(self, contacts: Sequence[_Contact]) -> None:
+        if not any(c.description.blank for c in contacts):
+            raise ControlError(
+                "refused", "all members already belong to a group"
+            )
         group = Form(
             tuple(
-                FormMember(d.name, d.identity, m.host, m.port)
-                for m, d in zip(members, descriptions, strict=True)
+                FormMember(
+                    *(c.description.name, c.description.identity),
+                    *(c.member.host, c.member.port),
+                )
+                for c in contacts
             )
         )
-        if not any(description.blank for description in descriptions):
-            raise ControlError(
-                "refused", "all members already belong to a group"
-            )
         # Members that are not blank come first: they accept only if an earlier
         # attempt formed exactly this group; otherwise no member is changed.
-        by_blank = sorted(
-            zip(members, descriptions, strict=True),
-            key=lambda pair: pair[1].blank,
-        )
-        for member, _ in by_blank:
-            match await self._call_member(member, group):
-                case Refused(message=text):
-                    raise ControlError("refused", text)
+        for contact in sorted(contacts, key=lambda c: c.description.blank):
+            await self._form_member(contact, group)
+
+    async def hand_on_group(self, group: Form, member: FormMember) -> bool:
+        """Makes a listed member part of the first group if it is blank.
+
+        This is safe at any time: no group relies on anything that a blank
+        member has said.
 
-    async def _describe(self, member: MemberAddress) -> Description:
-        description = await self._call_member(member, Describe())
+        Returns:
+            Whether the member was blank.
+
+        Raises:
+            ControlError: The member has another identity or name, refuses or
+                does not answer.
+        """
+        address = MemberAddress(member.name, member.host, member.port)
+        contact = await self._contact(address)
+        try:
+            if contact.description.identity != member.identity:
+                raise ControlError(
+                    "refused", f"{member.name} has another identity"
+                )
+            if contact.description.blank:
+                await self._form_member(contact, group)
+            return contact.description.blank
+        finally:
+            contact.link.close()
+
+    async def _form_member(self, contact: _Contact, group: Form) -> None:
+        match await self._call_member(contact.member, contact.link, group):
+            case Refused(message=text):
+                raise ControlError("refused", text)
+
+    async def _contact(self, member: MemberAddress) -> _Contact:
+        try:
+            link = await self._open(member)
+        except (LinkError, CodecError) as exc:
+            raise _unreachable(member, exc) from exc
+        self._group.start_soon(link.run)
+        try:
+            return _Contact(member, link, await self._describe(member, link))
+        except BaseException:
+            link.close()
+            raise
+
+    async def _describe(
+        self, member: MemberAddress, link: links.Link
+    ) -> Description:
+        description = await self._call_member(member, link, Describe())
         if member.name and description.name != member.name:
             raise ControlError(
                 "refused",
@@ -289,20 +355,21 @@
             )
         return description
 
-    async def _call_member(self, member: MemberAddress, message: object):
+    async def _call_member(
+        self, member: MemberAddress, link: links.Link, message: object
+    ):
         try:
-            link = await self._open(member)
-            self._group.start_soon(link.run)
-            try:
-                return await link.call(message, REPLY_TIMEOUT_S * 3)
-            finally:
-                link.close()
-        except LinkError as exc:
-            raise ControlError(
-                "unreachable",
-                f"member {member.name or '(name unknown)'} at {member.host}:"
-                f"{member.port} does not answer: {exc}",
-            ) from exc
+            return await link.call(message, REPLY_TIMEOUT_S * 3)
+        except (LinkError, CodecError) as exc:
+            raise _unreachable(member, exc) from exc
+
+
+def _unreachable(member: MemberAddress, exc: Exception) -> ControlError:
+    return ControlError(
+        "unreachable",
+        f"member {member.name or '(name unknown)'} at {member.host}:"
+        f"{member.port} does not answer: {exc}",
+    )
 
 
 def create_control_client(
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -127,6 +127,18 @@
         _W,
         "This member has known no leader for some seconds.",
     ),
+    Event(
+        220,
+        "group_handed_on",
+        _I,
+        "A member of the first group was told of it after an interruption.",
+    ),
+    Event(
+        221,
+        "group_refused",
+        _W,
+        "A member of the first group does not take part in it.",
+    ),
     Event(208, "proposal_failed", _W, "A change was not appended to the log."),
     Event(209, "endpoint_status", _I, "The status of an endpoint changed."),
     Event(301, "lease_granted", _I, "The router acquired a lease."),
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -14,6 +14,7 @@
     CredentialError,
     JournalFullError,
 )
+from knapweedarch.forming import GroupCompletion
 from knapweedarch.journal import open_journal
 from knapweedarch.journal_writer import DISK_SPACE_RETRY_S, JournalWriter
 from knapweedarch.leader import NOTIFY_INTERVAL_S, Leader
@@ -83,6 +84,9 @@
             settings.members or seed_addresses(settings.seeds),
             *(self._credential, clock),
         )
+        self._completion = GroupCompletion(
+            self._control, self._journal.identity
+        )
         self._work = anyio.Event()
         self._timers = Timers(clock)
         self._addresses: tuple[control.MemberAddress, ...] = ()
@@ -128,7 +132,11 @@
             NOTIFY_INTERVAL_S, lambda now: self._leader.notify_routers()
         )
         try:
-            async with self._control, anyio.create_task_group() as group:
+            async with (
+                listener,
+                self._control,
+                anyio.create_task_group() as group,
+            ):
                 self._group = group
                 self._peers.start(group)
                 self.relay.start(group, self._timers)
@@ -138,6 +146,7 @@
                 self._peers.set_members(self._settings.members)
                 if self._settings.seeds:
                     group.start_soon(self._form_or_join)
+                    group.start_soon(self._complete_group)
                 task_status.started(self.port)
         finally:
             self._journal.close()
@@ -212,6 +221,12 @@
                 )
             await anyio.sleep(JOIN_INTERVAL_S)
 
+    async def _complete_group(self) -> None:
+        while True:
+            if not self._replica.knows_group:
+                await self._completion.run_once(self._replica.first_members)
+            await anyio.sleep(JOIN_INTERVAL_S)
+
     def _should_form(self) -> bool:
         """Returns whether this member must form the group.
 
--- a/knapweedarch/replica_status.py
+++ b/knapweedarch/replica_status.py
@@ -183,6 +183,11 @@
         """Newest member list in the log, committed or not."""
         return self._log.members
 
+    @property
+    def first_members(self) -> tuple[Member, ...]:
+        """Members of the group's first entry; empty after any later list."""
+        return self.members if self._log.members_index == 1 else ()
+
     @property
     def members_pending(self) -> bool:
         """Whether the newest member list is not known to be committed."""
