Let one process at a time form the group

Cause: two processes that form the group propose different lists if a seed loses its disk between their questions. Members then hold different first entries of the same term, which the log cannot tell apart.

Evidence: the new scenario of failure_containment.feature got Formed for the list of a process that had asked before another one; Refused now.

A blank member takes a list only over the link that asked last who it is. A process asks all members before it sends its list, so of two with a member in common at most one succeeds. A link that never asked is accepted as before: earlier builds ask and send over two links. No message changes.

--- a/features/failure_containment.feature
+++ b/features/failure_containment.feature
@@ -22,6 +22,13 @@
     When the member is asked to form the group with another identity for it
     Then it refuses, and forms the group that lists it
 
+  Scenario: Two processes form the group from different disks of one member
+    Guards against members that hold different first entries, when a seed loses its
+    disk while two processes form the group.
+    Given a blank member of a group of 3
+    When two processes ask who it is, one after the other
+    Then it refuses the group of the first one and forms that of the second one
+
   Scenario: A handler of a link raises an unexpected error
     Guards against one message that ends the whole process.
     Given a server whose handler raises an unexpected error for some messages
--- a/features/steps/failure_containment_steps.py
+++ b/features/steps/failure_containment_steps.py
@@ -115,6 +115,31 @@
     assert reply == control.Formed(), reply
 
 
+class StubLink:
+    """A link that only tells who sent a message."""
+
+
+@when("two processes ask who it is, one after the other")
+def ask_who_it_is(context):
+    context.links = [StubLink(), StubLink()]
+    for link in context.links:
+        anyio.run(context.member._handle, link, control.Describe())
+
+
+@then("it refuses the group of the first one and forms that of the second one")
+def check_newest_forms(context):
+    first, second = context.links
+    earlier = [
+        attrs.evolve(m, identity="dd" * 8) if m.name == "b" else m
+        for m in context.form.members
+    ]
+    ask = context.member._handle
+    reply = anyio.run(ask, first, control.Form(tuple(earlier)))
+    assert isinstance(reply, control.Refused), reply
+    reply = anyio.run(ask, second, context.form)
+    assert reply == control.Formed(), reply
+
+
 @then("it answers that the group is formed")
 def check_formed(context):
     assert context.reply == control.Formed(), context.reply
--- a/knapweedarch/forming.py
+++ b/knapweedarch/forming.py
@@ -1,14 +1,44 @@
-"""Completion of a group whose forming was interrupted."""
+"""Forming of the group: who may form it, and what completes it."""
 
+import weakref
 from collections.abc import Sequence
 
 import anyio
 
-from knapweedarch import control, replica
+from knapweedarch import control, links, replica
 from knapweedarch.exceptions import ControlError
 from knapweedarch.logs import log
 
 
+class FormingPromise:
+    """A blank member's promise to whoever asked last who it is.
+
+    Two processes may form the group at the same time, and with different lists
+    if a member loses its disk between their questions. Like an acceptor of
+    Paxos, a member takes the list only from the one that asked last. Each asks
+    all members before it sends its list to any, so at most one succeeds.
+    """
+
+    def __init__(self):
+        self._newest: links.Link | None = None
+        self._superseded: weakref.WeakSet[links.Link] = weakref.WeakSet()
+
+    def give(self, link: links.Link) -> None:
+        """Records that a question arrived over a link."""
+        if self._newest is not None:
+            self._superseded.add(self._newest)
+        self._superseded.discard(link)
+        self._newest = link
+
+    def allows(self, link: links.Link) -> bool:
+        """Returns whether a list that arrived over a link may be taken.
+
+        Earlier builds ask and send over two links, so a link without a
+        question is not refused.
+        """
+        return link not in self._superseded
+
+
 class GroupCompletion:
     """Hands the first entry of the group to its members that lack it.
 
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -14,7 +14,7 @@
     CredentialError,
     JournalFullError,
 )
-from knapweedarch.forming import GroupCompletion
+from knapweedarch.forming import FormingPromise, GroupCompletion
 from knapweedarch.journal import open_journal
 from knapweedarch.journal_writer import DISK_SPACE_RETRY_S, JournalWriter
 from knapweedarch.leader import NOTIFY_INTERVAL_S, Leader
@@ -84,6 +84,7 @@
             settings.members or seed_addresses(settings.seeds),
             *(self._credential, clock),
         )
+        self._promise = FormingPromise()
         self._completion = GroupCompletion(
             self._control, self._journal.identity
         )
@@ -444,13 +445,14 @@
             case control.Query():
                 return self._leader.status()
             case control.Describe():
+                self._promise.give(link)
                 return control.Description(
                     self._settings.name,
                     self._journal.identity,
                     self._replica.blank,
                 )
             case control.Form(members=members):
-                return self._form_group(members)
+                return self._form_group(link, members)
             case _:
                 self.relay.handle(link, message)
         return None
@@ -478,7 +480,9 @@
                 )
                 self._work.set()
 
-    def _form_group(self, members: tuple[control.FormMember, ...]):
+    def _form_group(
+        self, link: links.Link, members: tuple[control.FormMember, ...]
+    ):
         if not self._replica.blank:
             same_group = {m.identity for m in members} == {
                 m.identity for m in self._replica.members
@@ -493,6 +497,11 @@
             return control.Refused(
                 "refused", f"the group does not list {self._settings.name}"
             )
+        if not self._promise.allows(link):
+            return control.Refused(
+                "refused",
+                f"another process forms the group with {self._settings.name}",
+            )
         if self._replica.suspended:
             return control.Refused(
                 "refused", f"the disk of {self._settings.name} is full"
