Form the group whichever seeds are killed at the first start

Callers saw: 503 for ever after a first start in which the first seed was killed before it had formed the group and came back with bootstrap false.

Cause: only the first seed formed the group, and only as long as its settings said bootstrap.

Every such member forms the group while it is blank and knows of none: the first seed at once, each later one 1 s after the one before, members that are no seeds last. The promise to the newest question keeps them apart. A member that was answered by a leader forgets the file, and takes no first list for 3 s. Joining no longer waits for forming.

--- a/features/forming.feature
+++ b/features/forming.feature
@@ -17,3 +17,22 @@
       | 1,2   | 2      |
       | 1,2,3 | 1      |
       | 1,2,3 | 2      |
+
+  Scenario Outline: A group forms although seeds are killed before they form it
+    Guards against members that all wait for a first seed which no longer knows
+    that it is to form the group.
+    When 5 members start, and seeds <seeds> are killed after Describe message <number>
+    Then one group forms with all members within 8.0 s
+
+    Examples:
+      | seeds | number |
+      | 1     | 1      |
+      | 1     | 3      |
+      | 1,2   | 2      |
+      | 1,2,3 | 3      |
+
+  Scenario: A group forms although the first seed lost its disk at the start
+    Guards against members that wait for a first seed which was killed before it
+    could write anything.
+    When 5 members start, and the first seed comes back with an empty disk
+    Then one group forms with all members within 8.0 s
--- a/features/journal.feature
+++ b/features/journal.feature
@@ -123,6 +123,13 @@
     Given a journal with 20 random saves and an in-memory model
     Then forming a group is refused
 
+  Scenario: A member that was told to form the group remembers it
+    Guards against a deployment that nobody forms, after a kill at any step of the
+    first start.
+    Given an empty folder in which a member is told to form the group
+    When the process is killed at each operation of its first start
+    Then it still knows the seeds, or nothing was written
+
   Scenario: A member whose disk is full forms its group later
     Given a blank member whose disk is full
     When it is asked to form a group, again once the disk has space
--- a/features/steps/forming_steps.py
+++ b/features/steps/forming_steps.py
@@ -22,6 +22,14 @@
     context.kill = Kill(MESSAGES[kind], number, Moment(moment), victims)
 
 
+@when(
+    "{count:d} members start, and the first seed comes back with an empty disk"
+)
+def start_and_wipe(context, count):
+    context.count = count
+    context.kill = Kill(control.Describe, 1, Moment.AFTER, (1,), wipe=True)
+
+
 async def form_group(count: int, kill: Kill, limit_s: float) -> str:
     """Plays one start; returns what is wrong with it, if anything."""
     async with open_forming_site(count, kill) as site:
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -17,7 +17,7 @@
 from bench.virtual_group import Disk
 from knapweedarch import control
 from knapweedarch.exceptions import JournalError, JournalFullError
-from knapweedarch.journal import HEADER, open_journal
+from knapweedarch.journal import HEADER, Founding, open_journal
 from knapweedarch.journal_files import JournalFiles
 from knapweedarch.logs import setup_logging
 from knapweedarch.member import create_member, open_member
@@ -580,6 +580,81 @@
     assert all(b"kept" in data for data in applied.values()), applied
 
 
+class Killed(Exception):
+    """The process was killed at a file operation."""
+
+
+class KilledFiles(JournalFiles):
+    """Raises `Killed` at one operation, half of whose write is done.
+
+    Attributes:
+        left: Operations until the kill.
+    """
+
+    left = 0
+
+    def _count(self):
+        self.left -= 1
+        if not self.left:
+            raise Killed
+
+    def write_all(self, descriptor, data):
+        """Writes all bytes, or half of them."""
+        if self.left == 1:
+            super().write_all(descriptor, data[: len(data) // 2])
+        self._count()
+        super().write_all(descriptor, data)
+
+    def sync(self, descriptor):
+        """Syncs a file."""
+        self._count()
+        super().sync(descriptor)
+
+    def rename(self, old, new):
+        """Renames a file."""
+        self._count()
+        super().rename(old, new)
+
+    def sync_folder(self):
+        """Syncs the folder."""
+        self._count()
+        super().sync_folder()
+
+
+@given("an empty folder in which a member is told to form the group")
+def founding_member(context):
+    seeds = (Address("127.0.0.1", 1), Address("127.0.0.1", 2))
+    context.founding = Founding(seeds)
+
+
+@when("the process is killed at each operation of its first start")
+def kill_at_each_operation(context):
+    context.after_kill = []
+    for operation in itertools.count(1):
+        files = KilledFiles(temporary_folder(context))
+        files.left = operation
+        try:
+            open_journal("", files, context.founding).close()
+        except Killed:
+            files.close()
+        else:
+            break
+        names = files.names()
+        journal = open_journal(str(files.folder))
+        context.after_kill.append((names, journal.founding))
+        journal.close()
+
+
+@then("it still knows the seeds, or nothing was written")
+def check_founding_kept(context):
+    assert len(context.after_kill) == 8, context.after_kill
+    lost = [names for names, kept in context.after_kill if kept is None]
+    assert all(names <= {"lock", "founding.tmp"} for names in lost), lost
+    assert len(lost) == 3, lost
+    known = [kept for _, kept in context.after_kill if kept is not None]
+    assert known == [context.founding] * 5, known
+
+
 @given("the disk is full for the first {count:d} write attempts")
 def fill_disk_for(context, count):
     context.pair.journal.close()
--- a/knapweedarch/forming.py
+++ b/knapweedarch/forming.py
@@ -1,13 +1,35 @@
 """Forming of the group: who may form it, and what completes it."""
 
 import weakref
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import anyio
 
 from knapweedarch import control, links, replica
 from knapweedarch.exceptions import ControlError
 from knapweedarch.logs import log
+from knapweedarch.settings import Address
+
+# Wait of a member until it forms the group, for each seed before it.
+FOUNDER_DELAY_S = 1.0
+
+
+def order_seeds(seeds: Iterable[Address]) -> tuple[Address, ...]:
+    """Returns the seeds in the order in which they form the group.
+
+    All members must propose the same list.
+    """
+    return tuple(sorted(seeds, key=lambda s: (s.host, s.port)))
+
+
+def founder_delay_s(seeds: Iterable[Address], listen: Address) -> float:
+    """Returns how long a member leaves it to others to form the group.
+
+    The first seed forms it at once, members that are no seeds last.
+    """
+    ordered = order_seeds(seeds)
+    rank = ordered.index(listen) if listen in ordered else len(ordered)
+    return rank * FOUNDER_DELAY_S
 
 
 class FormingPromise:
--- a/knapweedarch/journal.py
+++ b/knapweedarch/journal.py
@@ -3,6 +3,8 @@
 The folder contains:
 
 - `identity`: random identifier, generated once.
+- `founding`: seeds of a deployment that starts for the first time, in one
+  frame; removed once there is a group. Earlier builds ignore it.
 - `lock`: locked by the process that has the journal open.
 - `log-<number>`: records, each in one frame and saved with one sync. Only the
   file with the highest number is valid. Its first record contains the index and
@@ -17,6 +19,7 @@
 file and the old snapshot remain valid.
 """
 
+import contextlib
 import enum
 import errno
 import struct
@@ -24,7 +27,7 @@
 import attrs
 import xxhash
 
-from knapweedarch.codec import create_codec
+from knapweedarch.codec import Codec, create_codec
 from knapweedarch.exceptions import (
     CodecError,
     JournalError,
@@ -41,8 +44,12 @@
     Snapshot,
     initial_members_entry,
 )
+from knapweedarch.settings import Address
 
 IDENTITY_BYTES = 8
+FOUNDING_FILE = "founding"
+# The file may be older than the identity, which seeds other checksums.
+FOUNDING_CHECKSUM_SEED = 0
 # No space, no more quota, or a file at the limit of the process.
 DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 MAGIC = b"KWJ1"
@@ -50,6 +57,17 @@
 HEADER = struct.Struct("<4sQQQ")
 
 
+@attrs.frozen
+class Founding:
+    """First start of a deployment, as a member's settings told it.
+
+    Attributes:
+        seeds: Seeds that form the group; the same for all members.
+    """
+
+    seeds: tuple[Address, ...]
+
+
 @attrs.frozen
 class _Start:
     """Content of the first frame of a log file."""
@@ -85,6 +103,7 @@
 
 
 _FRAME_CODEC = create_codec(_Start, _Change, Snapshot)
+_FOUNDING_CODEC = create_codec(Founding)
 
 
 def _encode_identity(identity: str) -> bytes:
@@ -134,9 +153,11 @@
     Attributes:
         identity: Identity of the journal.
         restored: Contents of the files when the journal was opened.
+        founding: Seeds that form the group, if this member was told to form it
+            and knows of no group since.
     """
 
-    def __init__(self, files: JournalFiles):
+    def __init__(self, files: JournalFiles, founding: Founding | None = None):
         self._files = files
         self._failure = ""
         self._log_end = _LogEnd.CLEAN
@@ -146,6 +167,9 @@
         try:
             files.lock()
             files.remove_temporary()
+            # Before the identity: a kill between the two would leave a member
+            # that does not know any more that it is to form the group.
+            self.founding = self._load_founding(founding)
             self.identity = self._load_identity()
             # Callers control the content. A checksum seed that they do not
             # know prevents content that looks like a valid frame.
@@ -175,6 +199,32 @@
         self._files.write_new("identity", _encode_identity(identity))
         return identity
 
+    def _load_founding(self, founding: Founding | None) -> Founding | None:
+        if FOUNDING_FILE in self._files.names():
+            data = self._files.read(FOUNDING_FILE)
+            frame = _unpack_frame(data, 0, FOUNDING_CHECKSUM_SEED)
+            if frame is None:
+                raise JournalError(f"the file {FOUNDING_FILE} is corrupt")
+            return self._decode(frame[1], _FOUNDING_CODEC)
+        if founding is not None and not self._log_numbers():
+            content = _FOUNDING_CODEC.encode(founding)
+            self._files.write_new(
+                FOUNDING_FILE, _pack_frame(0, content, FOUNDING_CHECKSUM_SEED)
+            )
+        return founding
+
+    def end_founding(self) -> None:
+        """Forgets that this member was told to form the group.
+
+        If the file cannot be removed, the next process of this member removes
+        it once it knows of the group again.
+        """
+        self.founding = None
+        with contextlib.suppress(OSError):
+            if FOUNDING_FILE in self._files.names():
+                self._files.remove(FOUNDING_FILE)
+                self._files.sync_folder()
+
     def _log_numbers(self) -> list[int]:
         names = self._files.matching("log-")
         numbers = [name.removeprefix("log-") for name in names]
@@ -227,9 +277,9 @@
             offset += HEADER.size + len(content)
         return frames, offset
 
-    def _decode(self, content: bytes) -> object:
+    def _decode(self, content: bytes, codec: Codec = _FRAME_CODEC) -> object:
         try:
-            return _FRAME_CODEC.decode(content)
+            return codec.decode(content)
         except CodecError as exc:
             raise JournalError(f"malformed record: {exc}") from exc
 
@@ -439,11 +489,20 @@
         self._files.close()
 
 
-def open_journal(folder: str, files: JournalFiles | None = None) -> Journal:
+def open_journal(
+    folder: str,
+    files: JournalFiles | None = None,
+    founding: Founding | None = None,
+) -> Journal:
     """Opens the journal in a folder, which is created if missing.
 
+    Args:
+        folder: The folder.
+        files: File operations; by default those of the folder.
+        founding: Given if the member is told to form the group.
+
     Raises:
         JournalFullError: The disk is full; no data is lost.
         JournalError: The files are corrupt, in use or unreadable.
     """
-    return Journal(files or JournalFiles(folder))
+    return Journal(files or JournalFiles(folder), founding)
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -1,5 +1,6 @@
 """Member daemon: a replica with its journal and its links to other members."""
 
+import math
 from collections.abc import Iterable, Sequence
 
 import anyio
@@ -14,8 +15,13 @@
     CredentialError,
     JournalFullError,
 )
-from knapweedarch.forming import FormingPromise, GroupCompletion
-from knapweedarch.journal import open_journal
+from knapweedarch.forming import (
+    FormingPromise,
+    GroupCompletion,
+    founder_delay_s,
+    order_seeds,
+)
+from knapweedarch.journal import Founding, open_journal
 from knapweedarch.journal_writer import DISK_SPACE_RETRY_S, JournalWriter
 from knapweedarch.leader import NOTIFY_INTERVAL_S, Leader
 from knapweedarch.logs import log
@@ -41,6 +47,8 @@
 JOIN_INTERVAL_S = 0.25
 JOIN_TIMEOUT_S = 1.0
 SILENCE_CHECK_INTERVAL_S = 0.5
+# A blank member takes no first list for this time after a leader answered it.
+GROUP_SEEN_S = 3.0
 
 
 class Member:
@@ -64,7 +72,10 @@
         self._clock = clock
         self._metrics = metrics
         self._credential = settings.credential.encode()
-        self._journal = open_journal(str(settings.data_folder))
+        self._journal = open_journal(
+            str(settings.data_folder),
+            founding=Founding(settings.seeds) if settings.bootstrap else None,
+        )
         self._writer = JournalWriter(
             *(self._journal, clock, metrics, self._suspend_replica)
         )
@@ -84,6 +95,8 @@
             settings.members or seed_addresses(settings.seeds),
             *(self._credential, clock),
         )
+        self._form_at = math.inf
+        self._group_seen_at = -math.inf
         self._promise = FormingPromise()
         self._completion = GroupCompletion(
             self._control, self._journal.identity
@@ -146,8 +159,8 @@
                 group.start_soon(self._accept, listener)
                 self._peers.set_members(self._settings.members)
                 if self._settings.seeds:
-                    group.start_soon(self._form_or_join)
-                    group.start_soon(self._complete_group)
+                    group.start_soon(self._form)
+                    group.start_soon(self._join)
                 task_status.started(self.port)
         finally:
             self._journal.close()
@@ -194,54 +207,71 @@
         """
         return self._replica.leads_until(self._clock.now())
 
-    async def _form_or_join(self) -> None:
-        """Forms the group, or joins it if this member is in no group.
-
-        A member that knows no leader asks to join as well, since the reply
-        brings the current addresses of the members.
-        """
+    async def _form(self) -> None:
+        """Forms the group, or completes one that is formed only in part."""
+        founding = self._journal.founding
+        if founding is not None:
+            delay_s = founder_delay_s(founding.seeds, self._settings.listen)
+            self._form_at = self._clock.now() + delay_s
         while True:
-            try:
-                if self._should_form():
-                    await self._control.form(
-                        tuple(
-                            control.MemberAddress("", seed.host, seed.port)
-                            for seed in self._settings.seeds
-                        )
-                    )
-                elif not self._replica.knows_group:
-                    await self._join()
-            except ControlError as exc:
-                self._metrics.count("member.joins_failed")
-                log(
-                    "group_not_found",
-                    reason=str(exc),
-                    blank=self._replica.blank,
-                    forms=self._should_form(),
-                    leader=self._replica.leader,
-                )
-            await anyio.sleep(JOIN_INTERVAL_S)
-
-    async def _complete_group(self) -> None:
-        while True:
-            if not self._replica.knows_group:
+            if self._replica.knows_group:
+                self._end_founding()
+            elif not self._replica.blank:
                 await self._completion.run_once(self._replica.first_members)
+            elif self._should_form():
+                await self._form_first_group()
             await anyio.sleep(JOIN_INTERVAL_S)
 
     def _should_form(self) -> bool:
         """Returns whether this member must form the group.
 
-        Only the first seed of a new deployment does, so that the group is
-        formed once.
+        Every member of a new deployment does until there is a group, but not
+        at the same time.
         """
-        seeds = sorted(self._settings.seeds, key=lambda s: (s.host, s.port))
         return (
-            self._settings.bootstrap
+            self._journal.founding is not None
             and self._replica.blank
-            and seeds[0] == self._settings.listen
+            and self._clock.now() >= self._form_at
         )
 
+    async def _form_first_group(self) -> None:
+        seeds = order_seeds(self._journal.founding.seeds)
+        addresses = (control.MemberAddress("", s.host, s.port) for s in seeds)
+        try:
+            await self._control.form(tuple(addresses))
+        except ControlError as exc:
+            self._report_group_not_found(exc)
+
+    def _end_founding(self) -> None:
+        """Forms no group from now on, since there is one."""
+        if self._journal.founding is not None:
+            self._journal.end_founding()
+
     async def _join(self) -> None:
+        """Joins the group as long as this member is in no group.
+
+        A member that knows no leader asks to join as well, since the reply
+        brings the current addresses of the members.
+        """
+        while True:
+            if not self._replica.knows_group:
+                try:
+                    await self._ask_to_join()
+                except ControlError as exc:
+                    self._report_group_not_found(exc)
+            await anyio.sleep(JOIN_INTERVAL_S)
+
+    def _report_group_not_found(self, exc: ControlError) -> None:
+        self._metrics.count("member.joins_failed")
+        log(
+            "group_not_found",
+            reason=str(exc),
+            blank=self._replica.blank,
+            forms=self._should_form(),
+            leader=self._replica.leader,
+        )
+
+    async def _ask_to_join(self) -> None:
         listen = self._settings.listen
         joining = await self._control.request(
             control.Join(
@@ -250,6 +280,8 @@
             ),
             JOIN_TIMEOUT_S,
         )
+        self._group_seen_at = self._clock.now()
+        self._end_founding()
         self._peers.set_members(joining.members)
 
     def _apply_member_list(self) -> None:
@@ -497,6 +529,11 @@
             return control.Refused(
                 "refused", f"the group does not list {self._settings.name}"
             )
+        if self._clock.now() - self._group_seen_at < GROUP_SEEN_S:
+            return control.Refused(
+                "refused",
+                f"{self._settings.name} knows of a group, whose leader adds it",
+            )
         if not self._promise.allows(link):
             return control.Refused(
                 "refused",
