Write the first entry to a member that holds only a term

Callers saw: 503 for ever if the leader, or the other member with the entry, was lost right after the group was formed.

Cause: a blank member that had saved the term of a leader answered Formed without writing the entry, and left it to the leader to send it. If that leader is lost, it stays blank and grants no votes, and whoever told it believes that it is part of the group.

Evidence: the new scenario of failure_containment.feature found no entry in the member that had answered Formed; it holds the entry in the leader's term now, also after a restart.

The member may have acknowledged a leader, so the time without votes begins anew. The event group_joined is gone; its number is not used again.

--- a/features/failure_containment.feature
+++ b/features/failure_containment.feature
@@ -15,6 +15,15 @@
     And the member is asked to form the group
     Then it answers that the group is formed
 
+  Scenario: A leader ends before it has sent the group's first entry
+    Guards against a member that says that it is formed but holds no entry, and
+    so grants no votes; the others may have lost the majority without it.
+    Given a blank member of a group of 3
+    When the leader's message of a later term arrives before the first entry
+    And the member is asked to form the group
+    Then the member holds the first entry in term 3, also after a restart
+    And it grants no vote while that leader may hold its lease
+
   Scenario: A member is asked to form a group that lists its earlier disk
     Guards against a member that ends by itself, or says that it is formed, when
     it lost its disk between the two messages that form the group.
--- a/features/journal.feature
+++ b/features/journal.feature
@@ -130,11 +130,16 @@
     When the process is killed at each operation of its first start
     Then it still knows the seeds, or nothing was written
 
-  Scenario: A member whose disk is full forms its group later
-    Given a blank member whose disk is full
+  Scenario Outline: A member whose disk is full forms its group later
+    Given a blank member in term <term> whose disk is full
     When it is asked to form a group, again once the disk has space
     Then it refuses first and is formed then
 
+    Examples:
+      | term |
+      | 0    |
+      | 2    |
+
   Scenario: A new group keeps its entries when all members restart
     Given three blank journals that form a group
     When an entry is committed and all members restart
--- a/features/steps/failure_containment_steps.py
+++ b/features/steps/failure_containment_steps.py
@@ -15,6 +15,7 @@
 
 from knapweedarch import control, links, logs, process, replica
 from knapweedarch.exceptions import JournalError, LinkError, ReplicaError
+from knapweedarch.journal import open_journal
 from knapweedarch.member import create_member
 from knapweedarch.metrics import create_metrics
 from knapweedarch.relay_client import RelayClient
@@ -145,6 +146,29 @@
     assert context.reply == control.Formed(), context.reply
 
 
+@then("the member holds the first entry in term {term:d}, also after a restart")
+def check_first_entry(context, term):
+    assert context.reply == control.Formed(), context.reply
+    member = context.member
+    identities = [m.identity for m in context.form.members]
+    assert [m.identity for m in member._replica.members] == identities
+    assert member.term == term, member.term
+    member._journal.close()
+    journal = open_journal(str(member._settings.data_folder))
+    context.add_cleanup(journal.close)
+    assert len(journal.restored.entries) == 1, journal.restored
+    assert journal.restored.hard_state.term == term, journal.restored
+
+
+@then("it grants no vote while that leader may hold its lease")
+def check_no_vote(context):
+    request = replica.VoteRequest("cc" * 8, 4, 1, 1, False, False, False)
+    context.member._replica.receive("c", request, Clock().now())
+    output = context.member._replica.take_output()
+    votes = [m for _, m in output.messages if isinstance(m, replica.VoteReply)]
+    assert votes and not any(v.granted for v in votes), output
+
+
 ERRORS = {
     "an unexpected error": KeyError("unexpected"),
     "a journal error": JournalError("the disk failed"),
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -515,12 +515,14 @@
     return applied
 
 
-@given("a blank member whose disk is full")
-def blank_member(context):
+@given("a blank member in term {term:d} whose disk is full")
+def blank_member(context, term):
     settings = member_settings("a", temporary_folder(context))
     metrics = create_metrics(None, 0, "a")
     context.member = create_member(settings, ManualClock(0.0), metrics)
     context.add_cleanup(context.member._journal.close)
+    if term:
+        context.member._journal.save(Output(HardState(term)))
     files = context.member._journal._files
     context.write_all = files.write_all
     make_operation_fail(files, "write_all", errno.ENOSPC)
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -101,12 +101,6 @@
     ),
     Event(212, "relay_subscribed", _I, "A router or member subscribed here."),
     Event(204, "group_formed", _I, "The first group of members was formed."),
-    Event(
-        213,
-        "group_joined",
-        _I,
-        "The other members formed the group before this one.",
-    ),
     Event(
         205, "peer_message_refused", _W, "A message from a member is malformed."
     ),
--- a/knapweedarch/journal.py
+++ b/knapweedarch/journal.py
@@ -23,6 +23,7 @@
 import enum
 import errno
 import struct
+from collections.abc import Callable
 
 import attrs
 import xxhash
@@ -175,6 +176,7 @@
             # know prevents content that looks like a valid frame.
             self._seed = int(self.identity, 16)
             self.restored = self._load()
+            self._holds_entries = not self.restored.blank
         except OSError as exc:
             files.close()
             full = exc.errno in DISK_FULL_ERRNOS
@@ -323,23 +325,31 @@
         return self.restored.blank and not self._log_number
 
     def form(self, members: tuple[Member, ...]) -> None:
-        """Writes the first entry of a new group to a blank journal.
+        """Writes the first entry of a new group to a journal without entries.
 
         Raises:
-            JournalError: The journal is not blank, does not belong to an
+            JournalFullError: The disk is full; nothing has changed.
+            JournalError: The journal holds an entry, does not belong to an
                 initial voter, or cannot be written.
         """
-        if not self.blank:
+        if self._holds_entries:
             raise JournalError("the journal is not blank")
         if self.identity not in {m.identity for m in members if m.voter}:
             raise JournalError(
                 "this member is not an initial voter of the group"
             )
         entry = initial_members_entry(members)
-        hard_state = HardState(entry.term)
-        self.save(Output(hard_state=hard_state, entries=(entry,)))
+        # A leader of the other members may have sent a later term already.
+        hard_state = max(
+            self._hard_state, HardState(entry.term), key=lambda h: h.term
+        )
+        self._write(lambda: self._save_first_entry(hard_state, entry))
         self.restored = Restored(self.identity, hard_state, None, (entry,))
 
+    def _save_first_entry(self, hard_state: HardState, entry: Entry) -> None:
+        self._start_log_file(None, hard_state, (entry,))
+        self._hard_state, self._holds_entries = hard_state, True
+
     def save(self, output: Output) -> None:
         """Persists an output before it returns.
 
@@ -352,21 +362,22 @@
                 output may be saved next, once there is space.
             JournalError: A file operation failed, in this or an earlier call.
         """
+        self._write(lambda: self._save(output))
+
+    def _write(self, operation: Callable[[], None]) -> None:
         if self._failure:
             raise JournalError(
                 f"an earlier journal operation failed: {self._failure}"
             )
-        if not output.needs_sync:
-            return
         try:
-            self._save_or_clean_up(output)
+            self._write_or_clean_up(operation)
         except OSError as exc:
             self._failure = str(exc)
             raise JournalError(f"cannot write to the journal: {exc}") from exc
 
-    def _save_or_clean_up(self, output: Output) -> None:
+    def _write_or_clean_up(self, operation: Callable[[], None]) -> None:
         try:
-            self._save(output)
+            operation()
         except OSError as exc:
             if not self._may_retry(exc):
                 raise
@@ -385,6 +396,8 @@
         )
 
     def _save(self, output: Output) -> None:
+        if not output.needs_sync:
+            return
         hard_state = output.hard_state or self._hard_state
         if output.snapshot is not None:
             snapshot = output.compacted or output.snapshot
@@ -396,6 +409,7 @@
         else:
             self._append_change(output)
         self._hard_state = hard_state
+        self._holds_entries |= bool(output.entries or output.snapshot)
 
     def _compact_if_possible(
         self, output: Output, hard_state: HardState
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -80,7 +80,7 @@
             *(self._journal, clock, metrics, self._suspend_replica)
         )
         self._state = ControlState()
-        self._load_journal()
+        self._load_journal(started_at)
         self.relay = MemberRelay(
             *(settings.name, settings.data_centre, clock, metrics, feed)
         )
@@ -107,8 +107,13 @@
         self._leader_known_at = self._leaderless_told_at = clock.now()
         self.port = 0
 
-    def _load_journal(self) -> None:
-        """Creates the replica and the state from the journal."""
+    def _load_journal(self, wait_from: float) -> None:
+        """Creates the replica and the state from the journal.
+
+        Args:
+            wait_from: Start of the time without votes, in seconds on the
+                member's clock.
+        """
         restored = self._journal.restored
         name = self._settings.name
         self._replica = replica.create_replica(
@@ -120,7 +125,7 @@
         # the replica grants no votes for a fixed time after its first tick.
         # Counting from here instead of from the start of this process would
         # lengthen the wait: imports take a third of that time.
-        self._replica.tick(self._started_at)
+        self._replica.tick(wait_from)
         self._leader = Leader(
             *(name, self._replica, self._state, self._clock),
             wake=lambda: self._work.set(),
@@ -543,20 +548,19 @@
             return control.Refused(
                 "refused", f"the disk of {self._settings.name} is full"
             )
-        if not self._journal.blank:
-            # A leader of the other members has sent a term before its entries.
-            # It sends the first entry of the group as well.
-            log("group_joined", members=[m.name for m in members])
-            return control.Formed()
         formed = tuple(
             replica.Member(m.name, m.identity, m.host, m.port, True)
             for m in members
         )
+        # A member that has saved a term may have acknowledged its leader.
+        wait_from = (
+            self._started_at if self._journal.blank else self._clock.now()
+        )
         try:
             self._journal.form(formed)
         except JournalFullError as exc:
             return control.Refused("refused", str(exc))
-        self._load_journal()
+        self._load_journal(wait_from)
         log("group_formed", members=[m.name for m in members])
         return control.Formed()
 
