--- a/features/steps/failure_containment_steps.py
+++ b/features/steps/failure_containment_steps.py
@@ -10,10 +10,12 @@
 
 import anyio
 import anyio.abc
+import attrs
 from behave import given, then, when
 
 from knapweedarch import control, links, logs, process, replica
 from knapweedarch.exceptions import JournalError, LinkError, ReplicaError
+from knapweedarch.journal import open_journal
 from knapweedarch.member import create_member
 from knapweedarch.metrics import create_metrics
 from knapweedarch.relay_client import RelayClient
@@ -96,11 +98,77 @@
     context.reply = anyio.run(context.member._handle, None, context.form)
 
 
+@when("the member is asked to form the group with another identity for it")
+def ask_with_other_identity(context):
+    members = [
+        attrs.evolve(m, identity="aa" * 8) if m.name == "a" else m
+        for m in context.form.members
+    ]
+    message = control.Form(tuple(members))
+    context.reply = anyio.run(context.member._handle, None, message)
+
+
+@then("it refuses, and forms the group that lists it")
+def check_refused_then_formed(context):
+    assert isinstance(context.reply, control.Refused), context.reply
+    assert context.member._journal.blank
+    reply = anyio.run(context.member._handle, None, context.form)
+    assert reply == control.Formed(), reply
+
+
+class StubLink:
+    """A link that only tells who sent a message."""
+
+
+@when("two processes ask who it is, one after the other")
+def ask_who_it_is(context):
+    context.links = [StubLink(), StubLink()]
+    for link in context.links:
+        anyio.run(context.member._handle, link, control.Describe())
+
+
+@then("it refuses the group of the first one and forms that of the second one")
+def check_newest_forms(context):
+    first, second = context.links
+    earlier = [
+        attrs.evolve(m, identity="dd" * 8) if m.name == "b" else m
+        for m in context.form.members
+    ]
+    ask = context.member._handle
+    reply = anyio.run(ask, first, control.Form(tuple(earlier)))
+    assert isinstance(reply, control.Refused), reply
+    reply = anyio.run(ask, second, context.form)
+    assert reply == control.Formed(), reply
+
+
 @then("it answers that the group is formed")
 def check_formed(context):
     assert context.reply == control.Formed(), context.reply
 
 
+@then("the member holds the first entry in term {term:d}, also after a restart")
+def check_first_entry(context, term):
+    assert context.reply == control.Formed(), context.reply
+    member = context.member
+    identities = [m.identity for m in context.form.members]
+    assert [m.identity for m in member._replica.members] == identities
+    assert member.term == term, member.term
+    member._journal.close()
+    journal = open_journal(str(member._settings.data_folder))
+    context.add_cleanup(journal.close)
+    assert len(journal.restored.entries) == 1, journal.restored
+    assert journal.restored.hard_state.term == term, journal.restored
+
+
+@then("it grants no vote while that leader may hold its lease")
+def check_no_vote(context):
+    request = replica.VoteRequest("cc" * 8, 4, 1, 1, False, False, False)
+    context.member._replica.receive("c", request, Clock().now())
+    output = context.member._replica.take_output()
+    votes = [m for _, m in output.messages if isinstance(m, replica.VoteReply)]
+    assert votes and not any(v.granted for v in votes), output
+
+
 ERRORS = {
     "an unexpected error": KeyError("unexpected"),
     "a journal error": JournalError("the disk failed"),
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -101,12 +101,6 @@
     ),
     Event(212, "relay_subscribed", _I, "A router or member subscribed here."),
     Event(204, "group_formed", _I, "The first group of members was formed."),
-    Event(
-        213,
-        "group_joined",
-        _I,
-        "The other members formed the group before this one.",
-    ),
     Event(
         205, "peer_message_refused", _W, "A message from a member is malformed."
     ),
@@ -127,6 +121,18 @@
         _W,
         "This member has known no leader for some seconds.",
     ),
+    Event(
+        220,
+        "group_handed_on",
+        _I,
+        "A member of the first group was told of it after an interruption.",
+    ),
+    Event(
+        221,
+        "group_refused",
+        _W,
+        "A member of the first group does not take part in it.",
+    ),
     Event(208, "proposal_failed", _W, "A change was not appended to the log."),
     Event(209, "endpoint_status", _I, "The status of an endpoint changed."),
     Event(301, "lease_granted", _I, "The router acquired a lease."),
--- /dev/null
+++ b/knapweedarch/forming.py
@@ -0,0 +1,105 @@
+"""Forming of the group: who may form it, and what completes it."""
+
+import weakref
+from collections.abc import Iterable, Sequence
+
+import anyio
+
+from knapweedarch import control, links, replica
+from knapweedarch.exceptions import ControlError
+from knapweedarch.logs import log
+from knapweedarch.settings import Address
+
+# Wait of a member until it forms the group, for each seed before it.
+FOUNDER_DELAY_S = 1.0
+
+
+def order_seeds(seeds: Iterable[Address]) -> tuple[Address, ...]:
+    """Returns the seeds in the order in which they form the group.
+
+    All members must propose the same list.
+    """
+    return tuple(sorted(seeds, key=lambda s: (s.host, s.port)))
+
+
+def founder_delay_s(seeds: Iterable[Address], listen: Address) -> float:
+    """Returns how long a member leaves it to others to form the group.
+
+    The first seed forms it at once, members that are no seeds last.
+    """
+    ordered = order_seeds(seeds)
+    rank = ordered.index(listen) if listen in ordered else len(ordered)
+    return rank * FOUNDER_DELAY_S
+
+
+class FormingPromise:
+    """A blank member's promise to whoever asked last who it is.
+
+    Two processes may form the group at the same time, and with different lists
+    if a member loses its disk between their questions. Like an acceptor of
+    Paxos, a member takes the list only from the one that asked last. Each asks
+    all members before it sends its list to any, so at most one succeeds.
+    """
+
+    def __init__(self):
+        self._newest: links.Link | None = None
+        self._superseded: weakref.WeakSet[links.Link] = weakref.WeakSet()
+
+    def give(self, link: links.Link) -> None:
+        """Records that a question arrived over a link."""
+        if self._newest is not None:
+            self._superseded.add(self._newest)
+        self._superseded.discard(link)
+        self._newest = link
+
+    def allows(self, link: links.Link) -> bool:
+        """Returns whether a list that arrived over a link may be taken.
+
+        Earlier builds ask and send over two links, so a link without a
+        question is not refused.
+        """
+        return link not in self._superseded
+
+
+class GroupCompletion:
+    """Hands the first entry of the group to its members that lack it.
+
+    Whoever forms the group tells its members one after the other and may be
+    killed meanwhile. A blank member grants no votes, so any member that holds
+    the first entry tells the rest.
+
+    Args:
+        client: Sends the messages.
+        identity: Identity of this member.
+    """
+
+    def __init__(self, client: control.ControlClient, identity: str):
+        self._client = client
+        # Identities of the members that hold the entry.
+        self._complete = {identity}
+
+    async def run_once(self, members: Sequence[replica.Member]) -> None:
+        """Tells the members at the same time; those that fail, next time."""
+        form = control.Form(
+            tuple(
+                control.FormMember(m.name, m.identity, m.host, m.port)
+                for m in members
+            )
+        )
+        async with anyio.create_task_group() as group:
+            for member in form.members:
+                if member.identity not in self._complete:
+                    group.start_soon(self._hand_on, form, member)
+
+    async def _hand_on(
+        self, form: control.Form, member: control.FormMember
+    ) -> None:
+        try:
+            was_blank = await self._client.hand_on_group(form, member)
+        except ControlError as exc:
+            if exc.reason == "refused":
+                log("group_refused", member=member.name, reason=str(exc))
+            return
+        self._complete.add(member.identity)
+        if was_blank:
+            log("group_handed_on", member=member.name)
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -1,5 +1,6 @@
 """Member daemon: a replica with its journal and its links to other members."""
 
+import math
 from collections.abc import Iterable, Sequence
 
 import anyio
@@ -14,7 +15,13 @@
     CredentialError,
     JournalFullError,
 )
-from knapweedarch.journal import open_journal
+from knapweedarch.forming import (
+    FormingPromise,
+    GroupCompletion,
+    founder_delay_s,
+    order_seeds,
+)
+from knapweedarch.journal import Founding, open_journal
 from knapweedarch.journal_writer import DISK_SPACE_RETRY_S, JournalWriter
 from knapweedarch.leader import NOTIFY_INTERVAL_S, Leader
 from knapweedarch.logs import log
@@ -40,6 +47,8 @@
 JOIN_INTERVAL_S = 0.25
 JOIN_TIMEOUT_S = 1.0
 SILENCE_CHECK_INTERVAL_S = 0.5
+# A blank member takes no first list for this time after a leader answered it.
+GROUP_SEEN_S = 3.0
 
 
 class Member:
@@ -63,12 +72,15 @@
         self._clock = clock
         self._metrics = metrics
         self._credential = settings.credential.encode()
-        self._journal = open_journal(str(settings.data_folder))
+        self._journal = open_journal(
+            str(settings.data_folder),
+            founding=Founding(settings.seeds) if settings.bootstrap else None,
+        )
         self._writer = JournalWriter(
             *(self._journal, clock, metrics, self._suspend_replica)
         )
         self._state = ControlState()
-        self._load_journal()
+        self._load_journal(started_at)
         self.relay = MemberRelay(
             *(settings.name, settings.data_centre, clock, metrics, feed)
         )
@@ -83,14 +95,25 @@
             settings.members or seed_addresses(settings.seeds),
             *(self._credential, clock),
         )
+        self._form_at = math.inf
+        self._group_seen_at = -math.inf
+        self._promise = FormingPromise()
+        self._completion = GroupCompletion(
+            self._control, self._journal.identity
+        )
         self._work = anyio.Event()
         self._timers = Timers(clock)
         self._addresses: tuple[control.MemberAddress, ...] = ()
         self._leader_known_at = self._leaderless_told_at = clock.now()
         self.port = 0
 
-    def _load_journal(self) -> None:
-        """Creates the replica and the state from the journal."""
+    def _load_journal(self, wait_from: float) -> None:
+        """Creates the replica and the state from the journal.
+
+        Args:
+            wait_from: Start of the time without votes, in seconds on the
+                member's clock.
+        """
         restored = self._journal.restored
         name = self._settings.name
         self._replica = replica.create_replica(
@@ -102,7 +125,7 @@
         # the replica grants no votes for a fixed time after its first tick.
         # Counting from here instead of from the start of this process would
         # lengthen the wait: imports take a third of that time.
-        self._replica.tick(self._started_at)
+        self._replica.tick(wait_from)
         self._leader = Leader(
             *(name, self._replica, self._state, self._clock),
             wake=lambda: self._work.set(),
@@ -128,7 +151,11 @@
             NOTIFY_INTERVAL_S, lambda now: self._leader.notify_routers()
         )
         try:
-            async with self._control, anyio.create_task_group() as group:
+            async with (
+                listener,
+                self._control,
+                anyio.create_task_group() as group,
+            ):
                 self._group = group
                 self._peers.start(group)
                 self.relay.start(group, self._timers)
@@ -137,7 +164,8 @@
                 group.start_soon(self._accept, listener)
                 self._peers.set_members(self._settings.members)
                 if self._settings.seeds:
-                    group.start_soon(self._form_or_join)
+                    group.start_soon(self._form)
+                    group.start_soon(self._join)
                 task_status.started(self.port)
         finally:
             self._journal.close()
@@ -184,48 +212,71 @@
         """
         return self._replica.leads_until(self._clock.now())
 
-    async def _form_or_join(self) -> None:
-        """Forms the group, or joins it if this member is in no group.
-
-        A member that knows no leader asks to join as well, since the reply
-        brings the current addresses of the members.
-        """
+    async def _form(self) -> None:
+        """Forms the group, or completes one that is formed only in part."""
+        founding = self._journal.founding
+        if founding is not None:
+            delay_s = founder_delay_s(founding.seeds, self._settings.listen)
+            self._form_at = self._clock.now() + delay_s
         while True:
-            try:
-                if self._should_form():
-                    await self._control.form(
-                        tuple(
-                            control.MemberAddress("", seed.host, seed.port)
-                            for seed in self._settings.seeds
-                        )
-                    )
-                elif not self._replica.knows_group:
-                    await self._join()
-            except ControlError as exc:
-                self._metrics.count("member.joins_failed")
-                log(
-                    "group_not_found",
-                    reason=str(exc),
-                    blank=self._replica.blank,
-                    forms=self._should_form(),
-                    leader=self._replica.leader,
-                )
+            if self._replica.knows_group:
+                self._end_founding()
+            elif not self._replica.blank:
+                await self._completion.run_once(self._replica.first_members)
+            elif self._should_form():
+                await self._form_first_group()
             await anyio.sleep(JOIN_INTERVAL_S)
 
     def _should_form(self) -> bool:
         """Returns whether this member must form the group.
 
-        Only the first seed of a new deployment does, so that the group is
-        formed once.
+        Every member of a new deployment does until there is a group, but not
+        at the same time.
         """
-        seeds = sorted(self._settings.seeds, key=lambda s: (s.host, s.port))
         return (
-            self._settings.bootstrap
+            self._journal.founding is not None
             and self._replica.blank
-            and seeds[0] == self._settings.listen
+            and self._clock.now() >= self._form_at
         )
 
+    async def _form_first_group(self) -> None:
+        seeds = order_seeds(self._journal.founding.seeds)
+        addresses = (control.MemberAddress("", s.host, s.port) for s in seeds)
+        try:
+            await self._control.form(tuple(addresses))
+        except ControlError as exc:
+            self._report_group_not_found(exc)
+
+    def _end_founding(self) -> None:
+        """Forms no group from now on, since there is one."""
+        if self._journal.founding is not None:
+            self._journal.end_founding()
+
     async def _join(self) -> None:
+        """Joins the group as long as this member is in no group.
+
+        A member that knows no leader asks to join as well, since the reply
+        brings the current addresses of the members.
+        """
+        while True:
+            if not self._replica.knows_group:
+                try:
+                    await self._ask_to_join()
+                except ControlError as exc:
+                    self._report_group_not_found(exc)
+            await anyio.sleep(JOIN_INTERVAL_S)
+
+    def _report_group_not_found(self, exc: ControlError) -> None:
+        self._metrics.count("member.joins_failed")
+        log(
+            "group_not_found",
+            reason=str(exc),
+            blank=self._replica.blank,
+            forms=self._should_form(),
+            leader=self._replica.leader,
+        )
+
+    async def _ask_to_join(self) -> None:
         listen = self._settings.listen
         joining = await self._control.request(
             control.Join(
@@ -234,6 +285,8 @@
             ),
             JOIN_TIMEOUT_S,
         )
+        self._group_seen_at = self._clock.now()
+        self._end_founding()
         self._peers.set_members(joining.members)
         self._control.set_members(joining.members)
 
@@ -430,13 +483,14 @@
             case control.Query():
                 return self._leader.status()
             case control.Describe():
+                self._promise.give(link)
                 return control.Description(
                     self._settings.name,
                     self._journal.identity,
                     self._replica.blank,
                 )
             case control.Form(members=members):
-                return self._form_group(members)
+                return self._form_group(link, members)
             case _:
                 self.relay.handle(link, message)
         return None
@@ -466,7 +520,9 @@
                 )
                 self._work.set()
 
-    def _form_group(self, members: tuple[control.FormMember, ...]):
+    def _form_group(
+        self, link: links.Link, members: tuple[control.FormMember, ...]
+    ):
         if not self._replica.blank:
             same_group = {m.identity for m in members} == {
                 m.identity for m in self._replica.members
@@ -477,24 +533,37 @@
                 "refused",
                 f"member {self._settings.name} belongs to another group",
             )
+        if self._journal.identity not in {m.identity for m in members}:
+            return control.Refused(
+                "refused", f"the group does not list {self._settings.name}"
+            )
+        if self._clock.now() - self._group_seen_at < GROUP_SEEN_S:
+            return control.Refused(
+                "refused",
+                f"{self._settings.name} knows of a group, whose leader adds it",
+            )
+        if not self._promise.allows(link):
+            return control.Refused(
+                "refused",
+                f"another process forms the group with {self._settings.name}",
+            )
         if self._replica.suspended:
             return control.Refused(
                 "refused", f"the disk of {self._settings.name} is full"
             )
-        if not self._journal.blank:
-            # A leader of the other members has sent a term before its entries.
-            # It sends the first entry of the group as well.
-            log("group_joined", members=[m.name for m in members])
-            return control.Formed()
         formed = tuple(
             replica.Member(m.name, m.identity, m.host, m.port, True)
             for m in members
         )
+        # A member that has saved a term may have acknowledged its leader.
+        wait_from = (
+            self._started_at if self._journal.blank else self._clock.now()
+        )
         try:
             self._journal.form(formed)
         except JournalFullError as exc:
             return control.Refused("refused", str(exc))
-        self._load_journal()
+        self._load_journal(wait_from)
         log("group_formed", members=[m.name for m in members])
         return control.Formed()
 
