--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -101,6 +101,7 @@
         host: IP address of its instance.
         settings: Path of its settings file.
         popen: The process, once it has been started.
+        build: Folder of the code that it runs.
     """
 
     role: str
@@ -108,6 +109,7 @@
     host: str
     settings: pathlib.Path
     popen: subprocess.Popen | None = None
+    build: pathlib.Path = ROOT
 
 
 @attrs.define
@@ -136,8 +138,11 @@
         runners: Runners and plain services.
         client: HTTP client of the operator and the callers.
         answer: Last response to `call_control`.
+        program: What the interpreter runs as a process.
     """
 
+    program = PROCESS
+
     def __init__(self, group: anyio.abc.TaskGroup):
         self._group = group
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="knapweedarch-"))
@@ -172,22 +177,34 @@
             self.start(process.name)
 
     def _write_settings(self, process: Process, bootstrap: bool) -> None:
-        seeds = [f"{self._network}.{i}:{self._control_port}" for i in (1, 2, 3)]
-        data = self.folder / f"data-{process.name}"
-        data.mkdir(exist_ok=True)
+        self._data_folder(process.name).mkdir(exist_ok=True)
+        fields = self._settings_fields(process, bootstrap)
+        lines = [f"{key}={value}" for key, value in fields.items()]
+        process.settings.write_text("\n".join(lines) + "\n")
+
+    def _data_folder(self, name: str) -> pathlib.Path:
+        return self.folder / f"data-{name}"
+
+    def _control_address(self, host: str) -> str:
+        return f"{host}:{self._control_port}"
+
+    def _settings_fields(self, process: Process, bootstrap: bool) -> dict:
+        seeds = [
+            self._control_address(f"{self._network}.{i}") for i in (1, 2, 3)
+        ]
         zone = ZONES[int(process.name.split("-")[1]) % len(ZONES)]
-        fields = {
+        return {
             "nodeName": process.name,
             "bindIp": process.host,
             "zone": zone,
             **{f"zones.{name}": "highlands" for name in ZONES},
             "endpoints.front": f"{process.host}:{self._proxy_port}",
             "endpoints.ready": f"{process.host}:{self._ready_port}",
-            "endpoints.control": f"{process.host}:{self._control_port}",
+            "endpoints.control": self._control_address(process.host),
             "portRange": f"{self._link_port},{self._link_port}",
             "seedNodes": ",".join(seeds),
             "bootstrap": str(bootstrap).lower(),
-            "dataDir": str(data),
+            "dataDir": str(self._data_folder(process.name)),
             "heartbeatMs": "600",
             "faultBudget.machines": "1",
             "bounds.graceS": "4",
@@ -197,8 +214,6 @@
             "bounds.retrySlack": "56",
             "bounds.retryWindowS": "10",
         }
-        lines = [f"{key}={value}" for key, value in fields.items()]
-        process.settings.write_text("\n".join(lines) + "\n")
 
     def start(self, name: str) -> None:
         """Starts a process."""
@@ -209,8 +224,8 @@
         }
         with open(self.folder / f"{name}.log", "ab") as log:
             process.popen = subprocess.Popen(
-                [sys.executable, PROCESS, process.role],
-                cwd=ROOT,
+                [sys.executable, self.program, process.role],
+                cwd=process.build,
                 env=environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -257,18 +272,22 @@
         """Sends SIGTERM to a process."""
         self.processes[name].popen.send_signal(signal.SIGTERM)
 
-    def close(self) -> None:
-        """Kills the remaining processes and removes the folder."""
+    def close_processes(self) -> None:
+        """Kills the remaining processes."""
         for process in self.processes.values():
             if process.popen is not None and process.popen.poll() is None:
                 process.popen.kill()
                 process.popen.wait()
+
+    def close(self) -> None:
+        """Kills the remaining processes and removes the folder."""
+        self.close_processes()
         shutil.rmtree(self.folder)
 
     def control_addresses(self) -> list[str]:
         """Returns the control addresses of the members."""
         return [
-            f"{p.host}:{self._control_port}"
+            self._control_address(p.host)
             for p in self.processes.values()
             if p.role == "member"
         ]
