--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -167,6 +167,15 @@
     Then it logs the event "settings_refused"
     And it exits with code 0 after SIGTERM
 
+  Scenario: A process that gets SIGHUP while it starts goes on
+    Guards against a change of the settings that ends the processes which are just
+    being started.
+    Given a proxy process that waits for its settings as it starts
+    When it receives SIGHUP
+    And it gets its settings
+    Then it logs the event "started"
+    And it exits with code 0 after SIGTERM
+
   Scenario: Any member can take a leaving runner out of use
     Guards against a confirmed leave that is lost, because the member that gets
     the call lags behind the leader and does not know the endpoint yet.
--- a/features/steps/adapter_process_steps.py
+++ b/features/steps/adapter_process_steps.py
@@ -40,8 +40,7 @@
     context.settings_file.write_text(text)
 
 
-@given("a proxy process started as on the platform")
-def start_proxy_process(context):
+def prepare_process(context) -> None:
     folder = pathlib.Path(tempfile.mkdtemp(prefix="knapweedarch-"))
     context.settings_file = folder / "local.conf"
     # The port of its metrics is fixed; other runs use addresses of their own.
@@ -49,7 +48,9 @@
     context.host = f"127.{second}.{third}.1"
     context.front = f"{context.host}:{free_port(context.host)}"
     context.ready = f"{context.host}:{free_port(context.host)}"
-    write_settings(context, SEED)
+
+
+def start_process(context) -> None:
     context.process = subprocess.Popen(
         [sys.executable, "platform", "proxy"],
         cwd=ROOT,
@@ -61,9 +62,39 @@
         text=True,
     )
     context.closing.append(context.process.kill)
+
+
+@given("a proxy process started as on the platform")
+def start_proxy_process(context):
+    prepare_process(context)
+    write_settings(context, SEED)
+    start_process(context)
     wait_for_event(context, "started")
 
 
+@given("a proxy process that waits for its settings as it starts")
+def start_waiting_process(context):
+    prepare_process(context)
+    os.mkfifo(context.settings_file)
+    start_process(context)
+    # Opens once the process reads its settings.
+    context.first_settings = context.settings_file.open("w")
+    context.closing.append(context.first_settings.close)
+
+
+@when("it receives SIGHUP")
+def send_hangup(context):
+    context.process.send_signal(signal.SIGHUP)
+
+
+@when("it gets its settings")
+def give_settings(context):
+    context.settings_file.unlink()
+    write_settings(context, SEED)
+    with context.first_settings as first:
+        first.write(context.settings_file.read_text())
+
+
 def wait_for_event(context, name: str) -> None:
     """Reads log lines up to an event; fails if the process ends first."""
     for line in context.process.stdout:
