--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -176,6 +176,14 @@
     Then it logs the event "started"
     And it exits with code 0 after SIGTERM
 
+  Scenario: Settings that change while a process starts are applied
+    Guards against a process that looks for the group at seeds which are gone.
+    Given a proxy process that waits for its settings as it starts
+    When it gets its settings, and then the file names another seed
+    Then it logs the event "settings_reloaded"
+    And it logs the event "started"
+    And it exits with code 0 after SIGTERM
+
   Scenario: Any member can take a leaving runner out of use
     Guards against a confirmed leave that is lost, because the member that gets
     the call lags behind the leader and does not know the endpoint yet.
--- a/features/steps/adapter_process_steps.py
+++ b/features/steps/adapter_process_steps.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 
 from behave import given, then, when
 
@@ -16,6 +17,7 @@
 SEED = "127.0.0.1:1"
 OTHER_SEED = "127.0.0.2:1"
 EXIT_TIMEOUT_S = 20.0
+EVENT_TIMEOUT_S = 20.0
 
 
 def free_port(host: str) -> int:
@@ -87,19 +89,38 @@
     context.process.send_signal(signal.SIGHUP)
 
 
-@when("it gets its settings")
-def give_settings(context):
+def give_settings(context, later_seed: str) -> None:
     context.settings_file.unlink()
     write_settings(context, SEED)
+    text = context.settings_file.read_text()
+    write_settings(context, later_seed)
     with context.first_settings as first:
-        first.write(context.settings_file.read_text())
+        first.write(text)
+
+
+@when("it gets its settings")
+def give_lasting_settings(context):
+    give_settings(context, later_seed=SEED)
+
+
+@when("it gets its settings, and then the file names another seed")
+def give_changing_settings(context):
+    give_settings(context, later_seed=OTHER_SEED)
 
 
 def wait_for_event(context, name: str) -> None:
-    """Reads log lines up to an event; fails if the process ends first."""
-    for line in context.process.stdout:
-        if json.loads(line)["event_name"] == name:
-            return
+    """Reads log lines up to an event; fails if the process ends first.
+
+    A process that does not log it in time is killed.
+    """
+    timer = threading.Timer(EVENT_TIMEOUT_S, context.process.kill)
+    timer.start()
+    try:
+        for line in context.process.stdout:
+            if json.loads(line)["event_name"] == name:
+                return
+    finally:
+        timer.cancel()
     raise AssertionError(f"the process ended without the event {name}")
 
 
