Show that two losses after a planned replacement end the group

Callers get 503 from every member for good when two members lose their disks within 2 s of the planned stop of a third one, although its successor had run for over `syncS`, after which the removed one no longer counts (DEPLOY.md). The repair belongs to the membership of the replica.

--- a/features/member_soak.feature
+++ b/features/member_soak.feature
@@ -20,3 +20,8 @@
   Scenario: A site starts although its first seed is killed as it starts
     Guards against a group that is never formed.
     Then a soak of seed 5 for 1.0 s breaks no rule, though the first seed is killed at the start
+
+  Scenario: A member that is stopped by plan leaves its vote to its successor
+    Guards against a group that ends when two members are lost right after a third
+    one was replaced by plan, its successor having had the time to synchronise.
+    Then a change is confirmed within 12.0 s after a planned replacement and the loss of two
