--- a/features/steps/adapter_process_steps.py
+++ b/features/steps/adapter_process_steps.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 
 from behave import given, then, when
 
@@ -16,6 +17,7 @@
 SEED = "127.0.0.1:1"
 OTHER_SEED = "127.0.0.2:1"
 EXIT_TIMEOUT_S = 20.0
+EVENT_TIMEOUT_S = 20.0
 
 
 def free_port(host: str) -> int:
@@ -40,8 +42,7 @@
     context.settings_file.write_text(text)
 
 
-@given("a proxy process started as on the platform")
-def start_proxy_process(context):
+def prepare_process(context) -> None:
     folder = pathlib.Path(tempfile.mkdtemp(prefix="knapweedarch-"))
     context.settings_file = folder / "local.conf"
     # The port of its metrics is fixed; other runs use addresses of their own.
@@ -49,7 +50,9 @@
     context.host = f"127.{second}.{third}.1"
     context.front = f"{context.host}:{free_port(context.host)}"
     context.ready = f"{context.host}:{free_port(context.host)}"
-    write_settings(context, SEED)
+
+
+def start_process(context) -> None:
     context.process = subprocess.Popen(
         [sys.executable, "platform", "proxy"],
         cwd=ROOT,
@@ -61,14 +64,63 @@
         text=True,
     )
     context.closing.append(context.process.kill)
+
+
+@given("a proxy process started as on the platform")
+def start_proxy_process(context):
+    prepare_process(context)
+    write_settings(context, SEED)
+    start_process(context)
     wait_for_event(context, "started")
 
 
+@given("a proxy process that waits for its settings as it starts")
+def start_waiting_process(context):
+    prepare_process(context)
+    os.mkfifo(context.settings_file)
+    start_process(context)
+    # Opens once the process reads its settings.
+    context.first_settings = context.settings_file.open("w")
+    context.closing.append(context.first_settings.close)
+
+
+@when("it receives SIGHUP")
+def send_hangup(context):
+    context.process.send_signal(signal.SIGHUP)
+
+
+def give_settings(context, later_seed: str) -> None:
+    context.settings_file.unlink()
+    write_settings(context, SEED)
+    text = context.settings_file.read_text()
+    write_settings(context, later_seed)
+    with context.first_settings as first:
+        first.write(text)
+
+
+@when("it gets its settings")
+def give_lasting_settings(context):
+    give_settings(context, later_seed=SEED)
+
+
+@when("it gets its settings, and then the file names another seed")
+def give_changing_settings(context):
+    give_settings(context, later_seed=OTHER_SEED)
+
+
 def wait_for_event(context, name: str) -> None:
-    """Reads log lines up to an event; fails if the process ends first."""
-    for line in context.process.stdout:
-        if json.loads(line)["event_name"] == name:
-            return
+    """Reads log lines up to an event; fails if the process ends first.
+
+    A process that does not log it in time is killed.
+    """
+    timer = threading.Timer(EVENT_TIMEOUT_S, context.process.kill)
+    timer.start()
+    try:
+        for line in context.process.stdout:
+            if json.loads(line)["event_name"] == name:
+                return
+    finally:
+        timer.cancel()
     raise AssertionError(f"the process ended without the event {name}")
 
 
