Let a member that is stopped by plan leave its vote to a spare one

Cause: the successor waits as a learner for as long as all voters answer, and a member that stopped by SIGTERM counted as absent only after a silence. The stopping member now says so (Leave), counts as absent from then on, and ends once a learner that has caught up votes in its place; without one it keeps its vote, as a restart is soon over.

--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -157,3 +157,20 @@
     Given 5 members whose leader has led for 20.0 s
     When a following member restarts
     Then it knows no group before it hears from a leader
+
+  Scenario: A member that is stopped by plan leaves its vote to a spare one
+    Guards against a group that ends when two members are lost right after a third
+    one was stopped by plan, though a spare member had caught up.
+    Given 5 members whose leader has led for 20.0 s
+    When a spare member joins
+    And a following member says that it stops
+    Then the spare member votes in its place within 0.5 s
+    When the member that said so and two others are lost
+    Then a replica holds the leader lease within 4.0 s of the last start
+
+  Scenario: A member that is stopped by plan without a spare one keeps its vote
+    Guards against a group that a planned restart of its members makes smaller.
+    Given 5 members whose leader has led for 20.0 s
+    When a following member says that it stops
+    And 2.0 s pass
+    Then the list of members has changed 0 times
--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -166,6 +166,37 @@
         context.group.add_new()
 
 
+@when("a following member says that it stops")
+def say_stop(context):
+    group = context.group
+    context.stopping = following_member(group)
+    leader = group.leader()
+    identity = group.nodes[context.stopping].disk.identity
+    leader.replica.note_leave(identity, leader.clock(group.now))
+
+
+@then("the spare member votes in its place within {limit:f} s")
+def check_spare_votes(context, limit):
+    group = context.group
+
+    def spare_votes():
+        replica = group.leader().replica
+        voters = {m.name for m in replica.members if m.voter}
+        takes_over = context.new in voters and context.stopping not in voters
+        return takes_over and not replica.members_pending
+
+    group.run_until(spare_votes, limit)
+
+
+@when("the member that said so and two others are lost")
+def lose_stopped_and_two(context):
+    group = context.group
+    kept = {context.new, context.stopping, group.leader().name}
+    others = [name for name in group.nodes if name not in kept]
+    for name in (context.stopping, *others[:2]):
+        group.remove(name)
+
+
 @when("a spare member joins")
 def join_spare(context):
     context.new = context.group.add_new()
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -212,6 +212,28 @@
     members: tuple[MemberAddress, ...]
 
 
+@attrs.frozen
+class Leave:
+    """Says that a member is about to stop, so that a spare one may vote.
+
+    Attributes:
+        identity: Identity of the member that stops.
+    """
+
+    identity: str
+
+
+@attrs.frozen
+class Leaving:
+    """The request to leave was noted.
+
+    Attributes:
+        is_awaited: Whether a spare member is yet to take over the vote.
+    """
+
+    is_awaited: bool
+
+
 @attrs.frozen
 class Result:
     """The encoded result of a command."""
@@ -382,7 +404,7 @@
     *(Renew, Grant, Changed, Submit, Result, Redirect, Refused, Query),
     *(StatusReply, Describe, Description, Form, Formed, Hello, Peer),
     *(Heartbeat, HeartbeatNoted, ReadDeployment, DeploymentDocument),
-    *(Join, Joining, Subscribe, Subscribed, Relayed),
+    *(Join, Joining, Leave, Leaving, Subscribe, Subscribed, Relayed),
     *(ResendSources, LoadChanges, LoadTotals),
     *(PartReports, PartNotices, EndpointRates),
     *(StreamOrigins, FindOrigins, OriginsFound, FindPeers, PeersFound),
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -114,6 +114,12 @@
         _I,
         "The leader adds, removes or promotes a member.",
     ),
+    Event(
+        226,
+        "vote_not_released",
+        _W,
+        "A member that stops did not learn whether a spare one votes now.",
+    ),
     Event(218, "join_asked", _I, "A member asked this leader to join."),
     Event(
         219,
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -326,6 +326,15 @@
             )
         return control.Joining(self.addresses())
 
+    def release_vote(
+        self, leave: control.Leave
+    ) -> control.Leaving | control.Redirect:
+        """Gives the vote of a member that stops to a spare one, if any."""
+        if not self._can_serve():
+            return self._redirect()
+        now = self._clock.now()
+        return control.Leaving(self._replica.note_leave(leave.identity, now))
+
     async def submit(
         self, data: bytes, in_force: bool = True
     ) -> control.Result | control.Refused | control.Redirect:
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -105,6 +105,7 @@
         self._timers = Timers(clock)
         self._addresses: tuple[control.MemberAddress, ...] = ()
         self._leader_known_at = self._leaderless_told_at = clock.now()
+        self._is_stopping = False
         self.port = 0
 
     def _load_journal(self, wait_from: float) -> None:
@@ -259,7 +260,7 @@
         brings the current addresses of the members.
         """
         while True:
-            if not self._replica.knows_group:
+            if not (self._replica.knows_group or self._is_stopping):
                 try:
                     await self._ask_to_join()
                 except ControlError as exc:
@@ -343,8 +344,32 @@
         self._group.start_soon(self._leader.mark_silent)
 
     async def prepare_stop(self) -> None:
-        """Transfers the leadership to another member before a planned stop."""
+        """Gives up the leadership and the vote before a planned stop."""
         until = self._clock.now() + HAND_OVER_TIMEOUT_S
+        self._is_stopping = True
+        await self._transfer_leadership(until)
+        if self._settings.seeds and self._is_voter():
+            await self._release_vote(until)
+
+    def _is_voter(self) -> bool:
+        return any(
+            m.voter and m.identity == self._journal.identity
+            for m in self._replica.members
+        )
+
+    async def _release_vote(self, until: float) -> None:
+        """Waits until a spare member has taken over this one's vote, if any."""
+        leave = control.Leave(self._journal.identity)
+        try:
+            while (left_s := until - self._clock.now()) > 0:
+                reply = await self._control.request(leave, left_s)
+                if not reply.is_awaited:
+                    return
+                await anyio.sleep(TICK_S / 2)
+        except ControlError as exc:
+            log("vote_not_released", reason=str(exc))
+
+    async def _transfer_leadership(self, until: float) -> None:
         while self._leader.is_active and self._clock.now() < until:
             if self._leader.idle and self._replica.transfer_leadership(
                 self._clock.now()
@@ -480,6 +505,8 @@
                 return self._leader.read_versions(service)
             case control.Join():
                 return self._leader.register_joining(message)
+            case control.Leave():
+                return self._leader.release_vote(message)
             case control.Query():
                 return self._leader.status()
             case control.Describe():
--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -6,6 +6,8 @@
 sync, and only then sends the messages and applies the committed entries.
 """
 
+import math
+
 from knapweedarch.exceptions import (
     MembershipError,
     NotLeaderError,
@@ -14,6 +16,7 @@
 from knapweedarch.replica_leadership import Leadership
 from knapweedarch.replica_membership import (
     JOIN_REQUEST_S,
+    LEAVE_REQUEST_S,
     PeerIdentity,
     check_change,
     next_change,
@@ -249,6 +252,24 @@
         self._join_requests[name] = (peer, now)
         return known is None or known[0] != peer
 
+    def note_leave(self, identity: str, now: float) -> bool:
+        """Records that a member is about to stop.
+
+        A spare member that has caught up takes over its vote; without one, the
+        member stays in the list, as it may be back soon.
+
+        Returns:
+            Whether a spare member is yet to take it over.
+        """
+        self._leave_requests[identity] = now
+        if self.members_pending:
+            return True
+        is_voter = identity in self._voters()
+        return is_voter and any(
+            not member.voter and self._caught_up(member.identity)
+            for member in self.members
+        )
+
     def compact(self, index: int, snapshot_data: bytes, now: float) -> None:
         """Replaces the entries up to `index` with a snapshot.
 
@@ -509,13 +530,23 @@
             self.identity,
             self._caught_up,
             lambda identity: leadership.silence(identity, now),
-            lambda identity: leadership.absence(identity, now),
+            lambda identity: self._absence(identity, now),
             self._cfg.voters,
         )
         if change is not None:
             self.propose_members(change.members, now)
             self._member_changes.append(change)
 
+    def _absence(self, identity: str, now: float) -> float:
+        """Returns for how many seconds a member has been absent.
+
+        One that said that it is about to stop is absent.
+        """
+        left_at = self._leave_requests.get(identity)
+        if left_at is not None and now - left_at < LEAVE_REQUEST_S:
+            return math.inf
+        return self._leadership.absence(identity, now)
+
     def _forget_peers(self, now: float) -> None:
         """Forgets members that no longer ask to join and are not in the list.
 
@@ -527,6 +558,11 @@
             for name, (peer, asked_at) in self._join_requests.items()
             if now - asked_at < JOIN_REQUEST_S
         }
+        self._leave_requests = {
+            identity: left_at
+            for identity, left_at in self._leave_requests.items()
+            if now - left_at < LEAVE_REQUEST_S
+        }
         kept = {m.name for m in self.members} | self._join_requests.keys()
         self._peer_identities = {
             name: peer
--- a/knapweedarch/replica_membership.py
+++ b/knapweedarch/replica_membership.py
@@ -19,6 +19,8 @@
 MAX_MEMBERS = 16
 # A request to join counts for this long; members that wait repeat it earlier.
 JOIN_REQUEST_S = 3.0
+# A member that said it is about to stop, and has not after this long, goes on.
+LEAVE_REQUEST_S = 3.0
 
 Members = tuple[Member, ...]
 
--- a/knapweedarch/replica_status.py
+++ b/knapweedarch/replica_status.py
@@ -111,6 +111,8 @@
         self._peer_identities: dict[str, PeerIdentity] = {}
         # Requests to join by name, each with the time of the newest one.
         self._join_requests: dict[str, tuple[PeerIdentity, float]] = {}
+        # When each identity last said that it is about to stop.
+        self._leave_requests: dict[str, float] = {}
         self._messages: list[tuple[str, Message]] = []
         self._compacted: Snapshot | None = None
         self._now: float | None = None
