--- a/features/finding_leader.feature
+++ b/features/finding_leader.feature
@@ -108,3 +108,10 @@
     When the leader loses power
     And it sends a request with a timeout of 0.9 s
     Then the request is answered
+
+  Scenario: Another program at the address of a member that is gone
+    Guards against an error of one attempt to connect that ends the call, or the
+    process, while other members answer.
+    Given a client that knows the leader and a program that sends other frames
+    When each of 12 such clients sends a request with a timeout of 0.9 s
+    Then each request is answered
--- a/features/steps/finding_leader_steps.py
+++ b/features/steps/finding_leader_steps.py
@@ -4,6 +4,7 @@
 import random
 import shutil
 import socket
+import struct
 import tempfile
 
 import anyio
@@ -34,6 +35,7 @@
         outcomes: What the requests returned, or why they failed.
         before: Called with the client before the requests, in order.
         slowest_s: Longest time in seconds that a request took.
+        group: Tasks of the members while an action runs.
     """
 
     def __init__(self):
@@ -59,6 +61,7 @@
 
         async def run():
             async with anyio.create_task_group() as group:
+                self.group = group
                 for listening in self._listening:
                     group.start_soon(self._serve, *listening)
                 async with create_client(self.seeds) as client:
@@ -223,6 +226,24 @@
     assert not wrong, wrong
 
 
+@given("a client that knows the leader and a program that sends other frames")
+def client_amid_others(context):
+    context.search = search = Search()
+    search.seeds = [search.add_member("leader", lead)]
+
+    async def add_program(client):
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        search.seeds.append(control.MemberAddress("other", HOST, port))
+        search.group.start_soon(listener.serve, send_other_frame)
+
+    async def send_other_frame(stream):
+        async with stream:
+            await stream.send(struct.pack(">I", 3) + b"xyz")
+
+    search.before.append(add_program)
+
+
 @given(
     "a client that knows a follower of a leader that accepts after"
     " {after_s:f} s"
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -37,12 +37,7 @@
     StatusReply,
     Submit,
 )
-from knapweedarch.exceptions import (
-    CodecError,
-    ControlError,
-    CredentialError,
-    LinkError,
-)
+from knapweedarch.exceptions import ControlError, CredentialError, LinkError
 from knapweedarch.member_directory import MemberDirectory
 from knapweedarch.state import COMMANDS, RESULTS
 from knapweedarch.task_groups import TaskOwner
@@ -345,8 +340,9 @@
         except (ControlError, LinkError) as exc:
             attempt.error = exc
             self._directory.note_failure(attempt.address, self._clock.now())
-        except CodecError as exc:
-            attempt.error = LinkError(str(exc))
+        except Exception as exc:
+            # The error of one attempt must not end the process.
+            attempt.error = LinkError(f"{attempt.address}: {exc!r}")
             self._directory.note_failure(attempt.address, self._clock.now())
         else:
             self._directory.note_success(attempt.address)
