Split the members in seeded schedules; test handovers and voters that return

The schedules now cut the members into two parts now and then, whatever else is lost, as DEPLOY.md allows.

--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -157,3 +157,18 @@
     Given 5 members whose leader has led for 20.0 s
     When a following member restarts
     Then it knows no group before it hears from a leader
+
+  Scenario: A lost voter is replaced though its leaders hand over each second
+    Guards against a wait that starts again with each leader and so never ends.
+    Given 5 members whose leader has led for 20.0 s
+    When a following member is removed, and a new one starts
+    And the leader hands over each 1.0 s for 4.0 s
+    Then the removed member does not vote
+
+  Scenario: A voter that was replaced while it was cut off joins again
+    Guards against a removed voter that disturbs the group, or stays away.
+    Given 5 members whose leader has led for 20.0 s
+    When a following member is cut off for 4.0 s and replaced
+    And 10.0 s pass
+    Then the list of members has changed 4 times
+    And the group has 5 voters, and the one that was cut off is a learner
--- a/features/member_faults.py
+++ b/features/member_faults.py
@@ -111,6 +111,12 @@
 
         self.plan(delay_s, start)
 
+    def plan_block(self, end_s: float, block: Callable[[], None]) -> None:
+        """Blocks links at once and again, for members that start meanwhile."""
+        block()
+        for turn in range(1, int(end_s / 0.1)):
+            self.plan(turn * 0.1, block)
+
     def free_names(self) -> list[str]:
         """Returns the members that do not count as lost."""
         names = {name for loss in self.lost() for name in loss.names}
@@ -238,11 +244,8 @@
         }
         group.end_loss(loss)
 
-    block()
     end_s = rng.uniform(0.3, 6.0)
-    for turn in range(1, int(end_s / 0.1)):
-        # Again, for the members that start meanwhile.
-        group.plan(turn * 0.1, block)
+    group.plan_block(end_s, block)
     group.plan(end_s, heal)
 
 
@@ -289,6 +292,28 @@
         fault(group, rng, name)
 
 
+def _split(group: FaultyGroup, rng: random.Random) -> None:
+    """Cuts the members into two parts, whatever else is lost."""
+    names = sorted(group.nodes)
+    smaller = set(rng.sample(names, (len(names) - 1) // 2))
+    group.note(f"split off {sorted(smaller)}")
+    losses = [group.begin_loss(name) for name in smaller]
+
+    def block() -> None:
+        for name in smaller:
+            for other in group.nodes.keys() - smaller:
+                group.block_link(name, other)
+
+    def heal() -> None:
+        group.heal()
+        for loss in losses:
+            group.end_loss(loss)
+
+    end_s = rng.uniform(0.5, 6.0)
+    group.plan_block(end_s, block)
+    group.plan(end_s, heal)
+
+
 def _restart_all(group: FaultyGroup, rng: random.Random) -> None:
     """Cuts the power of all members at once, whatever else is lost."""
     names = [n.name for n in group.nodes.values() if n.replica]
@@ -365,7 +390,7 @@
     end_at = group.now + seconds
     while group.now < end_at:
         if rng.random() < 0.04:
-            _restart_all(group, rng)
+            rng.choice((_restart_all, _split))(group, rng)
         else:
             _inject(group, rng)
         next_at = group.now + rng.uniform(0.05, pause_s)
--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -131,6 +131,52 @@
     context.group.start(context.new)
 
 
+@when("a following member is removed, and a new one starts")
+def swap_follower(context):
+    context.removed = following_member(context.group)
+    context.group.remove(context.removed)
+    context.group.add_new()
+
+
+@when("the leader hands over each {interval:f} s for {seconds:f} s")
+def hand_over_repeatedly(context, interval, seconds):
+    group = context.group
+    end = group.now + seconds
+    while group.now < end:
+        group.run(interval)
+        for node in group.running():
+            group.transfer_leadership(node.name)
+
+
+@then("the removed member does not vote")
+def check_removed(context):
+    votes = {m.name for m in context.group.member_list() if m.voter}
+    assert context.removed not in votes, votes
+
+
+@when("a following member is cut off for {seconds:f} s and replaced")
+def replace_cut_off(context, seconds):
+    group = context.group
+    context.cut_off = following_member(group)
+    new = group.add_new()
+    for other in group.nodes.keys() - {context.cut_off}:
+        group.block_link(context.cut_off, other)
+    group.run(seconds)
+    votes = {m.name for m in group.member_list() if m.voter}
+    assert new in votes and context.cut_off not in votes, votes
+    group.heal()
+
+
+@then(
+    "the group has {count:d} voters, and the one that was cut off is a learner"
+)
+def check_rejoined(context, count):
+    members = context.group.member_list()
+    assert sum(m.voter for m in members) == count, members
+    learners = [m.name for m in members if not m.voter]
+    assert learners == [context.cut_off], learners
+
+
 @when("a following member restarts")
 def restart_follower(context):
     context.restarted = following_member(context.group)
@@ -258,8 +304,8 @@
 
 @then("the removed member does not vote, and the paused one does")
 def check_longest_absent(context):
+    check_removed(context)
     votes = {m.name for m in context.group.member_list() if m.voter}
-    assert context.removed not in votes, votes
     assert context.paused in votes, votes
 
 
