--- a/knapweedarch/replica_leadership.py
+++ b/knapweedarch/replica_leadership.py
@@ -177,7 +177,7 @@
         return now - max(peer.last_contact, peer.added_at)
 
     def absence(self, identity: str, now: float) -> float:
-        """Returns for how many seconds only a majority answered this leader.
+        """Returns for how many seconds a majority answered and a member not.
 
         Unlike `silence`, it grows neither while the leader itself stands still
         nor by the round trip, if a majority of the voters is as far away.
