Leave members time that form the group at the same time

Cause: each question about a member spoils the attempts of others that have asked it but not sent their lists yet. Members tried again every 0.25 s; if the answers take longer than that, no attempt ends.

A member waits for a random, growing time after a failed attempt (0.25 to 4 s); only the first seed tries again at once as long as a seed does not listen. All seeds are asked at the same time, which shortens an attempt.

--- a/features/forming.feature
+++ b/features/forming.feature
@@ -36,3 +36,18 @@
     could write anything.
     When 5 members start, and the first seed comes back with an empty disk
     Then one group forms with all members within 8.0 s
+
+  Scenario: A group forms whichever message of the forming is interrupted
+    Load: at each of the three Describe and Form messages, before and after it was
+    handled, the link is cut, or each seed, two, all seeds or all members are
+    killed, or each seed loses its disk. Guards against an order of kills after
+    which there is no group, or more than one.
+    When 5 members start, and each step of the forming is interrupted once
+    Then one group forms with all members within 12.0 s each time
+
+  Scenario: Members that form the group at the same time leave each other time
+    Load: the first seed does not form the group, the four others do, and each
+    answer takes longer than the time between their attempts. Guards against
+    members that spoil each other's attempts for ever.
+    When 5 members start, whose answers take 1.0 s and of which the first seed waits
+    Then one group forms with all members within 20.0 s in each of 5 starts
--- a/features/steps/forming_steps.py
+++ b/features/steps/forming_steps.py
@@ -7,6 +7,16 @@
 from standins.forming_site import Kill, Moment, open_forming_site
 
 START_LIMIT_S = 8.0
+MAX_CONCURRENT_SITES = 4
+STEPS = [
+    (message, number, moment)
+    for message in (control.Describe, control.Form)
+    for number in (1, 2, 3)
+    for moment in Moment
+]
+CUT = ()
+KILLED = [CUT, (1,), (2,), (3,), (1, 2), (1, 2, 3), (1, 2, 3, 4, 5)]
+WIPED = [(1,), (2,), (3,)]
 
 
 MESSAGES = {"Describe": control.Describe, "Form": control.Form}
@@ -48,3 +58,78 @@
 def check_formed(context, limit_s):
     fault = anyio.run(form_group, context.count, context.kill, limit_s)
     assert not fault, fault
+
+
+@when(
+    "{count:d} members start, and each step of the forming is interrupted once"
+)
+def start_and_interrupt(context, count):
+    context.count = count
+    context.kills = [Kill(*s, victims) for s in STEPS for victims in KILLED]
+    context.kills += [
+        Kill(*s, victims, wipe=True) for s in STEPS for victims in WIPED
+    ]
+
+
+async def form_groups(
+    count: int, kills: list[Kill], limit_s: float
+) -> list[str]:
+    """Plays many starts; returns what is wrong with them."""
+    limiter = anyio.CapacityLimiter(MAX_CONCURRENT_SITES)
+    faults = []
+
+    async def form(kill: Kill) -> None:
+        async with limiter:
+            if fault := await form_group(count, kill, limit_s):
+                faults.append(fault)
+
+    async with anyio.create_task_group() as group:
+        for kill in kills:
+            group.start_soon(form, kill)
+    return faults
+
+
+@then("one group forms with all members within {limit_s:f} s each time")
+def check_all_formed(context, limit_s):
+    faults = anyio.run(form_groups, context.count, context.kills, limit_s)
+    assert not faults, "\n".join([f"{len(faults)} starts:", *faults])
+
+
+@when(
+    "{count:d} members start, whose answers take {delay_s:f} s and of which "
+    "the first seed waits"
+)
+def start_slow_members(context, count, delay_s):
+    context.count = count
+    context.delay_s = delay_s
+
+
+async def form_slowly(count: int, delay_s: float, limit_s: float) -> str:
+    """Plays a start with slow answers; returns what is wrong with it."""
+    async with open_forming_site(count) as site:
+        site.answer_delay_s = delay_s
+        for number in range(1, count + 1):
+            site.start(number, bootstrap=number > 1)
+        if not await site.wait_formed(limit_s):
+            return f"lists {site.lists()}, {site.steps}"
+        return ""
+
+
+@then(
+    "one group forms with all members within {limit_s:f} s in each of "
+    "{starts:d} starts"
+)
+def check_slow_starts(context, limit_s, starts):
+    faults = []
+
+    async def form():
+        if fault := await form_slowly(context.count, context.delay_s, limit_s):
+            faults.append(fault)
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            for _ in range(starts):
+                group.start_soon(form)
+
+    anyio.run(run)
+    assert not faults, "\n".join([f"{len(faults)} starts:", *faults])
--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -272,15 +272,37 @@
             ControlError: A member belongs to another group, has another name
                 or does not answer, or all members already belong to a group.
         """
-        contacts: list[_Contact] = []
+        contacts: dict[MemberAddress, _Contact] = {}
         try:
-            for member in members:
-                contacts.append(await self._contact(member))
-            await self._form_all(contacts)
+            await self._contact_all(members, contacts)
+            await self._form_all([contacts[member] for member in members])
         finally:
-            for contact in contacts:
+            for contact in contacts.values():
                 contact.link.close()
 
+    async def _contact_all(
+        self,
+        members: Sequence[MemberAddress],
+        contacts: dict[MemberAddress, _Contact],
+    ) -> None:
+        """Asks all members at the same time; adds those that answer.
+
+        The shorter this takes, the less it hinders others that form the group.
+        """
+        failures: list[ControlError] = []
+
+        async def contact(member: MemberAddress) -> None:
+            try:
+                contacts[member] = await self._contact(member)
+            except ControlError as exc:
+                failures.append(exc)
+
+        async with anyio.create_task_group() as group:
+            for member in members:
+                group.start_soon(contact, member)
+        if failures:
+            raise failures[0]
+
     async def _form_all(self, contacts: Sequence[_Contact]) -> None:
         if not any(c.description.blank for c in contacts):
             raise ControlError(
--- a/knapweedarch/forming.py
+++ b/knapweedarch/forming.py
@@ -1,5 +1,6 @@
 """Forming of the group: who may form it, and what completes it."""
 
+import random
 import weakref
 from collections.abc import Iterable, Sequence
 
@@ -12,6 +13,8 @@
 
 # Wait of a member until it forms the group, for each seed before it.
 FOUNDER_DELAY_S = 1.0
+MIN_RETRY_S = 0.25
+MAX_RETRY_S = 4.0
 
 
 def order_seeds(seeds: Iterable[Address]) -> tuple[Address, ...]:
@@ -22,14 +25,60 @@
     return tuple(sorted(seeds, key=lambda s: (s.host, s.port)))
 
 
-def founder_delay_s(seeds: Iterable[Address], listen: Address) -> float:
-    """Returns how long a member leaves it to others to form the group.
+class FormingSchedule:
+    """Tells when a member may form the group.
 
-    The first seed forms it at once, members that are no seeds last.
+    Each attempt spoils those of other members that have asked but not sent
+    their lists yet. Random, growing waits let one of them finish.
+
+    Args:
+        start_at: Time of the first attempt, in seconds.
+        is_first: Whether this member is the first seed, which the others leave
+            time to.
+        seed: Seed of the random waits.
+    """
+
+    def __init__(self, start_at: float, is_first: bool, seed: int):
+        self._due_at = start_at
+        self._is_first = is_first
+        self._random = random.Random(seed)
+        self._retry_s = MIN_RETRY_S
+
+    def is_due(self, now: float) -> bool:
+        """Returns whether the next attempt may begin."""
+        return now >= self._due_at
+
+    def note_failure(self, now: float, refused: bool) -> None:
+        """Schedules the next attempt.
+
+        Args:
+            now: Current time in seconds.
+            refused: Whether a member refused; otherwise one did not answer,
+                such as a seed that is not listening yet.
+        """
+        if self._is_first and not refused:
+            self._due_at = now + MIN_RETRY_S
+            return
+        self._retry_s = min(2 * self._retry_s, MAX_RETRY_S)
+        self._due_at = now + self._random.uniform(0.5, 1) * self._retry_s
+
+
+def create_schedule(
+    seeds: Iterable[Address], listen: Address, now: float, seed: int
+) -> FormingSchedule:
+    """Creates the schedule of a member.
+
+    The first seed forms the group at once, members that are no seeds last.
+
+    Args:
+        seeds: Seeds that form the group.
+        listen: Address of the member.
+        now: Current time in seconds.
+        seed: Seed of the random waits.
     """
     ordered = order_seeds(seeds)
     rank = ordered.index(listen) if listen in ordered else len(ordered)
-    return rank * FOUNDER_DELAY_S
+    return FormingSchedule(now + rank * FOUNDER_DELAY_S, rank == 0, seed)
 
 
 class FormingPromise:
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -17,8 +17,9 @@
 )
 from knapweedarch.forming import (
     FormingPromise,
+    FormingSchedule,
     GroupCompletion,
-    founder_delay_s,
+    create_schedule,
     order_seeds,
 )
 from knapweedarch.journal import Founding, open_journal
@@ -95,7 +96,7 @@
             settings.members or seed_addresses(settings.seeds),
             *(self._credential, clock),
         )
-        self._form_at = math.inf
+        self._schedule = self._create_schedule()
         self._group_seen_at = -math.inf
         self._promise = FormingPromise()
         self._completion = GroupCompletion(
@@ -214,10 +215,6 @@
 
     async def _form(self) -> None:
         """Forms the group, or completes one that is formed only in part."""
-        founding = self._journal.founding
-        if founding is not None:
-            delay_s = founder_delay_s(founding.seeds, self._settings.listen)
-            self._form_at = self._clock.now() + delay_s
         while True:
             if self._replica.knows_group:
                 self._end_founding()
@@ -236,7 +233,15 @@
         return (
             self._journal.founding is not None
             and self._replica.blank
-            and self._clock.now() >= self._form_at
+            and self._schedule.is_due(self._clock.now())
+        )
+
+    def _create_schedule(self) -> FormingSchedule:
+        founding = self._journal.founding
+        return create_schedule(
+            founding.seeds if founding is not None else (),
+            *(self._settings.listen, self._clock.now()),
+            int(self._journal.identity, 16),
         )
 
     async def _form_first_group(self) -> None:
@@ -246,6 +251,9 @@
             await self._control.form(tuple(addresses))
         except ControlError as exc:
             self._report_group_not_found(exc)
+            self._schedule.note_failure(
+                self._clock.now(), refused=exc.reason == "refused"
+            )
 
     def _end_founding(self) -> None:
         """Forms no group from now on, since there is one."""
--- a/standins/forming_site.py
+++ b/standins/forming_site.py
@@ -41,7 +41,7 @@
         message: Class of the message, `Describe` or `Form`.
         number: Which message of the class, counted from 1.
         moment: Whether it has been handled by then.
-        victims: Numbers of the members.
+        victims: Numbers of the members; if empty, the link is cut instead.
         wipe: Whether they lose their disks as well.
     """
 
@@ -66,6 +66,7 @@
         members: Running members by number.
         steps: Handled messages of the forming, such as `Form 2`.
         killed: Set once the kill has taken place.
+        answer_delay_s: Delay of each answer to Describe, in seconds.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         self._running: dict[int, _Running] = {}
         self._handled: collections.Counter[type] = collections.Counter()
         self.steps: list[str] = []
+        self.answer_delay_s = 0.0
         self.killed = anyio.Event()
 
     def address(self, number: int) -> Address:
@@ -139,19 +141,23 @@
         self.steps.append(f"{kind.__name__} {number}")
         self._handled[kind] += 1
         step = (kind, self._handled[kind])
-        await self._kill_at((*step, Moment.BEFORE), number)
+        await self._kill_at((*step, Moment.BEFORE), number, link)
         reply = await handle(link, message)
-        await self._kill_at((*step, Moment.AFTER), number)
+        if kind is control.Describe:
+            await anyio.sleep(self.answer_delay_s)
+        await self._kill_at((*step, Moment.AFTER), number, link)
         return reply
 
     async def _kill_at(
-        self, step: tuple[type, int, Moment], number: int
+        self, step: tuple[type, int, Moment], number: int, link: links.Link
     ) -> None:
         kill = self._kill
         if kill is None or (kill.message, kill.number, kill.moment) != step:
             return
         for victim in kill.victims:
             self.kill(victim)
+        if not kill.victims:
+            link.close()
         self.killed.set()
         self._group.start_soon(self._restart, kill)
         if number in kill.victims:
