--- a/knapweedarch/forming.py
+++ b/knapweedarch/forming.py
@@ -126,6 +126,8 @@
         self._client = client
         # Identities of the members that hold the entry.
         self._complete = {identity}
+        # Refusals already told, by name of the member.
+        self._refusals: dict[str, str] = {}
 
     async def run_once(self, members: Sequence[replica.Member]) -> None:
         """Tells the members at the same time; those that fail, next time."""
@@ -147,8 +149,14 @@
             was_blank = await self._client.hand_on_group(form, member)
         except ControlError as exc:
             if exc.reason == "refused":
-                log("group_refused", member=member.name, reason=str(exc))
+                self._report_refusal(member.name, str(exc))
             return
         self._complete.add(member.identity)
         if was_blank:
             log("group_handed_on", member=member.name)
+
+    def _report_refusal(self, name: str, reason: str) -> None:
+        """Tells once why a member refuses, as long as that stays the same."""
+        if self._refusals.get(name) != reason:
+            self._refusals[name] = reason
+            log("group_refused", member=name, reason=reason)
