Keep that a member forms the group before its slow imports

Callers saw: 503 for ever after all members were killed while they started for the first time and came back with bootstrap false.

Cause: the file with the seeds was written after the imports, which take 0.3 s and on a busy machine more than 0.6 s.

The new scenario of adapter.feature checks that the file is written before slow imports.

Members killed before that still know nothing.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -174,3 +174,11 @@
     And the log holds runner "i-1" of incarnation "5"
     When the member handles a DELETE request for instance "i-1"
     Then the call is confirmed and runner "i-1" has status leaving
+
+  Scenario: A member keeps that it forms the group before its slow imports
+    Guards against a deployment that nobody forms, after all members were killed
+    while they imported their modules and came back with bootstrap false.
+    Given the settings of a first start
+    When the first lines of the member's process run
+    Then a journal without bootstrap knows the seeds
+    And no slow module was imported
--- a/features/steps/adapter_process_steps.py
+++ b/features/steps/adapter_process_steps.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -12,6 +13,9 @@
 
 from behave import given, then, when
 
+from knapweedarch.founding import Founding
+from knapweedarch.journal import open_journal
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 SEED = "127.0.0.1:1"
 OTHER_SEED = "127.0.0.2:1"
@@ -94,3 +98,56 @@
     context.process.send_signal(signal.SIGTERM)
     context.process.communicate(timeout=EXIT_TIMEOUT_S)
     assert context.process.returncode == 0
+
+
+# Prints what a member's process has imported before its daemon.
+FIRST_LINES = """
+import json, sys
+sys.path[:0] = ["platform", "."]
+import knapweedarch.process_start
+from adapter.first_start import keep_founding
+keep_founding()
+print(json.dumps(sorted(sys.modules)))
+"""
+
+
+@given("the settings of a first start")
+def write_first_settings(context):
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="knapweedarch-"))
+    context.add_cleanup(shutil.rmtree, folder)
+    context.data = folder / "data"
+    context.settings_file = folder / "local.conf"
+    context.settings_file.write_text(
+        "portRange=7340,7355\nbootstrap=true\n"
+        f"seedNodes=10.1.0.33:8783,10.2.0.25:8783\ndataDir={context.data}\n"
+    )
+
+
+@when("the first lines of the member's process run")
+def run_first_lines(context):
+    done = subprocess.run(
+        [sys.executable, "-c", FIRST_LINES],
+        cwd=ROOT,
+        env={
+            "PATH": os.environ["PATH"],
+            "KNAPWEEDARCH_NODE_FILE": str(context.settings_file),
+        },
+        capture_output=True,
+        check=True,
+        timeout=EXIT_TIMEOUT_S,
+    )
+    context.modules = json.loads(done.stdout)
+
+
+@then("a journal without bootstrap knows the seeds")
+def check_seeds_known(context):
+    journal = open_journal(str(context.data))
+    context.add_cleanup(journal.close)
+    seeds = ("10.1.0.33:7340", "10.2.0.25:7340")
+    assert journal.founding == Founding(seeds), journal.founding
+
+
+@then("no slow module was imported")
+def check_imports(context):
+    slow = {"anyio", "cattrs", "msgpack", "httpx", "h11", "asyncio"}
+    assert not slow & set(context.modules), slow & set(context.modules)
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -17,7 +17,8 @@
 from bench.virtual_group import Disk
 from knapweedarch import control
 from knapweedarch.exceptions import JournalError, JournalFullError
-from knapweedarch.journal import HEADER, Founding, open_journal
+from knapweedarch.founding import Founding
+from knapweedarch.journal import HEADER, open_journal
 from knapweedarch.journal_files import JournalFiles
 from knapweedarch.logs import setup_logging
 from knapweedarch.member import create_member, open_member
@@ -625,8 +626,7 @@
 
 @given("an empty folder in which a member is told to form the group")
 def founding_member(context):
-    seeds = (Address("127.0.0.1", 1), Address("127.0.0.1", 2))
-    context.founding = Founding(seeds)
+    context.founding = Founding(("127.0.0.1:1", "127.0.0.1:2"))
 
 
 @when("the process is killed at each operation of its first start")
--- a/knapweedarch/forming.py
+++ b/knapweedarch/forming.py
@@ -8,6 +8,7 @@
 
 from knapweedarch import control, links, replica
 from knapweedarch.exceptions import ControlError
+from knapweedarch.founding import Founding
 from knapweedarch.logs import log
 from knapweedarch.settings import Address
 
@@ -25,6 +26,17 @@
     return tuple(sorted(seeds, key=lambda s: (s.host, s.port)))
 
 
+def create_founding(seeds: Iterable[Address]) -> Founding:
+    """Returns the first start of a deployment with these seeds."""
+    return Founding(tuple(f"{s.host}:{s.port}" for s in seeds))
+
+
+def founding_seeds(founding: Founding) -> tuple[Address, ...]:
+    """Returns the seeds in the order in which they form the group."""
+    pairs = (seed.rpartition(":") for seed in founding.seeds)
+    return order_seeds(Address(host, int(port)) for host, _, port in pairs)
+
+
 class FormingSchedule:
     """Tells when a member may form the group.
 
--- a/knapweedarch/journal.py
+++ b/knapweedarch/journal.py
@@ -3,8 +3,8 @@
 The folder contains:
 
 - `identity`: random identifier, generated once.
-- `founding`: seeds of a deployment that starts for the first time, in one
-  frame; removed once there is a group. Earlier builds ignore it.
+- `founding`: seeds of a deployment that starts for the first time; removed once
+  there is a group. Earlier builds ignore it.
 - `lock`: locked by the process that has the journal open.
 - `log-<number>`: records, each in one frame and saved with one sync. Only the
   file with the highest number is valid. Its first record contains the index and
@@ -28,12 +28,18 @@
 import attrs
 import xxhash
 
-from knapweedarch.codec import Codec, create_codec
+from knapweedarch.codec import create_codec
 from knapweedarch.exceptions import (
     CodecError,
     JournalError,
     JournalFullError,
 )
+from knapweedarch.founding import (
+    FOUNDING_FILE,
+    Founding,
+    load_founding,
+    save_founding,
+)
 from knapweedarch.journal_files import JournalFiles
 from knapweedarch.logs import log
 from knapweedarch.replica_messages import (
@@ -45,12 +51,8 @@
     Snapshot,
     initial_members_entry,
 )
-from knapweedarch.settings import Address
 
 IDENTITY_BYTES = 8
-FOUNDING_FILE = "founding"
-# The file may be older than the identity, which seeds other checksums.
-FOUNDING_CHECKSUM_SEED = 0
 # No space, no more quota, or a file at the limit of the process.
 DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 MAGIC = b"KWJ1"
@@ -58,17 +60,6 @@
 HEADER = struct.Struct("<4sQQQ")
 
 
-@attrs.frozen
-class Founding:
-    """First start of a deployment, as a member's settings told it.
-
-    Attributes:
-        seeds: Seeds that form the group; the same for all members.
-    """
-
-    seeds: tuple[Address, ...]
-
-
 @attrs.frozen
 class _Start:
     """Content of the first frame of a log file."""
@@ -104,7 +95,6 @@
 
 
 _FRAME_CODEC = create_codec(_Start, _Change, Snapshot)
-_FOUNDING_CODEC = create_codec(Founding)
 
 
 def _encode_identity(identity: str) -> bytes:
@@ -202,18 +192,9 @@
         return identity
 
     def _load_founding(self, founding: Founding | None) -> Founding | None:
-        if FOUNDING_FILE in self._files.names():
-            data = self._files.read(FOUNDING_FILE)
-            frame = _unpack_frame(data, 0, FOUNDING_CHECKSUM_SEED)
-            if frame is None:
-                raise JournalError(f"the file {FOUNDING_FILE} is corrupt")
-            return self._decode(frame[1], _FOUNDING_CODEC)
-        if founding is not None and not self._log_numbers():
-            content = _FOUNDING_CODEC.encode(founding)
-            self._files.write_new(
-                FOUNDING_FILE, _pack_frame(0, content, FOUNDING_CHECKSUM_SEED)
-            )
-        return founding
+        if founding is not None:
+            save_founding(self._files, founding)
+        return load_founding(self._files) or founding
 
     def end_founding(self) -> None:
         """Forgets that this member was told to form the group.
@@ -279,9 +260,9 @@
             offset += HEADER.size + len(content)
         return frames, offset
 
-    def _decode(self, content: bytes, codec: Codec = _FRAME_CODEC) -> object:
+    def _decode(self, content: bytes) -> object:
         try:
-            return codec.decode(content)
+            return _FRAME_CODEC.decode(content)
         except CodecError as exc:
             raise JournalError(f"malformed record: {exc}") from exc
 
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -19,10 +19,11 @@
     FormingPromise,
     FormingSchedule,
     GroupCompletion,
+    create_founding,
     create_schedule,
-    order_seeds,
+    founding_seeds,
 )
-from knapweedarch.journal import Founding, open_journal
+from knapweedarch.journal import open_journal
 from knapweedarch.journal_writer import DISK_SPACE_RETRY_S, JournalWriter
 from knapweedarch.leader import NOTIFY_INTERVAL_S, Leader
 from knapweedarch.logs import log
@@ -75,7 +76,9 @@
         self._credential = settings.credential.encode()
         self._journal = open_journal(
             str(settings.data_folder),
-            founding=Founding(settings.seeds) if settings.bootstrap else None,
+            founding=create_founding(settings.seeds)
+            if settings.bootstrap
+            else None,
         )
         self._writer = JournalWriter(
             *(self._journal, clock, metrics, self._suspend_replica)
@@ -239,13 +242,13 @@
     def _create_schedule(self) -> FormingSchedule:
         founding = self._journal.founding
         return create_schedule(
-            founding.seeds if founding is not None else (),
+            founding_seeds(founding) if founding is not None else (),
             *(self._settings.listen, self._clock.now()),
             int(self._journal.identity, 16),
         )
 
     async def _form_first_group(self) -> None:
-        seeds = order_seeds(self._journal.founding.seeds)
+        seeds = founding_seeds(self._journal.founding)
         addresses = (control.MemberAddress("", s.host, s.port) for s in seeds)
         try:
             await self._control.form(tuple(addresses))
