--- a/knapweedarch/forming.py
+++ b/knapweedarch/forming.py
@@ -1,5 +1,6 @@
 """Forming of the group: who may form it, and what completes it."""
 
+import random
 import weakref
 from collections.abc import Iterable, Sequence
 
@@ -7,11 +8,14 @@
 
 from knapweedarch import control, links, replica
 from knapweedarch.exceptions import ControlError
+from knapweedarch.founding import Founding
 from knapweedarch.logs import log
 from knapweedarch.settings import Address
 
 # Wait of a member until it forms the group, for each seed before it.
 FOUNDER_DELAY_S = 1.0
+MIN_RETRY_S = 0.25
+MAX_RETRY_S = 4.0
 
 
 def order_seeds(seeds: Iterable[Address]) -> tuple[Address, ...]:
@@ -22,14 +26,71 @@
     return tuple(sorted(seeds, key=lambda s: (s.host, s.port)))
 
 
-def founder_delay_s(seeds: Iterable[Address], listen: Address) -> float:
-    """Returns how long a member leaves it to others to form the group.
+def create_founding(seeds: Iterable[Address]) -> Founding:
+    """Returns the first start of a deployment with these seeds."""
+    return Founding(tuple(f"{s.host}:{s.port}" for s in seeds))
 
-    The first seed forms it at once, members that are no seeds last.
+
+def founding_seeds(founding: Founding) -> tuple[Address, ...]:
+    """Returns the seeds in the order in which they form the group."""
+    pairs = (seed.rpartition(":") for seed in founding.seeds)
+    return order_seeds(Address(host, int(port)) for host, _, port in pairs)
+
+
+class FormingSchedule:
+    """Tells when a member may form the group.
+
+    Each attempt spoils those of other members that have asked but not sent
+    their lists yet. Random, growing waits let one of them finish.
+
+    Args:
+        start_at: Time of the first attempt, in seconds.
+        is_first: Whether this member is the first seed, which the others leave
+            time to.
+        seed: Seed of the random waits.
+    """
+
+    def __init__(self, start_at: float, is_first: bool, seed: int):
+        self._due_at = start_at
+        self._is_first = is_first
+        self._random = random.Random(seed)
+        self._retry_s = MIN_RETRY_S
+
+    def is_due(self, now: float) -> bool:
+        """Returns whether the next attempt may begin."""
+        return now >= self._due_at
+
+    def note_failure(self, now: float, refused: bool) -> None:
+        """Schedules the next attempt.
+
+        Args:
+            now: Current time in seconds.
+            refused: Whether a member refused; otherwise one did not answer,
+                such as a seed that is not listening yet.
+        """
+        if self._is_first and not refused:
+            self._due_at = now + MIN_RETRY_S
+            return
+        self._retry_s = min(2 * self._retry_s, MAX_RETRY_S)
+        self._due_at = now + self._random.uniform(0.5, 1) * self._retry_s
+
+
+def create_schedule(
+    seeds: Iterable[Address], listen: Address, now: float, seed: int
+) -> FormingSchedule:
+    """Creates the schedule of a member.
+
+    The first seed forms the group at once, members that are no seeds last.
+
+    Args:
+        seeds: Seeds that form the group.
+        listen: Address of the member.
+        now: Current time in seconds.
+        seed: Seed of the random waits.
     """
     ordered = order_seeds(seeds)
     rank = ordered.index(listen) if listen in ordered else len(ordered)
-    return rank * FOUNDER_DELAY_S
+    return FormingSchedule(now + rank * FOUNDER_DELAY_S, rank == 0, seed)
 
 
 class FormingPromise:
@@ -77,6 +138,8 @@
         self._client = client
         # Identities of the members that hold the entry.
         self._complete = {identity}
+        # Refusals already told, by name of the member.
+        self._refusals: dict[str, str] = {}
 
     async def run_once(self, members: Sequence[replica.Member]) -> None:
         """Tells the members at the same time; those that fail, next time."""
@@ -98,8 +161,14 @@
             was_blank = await self._client.hand_on_group(form, member)
         except ControlError as exc:
             if exc.reason == "refused":
-                log("group_refused", member=member.name, reason=str(exc))
+                self._report_refusal(member.name, str(exc))
             return
         self._complete.add(member.identity)
         if was_blank:
             log("group_handed_on", member=member.name)
+
+    def _report_refusal(self, name: str, reason: str) -> None:
+        """Tells once why a member refuses, as long as that stays the same."""
+        if self._refusals.get(name) != reason:
+            self._refusals[name] = reason
+            log("group_refused", member=name, reason=reason)
