Let the soak switch builds of proxies, and read each log line once

With several builds, members now change between them more often than anything else happens, and proxies do so too. The soak read all logs anew for each look at the leader, in the loop that also takes its times; it now reads what was added.

--- a/standins/member_site.py
+++ b/standins/member_site.py
@@ -12,7 +12,7 @@
 
 from standins.platform_site import ROOT, PlatformSite, Process
 from standins.polling import wait_until
-from standins.soak_logs import find_leader
+from standins.soak_logs import LeaderFinder
 
 FAULTS_BORNE = 2
 SEED_COUNT = 3
@@ -58,6 +58,7 @@
         self.logs: dict[str, pathlib.Path] = {}
         self.builds = builds or (ROOT,)
         self._member_count = 0
+        self._leader_finder = LeaderFinder()
         self._started_at: dict[str, float] = {}
         self._lists: list[tuple[float, list[str]]] = []
 
@@ -104,7 +105,7 @@
 
     def leader(self) -> str:
         """Returns the name of the member that began to lead last."""
-        return find_leader(self.logs)
+        return self._leader_finder.read(self.logs)
 
     def address_of(self, name: str) -> str:
         """Returns the control address of a member."""
--- a/standins/soak_events.py
+++ b/standins/soak_events.py
@@ -44,10 +44,18 @@
     async def play(self, event: Event) -> None:
         """Starts an event as soon as the budget allows it."""
         await anyio.sleep(event.after_s)
-        if event.kind is Kind.CALM:
-            await self.wait_calm()
-            return
         choice = random.Random(event.choice)
+        match event.kind:
+            case Kind.CALM:
+                await self.wait_calm()
+            case Kind.SWITCH_PROXY:
+                await self._switch_proxy(choice)
+            case _:
+                await self._play_on_members(event, choice)
+
+    async def _play_on_members(
+        self, event: Event, choice: random.Random
+    ) -> None:
         names = await self._take_members(event, choice)
         self.counts[event.kind.value] += 1
         self._site.record(
@@ -235,6 +243,14 @@
         self._start_again(name, event, choice)
         self._end_loss(place)
 
+    async def _switch_proxy(self, choice: random.Random) -> None:
+        name = choice.choice(self._site.proxy_names())
+        self.counts[Kind.SWITCH_PROXY.value] += 1
+        with anyio.CancelScope(shield=True):
+            await self._stop(name)
+            self._site.use_next_build(name)
+            self._site.start_again(name)
+
     async def _restart_all(self, names: list[str], event: Event) -> None:
         places = [self._begin_loss(name) for name in names]
         self._site.kill_all(names)
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -26,6 +26,7 @@
     CHANGE_SEEDS = "change_seeds"
     RESTART_ALL = "restart_all"
     SWITCH_BUILD = "switch_build"
+    SWITCH_PROXY = "switch_proxy"
     CALM = "calm"
 
 
@@ -40,7 +41,7 @@
     Kind.RESTART_ALL: 1,
     Kind.CALM: 4,
 }
-_SWITCH_WEIGHT = 8
+_SWITCH_WEIGHTS = {Kind.SWITCH_BUILD: 20, Kind.SWITCH_PROXY: 5}
 _PAIRED_KINDS = (Kind.RESTART, Kind.LOSE_DISK, Kind.REPLACE)
 
 
@@ -74,11 +75,16 @@
 
 
 def plan_events(seed: int, switches_builds: bool) -> Iterator[Event]:
-    """Yields the events of a seed without end."""
+    """Yields the events of a seed without end.
+
+    Args:
+        seed: Seed of all choices.
+        switches_builds: Whether members and proxies change their builds.
+    """
     choice = random.Random(seed)
     weights = dict(_WEIGHTS)
     if switches_builds:
-        weights[Kind.SWITCH_BUILD] = _SWITCH_WEIGHT
+        weights.update(_SWITCH_WEIGHTS)
     kinds = list(weights)
     for _ in itertools.count():
         kind = choice.choices(kinds, list(weights.values()))[0]
