--- a/knapweedarch/control.py
+++ b/knapweedarch/control.py
@@ -39,7 +39,12 @@
     StatusReply,
     Submit,
 )
-from knapweedarch.exceptions import ControlError, CredentialError, LinkError
+from knapweedarch.exceptions import (
+    CodecError,
+    ControlError,
+    CredentialError,
+    LinkError,
+)
 from knapweedarch.member_directory import MemberDirectory
 from knapweedarch.state import COMMANDS, RESULTS
 from knapweedarch.task_groups import TaskOwner
