Show what guards the silence of late members, and answers that are told for ever

'A voter that is gone is not told as one that answers' fails: Election.answers forgets nothing until a leader is heard.

--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -11,6 +11,14 @@
     Then all members are voters within 4.0 s
     And the new member was added 1 time
 
+  Scenario: A new member that answers late is added once
+    Guards against a leader that takes a member that has not answered yet for one
+    that has been silent for as long as the leader has led.
+    Given 5 members whose leader has led for 20.0 s
+    When a following member is replaced, and the new one first answers 0.3 s after it was added
+    Then all members are voters within 4.0 s
+    And the new member was added 1 time
+
   Scenario: A member that is gone is not added again
     Guards against a log that grows without end by a name that nobody bears.
     Given 5 members whose leader has led for 20.0 s
@@ -197,3 +205,11 @@
     When a spare member joins
     And it is cut off for 3.0 s together with a following member
     Then the list of members has changed 1 times
+
+  Scenario: A voter that is gone is not told as one that answers
+    Guards against on-call looking for another cause than a lost majority: a voter
+    that answered once in the search for a leader and is gone since.
+    Given 5 members whose leader has led for 20.0 s
+    When the leader and another member stop, and a third one after it has answered
+    And 30.0 s pass
+    Then no member that is left tells that the third one answers
--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -275,6 +275,20 @@
         group.freeze(group.leader().name, pause_s)
         group.run(pause_s + 3.0)
 
+@when(
+    "a following member is replaced, and the new one first answers"
+    " {seconds:f} s after it was added"
+)
+def replace_by_late(context, seconds):
+    group = context.group
+    (context.new,) = group.replace([following_member(group)], 0.5)
+    group.run_until(lambda: is_listed(group, context.new), 4.0)
+    group.freeze(context.new, seconds)
+
+
+def is_listed(group, name):
+    return any(m.name == name for m in group.leader().replica.members)
+
 
 @when("three of them stop, the leader among them")
 def stop_majority(context):
@@ -285,6 +299,26 @@
         group.crash(name)
 
 
+@when(
+    "the leader and another member stop, and a third one after it has answered"
+)
+def stop_one_after_another(context):
+    group = context.group
+    leader = group.leader().name
+    other, third, *_ = (name for name in group.nodes if name != leader)
+    group.crash(leader)
+    group.crash(other)
+    left = [n for n in group.running() if n.name != third]
+    group.run_until(
+        lambda: any(
+            third in n.replica.election_report().answered for n in left
+        ),
+        4.0,
+    )
+    group.crash(third)
+    context.third = third
+
+
 @when("{seconds:f} s pass")
 def pass_time(context, seconds):
     context.group.run(seconds)
@@ -374,3 +408,10 @@
     assert len(report.voters) == count, report
     # Its own vote is no answer of another voter.
     assert len(report.answered) + 1 == answered, report
+
+
+@then("no member that is left tells that the third one answers")
+def check_forgotten_answer(context):
+    for node in context.group.running():
+        report = node.replica.election_report()
+        assert context.third not in report.answered, report
