--- a/features/member_changes.feature
+++ b/features/member_changes.feature
@@ -213,3 +213,13 @@
     When the leader and another member stop, and a third one after it has answered
     And 30.0 s pass
     Then no member that is left tells that the third one answers
+
+  Scenario: A slow voter and a slow spare member are not exchanged for each other
+    Load: a voter and a spare member answer each heartbeat 0.7 s late, as slowed
+    machines do. Guards against an endless series of changes between members that
+    all answer.
+    Given 5 members whose leader has led for 20.0 s
+    When a spare member joins
+    And it and a following member answer 0.66 to 0.72 s late
+    And 60.0 s pass
+    Then the list of members has changed at most 4 times
--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -415,3 +415,16 @@
     for node in context.group.running():
         report = node.replica.election_report()
         assert context.third not in report.answered, report
+
+@when("it and a following member answer {low:f} to {high:f} s late")
+def slow_down_two(context, low, high):
+    group = context.group
+    spare = next(m.name for m in group.leader().replica.members if not m.voter)
+    group.slow_delay = (low / 2, high / 2)
+    group.slow = {spare, following_member(group)}
+
+
+@then("the list of members has changed at most {count:d} times")
+def check_few_member_entries(context, count):
+    changed = context.group.member_entries() - context.entries_before
+    assert changed <= count, f"{changed} changes"
