--- a/features/forming.feature
+++ b/features/forming.feature
@@ -51,3 +51,20 @@
     members that spoil each other's attempts for ever.
     When 5 members start, whose answers take 1.0 s and of which the first seed waits
     Then one group forms with all members within 20.0 s in each of 5 starts
+
+  Scenario Outline: A group forms although one seed is lost for good at the start
+    Guards against members that wait for ever for a seed whose machine is gone, of
+    which the faults that are to be borne allow more than one.
+    When 5 members start without seed <seed>
+    Then one group forms with the members that started within 12.0 s
+
+    Examples:
+      | seed |
+      | 1    |
+      | 3    |
+
+  Scenario: A returning member forms no second group beside a living one
+    Guards against a configuration that is replaced by nothing: a member that was
+    away since the first start returns as the three seeds are back with empty disks.
+    When 4 of 5 members form a group, and the seeds lose their disks as the fifth returns
+    Then no member takes part in another group within 12.0 s
--- a/features/steps/forming_steps.py
+++ b/features/steps/forming_steps.py
@@ -1,5 +1,7 @@
 """Steps for the forming of the group."""
 
+import shutil
+
 import anyio
 from behave import then, when
 
@@ -133,3 +135,74 @@
 
     anyio.run(run)
     assert not faults, "\n".join([f"{len(faults)} starts:", *faults])
+
+
+@when("{count:d} members start without seed {number:d}")
+def start_without(context, count, number):
+    context.count, context.missing = count, number
+
+
+async def form_without(count: int, missing: int, limit_s: float) -> str:
+    """Plays a start without one member; returns what is wrong with it."""
+    async with open_forming_site(count) as site:
+        for number in range(count, 0, -1):
+            if number != missing:
+                site.start(number, bootstrap=True)
+        replicas = [m._replica for m in site.members.values()]
+        with anyio.move_on_after(limit_s):
+            while not all(r.knows_group for r in replicas):
+                await anyio.sleep(0.1)
+                replicas = [m._replica for m in site.members.values()]
+            return ""
+        return f"without seed {missing}: lists {site.lists()}"
+
+
+@then("one group forms with the members that started within {limit_s:f} s")
+def check_formed_without(context, limit_s):
+    fault = anyio.run(form_without, context.count, context.missing, limit_s)
+    assert not fault, fault
+
+
+@when(
+    "{members:d} of {count:d} members form a group, and the seeds lose their "
+    "disks as the fifth returns"
+)
+def play_return(context, members, count):
+    context.count = count
+
+
+async def play_second_group(count: int, limit_s: float) -> str:
+    """Returns which other group forms, if any."""
+    seeds = (1, 2, 3)
+    async with open_forming_site(count) as site:
+        site.start(count, bootstrap=True)
+        await anyio.sleep(0.5)
+        site.kill(count)
+        for number in range(count - 1, 0, -1):
+            site.start(number, bootstrap=True)
+        with anyio.fail_after(START_LIMIT_S):
+            while len(site.lists()) != 1 or not all(
+                m._replica.knows_group for m in site.members.values()
+            ):
+                await anyio.sleep(0.1)
+        first = set(site.lists()[0])
+        for number in seeds:
+            site.kill(number)
+        for number in seeds:
+            await site._running[number].ended.wait()
+            shutil.rmtree(site._folder / f"m{number}")
+            site.start(number, bootstrap=False)
+        site.start(count, bootstrap=False)
+        with anyio.move_on_after(limit_s):
+            while True:
+                others = [known for known in site.lists() if not known & first]
+                if others:
+                    return f"{others} beside {first}"
+                await anyio.sleep(0.1)
+        return ""
+
+
+@then("no member takes part in another group within {limit_s:f} s")
+def check_no_second_group(context, limit_s):
+    fault = anyio.run(play_second_group, context.count, limit_s)
+    assert not fault, fault
