Let only seeds form the first group

Callers would read an empty configuration: a member that had been away since the first start, and so did not know of the group, formed a second one of three seeds whose disks were lost, beside a voter of the first. It takes four losses, beyond the budget; without it the group stays down, as it must. A member that is no seed no longer forms the group. What it was for, all three seeds killed within some 0.05 s of the start, before they can write anything, then gives no group, as it does if all members are killed so early.

Evidence: 'A returning member forms no second group beside a living one' failed before and passes; the kills after each step of the forming pass as before.

--- a/features/steps/forming_steps.py
+++ b/features/steps/forming_steps.py
@@ -7,6 +7,7 @@
 
 from knapweedarch import control
 from standins.forming_site import Kill, Moment, open_forming_site
+from standins.polling import wait_until
 
 START_LIMIT_S = 8.0
 MAX_CONCURRENT_SITES = 4
@@ -181,10 +182,14 @@
         for number in range(count - 1, 0, -1):
             site.start(number, bootstrap=True)
         with anyio.fail_after(START_LIMIT_S):
-            while len(site.lists()) != 1 or not all(
-                m._replica.knows_group for m in site.members.values()
-            ):
-                await anyio.sleep(0.1)
+            await wait_until(
+                lambda: (
+                    len(site.lists()) == 1
+                    and all(
+                        m._replica.knows_group for m in site.members.values()
+                    )
+                )
+            )
         first = set(site.lists()[0])
         for number in seeds:
             site.kill(number)
--- a/knapweedarch/forming.py
+++ b/knapweedarch/forming.py
@@ -1,5 +1,6 @@
 """Forming of the group: who may form it, and what completes it."""
 
+import math
 import random
 import weakref
 from collections.abc import Iterable, Sequence
@@ -80,7 +81,9 @@
 ) -> FormingSchedule:
     """Creates the schedule of a member.
 
-    The first seed forms the group at once, members that are no seeds last.
+    The first seed forms the group at once, the other seeds later, and members
+    that are no seeds never: one that was away since the first start cannot
+    know of a group whose seeds have lost their disks since.
 
     Args:
         seeds: Seeds that form the group.
@@ -89,7 +92,9 @@
         seed: Seed of the random waits.
     """
     ordered = order_seeds(seeds)
-    rank = ordered.index(listen) if listen in ordered else len(ordered)
+    if listen not in ordered:
+        return FormingSchedule(math.inf, False, seed)
+    rank = ordered.index(listen)
     return FormingSchedule(now + rank * FOUNDER_DELAY_S, rank == 0, seed)
 
 
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -231,8 +231,8 @@
     def _should_form(self) -> bool:
         """Returns whether this member must form the group.
 
-        Every member of a new deployment does until there is a group, but not
-        at the same time.
+        The seeds of a new deployment do until there is a group, but not at the
+        same time.
         """
         return (
             self._journal.founding is not None
