Tell only voters that answered in the last two seconds

On-call would look for another cause than a lost majority: leader_missing named voters that had answered once in the search for a leader and were gone since.

Evidence: 'A voter that is gone is not told as one that answers' failed before and passes.

--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -465,7 +465,7 @@
     def _on_vote_reply(self, reply: VoteReply, now: float) -> None:
         if self.role not in (Role.PRE_CANDIDATE, Role.CANDIDATE):
             return
-        self._election.record_answer(reply)
+        self._election.record_answer(reply, now)
         if (
             reply.restarted
             and self.role is Role.PRE_CANDIDATE
--- a/knapweedarch/replica_election.py
+++ b/knapweedarch/replica_election.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from knapweedarch.replica_leadership import MAX_ELECTION_S, MIN_ELECTION_S
 from knapweedarch.replica_log import ReplicaLog
 from knapweedarch.replica_messages import HardState, VoteReply, VoteRequest
@@ -13,6 +15,19 @@
 VOTE_RETRY_S = (0.3, 0.6)
 
 
+@attrs.frozen
+class Answer:
+    """Answer of a voter to a candidate.
+
+    Attributes:
+        at: When it arrived, in seconds on the candidate's clock.
+        granted: Whether it is a vote or pre-vote.
+    """
+
+    at: float
+    granted: bool
+
+
 class Election:
     """Term, vote and election timer of one replica.
 
@@ -22,8 +37,7 @@
         hard_state: Term and vote.
         just_restarted: Whether the process has not heard from a leader since
             it started.
-        answers: Identities of the voters that answered since a leader was last
-            heard from, and whether the newest answer was a vote or pre-vote.
+        answers: Newest answer of each voter since a leader was last heard from.
     """
 
     def __init__(self, identity: str, hard_state: HardState, seed: int):
@@ -34,7 +48,7 @@
         # Identities that granted a vote in this term; the key is whether it is
         # a pre-vote.
         self._votes: dict[bool, set[str]] = {True: set(), False: set()}
-        self.answers: dict[str, bool] = {}
+        self.answers: dict[str, Answer] = {}
         self.just_restarted = False
         self._restarted_voters: set[str] = set()
         self._refuse_votes_until = 0.0
@@ -172,9 +186,9 @@
         self._restart_timer(now, MIN_ELECTION_S, MAX_ELECTION_S)
         return True
 
-    def record_answer(self, reply: VoteReply) -> None:
+    def record_answer(self, reply: VoteReply, now: float) -> None:
         """Records that a voter answered, for reports only."""
-        self.answers[reply.identity] = reply.granted
+        self.answers[reply.identity] = Answer(now, reply.granted)
 
     def count_vote(self, reply: VoteReply, voters: set[str]) -> bool:
         """Counts a granted vote; returns whether there is a majority."""
--- a/knapweedarch/replica_status.py
+++ b/knapweedarch/replica_status.py
@@ -23,6 +23,8 @@
     Snapshot,
 )
 
+# Answers of voters that are reported; candidates ask more often.
+RECENT_ANSWER_S = 2.0
 # Changes of the member list that wait for the driver to report them.
 MAX_UNREPORTED_CHANGES = 64
 
@@ -43,7 +45,7 @@
 
     Attributes:
         voters: Names of the voters.
-        answered: Names of those that answered since the last leader was lost.
+        answered: Names of those that answered in the last two seconds.
         granted: Names of those whose newest answer was a vote or pre-vote.
     """
 
@@ -158,11 +160,16 @@
     def election_report(self) -> ElectionReport:
         """Returns which voters answered in the present search for a leader."""
         voters = [m for m in self.members if m.voter]
-        answers = self._election.answers
+        lately = {
+            identity: answer
+            for identity, answer in self._election.answers.items()
+            if self._now - answer.at < RECENT_ANSWER_S
+        }
+        answered = [m for m in voters if m.identity in lately]
         return ElectionReport(
             tuple(m.name for m in voters),
-            tuple(m.name for m in voters if m.identity in answers),
-            tuple(m.name for m in voters if answers.get(m.identity)),
+            tuple(m.name for m in answered),
+            tuple(m.name for m in answered if lately[m.identity].granted),
         )
 
     def take_member_changes(self) -> tuple[MemberChange, ...]:
