Name voters and learners in each member's log

A follower's log told the names of the members only, and nothing of a promotion, so that on-call could tell from the leader's log alone who votes. One line for each change of the list, as before.

--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -107,7 +107,7 @@
         )
         self._work = anyio.Event()
         self._timers = Timers(clock)
-        self._addresses: tuple[control.MemberAddress, ...] = ()
+        self._members: tuple[replica.Member, ...] = ()
         self._leader_known_at = self._leaderless_told_at = clock.now()
         self._is_stopping = False
         self.port = 0
@@ -303,13 +303,19 @@
         self._control.set_members(joining.members)
 
     def _apply_member_list(self) -> None:
-        """Applies the addresses of the member list if they changed."""
+        """Applies the addresses of the member list if it changed."""
+        members = self._replica.members
+        if not self._settings.seeds or members == self._members:
+            return
+        self._members = members
         addresses = self._leader.addresses()
-        if self._settings.seeds and addresses != self._addresses:
-            self._addresses = addresses
-            self._peers.set_members(addresses)
-            self._control.set_members(addresses)
-            log("members_changed", members=[a.name for a in addresses])
+        self._peers.set_members(addresses)
+        self._control.set_members(addresses)
+        log(
+            "members_changed",
+            voters=[m.name for m in members if m.voter],
+            learners=[m.name for m in members if not m.voter],
+        )
 
     def _report_member_changes(self) -> None:
         for change in self._replica.take_member_changes():
