Say that a member stops in a field of the request to join

A leader of the build before cannot decode a message of a new class and closes the link, and a member that stopped asked it again for up to a second. Each message must be read by the build before: the request to join and its reply have a new last field each, which it leaves out (features/recorded_messages.feature checks such fields). It then treats the request as one to join of a member that it lists, and changes nothing.

--- a/features/steps/member_change_steps.py
+++ b/features/steps/member_change_steps.py
@@ -275,6 +275,7 @@
         group.freeze(group.leader().name, pause_s)
         group.run(pause_s + 3.0)
 
+
 @when(
     "a following member is replaced, and the new one first answers"
     " {seconds:f} s after it was added"
@@ -416,6 +417,7 @@
         report = node.replica.election_report()
         assert context.third not in report.answered, report
 
+
 @when("it and a following member answer {low:f} to {high:f} s late")
 def slow_down_two(context, low, high):
     group = context.group
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -192,13 +192,23 @@
 class Join:
     """Requests to join the group.
 
-    Sent by a member that is in no group or knows no leader.
+    Sent by a member that is in no group or knows no leader, and by one that is
+    about to stop.
+
+    Attributes:
+        name: Name of the sender.
+        identity: Identity of its journal.
+        host: Host at which the members reach it.
+        port: Its port.
+        is_leaving: Whether it is about to stop, and asks that a spare member
+            vote in its place. Earlier builds do not read this.
     """
 
     name: str
     identity: str
     host: str
     port: int
+    is_leaving: bool = False
 
 
 @attrs.frozen
@@ -207,31 +217,12 @@
 
     Attributes:
         members: Current addresses of the members.
+        is_awaited: Whether a spare member is yet to take over the vote of the
+            sender, which is about to stop.
     """
 
     members: tuple[MemberAddress, ...]
-
-
-@attrs.frozen
-class Leave:
-    """Says that a member is about to stop, so that a spare one may vote.
-
-    Attributes:
-        identity: Identity of the member that stops.
-    """
-
-    identity: str
-
-
-@attrs.frozen
-class Leaving:
-    """The request to leave was noted.
-
-    Attributes:
-        is_awaited: Whether a spare member is yet to take over the vote.
-    """
-
-    is_awaited: bool
+    is_awaited: bool = False
 
 
 @attrs.frozen
@@ -404,7 +395,7 @@
     *(Renew, Grant, Changed, Submit, Result, Redirect, Refused, Query),
     *(StatusReply, Describe, Description, Form, Formed, Hello, Peer),
     *(Heartbeat, HeartbeatNoted, ReadDeployment, DeploymentDocument),
-    *(Join, Joining, Leave, Leaving, Subscribe, Subscribed, Relayed),
+    *(Join, Joining, Subscribe, Subscribed, Relayed),
     *(ResendSources, LoadChanges, LoadTotals),
     *(PartReports, PartNotices, EndpointRates),
     *(StreamOrigins, FindOrigins, OriginsFound, FindPeers, PeersFound),
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -311,9 +311,11 @@
     def register_joining(
         self, join: control.Join
     ) -> control.Joining | control.Redirect:
-        """Registers a member that wants to join the group."""
+        """Registers a member that wants to join the group, or is to stop."""
         if not self._can_serve():
             return self._redirect()
+        if join.is_leaving:
+            return self._release_vote(join.identity)
         if self._replica.note_join(
             *(join.name, join.identity, join.host, join.port),
             self._clock.now(),
@@ -326,14 +328,10 @@
             )
         return control.Joining(self.addresses())
 
-    def release_vote(
-        self, leave: control.Leave
-    ) -> control.Leaving | control.Redirect:
+    def _release_vote(self, identity: str) -> control.Joining:
         """Gives the vote of a member that stops to a spare one, if any."""
-        if not self._can_serve():
-            return self._redirect()
-        now = self._clock.now()
-        return control.Leaving(self._replica.note_leave(leave.identity, now))
+        is_awaited = self._replica.note_leave(identity, self._clock.now())
+        return control.Joining(self.addresses(), is_awaited)
 
     async def submit(
         self, data: bytes, in_force: bool = True
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -5,6 +5,7 @@
 
 import anyio
 import anyio.abc
+import attrs
 
 from knapweedarch import control, links, replica
 from knapweedarch.cache_feeds import CacheFeed
@@ -288,14 +289,15 @@
             leader=self._replica.leader,
         )
 
+    def _join_request(self) -> control.Join:
+        return control.Join(
+            *(self._settings.name, self._journal.identity),
+            *(self._settings.listen.host, self.port),
+        )
+
     async def _ask_to_join(self) -> None:
-        listen = self._settings.listen
         joining = await self._control.request(
-            control.Join(
-                *(self._settings.name, self._journal.identity),
-                *(listen.host, self.port),
-            ),
-            JOIN_TIMEOUT_S,
+            self._join_request(), JOIN_TIMEOUT_S
         )
         self._group_seen_at = self._clock.now()
         self._end_founding()
@@ -376,7 +378,7 @@
 
     async def _release_vote(self, until: float) -> None:
         """Waits until a spare member has taken over this one's vote, if any."""
-        leave = control.Leave(self._journal.identity)
+        leave = attrs.evolve(self._join_request(), is_leaving=True)
         try:
             while (left_s := until - self._clock.now()) > 0:
                 reply = await self._control.request(leave, left_s)
@@ -522,8 +524,6 @@
                 return self._leader.read_versions(service)
             case control.Join():
                 return self._leader.register_joining(message)
-            case control.Leave():
-                return self._leader.release_vote(message)
             case control.Query():
                 return self._leader.status()
             case control.Describe():
