--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -167,6 +167,23 @@
     Then it logs the event "settings_refused"
     And it exits with code 0 after SIGTERM
 
+  Scenario: A process that gets SIGHUP while it starts goes on
+    Guards against a change of the settings that ends the processes which are just
+    being started.
+    Given a proxy process that waits for its settings as it starts
+    When it receives SIGHUP
+    And it gets its settings
+    Then it logs the event "started"
+    And it exits with code 0 after SIGTERM
+
+  Scenario: Settings that change while a process starts are applied
+    Guards against a process that looks for the group at seeds which are gone.
+    Given a proxy process that waits for its settings as it starts
+    When it gets its settings, and then the file names another seed
+    Then it logs the event "settings_reloaded"
+    And it logs the event "started"
+    And it exits with code 0 after SIGTERM
+
   Scenario: Any member can take a leaving runner out of use
     Guards against a confirmed leave that is lost, because the member that gets
     the call lags behind the leader and does not know the endpoint yet.
@@ -174,3 +191,11 @@
     And the log holds runner "i-1" of incarnation "5"
     When the member handles a DELETE request for instance "i-1"
     Then the call is confirmed and runner "i-1" has status leaving
+
+  Scenario: A member keeps that it forms the group before its slow imports
+    Guards against a deployment that nobody forms, after all members were killed
+    while they imported their modules and came back with bootstrap false.
+    Given the settings of a first start
+    When the first lines of the member's process run
+    Then a journal without bootstrap knows the seeds
+    And no slow module was imported
--- a/features/failure_containment.feature
+++ b/features/failure_containment.feature
@@ -15,6 +15,29 @@
     And the member is asked to form the group
     Then it answers that the group is formed
 
+  Scenario: A leader ends before it has sent the group's first entry
+    Guards against a member that says that it is formed but holds no entry, and
+    so grants no votes; the others may have lost the majority without it.
+    Given a blank member of a group of 3
+    When the leader's message of a later term arrives before the first entry
+    And the member is asked to form the group
+    Then the member holds the first entry in term 3, also after a restart
+    And it grants no vote while that leader may hold its lease
+
+  Scenario: A member is asked to form a group that lists its earlier disk
+    Guards against a member that ends by itself, or says that it is formed, when
+    it lost its disk between the two messages that form the group.
+    Given a blank member of a group of 3
+    When the member is asked to form the group with another identity for it
+    Then it refuses, and forms the group that lists it
+
+  Scenario: Two processes form the group from different disks of one member
+    Guards against members that hold different first entries, when a seed loses its
+    disk while two processes form the group.
+    Given a blank member of a group of 3
+    When two processes ask who it is, one after the other
+    Then it refuses the group of the first one and forms that of the second one
+
   Scenario: A handler of a link raises an unexpected error
     Guards against one message that ends the whole process.
     Given a server whose handler raises an unexpected error for some messages
--- a/knapweedarch/journal.py
+++ b/knapweedarch/journal.py
@@ -3,6 +3,8 @@
 The folder contains:
 
 - `identity`: random identifier, generated once.
+- `founding`: seeds of a deployment that starts for the first time; removed once
+  there is a group. Earlier builds ignore it.
 - `lock`: locked by the process that has the journal open.
 - `log-<number>`: records, each in one frame and saved with one sync. Only the
   file with the highest number is valid. Its first record contains the index and
@@ -17,9 +19,11 @@
 file and the old snapshot remain valid.
 """
 
+import contextlib
 import enum
 import errno
 import struct
+from collections.abc import Callable
 
 import attrs
 import xxhash
@@ -30,6 +34,12 @@
     JournalError,
     JournalFullError,
 )
+from knapweedarch.founding import (
+    FOUNDING_FILE,
+    Founding,
+    load_founding,
+    save_founding,
+)
 from knapweedarch.journal_files import JournalFiles
 from knapweedarch.logs import log
 from knapweedarch.replica_messages import (
@@ -134,9 +144,11 @@
     Attributes:
         identity: Identity of the journal.
         restored: Contents of the files when the journal was opened.
+        founding: Seeds that form the group, if this member was told to form it
+            and knows of no group since.
     """
 
-    def __init__(self, files: JournalFiles):
+    def __init__(self, files: JournalFiles, founding: Founding | None = None):
         self._files = files
         self._failure = ""
         self._log_end = _LogEnd.CLEAN
@@ -146,11 +158,15 @@
         try:
             files.lock()
             files.remove_temporary()
+            # Before the identity: a kill between the two would leave a member
+            # that does not know any more that it is to form the group.
+            self.founding = self._load_founding(founding)
             self.identity = self._load_identity()
             # Callers control the content. A checksum seed that they do not
             # know prevents content that looks like a valid frame.
             self._seed = int(self.identity, 16)
             self.restored = self._load()
+            self._holds_entries = not self.restored.blank
         except OSError as exc:
             files.close()
             full = exc.errno in DISK_FULL_ERRNOS
@@ -175,6 +191,23 @@
         self._files.write_new("identity", _encode_identity(identity))
         return identity
 
+    def _load_founding(self, founding: Founding | None) -> Founding | None:
+        if founding is not None:
+            save_founding(self._files, founding)
+        return load_founding(self._files) or founding
+
+    def end_founding(self) -> None:
+        """Forgets that this member was told to form the group.
+
+        If the file cannot be removed, the next process of this member removes
+        it once it knows of the group again.
+        """
+        self.founding = None
+        with contextlib.suppress(OSError):
+            if FOUNDING_FILE in self._files.names():
+                self._files.remove(FOUNDING_FILE)
+                self._files.sync_folder()
+
     def _log_numbers(self) -> list[int]:
         names = self._files.matching("log-")
         numbers = [name.removeprefix("log-") for name in names]
@@ -273,23 +306,31 @@
         return self.restored.blank and not self._log_number
 
     def form(self, members: tuple[Member, ...]) -> None:
-        """Writes the first entry of a new group to a blank journal.
+        """Writes the first entry of a new group to a journal without entries.
 
         Raises:
-            JournalError: The journal is not blank, does not belong to an
+            JournalFullError: The disk is full; nothing has changed.
+            JournalError: The journal holds an entry, does not belong to an
                 initial voter, or cannot be written.
         """
-        if not self.blank:
+        if self._holds_entries:
             raise JournalError("the journal is not blank")
         if self.identity not in {m.identity for m in members if m.voter}:
             raise JournalError(
                 "this member is not an initial voter of the group"
             )
         entry = initial_members_entry(members)
-        hard_state = HardState(entry.term)
-        self.save(Output(hard_state=hard_state, entries=(entry,)))
+        # A leader of the other members may have sent a later term already.
+        hard_state = max(
+            self._hard_state, HardState(entry.term), key=lambda h: h.term
+        )
+        self._write(lambda: self._save_first_entry(hard_state, entry))
         self.restored = Restored(self.identity, hard_state, None, (entry,))
 
+    def _save_first_entry(self, hard_state: HardState, entry: Entry) -> None:
+        self._start_log_file(None, hard_state, (entry,))
+        self._hard_state, self._holds_entries = hard_state, True
+
     def save(self, output: Output) -> None:
         """Persists an output before it returns.
 
@@ -302,21 +343,22 @@
                 output may be saved next, once there is space.
             JournalError: A file operation failed, in this or an earlier call.
         """
+        self._write(lambda: self._save(output))
+
+    def _write(self, operation: Callable[[], None]) -> None:
         if self._failure:
             raise JournalError(
                 f"an earlier journal operation failed: {self._failure}"
             )
-        if not output.needs_sync:
-            return
         try:
-            self._save_or_clean_up(output)
+            self._write_or_clean_up(operation)
         except OSError as exc:
             self._failure = str(exc)
             raise JournalError(f"cannot write to the journal: {exc}") from exc
 
-    def _save_or_clean_up(self, output: Output) -> None:
+    def _write_or_clean_up(self, operation: Callable[[], None]) -> None:
         try:
-            self._save(output)
+            operation()
         except OSError as exc:
             if not self._may_retry(exc):
                 raise
@@ -335,6 +377,8 @@
         )
 
     def _save(self, output: Output) -> None:
+        if not output.needs_sync:
+            return
         hard_state = output.hard_state or self._hard_state
         if output.snapshot is not None:
             snapshot = output.compacted or output.snapshot
@@ -346,6 +390,7 @@
         else:
             self._append_change(output)
         self._hard_state = hard_state
+        self._holds_entries |= bool(output.entries or output.snapshot)
 
     def _compact_if_possible(
         self, output: Output, hard_state: HardState
@@ -439,11 +484,20 @@
         self._files.close()
 
 
-def open_journal(folder: str, files: JournalFiles | None = None) -> Journal:
+def open_journal(
+    folder: str,
+    files: JournalFiles | None = None,
+    founding: Founding | None = None,
+) -> Journal:
     """Opens the journal in a folder, which is created if missing.
 
+    Args:
+        folder: The folder.
+        files: File operations; by default those of the folder.
+        founding: Given if the member is told to form the group.
+
     Raises:
         JournalFullError: The disk is full; no data is lost.
         JournalError: The files are corrupt, in use or unreadable.
     """
-    return Journal(files or JournalFiles(folder))
+    return Journal(files or JournalFiles(folder), founding)
--- a/knapweedarch/replica.py
+++ b/knapweedarch/replica.py
@@ -6,6 +6,8 @@
 sync, and only then sends the messages and applies the committed entries.
 """
 
+import math
+
 from knapweedarch.exceptions import (
     MembershipError,
     NotLeaderError,
@@ -14,6 +16,7 @@
 from knapweedarch.replica_leadership import Leadership
 from knapweedarch.replica_membership import (
     JOIN_REQUEST_S,
+    LEAVE_REQUEST_S,
     PeerIdentity,
     check_change,
     next_change,
@@ -72,6 +75,8 @@
 MAX_ENTRY_BYTES = 4 * 1024 * 1024
 MAX_UNCOMMITTED_ENTRIES = 20_000
 MAX_UNCOMMITTED_BYTES = 64 * 1024 * 1024
+# Limits the entries kept for a member that is taking a snapshot.
+MAX_NEEDED_ENTRIES = 20_000
 # Limits the entries kept before a snapshot beside `ReplicaConfig.kept_entries`.
 MAX_KEPT_ENTRY_BYTES = 8 * 1024 * 1024
 
@@ -146,7 +151,7 @@
         """Appends a member list; returns the index of its entry.
 
         New members must be added as learners; the leader promotes a learner
-        to voter once it holds every committed entry. With
+        to voter once it has caught up. With
         `ReplicaConfig.voters` set, it does so only up to that number of voters.
 
         Raises:
@@ -247,6 +252,24 @@
         self._join_requests[name] = (peer, now)
         return known is None or known[0] != peer
 
+    def note_leave(self, identity: str, now: float) -> bool:
+        """Records that a member is about to stop.
+
+        A spare member that has caught up takes over its vote; without one, the
+        member stays in the list, as it may be back soon.
+
+        Returns:
+            Whether a spare member is yet to take it over.
+        """
+        self._leave_requests[identity] = now
+        if self.members_pending:
+            return True
+        is_voter = identity in self._voters()
+        return is_voter and any(
+            not member.voter and self._caught_up(member.identity)
+            for member in self.members
+        )
+
     def compact(self, index: int, snapshot_data: bytes, now: float) -> None:
         """Replaces the entries up to `index` with a snapshot.
 
@@ -259,9 +282,24 @@
         if index > self._applied_index or (old and index <= old.index):
             raise ReplicaError(f"cannot compact the log up to entry {index}")
         self._compacted = self._log.compact(
-            index, snapshot_data, self._cfg.kept_entries, MAX_KEPT_ENTRY_BYTES
+            index,
+            snapshot_data,
+            self._first_kept_index(index, now),
+            MAX_KEPT_ENTRY_BYTES,
         )
 
+    def _first_kept_index(self, index: int, now: float) -> int:
+        """Returns the first entry to keep when the log is compacted.
+
+        A member that is taking an older snapshot still needs the entries after
+        it. Otherwise it would need one snapshot after another under load.
+        """
+        kept = index - self._cfg.kept_entries + 1
+        if self._leadership is None:
+            return kept
+        needed = self._leadership.first_needed_index(now)
+        return min(kept, max(needed, index - MAX_NEEDED_ENTRIES))
+
     def take_output(self) -> Output:
         """Returns the pending data to save, send and apply, and clears it."""
         if self._leadership is not None:
@@ -427,7 +465,7 @@
     def _on_vote_reply(self, reply: VoteReply, now: float) -> None:
         if self.role not in (Role.PRE_CANDIDATE, Role.CANDIDATE):
             return
-        self._election.record_answer(reply)
+        self._election.record_answer(reply, now)
         if (
             reply.restarted
             and self.role is Role.PRE_CANDIDATE
@@ -492,12 +530,23 @@
             self.identity,
             self._caught_up,
             lambda identity: leadership.silence(identity, now),
+            lambda identity: self._absence(identity, now),
             self._cfg.voters,
         )
         if change is not None:
             self.propose_members(change.members, now)
             self._member_changes.append(change)
 
+    def _absence(self, identity: str, now: float) -> float:
+        """Returns for how many seconds a member has been absent.
+
+        One that said that it is about to stop is absent.
+        """
+        left_at = self._leave_requests.get(identity)
+        if left_at is not None and now - left_at < LEAVE_REQUEST_S:
+            return math.inf
+        return self._leadership.absence(identity, now)
+
     def _forget_peers(self, now: float) -> None:
         """Forgets members that no longer ask to join and are not in the list.
 
@@ -509,6 +558,11 @@
             for name, (peer, asked_at) in self._join_requests.items()
             if now - asked_at < JOIN_REQUEST_S
         }
+        self._leave_requests = {
+            identity: left_at
+            for identity, left_at in self._leave_requests.items()
+            if now - left_at < LEAVE_REQUEST_S
+        }
         kept = {m.name for m in self.members} | self._join_requests.keys()
         self._peer_identities = {
             name: peer
--- a/knapweedarch/replica_leadership.py
+++ b/knapweedarch/replica_leadership.py
@@ -1,5 +1,6 @@
 """Leader state of a replica: replication progress and the leader lease."""
 
+import collections
 import math
 from collections.abc import Callable, Iterator
 
@@ -48,6 +49,7 @@
         probe_sent: Whether a probe has been sent since the last heartbeat.
         in_flight: Number of unacknowledged batches.
         last_contact: Send time of the newest request that it answered.
+        unanswered_since: Send time of the first heartbeat after that.
         heartbeat_due: Whether a heartbeat must be sent.
         snapshot: Snapshot being sent. It is not replaced until it is
             installed; otherwise frequent compaction would restart the
@@ -65,11 +67,28 @@
     probe_sent: bool = False
     in_flight: int = 0
     last_contact: float = -math.inf
+    unanswered_since: float = math.inf
     heartbeat_due: bool = True
     snapshot: Snapshot | None = None
     offset: int = 0
     part_sent_at: float = -math.inf
 
+    def record_match(self, index: int, now: float) -> None:
+        """Records that its synced log holds the entries up to an index."""
+        if index > self.match_index:
+            self.match_index, self.matched_at = index, now
+        self.next_index = max(self.next_index, self.match_index + 1)
+        if self.snapshot and self.snapshot.index <= self.match_index:
+            self.snapshot = None
+
+    def record_contact(self, sent_at: float) -> None:
+        """Records the send time of a request that it answered."""
+        if sent_at > self.last_contact:
+            # Any newer answer shows that the member is there; those to later
+            # requests may be on their way, over a link that is slow.
+            self.last_contact = sent_at
+            self.unanswered_since = math.inf
+
 
 class Leadership:
     """Leader state for one term.
@@ -90,6 +109,10 @@
         self._log = log
         self._heartbeat_at = now
         self._peers: dict[str, Peer] = {}
+        # Times of the last heartbeats, each with the commit index then.
+        self._commit_indexes: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self.update_members(now)
 
     def update_members(self, now: float) -> None:
@@ -155,6 +178,42 @@
             return 0.0
         return now - max(peer.last_contact, peer.added_at)
 
+    def absence(self, identity: str, now: float) -> float:
+        """Returns for how many seconds a majority answered and a member not.
+
+        Unlike `silence`, it grows neither while the leader itself stands still
+        nor by the round trip, if a majority of the voters is as far away.
+        """
+        peer = self._peers.get(identity)
+        if peer is None:
+            return 0.0
+        answered_at = self.quorum_last_contact(now)
+        return max(answered_at - peer.unanswered_since, 0.0)
+
+    def caught_up(self, identity: str, now: float) -> bool:
+        """Returns whether a member answers and holds the committed entries.
+
+        It need not hold those that were committed in the last `MAX_ELECTION_S`:
+        under a steady load there always are some that it is yet to answer.
+        """
+        peer = self._peers.get(identity)
+        if peer is None or now - peer.last_contact >= MAX_ELECTION_S:
+            return False
+        needed = max(
+            self.first_index,
+            self._log.members_index,
+            self._committed_at(now - MAX_ELECTION_S),
+        )
+        return peer.match_index >= needed
+
+    def _committed_at(self, time: float) -> int:
+        """Returns the commit index at the last heartbeat up to a time.
+
+        It is 0 if that heartbeat is none of this leader's.
+        """
+        indexes = (i for at, i in reversed(self._commit_indexes) if at <= time)
+        return next(indexes, 0)
+
     def quorum_lost(self, now: float) -> bool:
         """Returns whether no majority answered for `MAX_ELECTION_S`."""
         last_contact = max(self.quorum_last_contact(now), self.started_at)
@@ -179,10 +238,16 @@
         if now < self._heartbeat_at:
             return
         self._heartbeat_at = now + HEARTBEAT_S
+        self._record_commit_index(now)
         for peer in self._peers.values():
             peer.heartbeat_due = True
             peer.probe_sent = False
 
+    def _record_commit_index(self, now: float) -> None:
+        self._commit_indexes.append((now, self._log.commit_index))
+        while now - self._commit_indexes[0][0] > MAX_ELECTION_S + HEARTBEAT_S:
+            self._commit_indexes.popleft()
+
     def requests(self, now: float) -> Requests:
         """Yields the pending requests to the other members."""
         for peer in self._peers.values():
@@ -192,6 +257,8 @@
                 yield from self._probe(peer, now)
             else:
                 yield from self._batches(peer, now)
+            if peer.heartbeat_due:
+                peer.unanswered_since = min(peer.unanswered_since, now)
             peer.heartbeat_due = False
 
     def _probe(self, peer: Peer, now: float) -> Requests:
@@ -261,14 +328,28 @@
             ),
         )
 
+    def first_needed_index(self, now: float) -> float:
+        """Returns the first entry that follows a snapshot being sent.
+
+        Without one, it is `inf`. Members that do not answer need none.
+        """
+        return min(
+            (
+                peer.snapshot.index + 1
+                for peer in self._peers.values()
+                if peer.snapshot and now - peer.last_contact < MAX_ELECTION_S
+            ),
+            default=math.inf,
+        )
+
     def handle_append_reply(self, reply: AppendReply, now: float) -> None:
         """Updates a peer after a reply to an append request."""
         peer = self._peers.get(reply.identity)
         if peer is None:
             return
-        peer.last_contact = max(peer.last_contact, reply.sent_at)
+        peer.record_contact(reply.sent_at)
         if reply.accepted:
-            self._record_match(peer, reply.index, now)
+            peer.record_match(reply.index, now)
             peer.probing = False
             caught_up = peer.match_index + 1 >= peer.next_index
             peer.in_flight = 0 if caught_up else max(peer.in_flight - 1, 0)
@@ -281,20 +362,14 @@
         peer.next_index = min(reply.index, self._log.last_index + 1)
         peer.probing, peer.probe_sent, peer.in_flight = True, False, 0
 
-    @staticmethod
-    def _record_match(peer: Peer, index: int, now: float) -> None:
-        if index > peer.match_index:
-            peer.match_index, peer.matched_at = index, now
-        peer.next_index = max(peer.next_index, peer.match_index + 1)
-
     def handle_snapshot_reply(self, reply: SnapshotReply, now: float) -> None:
         """Updates a peer after a reply to a part of a snapshot."""
         peer = self._peers.get(reply.identity)
         if peer is None:
             return
-        peer.last_contact = max(peer.last_contact, reply.sent_at)
+        peer.record_contact(reply.sent_at)
         if reply.installed:
-            self._record_match(peer, reply.index, now)
+            peer.record_match(reply.index, now)
             peer.snapshot = None
         elif peer.snapshot and reply.index == peer.snapshot.index:
             peer.offset = reply.offset
--- a/knapweedarch/replica_membership.py
+++ b/knapweedarch/replica_membership.py
@@ -6,16 +6,21 @@
 
 from knapweedarch.exceptions import MembershipError
 from knapweedarch.models import MemberChangeKind
+from knapweedarch.replica_leadership import MIN_ELECTION_S
 from knapweedarch.replica_messages import Member
 
-# A voter that has answered within this time is alive. Another process with its
-# name is then a configuration error and must not replace it.
-REPLACE_SILENCE_S = 2.0
+# A member that has answered within this time, as a majority has, is alive.
+# Another process with its name is then a configuration error and must not
+# replace it. Twice this time and two elections fit into the 4 s in which a
+# lost voter is replaced, so that two leaders may be lost meanwhile.
+REPLACE_ABSENCE_S = MIN_ELECTION_S
 # A learner that has not answered for this long is presumed lost.
 LEARNER_SILENCE_S = 15.0
 MAX_MEMBERS = 16
 # A request to join counts for this long; members that wait repeat it earlier.
 JOIN_REQUEST_S = 3.0
+# A member that said it is about to stop, and has not after this long, goes on.
+LEAVE_REQUEST_S = 3.0
 
 Members = tuple[Member, ...]
 
@@ -85,6 +90,7 @@
     own_identity: str,
     caught_up: Callable[[str], bool],
     silence: Callable[[str], float],
+    absence: Callable[[str], float],
     voters: int = 0,
 ) -> MemberChange | None:
     """Returns the next change towards a complete group, if any.
@@ -94,9 +100,11 @@
         announced: Newest announced identity of each name in the list.
         joining: Members that ask to join at present, in the order of service.
         own_identity: Identity of the leader.
-        caught_up: Returns whether an identity holds every committed entry and
+        caught_up: Returns whether an identity holds the committed entries and
             has answered the leader recently.
         silence: Returns the seconds since an identity answered the leader.
+        absence: Returns for how many seconds a majority answered the leader
+            and an identity did not.
         voters: Target number of voters; if 0, members that ask to join are
             not admitted.
     """
@@ -104,20 +112,24 @@
         if member.identity == own_identity:
             continue
         peer = announced.get(member.name)
+        if peer is not None and _is_renamed(members, peer):
+            peer = None
         if member.voter:
-            change = _add_replacement_learner(members, member, peer, silence)
+            change = _add_replacement_learner(members, member, peer, absence)
         elif _is_joining(members, member) and voters:
             change = _advance_joining_learner(
-                *(members, member, peer, caught_up, silence, voters),
-                own_identity,
+                *(members, member, peer, caught_up, silence, absence),
+                *(voters, own_identity),
             )
         else:
             change = _advance_replacement_learner(
-                members, member, peer, caught_up
+                members, member, peer, caught_up, absence
             )
         if change is not None:
             return change
-    return _add_joining_learner(members, joining) if voters else None
+    if not voters:
+        return None
+    return _add_joining_learner(members, joining, absence)
 
 
 def _is_joining(members: Members, learner: Member) -> bool:
@@ -125,22 +137,67 @@
     return not any(m.name == learner.name and m.voter for m in members)
 
 
+def _is_renamed(members: Members, peer: PeerIdentity) -> bool:
+    """Returns whether the list holds an identity under another name."""
+    return any(
+        m.identity == peer.identity and m.name != peer.name for m in members
+    )
+
+
 def _add_joining_learner(
-    members: Members, joining: Iterable[PeerIdentity]
+    members: Members,
+    joining: Iterable[PeerIdentity],
+    absence: Callable[[str], float],
 ) -> MemberChange | None:
-    """Adds a learner for a member that asks to join and is not in the list."""
-    if len(members) >= MAX_MEMBERS:
-        return None
+    """Adds a learner for a member that asks to join and is not in the list.
+
+    If the list is full, it removes a lost learner first.
+    """
     names = {m.name for m in members}
     for peer in joining:
-        if peer.name not in names:
-            learner = _create_learner(peer)
-            return MemberChange(
-                MemberChangeKind.JOINING_ADDED, learner, (*members, learner)
+        if peer.name in names or _is_renamed(members, peer):
+            continue
+        if len(members) >= MAX_MEMBERS:
+            return _remove_lost(
+                members,
+                [m for m in members if not m.voter],
+                MemberChangeKind.SILENT_LEARNER_REMOVED,
+                absence,
             )
+        learner = _create_learner(peer)
+        return MemberChange(
+            MemberChangeKind.JOINING_ADDED, learner, (*members, learner)
+        )
     return None
 
 
+def _remove_lost(
+    members: Members,
+    candidates: Iterable[Member],
+    kind: MemberChangeKind,
+    absence: Callable[[str], float],
+    minimum_s: float = REPLACE_ABSENCE_S,
+) -> MemberChange | None:
+    """Removes the candidate that has been absent longest, if it is lost."""
+    lost = max(candidates, key=lambda m: absence(m.identity), default=None)
+    if lost is None or absence(lost.identity) < minimum_s:
+        return None
+    return MemberChange(kind, lost, tuple(m for m in members if m is not lost))
+
+
+def _is_superseded(
+    learner: Member,
+    peer: PeerIdentity | None,
+    absence: Callable[[str], float],
+) -> bool:
+    """Returns whether a lost learner returned with another identity."""
+    return (
+        peer is not None
+        and peer.identity != learner.identity
+        and absence(learner.identity) >= REPLACE_ABSENCE_S
+    )
+
+
 def _create_learner(peer: PeerIdentity) -> Member:
     return Member(*attrs.astuple(peer), voter=False)
 
@@ -165,6 +222,7 @@
     peer: PeerIdentity | None,
     caught_up: Callable[[str], bool],
     silence: Callable[[str], float],
+    absence: Callable[[str], float],
     voters: int,
     own_identity: str,
 ) -> MemberChange | None:
@@ -173,7 +231,7 @@
     A removed voter that returns later joins again as a learner.
     """
     others = tuple(m for m in members if m is not learner)
-    if peer is not None and peer.identity != learner.identity:
+    if _is_superseded(learner, peer, absence):
         return _replace_learner(others, peer)
     if not caught_up(learner.identity):
         if silence(learner.identity) <= LEARNER_SILENCE_S:
@@ -183,29 +241,28 @@
         )
     if sum(m.voter for m in members) < voters:
         return _promote(others, learner)
-    for member in members:
-        is_other_voter = member.voter and member.identity != own_identity
-        if is_other_voter and silence(member.identity) >= REPLACE_SILENCE_S:
-            return MemberChange(
-                MemberChangeKind.SILENT_VOTER_REMOVED,
-                member,
-                tuple(m for m in members if m is not member),
-            )
-    return None
+    return _remove_lost(
+        members,
+        [m for m in members if m.voter and m.identity != own_identity],
+        MemberChangeKind.SILENT_VOTER_REMOVED,
+        absence,
+        # The successor has answered for that long and the voter has not.
+        REPLACE_ABSENCE_S + absence(learner.identity),
+    )
 
 
 def _add_replacement_learner(
     members: Members,
     voter: Member,
     peer: PeerIdentity | None,
-    silence: Callable[[str], float],
+    absence: Callable[[str], float],
 ) -> MemberChange | None:
     """Adds a learner for a voter that returned with another identity."""
     if (
         peer is None
         or any(m.identity == peer.identity for m in members)
         or any(m.name == voter.name and not m.voter for m in members)
-        or silence(voter.identity) < REPLACE_SILENCE_S
+        or absence(voter.identity) < REPLACE_ABSENCE_S
     ):
         return None
     learner = _create_learner(peer)
@@ -219,6 +276,7 @@
     learner: Member,
     peer: PeerIdentity | None,
     caught_up: Callable[[str], bool],
+    absence: Callable[[str], float],
 ) -> MemberChange | None:
     """Replaces a lost learner, or advances a learner towards voting.
 
@@ -229,7 +287,7 @@
     removes it also adds its successor. This is safe, as learners count in no
     majority.
     """
-    if peer is not None and peer.identity != learner.identity:
+    if _is_superseded(learner, peer, absence):
         others = tuple(m for m in members if m is not learner)
         if any(m.identity == peer.identity for m in others):
             # The original disk returned before its voter was removed.
--- a/knapweedarch/replica_status.py
+++ b/knapweedarch/replica_status.py
@@ -23,6 +23,8 @@
     Snapshot,
 )
 
+# Answers of voters that are reported; candidates ask more often.
+RECENT_ANSWER_S = 2.0
 # Changes of the member list that wait for the driver to report them.
 MAX_UNREPORTED_CHANGES = 64
 
@@ -43,7 +45,7 @@
 
     Attributes:
         voters: Names of the voters.
-        answered: Names of those that answered since the last leader was lost.
+        answered: Names of those that answered in the last two seconds.
         granted: Names of those whose newest answer was a vote or pre-vote.
     """
 
@@ -111,6 +113,8 @@
         self._peer_identities: dict[str, PeerIdentity] = {}
         # Requests to join by name, each with the time of the newest one.
         self._join_requests: dict[str, tuple[PeerIdentity, float]] = {}
+        # When each identity last said that it is about to stop.
+        self._leave_requests: dict[str, float] = {}
         self._messages: list[tuple[str, Message]] = []
         self._compacted: Snapshot | None = None
         self._now: float | None = None
@@ -132,8 +136,9 @@
             return False
         if self._leadership is not None:
             return True
-        silent_s = self._now - self._leader_heard_at
-        return self.leader is not None and silent_s < MAX_ELECTION_S
+        if self.leader is None:
+            return False
+        return self._now - self._leader_heard_at < MAX_ELECTION_S
 
     @property
     def silent_voters(self) -> tuple[str, ...]:
@@ -155,11 +160,16 @@
     def election_report(self) -> ElectionReport:
         """Returns which voters answered in the present search for a leader."""
         voters = [m for m in self.members if m.voter]
-        answers = self._election.answers
+        lately = {
+            identity: answer
+            for identity, answer in self._election.answers.items()
+            if self._now - answer.at < RECENT_ANSWER_S
+        }
+        answered = [m for m in voters if m.identity in lately]
         return ElectionReport(
             tuple(m.name for m in voters),
-            tuple(m.name for m in voters if m.identity in answers),
-            tuple(m.name for m in voters if answers.get(m.identity)),
+            tuple(m.name for m in answered),
+            tuple(m.name for m in answered if lately[m.identity].granted),
         )
 
     def take_member_changes(self) -> tuple[MemberChange, ...]:
@@ -183,6 +193,11 @@
         """Newest member list in the log, committed or not."""
         return self._log.members
 
+    @property
+    def first_members(self) -> tuple[Member, ...]:
+        """Members of the group's first entry; empty after any later list."""
+        return self.members if self._log.members_index == 1 else ()
+
     @property
     def members_pending(self) -> bool:
         """Whether the newest member list is not known to be committed."""
@@ -218,10 +233,6 @@
         return end if end > now else 0.0
 
     def _caught_up(self, identity: str) -> bool:
-        """Returns whether a member holds every committed entry and answers."""
-        peer = self._leadership and self._leadership.peer(identity)
-        return bool(
-            peer
-            and peer.match_index >= self._log.commit_index
-            and self._now - peer.last_contact < MAX_ELECTION_S
-        )
+        """Returns whether a learner may become a voter."""
+        leadership = self._leadership
+        return bool(leadership and leadership.caught_up(identity, self._now))
