--- a/knapweedarch/journal.py
+++ b/knapweedarch/journal.py
@@ -19,7 +19,6 @@
 file and the old snapshot remain valid.
 """
 
-import contextlib
 import enum
 import errno
 import struct
@@ -203,10 +202,12 @@
         it once it knows of the group again.
         """
         self.founding = None
-        with contextlib.suppress(OSError):
+        try:
             if FOUNDING_FILE in self._files.names():
                 self._files.remove(FOUNDING_FILE)
                 self._files.sync_folder()
+        except OSError as exc:
+            log("journal_files_kept", reason=str(exc))
 
     def _log_numbers(self) -> list[int]:
         names = self._files.matching("log-")
