Count the members that join at the start in the bound of the soak

The bound left out the first four; the same bound was exceeded once by 2 in features/member_soak.feature, on a merge of the parts. It now counts them, two for each member that is no seed, and is else as strict.

--- a/standins/member_soak.py
+++ b/standins/member_soak.py
@@ -19,7 +19,7 @@
 import anyio
 import attrs
 
-from standins.member_site import FAULTS_BORNE, MemberSite
+from standins.member_site import FAULTS_BORNE, SEED_COUNT, MemberSite
 from standins.platform_runner import count_runs
 from standins.soak_events import EventPlayer
 from standins.soak_findings import Findings
@@ -41,6 +41,8 @@
 # its promotion; a new leader may propose an unfinished change again.
 CHANGES_A_MEMBER = 3
 CHANGES_A_LEADER = 1
+# Members beside the seeds are added and promoted once the group is formed.
+CHANGES_AT_START = 2 * (MEMBERS - SEED_COUNT)
 
 
 @attrs.frozen
@@ -216,7 +218,11 @@
     def _change_bound(self) -> int:
         leaders = count_events(self.site.logs.values(), "leader_started")
         lost = self._player.changed_members + FAULTS_BORNE
-        return lost * CHANGES_A_MEMBER + leaders.total() * CHANGES_A_LEADER
+        return (
+            CHANGES_AT_START
+            + lost * CHANGES_A_MEMBER
+            + leaders.total() * CHANGES_A_LEADER
+        )
 
     def verdict(self) -> Verdict:
         """Returns what was found and measured."""
