--- a/knapweedarch/replica_membership.py
+++ b/knapweedarch/replica_membership.py
@@ -11,8 +11,8 @@
 
 # A member that has answered within this time, as a majority has, is alive.
 # Another process with its name is then a configuration error and must not
-# replace it. Twice this time and two elections fit into the 4 s in which a
-# lost voter is replaced, so that two leaders may be lost meanwhile.
+# replace it. As short as an election, since the next leader may be lost as well
+# before it has replaced the voter, and the wait then begins anew.
 REPLACE_ABSENCE_S = MIN_ELECTION_S
 # A learner that has not answered for this long is presumed lost.
 LEARNER_SILENCE_S = 15.0
