--- a/knapweedarch/member_relay.py
+++ b/knapweedarch/member_relay.py
@@ -23,6 +23,7 @@
 from knapweedarch.rate_messages import EndpointRates
 from knapweedarch.rate_relay import RateRelay
 from knapweedarch.relay_messages import (
+    ACCEPTED_MESSAGES,
     LoadChanges,
     LoadTotals,
     Relayed,
@@ -59,11 +60,13 @@
     Attributes:
         name: Its name.
         is_member: Whether it is a member.
+        accepts: Names of further message classes that it takes.
         received: Number of the newest load message from it.
     """
 
     name: str
     is_member: bool
+    accepts: frozenset[str] = frozenset()
     received: int = 0
 
 
@@ -100,6 +103,8 @@
         self._subscribers: dict[links.Link, _Subscriber] = {}
         self._upstream: dict[links.Link, str] = {}
         self._takes_origins: set[links.Link] = set()
+        # What the members accept that this one subscribes to.
+        self._member_accepts: dict[links.Link, frozenset[str]] = {}
         self._sent_local_number = 0
         self._totals_sent_at = 0.0
         self._news_due_at = 0.0
@@ -133,7 +138,13 @@
     def subscribe_to(self, name: str, link: links.Link) -> None:
         """Subscribes to another member, on a link opened by this one."""
         self._upstream[link] = name
-        link.send(Subscribe(self._name, self._data_centre, is_member=True))
+        link.send(
+            Subscribe(
+                *(self._name, self._data_centre),
+                is_member=True,
+                accepts=ACCEPTED_MESSAGES,
+            )
+        )
         packed = pack_loads(self._loads.local.all())
         link.send(LoadChanges(self._sent_local_number, packed))
         if reports := self._quarantine.known_reports(self._clock.now()):
@@ -144,6 +155,7 @@
         for link in [k for k, known in self._upstream.items() if known == name]:
             del self._upstream[link]
             self._takes_origins.discard(link)
+            self._member_accepts.pop(link, None)
         self._sources.remove_member(name)
         self._follow()
 
@@ -186,6 +198,8 @@
         """Notes that another member has accepted this one's subscription."""
         self._sources.add_member(message.name, message.data_centre)
         self._follow()
+        if link in self._upstream:
+            self._member_accepts[link] = frozenset(message.accepts)
         if message.takes_origins and link in self._upstream:
             self._takes_origins.add(link)
             for reports in self._origins.known_reports(self._clock.now()):
@@ -200,7 +214,9 @@
             link.close()
 
     def _add_subscriber(self, link: links.Link, message: Subscribe) -> None:
-        self._subscribers[link] = _Subscriber(message.name, message.is_member)
+        self._subscribers[link] = _Subscriber(
+            *(message.name, message.is_member, frozenset(message.accepts))
+        )
         log(
             "relay_subscribed",
             subscriber=message.name,
@@ -209,7 +225,9 @@
         others = self._sources.other_members()
         link.send(
             Subscribed(
-                *(self._name, self._data_centre, others), takes_origins=True
+                *(self._name, self._data_centre, others),
+                takes_origins=True,
+                accepts=ACCEPTED_MESSAGES,
             )
         )
         for batch in self._sources.snapshots(message.is_member):
--- a/knapweedarch/relay_client.py
+++ b/knapweedarch/relay_client.py
@@ -14,6 +14,7 @@
 from knapweedarch.quarantine_messages import PartNotices, PartReports
 from knapweedarch.rate_messages import EndpointRates
 from knapweedarch.relay_messages import (
+    ACCEPTED_MESSAGES,
     EndpointLoad,
     LoadTotals,
     MemberPlace,
@@ -91,6 +92,12 @@
         """Whether the member keeps origins of streams."""
         return self.is_subscribed and self._relay.takes_origins
 
+    def member_accepts(self, message_class: type) -> bool:
+        """Returns whether the member takes a class that not all builds know."""
+        return (
+            self.is_subscribed and message_class.__name__ in self._relay.accepts
+        )
+
     async def call(self, message: object, timeout_s: float) -> object:
         """Sends a message to the member and waits for its reply.
 
@@ -174,7 +181,11 @@
         accepted = False
         async with anyio.create_task_group() as group:
             group.start_soon(self._run_link, link, group.cancel_scope)
-            link.send(Subscribe(self._name, self._data_centre))
+            link.send(
+                Subscribe(
+                    *(self._name, self._data_centre), accepts=ACCEPTED_MESSAGES
+                )
+            )
             accepted = await self._stay(member, link)
             link.close()
         return accepted
--- a/knapweedarch/relay_messages.py
+++ b/knapweedarch/relay_messages.py
@@ -11,6 +11,9 @@
 # Tokens are packed in units of this many.
 TOKEN_UNIT = 64
 _MAX_COUNT = 0xFFFF
+# Names of the message classes that this build takes beyond those that every
+# build takes. Each part that adds relay messages adds their names here.
+ACCEPTED_MESSAGES: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -24,11 +27,15 @@
         data_centre: Data centre of the subscriber.
         is_member: Whether the subscriber is a member. It gets only what the
             sender learns itself, as it hears of the rest from other members.
+        accepts: Names of further message classes that the subscriber takes. A
+            process of an earlier build closes a link on which it gets one that
+            it does not know.
     """
 
     name: str
     data_centre: str
     is_member: bool = False
+    accepts: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -49,12 +56,14 @@
         others: The other members that it reaches.
         takes_origins: Whether it keeps origins of streams. A process of an
             earlier build does not, and closes a link on which it gets some.
+        accepts: Names of further message classes that it takes.
     """
 
     name: str
     data_centre: str
     others: tuple[MemberPlace, ...] = ()
     takes_origins: bool = False
+    accepts: tuple[str, ...] = ()
 
 
 @attrs.frozen
