Refuse what an overloaded process would answer late; check the caller before a send

Cause: on a small twin of a loaded deployment the processes got several times the requests that their processor share allows. Each step waited for a long turn of the event loop: a booking that came at 13.3 s was sent on at 17.5 s, 210 requests were sent on after their callers had left, and most that reached their timeout were held. Change: where the settings have the policy of load, a request is refused at once while each recent turn is so long that it would miss its goal; less urgent kinds are refused before more urgent ones of their service. Immediately before a send the socket is asked whether the caller has closed its side.

--- a/knapweedarch/callers.py
+++ b/knapweedarch/callers.py
@@ -41,6 +41,7 @@
     RefusalReason.QUEUE_FULL: 503,
     RefusalReason.DEADLINE: 503,
     RefusalReason.NO_CAPACITY: 503,
+    RefusalReason.OVERLOADED: 503,
     RefusalReason.PART_HELD: 503,
     RefusalReason.ENDPOINTS_LIMITED: 503,
     RefusalReason.NO_RESUME: 502,
--- a/knapweedarch/half_close.py
+++ b/knapweedarch/half_close.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import select
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -41,6 +42,16 @@
             return
 
 
+def has_input_ended(sock: socket.socket) -> bool:
+    """Returns whether the caller has closed its sending side.
+
+    Unlike a read, it shows an end that the event loop has not got to yet.
+    """
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 async def _wait_for_reset(sock: socket.socket) -> None:
     delay_s = FIRST_CHECK_S
     while not _is_reset(sock):
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -19,7 +19,12 @@
 from knapweedarch.caller_ends import DropCause, cause_of_read_error
 from knapweedarch.deployments import CallerLimits
 from knapweedarch.exceptions import CallerGoneError
-from knapweedarch.half_close import wait_until_left
+from knapweedarch.half_close import (
+    FIRST_CHECK_S,
+    HALF_CLOSE_GRACE_S,
+    has_input_ended,
+    wait_until_left,
+)
 from knapweedarch.http_messages import Answer, Headers, Request
 from knapweedarch.idle_connections import IdleConnections
 from knapweedarch.inbound_limits import RecentLimits
@@ -34,6 +39,9 @@
 LINGER_TIMEOUT_S = 1.0
 # Bytes that have arrived are received within a turn of the event loop.
 ARRIVED_TIMEOUT_S = 0.005
+# A caller that closed its sending side is probed once and looked at three times
+# within this many seconds.
+CALLER_CHECK_S = HALF_CLOSE_GRACE_S + 7 * FIRST_CHECK_S
 # A body that is being sent may pause for this long after the end of the input.
 BODY_GRACE_S = 0.25
 # Time in seconds that requests on their way get at a stop, and between looks.
@@ -81,6 +89,17 @@
         """
         return self._conn.drop_cause or DropCause.STOPPED
 
+    async def check_caller(self) -> None:
+        """Waits until it is known whether the caller has left.
+
+        A busy process gets to the end of a connection late. Without this check
+        it would send a request on whose caller has left meanwhile.
+
+        Raises:
+            CallerGoneError: The caller has left.
+        """
+        await self._conn.check_caller()
+
     async def send(self, answer: Answer) -> None:
         """Sends a complete response.
 
@@ -425,6 +444,16 @@
                 return
         await anyio.sleep_forever()
 
+    async def check_caller(self) -> None:
+        """See `Responder.check_caller`."""
+        if self._aborted or not has_input_ended(self._socket):
+            return
+        # The task that watches for a disconnect probes the caller after its
+        # grace time, and cancels the handler if the caller has left.
+        await anyio.sleep(CALLER_CHECK_S)
+        if self._aborted:
+            raise CallerGoneError("the caller closed the connection")
+
     async def _probe(self) -> bool:
         """Writes something that the caller ignores.
 
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -91,6 +91,11 @@
     ),
     Metric("deployment.version", _G, "Version of the configuration in use."),
     Metric("lease.left_s", _G, "Seconds until the lease expires."),
+    Metric(
+        "loop.delay_s",
+        _G,
+        "Delay in seconds that each recent turn of the event loop had.",
+    ),
     Metric(
         "loads.age_s",
         _G,
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -27,6 +27,7 @@
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
     NO_CAPACITY = "no_capacity"
+    OVERLOADED = "overloaded"
     PART_HELD = "part_held"
     STREAM_VERSION_GONE = "stream_version_gone"
     STREAM_VERSION_UNKNOWN = "stream_version_unknown"
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -11,7 +11,7 @@
 from knapweedarch import control
 from knapweedarch.caller_ends import DropCause
 from knapweedarch.crash_guard import create_crash_guard
-from knapweedarch.deployments import Deployment
+from knapweedarch.deployments import Deployment, Route
 from knapweedarch.dialects import Dialect
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
 from knapweedarch.endpoint_identity import EndpointIdentities, IdentityPort
@@ -25,6 +25,7 @@
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import Endpoint, RefusalReason
 from knapweedarch.origin_client import OriginClient
+from knapweedarch.overload import LoopDelay, create_overload_limits
 from knapweedarch.process_pauses import PauseDetector
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
@@ -70,6 +71,8 @@
             which no request may start on older ones.
         ready_lag_s: Time in seconds from a failed readiness check until the
             load balancer sends no more callers here.
+        refuses_overload: Whether requests are refused that would be late as
+            this process lacks processor time.
     """
 
     name: str
@@ -86,6 +89,7 @@
     tunnels: Address | None = None
     weights_limit_s: float = 8.0
     ready_lag_s: float = 2.5
+    refuses_overload: bool = False
 
 
 class Proxy:
@@ -187,6 +191,10 @@
             on_dropped=self._count_dropped,
         )
         self._gateway.is_stopping = lambda: self._server.refusing
+        self._loop_delay = LoopDelay(LOADS_INTERVAL_S)
+        self._overload_limits = create_overload_limits(Deployment(0))
+        if settings.refuses_overload:
+            self._gateway.is_overloaded = self._is_overloaded
         self._ready_server = InboundServer(self._answer_ready, clock)
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
@@ -281,11 +289,16 @@
 
     def _set_deployment(self, deployment: Deployment) -> None:
         self._gateway.set_deployment(deployment)
+        self._overload_limits = create_overload_limits(deployment)
         self._server.apply_limits()
         self._attempts.set_stores(deployment.stores)
         log("deployment_applied", version=deployment.version)
 
+    def _is_overloaded(self, route: Route) -> bool:
+        return self._overload_limits.refuses(route, self._loop_delay.standing_s)
+
     def _report_loads(self, now: float) -> None:
+        self._loop_delay.record_call(now)
         self._relay.report_loads(self._attempts.chooser.own_loads())
         self._origins.report()
         self._endpoint_limits.is_shared = self._relay.is_subscribed
@@ -309,6 +322,7 @@
         gauge("deployment.version", self._gateway.deployment.version)
         gauge("endpoints.active", self._attempts.active_endpoint_count)
         gauge("requests.running", self._server.active)
+        gauge("loop.delay_s", self._loop_delay.standing_s)
         gauge("loads.age_s", self._attempts.chooser.peer_loads_age_s(now))
         gauge("relay.subscribed", int(self._relay.is_subscribed))
 
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -503,6 +503,7 @@
         Raises:
             ExchangeError: See `open`; or another incarnation has taken over,
                 whose software may be another.
+            CallerGoneError: The caller has left.
         """
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(exchange.close, None)
@@ -512,6 +513,8 @@
             ):
                 await self._identities.check(endpoint, exchange.opened_at)
                 self._check_start()
+            await call.check_caller()
+            self._check_start()
             stack.pop_all()
 
     def _check_start(self) -> None:
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -2,6 +2,7 @@
 
 import enum
 import random
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -59,6 +60,10 @@
     events: int = 0
 
 
+async def wait_for_nobody() -> None:
+    """Takes a caller to be there who cannot be asked."""
+
+
 @attrs.define
 class ProxyCall:
     """A request and the state of its attempts.
@@ -92,6 +97,7 @@
             ended; its repeat is counted already.
         has_left: Whether a silent endpoint was left for another one.
         rejections: Attempts since then that were not run.
+        check_caller: Raises `CallerGoneError` if the caller has left.
     """
 
     req: Request
@@ -115,6 +121,7 @@
     reserved: Endpoint | None = None
     has_left: bool = False
     rejections: int = 0
+    check_caller: Callable[[], Awaitable[None]] = wait_for_nobody
 
     @property
     def takes_up(self) -> bool:
--- a/knapweedarch/proxy_gateway.py
+++ b/knapweedarch/proxy_gateway.py
@@ -9,6 +9,7 @@
     CallerLimits,
     Customer,
     Deployment,
+    Route,
     RouteTable,
 )
 from knapweedarch.dialects import CallerOptions, Dialect
@@ -52,6 +53,8 @@
             then requests wait a moment for the first lease.
         is_stopping: Returns whether the process takes no new requests. One
             that becomes whole only then would be cut at the end of the stop.
+        is_overloaded: Returns whether a request on a route would take too long
+            in this process.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         self.ready = False
         self.started = anyio.Event()
         self.is_stopping: Callable[[], bool] = lambda: False
+        self.is_overloaded: Callable[[Route], bool] = lambda route: False
         self._dialect = dialect
         self._attempts = attempts
         self._clock = clock
@@ -105,6 +109,7 @@
             case RefusalReason() as reason:
                 await self._refuse(options, responder, reason)
             case ProxyCall() as call:
+                call.check_caller = responder.check_caller
                 await self._serve(call, responder)
 
     async def _wait_for_first_lease(self, options: CallerOptions) -> None:
@@ -152,6 +157,8 @@
             customer = self._table.customer(options.key)
             if customer is None:
                 return RefusalReason.UNKNOWN_KEY
+        if self.is_overloaded(route):
+            return RefusalReason.OVERLOADED
         name = self._table.choose_service(route, self._random.random())
         limit_s = min(route.timeout_s, options.limit_s or route.timeout_s)
         return ProxyCall(
