Adapt how much an overloaded process admits

Cause: the delay was taken over four calls of a timer, which itself is late while turns are long, so refusals began after two seconds and ended at once. A caller that left was probed at the next turns only, after the request was sent on. Change: the admitted part of the requests falls while turns are too long and grows back; the wait before a request was read counts against its time limit; a send waits until the caller is known to be there. Result: features/overload.feature, inbound.feature and proxy.feature pass.

--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -19,12 +19,7 @@
 from knapweedarch.caller_ends import DropCause, cause_of_read_error
 from knapweedarch.deployments import CallerLimits
 from knapweedarch.exceptions import CallerGoneError
-from knapweedarch.half_close import (
-    FIRST_CHECK_S,
-    HALF_CLOSE_GRACE_S,
-    has_input_ended,
-    wait_until_left,
-)
+from knapweedarch.half_close import has_input_ended, wait_until_left
 from knapweedarch.http_messages import Answer, Headers, Request
 from knapweedarch.idle_connections import IdleConnections
 from knapweedarch.inbound_limits import RecentLimits
@@ -39,9 +34,6 @@
 LINGER_TIMEOUT_S = 1.0
 # Bytes that have arrived are received within a turn of the event loop.
 ARRIVED_TIMEOUT_S = 0.005
-# A caller that closed its sending side is probed once and looked at three times
-# within this many seconds.
-CALLER_CHECK_S = HALF_CLOSE_GRACE_S + 7 * FIRST_CHECK_S
 # A body that is being sent may pause for this long after the end of the input.
 BODY_GRACE_S = 0.25
 # Time in seconds that requests on their way get at a stop, and between looks.
@@ -95,8 +87,7 @@
         A busy process gets to the end of a connection late. Without this check
         it would send a request on whose caller has left meanwhile.
 
-        Raises:
-            CallerGoneError: The caller has left.
+        The handler is cancelled if it has.
         """
         await self._conn.check_caller()
 
@@ -174,6 +165,8 @@
         self._input_end = DropCause.CALLER_CLOSED
         self._response_began = False
         self._ended_idle = False
+        # Set once a caller that sends no more is known to wait.
+        self._is_alive = anyio.Event()
         # A probe may be written beside the response.
         self._write_lock = anyio.Lock(fast_acquire=True)
         self._write_count = self._writes_before_probe = 0
@@ -438,7 +431,9 @@
             if not await self._receive():
                 if self._input_end is DropCause.CALLER_CLOSED:
                     self._writes_before_probe = self._write_count
-                    await wait_until_left(self._probe, self._socket)
+                    await wait_until_left(
+                        *(self._probe, self._socket, self._is_alive.set)
+                    )
                 self.abort(self._input_end)
                 scope.cancel()
                 return
@@ -448,11 +443,9 @@
         """See `Responder.check_caller`."""
         if self._aborted or not has_input_ended(self._socket):
             return
-        # The task that watches for a disconnect probes the caller after its
-        # grace time, and cancels the handler if the caller has left.
-        await anyio.sleep(CALLER_CHECK_S)
-        if self._aborted:
-            raise CallerGoneError("the caller closed the connection")
+        # The task that watches for a disconnect probes the caller, and cancels
+        # the handler if the caller has left.
+        await self._is_alive.wait()
 
     async def _probe(self) -> bool:
         """Writes something that the caller ignores.
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -11,7 +11,7 @@
 from knapweedarch import control
 from knapweedarch.caller_ends import DropCause
 from knapweedarch.crash_guard import create_crash_guard
-from knapweedarch.deployments import Deployment, Route
+from knapweedarch.deployments import Deployment
 from knapweedarch.dialects import Dialect
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
 from knapweedarch.endpoint_identity import EndpointIdentities, IdentityPort
@@ -25,7 +25,7 @@
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import Endpoint, RefusalReason
 from knapweedarch.origin_client import OriginClient
-from knapweedarch.overload import LoopDelay, create_overload_limits
+from knapweedarch.overload import create_overload_control
 from knapweedarch.process_pauses import PauseDetector
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
@@ -191,10 +191,12 @@
             on_dropped=self._count_dropped,
         )
         self._gateway.is_stopping = lambda: self._server.refusing
-        self._loop_delay = LoopDelay(LOADS_INTERVAL_S)
-        self._overload_limits = create_overload_limits(Deployment(0))
+        self._overload = create_overload_control(
+            LOADS_INTERVAL_S, int(incarnation, 16)
+        )
         if settings.refuses_overload:
-            self._gateway.is_overloaded = self._is_overloaded
+            self._gateway.is_overloaded = self._overload.refuses
+            self._gateway.unread_s = lambda: self._overload.unread_s
         self._ready_server = InboundServer(self._answer_ready, clock)
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
@@ -289,16 +291,13 @@
 
     def _set_deployment(self, deployment: Deployment) -> None:
         self._gateway.set_deployment(deployment)
-        self._overload_limits = create_overload_limits(deployment)
+        self._overload.set_deployment(deployment)
         self._server.apply_limits()
         self._attempts.set_stores(deployment.stores)
         log("deployment_applied", version=deployment.version)
 
-    def _is_overloaded(self, route: Route) -> bool:
-        return self._overload_limits.refuses(route, self._loop_delay.standing_s)
-
     def _report_loads(self, now: float) -> None:
-        self._loop_delay.record_call(now)
+        self._overload.tick(now)
         self._relay.report_loads(self._attempts.chooser.own_loads())
         self._origins.report()
         self._endpoint_limits.is_shared = self._relay.is_subscribed
@@ -322,7 +321,7 @@
         gauge("deployment.version", self._gateway.deployment.version)
         gauge("endpoints.active", self._attempts.active_endpoint_count)
         gauge("requests.running", self._server.active)
-        gauge("loop.delay_s", self._loop_delay.standing_s)
+        gauge("loop.delay_s", self._overload.standing_s)
         gauge("loads.age_s", self._attempts.chooser.peer_loads_age_s(now))
         gauge("relay.subscribed", int(self._relay.is_subscribed))
 
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -503,7 +503,6 @@
         Raises:
             ExchangeError: See `open`; or another incarnation has taken over,
                 whose software may be another.
-            CallerGoneError: The caller has left.
         """
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(exchange.close, None)
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -97,7 +97,7 @@
             ended; its repeat is counted already.
         has_left: Whether a silent endpoint was left for another one.
         rejections: Attempts since then that were not run.
-        check_caller: Raises `CallerGoneError` if the caller has left.
+        check_caller: Waits until it is known whether the caller has left.
     """
 
     req: Request
--- a/knapweedarch/proxy_gateway.py
+++ b/knapweedarch/proxy_gateway.py
@@ -55,6 +55,8 @@
             that becomes whole only then would be cut at the end of the stop.
         is_overloaded: Returns whether a request on a route would take too long
             in this process.
+        unread_s: Returns how long a request that is read now has waited for
+            this process at least, in seconds.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         self.started = anyio.Event()
         self.is_stopping: Callable[[], bool] = lambda: False
         self.is_overloaded: Callable[[Route], bool] = lambda route: False
+        self.unread_s: Callable[[], float] = lambda: 0.0
         self._dialect = dialect
         self._attempts = attempts
         self._clock = clock
@@ -167,7 +170,7 @@
             route=route,
             service=self._table.service(name),
             customer=customer,
-            deadline=req.began_at + limit_s - ANSWER_MARGIN_S,
+            deadline=req.began_at + limit_s - ANSWER_MARGIN_S - self.unread_s(),
             started_at=req.began_at,
             digests=RequestDigests(
                 _request_digest(req, host, customer),
