Enforce customer quotas at proxies and members

Cause: a deployment's configuration may name ratePerS, burstSize, unit and plainTokens for a customer, and no part applied them. Change: the keys are parsed, members mint and lend tokens, proxies ask for them and answer 429 with Retry-After; another member is asked if the own one is silent.

--- a/features/platform_site.feature
+++ b/features/platform_site.feature
@@ -106,3 +106,14 @@
       | hang                       |
       | reset                      |
       | refuse while open ones work |
+
+  Scenario: Requests over a customer's quota get 429 until there are tokens
+    Load: 60 bookings at once at two proxies of a customer that may make 6 a
+    second and 6 more at once. Guards against a quota that each proxy applies
+    alone, a refusal without a time, and a customer that stays refused.
+    Given a platform site of 3 members, 2 proxies and 3 runners
+    And the customer may make 6 requests a second and 6 at once
+    When 60 bookings are requested at once
+    Then at least 3 and at most 17 bookings were executed, and no others ran
+    And the others got 429 with a Retry-After of at most 5.0 s
+    And a booking after that time is executed
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -17,6 +17,7 @@
     StreamOrigins,
 )
 from knapweedarch.quarantine_messages import PartNotices, PartReports
+from knapweedarch.quota_messages import QUOTA_MESSAGES
 from knapweedarch.rate_messages import EndpointRates
 from knapweedarch.relay_messages import (
     LoadChanges,
@@ -400,4 +401,5 @@
     *(PartReports, PartNotices, EndpointRates),
     *(StreamOrigins, FindOrigins, OriginsFound, FindPeers, PeersFound),
     *(ReadVersions, ServiceVersions),
+    *QUOTA_MESSAGES,
 )
--- a/knapweedarch/deployments.py
+++ b/knapweedarch/deployments.py
@@ -11,6 +11,7 @@
 import attrs
 
 from knapweedarch.exceptions import DeploymentError
+from knapweedarch.quotas import Quota
 
 
 class Repeatability(str, enum.Enum):
@@ -178,12 +179,14 @@
         priority: Priority, which takes precedence over a route's; 0 is the most
             urgent; None if none is set.
         isolated: Whether cache entries are never shared with other customers.
+        quota: Quota over all routers; None if there is none.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
     isolated: bool = False
+    quota: Quota | None = None
 
 
 @attrs.frozen
--- a/knapweedarch/dialects.py
+++ b/knapweedarch/dialects.py
@@ -25,6 +25,8 @@
             that stream; empty if not named.
         prompt: The prompt; None if the request names no model.
         malformed: Names of headers that cannot be read; they say nothing.
+        tokens: Prompt and answer tokens that the caller names for its quota;
+            None if it names none.
     """
 
     request_id: str
@@ -34,6 +36,7 @@
     resumes: str = ""
     prompt: Prompt | None = None
     malformed: tuple[str, ...] = ()
+    tokens: int | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -227,6 +227,30 @@
         _I,
         "A request was refused before it was routed.",
     ),
+    Event(
+        522,
+        "request_over_quota",
+        _I,
+        "A request was refused because of the quota of its customer.",
+    ),
+    Event(
+        320,
+        "quota_member_silent",
+        _W,
+        "The member did not answer for quotas; another one is asked.",
+    ),
+    Event(
+        321,
+        "quota_member_not_reached",
+        _W,
+        "Another member could not be asked for quotas.",
+    ),
+    Event(
+        222,
+        "quota_part_changed",
+        _I,
+        "The part of the quotas that this member may mint has changed.",
+    ),
     Event(
         516,
         "request_not_admitted",
--- a/knapweedarch/explain.py
+++ b/knapweedarch/explain.py
@@ -165,7 +165,7 @@
     end = ends[-1]
     where = f"at {_process_name(end.source)}"
     match end.event:
-        case "request_refused_early":
+        case "request_refused_early" | "request_over_quota":
             why = _describe_refusal(end.text("reason"))
             return f"refused {where} with {end.text('status')}: {why}"
         case "caller_left":
@@ -179,7 +179,10 @@
 
 
 _FINAL_EVENTS = frozenset(
-    ("request_refused_early", "caller_left", "stream_ended", "request_answered")
+    (
+        *("request_refused_early", "request_over_quota", "caller_left"),
+        *("stream_ended", "request_answered"),
+    )
 )
 
 
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -35,6 +35,7 @@
 from knapweedarch.peer_links import PeerLinks
 from knapweedarch.process_pauses import PauseDetector
 from knapweedarch.process_start import STARTED_AT_S
+from knapweedarch.quota_relay import QuotaRelay
 from knapweedarch.settings import Address, MemberSettings, seed_addresses
 from knapweedarch.source_relay import FeedSource
 from knapweedarch.state import ControlState
@@ -86,8 +87,12 @@
         )
         self._state = ControlState()
         self._load_journal(started_at)
+        self._quotas = QuotaRelay(
+            *(self._journal.identity, settings.quota_bounds, clock, metrics)
+        )
         self.relay = MemberRelay(
-            *(settings.name, settings.data_centre, clock, metrics, feed)
+            *(settings.name, settings.data_centre, clock, metrics, feed),
+            quotas=self._quotas,
         )
         self._peers = PeerLinks(
             control.Hello(settings.name, self._journal.identity),
@@ -437,6 +442,7 @@
             self._report_member_changes()
             self._apply_member_list()
             self._update_sources()
+            self._update_quota_group()
             self._compact_if_due()
 
     def _send_to_peers(
@@ -469,6 +475,17 @@
             for store in (deployment.stores if deployment else ())
         ]
         self.relay.set_sources(sources)
+        if deployment is not None:
+            self._quotas.set_customers(deployment.customers)
+
+    def _update_quota_group(self) -> None:
+        """Tells which members mint quotas, and whether this one may."""
+        voters = frozenset(m.identity for m in self._replica.members if m.voter)
+        hears_leader = self._replica.knows_group
+        if self._leader.is_active:
+            # A leader that is cut off leads until it notices.
+            hears_leader = self.leads_until() > self._clock.now()
+        self._quotas.set_group(voters, hears_leader)
 
     def _install_snapshot(self, output: replica.Output) -> None:
         if output.snapshot is not None:
--- a/knapweedarch/member_relay.py
+++ b/knapweedarch/member_relay.py
@@ -20,6 +20,8 @@
 from knapweedarch.quarantine_client import log_held
 from knapweedarch.quarantine_messages import PartReports
 from knapweedarch.quarantine_relay import QuarantineRelay
+from knapweedarch.quota_messages import QuotaAsk, QuotaBorrow, QuotaLoan
+from knapweedarch.quota_relay import QuotaRelay
 from knapweedarch.rate_messages import EndpointRates
 from knapweedarch.rate_relay import RateRelay
 from knapweedarch.relay_messages import (
@@ -79,6 +81,7 @@
         clock: Clock of the process.
         metrics: Metrics of the process.
         feed: Requests for cache events; None if no sources are followed.
+        quotas: Quotas of customers; None if it takes no part in them.
     """
 
     def __init__(
@@ -88,12 +91,16 @@
         clock: Clock,
         metrics: Metrics,
         feed: CacheFeed | None,
+        quotas: QuotaRelay | None = None,
     ):
         self._name = name
         self._data_centre = data_centre
         self._clock = clock
         self._metrics = metrics
         self._feed = feed
+        self._quotas = quotas
+        if quotas is not None:
+            quotas.lenders = self._lenders
         self._feeds: CacheFeeds | None = None
         self._sources = SourceRelay(name, data_centre)
         self._loads = LoadRelay()
@@ -120,6 +127,8 @@
                 *(self._metrics, group),
             )
         timers.every(FLUSH_INTERVAL_S, self._flush)
+        if self._quotas is not None:
+            self._quotas.subscribe(timers)
 
     def set_sources(self, sources: list[FeedSource]) -> None:
         """Replaces the sources that all members together follow."""
@@ -161,6 +170,8 @@
 
     def remove_link(self, link: links.Link) -> None:
         """Ends the subscription on a closed link."""
+        if self._quotas is not None:
+            self._quotas.remove_link(link)
         subscriber = self._subscribers.pop(link, None)
         if subscriber is not None:
             self._loads.remove(link, subscriber.is_member)
@@ -185,6 +196,27 @@
             case EndpointRates() if link in self._subscribers:
                 is_member = self._subscribers[link].is_member
                 self._rates.receive(link, message, is_member, self._clock.now())
+            case _ if self._quotas is not None:
+                self._handle_quotas(link, message)
+
+    def _handle_quotas(self, link: links.Link, message: object) -> None:
+        match message:
+            case QuotaAsk():
+                self._quotas.receive_ask(link, message)
+            case QuotaBorrow() if link in self._subscribers:
+                name = self._subscribers[link].name
+                self._quotas.receive_borrow(link, name, message)
+            case QuotaLoan() if link in self._upstream:
+                self._quotas.receive_loan(link, self._upstream[link], message)
+
+    def _lenders(self) -> dict[str, links.Link]:
+        """Returns the links to the members that lend tokens of quotas."""
+        return {
+            name: link
+            for link, name in self._upstream.items()
+            if QuotaBorrow.__name__ in self._member_accepts.get(link, ())
+            and not link.closed.is_set()
+        }
 
     def find_origins(self, message: FindOrigins) -> OriginsFound | None:
         """Answers a look-up; None if it is malformed."""
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -29,6 +29,8 @@
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
 from knapweedarch.quarantine_client import QuarantineClient
+from knapweedarch.quota_client import QuotaClient
+from knapweedarch.quotas import QuotaBounds
 from knapweedarch.rate_messages import EndpointRates
 from knapweedarch.relay_client import RelayClient
 from knapweedarch.relay_messages import EndpointLoad
@@ -70,6 +72,7 @@
             which no request may start on older ones.
         ready_lag_s: Time in seconds from a failed readiness check until the
             load balancer sends no more callers here.
+        quota_bounds: Bound of what customers with quotas may use.
     """
 
     name: str
@@ -86,6 +89,7 @@
     tunnels: Address | None = None
     weights_limit_s: float = 8.0
     ready_lag_s: float = 2.5
+    quota_bounds: QuotaBounds = attrs.field(factory=QuotaBounds)
 
 
 class Proxy:
@@ -182,6 +186,11 @@
         self._gateway = ProxyGateway(
             *(dialect, self._attempts, clock, metrics, self._start_refusal)
         )
+        self._gateway.quotas = self._quotas = QuotaClient(
+            *(settings.quota_bounds, self._relay),
+            *(settings.credential.encode(), clock, metrics),
+        )
+        self._quotas.set_members(seed_addresses(settings.seeds))
         self._server = InboundServer(
             *(self._gateway.handle, clock, lambda: self._gateway.limits),
             on_dropped=self._count_dropped,
@@ -213,6 +222,7 @@
             group.start_soon(self._keeper.run)
             group.start_soon(self._relay.run)
             group.start_soon(self._origins.run)
+            group.start_soon(self._quotas.run)
             await group.start(self._server.serve, listen.host, listen.port)
             await group.start(self._ready_server.serve, ready.host, ready.port)
             if settings.tunnels is not None:
@@ -261,6 +271,7 @@
     def _set_members(self, members: Sequence[control.MemberAddress]) -> None:
         self._control.set_members(members)
         self._relay.set_members(members)
+        self._quotas.set_members(members)
 
     def _set_routers(self, count: int) -> None:
         self._attempts.set_router_count(count)
@@ -281,6 +292,7 @@
 
     def _set_deployment(self, deployment: Deployment) -> None:
         self._gateway.set_deployment(deployment)
+        self._quotas.set_customers(deployment.customers)
         self._server.apply_limits()
         self._attempts.set_stores(deployment.stores)
         log("deployment_applied", version=deployment.version)
@@ -311,6 +323,7 @@
         gauge("requests.running", self._server.active)
         gauge("loads.age_s", self._attempts.chooser.peer_loads_age_s(now))
         gauge("relay.subscribed", int(self._relay.is_subscribed))
+        self._quotas.update_gauges()
 
     def _set_weights(self, weights: dict[str, int]) -> None:
         self._attempts.chooser.set_target_versions(weights, self._clock.now())
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -92,6 +92,7 @@
             ended; its repeat is counted already.
         has_left: Whether a silent endpoint was left for another one.
         rejections: Attempts since then that were not run.
+        is_refused: Whether it was answered that it has not run and never will.
     """
 
     req: Request
@@ -115,6 +116,7 @@
     reserved: Endpoint | None = None
     has_left: bool = False
     rejections: int = 0
+    is_refused: bool = False
 
     @property
     def takes_up(self) -> bool:
--- a/knapweedarch/proxy_gateway.py
+++ b/knapweedarch/proxy_gateway.py
@@ -1,5 +1,6 @@
 """Matches callers' requests to routes and customers and serves them."""
 
+import functools
 import random
 from collections.abc import Callable
 
@@ -22,6 +23,8 @@
 from knapweedarch.proxy_calls import ProxyCall, retry_after_header
 from knapweedarch.proxy_streams import StreamRelay
 from knapweedarch.proxy_unary import serve_unary
+from knapweedarch.quota_client import NoQuotas, QuotaPort
+from knapweedarch.quota_gate import serve_within_quota
 from knapweedarch.request_digests import (
     RequestDigests,
     part_digests,
@@ -52,6 +55,7 @@
             then requests wait a moment for the first lease.
         is_stopping: Returns whether the process takes no new requests. One
             that becomes whole only then would be cut at the end of the stop.
+        quotas: Decides on requests of customers with a quota.
     """
 
     def __init__(
@@ -65,6 +69,7 @@
         self.ready = False
         self.started = anyio.Event()
         self.is_stopping: Callable[[], bool] = lambda: False
+        self.quotas: QuotaPort = NoQuotas()
         self._dialect = dialect
         self._attempts = attempts
         self._clock = clock
@@ -105,7 +110,11 @@
             case RefusalReason() as reason:
                 await self._refuse(options, responder, reason)
             case ProxyCall() as call:
-                await self._serve(call, responder)
+                await serve_within_quota(
+                    *(self.quotas, call),
+                    functools.partial(self._serve, call, responder),
+                    *(responder.send, self._metrics),
+                )
 
     async def _wait_for_first_lease(self, options: CallerOptions) -> None:
         """Waits for the first lease of a process that has just started."""
--- a/knapweedarch/proxy_refusals.py
+++ b/knapweedarch/proxy_refusals.py
@@ -27,6 +27,7 @@
         headers: Headers = ()
     else:
         status = 503
+        call.is_refused = True
         left_s = remaining_s(call, clock)
         headers = (retry_after_header(left_s, reason, expected_s),)
     metrics.count(f"refused.{reason.value}")
--- a/knapweedarch/quota_mint.py
+++ b/knapweedarch/quota_mint.py
@@ -1,4 +1,4 @@
-"""A member's part in quotas: it mints tokens, grants, lends and borrows them."""
+"""A member's part in quotas: mints, grants, lends and borrows tokens."""
 
 import collections
 import itertools
@@ -212,6 +212,14 @@
             for name in account.unanswered - names:
                 _end_round(account, name)
 
+    def is_waiting(self, source: Hashable) -> bool:
+        """Returns whether a demand of a proxy is not answered yet."""
+        return any(
+            pending.source is source
+            for digest in self._busy
+            for pending in self._accounts[digest].pending
+        )
+
     def remove_source(self, source: Hashable) -> None:
         """Forgets what a proxy waits for, as its link has closed."""
         for digest in list(self._busy):
--- a/knapweedarch/quota_shares.py
+++ b/knapweedarch/quota_shares.py
@@ -294,6 +294,12 @@
         if account.waiting.pop(id(ticket), None) is None:
             self.refund(ticket, now)
 
+    def ask_all_again(self) -> None:
+        """Asks anew for everything that waits."""
+        for name, account in self._accounts.items():
+            if account.waiting:
+                self.ask_again(name)
+
     def ask_again(self, customer: str) -> None:
         """Asks anew for what waits, as its answer may be lost."""
         account = self._accounts.get(customer)
@@ -304,7 +310,7 @@
 
     def take_ask(self, now: float) -> QuotaAsk | None:
         """Returns the message to a member; None if there is nothing to ask."""
-        names = [n for n, _ in zip(self._unasked, range(MAX_QUOTA_ENTRIES))]
+        names = list(itertools.islice(self._unasked, MAX_QUOTA_ENTRIES))
         number = next(self._numbers)
         demands = []
         for name in names:
@@ -405,9 +411,3 @@
             ticket.decision = decision
             ticket.on_decided()
         account.waiting.clear()
-
-    def allow_waiting(self) -> None:
-        """Allows what waits, as no member knows quotas."""
-        for account in self._accounts.values():
-            self._decide_all(account, Decision.ALLOWED)
-        self._unasked.clear()
--- a/knapweedarch/relay_client.py
+++ b/knapweedarch/relay_client.py
@@ -12,6 +12,7 @@
 from knapweedarch.origin_messages import StreamOrigins
 from knapweedarch.peer_loads import PeerLoads
 from knapweedarch.quarantine_messages import PartNotices, PartReports
+from knapweedarch.quota_messages import QuotaAsk, QuotaGrant
 from knapweedarch.rate_messages import EndpointRates
 from knapweedarch.relay_messages import (
     ACCEPTED_MESSAGES,
@@ -50,6 +51,7 @@
         on_notices: Called with what the member tells about parts of prompts.
         on_rates: Called with the requests of others to limited endpoints.
         on_subscribed: Called when a member has accepted the subscription.
+        on_quota_grant: Called with tokens of customers' quotas.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self._on_loads = on_loads
         self.on_notices: Callable[[PartNotices], None] = lambda notices: None
         self.on_rates: Callable[[EndpointRates], None] = lambda rates: None
+        self.on_quota_grant: Callable[[QuotaGrant], None] = lambda grant: None
         self.on_subscribed: list[Callable[[], None]] = []
         self._loads = PeerLoads()
         self._link: links.Link | None = None
@@ -92,6 +95,11 @@
         """Whether the member keeps origins of streams."""
         return self.is_subscribed and self._relay.takes_origins
 
+    @property
+    def member_name(self) -> str:
+        """Name of the member; empty without a subscription."""
+        return self._relay.name if self.is_subscribed else ""
+
     def member_accepts(self, message_class: type) -> bool:
         """Returns whether the member takes a class that not all builds know."""
         return (
@@ -116,7 +124,7 @@
             self._members = list(members)
 
     def send_reports(
-        self, reports: PartReports | EndpointRates | StreamOrigins
+        self, reports: PartReports | EndpointRates | StreamOrigins | QuotaAsk
     ) -> None:
         """Sends reports to the member; they are lost without subscription."""
         if self.is_subscribed:
@@ -236,6 +244,8 @@
                 self.on_notices(message)
             case EndpointRates():
                 self.on_rates(message)
+            case QuotaGrant():
+                self.on_quota_grant(message)
 
     def _accept(self, relay: Subscribed) -> None:
         self._relay = relay
--- a/knapweedarch/settings.py
+++ b/knapweedarch/settings.py
@@ -18,6 +18,7 @@
 from knapweedarch.leases import LEASE_S
 from knapweedarch.logs import LEVELS
 from knapweedarch.models import Priority
+from knapweedarch.quotas import QuotaBounds
 from knapweedarch.settings_reader import Section, shorten
 
 MIN_CREDENTIAL_CHARACTERS = 16
@@ -54,8 +55,8 @@
 class MemberSettings:
     """Settings of a control member.
 
-    A settings file cannot set `seeds`, `bootstrap`, `voters`, `lease_s` and
-    `silent_s`; only a program that creates this object can.
+    A settings file cannot set `seeds`, `bootstrap`, `voters`, `lease_s`,
+    `silent_s` and `quota_bounds`; only a program that creates this object can.
 
     Attributes:
         role: Always `member`.
@@ -77,6 +78,7 @@
             all processes.
         silent_s: Time in seconds without a heartbeat after which an endpoint
             gets no new work; 0 if endpoints send no heartbeats.
+        quota_bounds: Bound of what customers with quotas may use.
     """
 
     role: str = "member"
@@ -95,6 +97,7 @@
     voters: int = 0
     lease_s: float = LEASE_S
     silent_s: float = 0.0
+    quota_bounds: QuotaBounds = attrs.field(factory=QuotaBounds)
 
 
 @attrs.frozen(kw_only=True)
--- a/knapweedarch/settings_reader.py
+++ b/knapweedarch/settings_reader.py
@@ -2,6 +2,7 @@
 
 import math
 import re
+import sys
 from collections.abc import Callable
 
 _REQUIRED = object()
@@ -151,7 +152,10 @@
 
 
 def _is_number(value: object) -> bool:
-    return type(value) in (int, float) and math.isfinite(value)
+    if type(value) is int:
+        # `isfinite` fails for integers beyond the range of a float.
+        return abs(value) <= sys.float_info.max
+    return type(value) is float and math.isfinite(value)
 
 
 def shorten(value: object) -> str:
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -31,6 +31,8 @@
     *("request_digests", "endpoint_statements", "software_versions"),
     *("origin_messages", "origin_table", "origin_relay"),
     *("tunnel_messages", "endpoint_paths", "endpoint_stats", "answer_memory"),
+    *("quotas", "quota_messages", "quota_bucket", "quota_lenders"),
+    *("quota_mint", "quota_shares", "quota_rights"),
     "member_directory",
 )
 FORBIDDEN = {
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -213,6 +213,9 @@
             "bounds.retryRatio": "0.2",
             "bounds.retrySlack": "56",
             "bounds.retryWindowS": "10",
+            "bounds.quotaWindowS": "4",
+            "bounds.quotaOver": "0.1",
+            "bounds.quotaSlack": "4",
         }
 
     def start(self, name: str) -> None:
