--- a/knapweedarch/quota_lenders.py
+++ b/knapweedarch/quota_lenders.py
@@ -15,10 +15,20 @@
 YIELD_S = 0.04
 
 
+# A member that does not mint, or does not answer, is asked again after this
+# time in seconds.
+SILENT_S = 0.5
+
+
 @attrs.define
 class _Lender:
     left: float
     at: float
+    is_minting: bool
+
+    def may_mint(self, now: float) -> bool:
+        """Returns whether it may have minted since it last said so."""
+        return self.is_minting or now - self.at > SILENT_S
 
 
 class Lenders:
@@ -28,13 +38,15 @@
         self._known: dict[str, _Lender] = {}
         self._yield_until = -math.inf
 
-    def note(self, name: str, left: float, now: float) -> None:
+    def note(
+        self, name: str, left: float, is_minting: bool, now: float
+    ) -> None:
         """Notes what a member said that it could still lend."""
-        self._known[name] = _Lender(max(0.0, left), now)
+        self._known[name] = _Lender(left, now, is_minting)
 
     def note_silent(self, name: str, now: float) -> None:
         """Notes that a member has not answered: it lends nothing now."""
-        self._known[name] = _Lender(0.0, now)
+        self._known[name] = _Lender(0.0, now, is_minting=False)
 
     def retain(self, names: set[str]) -> None:
         """Forgets members that are not reached any more."""
@@ -44,6 +56,13 @@
         """Lets a member that has been short for longer collect tokens."""
         self._yield_until = now + YIELD_S
 
+    def may_mint(self, names: set[str], now: float) -> bool:
+        """Returns whether any of the members may mint."""
+        return any(
+            name not in self._known or self._known[name].may_mint(now)
+            for name in names
+        )
+
     def is_yielding(self, now: float) -> bool:
         """Returns whether another member collects tokens."""
         return now < self._yield_until
@@ -67,9 +86,14 @@
             return {}
         depth = bucket.plan.depth_for(bucket.heaviest(now)) / voters
         rate = bucket.plan.rate_per_s / voters
-        return {
-            name: min(depth, known.left + rate * (now - known.at))
-            if (known := self._known.get(name))
-            else depth
-            for name in names
-        }
+        return {name: self._estimate(name, depth, rate, now) for name in names}
+
+    def _estimate(
+        self, name: str, depth: float, rate: float, now: float
+    ) -> float:
+        known = self._known.get(name)
+        if known is None:
+            return depth
+        if not known.may_mint(now):
+            return known.left
+        return min(depth, known.left + rate * (now - known.at))
--- a/knapweedarch/quota_messages.py
+++ b/knapweedarch/quota_messages.py
@@ -128,6 +128,7 @@
         left: Weight that could be lent beyond it.
         aged: Further weight, which the lender had borrowed itself.
         aged_s: Seconds for which the latter still exists.
+        is_minting: Whether the lender mints.
     """
 
     customer: int
@@ -135,6 +136,7 @@
     left: float
     aged: float = 0.0
     aged_s: float = 0.0
+    is_minting: bool = True
 
 
 @attrs.frozen
--- a/knapweedarch/quota_mint.py
+++ b/knapweedarch/quota_mint.py
@@ -30,7 +30,7 @@
 BORROW_INTERVAL_S = 0.02
 # A demand waits this long for other members, or for the first tokens of a new
 # bucket. The proxy's caller waits for at most 0.15 s.
-HOLD_S = 0.12
+HOLD_S = 0.1
 # Largest part of what the others may have that is borrowed without asking them
 # first for what they have.
 UNCHECKED = 0.125
@@ -279,7 +279,7 @@
     def _lend(self, name: str, request: LoanRequest, now: float) -> Loan:
         account = self._accounts.get(request.customer)
         if account is None:
-            return Loan(request.customer, 0.0, 0.0)
+            return Loan(request.customer, 0.0, 0.0, is_minting=False)
         bucket = account.bucket
         if request.heaviest > bucket.heaviest(now):
             bucket.note_weight(request.heaviest, now)
@@ -294,7 +294,10 @@
         missing = min(request.amount - amount, lendable)
         aged, aged_s = bucket.lend_borrowed(missing, now)
         self.counts.lent += amount + aged
-        return Loan(request.customer, amount, lendable - aged, aged, aged_s)
+        return Loan(
+            *(request.customer, amount, lendable - aged, aged, aged_s),
+            is_minting=bucket.is_minting,
+        )
 
     def _reserve(self, account: _Account, now: float) -> float:
         """Returns the weight that is kept for the own proxies."""
@@ -324,7 +327,7 @@
             aged_until = min(expires_at, sent.sent_at + entry.aged_s)
             if now < aged_until:
                 account.bucket.add_loan(entry.aged, aged_until)
-            account.lenders.note(name, entry.left, now)
+            account.lenders.note(name, entry.left, entry.is_minting, now)
             _end_round(account, name)
             self._decide(account, now)
 
@@ -471,7 +474,9 @@
         others = sum(self._others(account, now).values())
         missing = max(0.0, weight - bucket.available(now) - others)
         rate = bucket.plan.rate_per_s
-        is_minting = bucket.is_minting or others > 0
+        is_minting = bucket.is_minting or account.lenders.may_mint(
+            self._lenders, now
+        )
         retry_s = missing / rate if rate > 0 else math.inf
         if weight > bucket.plan.deepest * (1 + EPSILON):
             # It never fits; asking again soon is of no use.
--- a/knapweedarch/quotas.py
+++ b/knapweedarch/quotas.py
@@ -9,6 +9,9 @@
 # last for a question to a member and one from there to another data centre.
 MAX_LIFETIME_S = 1.0
 MIN_LIFETIME_S = 0.4
+# Part of the lifetime that tokens have at a proxy. Members need the rest, to
+# collect tokens for a heavy request.
+SHARE_PART = 0.3
 # A bucket holds at least what its quota mints in this time, if the bounds allow
 # it. Proxies that were refused ask again within this time.
 DEPTH_S = 1.0
@@ -101,7 +104,8 @@
         left = max(0.0, normal + tolerance - deepest)
         rate = min(rate, left / (bounds.window_s + lifetime_s))
     depth = min(deepest, max(quota.burst, quota.rate_per_s * DEPTH_S))
-    return QuotaPlan(rate, depth, deepest, lifetime_s / 2, lifetime_s / 2)
+    share_s = max(MIN_LIFETIME_S / 2, lifetime_s * SHARE_PART)
+    return QuotaPlan(rate, depth, deepest, share_s, lifetime_s - share_s)
 
 
 def request_weight(quota: Quota, tokens: int | None) -> float:
