Model-check the tokens of customer quotas

Cause: nothing showed that loss, repeats, delays, restarts and a replaced voter cannot let a customer exceed its bound.

--- a/spec/check.py
+++ b/spec/check.py
@@ -8,10 +8,13 @@
 import sys
 import time
 
-from spec import lease_spec, log_spec, once_spec, replay
+from spec import lease_spec, log_spec, once_spec, quota_spec, replay
 from spec.checking import Model, Mutation, explore, follow
 
-MODELS = (*log_spec.MODELS, *once_spec.MODELS, *lease_spec.MODELS)
+MODELS = (
+    *(*log_spec.MODELS, *once_spec.MODELS, *lease_spec.MODELS),
+    *quota_spec.MODELS,
+)
 
 
 def _verdict(ok: bool) -> str:
