--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -193,3 +193,60 @@
       | a,b,c,d,e | a,b,c     | 0.2     | 0.333 |
       | a,b,c     | a,b,c,d,e | 0.2     | 0.2   |
       | a,b,c,d,e | b,c,d,e,f | 0       | 0     |
+
+  Scenario Outline: An invalid quota makes the configuration invalid
+    Guards against a quota that is silently ignored or breaks a process.
+    Given a customer whose quota is <quota>
+    Then the configuration is refused and the fault names <field>
+
+    Examples:
+      | quota                                               | field       |
+      | {"ratePerS": -1}                                    | ratePerS    |
+      | {"ratePerS": NaN}                                   | ratePerS    |
+      | {"ratePerS": Infinity}                              | ratePerS    |
+      | {"ratePerS": 1e999}                                 | ratePerS    |
+      | {"ratePerS": "5"}                                   | ratePerS    |
+      | {"ratePerS": null}                                  | ratePerS    |
+      | {"ratePerS": true}                                  | ratePerS    |
+      | {"burstSize": -1}                                   | burstSize   |
+      | {"ratePerS": 5, "burstSize": [1]}                   | burstSize   |
+      | {"ratePerS": 5, "unit": "bytes"}                    | unit        |
+      | {"ratePerS": 5, "unit": 1}                          | unit        |
+      | {"unit": "seconds"}                                 | unit        |
+      | {"ratePerS": 5, "unit": "tokens", "plainTokens": 0} | plainTokens |
+      | {"unit": "tokens", "plainTokens": -3}               | plainTokens |
+      | {"ratePerS": 5, "plainTokens": "x"}                 | plainTokens |
+
+  Scenario: An integer beyond every float is refused
+    Guards against an error of the process instead of the answer 400.
+    Given a customer with a rate of 400 digits
+    Then the configuration is refused and the fault names ratePerS
+
+  Scenario Outline: A quota is read as it is written
+    Guards against a quota where none was asked for, and against another weight.
+    Given a customer whose quota is <quota>
+    Then a request of <tokens> tokens weighs <weight>
+
+    Examples:
+      | quota                                                   | tokens | weight |
+      | {}                                                      | 100    | none   |
+      | {"ratePerS": 0, "burstSize": 5}                         | 100    | none   |
+      | {"burstSize": 5}                                        | 100    | none   |
+      | {"ratePerS": 5}                                         | 100    | 1      |
+      | {"ratePerS": 5, "unit": "requests", "plainTokens": 0}   | 100    | 1      |
+      | {"ratePerS": 0.5, "unit": "tokens", "plainTokens": 7.5} | 100    | 100    |
+      | {"ratePerS": 0.5, "unit": "tokens", "plainTokens": 7.5} | none   | 7.5    |
+      | {"ratePerS": 0.5, "unit": "tokens", "plainTokens": 7.5} | 0      | 0      |
+
+  Scenario Outline: The token count is read from its header
+    Guards against a weight that is not the sum of the two numbers.
+    Then the header <header> names <tokens> tokens
+
+    Examples:
+      | header  | tokens |
+      | 90,10   | 100    |
+      | 90      | 90     |
+      | none    | none   |
+      | x       | none   |
+      | 0,0     | 0      |
+      | 1,2,300 | 3      |
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -1,5 +1,6 @@
 """Steps for customer quotas in virtual time."""
 
+import json
 import math
 
 from behave import given, then, when
@@ -7,7 +8,11 @@
 from hypothesis import given as given_data
 from hypothesis import strategies as st
 
+from adapter.documents import read_deployment
+from adapter.headers import PlatformDialect
 from features.quota_world import QuotaWorld
+from knapweedarch.exceptions import DeploymentError
+from knapweedarch.http_messages import Request
 from knapweedarch.quota_messages import (
     QuotaAsk,
     QuotaDemand,
@@ -23,6 +28,7 @@
     QuotaBounds,
     create_plan,
     customer_digest,
+    request_weight,
 )
 
 BOUNDS = QuotaBounds(8.0, 0.1, 11_000.0)
@@ -521,3 +527,61 @@
 @then("it mints nothing {seconds:d} s after it has last heard from a leader")
 def check_no_rights(context, seconds):
     assert context.rights.current(106.1 + seconds).fraction == 0.0
+
+
+def read_customer(text):
+    """Reads a configuration whose only customer has these fields."""
+    customer = f'{{"name": "{NAME}", "apiKeys": ["k"], {text[1:]}'
+    if text == "{}":
+        customer = f'{{"name": "{NAME}", "apiKeys": ["k"]}}'
+    body = (
+        '{"version": 1, "routes": [], "services": [], '
+        f'"tenants": [{customer}]}}'
+    )
+    return read_deployment(body.encode())
+
+
+@given("a customer whose quota is {text}")
+def set_quota_text(context, text):
+    context.quota_text = text
+
+
+@given("a customer with a rate of {count:d} digits")
+def set_long_rate(context, count):
+    context.quota_text = json.dumps({"ratePerS": 10 ** (count - 1)})
+
+
+@then("the configuration is refused and the fault names {field}")
+def check_refused_field(context, field):
+    try:
+        read_customer(context.quota_text)
+    except DeploymentError as exc:
+        assert any(field in fault for fault in exc.faults), exc.faults
+        return
+    raise AssertionError("the configuration is accepted")
+
+
+@then("a request of {tokens} tokens weighs {weight}")
+def check_weight(context, tokens, weight):
+    quota = read_customer(context.quota_text).customers[0].quota
+    if weight == "none":
+        assert quota is None, quota
+        return
+    named = None if tokens == "none" else int(tokens)
+    assert request_weight(quota, named) == float(weight)
+
+
+@then("the header {header} names {tokens} tokens")
+def check_header(context, header, tokens):
+    headers = [(b"x-knapweedarch-token-count", header.encode())]
+    if header == "none":
+        headers = []
+    req = Request(
+        method=b"POST",
+        target=b"/x",
+        headers=tuple(headers),
+        body=b"",
+        began_at=0.0,
+    )
+    found = PlatformDialect().read_options(req).tokens
+    assert found == (None if tokens == "none" else int(tokens)), found
