--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -98,6 +98,7 @@
         has_left: Whether a silent endpoint was left for another one.
         rejections: Attempts since then that were not run.
         check_caller: Waits until it is known whether the caller has left.
+        is_refused: Whether it was answered that it has not run and never will.
     """
 
     req: Request
@@ -122,6 +123,7 @@
     has_left: bool = False
     rejections: int = 0
     check_caller: Callable[[], Awaitable[None]] = wait_for_nobody
+    is_refused: bool = False
 
     @property
     def takes_up(self) -> bool:
--- a/knapweedarch/proxy_gateway.py
+++ b/knapweedarch/proxy_gateway.py
@@ -1,5 +1,6 @@
 """Matches callers' requests to routes and customers and serves them."""
 
+import functools
 import random
 from collections.abc import Callable
 
@@ -23,6 +24,8 @@
 from knapweedarch.proxy_calls import ProxyCall, retry_after_header
 from knapweedarch.proxy_streams import StreamRelay
 from knapweedarch.proxy_unary import serve_unary
+from knapweedarch.quota_client import NoQuotas, QuotaPort
+from knapweedarch.quota_gate import serve_within_quota
 from knapweedarch.request_digests import (
     RequestDigests,
     part_digests,
@@ -57,6 +60,7 @@
             in this process.
         unread_s: Returns how long a request that is read now has waited for
             this process at least, in seconds.
+        quotas: Decides on requests of customers with a quota.
     """
 
     def __init__(
@@ -72,6 +76,7 @@
         self.is_stopping: Callable[[], bool] = lambda: False
         self.is_overloaded: Callable[[Route], bool] = lambda route: False
         self.unread_s: Callable[[], float] = lambda: 0.0
+        self.quotas: QuotaPort = NoQuotas()
         self._dialect = dialect
         self._attempts = attempts
         self._clock = clock
@@ -113,7 +118,11 @@
                 await self._refuse(options, responder, reason)
             case ProxyCall() as call:
                 call.check_caller = responder.check_caller
-                await self._serve(call, responder)
+                await serve_within_quota(
+                    *(self.quotas, call),
+                    functools.partial(self._serve, call, responder),
+                    *(responder.send, self._metrics),
+                )
 
     async def _wait_for_first_lease(self, options: CallerOptions) -> None:
         """Waits for the first lease of a process that has just started."""
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -32,6 +32,8 @@
     *("origin_messages", "origin_table", "origin_relay"),
     *("tunnel_messages", "endpoint_paths", "endpoint_stats", "answer_memory"),
     *("member_directory", "overload"),
+    *("quotas", "quota_messages", "quota_bucket", "quota_lenders"),
+    *("quota_mint", "quota_shares", "quota_rights"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
