--- a/knapweedarch/exceptions.py
+++ b/knapweedarch/exceptions.py
@@ -137,6 +137,13 @@
         super().__init__("given up, as answers take too much memory")
 
 
+class CallerEvictedError(KnapweedarchError):
+    """What a caller holds was given up, as callers take too much memory."""
+
+    def __init__(self):
+        super().__init__("given up, as callers take too much memory")
+
+
 class CallerGoneError(KnapweedarchError):
     """The caller closed its connection before the answer was complete.
 
