--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -17,7 +17,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import anyio
 import anyio.abc
@@ -34,6 +34,8 @@
 KEY = "key-of-huts"
 MODEL = "guide"
 ZONES = ("dinsho", "sanetti", "rira")
+# As in `adapter.settings`.
+METRICS_PORT = 9464
 START_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.02
 REQUEST_TIMEOUT_MS = 6000
@@ -143,8 +145,13 @@
 
     program = PROCESS
 
-    def __init__(self, group: anyio.abc.TaskGroup):
+    def __init__(
+        self,
+        group: anyio.abc.TaskGroup,
+        settings: Mapping[str, str] | None = None,
+    ):
         self._group = group
+        self._settings = dict(settings or {})
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="knapweedarch-"))
         second, third = random.SystemRandom().sample(range(2, 250), 2)
         self._network = f"127.{second}.{third}"
@@ -213,6 +220,7 @@
             "bounds.retryRatio": "0.2",
             "bounds.retrySlack": "56",
             "bounds.retryWindowS": "10",
+            **self._settings,
         }
 
     def start(self, name: str) -> None:
@@ -292,6 +300,26 @@
             if p.role == "member"
         ]
 
+    def listener(self, name: str) -> tuple[str, int]:
+        """Returns the address of a listener.
+
+        Args:
+            name: `proxy`, `ready`, `control` or `metrics`, of the first
+                process that has it.
+        """
+        port = {
+            "proxy": self._proxy_port,
+            "ready": self._ready_port,
+            "control": self._control_port,
+            "metrics": METRICS_PORT,
+        }[name]
+        return self.listening_process(name).host, port
+
+    def listening_process(self, name: str) -> Process:
+        """Returns the process of a listener; see `listener`."""
+        role = "member" if name == "control" else "proxy"
+        return self.processes[f"{role}-1"]
+
     def proxy_url(self, name: str) -> str:
         """Returns the base URL of a proxy for callers."""
         return f"http://{self.processes[name].host}:{self._proxy_port}"
@@ -448,16 +476,27 @@
 
 @contextlib.asynccontextmanager
 async def open_site(
-    members: int, proxies: int, runners: int, limit_s: float
+    members: int,
+    proxies: int,
+    runners: int,
+    limit_s: float,
+    settings: Mapping[str, str] | None = None,
 ) -> AsyncIterator[PlatformSite]:
     """Opens a site with a configuration applied and every proxy ready.
 
+    Args:
+        members: Number of members.
+        proxies: Number of proxies.
+        runners: Number of runners.
+        limit_s: Time in seconds until the site must be closed.
+        settings: Further fields of the settings files of all processes.
+
     Raises:
         TimeoutError: The site was not closed within `limit_s` seconds.
     """
     with anyio.fail_after(limit_s):
         async with anyio.create_task_group() as group:
-            site = PlatformSite(group)
+            site = PlatformSite(group, settings)
             try:
                 site.start_processes(members, proxies)
                 for _ in range(runners):
