Generate pipelined requests that are sound more often

Cause: half of the generated requests had two Host lines, so few were followed by another request, and a search for the end of a head that began too late (a trial: MessageEnd without the reset after a head) was not found. Result: the scenario passes; with that fault it fails. A decoder that takes a size line without a carriage return (a trial) fails the scenario of bodies.

--- a/features/steps/caller_byte_steps.py
+++ b/features/steps/caller_byte_steps.py
@@ -320,7 +320,7 @@
     strategies.lists(
         strategies.sampled_from(
             (
-                *(b"Host: a\r\n", b"host: b\n", b"X:\r\n", b"X: a\r\n b\r\n"),
+                *(b"Y: " + b"y" * 80 + b"\n", b"X:\r\n", b"X: a\r\n b\r\n"),
                 *(b"Connection: close\r\n", b"Content-Length: 3\r\n"),
                 b"Expect: 100-continue\r\n",
             )
