--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -9,7 +9,9 @@
 import attrs
 
 from knapweedarch import control
+from knapweedarch.caller_bounds import CallerBounds
 from knapweedarch.caller_ends import DropCause
+from knapweedarch.caller_guard import CallerGuard
 from knapweedarch.crash_guard import create_crash_guard
 from knapweedarch.deployments import Deployment
 from knapweedarch.dialects import Dialect
@@ -17,7 +19,7 @@
 from knapweedarch.endpoint_identity import EndpointIdentities, IdentityPort
 from knapweedarch.endpoint_rates import create_endpoint_limits
 from knapweedarch.endpoint_statements import create_endpoint_waits
-from knapweedarch.http_inbound import InboundServer, Responder
+from knapweedarch.http_inbound import CHECK_LIMITS, InboundServer, Responder
 from knapweedarch.http_messages import Answer, Request
 from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.lease_keeper import LeaseKeeper
@@ -76,6 +78,7 @@
         refuses_overload: Whether requests are refused that would be late as
             this process lacks processor time.
         quota_bounds: Bound of what customers with quotas may use.
+        caller_bounds: What callers may hold together.
     """
 
     name: str
@@ -94,6 +97,7 @@
     ready_lag_s: float = 2.5
     refuses_overload: bool = False
     quota_bounds: QuotaBounds = attrs.field(factory=QuotaBounds)
+    caller_bounds: CallerBounds = attrs.field(factory=CallerBounds)
 
 
 class Proxy:
@@ -101,6 +105,7 @@
 
     Attributes:
         stopped: Set when the proxy has drained after a stop signal.
+        guard: What the listeners of the process share.
     """
 
     def __init__(
@@ -195,9 +200,12 @@
             *(settings.credential.encode(), clock, metrics),
         )
         self._quotas.set_members(seed_addresses(settings.seeds))
+        self.guard = CallerGuard(settings.caller_bounds, metrics)
         self._server = InboundServer(
             *(self._gateway.handle, clock, lambda: self._gateway.limits),
             on_dropped=self._count_dropped,
+            guard=self.guard,
+            max_connections=settings.caller_bounds.max_connections,
         )
         self._gateway.is_stopping = lambda: self._server.refusing
         self._overload = create_overload_control(
@@ -206,7 +214,11 @@
         if settings.refuses_overload:
             self._gateway.is_overloaded = self._overload.refuses
             self._gateway.unread_s = lambda: self._overload.unread_s
-        self._ready_server = InboundServer(self._answer_ready, clock)
+        self._ready_server = InboundServer(
+            *(self._answer_ready, clock, lambda: CHECK_LIMITS),
+            guard=self.guard,
+            max_connections=settings.caller_bounds.max_side_connections,
+        )
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serves until SIGTERM or SIGINT, then drains and returns."""
@@ -334,6 +346,7 @@
         gauge("endpoints.active", self._attempts.active_endpoint_count)
         gauge("requests.running", self._server.active)
         gauge("loop.delay_s", self._overload.standing_s)
+        self.guard.update_gauges()
         gauge("loads.age_s", self._attempts.chooser.peer_loads_age_s(now))
         gauge("relay.subscribed", int(self._relay.is_subscribed))
         self._quotas.update_gauges()
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -34,6 +34,7 @@
     *("member_directory", "overload"),
     *("quotas", "quota_messages", "quota_bucket", "quota_lenders"),
     *("quota_mint", "quota_shares", "quota_rights"),
+    *("caller_memory", "caller_bounds", "chunked_body", "message_ends"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
