--- a/features/platform_site.feature
+++ b/features/platform_site.feature
@@ -117,3 +117,12 @@
     Then at least 3 and at most 17 bookings were executed, and no others ran
     And the others got 429 with a Retry-After of at most 5.0 s
     And a booking after that time is executed
+
+  Scenario: A frozen member refuses nothing below a customer's quota
+    Load: 20 bookings a second at two proxies of a customer that may make 60 a
+    second, while each member in turn, the leader and the proxies' own among
+    them, is frozen for 2 s. Guards against callers that notice a frozen member.
+    Given a platform site of 3 members, 2 proxies and 3 runners
+    And the customer may make 60 requests a second and 60 at once
+    When bookings are made while each member in turn is frozen for 2.0 s
+    Then none of them got 429 or 503
--- a/features/steps/quota_site_steps.py
+++ b/features/steps/quota_site_steps.py
@@ -1,5 +1,8 @@
 """Steps for customer quotas at a platform site of separate processes."""
 
+import os
+import signal
+
 import anyio
 from behave import given, then, when
 from steps.platform_site_steps import proxy_for_request
@@ -10,6 +13,9 @@
 QUOTA_VERSION = 2
 # Processes apply a confirmed configuration within this time, in seconds.
 APPLIED_S = 2.0
+BOOKINGS_PER_S = 20
+# The group has a leader again after this time, in seconds.
+SETTLED_S = 4.0
 
 
 @given("the customer may make {rate:d} requests a second and {burst:d} at once")
@@ -86,3 +92,44 @@
         assert answer.status_code == 200, answer.status_code
 
     plan.run(check)
+
+
+@when("bookings are made while each member in turn is frozen for {seconds:g} s")
+def book_beside_frozen_members(context, seconds):
+    plan = context.plan
+
+    async def book(site, number):
+        plan.bookings.append(
+            await site.send_request(proxy_for_request(number), "/booking/x")
+        )
+
+    async def book_all(site):
+        async with anyio.create_task_group() as group:
+            for number in range(round(seconds * BOOKINGS_PER_S)):
+                group.start_soon(book, site, number)
+                await anyio.sleep(1 / BOOKINGS_PER_S)
+
+    async def action(site):
+        members = [p for p in site.processes.values() if p.role == "member"]
+        for member in members:
+            os.kill(member.popen.pid, signal.SIGSTOP)
+            try:
+                await book_all(site)
+            finally:
+                os.kill(member.popen.pid, signal.SIGCONT)
+            await anyio.sleep(SETTLED_S)
+
+    plan.actions.append(action)
+
+
+@then("none of them got 429 or 503")
+def check_none_refused(context):
+    plan = context.plan
+
+    async def check(site):
+        statuses = [b.status_code for b in plan.bookings]
+        assert len(statuses) > 100, len(statuses)
+        refused = [s for s in statuses if s in (429, 503)]
+        assert not refused, statuses
+
+    plan.run(check)
