Let demands of new quotas wait until the member knows them

Cause: a proxy that learnt of a new quota before its member got 503, and refusals came from buckets that had just been created. Change: such demands wait for up to 0.1 s; a new bucket keeps demands that long.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -98,6 +98,13 @@
       | 9       | 30       |
       | 87      | 10       |
 
+  Scenario: A new quota that members learn of later refuses nothing
+    Load: half of the new quota at 9 proxies, which learn of it 60 ms sooner than
+    the members. Guards against refusals whenever a customer gets a quota.
+    Given 9 proxies, 5 members and a quota of 10000 tokens a second
+    When half of the quota is requested and members learn of it 0.06 s late
+    Then no request is refused
+
   Scenario: A lowered quota is in force within a window
     Load: 5 times the quota at 87 proxies; it is lowered to a fifth. Guards
     against tokens of the old quota that are spent long after.
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -301,6 +301,17 @@
     assert world.allowed(at + 8, 30.0) >= 0.97 * rate * (22 - at)
 
 
+@when("half of the quota is requested and members learn of it {late:g} s late")
+def learn_late(context, late):
+    world, rate = context.world, context.quota.rate_per_s
+    for member in world.members:
+        member.mint.set_quotas({}, 0.0)
+        world.at(1.0 + late, member.mint.set_quotas, world.quotas, 1.0 + late)
+    choose = create_choice(world, "even")
+    world.demand(1.0, 5.0, rate / 2, [100.0], choose)
+    world.run(6.0)
+
+
 @when(
     "{factor:d} times the quota is requested for {seconds:d} s and a member is"
     " replaced at {at:d} s"
--- a/knapweedarch/quota_mint.py
+++ b/knapweedarch/quota_mint.py
@@ -153,6 +153,8 @@
     def __init__(self, bounds: QuotaBounds):
         self._bounds = bounds
         self._accounts: dict[int, _Account] = {}
+        # Demands of customers that have no quota here yet.
+        self._early: list[tuple[int, _Pending]] = []
         self._busy: set[int] = set()
         self._voters = 0
         self._fraction = 0.0
@@ -170,6 +172,7 @@
             self._end_account(self._accounts.pop(digest))
         for digest, quota in wanted.items():
             self._set_quota(digest, quota, now)
+        self._take_early(now)
 
     def _set_quota(self, digest: int, quota: Quota, now: float) -> None:
         account = self._accounts.get(digest)
@@ -212,6 +215,11 @@
             for name in account.unanswered - names:
                 _end_round(account, name)
 
+    @property
+    def has_early_demands(self) -> bool:
+        """Whether there are demands of customers without a quota here."""
+        return bool(self._early)
+
     def is_waiting(self, source: Hashable) -> bool:
         """Returns whether a demand of a proxy is not answered yet."""
         return any(
@@ -226,6 +234,7 @@
             account = self._accounts[digest]
             account.pending = [p for p in account.pending if p.source != source]
         self._shares = {k: v for k, v in self._shares.items() if k[0] != source}
+        self._early = [e for e in self._early if e[1].source != source]
 
     def receive_ask(self, source: Hashable, ask: QuotaAsk, now: float) -> None:
         """Takes a proxy's demands and grants what it can.
@@ -243,12 +252,25 @@
             )
             account = self._accounts.get(demand.customer)
             if account is None:
-                share = QuotaShare(demand.customer, 0.0, is_minting=False)
-                self._answer(pending, share)
+                # The proxy may know of a new quota sooner.
+                self._early.append((demand.customer, pending))
                 continue
             self._add_demand(account, pending, now)
             self._decide(account, now)
 
+    def _take_early(self, now: float) -> None:
+        """Takes demands of customers whose quota has become known.
+
+        Old ones are dropped unanswered, so that the proxy asks another member.
+        """
+        early, self._early = self._early, []
+        for digest, pending in early:
+            account = self._accounts.get(digest)
+            if account is not None:
+                self._add_demand(account, pending, now)
+            elif now - pending.since < HOLD_S:
+                self._early.append((digest, pending))
+
     def _add_demand(
         self, account: _Account, pending: _Pending, now: float
     ) -> None:
@@ -342,6 +364,7 @@
     def tick(self, now: float) -> None:
         """Decides on demands that wait; to be called each 20 ms."""
         self._note_silent_lenders(now)
+        self._take_early(now)
         for digest in list(self._busy):
             account = self._accounts[digest]
             self._decide(account, now)
@@ -461,11 +484,13 @@
         self, account: _Account, pending: _Pending, now: float
     ) -> bool:
         waited_s = now - pending.since
-        if waited_s >= HOLD_S or pending.rounds >= MAX_ROUNDS:
+        if waited_s >= HOLD_S:
+            return False
+        if now - account.bucket.created_at < NEW_S:
+            return True
+        if pending.rounds >= MAX_ROUNDS:
             return False
-        is_new = now - account.bucket.created_at < NEW_S
-        is_yielding = account.lenders.is_yielding(now)
-        return account.wanted is not None or is_new or is_yielding
+        return account.wanted is not None or account.lenders.is_yielding(now)
 
     def _refuse(self, account: _Account, pending: _Pending, now: float) -> None:
         """Answers a demand of which something is missing."""
--- a/knapweedarch/quota_relay.py
+++ b/knapweedarch/quota_relay.py
@@ -126,7 +126,7 @@
         self._mint.remove_source(link)
 
     def _tick(self, now: float) -> None:
-        if not self._has_quotas:
+        if not (self._has_quotas or self._mint.has_early_demands):
             return
         self._apply_rights(now)
         self._mint.set_lenders(self.lenders())
