--- a/knapweedarch/logs.py
+++ b/knapweedarch/logs.py
@@ -17,6 +17,8 @@
 BUFFER_FULL = "no room for the line"
 # Characters of a logged traceback; its end names the error.
 MAX_TRACEBACK_CHARS = 3_000
+# Characters of a text in a line.
+MAX_FIELD_CHARS = MAX_TRACEBACK_CHARS
 
 _logger = logging.getLogger("knapweedarch")
 
@@ -108,7 +110,15 @@
     if registered is None:
         raise KeyError(f"event {event!r} is not registered in events.py")
     if _logger.isEnabledFor(registered.level):
-        _logger.handle(create_record(event, fields))
+        _logger.handle(create_record(event, _shorten_long(fields)))
+
+
+def _shorten_long(fields: dict[str, object]) -> dict[str, object]:
+    """Cuts long texts, whose length callers may choose, as that of an id."""
+    return {
+        key: value[:MAX_FIELD_CHARS] if isinstance(value, str) else value
+        for key, value in fields.items()
+    }
 
 
 def traceback_text(exc: BaseException) -> str:
