Test the expiry of tokens and the empty buckets after a restart

Cause: a proxy that counts lifetimes from the receipt, and buckets that start full, passed the tests. Change: a scenario on expiry, and a limit right after a restart of all. Result: both faults fail now; all scenarios pass without them.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -128,6 +128,7 @@
     When twice the quota is requested for 20 s and all processes restart at 10 s
     Then no window exceeds the bound
     And from 10.2 s to 11 s requests are allowed
+    And from 10 s to 10.2 s at most 3500 tokens are allowed
 
   Scenario: Proxies ask nothing when nothing changes
     Load: 1,000 customers at one proxy, none of which sends requests. Guards
@@ -159,6 +160,16 @@
     When that is refunded 2 s later
     Then the next request of 100 tokens waits
 
+  Scenario: Tokens expire by the time of the question
+    Load: a link that delivers late, and a proxy that is frozen. Guards against
+    tokens that live longer because they were on the way.
+    Given a proxy at which 1 requests of 100 tokens wait
+    When 300 tokens are granted 0.25 s after the question
+    Then a request of 100 tokens is allowed 0.29 s after the question
+    And a request of 100 tokens waits 0.31 s after the question
+    When 300 tokens are granted 0.4 s after the next question
+    Then a request of 100 tokens waits 0.41 s after that question
+
   Scenario: Repeated, late and foreign answers add no tokens
     Load: a link that delivers twice or late. Guards against tokens that are
     counted more than once, or spent after their lifetime.
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -474,6 +474,39 @@
         context.shares.cancel(waiting, 0.02)
 
 
+@when("{tokens:d} tokens are granted {late:g} s after the question")
+def grant_late(context, tokens, late):
+    grant(context, context.ask.number, float(tokens), late)
+
+
+@then("a request of {weight:d} tokens is allowed {late:g} s after the question")
+def check_allowed_late(context, weight, late):
+    assert spend(context, late, float(weight)).decision is Decision.ALLOWED
+
+
+@then("a request of {weight:d} tokens waits {late:g} s after the question")
+def check_waits_late(context, weight, late):
+    assert spend(context, late, float(weight)).decision is Decision.WAITING
+
+
+@when("{tokens:d} tokens are granted {late:g} s after the next question")
+def grant_after_next(context, tokens, late):
+    ask = context.shares.take_ask(1.0)
+    grant(context, ask.number, float(tokens), 1.0 + late)
+
+
+@then("a request of {weight:d} tokens waits {late:g} s after that question")
+def check_waits_after_next(context, weight, late):
+    ticket = spend(context, 1.0 + late, float(weight))
+    assert ticket.decision is Decision.WAITING
+
+
+@then("from {begin:g} s to {end:g} s at most {most:d} tokens are allowed")
+def check_most_allowed(context, begin, end, most):
+    allowed = context.world.allowed(begin, end)
+    assert allowed <= most, allowed
+
+
 @given(
     "the quota {rate:g} a second with burst {burst:g}, window {window:g}, over"
     " {over:g} and slack {slack:g}"
