Take no answer for whole whose request was not received, and no invalid status

Cause: an answer without a length ends with its connection. The proxy took the end of the endpoint's side for the end of the answer although the upload was still in its own buffers, and h11 accepts every status of three digits from 200.

Change: an answer that ends with its connection is complete only if the whole request was written and acknowledged (TIOCOUTQ); so is one through a tunnel, for what the far router has of the request. A status of 600 or more is an invalid answer, in the proxy and in the gateway, as 000 and 099 were.

--- a/knapweedarch/exchanges.py
+++ b/knapweedarch/exchanges.py
@@ -12,6 +12,7 @@
 
 from knapweedarch.answer_memory import AnswerMemory, HeldAnswer
 from knapweedarch.exceptions import AnswerGivenUpError, EndpointError
+from knapweedarch.http_messages import is_final_status
 from knapweedarch.models import RefusalReason, RetryReason
 from knapweedarch.transports import EndpointTransport
 
@@ -75,7 +76,7 @@
         timeout_s: Timeout for the response headers in seconds.
 
     Raises:
-        EndpointError: No response was received.
+        EndpointError: No response was received, or one with an invalid status.
         SendRefusedError: `check_send` returned a reason to refuse.
     """
 
@@ -99,12 +100,26 @@
             RetryReason.CONNECTION_CLOSED, repr(exc)
         ) from exc
     try:
+        _check_status(exchange)
         yield
     finally:
         # Closes the connection unless the body was read completely.
         await exchange.response.stream.aclose()
 
 
+def _check_status(exchange: Exchange) -> None:
+    """Checks the status; h11 itself accepts all of three digits from 200.
+
+    Raises:
+        EndpointError: No caller knows the status.
+    """
+    code = exchange.response.status_code
+    if not is_final_status(code):
+        raise exchange.create_error(
+            RetryReason.CONNECTION_CLOSED, f"invalid status {code}"
+        )
+
+
 def has_framing(response: httpx.Response) -> bool:
     """Returns whether a truncated body can be detected."""
     return (
--- a/knapweedarch/http_messages.py
+++ b/knapweedarch/http_messages.py
@@ -16,6 +16,15 @@
 )
 
 
+# Statuses of final answers (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
+
+
+def is_final_status(status: int) -> bool:
+    """Returns whether a final answer may have a status."""
+    return status in FINAL_STATUSES
+
+
 def find_header(headers: Headers, name: bytes) -> bytes:
     """Returns the value of the first header called `name`; empty if missing.
 
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -18,12 +18,18 @@
 
 from knapweedarch.answer_memory import AnswerMemory
 from knapweedarch.exceptions import ExchangeError
-from knapweedarch.http_messages import Headers, Request, find_header
+from knapweedarch.http_messages import (
+    Headers,
+    Request,
+    find_header,
+    is_final_status,
+)
 from knapweedarch.logs import log
 from knapweedarch.models import RetryReason
 from knapweedarch.task_groups import TaskOwner
 from knapweedarch.timers import Clock
 from knapweedarch.tunnel_stream import TunnelStream
+from knapweedarch.unacknowledged import has_unacknowledged
 
 READ_BYTES = 65_536
 CONNECT_TIMEOUT_S = 0.35
@@ -138,6 +144,7 @@
         self._sent = False
         self._send_scope = anyio.CancelScope()
         self._complete = False
+        self._input_ended = False
         self._is_reusable = True
 
     @property
@@ -231,6 +238,7 @@
         for _ in range(MAX_INTERIM_ANSWERS):
             match await self._next_event():
                 case h11.Response(status_code=status, headers=headers):
+                    self._check_status(status)
                     return AnswerHead(status, tuple(headers))
                 case h11.InformationalResponse():
                     continue
@@ -244,6 +252,13 @@
             f"{MAX_INTERIM_ANSWERS} interim answers without a final one",
         )
 
+    def _check_status(self, status: int) -> None:
+        """Checks a status; h11 itself accepts all of three digits from 200."""
+        if not is_final_status(status):
+            raise self._create_error(
+                RetryReason.CONNECTION_CLOSED, f"invalid status {status}"
+            )
+
     async def _skip_mismatched_answer(self) -> None:
         """Reads and discards the answer to another request.
 
@@ -289,6 +304,7 @@
             case h11.Data(data=data):
                 return bytes(data)
             case h11.EndOfMessage():
+                self._check_end()
                 self._complete = True
                 return None
             case event:
@@ -297,6 +313,25 @@
                     f"answer ended early: {event!r}",
                 )
 
+    def _check_end(self) -> None:
+        """Checks an answer that ends with its connection.
+
+        An endpoint in trouble ends the connection like that while the request
+        is on its way, so only the end of a request that was received whole is
+        the end of an answer without a length.
+
+        Raises:
+            ExchangeError: The endpoint has not received the whole request.
+        """
+        if not self._input_ended:
+            return
+        if self._sent and not has_unacknowledged(self._conn.stream):
+            return
+        raise self._create_error(
+            RetryReason.CONNECTION_CLOSED,
+            "the connection ended before the request was received",
+        )
+
     async def _next_event(self) -> object:
         try:
             while (event := self._conn.protocol.next_event()) is h11.NEED_DATA:
@@ -311,6 +346,7 @@
         try:
             return await self._conn.stream.receive(READ_BYTES)
         except anyio.EndOfStream:
+            self._input_ended = True
             return b""
         except STREAM_ERRORS as exc:
             raise self._create_error(
--- a/knapweedarch/tunnel_server.py
+++ b/knapweedarch/tunnel_server.py
@@ -19,6 +19,7 @@
     TunnelOpened,
     TunnelRefused,
 )
+from knapweedarch.unacknowledged import has_unacknowledged
 
 MAX_TUNNELS = 1_024
 READ_BYTES = 65_536
@@ -190,7 +191,8 @@
                 if not self._try_send(link, TunnelData(number, data)):
                     return True
         except anyio.EndOfStream:
-            return False
+            # An answer without a length is not complete before its request.
+            return bool(tunnel.unsent) or has_unacknowledged(tunnel.stream)
         except STREAM_ERRORS:
             return True
 
