Bound what the gateway holds for callers (partial)

Cause: see features/untrusted_gateway_callers.feature. hypercorn has no limit of connections; bodies were kept part by part and their decoded values were not counted; a body announced as too long was read; and where the queue of a body's parts was full as a response ended, hypercorn never closed the connection.

Change: requests share the account of caller_memory with all that is made of their bodies; connections are accepted by the gateway, which leaves callers in the kernel's queue at the limit of max_descriptors and ends connections that stand still; a body that is announced as too long is refused unread; a body has a least rate; unread bodies are read to the end of the response.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -56,7 +56,7 @@
       class_fill.nobody: unknown key; allowed: availability, batch, guest, interactive
       drain_s: 'x'; allowed: a number from 0 to 3600
       max_streams: True; allowed: an integer from 1 to 100000
-      que_limit: unknown key; allowed: class_fill, credential, data_centre, distances_ms, drain_s, endpoint_credential_file, listen, log_level, max_body_bytes, max_streams, members, metrics, name, prefill_tokens_s, queue_limit, request_s, role, statsd, tunnels
+      que_limit: unknown key; allowed: class_fill, credential, data_centre, distances_ms, drain_s, endpoint_credential_file, listen, log_level, max_body_bytes, max_descriptors, max_streams, members, memory_mb, metrics, name, prefill_tokens_s, queue_limit, request_s, role, statsd, tunnels
       """
 
   Scenario Outline: Files that are no settings are refused
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -285,7 +285,7 @@
 @given("routers that hold at most {size:d} bytes of bodies")
 def set_body_budget(context, size):
     for gateway in context.harness.gateways:
-        gateway.budget.limit_bytes = size
+        gateway.memory.limit_bytes = size
 
 
 @given('runners "a", "b" and "c"')
--- a/knapweedarch/callers.py
+++ b/knapweedarch/callers.py
@@ -1,11 +1,21 @@
 """HTTP exchange with a caller: size limits, write timeouts and errors."""
 
+import contextlib
 import json
-from collections.abc import Awaitable, Callable, MutableMapping
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterator,
+    MutableMapping,
+)
 
 import anyio
+import anyio.lowlevel
 import attrs
 
+from knapweedarch.body_charges import FREE_SHARE, LARGEST_SHARE
+from knapweedarch.caller_memory import SMALL_BYTES, CallerMemory, HeldBytes
 from knapweedarch.exceptions import KnapweedarchError
 from knapweedarch.models import Outcome, RefusalReason
 
@@ -16,12 +26,20 @@
 # Time limit for reading a request body, so that a slow sender cannot occupy
 # memory indefinitely.
 BODY_TIMEOUT_S = 30.0
-# Limit for the request bodies in memory at one time, of waiting and running
-# requests. A router has 256 MB for its own work; parsed bodies take about as
-# much again.
-MAX_BUFFERED_BYTES = 64 * 1024 * 1024
-# Part of a rejected body is read and discarded, because closing a connection
-# with unread data resets it, and the caller may then lose the error response.
+# A body must grow by this rate, in bytes per second, in each interval of
+# `BODY_GRACE_S` seconds.
+LEAST_BODY_RATE = 256
+BODY_GRACE_S = 10.0
+# Parts of a body below this size, in bytes, cost more time than what they hold.
+# After so many of them other requests get a turn.
+TINY_PART_BYTES = 256
+TINY_PARTS_PER_TURN = 64
+# A long answer is written in pieces of this size, in bytes, so that a caller
+# which reads slowly can be told from one that does not read.
+WRITE_BYTES = 64 * 1024
+# Part of a rejected body is read and discarded after the error response,
+# because closing a connection with unread data resets it, and the caller may
+# then lose the response.
 MAX_DISCARD_BYTES = 8 * 1024 * 1024
 DISCARD_TIMEOUT_S = 1.0
 
@@ -115,32 +133,6 @@
         ).encode()
 
 
-@attrs.define
-class BodyBudget:
-    """Limits the total size of the request bodies in memory.
-
-    Attributes:
-        limit_bytes: Maximum total in bytes.
-        reserved_bytes: Current total in bytes.
-    """
-
-    limit_bytes: int = MAX_BUFFERED_BYTES
-    reserved_bytes: int = 0
-
-    def reserve(self, size: int) -> None:
-        """Reserves memory for a part of a body.
-
-        Raises:
-            RefusedError: The limit would be exceeded.
-        """
-        if self.reserved_bytes + size > self.limit_bytes:
-            raise RefusedError(
-                RefusalReason.QUEUE_FULL,
-                "the memory limit for request bodies is reached",
-            )
-        self.reserved_bytes += size
-
-
 @attrs.define
 class HttpCall:
     """One HTTP request of a caller and its response.
@@ -155,10 +147,15 @@
         headers: Headers by lower-case name; the last one of a repeated name.
         receive: ASGI function that returns the next message of the caller.
         send: ASGI function that sends a message to the caller.
-        budget: Memory limit shared by all calls of the router.
-        reserved_bytes: Bytes that this call has reserved in the budget.
+        held: What it holds in the memory that all callers share; None if that
+            is not counted.
+        memory: That memory.
+        now: Returns the time of the memory's clock in seconds.
+        take_turn: Lets other requests go on.
         started: Whether sending the response head has begun.
+        is_answered: Whether sending the end of the response has begun.
         is_whole: Whether the body was read to its end.
+        lingers: Whether a rest of the body is read after the response.
     """
 
     method: str
@@ -167,10 +164,14 @@
     headers: dict[str, str]
     receive: Receive
     send: Send
-    budget: BodyBudget = attrs.field(factory=BodyBudget)
-    reserved_bytes: int = 0
+    held: HeldBytes | None = None
+    memory: CallerMemory = attrs.field(factory=CallerMemory)
+    now: Callable[[], float] = anyio.current_time
+    take_turn: Callable[[], Awaitable[None]] = anyio.lowlevel.checkpoint
     started: bool = False
+    is_answered: bool = False
     is_whole: bool = False
+    lingers: bool = False
 
     def header(self, name: str) -> str:
         """Returns the value of a header, or an empty string."""
@@ -179,53 +180,122 @@
     async def read_body(self, limit: int) -> bytes:
         """Reads the complete request body.
 
+        A body that is announced as too long is refused unread.
+
         Raises:
-            RefusedError: The body is longer than `limit` bytes, takes longer
-                than `BODY_TIMEOUT_S`, or exceeds the memory limit.
+            RefusedError: The body is longer than `limit` bytes, or arrives too
+                slowly.
+            CallerEvictedError: Callers hold too much memory.
             CallerGoneError: The caller closed the connection.
         """
         declared = self.header("content-length")
         if declared.isdecimal() and int(declared) > limit:
-            await self._discard_and_refuse(limit)
+            raise self._refuse_rest(_too_long_error(limit))
         with anyio.move_on_after(BODY_TIMEOUT_S):
-            return await self._read_chunks(limit)
-        raise RefusedError(
-            RefusalReason.SLOW_CALLER,
-            f"the body did not arrive within {BODY_TIMEOUT_S} s",
+            return await self._read_parts(limit)
+        raise self._refuse_rest(
+            RefusedError(
+                RefusalReason.SLOW_CALLER,
+                f"the body did not arrive within {BODY_TIMEOUT_S} s",
+            )
         )
 
-    async def _read_chunks(self, limit: int) -> bytes:
-        parts: list[bytes] = []
-        while True:
+    def _refuse_rest(self, refused: RefusedError) -> RefusedError:
+        self.lingers = True
+        return refused
+
+    async def _read_parts(self, limit: int) -> bytes:
+        # Parts may have one byte each, so they are not kept one by one.
+        body = bytearray()
+        while not self.is_whole:
+            before = len(body)
+            with anyio.move_on_after(BODY_GRACE_S):
+                await self._read_on(body, limit)
+            grown = len(body) - before
+            if not self.is_whole and grown < LEAST_BODY_RATE * BODY_GRACE_S:
+                raise self._refuse_rest(
+                    RefusedError(
+                        RefusalReason.SLOW_CALLER, "the body arrives too slowly"
+                    )
+                )
+        return bytes(body)
+
+    async def _read_on(self, body: bytearray, limit: int) -> None:
+        """Reads to the end of the body."""
+        async for part in self._parts():
+            body += part
+            if len(body) > limit:
+                raise self._refuse_rest(_too_long_error(limit))
+            self._resize(len(body))
+
+    async def _parts(self) -> AsyncIterator[bytes]:
+        """Yields the parts of the body as they arrive.
+
+        Raises:
+            CallerGoneError: The caller closed the connection.
+        """
+        tiny = 0
+        while not self.is_whole:
             message = await self.receive()
             if message["type"] == "http.disconnect":
                 raise CallerGoneError("the caller closed the connection")
+            self.is_whole = not message.get("more_body")
             part = message.get("body", b"")
-            self.budget.reserve(len(part))
-            self.reserved_bytes += len(part)
-            if self.reserved_bytes > limit:
-                await self._discard_and_refuse(limit)
-            parts.append(part)
-            if not message.get("more_body"):
-                self.is_whole = True
-                return b"".join(parts)
-
-    def release(self) -> None:
-        """Releases the memory reserved for the body."""
-        self.budget.reserved_bytes -= self.reserved_bytes
-        self.reserved_bytes = 0
-
-    async def _discard_and_refuse(self, limit: int) -> None:
-        discarded_bytes, more = 0, True
-        with anyio.move_on_after(DISCARD_TIMEOUT_S):
-            while more and discarded_bytes < MAX_DISCARD_BYTES:
-                message = await self.receive()
-                discarded_bytes += len(message.get("body", b""))
-                more = bool(message.get("more_body"))
-        raise RefusedError(
-            RefusalReason.BODY_TOO_LARGE,
-            f"the body is longer than {limit} bytes",
-        )
+            tiny += len(part) < TINY_PART_BYTES
+            if tiny >= TINY_PARTS_PER_TURN:
+                tiny = 0
+                await self.take_turn()
+            yield part
+
+    def _resize(self, size: int) -> None:
+        if self.held is not None:
+            self.held.resize(size, self.now())
+
+    def begin_service(self, charge: int) -> None:
+        """Counts what the body takes while the request runs.
+
+        From now on the request is not given up for others.
+
+        Args:
+            charge: Bytes of the body and all that is made of it.
+
+        Raises:
+            CallerEvictedError: Callers hold too much memory.
+        """
+        limit = self.memory.limit_bytes
+        size = min(charge, limit // LARGEST_SHARE)
+        if size > SMALL_BYTES:
+            # A share stays free, which short requests need.
+            self._resize(size + limit // FREE_SHARE)
+        self._resize(size)
+        if self.held is not None:
+            self.held.in_service = True
+
+    @contextlib.contextmanager
+    def _awaiting_caller(self) -> Iterator[None]:
+        """Marks that the answer waits for its caller to read."""
+        held = self.held
+        if held is None:
+            yield
+            return
+        held.awaits_caller = True
+        held.touch(self.now())
+        try:
+            yield
+        finally:
+            held.awaits_caller = False
+
+    async def _discard_rest(self) -> None:
+        """Reads what is left of the body, up to limits."""
+        discarded_bytes = 0
+        with (
+            anyio.move_on_after(DISCARD_TIMEOUT_S),
+            contextlib.suppress(CallerGoneError),
+        ):
+            async for part in self._parts():
+                discarded_bytes += len(part)
+                if discarded_bytes > MAX_DISCARD_BYTES:
+                    return
 
     async def wait_for_disconnect(self) -> None:
         """Waits until the caller has closed the connection."""
@@ -249,12 +319,14 @@
 
         The stream's `Watchdog` applies one instead.
         """
-        await self.send(
-            {"type": "http.response.body", "body": data, "more_body": True}
-        )
+        with self._awaiting_caller():
+            await self.send(
+                {"type": "http.response.body", "body": data, "more_body": True}
+            )
 
     async def finish(self, data: bytes = b"") -> None:
         """Sends the last part of the response body."""
+        self.is_answered = True
         await self._send({"type": "http.response.body", "body": data})
 
     async def send_response(
@@ -268,7 +340,12 @@
         headers = {"content-type": content_type} if content_type else {}
         headers |= {"content-length": str(len(data)), **(extra_headers or {})}
         await self.start(code, headers)
-        await self.finish(data)
+        with self._write_limit():
+            for start in range(0, len(data), WRITE_BYTES):
+                await self.write(data[start : start + WRITE_BYTES])
+        if self.lingers:
+            await self._discard_rest()
+        await self.finish()
 
     async def send_json(self, code: int, body: object) -> None:
         """Sends a complete JSON response."""
@@ -284,8 +361,18 @@
         )
 
     async def _send(self, message: Message) -> None:
-        with anyio.move_on_after(WRITE_TIMEOUT_S) as scope:
+        with self._write_limit(), self._awaiting_caller():
             await self.send(message)
+
+    @contextlib.contextmanager
+    def _write_limit(self) -> Iterator[None]:
+        """Limits the time of what is sent in the block.
+
+        Raises:
+            SlowCallerError: It took longer than `WRITE_TIMEOUT_S`.
+        """
+        with anyio.move_on_after(WRITE_TIMEOUT_S) as scope:
+            yield
         if scope.cancelled_caught:
             raise SlowCallerError(
                 f"a write to the caller timed out after {WRITE_TIMEOUT_S} s"
@@ -304,13 +391,15 @@
     return None if reason is RefusalReason.STOPPING else reason
 
 
-def create_call(
-    scope: Message,
-    receive: Receive,
-    send: Send,
-    budget: BodyBudget | None = None,
-) -> HttpCall:
-    """Creates a call from an ASGI scope."""
+def _too_long_error(limit: int) -> RefusedError:
+    return RefusedError(
+        RefusalReason.BODY_TOO_LARGE,
+        f"the body is longer than {limit} bytes",
+    )
+
+
+def create_call(scope: Message, receive: Receive, send: Send) -> HttpCall:
+    """Creates a call from an ASGI scope; what it holds is not counted."""
     return HttpCall(
         scope["method"],
         scope["path"],
@@ -321,5 +410,4 @@
         },
         receive,
         send,
-        budget or BodyBudget(),
     )
--- a/knapweedarch/chats.py
+++ b/knapweedarch/chats.py
@@ -11,6 +11,7 @@
 import attrs
 
 from knapweedarch.background import BackgroundTasks
+from knapweedarch.body_charges import json_charge
 from knapweedarch.callers import (
     WRITE_TIMEOUT_S,
     CallerGoneError,
@@ -95,6 +96,7 @@
         if reason := router.start_refusal():
             raise RefusedError(reason, SEND_REFUSED_MESSAGE)
         data = await call.read_body(router.max_body_bytes)
+        call.begin_service(json_charge(data))
         # A request that becomes whole only during a stop would be cut.
         if router.start_refusal() is RefusalReason.STOPPING:
             raise RefusedError(RefusalReason.STOPPING, SEND_REFUSED_MESSAGE)
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -12,9 +12,10 @@
 
 from knapweedarch.adapters import Adapter
 from knapweedarch.background import BackgroundTasks
-from knapweedarch.caller_ends import DropCause
+from knapweedarch.caller_ends import CallerRefusal, DropCause
+from knapweedarch.caller_guard import CallerGuard
+from knapweedarch.caller_memory import CallerMemory, HeldBytes
 from knapweedarch.callers import (
-    BodyBudget,
     CallerGoneError,
     HttpCall,
     Message,
@@ -26,7 +27,11 @@
 )
 from knapweedarch.chats import ChatHandler
 from knapweedarch.crash_guard import CrashGuard
-from knapweedarch.exceptions import ControlError
+from knapweedarch.exceptions import CallerEvictedError, ControlError
+from knapweedarch.gateway_connections import (
+    GatewayConnection,
+    GatewayConnections,
+)
 from knapweedarch.models import (
     Attempt,
     AttemptResult,
@@ -173,17 +178,19 @@
 
 
 class Gateway:
-    """The ASGI application; create it with `create_app`.
-
-    Attributes:
-        budget: Limits the request bodies in memory.
-    """
-
-    def __init__(self, router: RouterPort):
+    """The ASGI application; create it with `create_app`."""
+
+    def __init__(
+        self,
+        router: RouterPort,
+        guard: CallerGuard,
+        connections: GatewayConnections,
+    ):
         self._router = router
+        self._guard = guard
+        self._connections = connections
         self._background = BackgroundTasks()
         self._request_numbers = itertools.count(1)
-        self.budget = BodyBudget()
         self._chats = ChatHandler(router, self._background)
         self._services = ServiceHandler(router, self._background)
 
@@ -197,7 +204,67 @@
             raise ValueError(
                 f"ASGI scope type {scope['type']} is not supported"
             )
-        call = create_call(scope, receive, send, self.budget)
+        call = create_call(scope, receive, send)
+        connection = self._connections.find(scope.get("client"))
+        cancel = anyio.CancelScope()
+        with self.memory.hold(
+            _address(scope), self._router.clock.now(), cancel.cancel
+        ) as held:
+            self._share_memory(call, held, connection)
+            with cancel:
+                await self._serve(call)
+            if held.is_evicted:
+                await self._end_evicted(call, held, connection)
+        # Callers of HTTP/1.0 take any end of the connection for that of the
+        # answer.
+        is_partial = call.started and not call.is_answered
+        if is_partial and scope.get("http_version") == "1.0" and connection:
+            connection.end()
+
+    @property
+    def memory(self) -> CallerMemory:
+        """The memory that all callers share."""
+        return self._guard.memory
+
+    def _share_memory(
+        self,
+        call: HttpCall,
+        held: HeldBytes,
+        connection: GatewayConnection | None,
+    ) -> None:
+        call.held, call.memory = held, self.memory
+        call.now = self._router.clock.now
+        call.take_turn = self._guard.take_turn
+        if connection is not None:
+            connection.held = held
+
+    async def _end_evicted(
+        self,
+        call: HttpCall,
+        held: HeldBytes,
+        connection: GatewayConnection | None,
+    ) -> None:
+        """Refuses a request that was given up, or ends its answer."""
+        if connection is not None and connection.is_ending:
+            return
+        self._guard.count_refusal(CallerRefusal.NO_MEMORY)
+        call.held = None
+        if held.in_service or call.started:
+            if connection is not None:
+                connection.end()
+            return
+        call.lingers = not call.is_whole
+        refused = RefusedError(
+            RefusalReason.QUEUE_FULL,
+            "the memory limit for callers is reached",
+        )
+        try:
+            await self._refuse(call, refused)
+        except SlowCallerError as exc:
+            self._record_refusal(RefusalReason.SLOW_CALLER, str(exc))
+
+    async def _serve(self, call: HttpCall) -> None:
+        """Handles one request and records how it ends."""
         try:
             await self._handle(call)
         except RefusedError as refused:
@@ -205,8 +272,12 @@
         except CallerGoneError:
             self._router.count("cancelled")
             self._record_dropped(call, DropCause.CALLER_CLOSED)
+        except CallerEvictedError:
+            # `__call__` refuses it.
+            pass
         except anyio.get_cancelled_exc_class():
-            self._record_dropped(call, DropCause.STOPPED)
+            if not call.held.is_evicted:
+                self._record_dropped(call, DropCause.STOPPED)
             raise
         except SlowCallerError as exc:
             self._record_refusal(RefusalReason.SLOW_CALLER, str(exc))
@@ -214,8 +285,6 @@
             # The server sends status 500, or aborts a started response.
             self._router.log("request_failed", error=repr(exc))
             raise
-        finally:
-            call.release()
 
     def _record_dropped(self, call: HttpCall, cause: DropCause) -> None:
         """Records that a request ends without a whole answer."""
@@ -367,6 +436,25 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
 
-def create_app(router: RouterPort) -> Gateway:
-    """Creates the ASGI application of a router."""
-    return Gateway(router)
+def _address(scope: Message) -> str:
+    """Returns the caller's address, without its port."""
+    client = scope.get("client") or ("",)
+    return str(client[0])
+
+
+def create_app(
+    router: RouterPort,
+    guard: CallerGuard | None = None,
+    connections: GatewayConnections | None = None,
+) -> Gateway:
+    """Creates the ASGI application of a router.
+
+    Args:
+        router: The router.
+        guard: Bounds of what callers hold; the defaults if left out.
+        connections: Connections of the listener; if left out, none is ended by
+            the application.
+    """
+    guard = guard or CallerGuard()
+    connections = connections or GatewayConnections(guard, router.clock)
+    return Gateway(router, guard, connections)
--- a/knapweedarch/http_server.py
+++ b/knapweedarch/http_server.py
@@ -8,15 +8,22 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
+from hypercorn.asyncio.run import worker_serve
+from hypercorn.config import Config, Sockets
+from hypercorn.utils import wrap_app
 
 from knapweedarch import gateway
+from knapweedarch.caller_bounds import create_caller_bounds
+from knapweedarch.caller_guard import CallerGuard
 from knapweedarch.callers import RefusedError, create_call
+from knapweedarch.gateway_connections import GatewayConnections
+from knapweedarch.gateway_sockets import AcceptedSockets
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import RefusalReason
 from knapweedarch.settings import RouterSettings
+from knapweedarch.timers import Clock, ManualClock
+from knapweedarch.unread_bodies import RequestChannel
 
 COUNTERS_PATH = "/counters"
 CHAT_PATHS = "/v1/chat/"
@@ -29,6 +36,10 @@
 KEEP_ALIVE_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 32 * 1024
 BACKLOG = 1024
+# Parts of a body that wait for the application, of up to 64 KiB each. More are
+# of no use, as hypercorn and the application take turns.
+MAX_WAITING_PARTS = 4
+MIB = 1024 * 1024
 
 
 class HttpServer:
@@ -44,15 +55,28 @@
         stopping: Whether new requests are refused.
         drain_others: Waits for other work at a graceful shutdown, for at most
             the given time in seconds.
+        guard: Bounds what callers hold.
+        connections: Open connections of callers.
     """
 
-    def __init__(self, settings: RouterSettings, metrics: Metrics):
+    def __init__(
+        self,
+        settings: RouterSettings,
+        metrics: Metrics,
+        clock: Clock | ManualClock | None = None,
+    ):
         self.active = 0
         self.draining = False
         self.stopping = False
         self.drain_others: Callable[[float], Awaitable[None]] = _drain_nothing
         self._settings = settings
         self._metrics = metrics
+        ram_mb = settings.memory_mb
+        bounds = create_caller_bounds(
+            None if ram_mb is None else ram_mb * MIB, settings.max_descriptors
+        )
+        self.guard = CallerGuard(bounds, metrics)
+        self.connections = GatewayConnections(self.guard, clock or Clock())
         self._no_active_requests = anyio.Event()
         self._listener = self._listen()
         self.port = self._listener.getsockname()[1]
@@ -69,7 +93,7 @@
 
     def _config(self) -> Config:
         cfg = Config()
-        cfg.bind = [f"fd://{self._listener.detach()}"]
+        cfg.max_app_queue_size = MAX_WAITING_PARTS
         cfg.backlog = BACKLOG
         cfg.graceful_timeout = SHUTDOWN_TIMEOUT_S
         cfg.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
@@ -83,10 +107,20 @@
         """Serves an ASGI application until the graceful shutdown ends."""
         stop = anyio.Event()
         async with anyio.create_task_group() as group:
+            self._group = group
             group.start_soon(self._await_signal, stop)
-            await serve(
-                self._wrap_app(app),
-                self._config(),
+            group.start_soon(self.connections.run)
+            self._listener.listen(BACKLOG)
+            accepted = AcceptedSockets(self._listener)
+            group.start_soon(
+                self.connections.accept_all, self._listener, accepted
+            )
+            cfg = self._config()
+            # As `hypercorn.asyncio.serve` does, which takes no listener.
+            await worker_serve(
+                wrap_app(self._wrap_app(app), cfg.wsgi_max_body_size, "asgi"),
+                cfg,
+                sockets=Sockets([], [accepted], []),
                 shutdown_trigger=stop.wait,
             )
             group.cancel_scope.cancel()
@@ -101,6 +135,18 @@
         async def wrapped_app(scope, receive, send) -> None:
             if scope["type"] != "http":
                 return await app(scope, receive, send)
+            channel = RequestChannel(receive, send, self._group.start_soon)
+            connection = self.connections.find(scope["client"])
+            if connection is not None:
+                connection.begin_request()
+            try:
+                await serve_request(scope, channel.receive, channel.send)
+            finally:
+                channel.release()
+                if connection is not None:
+                    connection.end_request()
+
+        async def serve_request(scope, receive, send) -> None:
             if scope["path"] == COUNTERS_PATH:
                 return await self._send_counters(scope, send)
             if self._is_full(scope["path"]):
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -123,7 +123,7 @@
             *(self.adapter, clock, metrics),
         )
         self._dispatcher = Dispatcher(self.scheduler, self._timers)
-        self._server = HttpServer(settings, metrics)
+        self._server = HttpServer(settings, metrics, clock)
         self._server.drain_others = self._paths.drain
         self._tunnels = settings.tunnels
 
@@ -146,7 +146,10 @@
             group.start_soon(self._keeper.run)
             group.start_soon(self._relay.run)
             task_status.started(self._server.port)
-            await self._server.run(gateway.create_app(self))
+            server = self._server
+            await server.run(
+                gateway.create_app(self, server.guard, server.connections)
+            )
             group.cancel_scope.cancel()
         await self.adapter.close()
 
--- a/knapweedarch/services.py
+++ b/knapweedarch/services.py
@@ -18,6 +18,7 @@
 
 from knapweedarch.adapters import ServiceResponse
 from knapweedarch.background import BackgroundTasks
+from knapweedarch.body_charges import service_charge
 from knapweedarch.callers import (
     JSON_TYPE,
     HttpCall,
@@ -120,6 +121,7 @@
                 response that can be delivered.
         """
         service_call = await self._parse_call(call, customer, request_id)
+        call.begin_service(service_charge(service_call.body))
         self._check_admission(service_call)
         self._running += 1
         try:
--- a/knapweedarch/settings.py
+++ b/knapweedarch/settings.py
@@ -126,6 +126,10 @@
         queue_limit: Maximum number of requests that wait for an endpoint.
         tunnels: Address at which other routers ask for connections to
             endpoints; None if it opens none.
+        memory_mb: Memory of the machine in MiB, from which the limit of what
+            callers hold is derived; None if it is not known.
+        max_descriptors: File descriptors that the process may open, from which
+            the limit of callers' connections is derived; None for no limit.
     """
 
     role: str = "router"
@@ -147,6 +151,8 @@
     max_streams: int = 2_000
     queue_limit: int = 1_000
     tunnels: Address | None = None
+    memory_mb: int | None = None
+    max_descriptors: int | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -315,6 +321,10 @@
         max_streams=top.integer("max_streams", 1, 100_000, default=2_000),
         queue_limit=top.integer("queue_limit", 0, 100_000, default=1_000),
         tunnels=_read_address(top.section("tunnels", default=None), 0),
+        memory_mb=top.integer("memory_mb", 64, 1_048_576, default=None),
+        max_descriptors=top.integer(
+            "max_descriptors", 64, 1_048_576, default=None
+        ),
     )
 
 
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -31,7 +31,7 @@
     *("request_digests", "endpoint_statements", "software_versions"),
     *("origin_messages", "origin_table", "origin_relay"),
     *("tunnel_messages", "endpoint_paths", "endpoint_stats", "answer_memory"),
-    "member_directory",
+    *("member_directory", "body_charges"),
     *("caller_memory", "caller_bounds", "chunked_body", "message_ends"),
 )
 FORBIDDEN = {
