--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -31,7 +31,7 @@
     *("request_digests", "endpoint_statements", "software_versions"),
     *("origin_messages", "origin_table", "origin_relay"),
     *("tunnel_messages", "endpoint_paths", "endpoint_stats", "answer_memory"),
-    *("member_directory", "overload"),
+    *("member_directory", "overload", "body_charges"),
     *("quotas", "quota_messages", "quota_bucket", "quota_lenders"),
     *("quota_mint", "quota_shares", "quota_rights"),
     *("caller_memory", "caller_bounds", "chunked_body", "message_ends"),
