Take answers without a length for whole where the system cannot tell

Cause: has_unacknowledged returned True for any error of the call, so a system without it would have every answer without a length refused. Change: only a socket that was closed counts as unacknowledged. Result: not seen to fail; read in review.

--- a/knapweedarch/unacknowledged.py
+++ b/knapweedarch/unacknowledged.py
@@ -23,9 +23,12 @@
     if isinstance(stream, TunnelStream):
         return False
     sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    try:
-        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-    except (OSError, ValueError):
+    if sock.fileno() < 0:
         # The event loop has closed the socket after a failed write.
         return True
+    try:
+        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        # A system that cannot tell must not spoil sound answers.
+        return False
     return struct.unpack("i", found)[0] > 0
