Learn the speed and the limit of each endpoint from its answers

Cause: endpoints of one service differ in speed, some for a few seconds by far, and routers chose among them by load alone. One router sees too few requests at each endpoint to learn it by itself. Change: routers turn the times of answers into samples (speed_samples), report them to their member (SpeedReport), members pool them (capacity_relay, endpoint_capacity) and tell routers what has changed (CapacityReport), which enters the cost of an endpoint in seconds.

--- a/knapweedarch/attempt_scope.py
+++ b/knapweedarch/attempt_scope.py
@@ -12,6 +12,7 @@
 from knapweedarch.prompt_admission import Waiting
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_calls import AnswerProgress, Failure, ProxyCall
+from knapweedarch.speed_samples import Observation
 
 # Longest body that is kept until it is complete. An endpoint in trouble may
 # send without end.
@@ -39,9 +40,11 @@
         self._tokens_ahead = 0
         self._started_at = 0.0
         self._waiting: Waiting | None = None
+        self._observation: Observation | None = None
 
     def record_first_event(self) -> None:
         """Records that the runner has prefilled the prompt."""
+        self.record_first_byte()
         prompt = self._call.options.prompt
         if prompt is not None and self._started_at:
             now = self._attempts.now()
@@ -53,6 +56,19 @@
         self._end_waiting(was_read=True)
         self.record_prompt_read()
 
+    def record_first_byte(self) -> None:
+        """Records that the endpoint has begun to answer the request."""
+        observation, self._observation = self._observation, None
+        if observation is not None:
+            self._attempts.chooser.end_observation(
+                observation, self._attempts.now()
+            )
+
+    def _drop_observation(self) -> None:
+        observation, self._observation = self._observation, None
+        if observation is not None:
+            self._attempts.chooser.drop_observation(observation)
+
     def _end_waiting(self, was_read: bool) -> None:
         waiting, self._waiting = self._waiting, None
         if waiting is not None:
@@ -89,6 +105,10 @@
                 *(self._endpoint, call.options.prompt),
                 *(self._unread_tokens, attempts.now()),
             )
+        self._observation = attempts.chooser.start_observation(
+            *(self._endpoint, call.options.prompt, call.route.name),
+            *(self._tokens_ahead + self._unread_tokens, attempts.now()),
+        )
         attempts.chooser.record_sent(
             *(self._endpoint, call.options.prompt, self._unread_tokens),
             attempts.now(),
@@ -97,6 +117,7 @@
 
     async def __aexit__(self, *exc_info) -> None:
         self._end_waiting(was_read=False)
+        self._drop_observation()
         self.record_prompt_read()
         self._attempts.chooser.record_ended(
             self._endpoint, self._call.options.prompt
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from knapweedarch.capacity_messages import CapacityReport, SpeedReport
 from knapweedarch.codec import create_codec
 from knapweedarch.deployments import Deployment
 from knapweedarch.exceptions import CodecError
@@ -399,5 +400,5 @@
     *(ResendSources, LoadChanges, LoadTotals),
     *(PartReports, PartNotices, EndpointRates),
     *(StreamOrigins, FindOrigins, OriginsFound, FindPeers, PeersFound),
-    *(ReadVersions, ServiceVersions),
+    *(ReadVersions, ServiceVersions, SpeedReport, CapacityReport),
 )
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -16,12 +16,14 @@
 import xxhash
 
 from knapweedarch.endpoint_stats import EndpointStats, EndpointStatsTable
+from knapweedarch.learnt_capacities import PROBE_S, LearntCapacities
 from knapweedarch.load_relay import no_load
 from knapweedarch.models import Endpoint
 from knapweedarch.prefill_rates import PrefillRates
 from knapweedarch.prompt_parts import Prompt
 from knapweedarch.relay_messages import EndpointLoad
 from knapweedarch.runner_roles import RunnerRoles, WorkMix, is_prompt_heavy
+from knapweedarch.speed_samples import Observation
 from knapweedarch.stored_parts import PartsIndex, shared_digests
 from knapweedarch.target_weights import TargetWeights
 
@@ -73,6 +75,9 @@
         repeat_old_weights_penalty_s: Penalty for weights that are not the
             newest when another endpoint was already tried for the request.
             Loading new weights may break the request off a second time.
+        learnt_capacity: Whether the learnt speeds and limits of endpoints enter
+            the cost.
+        limit_penalty_s: Penalty for an endpoint at its learnt limit.
     """
 
     distance_s: dict[str, float] = attrs.field(factory=dict)
@@ -100,6 +105,8 @@
     claim_s: float = 1.0
     few_routers: int = 4
     fetch_cost_ratio: float = 0.25
+    learnt_capacity: bool = False
+    limit_penalty_s: float = 0.3
 
 
 class EndpointChooser:
@@ -120,6 +127,7 @@
         self._rates = PrefillRates()
         self._work: dict[str, WorkMix] = {}
         self._roles: dict[str, RunnerRoles] = {}
+        self.learnt = LearntCapacities(random.Random(seed))
 
     def set_router_count(self, count: int) -> None:
         """Sets how many routers, this one included, share the endpoints."""
@@ -167,6 +175,7 @@
         barred: Collection[str] = (),
         cautious: Collection[str] = (),
         needs_room: bool = False,
+        kind: str = "",
     ) -> Endpoint | None:
         """Chooses the usable endpoint with the lowest cost, or None.
 
@@ -183,6 +192,7 @@
             cautious: Ids of endpoints that get it only if they have room.
             needs_room: Whether any endpoint gets it only if it has room, as far
                 as loads are known.
+            kind: Kind of a request without a prompt; see `start_observation`.
         """
         untried = [
             e for e in endpoints if e.id not in tried and e.id not in barred
@@ -198,6 +208,7 @@
                 e
                 for e in usable
                 if not _is_full(e, self._known_load(e), prompt, memory_tokens)
+                and self._known_load(e).requests < self._stats.get(e).limit
             ]
         if cautious:
             usable = self._with_room(usable, cautious, prompt, memory_tokens)
@@ -209,15 +220,24 @@
         if prompt is not None:
             cached_tokens = self._cached_tokens(endpoints, prompt, salt, now)
         max_cached_tokens = _max_by_weights(endpoints, cached_tokens)
+        base_s = self._base_s(prompt, kind)
         return min(
             usable,
             key=lambda e: self._cost(
                 *(e, prompt, ranks, mismatched, memory_tokens),
                 *(bool(tried), cached_tokens.get(e.id, 0)),
-                max_cached_tokens.get(e.weights_version, 0),
+                *(max_cached_tokens.get(e.weights_version, 0), base_s),
             ),
         )
 
+    def _base_s(self, prompt: Prompt | None, kind: str) -> float:
+        """Returns the usual time of a request apart from its prefill."""
+        if not self._cfg.learnt_capacity:
+            return 0.0
+        if prompt is None:
+            return self.learnt.observer.usual_s(kind)
+        return self._rates.rate(prompt.model).base_s
+
     def _with_room(
         self,
         usable: Sequence[Endpoint],
@@ -389,6 +409,7 @@
         is_repeat: bool,
         cached_tokens: int,
         max_cached_tokens: int,
+        base_s: float,
     ) -> float:
         """Returns the cost of an endpoint in seconds.
 
@@ -402,6 +423,7 @@
             cached_tokens: Leading prompt tokens that the endpoint has cached.
             max_cached_tokens: Largest `cached_tokens` of any endpoint with the
                 same weights, from which the parts can be fetched.
+            base_s: Usual time of the request apart from its prefill.
         """
         cfg, stats = self._cfg, self._stats.get(endpoint)
         distance_s = cfg.distance_s.get(
@@ -411,7 +433,8 @@
             cfg.remote_penalty_s if distance_s > cfg.local_distance_s else 0.0
         )
         load = self._total_load(endpoint, stats)
-        utilisation = load.requests / max(1, endpoint.slots)
+        slowness, slots = stats.slowness, min(endpoint.slots, stats.limit)
+        utilisation = load.requests / max(1, slots)
         if memory_tokens:
             utilisation = max(utilisation, load.held_tokens / memory_tokens)
         cost_s = (
@@ -420,6 +443,9 @@
         cost_s += cfg.rank_penalty_s * ranks[endpoint.id]
         if _is_full(endpoint, load, prompt, memory_tokens):
             cost_s += cfg.full_penalty_s
+        elif load.requests >= slots:
+            cost_s += cfg.limit_penalty_s
+        cost_s += base_s * (slowness - 1.0)
         if endpoint.id in mismatched:
             cost_s += cfg.role_penalty_s
         cost_s += (
@@ -427,7 +453,7 @@
         )
         if prompt is not None:
             tokens_s = self._rates.rate(prompt.model).tokens_s
-            cost_s += load.unread_tokens / tokens_s
+            cost_s += slowness * load.unread_tokens / tokens_s
             if not self.has_newest_weights(endpoint, prompt):
                 cost_s += (
                     cfg.repeat_old_weights_penalty_s
@@ -440,7 +466,7 @@
                 - cached_tokens
                 - (1 - cfg.fetch_cost_ratio) * fetchable_tokens
             )
-            prefill_s = uncached_tokens / tokens_s
+            prefill_s = slowness * uncached_tokens / tokens_s
             cost_s += prefill_s * (1 + cfg.prefill_slowdown * load.requests)
         return cost_s
 
@@ -456,6 +482,86 @@
         share = self._work.setdefault(model, WorkMix()).answer_share
         return roles.mismatched(usable, share, heavy)
 
+    def start_observation(
+        self,
+        endpoint: Endpoint,
+        prompt: Prompt | None,
+        kind: str,
+        tokens: int,
+        now: float,
+    ) -> Observation | None:
+        """Begins to observe a request that is about to be sent.
+
+        Args:
+            endpoint: Endpoint that it is sent to.
+            prompt: Its prompt; None for plain services.
+            kind: Name of its route. Requests with a prompt are told apart by
+                their model.
+            tokens: Tokens to prefill up to its first event, those of earlier
+                requests included.
+            now: Seconds on the router's clock.
+
+        Returns:
+            What `end_observation` needs; None if capacities are not learnt.
+        """
+        cfg = self._cfg
+        if not cfg.learnt_capacity:
+            return None
+        stats = self._stats.at(endpoint, now)
+        distance_s = cfg.distance_s.get(
+            endpoint.data_centre, cfg.unlisted_distance_s
+        )
+        observation = Observation(
+            stats.incarnation_digest,
+            kind if prompt is None else prompt.model,
+            1.0 if prompt is None else self.prefill_s(prompt, tokens),
+            *(2 * distance_s, self._total_load(endpoint, stats).requests, now),
+        )
+        self.learnt.observer.start(observation)
+        stats.end_probe()
+        return observation
+
+    def end_observation(self, observation: Observation, now: float) -> None:
+        """Records the first event or byte of an answer."""
+        self.learnt.end(observation, now)
+
+    def drop_observation(self, observation: Observation) -> None:
+        """Records that a request has ended without an answer."""
+        self.learnt.observer.drop(observation)
+
+    def set_listed(self, endpoints: Iterable[Endpoint], now: float) -> None:
+        """Notes which endpoints are new, or load weights."""
+        self.learnt.set_listed(endpoints, now)
+
+    def review_capacities(self, interval_s: float, now: float) -> None:
+        """Applies what was learnt to the cost of each endpoint.
+
+        Args:
+            interval_s: Seconds between two calls.
+            now: Seconds on the router's clock.
+        """
+        learnt = self.learnt
+        for stats in self._stats:
+            capacity = learnt.capacity(stats.incarnation_digest, now)
+            stats.learnt_slowness = capacity.slowness
+            stats.learnt_limit = capacity.limit
+            if learnt.is_probe_due(capacity, interval_s, self._router_count):
+                stats.probed_until = now + PROBE_S
+            stats.apply_learnt(now)
+
+    def slow_endpoints(self, ratio: float) -> dict[str, float]:
+        """Returns the slowness of endpoints that are slower than a ratio."""
+        return {
+            endpoint_id: stats.learnt_slowness
+            for endpoint_id, stats in self._stats.by_id()
+            if stats.learnt_slowness >= ratio
+        }
+
+    @property
+    def limited_endpoint_count(self) -> int:
+        """Number of endpoints with a learnt limit."""
+        return sum(stats.learnt_limit < math.inf for stats in self._stats)
+
     def expected_first_event_s(
         self, endpoint: Endpoint, prompt: Prompt, unread_tokens: int
     ) -> float:
--- a/knapweedarch/endpoint_stats.py
+++ b/knapweedarch/endpoint_stats.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from knapweedarch.capacity_messages import incarnation_digest
 from knapweedarch.exponential import decay_factor
 from knapweedarch.models import Endpoint
 from knapweedarch.relay_messages import EndpointLoad, endpoint_digest
@@ -36,6 +37,15 @@
         refused_until: The same after a connection that failed.
         lateness_s: Decayed moving average of the time by which answers missed
             the latency goal.
+        incarnation_digest: Hash of the incarnation in messages of capacities.
+        learnt_slowness: Time of answers as a ratio of the usual time.
+        learnt_limit: Number of requests that it handles well at the same time;
+            infinite if none was found.
+        probed_until: Time until which the next request tries whether it is
+            still slow.
+        slowness: The slowness that counts at present: that of a usual endpoint
+            while it is tried.
+        limit: The same for the limit.
     """
 
     digest: int
@@ -50,6 +60,12 @@
     avoided_until: float = -math.inf
     refused_until: float = -math.inf
     lateness_s: float = 0.0
+    incarnation_digest: int = 0
+    learnt_slowness: float = 1.0
+    learnt_limit: float = math.inf
+    probed_until: float = -math.inf
+    slowness: float = 1.0
+    limit: float = math.inf
 
     @property
     def next_use_at(self) -> float:
@@ -66,6 +82,18 @@
         self.lateness_s *= factor
         self.decayed_at = now
 
+    def apply_learnt(self, now: float) -> None:
+        """Applies what was learnt, unless the endpoint is tried."""
+        is_tried = now < self.probed_until
+        self.slowness = 1.0 if is_tried else self.learnt_slowness
+        self.limit = math.inf if is_tried else self.learnt_limit
+
+    def end_probe(self) -> None:
+        """Records that a request was sent that tries the endpoint."""
+        self.probed_until = -math.inf
+        self.slowness = self.learnt_slowness
+        self.limit = self.learnt_limit
+
     def failure_rate(self) -> float:
         """Returns the ratio of recent failures, with one success assumed."""
         return self.failures / (self.failures + self.successes + 1.0)
@@ -110,11 +138,20 @@
         stats = self._stats.get(key)
         if stats is None:
             stats = self._stats[key] = EndpointStats(
-                endpoint_digest(endpoint.id), decayed_at=now
+                endpoint_digest(endpoint.id),
+                decayed_at=now,
+                incarnation_digest=incarnation_digest(*key),
             )
         stats.decay(now, self._half_life_s)
         return stats
 
+    def by_id(self) -> Iterator[tuple[str, EndpointStats]]:
+        """Returns the observations with the ids of their endpoints."""
+        return (
+            (endpoint_id, stats)
+            for (endpoint_id, _), stats in self._stats.items()
+        )
+
     def loads(self) -> tuple[EndpointLoad, ...]:
         """Returns the load that this router causes at each endpoint.
 
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -194,6 +194,12 @@
         _W,
         "Events of a feed could not be read and were left out.",
     ),
+    Event(
+        419,
+        "endpoints_slow",
+        _I,
+        "Endpoints take longer than usual, as learnt from their answers.",
+    ),
     Event(413, "endpoint_known", _I, "A router added or updated an endpoint."),
     Event(406, "feed_lost", _W, "The event feed of a runner or store failed."),
     Event(
--- a/knapweedarch/member_relay.py
+++ b/knapweedarch/member_relay.py
@@ -6,6 +6,8 @@
 
 from knapweedarch import links
 from knapweedarch.cache_feeds import CacheFeed, CacheFeeds
+from knapweedarch.capacity_messages import CapacityReport, SpeedReport
+from knapweedarch.capacity_relay import CapacityRelay
 from knapweedarch.control_messages import CONTROL
 from knapweedarch.exceptions import LinkError
 from knapweedarch.load_relay import LoadRelay
@@ -69,6 +71,10 @@
     accepts: frozenset[str] = frozenset()
     received: int = 0
 
+    def takes(self, message_class: type) -> bool:
+        """Returns whether it is a router that takes a further class."""
+        return not self.is_member and message_class.__name__ in self.accepts
+
 
 class MemberRelay:
     """Subscriptions to this member, and its own to the other members.
@@ -100,6 +106,7 @@
         self._quarantine = QuarantineRelay()
         self._rates = RateRelay()
         self._origins = OriginRelay()
+        self._capacities = CapacityRelay()
         self._subscribers: dict[links.Link, _Subscriber] = {}
         self._upstream: dict[links.Link, str] = {}
         self._takes_origins: set[links.Link] = set()
@@ -164,6 +171,7 @@
         subscriber = self._subscribers.pop(link, None)
         if subscriber is not None:
             self._loads.remove(link, subscriber.is_member)
+            self._capacities.remove(link)
 
     def handle(self, link: links.Link, message: object) -> None:
         """Processes a message of `relay_messages`."""
@@ -185,6 +193,8 @@
             case EndpointRates() if link in self._subscribers:
                 is_member = self._subscribers[link].is_member
                 self._rates.receive(link, message, is_member, self._clock.now())
+            case SpeedReport() if link in self._subscribers:
+                self._receive_speeds(link, message)
 
     def find_origins(self, message: FindOrigins) -> OriginsFound | None:
         """Answers a look-up; None if it is malformed."""
@@ -213,6 +223,14 @@
             log("relay_message_refused", peer=link.peer, reason=str(exc))
             link.close()
 
+    def _receive_speeds(self, link: links.Link, report: SpeedReport) -> None:
+        is_member = self._subscribers[link].is_member
+        try:
+            self._capacities.receive(link, report, is_member, self._clock.now())
+        except ValueError as exc:
+            log("relay_message_refused", peer=link.peer, reason=str(exc))
+            link.close()
+
     def _add_subscriber(self, link: links.Link, message: Subscribe) -> None:
         self._subscribers[link] = _Subscriber(
             *(message.name, message.is_member, frozenset(message.accepts))
@@ -239,6 +257,8 @@
             rates = self._rates.known(self._clock.now())
             if rates.entries:
                 link.send(rates)
+            if self._subscribers[link].takes(CapacityReport):
+                link.send(self._capacities.known())
 
     def _receive_news(self, link: links.Link, news: Relayed) -> None:
         try:
@@ -288,6 +308,7 @@
         self._send_local_loads(now)
         self._send_totals(now)
         self._send_rates(now)
+        self._send_capacities(now)
         if self._feeds is not None:
             self._metrics.gauge("feeds.followed", self._feeds.answering_count)
             self._follow()
@@ -370,6 +391,19 @@
         self._rates.clear()
         self._rates_due_at = now + longest / RATES_BYTES_S
 
+    def _send_capacities(self, now: float) -> None:
+        """Passes on samples to members, and what was learnt to routers."""
+        if report := self._capacities.take_member_report(now):
+            message = CONTROL.encode(report)
+            for link, accepted in list(self._member_accepts.items()):
+                if SpeedReport.__name__ in accepted:
+                    self._send(link, message)
+        if report := self._capacities.take_router_report(now):
+            message = CONTROL.encode(report)
+            for link, subscriber in list(self._subscribers.items()):
+                if subscriber.takes(CapacityReport):
+                    self._send(link, message)
+
     def _send(self, link: links.Link, message: bytes) -> None:
         try:
             link.send_encoded(message)
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -115,6 +115,15 @@
     Metric("tunnels.opened", _C, "Connections through other routers."),
     Metric("tunnels.refused", _C, "Connections that no other router had."),
     Metric("tunnels.served", _C, "Connections opened for other routers."),
+    Metric(
+        "capacity.samples", _C, "Samples of the speed of endpoints reported."
+    ),
+    Metric("capacity.slow", _G, "Endpoints that were learnt to be slow."),
+    Metric(
+        "capacity.limited",
+        _G,
+        "Endpoints with a learnt limit below their slots.",
+    ),
     Metric("origins.found", _C, "Streams taken up whose version was found."),
     Metric("origins.unknown", _C, "Streams taken up whose version was not."),
     Metric("identities.unsaid", _C, "Endpoints that did not say who they are."),
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -10,6 +10,7 @@
 
 from knapweedarch import control
 from knapweedarch.caller_ends import DropCause
+from knapweedarch.capacity_client import CapacityClient
 from knapweedarch.crash_guard import create_crash_guard
 from knapweedarch.deployments import Deployment
 from knapweedarch.dialects import Dialect
@@ -70,6 +71,8 @@
             which no request may start on older ones.
         ready_lag_s: Time in seconds from a failed readiness check until the
             load balancer sends no more callers here.
+        learnt_capacity: Whether the speeds and limits of endpoints that are
+            learnt from answers enter the choice among them.
     """
 
     name: str
@@ -86,6 +89,7 @@
     tunnels: Address | None = None
     weights_limit_s: float = 8.0
     ready_lag_s: float = 2.5
+    learnt_capacity: bool = False
 
 
 class Proxy:
@@ -144,6 +148,7 @@
             ChoiceConfig(
                 distance_s=settings.distances_s,
                 weights_limit_s=settings.weights_limit_s,
+                learnt_capacity=settings.learnt_capacity,
             ),
             *(self._index, int(incarnation, 16)),
         )
@@ -179,6 +184,7 @@
         self._quarantine = QuarantineClient(
             settings.name, self._guard, self._relay, clock, metrics
         )
+        self._capacities = CapacityClient(chooser, self._relay, clock, metrics)
         self._gateway = ProxyGateway(
             *(dialect, self._attempts, clock, metrics, self._start_refusal)
         )
@@ -198,6 +204,8 @@
         PauseDetector(self._timers)
         self._timers.every(LOADS_INTERVAL_S, self._report_loads)
         self._quarantine.subscribe(self._timers)
+        if self._settings.learnt_capacity:
+            self._capacities.subscribe(self._timers)
         self._paths.subscribe(self._timers)
         self._timers.every(GAUGES_INTERVAL_S, self._update_gauges)
         settings = self._settings
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -157,6 +157,7 @@
                 for name in endpoint.serves:
                     self._by_service.setdefault(name, []).append(endpoint)
         self.chooser.retain(endpoints)
+        self.chooser.set_listed(endpoints, self.clock.now())
         self._waits.retain(endpoints)
         self._identities.retain(endpoints)
 
@@ -319,6 +320,7 @@
                 if self._brittle.limit(e, now) is not None
             ],
             needs_room=needs_room,
+            kind=call.route.name,
         )
         return _Selection(
             *(held_s, bool(capable) and not candidates),
--- a/knapweedarch/proxy_unary.py
+++ b/knapweedarch/proxy_unary.py
@@ -121,6 +121,8 @@
     attempts.record_head(endpoint, head)
     if attempts.dialect.was_not_run(head):
         return await scope.reject(head)
+    if head.status < 500:
+        scope.record_first_byte()
     answer = await read_full_answer(scope.exchange, head)
     scope.head = head
     now = attempts.clock.now()
--- a/knapweedarch/relay_client.py
+++ b/knapweedarch/relay_client.py
@@ -6,6 +6,7 @@
 import anyio
 
 from knapweedarch import links
+from knapweedarch.capacity_messages import CapacityReport, SpeedReport
 from knapweedarch.control_messages import CONTROL, MemberAddress
 from knapweedarch.exceptions import CodecError, CredentialError, LinkError
 from knapweedarch.logs import log
@@ -49,6 +50,7 @@
     Attributes:
         on_notices: Called with what the member tells about parts of prompts.
         on_rates: Called with the requests of others to limited endpoints.
+        on_capacities: Called with what the member learnt of endpoints.
         on_subscribed: Called when a member has accepted the subscription.
     """
 
@@ -70,6 +72,7 @@
         self._on_loads = on_loads
         self.on_notices: Callable[[PartNotices], None] = lambda notices: None
         self.on_rates: Callable[[EndpointRates], None] = lambda rates: None
+        self.on_capacities: Callable[[CapacityReport], None] = lambda _: None
         self.on_subscribed: list[Callable[[], None]] = []
         self._loads = PeerLoads()
         self._link: links.Link | None = None
@@ -116,7 +119,7 @@
             self._members = list(members)
 
     def send_reports(
-        self, reports: PartReports | EndpointRates | StreamOrigins
+        self, reports: PartReports | EndpointRates | StreamOrigins | SpeedReport
     ) -> None:
         """Sends reports to the member; they are lost without subscription."""
         if self.is_subscribed:
@@ -236,6 +239,8 @@
                 self.on_notices(message)
             case EndpointRates():
                 self.on_rates(message)
+            case CapacityReport():
+                self.on_capacities(message)
 
     def _accept(self, relay: Subscribed) -> None:
         self._relay = relay
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -31,7 +31,8 @@
     *("request_digests", "endpoint_statements", "software_versions"),
     *("origin_messages", "origin_table", "origin_relay"),
     *("tunnel_messages", "endpoint_paths", "endpoint_stats", "answer_memory"),
-    "member_directory",
+    *("capacity_messages", "endpoint_capacity", "speed_samples"),
+    *("learnt_capacities", "capacity_relay", "member_directory"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
