Compare endpoints by their quicker answers, within their group

Change: estimates use the quicker share of samples, leave out requests that queue behind others, and count only differences beyond chance within a group.

--- a/knapweedarch/attempt_scope.py
+++ b/knapweedarch/attempt_scope.py
@@ -107,7 +107,7 @@
             )
         self._observation = attempts.chooser.start_observation(
             *(self._endpoint, call.options.prompt, call.route.name),
-            *(self._tokens_ahead + self._unread_tokens, attempts.now()),
+            *(self._unread_tokens, attempts.now()),
         )
         attempts.chooser.record_sent(
             *(self._endpoint, call.options.prompt, self._unread_tokens),
--- a/knapweedarch/capacity_messages.py
+++ b/knapweedarch/capacity_messages.py
@@ -10,8 +10,8 @@
 LOG_UNIT = 1 / 32
 _MAX_LOG_STEPS = 127
 _MAX_COUNT = 0xFFFF
-# A packed sample: endpoint, logarithm of the ratio, requests.
-_SAMPLE = struct.Struct(">IbH")
+# A packed sample: endpoint, group, logarithm of the ratio, requests.
+_SAMPLE = struct.Struct(">IHbH")
 # A packed capacity: endpoint, logarithm of the ratio, limit (0: none).
 _CAPACITY = struct.Struct(">IbH")
 # Largest number of entries in a message.
@@ -24,12 +24,14 @@
 
     Attributes:
         endpoint: Hash of its id and incarnation; see `incarnation_digest`.
+        group: Hash of what it serves; endpoints of a group are compared.
         log_ratio: Natural logarithm of the time that it took, as a ratio of
             the time that endpoints usually take for such a request.
         requests: Requests of all routers at the endpoint when it was sent.
     """
 
     endpoint: int
+    group: int
     log_ratio: float
     requests: int
 
@@ -78,6 +80,11 @@
     return xxhash.xxh32_intdigest(f"{endpoint_id}\0{incarnation}".encode())
 
 
+def group_digest(names: Iterable[str]) -> int:
+    """Returns the hash of what the endpoints of a group serve."""
+    return xxhash.xxh32_intdigest("\0".join(names).encode()) & _MAX_COUNT
+
+
 def quantised(log_ratio: float) -> float:
     """Returns a logarithm as the receiver of a message gets it."""
     return _log_steps(log_ratio) * LOG_UNIT
@@ -87,7 +94,8 @@
     """Packs samples."""
     return b"".join(
         _SAMPLE.pack(
-            s.endpoint, _log_steps(s.log_ratio), min(s.requests, _MAX_COUNT)
+            *(s.endpoint, s.group, _log_steps(s.log_ratio)),
+            min(s.requests, _MAX_COUNT),
         )
         for s in samples
     )
@@ -100,8 +108,8 @@
         ValueError: The data is no sequence of packed samples.
     """
     return tuple(
-        SpeedSample(endpoint, steps * LOG_UNIT, requests)
-        for endpoint, steps, requests in _unpack(_SAMPLE, data)
+        SpeedSample(endpoint, group, steps * LOG_UNIT, requests)
+        for endpoint, group, steps, requests in _unpack(_SAMPLE, data)
     )
 
 
--- a/knapweedarch/capacity_relay.py
+++ b/knapweedarch/capacity_relay.py
@@ -78,7 +78,8 @@
         """Returns the capacities that have changed, if it is time."""
         if now < self._routers_due_at:
             return None
-        changes = self._table.changes(now)[:MAX_CHANGES]
+        self._table.renew(now)
+        changes = self._table.changes()[:MAX_CHANGES]
         self._table.mark_reported(changes)
         report = CapacityReport(pack_capacities(changes))
         self._routers_due_at = now + _interval_s(report.packed, ROUTER_BYTES_S)
--- a/knapweedarch/endpoint_capacity.py
+++ b/knapweedarch/endpoint_capacity.py
@@ -2,9 +2,11 @@
 
 A sample is the time that an endpoint took for a request, as a ratio of the time
 that endpoints usually take for such a request. Samples of healthy endpoints
-differ widely, as requests cause different work. Two estimates are made of them:
-a settled one, over many seconds, finds small steady differences; a recent one,
-the median of the last seconds, replaces it while it differs by far.
+differ widely: requests cause different work, and some wait for others. Waiting
+only ever adds time, so that an endpoint is compared with the others of its
+group by its quicker answers. Two estimates are made: a settled one, from many
+samples, finds small steady differences; a recent one, of the last seconds,
+replaces it while it differs by far.
 
 The limit of an endpoint follows from the difference between samples with many
 and with few requests under way (the latency gradient): it is cut while the
@@ -14,9 +16,11 @@
 All times are seconds on the clock of the process.
 """
 
+import bisect
 import collections
 import math
-from collections.abc import Iterable
+import statistics
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -33,179 +37,174 @@
 MAX_RATIO = 4.0
 MIN_LOG_RATIO = math.log(MIN_RATIO)
 MAX_LOG_RATIO = math.log(MAX_RATIO)
-# Time after which a sample of the settled estimate counts half.
-SETTLED_HALF_LIFE_S = 15.0
-# Samples without effect that the settled estimate starts with.
-SETTLED_PRIOR = 4.0
-# A sample moves the settled estimate by at most this difference.
-SETTLED_MAX_SURPRISE = math.log(2.0)
-# The same for the recent estimate, and the age up to which samples are used.
+# Endpoints are compared by the time that this share of their samples take at
+# most.
+QUICK_SHARE = 0.3
+# Samples of the settled estimate, their age, and the number without which
+# nothing is concluded.
+MAX_SETTLED = 96
+SETTLED_S = 60.0
+MIN_SETTLED = 12
+# Standard errors of the settled estimate within which a difference may be
+# chance. Moving requests for a chance difference costs cached prompts.
+SETTLED_ERRORS = 2.0
+# Time after which a sample of the recent estimate counts half, and the age up
+# to which it is used.
 RECENT_HALF_LIFE_S = 1.0
 RECENT_S = 4.0
+# Weight of the settled estimate among the recent samples.
 RECENT_PRIOR = 1.0
-# Samples kept for it.
 MAX_RECENT = 32
 # Difference from which on the recent estimate replaces the settled one. Work
-# that differs 2.5 times between requests moves the median of few samples less.
+# that differs 2.5 times between requests moves a quantile of few samples less.
 DEVIATION = math.log(1.8)
-# The limit is adapted at this interval.
+# The estimates are renewed at this interval.
 ADAPT_INTERVAL_S = 0.5
 # A sample counts as one under load from this fraction of the limit on, and as
 # one without load up to the second fraction.
 LOADED_FRACTION = 0.7
 UNLOADED_FRACTION = 0.5
-# Half-life of the averages of samples under load and without.
-LOADED_HALF_LIFE_S = 1.0
-UNLOADED_HALF_LIFE_S = 5.0
-# Weight of samples under load without which a limit is not cut.
-MIN_LOADED_WEIGHT = 2.0
-UNLOADED_PRIOR = 1.0
+# Samples under load, and without, that a cut of the limit takes.
+MIN_LOADED = 5
+MIN_UNLOADED = 5
+MAX_UNLOADED = 32
 # Gradients above which a limit is cut, and below which it grows.
 CUT_GRADIENT = math.log(1.6)
 GROWTH_GRADIENT = math.log(1.3)
 CUT_FACTOR = 0.8
 # A limit grows by this fraction of itself, by 1 at least.
 GROWTH = 0.15
-# Time without samples under load after which a limit grows as well.
-LIMIT_UNUSED_S = 3.0
-# Capacities without a sample for this long are forgotten.
+# Endpoints without a sample for this long are forgotten.
 CAPACITY_TTL_S = 60.0
 MAX_ENDPOINTS = 2048
+# Smaller changes are not passed on; noise would otherwise fill the messages.
+REPORTED_DIFFERENCE = 0.08
 
 
-@attrs.define
-class _Average:
-    """Average that decays towards its assumed value, 0.
-
-    Attributes:
-        half_life_s: Time after which a sample counts half.
-        prior: Weight of the assumed value.
-        weight: Decayed number of samples.
-        total: Their decayed sum.
-        decayed_at: Time up to which they are decayed.
-    """
-
-    half_life_s: float
-    prior: float
-    decayed_at: float
-    weight: float = 0.0
-    total: float = 0.0
-
-    def decay(self, now: float) -> None:
-        """Lets earlier samples count less."""
-        if now > self.decayed_at:
-            factor = decay_factor(now - self.decayed_at, self.half_life_s)
-            self.weight *= factor
-            self.total *= factor
-            self.decayed_at = now
-
-    def add(self, value: float, now: float) -> None:
-        """Adds a sample."""
-        self.decay(now)
-        self.weight += 1.0
-        self.total += value
-
-    @property
-    def value(self) -> float:
-        """The average."""
-        return self.total / (self.weight + self.prior or 1.0)
-
-
-@attrs.define
-class _Recent:
+@attrs.frozen
+class _Sample:
     at: float
     log_ratio: float
+    requests: int
 
 
 class CapacityEstimate:
     """What the samples of one incarnation of an endpoint show.
 
     Args:
+        group: Endpoints that it is compared with.
         now: The time.
 
     Attributes:
+        group: Endpoints that it is compared with.
         sampled_at: When the last sample came.
         limit: Requests that the endpoint handles well at the same time;
             infinite if no limit was found.
     """
 
-    def __init__(self, now: float):
+    def __init__(self, group: int, now: float):
+        self.group = group
         self.sampled_at = now
         self.limit = math.inf
-        self._settled = _Average(SETTLED_HALF_LIFE_S, SETTLED_PRIOR, now)
-        self._recent: collections.deque[_Recent] = collections.deque(
+        self._settled: collections.deque[_Sample] = collections.deque(
+            maxlen=MAX_SETTLED
+        )
+        self._recent: collections.deque[_Sample] = collections.deque(
             maxlen=MAX_RECENT
         )
-        self._loaded = _Average(LOADED_HALF_LIFE_S, 0.0, now)
-        self._loaded_requests = _Average(LOADED_HALF_LIFE_S, 0.0, now)
-        self._unloaded = _Average(UNLOADED_HALF_LIFE_S, UNLOADED_PRIOR, now)
-        self._loaded_at = now
+        self._unloaded: collections.deque[float] = collections.deque(
+            maxlen=MAX_UNLOADED
+        )
+        self._most_requests = 0
         self._adapted_at = now
-        self._most_requests = 0.0
+        self._ordered: list[float] = []
+        self._deviation: float | None = None
 
     def add(self, log_ratio: float, requests: int, now: float) -> None:
         """Adds a sample; see `SpeedSample`."""
         value = min(max(log_ratio, MIN_LOG_RATIO), MAX_LOG_RATIO)
+        sample = _Sample(now, value, requests)
         self.sampled_at = now
-        self._recent.append(_Recent(now, value))
-        if self._deviation(now) is None:
-            self._add_settled(value, now)
-        self._add_to_limit(value, requests, now)
+        self._most_requests = max(self._most_requests, requests)
+        self._recent.append(sample)
+        if self._deviation is None and requests <= self.limit:
+            self._settled.append(sample)
+        if requests <= UNLOADED_FRACTION * self._level:
+            self._unloaded.append(value)
 
-    def log_ratio(self, now: float) -> float:
+    @property
+    def quick(self) -> float | None:
+        """Value by which endpoints are compared; None without samples."""
+        if len(self._ordered) < MIN_SETTLED:
+            return None
+        return quantile(self._ordered, QUICK_SHARE)
+
+    def renew(self, reference: float, now: float) -> None:
+        """Renews the estimates from the samples, at an interval.
+
+        Args:
+            reference: What `quick` usually is in the group.
+            now: The time.
+        """
+        if now - self._adapted_at < ADAPT_INTERVAL_S:
+            return
+        self._adapted_at = now
+        _drop_older(self._settled, now - SETTLED_S)
+        _drop_older(self._recent, now - RECENT_S)
+        self._ordered = sorted(s.log_ratio for s in self._settled)
+        self._deviation = self._find_deviation(reference, now)
+        self._adapt_limit()
+
+    def log_ratio(self, reference: float) -> float:
         """Returns the logarithm of the endpoint's slowness."""
-        found = self._deviation(now)
-        if found is None:
-            self._settled.decay(now)
-            found = self._settled.value
-        return found
-
-    def _add_settled(self, value: float, now: float) -> None:
-        known = self._settled.value
-        least = known - SETTLED_MAX_SURPRISE
-        most = known + SETTLED_MAX_SURPRISE
-        self._settled.add(min(max(value, least), most), now)
-
-    def _deviation(self, now: float) -> float | None:
+        if self._deviation is not None:
+            return self._deviation
+        return self._settled_ratio(reference)
+
+    def _settled_ratio(self, reference: float) -> float:
+        """Returns the difference to the group that is not chance."""
+        if len(self._ordered) < MIN_SETTLED:
+            return 0.0
+        count = len(self._ordered)
+        error = math.sqrt(QUICK_SHARE * (1 - QUICK_SHARE) / count)
+        least = quantile(self._ordered, QUICK_SHARE - SETTLED_ERRORS * error)
+        most = quantile(self._ordered, QUICK_SHARE + SETTLED_ERRORS * error)
+        return min(max(reference, least), most) - reference
+
+    def _find_deviation(self, reference: float, now: float) -> float | None:
         """Returns the recent estimate if it differs by far, or None."""
-        while self._recent and self._recent[0].at < now - RECENT_S:
-            self._recent.popleft()
-        settled = self._settled.value
+        settled = self._settled_ratio(reference)
         weighted = [(settled, RECENT_PRIOR)]
         for sample in self._recent:
             weight = decay_factor(now - sample.at, RECENT_HALF_LIFE_S)
             weighted.append((sample.log_ratio, weight))
-        found = weighted_median(weighted)
+        least = weighted_quantile(weighted, QUICK_SHARE)
+        most = weighted_quantile(weighted, 1.0 - QUICK_SHARE)
+        found = min(max(settled, least), most)
+        # No endpoint is taken for a fast one within moments.
+        found = max(found, min(settled, 0.0))
         return found if abs(found - settled) > DEVIATION else None
 
-    def _add_to_limit(self, value: float, requests: int, now: float) -> None:
-        self._most_requests = max(self._most_requests, requests)
-        level = min(self.limit, self._most_requests)
-        if requests >= LOADED_FRACTION * level:
-            self._loaded.add(value, now)
-            self._loaded_requests.add(float(requests), now)
-            self._loaded_at = now
-        elif requests <= UNLOADED_FRACTION * level:
-            self._unloaded.add(value, now)
-        self.adapt(now)
-
-    def adapt(self, now: float) -> None:
+    @property
+    def _level(self) -> float:
+        return min(self.limit, self._most_requests)
+
+    def _adapt_limit(self) -> None:
         """Adapts the limit to the samples of the last seconds."""
-        if now - self._adapted_at < ADAPT_INTERVAL_S:
-            return
-        self._adapted_at = now
-        self._loaded.decay(now)
-        self._unloaded.decay(now)
-        if now - self._loaded_at > LIMIT_UNUSED_S:
+        limit = LOADED_FRACTION * self._level
+        loaded = [s for s in self._recent if s.requests >= limit]
+        if not loaded:
             self._grow()
-        elif self._loaded.weight >= MIN_LOADED_WEIGHT:
-            self._follow_gradient()
+        elif min(len(loaded), len(self._unloaded)) >= MIN_LOADED:
+            self._follow_gradient(loaded)
 
-    def _follow_gradient(self) -> None:
-        gradient = self._loaded.value - self._unloaded.value
+    def _follow_gradient(self, loaded: Sequence[_Sample]) -> None:
+        ordered = sorted(s.log_ratio for s in loaded)
+        usual = statistics.median(self._unloaded)
+        gradient = quantile(ordered, QUICK_SHARE) - usual
         if gradient > CUT_GRADIENT:
-            level = min(self.limit, self._loaded_requests.value)
-            self.limit = max(1.0, CUT_FACTOR * level)
+            level = statistics.fmean(s.requests for s in loaded)
+            self.limit = max(1.0, CUT_FACTOR * min(self.limit, level))
         elif gradient < GROWTH_GRADIENT:
             self._grow()
 
@@ -221,40 +220,58 @@
 
     def __init__(self) -> None:
         self._estimates: dict[int, CapacityEstimate] = {}
+        self._references: dict[int, float] = {}
         self._reported: dict[int, EndpointCapacity] = {}
 
     def add(self, sample: SpeedSample, now: float) -> None:
         """Adds a sample."""
         estimate = self._estimates.get(sample.endpoint)
         if estimate is None:
-            estimate = self._estimates[sample.endpoint] = CapacityEstimate(now)
+            estimate = CapacityEstimate(sample.group, now)
+            self._estimates[sample.endpoint] = estimate
             while len(self._estimates) > MAX_ENDPOINTS:
                 del self._estimates[next(iter(self._estimates))]
         estimate.add(sample.log_ratio, sample.requests, now)
 
-    def capacity(self, endpoint: int, now: float) -> EndpointCapacity:
+    def renew(self, now: float) -> None:
+        """Renews all estimates, and what is usual in each group."""
+        self._estimates = {
+            endpoint: estimate
+            for endpoint, estimate in self._estimates.items()
+            if now - estimate.sampled_at < CAPACITY_TTL_S
+        }
+        by_group: dict[int, list[float]] = {}
+        for estimate in self._estimates.values():
+            estimate.renew(self._references.get(estimate.group, 0.0), now)
+            if (quick := estimate.quick) is not None:
+                by_group.setdefault(estimate.group, []).append(quick)
+        self._references = {
+            group: statistics.median(found) for group, found in by_group.items()
+        }
+
+    def capacity(self, endpoint: int) -> EndpointCapacity:
         """Returns what is known of an endpoint."""
         estimate = self._estimates.get(endpoint)
         if estimate is None:
             return EndpointCapacity(endpoint, 0.0, 0)
-        estimate.adapt(now)
         limit = 0 if estimate.limit == math.inf else round(estimate.limit)
-        log_ratio = quantised(estimate.log_ratio(now))
-        return EndpointCapacity(endpoint, log_ratio, limit)
+        reference = self._references.get(estimate.group, 0.0)
+        return EndpointCapacity(
+            endpoint, quantised(estimate.log_ratio(reference)), limit
+        )
 
-    def changes(self, now: float) -> list[EndpointCapacity]:
-        """Returns the capacities that differ from those last returned.
+    def changes(self) -> list[EndpointCapacity]:
+        """Returns the capacities that differ from those marked as reported.
 
-        Those that differ most come first. Those not used must be given to
-        `restore`.
+        Those that differ most come first.
         """
-        self._forget_unsampled(now)
         found = []
         for endpoint in self._estimates.keys() | self._reported.keys():
-            capacity = self.capacity(endpoint, now)
+            capacity = self.capacity(endpoint)
             before = self._reported.get(endpoint) or _unknown(endpoint)
-            if _differs(capacity, before):
-                found.append((_difference(capacity, before), capacity))
+            difference = _difference(capacity, before)
+            if difference >= REPORTED_DIFFERENCE:
+                found.append((difference, capacity))
         found.sort(key=lambda entry: -entry[0])
         return [capacity for _, capacity in found]
 
@@ -270,36 +287,34 @@
         """Returns all capacities that were passed on and still hold."""
         return list(self._reported.values())
 
-    def _forget_unsampled(self, now: float) -> None:
-        self._estimates = {
-            endpoint: estimate
-            for endpoint, estimate in self._estimates.items()
-            if now - estimate.sampled_at < CAPACITY_TTL_S
-        }
 
+def quantile(ordered: Sequence[float], share: float) -> float:
+    """Returns the value that a share of ordered values is up to."""
+    place = math.ceil(share * len(ordered)) - 1
+    return ordered[min(max(place, 0), len(ordered) - 1)]
 
-def weighted_median(weighted: list[tuple[float, float]]) -> float:
-    """Returns the value with half of the weight on each side.
+
+def weighted_quantile(
+    weighted: list[tuple[float, float]], share: float
+) -> float:
+    """Returns the value with a share of the weight up to it.
 
     Args:
         weighted: Values and their weights; at least one.
+        share: The share, from 0 to 1.
     """
     ordered = sorted(weighted)
-    half = sum(weight for _, weight in ordered) / 2
-    passed = 0.0
-    for value, weight in ordered:
+    passed, sums = 0.0, []
+    for _, weight in ordered:
         passed += weight
-        if passed >= half:
-            return value
-    return ordered[-1][0]
-
-
-# Smaller changes are not passed on; noise would otherwise fill the messages.
-REPORTED_DIFFERENCE = 0.08
+        sums.append(passed)
+    place = bisect.bisect_left(sums, share * passed)
+    return ordered[min(place, len(ordered) - 1)][0]
 
 
-def _differs(a: EndpointCapacity, b: EndpointCapacity) -> bool:
-    return _difference(a, b) >= REPORTED_DIFFERENCE
+def _drop_older(samples: collections.deque[_Sample], begin: float) -> None:
+    while samples and samples[0].at < begin:
+        samples.popleft()
 
 
 def _difference(a: EndpointCapacity, b: EndpointCapacity) -> float:
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -15,6 +15,7 @@
 import attrs
 import xxhash
 
+from knapweedarch.capacity_messages import group_digest
 from knapweedarch.endpoint_stats import EndpointStats, EndpointStatsTable
 from knapweedarch.learnt_capacities import PROBE_S, LearntCapacities
 from knapweedarch.load_relay import no_load
@@ -487,7 +488,7 @@
         endpoint: Endpoint,
         prompt: Prompt | None,
         kind: str,
-        tokens: int,
+        unread_tokens: int,
         now: float,
     ) -> Observation | None:
         """Begins to observe a request that is about to be sent.
@@ -496,9 +497,8 @@
             endpoint: Endpoint that it is sent to.
             prompt: Its prompt; None for plain services.
             kind: Name of its route. Requests with a prompt are told apart by
-                their model.
-            tokens: Tokens to prefill up to its first event, those of earlier
-                requests included.
+                their model and the tokens to prefill.
+            unread_tokens: Tokens of the prompt that the runner has to prefill.
             now: Seconds on the router's clock.
 
         Returns:
@@ -511,11 +511,16 @@
         distance_s = cfg.distance_s.get(
             endpoint.data_centre, cfg.unlisted_distance_s
         )
+        load = self._total_load(endpoint, stats)
+        expected_s = 1.0
+        if prompt is not None:
+            kind = f"{prompt.model}/{unread_tokens.bit_length() // 2}"
+            tokens = load.unread_tokens + unread_tokens
+            expected_s = self.prefill_s(prompt, tokens)
         observation = Observation(
-            stats.incarnation_digest,
-            kind if prompt is None else prompt.model,
-            1.0 if prompt is None else self.prefill_s(prompt, tokens),
-            *(2 * distance_s, self._total_load(endpoint, stats).requests, now),
+            *(stats.incarnation_digest, group_digest(endpoint.serves), kind),
+            *(expected_s, 2 * distance_s),
+            *(load.requests, now, load.unread_tokens > unread_tokens),
         )
         self.learnt.observer.start(observation)
         stats.end_probe()
@@ -542,7 +547,7 @@
         """
         learnt = self.learnt
         for stats in self._stats:
-            capacity = learnt.capacity(stats.incarnation_digest, now)
+            capacity = learnt.capacity(stats.incarnation_digest)
             stats.learnt_slowness = capacity.slowness
             stats.learnt_limit = capacity.limit
             if learnt.is_probe_due(capacity, interval_s, self._router_count):
--- a/knapweedarch/learnt_capacities.py
+++ b/knapweedarch/learnt_capacities.py
@@ -70,9 +70,11 @@
             self._own.add(sample, now)
 
     def review(self, now: float) -> None:
-        """Records the requests whose answers are overdue."""
+        """Renews the estimates, at an interval."""
         for sample in self.observer.overdue(now):
             self._own.add(sample, now)
+        if not self.is_shared:
+            self._own.renew(now)
 
     def take_samples(self, most: int) -> list[SpeedSample]:
         """Returns what is to be reported to the member."""
@@ -91,17 +93,16 @@
         """Forgets what the member said, as the link to it has closed."""
         self._shared.clear()
 
-    def capacity(self, endpoint: int, now: float) -> Capacity:
+    def capacity(self, endpoint: int) -> Capacity:
         """Returns what is known of an endpoint, within the bounds.
 
         Args:
             endpoint: Digest of its incarnation.
-            now: The time.
         """
         if self.is_shared:
             found = self._shared.get(endpoint)
         else:
-            found = self._own.capacity(endpoint, now)
+            found = self._own.capacity(endpoint)
         if found is None or not (found.log_ratio or found.limit):
             return UNKNOWN
         log_ratio = min(max(found.log_ratio, MIN_LOG_RATIO), MAX_LOG_RATIO)
--- a/knapweedarch/speed_samples.py
+++ b/knapweedarch/speed_samples.py
@@ -42,20 +42,25 @@
 
     Attributes:
         endpoint: Digest of the endpoint's incarnation.
+        group: Digest of what it serves.
         kind: Kind of the request; each has its own usual time.
         expected_s: Time expected from what is known of the request.
         delay_s: Time for the way to the endpoint and back.
         requests: Requests of all routers at the endpoint when it was sent.
         sent_at: When it was sent.
+        has_queued: Whether it has to wait for much work of other requests, so
+            that its time says little of the endpoint's speed.
         was_overdue: Whether it was counted as overdue.
     """
 
     endpoint: int
+    group: int
     kind: str
     expected_s: float
     delay_s: float
     requests: int
     sent_at: float
+    has_queued: bool = False
     was_overdue: bool = False
 
     def log_ratio(self, now: float) -> float:
@@ -150,7 +155,7 @@
             The sample, unless it would say nothing of the endpoint's speed.
         """
         self._pending.discard(observation)
-        if not self._is_warm(observation):
+        if observation.has_queued or not self._is_warm(observation):
             return None
         usual = self._usual.get(observation.kind)
         if usual is None:
@@ -194,7 +199,8 @@
 
     def _add(self, observation: Observation, log_ratio: float) -> SpeedSample:
         sample = SpeedSample(
-            observation.endpoint, log_ratio, observation.requests
+            *(observation.endpoint, observation.group),
+            *(log_ratio, observation.requests),
         )
         self._samples.setdefault(sample.endpoint, []).append(sample)
         while len(self._samples) > MAX_SAMPLED:
@@ -205,7 +211,7 @@
 def _median(samples: list[SpeedSample]) -> SpeedSample:
     """Returns one sample for several of one endpoint."""
     return SpeedSample(
-        samples[0].endpoint,
+        *(samples[0].endpoint, samples[0].group),
         statistics.median(s.log_ratio for s in samples),
         statistics.median_high(s.requests for s in samples),
     )
