Find slow endpoints by their last samples; compare two services for a request

Change: the recent estimate counts the samples of the last second or the last four; each request compares two services of a data centre, drawn by capacity.

--- a/knapweedarch/endpoint_capacity.py
+++ b/knapweedarch/endpoint_capacity.py
@@ -16,7 +16,6 @@
 All times are seconds on the clock of the process.
 """
 
-import bisect
 import collections
 import math
 import statistics
@@ -29,7 +28,6 @@
     SpeedSample,
     quantised,
 )
-from knapweedarch.exponential import decay_factor
 
 # Bounds of the ratio, whatever the samples say: also a wrong report moves the
 # cost of an endpoint by no more than this.
@@ -48,23 +46,26 @@
 # Standard errors of the settled estimate within which a difference may be
 # chance. Moving requests for a chance difference costs cached prompts.
 SETTLED_ERRORS = 2.0
-# Time after which a sample of the recent estimate counts half, and the age up
-# to which it is used.
-RECENT_HALF_LIFE_S = 1.0
-RECENT_S = 4.0
-# Weight of the settled estimate among the recent samples.
-RECENT_PRIOR = 1.0
-MAX_RECENT = 32
+# The recent estimate uses the samples of this time, or so many that are not
+# older than the second time: a slow endpoint gets few requests.
+RECENT_S = 1.0
+MIN_RECENT = 4
+MAX_RECENT_S = 5.0
+MAX_RECENT = 64
 # Difference from which on the recent estimate replaces the settled one. Work
 # that differs 2.5 times between requests moves a quantile of few samples less.
-DEVIATION = math.log(1.8)
+DEVIATION = math.log(2.5)
 # The estimates are renewed at this interval.
 ADAPT_INTERVAL_S = 0.5
+# The usual number of requests is that of this share of the recent samples.
+LEVEL_SHARE = 0.8
 # A sample counts as one under load from this fraction of the limit on, and as
 # one without load up to the second fraction.
 LOADED_FRACTION = 0.7
 UNLOADED_FRACTION = 0.5
-# Samples under load, and without, that a cut of the limit takes.
+# Samples under load that a cut of the limit takes, and samples without load by
+# which they are judged; without these, it is done by what is usual in the
+# group.
 MIN_LOADED = 5
 MIN_UNLOADED = 5
 MAX_UNLOADED = 32
@@ -72,8 +73,10 @@
 CUT_GRADIENT = math.log(1.6)
 GROWTH_GRADIENT = math.log(1.3)
 CUT_FACTOR = 0.8
-# A limit grows by this fraction of itself, by 1 at least.
+# A limit grows by this fraction of itself, by 1 at least. One that is so many
+# times the usual number of requests is dropped.
 GROWTH = 0.15
+MAX_LIMIT_LEVELS = 2.0
 # Endpoints without a sample for this long are forgotten.
 CAPACITY_TTL_S = 60.0
 MAX_ENDPOINTS = 2048
@@ -115,7 +118,7 @@
         self._unloaded: collections.deque[float] = collections.deque(
             maxlen=MAX_UNLOADED
         )
-        self._most_requests = 0
+        self._level = 1.0
         self._adapted_at = now
         self._ordered: list[float] = []
         self._deviation: float | None = None
@@ -125,7 +128,6 @@
         value = min(max(log_ratio, MIN_LOG_RATIO), MAX_LOG_RATIO)
         sample = _Sample(now, value, requests)
         self.sampled_at = now
-        self._most_requests = max(self._most_requests, requests)
         self._recent.append(sample)
         if self._deviation is None and requests <= self.limit:
             self._settled.append(sample)
@@ -150,10 +152,10 @@
             return
         self._adapted_at = now
         _drop_older(self._settled, now - SETTLED_S)
-        _drop_older(self._recent, now - RECENT_S)
+        _drop_older(self._recent, now - MAX_RECENT_S)
         self._ordered = sorted(s.log_ratio for s in self._settled)
         self._deviation = self._find_deviation(reference, now)
-        self._adapt_limit()
+        self._adapt_limit(reference)
 
     def log_ratio(self, reference: float) -> float:
         """Returns the logarithm of the endpoint's slowness."""
@@ -174,33 +176,35 @@
     def _find_deviation(self, reference: float, now: float) -> float | None:
         """Returns the recent estimate if it differs by far, or None."""
         settled = self._settled_ratio(reference)
-        weighted = [(settled, RECENT_PRIOR)]
-        for sample in self._recent:
-            weight = decay_factor(now - sample.at, RECENT_HALF_LIFE_S)
-            weighted.append((sample.log_ratio, weight))
-        least = weighted_quantile(weighted, QUICK_SHARE)
-        most = weighted_quantile(weighted, 1.0 - QUICK_SHARE)
+        fresh = sum(s.at >= now - RECENT_S for s in self._recent)
+        used = list(self._recent)[-max(fresh, MIN_RECENT) :]
+        ordered = sorted([settled, *(s.log_ratio for s in used)])
+        least = quantile(ordered, QUICK_SHARE)
+        most = quantile(ordered, 1.0 - QUICK_SHARE)
         found = min(max(settled, least), most)
         # No endpoint is taken for a fast one within moments.
         found = max(found, min(settled, 0.0))
         return found if abs(found - settled) > DEVIATION else None
 
-    @property
-    def _level(self) -> float:
-        return min(self.limit, self._most_requests)
-
-    def _adapt_limit(self) -> None:
+    def _adapt_limit(self, reference: float) -> None:
         """Adapts the limit to the samples of the last seconds."""
-        limit = LOADED_FRACTION * self._level
-        loaded = [s for s in self._recent if s.requests >= limit]
+        if self._recent:
+            requests = sorted(s.requests for s in self._recent)
+            self._level = min(self.limit, quantile(requests, LEVEL_SHARE))
+        least = max(1.0, LOADED_FRACTION * self._level)
+        loaded = [s for s in self._recent if s.requests >= least]
         if not loaded:
             self._grow()
-        elif min(len(loaded), len(self._unloaded)) >= MIN_LOADED:
-            self._follow_gradient(loaded)
+        elif len(loaded) >= MIN_LOADED:
+            self._follow_gradient(loaded, reference)
 
-    def _follow_gradient(self, loaded: Sequence[_Sample]) -> None:
+    def _follow_gradient(
+        self, loaded: Sequence[_Sample], reference: float
+    ) -> None:
         ordered = sorted(s.log_ratio for s in loaded)
-        usual = statistics.median(self._unloaded)
+        usual = reference
+        if len(self._unloaded) >= MIN_UNLOADED:
+            usual = statistics.median(self._unloaded)
         gradient = quantile(ordered, QUICK_SHARE) - usual
         if gradient > CUT_GRADIENT:
             level = statistics.fmean(s.requests for s in loaded)
@@ -211,7 +215,7 @@
     def _grow(self) -> None:
         if self.limit < math.inf:
             self.limit += max(1.0, GROWTH * self.limit)
-            if self.limit > self._most_requests:
+            if self.limit > MAX_LIMIT_LEVELS * self._level + 1:
                 self.limit = math.inf
 
 
@@ -294,24 +298,6 @@
     return ordered[min(max(place, 0), len(ordered) - 1)]
 
 
-def weighted_quantile(
-    weighted: list[tuple[float, float]], share: float
-) -> float:
-    """Returns the value with a share of the weight up to it.
-
-    Args:
-        weighted: Values and their weights; at least one.
-        share: The share, from 0 to 1.
-    """
-    ordered = sorted(weighted)
-    passed, sums = 0.0, []
-    for _, weight in ordered:
-        passed += weight
-        sums.append(passed)
-    place = bisect.bisect_left(sums, share * passed)
-    return ordered[min(place, len(ordered) - 1)][0]
-
-
 def _drop_older(samples: collections.deque[_Sample], begin: float) -> None:
     while samples and samples[0].at < begin:
         samples.popleft()
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -28,6 +28,9 @@
 from knapweedarch.stored_parts import PartsIndex, shared_digests
 from knapweedarch.target_weights import TargetWeights
 
+# Plain services of a data centre that are compared for a request.
+COMPARED_SERVICES = 2
+
 
 @attrs.frozen
 class ChoiceConfig:
@@ -79,6 +82,9 @@
         learnt_capacity: Whether the learnt speeds and limits of endpoints enter
             the cost.
         limit_penalty_s: Penalty for an endpoint at its learnt limit.
+        probe_bonus_s: By how much the cost of a slow endpoint is lower while it
+            is tried whether it still is; less than the cost of a long cached
+            prefix.
     """
 
     distance_s: dict[str, float] = attrs.field(factory=dict)
@@ -108,6 +114,7 @@
     fetch_cost_ratio: float = 0.25
     learnt_capacity: bool = False
     limit_penalty_s: float = 0.3
+    probe_bonus_s: float = 0.15
 
 
 class EndpointChooser:
@@ -213,6 +220,8 @@
             ]
         if cautious:
             usable = self._with_room(usable, cautious, prompt, memory_tokens)
+        if self._cfg.learnt_capacity and prompt is None:
+            usable = self._compared(usable)
         if not usable:
             return None
         ranks = _ranks(prompt, usable)
@@ -266,6 +275,29 @@
         most = math.ceil(len(found) * few / max(few, self._router_count))
         return self._rng.sample(found, min(len(found), max(2, most)))
 
+    def _compared(self, usable: Sequence[Endpoint]) -> list[Endpoint]:
+        """Returns the plain services that are compared for a request.
+
+        A request may take less time than loads take to be known, and all
+        routers would choose the same service. So each compares a few at random
+        of each data centre, the more often the more one was learnt to handle.
+        """
+        by_centre: dict[str, list[Endpoint]] = {}
+        for endpoint in usable:
+            by_centre.setdefault(endpoint.data_centre, []).append(endpoint)
+        found = []
+        for group in by_centre.values():
+            if len(group) > COMPARED_SERVICES:
+                group.sort(key=self._draw, reverse=True)
+            found += group[:COMPARED_SERVICES]
+        return found
+
+    def _draw(self, endpoint: Endpoint) -> float:
+        """Draws a number whose order is a sample weighted by capacity."""
+        stats = self._stats.get(endpoint)
+        weight = min(endpoint.slots, stats.limit) / stats.slowness
+        return self._rng.random() ** (1.0 / weight)
+
     def is_usable(self, endpoint: Endpoint, now: float) -> bool:
         """Returns whether an endpoint is neither silent nor avoided."""
         return (
@@ -447,6 +479,8 @@
         elif load.requests >= slots:
             cost_s += cfg.limit_penalty_s
         cost_s += base_s * (slowness - 1.0)
+        if stats.is_probed:
+            cost_s -= cfg.probe_bonus_s
         if endpoint.id in mismatched:
             cost_s += cfg.role_penalty_s
         cost_s += (
--- a/knapweedarch/endpoint_stats.py
+++ b/knapweedarch/endpoint_stats.py
@@ -43,6 +43,7 @@
             infinite if none was found.
         probed_until: Time until which the next request tries whether it is
             still slow.
+        is_probed: Whether the next request tries it.
         slowness: The slowness that counts at present: that of a usual endpoint
             while it is tried.
         limit: The same for the limit.
@@ -64,6 +65,7 @@
     learnt_slowness: float = 1.0
     learnt_limit: float = math.inf
     probed_until: float = -math.inf
+    is_probed: bool = False
     slowness: float = 1.0
     limit: float = math.inf
 
@@ -84,13 +86,14 @@
 
     def apply_learnt(self, now: float) -> None:
         """Applies what was learnt, unless the endpoint is tried."""
-        is_tried = now < self.probed_until
-        self.slowness = 1.0 if is_tried else self.learnt_slowness
-        self.limit = math.inf if is_tried else self.learnt_limit
+        self.is_probed = now < self.probed_until
+        self.slowness = 1.0 if self.is_probed else self.learnt_slowness
+        self.limit = math.inf if self.is_probed else self.learnt_limit
 
     def end_probe(self) -> None:
         """Records that a request was sent that tries the endpoint."""
         self.probed_until = -math.inf
+        self.is_probed = False
         self.slowness = self.learnt_slowness
         self.limit = self.learnt_limit
 
