--- a/bench/capacity_world.py
+++ b/bench/capacity_world.py
@@ -16,6 +16,7 @@
 from knapweedarch.capacity_messages import (
     SpeedReport,
     SpeedSample,
+    group_digest,
     pack_samples,
     unpack_capacities,
 )
@@ -122,7 +123,7 @@
         members: Number of members.
         seconds: Duration.
         false_samples: Samples that the first router reports each time in place
-            of its own, given the digests of all endpoints.
+            of its own, given the world.
         members_reach: Whether members relay, by the time.
     """
 
@@ -131,7 +132,7 @@
     routers: int = 9
     members: int = 3
     seconds: float = 20.0
-    false_samples: Callable[[list[int]], list[SpeedSample]] | None = None
+    false_samples: Callable[[object], list[SpeedSample]] | None = None
     members_reach: Callable[[float], bool] = lambda now: True
 
 
@@ -263,6 +264,7 @@
             for number, model in enumerate(plan.models)
         ]
         distances_s = {m.data_centre: m.delay_s for m in plan.models}
+        self.group = group_digest(self.endpoints[0].endpoint.serves)
         self._index = PartsIndex()
         self._by_id = {e.endpoint.id: e for e in self.endpoints}
         self.choosers = [
@@ -493,7 +495,7 @@
         learnt.review(self.now)
         samples = learnt.take_samples(MAX_SAMPLES)
         if number == 0 and self.plan.false_samples is not None:
-            samples = self.plan.false_samples(self._digests())
+            samples = self.plan.false_samples(self)
         if samples and learnt.is_shared:
             data = CONTROL.encode(SpeedReport(pack_samples(samples)))
             self.outcome.bytes_from[number] += len(data)
@@ -507,10 +509,6 @@
             )
         chooser.review_capacities(REVIEW_INTERVAL_S, self.now)
 
-    def _digests(self) -> list[int]:
-        chooser = self.choosers[0]
-        return [s.incarnation_digest for _, s in chooser._stats.by_id()]
-
     def _relay(self) -> None:
         if not self.plan.members_reach(self.now):
             return
--- a/knapweedarch/endpoint_capacity.py
+++ b/knapweedarch/endpoint_capacity.py
@@ -50,7 +50,7 @@
 # older than the second time: a slow endpoint gets few requests.
 RECENT_S = 1.0
 MIN_RECENT = 4
-MAX_RECENT_S = 5.0
+MAX_RECENT_S = 6.0
 MAX_RECENT = 64
 # Difference from which on the recent estimate replaces the settled one. Work
 # that differs 2.5 times between requests moves a quantile of few samples less.
@@ -59,9 +59,10 @@
 ADAPT_INTERVAL_S = 0.5
 # The usual number of requests is that of this share of the recent samples.
 LEVEL_SHARE = 0.8
-# A sample counts as one under load from this fraction of the limit on, and as
-# one without load up to the second fraction.
+# A sample counts as one under load from the first fraction of the limit to the
+# second, and as one without load up to the third.
 LOADED_FRACTION = 0.7
+LOADED_EXCESS = 1.2
 UNLOADED_FRACTION = 0.5
 # Samples under load that a cut of the limit takes, and samples without load by
 # which they are judged; without these, it is done by what is usual in the
@@ -119,6 +120,7 @@
             maxlen=MAX_UNLOADED
         )
         self._level = 1.0
+        self._cut_at = -math.inf
         self._adapted_at = now
         self._ordered: list[float] = []
         self._deviation: float | None = None
@@ -178,6 +180,8 @@
         settled = self._settled_ratio(reference)
         fresh = sum(s.at >= now - RECENT_S for s in self._recent)
         used = list(self._recent)[-max(fresh, MIN_RECENT) :]
+        if len(used) < MIN_RECENT:
+            return None
         ordered = sorted([settled, *(s.log_ratio for s in used)])
         least = quantile(ordered, QUICK_SHARE)
         most = quantile(ordered, 1.0 - QUICK_SHARE)
@@ -191,13 +195,22 @@
         if self._recent:
             requests = sorted(s.requests for s in self._recent)
             self._level = min(self.limit, quantile(requests, LEVEL_SHARE))
-        least = max(1.0, LOADED_FRACTION * self._level)
-        loaded = [s for s in self._recent if s.requests >= least]
+        loaded = [s for s in self._recent if self._is_loaded(s)]
         if not loaded:
             self._grow()
         elif len(loaded) >= MIN_LOADED:
             self._follow_gradient(loaded, reference)
 
+    def _is_loaded(self, sample: _Sample) -> bool:
+        """Returns whether a sample shows if the limit is too high.
+
+        One sent before the last cut, or with many more requests under way, does
+        not.
+        """
+        least = max(1.0, LOADED_FRACTION * self._level)
+        most = LOADED_EXCESS * self.limit + 1
+        return sample.at > self._cut_at and least <= sample.requests <= most
+
     def _follow_gradient(
         self, loaded: Sequence[_Sample], reference: float
     ) -> None:
@@ -209,6 +222,7 @@
         if gradient > CUT_GRADIENT:
             level = statistics.fmean(s.requests for s in loaded)
             self.limit = max(1.0, CUT_FACTOR * min(self.limit, level))
+            self._cut_at = self._adapted_at
         elif gradient < GROWTH_GRADIENT:
             self._grow()
 
--- a/knapweedarch/learnt_capacities.py
+++ b/knapweedarch/learnt_capacities.py
@@ -24,7 +24,7 @@
 PROBED_LOG_RATIO = math.log(1.4)
 PROBES_PER_S = 2.0
 # Time for which a router treats an endpoint that it tries as fast.
-PROBE_S = 0.5
+PROBE_S = 1.0
 # Entries that are kept of what the member says.
 MAX_SHARED = 2048
 
--- a/knapweedarch/speed_samples.py
+++ b/knapweedarch/speed_samples.py
@@ -26,7 +26,7 @@
 # A request moves the usual ratio as if it had deviated by no more than this.
 USUAL_MAX_SURPRISE = math.log(3.0)
 # Requests of a kind that must have been seen before any is a sample.
-USUAL_MIN_WEIGHT = 3.0
+USUAL_MIN_WEIGHT = 5.0
 # A request that is not answered after this many times the usual time shows
 # that its endpoint is slow before its answer arrives.
 OVERDUE_RATIO = 3.0
