Use runners alike whose speeds differ little

Change: for runners only the ratio beyond 1.5 enters the cost. The settled estimate takes three standard errors and 20 samples.

--- a/bench/capacity_world.py
+++ b/bench/capacity_world.py
@@ -216,6 +216,7 @@
     observation: object = None
     first_tokens: int = 0
     attempt_at: float = 0.0
+    endpoint: Endpoint | None = None
 
 
 class _ModelledEndpoint:
@@ -406,6 +407,7 @@
             *(endpoint, request.prompt, request.unread_tokens, self.now)
         )
         request.attempt_at = self.now
+        request.endpoint = endpoint
 
     def _offer(self, modelled: _ModelledEndpoint, request: _Request) -> None:
         busy = modelled.running + modelled.model.hidden(self.now)
@@ -421,8 +423,8 @@
         chooser = self.choosers[request.router]
         if request.observation is not None:
             chooser.drop_observation(request.observation)
-        chooser.record_ended(modelled.endpoint, request.prompt)
-        chooser.record_overload(modelled.endpoint, self.now)
+        chooser.record_ended(request.endpoint, request.prompt)
+        chooser.record_overload(request.endpoint, self.now)
         self._send(request)
 
     def _begin(self, modelled: _ModelledEndpoint, request: _Request) -> None:
@@ -450,8 +452,8 @@
             )
         if request.observation is not None:
             chooser.end_observation(request.observation, self.now)
-        chooser.record_success(modelled.endpoint, 0.0, self.now)
-        chooser.record_prompt_read(modelled.endpoint, request.unread_tokens)
+        chooser.record_success(request.endpoint, 0.0, self.now)
+        chooser.record_prompt_read(request.endpoint, request.unread_tokens)
         self.outcome.served.append(
             Served(
                 *(request.load.kind, request.arrived_at, modelled.number),
@@ -461,7 +463,7 @@
 
     def _end(self, modelled: _ModelledEndpoint, request: _Request) -> None:
         chooser = self.choosers[request.router]
-        chooser.record_ended(modelled.endpoint, request.prompt)
+        chooser.record_ended(request.endpoint, request.prompt)
         modelled.running -= 1
         if modelled.queue:
             self._begin(modelled, modelled.queue.popleft())
--- a/knapweedarch/endpoint_capacity.py
+++ b/knapweedarch/endpoint_capacity.py
@@ -42,10 +42,10 @@
 # nothing is concluded.
 MAX_SETTLED = 96
 SETTLED_S = 60.0
-MIN_SETTLED = 12
+MIN_SETTLED = 20
 # Standard errors of the settled estimate within which a difference may be
 # chance. Moving requests for a chance difference costs cached prompts.
-SETTLED_ERRORS = 2.0
+SETTLED_ERRORS = 3.0
 # The recent estimate uses the samples of this time, or so many that are not
 # older than the second time: a slow endpoint gets few requests.
 RECENT_S = 1.0
--- a/knapweedarch/endpoint_stats.py
+++ b/knapweedarch/endpoint_stats.py
@@ -14,9 +14,14 @@
 
 from knapweedarch.capacity_messages import incarnation_digest
 from knapweedarch.exponential import decay_factor
-from knapweedarch.models import Endpoint
+from knapweedarch.models import Endpoint, EndpointKind
 from knapweedarch.relay_messages import EndpointLoad, endpoint_digest
 
+# Runners whose speeds differ by less are used alike: the loads balance this.
+# All routers avoid alike what they take for slow, and know loads late, so that
+# others would get several prompts at a time, and prompts leave their caches.
+TOLERATED_RATIO = 1.5
+
 
 @attrs.define
 class EndpointStats:
@@ -41,6 +46,8 @@
         learnt_slowness: Time of answers as a ratio of the usual time.
         learnt_limit: Number of requests that it handles well at the same time;
             infinite if none was found.
+        tolerated: Ratio of speeds up to which an endpoint is used as if it were
+            a usual one.
         probed_until: Time until which the next request tries whether it is
             still slow.
         is_probed: Whether the next request tries it.
@@ -64,6 +71,7 @@
     incarnation_digest: int = 0
     learnt_slowness: float = 1.0
     learnt_limit: float = math.inf
+    tolerated: float = 1.0
     probed_until: float = -math.inf
     is_probed: bool = False
     slowness: float = 1.0
@@ -87,16 +95,21 @@
     def apply_learnt(self, now: float) -> None:
         """Applies what was learnt, unless the endpoint is tried."""
         self.is_probed = now < self.probed_until
-        self.slowness = 1.0 if self.is_probed else self.learnt_slowness
+        self.slowness = 1.0 if self.is_probed else self._weighed_slowness()
         self.limit = math.inf if self.is_probed else self.learnt_limit
 
     def end_probe(self) -> None:
         """Records that a request was sent that tries the endpoint."""
         self.probed_until = -math.inf
         self.is_probed = False
-        self.slowness = self.learnt_slowness
+        self.slowness = self._weighed_slowness()
         self.limit = self.learnt_limit
 
+    def _weighed_slowness(self) -> float:
+        """Returns the slowness beyond what is tolerated."""
+        above = max(1.0, self.learnt_slowness / self.tolerated)
+        return min(above, self.learnt_slowness * self.tolerated)
+
     def failure_rate(self) -> float:
         """Returns the ratio of recent failures, with one success assumed."""
         return self.failures / (self.failures + self.successes + 1.0)
@@ -144,6 +157,11 @@
                 endpoint_digest(endpoint.id),
                 decayed_at=now,
                 incarnation_digest=incarnation_digest(*key),
+                tolerated=(
+                    TOLERATED_RATIO
+                    if endpoint.kind is EndpointKind.RUNNER
+                    else 1.0
+                ),
             )
         stats.decay(now, self._half_life_s)
         return stats
--- a/knapweedarch/speed_samples.py
+++ b/knapweedarch/speed_samples.py
@@ -114,7 +114,8 @@
 
     def __init__(self) -> None:
         self._usual: dict[str, _Usual] = {}
-        self._pending: set[Observation] = set()
+        # In the order in which they were sent.
+        self._pending: dict[Observation, None] = {}
         self._listed: dict[int, _Listed] = {}
         self._samples: dict[int, list[SpeedSample]] = {}
 
@@ -142,11 +143,11 @@
 
     def start(self, observation: Observation) -> None:
         """Records that a request is sent."""
-        self._pending.add(observation)
+        self._pending[observation] = None
 
     def drop(self, observation: Observation) -> None:
         """Records that a request has ended without an answer."""
-        self._pending.discard(observation)
+        self._pending.pop(observation, None)
 
     def end(self, observation: Observation, now: float) -> SpeedSample | None:
         """Records the first event or byte of an answer.
@@ -154,7 +155,7 @@
         Returns:
             The sample, unless it would say nothing of the endpoint's speed.
         """
-        self._pending.discard(observation)
+        self._pending.pop(observation, None)
         if observation.has_queued or not self._is_warm(observation):
             return None
         usual = self._usual.get(observation.kind)
