Hold the room that a router's ended requests leave at brittle endpoints

Cause: routers know each other's loads 0.25 s late, and all of them send to a slot that has become free: up to 10 requests turned away in a second at 9 routers, 96 at 195, where 5 may be. A router also forgot after 5 s that an endpoint is brittle, which with 195 routers is before its next request there. Change: the router whose request has ended holds its slot for 0.5 s, reports it as taken and uses it first. Room that nobody holds is taken with a probability that lets all routers together take half of it within the lag. Endpoints that have not answered a router yet count as brittle beside known ones. Thinning by the free room is dropped.

--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -17,6 +17,7 @@
 
 from knapweedarch.capacity_messages import group_digest
 from knapweedarch.endpoint_stats import EndpointStats, EndpointStatsTable
+from knapweedarch.held_room import OpenRoom
 from knapweedarch.learnt_capacities import PROBE_S, LearntCapacities
 from knapweedarch.load_relay import no_load
 from knapweedarch.models import Endpoint
@@ -68,12 +69,9 @@
             time that a request may be queued at the runner before it starts.
         prefill_slowdown: Relative increase of the prefill time per request at
             the runner.
-        thinned_room: Ratio of free slots below which an endpoint that must not
-            turn requests away is considered more and more seldom.
         claimed_room: Ratio of the slots by which one that has turned a request
             away counts as fuller.
         claim_s: How long it does.
-        few_routers: Number of routers that may all compare all such endpoints.
         fetch_cost_ratio: Time to fetch a part that another runner has cached,
             as a ratio of the time to prefill it.
         repeat_old_weights_penalty_s: Penalty for weights that are not the
@@ -107,10 +105,8 @@
     old_weights_margin_s: float = 1.5
     sole_old_weights_margin_s: float = 0.6
     prefill_slowdown: float = 0.1
-    thinned_room: float = 0.5
     claimed_room: float = 0.05
     claim_s: float = 1.0
-    few_routers: int = 4
     fetch_cost_ratio: float = 0.25
     learnt_capacity: bool = False
     limit_penalty_s: float = 0.3
@@ -136,6 +132,9 @@
         self._work: dict[str, WorkMix] = {}
         self._roles: dict[str, RunnerRoles] = {}
         self.learnt = LearntCapacities(random.Random(seed))
+        self._open_room = OpenRoom(self._rng)
+        # The latest time that was given; for what ends between two requests.
+        self._now = 0.0
 
     def set_router_count(self, count: int) -> None:
         """Sets how many routers, this one included, share the endpoints."""
@@ -202,6 +201,7 @@
                 as loads are known.
             kind: Kind of a request without a prompt; see `start_observation`.
         """
+        self._now = now
         untried = [
             e for e in endpoints if e.id not in tried and e.id not in barred
         ]
@@ -219,7 +219,9 @@
                 and self._known_load(e).requests < self._stats.get(e).limit
             ]
         if cautious:
-            usable = self._with_room(usable, cautious, prompt, memory_tokens)
+            usable = self._with_room(
+                *(usable, cautious, prompt, memory_tokens, now)
+            )
         if self._cfg.learnt_capacity and prompt is None:
             usable = self._compared(usable)
         if not usable:
@@ -254,26 +256,32 @@
         cautious: Collection[str],
         prompt: Prompt | None,
         memory_tokens: int,
+        now: float,
     ) -> list[Endpoint]:
-        """Thins out endpoints that must not turn requests away.
+        """Returns the endpoints that a request may go to; see `held_room`.
 
-        All routers decide by the same loads, which are some time old. So the
-        fuller such an endpoint is, the more seldom each of them considers it,
-        and the more routers there are, the fewer endpoints each compares.
+        Endpoints that have not answered this router yet count as ones that must
+        not turn requests away, as others do that serve the same.
         """
-        found = []
+        held, free, sturdy = [], [], []
         for endpoint in usable:
-            if endpoint.id in cautious:
-                load = self._total_load(endpoint, self._stats.get(endpoint))
-                if _is_full(endpoint, load, prompt, memory_tokens):
-                    continue
-                room = (endpoint.slots - load.requests) / endpoint.slots
-                if self._rng.random() * self._cfg.thinned_room > room:
-                    continue
-            found.append(endpoint)
-        few = self._cfg.few_routers
-        most = math.ceil(len(found) * few / max(few, self._router_count))
-        return self._rng.sample(found, min(len(found), max(2, most)))
+            stats = self._stats.get(endpoint)
+            room = stats.held
+            room.is_cautious = endpoint.id in cautious or not room.is_known
+            load = self._total_load(endpoint, stats)
+            if not room.is_cautious:
+                sturdy.append(endpoint)
+            elif room.count(now):
+                held.append(endpoint)
+            elif not _is_full(endpoint, load, prompt, memory_tokens):
+                free.append((endpoint, endpoint.slots - load.requests))
+        if held or sturdy:
+            return held + sturdy
+        total = sum(room for _, room in free)
+        if not self._open_room.may_take(total, self._router_count, now):
+            return []
+        weights = [room for _, room in free]
+        return self._rng.choices([e for e, _ in free], weights)
 
     def _compared(self, usable: Sequence[Endpoint]) -> list[Endpoint]:
         """Returns the plain services that are compared for a request.
@@ -330,6 +338,7 @@
         """
         stats = self._stats.at(endpoint, now)
         stats.requests += 1
+        stats.held.record_sent()
         if prompt is not None:
             rate = self._rates.rate(prompt.model)
             self._work.setdefault(prompt.model, WorkMix()).record(
@@ -355,17 +364,21 @@
         if stats is None:
             return
         stats.requests -= 1
+        stats.held.record_ended(self._now)
         if prompt is not None:
             stats.held_tokens -= prompt.tokens + prompt.max_tokens
 
     def own_loads(self) -> tuple[EndpointLoad, ...]:
         """Returns the load of this router's own requests."""
+        for stats in self._stats:
+            stats.held.count(self._now)
         return self._stats.loads()
 
     def set_peer_loads(self, loads: Iterable[EndpointLoad], now: float) -> None:
         """Sets the loads reported for all other routers together."""
         self._peer_loads = {load.endpoint: load for load in loads}
         self._peer_loads_at = now
+        self._now = max(self._now, now)
 
     def peer_loads_age_s(self, now: float) -> float:
         """Returns the age in seconds of the other routers' loads.
@@ -422,9 +435,10 @@
 
     def record_overload(self, endpoint: Endpoint, now: float) -> None:
         """Records that an endpoint is full and avoids it for a moment."""
-        self._stats.at(endpoint, now).avoided_until = (
-            now + self._cfg.busy_backoff_s
-        )
+        stats = self._stats.at(endpoint, now)
+        stats.avoided_until = now + self._cfg.busy_backoff_s
+        stats.held.record_rejected(now)
+        self._now = max(self._now, now)
 
     def retain(self, kept: Iterable[Endpoint]) -> None:
         """Discards the state of endpoints that are not used any more."""
--- a/knapweedarch/endpoint_statements.py
+++ b/knapweedarch/endpoint_statements.py
@@ -18,8 +18,9 @@
 # A longer wait is taken for this one.
 LONGEST_WAIT_S = 3600.0
 MAX_STATEMENTS = 1024
-# An endpoint says in all its answers that it is brittle.
-BRITTLE_TTL_S = 5.0
+# An endpoint says in all its answers that it is brittle. Of many routers, each
+# may send to it seldom.
+BRITTLE_TTL_S = 60.0
 # A brittle endpoint that has turned a request away rests for this long.
 REST_S = 0.5
 # Routers that were told to wait at one moment come back over this fraction of
--- a/knapweedarch/endpoint_stats.py
+++ b/knapweedarch/endpoint_stats.py
@@ -14,6 +14,7 @@
 
 from knapweedarch.capacity_messages import incarnation_digest
 from knapweedarch.exponential import decay_factor
+from knapweedarch.held_room import HeldRoom
 from knapweedarch.models import Endpoint, EndpointKind
 from knapweedarch.relay_messages import EndpointLoad, endpoint_digest
 
@@ -38,6 +39,7 @@
         claimed: Requests that count as under way since the endpoint had less
             room than was known.
         claimed_until: Time until which they count.
+        held: Room that this router holds there.
         avoided_until: Time until which the endpoint gets no requests.
         refused_until: The same after a connection that failed.
         lateness_s: Decayed moving average of the time by which answers missed
@@ -65,6 +67,7 @@
     decayed_at: float = 0.0
     claimed: int = 0
     claimed_until: float = -math.inf
+    held: HeldRoom = attrs.field(factory=HeldRoom)
     avoided_until: float = -math.inf
     refused_until: float = -math.inf
     lateness_s: float = 0.0
@@ -115,9 +118,10 @@
         return self.failures / (self.failures + self.successes + 1.0)
 
     def load(self) -> EndpointLoad:
-        """Returns the load that this router causes."""
+        """Returns the load that this router causes, or holds room for."""
+        held = len(self.held.freed_at)
         return EndpointLoad(
-            *(self.digest, self.requests + self.claimed),
+            *(self.digest, self.requests + self.claimed + held),
             *(self.unread_tokens, self.held_tokens),
         )
 
@@ -181,7 +185,7 @@
         return tuple(
             stats.load()
             for (endpoint_id, incarnation), stats in self._stats.items()
-            if stats.requests + stats.claimed
+            if stats.requests + stats.claimed + len(stats.held.freed_at)
             and self._listed.get(endpoint_id, incarnation) == incarnation
         )
 
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -32,7 +32,7 @@
     *("origin_messages", "origin_table", "origin_relay"),
     *("tunnel_messages", "endpoint_paths", "endpoint_stats", "answer_memory"),
     *("capacity_messages", "endpoint_capacity", "speed_samples"),
-    *("learnt_capacities", "capacity_relay", "member_directory"),
+    *("learnt_capacities", "capacity_relay", "held_room", "member_directory"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
