--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -15,16 +15,23 @@
 import attrs
 import xxhash
 
+from knapweedarch.capacity_messages import group_digest
 from knapweedarch.endpoint_stats import EndpointStats, EndpointStatsTable
+from knapweedarch.held_room import OpenRoom
+from knapweedarch.learnt_capacities import PROBE_S, LearntCapacities
 from knapweedarch.load_relay import no_load
 from knapweedarch.models import Endpoint
 from knapweedarch.prefill_rates import PrefillRates
 from knapweedarch.prompt_parts import Prompt
 from knapweedarch.relay_messages import EndpointLoad
 from knapweedarch.runner_roles import RunnerRoles, WorkMix, is_prompt_heavy
+from knapweedarch.speed_samples import Observation
 from knapweedarch.stored_parts import PartsIndex, shared_digests
 from knapweedarch.target_weights import TargetWeights
 
+# Plain services of a data centre that are compared for a request.
+COMPARED_SERVICES = 2
+
 
 @attrs.frozen
 class ChoiceConfig:
@@ -62,17 +69,20 @@
             time that a request may be queued at the runner before it starts.
         prefill_slowdown: Relative increase of the prefill time per request at
             the runner.
-        thinned_room: Ratio of free slots below which an endpoint that must not
-            turn requests away is considered more and more seldom.
         claimed_room: Ratio of the slots by which one that has turned a request
             away counts as fuller.
         claim_s: How long it does.
-        few_routers: Number of routers that may all compare all such endpoints.
         fetch_cost_ratio: Time to fetch a part that another runner has cached,
             as a ratio of the time to prefill it.
         repeat_old_weights_penalty_s: Penalty for weights that are not the
             newest when another endpoint was already tried for the request.
             Loading new weights may break the request off a second time.
+        learnt_capacity: Whether the learnt speeds and limits of endpoints enter
+            the cost.
+        limit_penalty_s: Penalty for an endpoint at its learnt limit.
+        probe_bonus_s: By how much the cost of a slow endpoint is lower while it
+            is tried whether it still is; less than the cost of a long cached
+            prefix.
     """
 
     distance_s: dict[str, float] = attrs.field(factory=dict)
@@ -95,11 +105,12 @@
     old_weights_margin_s: float = 1.5
     sole_old_weights_margin_s: float = 0.6
     prefill_slowdown: float = 0.1
-    thinned_room: float = 0.5
     claimed_room: float = 0.05
     claim_s: float = 1.0
-    few_routers: int = 4
     fetch_cost_ratio: float = 0.25
+    learnt_capacity: bool = False
+    limit_penalty_s: float = 0.3
+    probe_bonus_s: float = 0.15
 
 
 class EndpointChooser:
@@ -120,6 +131,10 @@
         self._rates = PrefillRates()
         self._work: dict[str, WorkMix] = {}
         self._roles: dict[str, RunnerRoles] = {}
+        self.learnt = LearntCapacities(random.Random(seed))
+        self._open_room = OpenRoom(self._rng)
+        # The latest time that was given; for what ends between two requests.
+        self._now = 0.0
 
     def set_router_count(self, count: int) -> None:
         """Sets how many routers, this one included, share the endpoints."""
@@ -167,6 +182,7 @@
         barred: Collection[str] = (),
         cautious: Collection[str] = (),
         needs_room: bool = False,
+        kind: str = "",
     ) -> Endpoint | None:
         """Chooses the usable endpoint with the lowest cost, or None.
 
@@ -183,7 +199,9 @@
             cautious: Ids of endpoints that get it only if they have room.
             needs_room: Whether any endpoint gets it only if it has room, as far
                 as loads are known.
+            kind: Kind of a request without a prompt; see `start_observation`.
         """
+        self._now = now
         untried = [
             e for e in endpoints if e.id not in tried and e.id not in barred
         ]
@@ -198,9 +216,14 @@
                 e
                 for e in usable
                 if not _is_full(e, self._known_load(e), prompt, memory_tokens)
+                and self._known_load(e).requests < self._stats.get(e).limit
             ]
         if cautious:
-            usable = self._with_room(usable, cautious, prompt, memory_tokens)
+            usable = self._with_room(
+                *(usable, cautious, prompt, memory_tokens, now)
+            )
+        if self._cfg.learnt_capacity and prompt is None:
+            usable = self._compared(usable)
         if not usable:
             return None
         ranks = _ranks(prompt, usable)
@@ -209,41 +232,79 @@
         if prompt is not None:
             cached_tokens = self._cached_tokens(endpoints, prompt, salt, now)
         max_cached_tokens = _max_by_weights(endpoints, cached_tokens)
+        base_s = self._base_s(prompt, kind)
         return min(
             usable,
             key=lambda e: self._cost(
                 *(e, prompt, ranks, mismatched, memory_tokens),
                 *(bool(tried), cached_tokens.get(e.id, 0)),
-                max_cached_tokens.get(e.weights_version, 0),
+                *(max_cached_tokens.get(e.weights_version, 0), base_s),
             ),
         )
 
+    def _base_s(self, prompt: Prompt | None, kind: str) -> float:
+        """Returns the usual time of a request apart from its prefill."""
+        if not self._cfg.learnt_capacity:
+            return 0.0
+        if prompt is None:
+            return self.learnt.observer.usual_s(kind)
+        return self._rates.rate(prompt.model).base_s
+
     def _with_room(
         self,
         usable: Sequence[Endpoint],
         cautious: Collection[str],
         prompt: Prompt | None,
         memory_tokens: int,
+        now: float,
     ) -> list[Endpoint]:
-        """Thins out endpoints that must not turn requests away.
+        """Returns the endpoints that a request may go to; see `held_room`.
 
-        All routers decide by the same loads, which are some time old. So the
-        fuller such an endpoint is, the more seldom each of them considers it,
-        and the more routers there are, the fewer endpoints each compares.
+        Endpoints that have not answered this router yet count as ones that must
+        not turn requests away, as others do that serve the same.
         """
-        found = []
+        held, free, sturdy = [], [], []
         for endpoint in usable:
-            if endpoint.id in cautious:
-                load = self._total_load(endpoint, self._stats.get(endpoint))
-                if _is_full(endpoint, load, prompt, memory_tokens):
-                    continue
-                room = (endpoint.slots - load.requests) / endpoint.slots
-                if self._rng.random() * self._cfg.thinned_room > room:
-                    continue
-            found.append(endpoint)
-        few = self._cfg.few_routers
-        most = math.ceil(len(found) * few / max(few, self._router_count))
-        return self._rng.sample(found, min(len(found), max(2, most)))
+            stats = self._stats.get(endpoint)
+            room = stats.held
+            room.is_cautious = endpoint.id in cautious or not room.is_known
+            load = self._total_load(endpoint, stats)
+            if not room.is_cautious:
+                sturdy.append(endpoint)
+            elif room.count(now):
+                held.append(endpoint)
+            elif not _is_full(endpoint, load, prompt, memory_tokens):
+                free.append((endpoint, endpoint.slots - load.requests))
+        if held or sturdy:
+            return held + sturdy
+        total = sum(room for _, room in free)
+        if not self._open_room.may_take(total, self._router_count, now):
+            return []
+        weights = [room for _, room in free]
+        return self._rng.choices([e for e, _ in free], weights)
+
+    def _compared(self, usable: Sequence[Endpoint]) -> list[Endpoint]:
+        """Returns the plain services that are compared for a request.
+
+        A request may take less time than loads take to be known, and all
+        routers would choose the same service. So each compares a few at random
+        of each data centre, the more often the more one was learnt to handle.
+        """
+        by_centre: dict[str, list[Endpoint]] = {}
+        for endpoint in usable:
+            by_centre.setdefault(endpoint.data_centre, []).append(endpoint)
+        found = []
+        for group in by_centre.values():
+            if len(group) > COMPARED_SERVICES:
+                group.sort(key=self._draw, reverse=True)
+            found += group[:COMPARED_SERVICES]
+        return found
+
+    def _draw(self, endpoint: Endpoint) -> float:
+        """Draws a number whose order is a sample weighted by capacity."""
+        stats = self._stats.get(endpoint)
+        weight = min(endpoint.slots, stats.limit) / stats.slowness
+        return self._rng.random() ** (1.0 / weight)
 
     def is_usable(self, endpoint: Endpoint, now: float) -> bool:
         """Returns whether an endpoint is neither silent nor avoided."""
@@ -277,6 +338,7 @@
         """
         stats = self._stats.at(endpoint, now)
         stats.requests += 1
+        stats.held.record_sent()
         if prompt is not None:
             rate = self._rates.rate(prompt.model)
             self._work.setdefault(prompt.model, WorkMix()).record(
@@ -302,17 +364,21 @@
         if stats is None:
             return
         stats.requests -= 1
+        stats.held.record_ended(self._now)
         if prompt is not None:
             stats.held_tokens -= prompt.tokens + prompt.max_tokens
 
     def own_loads(self) -> tuple[EndpointLoad, ...]:
         """Returns the load of this router's own requests."""
+        for stats in self._stats:
+            stats.held.count(self._now)
         return self._stats.loads()
 
     def set_peer_loads(self, loads: Iterable[EndpointLoad], now: float) -> None:
         """Sets the loads reported for all other routers together."""
         self._peer_loads = {load.endpoint: load for load in loads}
         self._peer_loads_at = now
+        self._now = max(self._now, now)
 
     def peer_loads_age_s(self, now: float) -> float:
         """Returns the age in seconds of the other routers' loads.
@@ -369,9 +435,10 @@
 
     def record_overload(self, endpoint: Endpoint, now: float) -> None:
         """Records that an endpoint is full and avoids it for a moment."""
-        self._stats.at(endpoint, now).avoided_until = (
-            now + self._cfg.busy_backoff_s
-        )
+        stats = self._stats.at(endpoint, now)
+        stats.avoided_until = now + self._cfg.busy_backoff_s
+        stats.held.record_rejected(now)
+        self._now = max(self._now, now)
 
     def retain(self, kept: Iterable[Endpoint]) -> None:
         """Discards the state of endpoints that are not used any more."""
@@ -389,6 +456,7 @@
         is_repeat: bool,
         cached_tokens: int,
         max_cached_tokens: int,
+        base_s: float,
     ) -> float:
         """Returns the cost of an endpoint in seconds.
 
@@ -402,6 +470,7 @@
             cached_tokens: Leading prompt tokens that the endpoint has cached.
             max_cached_tokens: Largest `cached_tokens` of any endpoint with the
                 same weights, from which the parts can be fetched.
+            base_s: Usual time of the request apart from its prefill.
         """
         cfg, stats = self._cfg, self._stats.get(endpoint)
         distance_s = cfg.distance_s.get(
@@ -411,7 +480,8 @@
             cfg.remote_penalty_s if distance_s > cfg.local_distance_s else 0.0
         )
         load = self._total_load(endpoint, stats)
-        utilisation = load.requests / max(1, endpoint.slots)
+        slowness, slots = stats.slowness, min(endpoint.slots, stats.limit)
+        utilisation = load.requests / max(1, slots)
         if memory_tokens:
             utilisation = max(utilisation, load.held_tokens / memory_tokens)
         cost_s = (
@@ -420,6 +490,11 @@
         cost_s += cfg.rank_penalty_s * ranks[endpoint.id]
         if _is_full(endpoint, load, prompt, memory_tokens):
             cost_s += cfg.full_penalty_s
+        elif load.requests >= slots:
+            cost_s += cfg.limit_penalty_s
+        cost_s += base_s * (slowness - 1.0)
+        if stats.is_probed:
+            cost_s -= cfg.probe_bonus_s
         if endpoint.id in mismatched:
             cost_s += cfg.role_penalty_s
         cost_s += (
@@ -427,7 +502,7 @@
         )
         if prompt is not None:
             tokens_s = self._rates.rate(prompt.model).tokens_s
-            cost_s += load.unread_tokens / tokens_s
+            cost_s += slowness * load.unread_tokens / tokens_s
             if not self.has_newest_weights(endpoint, prompt):
                 cost_s += (
                     cfg.repeat_old_weights_penalty_s
@@ -440,7 +515,7 @@
                 - cached_tokens
                 - (1 - cfg.fetch_cost_ratio) * fetchable_tokens
             )
-            prefill_s = uncached_tokens / tokens_s
+            prefill_s = slowness * uncached_tokens / tokens_s
             cost_s += prefill_s * (1 + cfg.prefill_slowdown * load.requests)
         return cost_s
 
@@ -456,6 +531,90 @@
         share = self._work.setdefault(model, WorkMix()).answer_share
         return roles.mismatched(usable, share, heavy)
 
+    def start_observation(
+        self,
+        endpoint: Endpoint,
+        prompt: Prompt | None,
+        kind: str,
+        unread_tokens: int,
+        now: float,
+    ) -> Observation | None:
+        """Begins to observe a request that is about to be sent.
+
+        Args:
+            endpoint: Endpoint that it is sent to.
+            prompt: Its prompt; None for plain services.
+            kind: Name of its route. Requests with a prompt are told apart by
+                their model and the tokens to prefill.
+            unread_tokens: Tokens of the prompt that the runner has to prefill.
+            now: Seconds on the router's clock.
+
+        Returns:
+            What `end_observation` needs; None if capacities are not learnt.
+        """
+        cfg = self._cfg
+        if not cfg.learnt_capacity:
+            return None
+        stats = self._stats.at(endpoint, now)
+        distance_s = cfg.distance_s.get(
+            endpoint.data_centre, cfg.unlisted_distance_s
+        )
+        load = self._total_load(endpoint, stats)
+        expected_s = 1.0
+        if prompt is not None:
+            kind = f"{prompt.model}/{unread_tokens.bit_length() // 2}"
+            tokens = load.unread_tokens + unread_tokens
+            expected_s = self.prefill_s(prompt, tokens)
+        observation = Observation(
+            *(stats.incarnation_digest, group_digest(endpoint.serves), kind),
+            *(expected_s, 2 * distance_s),
+            *(load.requests, now, load.unread_tokens > unread_tokens),
+        )
+        self.learnt.observer.start(observation)
+        stats.end_probe()
+        return observation
+
+    def end_observation(self, observation: Observation, now: float) -> None:
+        """Records the first event or byte of an answer."""
+        self.learnt.end(observation, now)
+
+    def drop_observation(self, observation: Observation) -> None:
+        """Records that a request has ended without an answer."""
+        self.learnt.observer.drop(observation)
+
+    def set_listed(self, endpoints: Iterable[Endpoint], now: float) -> None:
+        """Notes which endpoints are new, or load weights."""
+        self.learnt.set_listed(endpoints, now)
+
+    def review_capacities(self, interval_s: float, now: float) -> None:
+        """Applies what was learnt to the cost of each endpoint.
+
+        Args:
+            interval_s: Seconds between two calls.
+            now: Seconds on the router's clock.
+        """
+        learnt = self.learnt
+        for stats in self._stats:
+            capacity = learnt.capacity(stats.incarnation_digest)
+            stats.learnt_slowness = capacity.slowness
+            stats.learnt_limit = capacity.limit
+            if learnt.is_probe_due(capacity, interval_s, self._router_count):
+                stats.probed_until = now + PROBE_S
+            stats.apply_learnt(now)
+
+    def slow_endpoints(self, ratio: float) -> dict[str, float]:
+        """Returns the slowness of endpoints that are slower than a ratio."""
+        return {
+            endpoint_id: stats.learnt_slowness
+            for endpoint_id, stats in self._stats.by_id()
+            if stats.learnt_slowness >= ratio
+        }
+
+    @property
+    def limited_endpoint_count(self) -> int:
+        """Number of endpoints with a learnt limit."""
+        return sum(stats.learnt_limit < math.inf for stats in self._stats)
+
     def expected_first_event_s(
         self, endpoint: Endpoint, prompt: Prompt, unread_tokens: int
     ) -> float:
--- a/knapweedarch/endpoint_stats.py
+++ b/knapweedarch/endpoint_stats.py
@@ -12,10 +12,17 @@
 
 import attrs
 
+from knapweedarch.capacity_messages import incarnation_digest
 from knapweedarch.exponential import decay_factor
-from knapweedarch.models import Endpoint
+from knapweedarch.held_room import HeldRoom
+from knapweedarch.models import Endpoint, EndpointKind
 from knapweedarch.relay_messages import EndpointLoad, endpoint_digest
 
+# Runners whose speeds differ by less are used alike: the loads balance this.
+# All routers avoid alike what they take for slow, and know loads late, so that
+# others would get several prompts at a time, and prompts leave their caches.
+TOLERATED_RATIO = 1.5
+
 
 @attrs.define
 class EndpointStats:
@@ -32,10 +39,23 @@
         claimed: Requests that count as under way since the endpoint had less
             room than was known.
         claimed_until: Time until which they count.
+        held: Room that this router holds there.
         avoided_until: Time until which the endpoint gets no requests.
         refused_until: The same after a connection that failed.
         lateness_s: Decayed moving average of the time by which answers missed
             the latency goal.
+        incarnation_digest: Hash of the incarnation in messages of capacities.
+        learnt_slowness: Time of answers as a ratio of the usual time.
+        learnt_limit: Number of requests that it handles well at the same time;
+            infinite if none was found.
+        tolerated: Ratio of speeds up to which an endpoint is used as if it were
+            a usual one.
+        probed_until: Time until which the next request tries whether it is
+            still slow.
+        is_probed: Whether the next request tries it.
+        slowness: The slowness that counts at present: that of a usual endpoint
+            while it is tried.
+        limit: The same for the limit.
     """
 
     digest: int
@@ -47,9 +67,18 @@
     decayed_at: float = 0.0
     claimed: int = 0
     claimed_until: float = -math.inf
+    held: HeldRoom = attrs.field(factory=HeldRoom)
     avoided_until: float = -math.inf
     refused_until: float = -math.inf
     lateness_s: float = 0.0
+    incarnation_digest: int = 0
+    learnt_slowness: float = 1.0
+    learnt_limit: float = math.inf
+    tolerated: float = 1.0
+    probed_until: float = -math.inf
+    is_probed: bool = False
+    slowness: float = 1.0
+    limit: float = math.inf
 
     @property
     def next_use_at(self) -> float:
@@ -66,14 +95,33 @@
         self.lateness_s *= factor
         self.decayed_at = now
 
+    def apply_learnt(self, now: float) -> None:
+        """Applies what was learnt, unless the endpoint is tried."""
+        self.is_probed = now < self.probed_until
+        self.slowness = 1.0 if self.is_probed else self._weighed_slowness()
+        self.limit = math.inf if self.is_probed else self.learnt_limit
+
+    def end_probe(self) -> None:
+        """Records that a request was sent that tries the endpoint."""
+        self.probed_until = -math.inf
+        self.is_probed = False
+        self.slowness = self._weighed_slowness()
+        self.limit = self.learnt_limit
+
+    def _weighed_slowness(self) -> float:
+        """Returns the slowness beyond what is tolerated."""
+        above = max(1.0, self.learnt_slowness / self.tolerated)
+        return min(above, self.learnt_slowness * self.tolerated)
+
     def failure_rate(self) -> float:
         """Returns the ratio of recent failures, with one success assumed."""
         return self.failures / (self.failures + self.successes + 1.0)
 
     def load(self) -> EndpointLoad:
-        """Returns the load that this router causes."""
+        """Returns the load that this router causes, or holds room for."""
+        held = len(self.held.freed_at)
         return EndpointLoad(
-            *(self.digest, self.requests + self.claimed),
+            *(self.digest, self.requests + self.claimed + held),
             *(self.unread_tokens, self.held_tokens),
         )
 
@@ -110,11 +158,25 @@
         stats = self._stats.get(key)
         if stats is None:
             stats = self._stats[key] = EndpointStats(
-                endpoint_digest(endpoint.id), decayed_at=now
+                endpoint_digest(endpoint.id),
+                decayed_at=now,
+                incarnation_digest=incarnation_digest(*key),
+                tolerated=(
+                    TOLERATED_RATIO
+                    if endpoint.kind is EndpointKind.RUNNER
+                    else 1.0
+                ),
             )
         stats.decay(now, self._half_life_s)
         return stats
 
+    def by_id(self) -> Iterator[tuple[str, EndpointStats]]:
+        """Returns the observations with the ids of their endpoints."""
+        return (
+            (endpoint_id, stats)
+            for (endpoint_id, _), stats in self._stats.items()
+        )
+
     def loads(self) -> tuple[EndpointLoad, ...]:
         """Returns the load that this router causes at each endpoint.
 
@@ -123,7 +185,7 @@
         return tuple(
             stats.load()
             for (endpoint_id, incarnation), stats in self._stats.items()
-            if stats.requests + stats.claimed
+            if stats.requests + stats.claimed + len(stats.held.freed_at)
             and self._listed.get(endpoint_id, incarnation) == incarnation
         )
 
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -12,6 +12,7 @@
 from knapweedarch.caller_bounds import CallerBounds
 from knapweedarch.caller_ends import DropCause
 from knapweedarch.caller_guard import CallerGuard
+from knapweedarch.capacity_client import CapacityClient
 from knapweedarch.crash_guard import create_crash_guard
 from knapweedarch.deployments import Deployment
 from knapweedarch.dialects import Dialect
@@ -79,6 +80,8 @@
             this process lacks processor time.
         quota_bounds: Bound of what customers with quotas may use.
         caller_bounds: What callers may hold together.
+        learnt_capacity: Whether the speeds and limits of endpoints that are
+            learnt from answers enter the choice among them.
     """
 
     name: str
@@ -98,6 +101,7 @@
     refuses_overload: bool = False
     quota_bounds: QuotaBounds = attrs.field(factory=QuotaBounds)
     caller_bounds: CallerBounds = attrs.field(factory=CallerBounds)
+    learnt_capacity: bool = False
 
 
 class Proxy:
@@ -157,6 +161,7 @@
             ChoiceConfig(
                 distance_s=settings.distances_s,
                 weights_limit_s=settings.weights_limit_s,
+                learnt_capacity=settings.learnt_capacity,
             ),
             *(self._index, int(incarnation, 16)),
         )
@@ -192,6 +197,7 @@
         self._quarantine = QuarantineClient(
             settings.name, self._guard, self._relay, clock, metrics
         )
+        self._capacities = CapacityClient(chooser, self._relay, clock, metrics)
         self._gateway = ProxyGateway(
             *(dialect, self._attempts, clock, metrics, self._start_refusal)
         )
@@ -229,6 +235,8 @@
         PauseDetector(self._timers)
         self._timers.every(LOADS_INTERVAL_S, self._report_loads)
         self._quarantine.subscribe(self._timers)
+        if self._settings.learnt_capacity:
+            self._capacities.subscribe(self._timers)
         self._paths.subscribe(self._timers)
         self._timers.every(GAUGES_INTERVAL_S, self._update_gauges)
         settings = self._settings
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -35,6 +35,8 @@
     *("quotas", "quota_messages", "quota_bucket", "quota_lenders"),
     *("quota_mint", "quota_shares", "quota_rights"),
     *("caller_memory", "caller_bounds", "chunked_body", "message_ends"),
+    *("capacity_messages", "endpoint_capacity", "speed_samples"),
+    *("learnt_capacities", "capacity_relay", "held_room"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
