Divide runners between customers and priorities under load

Cause: large prompts that would miss their goal are refused whoever sends them, and classes are not told apart, so short urgent prompts wait behind long ones.

Change: fair_admission decides by the room at the runners, which less urgent classes leave in part to more urgent ones, and by customer usage summed over routers (UsageReport). A request without room waits at its router. No runner is sent more than its memory holds, as far as loads are known.

--- a/knapweedarch/attempt_scope.py
+++ b/knapweedarch/attempt_scope.py
@@ -38,6 +38,7 @@
         self._unread_tokens = 0
         self._tokens_ahead = 0
         self._started_at = 0.0
+        self._sent_at = 0.0
         self._waiting: Waiting | None = None
 
     def record_first_event(self) -> None:
@@ -81,7 +82,7 @@
 
     async def __aenter__(self) -> "AttemptScope":
         attempts, call = self._attempts, self._call
-        self._started_at = attempts.now()
+        self._started_at = self._sent_at = attempts.now()
         self._tokens_ahead = attempts.chooser.tokens_ahead(self._endpoint)
         self._unread_tokens = attempts.unread_tokens(call, self._endpoint)
         if call.options.prompt is not None:
@@ -89,6 +90,8 @@
                 *(self._endpoint, call.options.prompt),
                 *(self._unread_tokens, attempts.now()),
             )
+        if attempts.fair is not None:
+            attempts.fair.start(call, self._unread_tokens)
         attempts.chooser.record_sent(
             *(self._endpoint, call.options.prompt, self._unread_tokens),
             attempts.now(),
@@ -101,6 +104,8 @@
         self._attempts.chooser.record_ended(
             self._endpoint, self._call.options.prompt
         )
+        if self._attempts.fair is not None:
+            self._attempts.fair.end(self._call, self._sent_at)
         if self.exchange is not None:
             with anyio.CancelScope(shield=True):
                 await self.exchange.close(self.head)
--- /dev/null
+++ b/knapweedarch/class_demand.py
@@ -0,0 +1,134 @@
+"""What the requests of one priority need of the runners of a service.
+
+It is learnt from recent requests of this router; see `fair_admission`. All
+times are seconds on the router's clock.
+"""
+
+import math
+
+import attrs
+
+from knapweedarch.customer_usage import DecayedSum
+
+# Time after which the rate of requests counts half; it follows a burst.
+RATE_HALF_LIFE_S = 2.0
+# The same for what a request needs, which changes more slowly than the rate.
+NEED_HALF_LIFE_S = 10.0
+# Time for which a class counts as contended after a request found no room.
+CONTENDED_S = 1.0
+
+
+def _need() -> DecayedSum:
+    return DecayedSum(NEED_HALF_LIFE_S)
+
+
+@attrs.define
+class ClassDemand:
+    """Recent requests of one priority to one service.
+
+    Attributes:
+        pool: Hash of service and priority, as in reports of usage.
+        goal_s: Latency goal of the last request, in seconds.
+        running: Requests of this router at the runners.
+        waiting: Requests that wait at this router.
+        contended_at: When a request last found no room.
+        fullness: How full the runners were at the last request; 1 is full.
+        level: Most recent work of a customer that is within its fair share.
+        level_at: When the level was computed.
+    """
+
+    pool: int
+    goal_s: float = 0.0
+    running: int = 0
+    waiting: int = 0
+    contended_at: float = -math.inf
+    fullness: float = 0.0
+    level: float = math.inf
+    level_at: float = -math.inf
+    _requests: DecayedSum = attrs.field(
+        factory=lambda: DecayedSum(RATE_HALF_LIFE_S)
+    )
+    _sends: DecayedSum = attrs.field(
+        factory=lambda: DecayedSum(RATE_HALF_LIFE_S)
+    )
+    _needed_tokens: DecayedSum = attrs.field(factory=_need)
+    _prompt_tokens: DecayedSum = attrs.field(factory=_need)
+    _unread_tokens: DecayedSum = attrs.field(factory=_need)
+    _sent: DecayedSum = attrs.field(factory=_need)
+    _hold_s: DecayedSum = attrs.field(factory=_need)
+    _ended: DecayedSum = attrs.field(factory=_need)
+
+    def record_request(self, goal_s: float, now: float) -> None:
+        """Records a new request."""
+        self.goal_s = goal_s
+        self._requests.add(1.0, now)
+
+    def record_sent(
+        self, needed: int, prompt: int, unread: int, now: float
+    ) -> None:
+        """Records that a request is sent to a runner.
+
+        Args:
+            needed: Memory that it needs, in tokens.
+            prompt: Tokens of its prompt.
+            unread: Prompt tokens that must be prefilled.
+            now: The time.
+        """
+        self.running += 1
+        self._sends.add(1.0, now)
+        self._sent.add(1.0, now)
+        self._needed_tokens.add(needed, now)
+        self._prompt_tokens.add(prompt, now)
+        self._unread_tokens.add(unread, now)
+
+    def record_ended(self, sent_at: float, now: float) -> None:
+        """Records that a request has ended at a runner."""
+        self.running -= 1
+        self._ended.add(1.0, now)
+        self._hold_s.add(now - sent_at, now)
+
+    def rate(self, now: float) -> float:
+        """Returns the requests a second at this router."""
+        return self._requests.rate(now)
+
+    def hold_s(self, now: float) -> float:
+        """Returns how long a request stays at a runner; 0 if unknown."""
+        return _mean(self._hold_s, self._ended, now)
+
+    def needed_tokens(self, now: float) -> float:
+        """Returns the memory that a request needs; 0 if unknown."""
+        return _mean(self._needed_tokens, self._sent, now)
+
+    def unread_tokens(self, now: float) -> float:
+        """Returns the tokens that a runner prefills for one; 0 if unknown."""
+        return _mean(self._unread_tokens, self._sent, now)
+
+    def unread_part(self, now: float) -> float:
+        """Returns the part of a prompt that must be prefilled, up to 1."""
+        prompt_tokens = self._prompt_tokens.at(now)
+        if not prompt_tokens:
+            return 1.0
+        return min(1.0, self._unread_tokens.at(now) / prompt_tokens)
+
+    def is_contended(self, now: float) -> bool:
+        """Returns whether a request found no room lately."""
+        return now - self.contended_at < CONTENDED_S
+
+    def wait_s(self, ahead: int, now: float) -> float:
+        """Returns the expected wait at this router behind others.
+
+        Args:
+            ahead: Requests that are sent before.
+            now: The time.
+        """
+        hold_s = self.hold_s(now)
+        drain_s = self.running / hold_s if hold_s else 0.0
+        drain_s = max(drain_s, self._sends.rate(now))
+        if not drain_s:
+            return hold_s
+        return ahead / drain_s
+
+
+def _mean(total: DecayedSum, count: DecayedSum, now: float) -> float:
+    weight = count.at(now)
+    return total.at(now) / weight if weight > 0 else 0.0
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -27,6 +27,7 @@
     Subscribed,
 )
 from knapweedarch.state import EndpointEntry
+from knapweedarch.usage_messages import UsageReport
 
 
 @attrs.frozen
@@ -397,7 +398,7 @@
     *(Heartbeat, HeartbeatNoted, ReadDeployment, DeploymentDocument),
     *(Join, Joining, Subscribe, Subscribed, Relayed),
     *(ResendSources, LoadChanges, LoadTotals),
-    *(PartReports, PartNotices, EndpointRates),
+    *(PartReports, PartNotices, EndpointRates, UsageReport),
     *(StreamOrigins, FindOrigins, OriginsFound, FindPeers, PeersFound),
     *(ReadVersions, ServiceVersions),
 )
--- /dev/null
+++ b/knapweedarch/customer_usage.py
@@ -0,0 +1,227 @@
+"""How much work customers ask for, and the fair share of each.
+
+Work is counted in tokens: those of a prompt that must be prefilled, plus ten
+times those of its answer. It is counted by pool, a service and a priority, over
+all routers as far as their reports arrive, and else for this router alone.
+Recent work counts most. All times are seconds on the router's clock.
+"""
+
+import math
+from collections.abc import Iterable
+
+import attrs
+
+from knapweedarch.exponential import decay_factor
+from knapweedarch.usage_messages import (
+    ADMITTED_TOTAL,
+    MAX_USAGE_ENTRIES,
+    MAX_WORK,
+    OFFERED_TOTAL,
+    UsageEntry,
+    UsageReport,
+    heaviest,
+    pack_usage,
+    unpack_usage,
+)
+
+# Work of a token of an answer in tokens of a prompt: it takes one step of the
+# runner, in which others are generated beside it.
+ANSWER_TOKEN_WORK = 10
+# Time after which work counts half.
+USAGE_HALF_LIFE_S = 2.0
+# Reports of the other routers count while the last one is no older than this.
+# Members send one at least each 0.5 s while any router has work to report.
+PEERS_MAX_AGE_S = 1.5
+# Customers of a pool that are remembered; beyond it the lightest are forgotten.
+MAX_CUSTOMERS = 4 * MAX_USAGE_ENTRIES
+
+
+def work_of(unread_tokens: int, answer_tokens: int) -> int:
+    """Returns the work of a request in tokens."""
+    return unread_tokens + ANSWER_TOKEN_WORK * answer_tokens
+
+
+@attrs.define
+class DecayedSum:
+    """A sum in which recent values count most.
+
+    Attributes:
+        half_life_s: Time after which a value counts half.
+    """
+
+    half_life_s: float = USAGE_HALF_LIFE_S
+    _sum: float = 0.0
+    _at: float = 0.0
+
+    def add(self, value: float, now: float) -> None:
+        """Adds a value."""
+        self._sum = self.at(now) + value
+        self._at = now
+
+    def at(self, now: float) -> float:
+        """Returns the sum."""
+        if not self._sum:
+            return 0.0
+        return self._sum * decay_factor(now - self._at, self.half_life_s)
+
+    def rate(self, now: float) -> float:
+        """Returns the values a second, once they were added for a while."""
+        return self.at(now) * math.log(2) / self.half_life_s
+
+
+@attrs.define
+class _Shares:
+    """Work of one part of the routers in one pool.
+
+    Attributes:
+        offered: Work asked for, by customer.
+        offered_total: The same of all customers, those that are not listed
+            included.
+        admitted: Work sent to runners.
+    """
+
+    offered: dict[int, DecayedSum] = attrs.field(factory=dict)
+    offered_total: DecayedSum = attrs.field(factory=DecayedSum)
+    admitted: DecayedSum = attrs.field(factory=DecayedSum)
+
+    def add(self, customer: int, work: float, now: float) -> None:
+        """Adds an entry of a report."""
+        match customer:
+            case 0:
+                self.admitted.add(work, now)
+            case 1:
+                self.offered_total.add(work, now)
+            case _:
+                self.offered.setdefault(customer, DecayedSum()).add(work, now)
+
+    def offered_by(self, customer: int, now: float) -> float:
+        """Returns the work that a customer asked for."""
+        found = self.offered.get(customer)
+        return found.at(now) if found else 0.0
+
+    def prune(self, now: float) -> None:
+        """Forgets the lightest customers if there are too many."""
+        if len(self.offered) <= MAX_CUSTOMERS:
+            return
+        kept = sorted(
+            self.offered, key=lambda c: self.offered[c].at(now), reverse=True
+        )
+        self.offered = {c: self.offered[c] for c in kept[:MAX_CUSTOMERS]}
+
+
+class CustomerUsage:
+    """Work of the customers by pool, as one router knows it."""
+
+    def __init__(self) -> None:
+        self._own: dict[int, _Shares] = {}
+        self._peers: dict[int, _Shares] = {}
+        self._peers_at = -math.inf
+        self._unreported: dict[tuple[int, int], float] = {}
+
+    def record_offered(
+        self, pool: int, customer: int, work: float, now: float
+    ) -> None:
+        """Records that a customer asks this router for work."""
+        self._record(pool, customer, work, now)
+        self._record(pool, OFFERED_TOTAL, work, now)
+
+    def record_admitted(self, pool: int, work: float, now: float) -> None:
+        """Records that this router sends work to a runner."""
+        self._record(pool, ADMITTED_TOTAL, work, now)
+
+    def _record(
+        self, pool: int, customer: int, work: float, now: float
+    ) -> None:
+        self._own.setdefault(pool, _Shares()).add(customer, work, now)
+        key = (pool, customer)
+        self._unreported[key] = self._unreported.get(key, 0.0) + work
+
+    def receive(self, report: UsageReport, now: float) -> None:
+        """Counts the work of the other routers.
+
+        Raises:
+            ValueError: The report is malformed.
+        """
+        for entry in unpack_usage(report.packed):
+            shares = self._peers.setdefault(entry.pool, _Shares())
+            shares.add(entry.customer, entry.work, now)
+        self._peers_at = now
+
+    def take_report(self) -> UsageReport | None:
+        """Returns what is to be reported to the member, if anything is.
+
+        Work beyond the heaviest customers is not reported; it is part of the
+        total.
+        """
+        entries = [
+            UsageEntry(*key, min(round(self._unreported[key]), MAX_WORK))
+            for key in heaviest(self._unreported)
+        ]
+        self._unreported.clear()
+        return UsageReport(pack_usage(entries)) if entries else None
+
+    def is_shared(self, now: float) -> bool:
+        """Returns whether the work of the other routers is known."""
+        return now - self._peers_at <= PEERS_MAX_AGE_S
+
+    def offered(self, pool: int, customer: int, now: float) -> float:
+        """Returns the recent work that a customer asked for, in tokens."""
+        return sum(s.offered_by(customer, now) for s in self._parts(pool, now))
+
+    def offered_total(self, pool: int, now: float) -> float:
+        """Returns the recent work that all customers asked for, in tokens."""
+        return sum(s.offered_total.at(now) for s in self._parts(pool, now))
+
+    def admitted(self, pool: int, now: float) -> float:
+        """Returns the recent work that was sent to runners, in tokens."""
+        return sum(s.admitted.at(now) for s in self._parts(pool, now))
+
+    def own_part(self, pool: int, now: float) -> float:
+        """Returns this router's part of the work asked for, from 0 to 1."""
+        own = self._own.get(pool)
+        total = self.offered_total(pool, now)
+        if own is None or total <= 0:
+            return 1.0
+        return min(1.0, own.offered_total.at(now) / total)
+
+    def fair_level(self, pool: int, capacity: float, now: float) -> float:
+        """Returns the most work of one customer in a max-min fair division.
+
+        It is infinite if there is enough for all. This loops over the
+        customers of the pool and is not called for each request.
+
+        Args:
+            pool: The pool.
+            capacity: Recent work that the pool can do, in tokens.
+            now: The time.
+        """
+        parts = self._parts(pool, now)
+        work: dict[int, float] = {}
+        for shares in parts:
+            shares.prune(now)
+            for customer, found in shares.offered.items():
+                work[customer] = work.get(customer, 0.0) + found.at(now)
+        # Customers that are not listed are light and keep what they ask for.
+        unlisted = self.offered_total(pool, now) - sum(work.values())
+        return max_min_level(work.values(), capacity - max(0.0, unlisted))
+
+    def _parts(self, pool: int, now: float) -> list[_Shares]:
+        sides = [self._own]
+        if self.is_shared(now):
+            sides.append(self._peers)
+        return [side[pool] for side in sides if pool in side]
+
+
+def max_min_level(demands: Iterable[float], capacity: float) -> float:
+    """Returns the level at which capped demands add up to the capacity.
+
+    It is infinite if the demands do not exceed the capacity, and at least 0.
+    """
+    left = max(0.0, capacity)
+    ordered = sorted(demands)
+    for index, demand in enumerate(ordered):
+        level = left / (len(ordered) - index)
+        if demand > level:
+            return level
+        left -= demand
+    return math.inf
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -22,6 +22,7 @@
 from knapweedarch.prompt_parts import Prompt
 from knapweedarch.relay_messages import EndpointLoad
 from knapweedarch.runner_roles import RunnerRoles, WorkMix, is_prompt_heavy
+from knapweedarch.runner_room import RoomSearch
 from knapweedarch.stored_parts import PartsIndex, shared_digests
 from knapweedarch.target_weights import TargetWeights
 
@@ -167,6 +168,7 @@
         barred: Collection[str] = (),
         cautious: Collection[str] = (),
         needs_room: bool = False,
+        room: RoomSearch | None = None,
     ) -> Endpoint | None:
         """Chooses the usable endpoint with the lowest cost, or None.
 
@@ -183,6 +185,8 @@
             cautious: Ids of endpoints that get it only if they have room.
             needs_room: Whether any endpoint gets it only if it has room, as far
                 as loads are known.
+            room: What the request may use of each endpoint, as far as loads are
+                known; None if that is not limited.
         """
         untried = [
             e for e in endpoints if e.id not in tried and e.id not in barred
@@ -199,6 +203,10 @@
                 for e in usable
                 if not _is_full(e, self._known_load(e), prompt, memory_tokens)
             ]
+        if room is not None:
+            usable = [
+                e for e in usable if room.admits(self._known_load(e), e.slots)
+            ]
         if cautious:
             usable = self._with_room(usable, cautious, prompt, memory_tokens)
         if not usable:
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -269,6 +269,12 @@
         _W,
         "The longest answer was given up, as all took too much memory.",
     ),
+    Event(
+        550,
+        "room_refused",
+        _I,
+        "A request was refused as the runners have no room for it in time.",
+    ),
     Event(510, "attempt_ended", _I, "An attempt ended without a response."),
     Event(
         540,
--- /dev/null
+++ b/knapweedarch/fair_admission.py
@@ -0,0 +1,313 @@
+"""Decides which requests go to runners, wait for room or are refused.
+
+Requests of less urgent classes leave room at the runners for the demand of more
+urgent ones, which is learnt from recent requests. One that finds no room waits
+at its router, as long as it can still be answered in time to be of value, and
+is refused at once otherwise. While a class finds no room, customers get of it
+what a max-min fair division gives them; of the requests of a customer that asks
+for more, so many are refused that the rest is its share. Which ones is left to
+chance, so that neither large prompts nor single sessions are worse off.
+
+All times are seconds on the router's clock.
+"""
+
+import enum
+import math
+import random
+
+import attrs
+
+from knapweedarch.class_demand import ClassDemand
+from knapweedarch.customer_usage import USAGE_HALF_LIFE_S, CustomerUsage
+from knapweedarch.runner_room import RoomLimits, RoomSearch
+from knapweedarch.usage_messages import usage_digest
+
+# Time until all routers know that a request was sent: loads are reported each
+# 0.05 s, batched at up to two members and travel between data centres.
+REACTION_S = 0.25
+# Interval at which waiting requests look for room.
+LOOK_INTERVAL_S = 0.05
+# Room for more requests than are expected, in standard deviations of a Poisson
+# distribution, of which 2 leave out one case in forty.
+SPARE_DEVIATIONS = 2.0
+# Part of a more urgent class's latency goal that prompts before it may take.
+# The other part is for its own prompt, and for prompts sent since the loads
+# were reported.
+URGENT_GOAL_PART = 0.5
+# The same of the own goal while no class is more urgent.
+OWN_GOAL_PART = 1.0
+# Part of its goal for which the most urgent class may wait for a slot at its
+# runner, which takes it first. There it is sooner than after a wait here.
+SLOT_WAIT_PART = 0.5
+# Least requests a second at which a class counts as in use.
+LEAST_RATE = 0.01
+# Interval at which fair shares are computed.
+LEVEL_INTERVAL_S = 0.1
+# Least part of what is asked for that counts as capacity. Without it a class
+# that got nothing for a while would never be sent anything again.
+LEAST_CAPACITY_PART = 0.1
+# Work that may be admitted while nothing waits, as a multiple of the estimated
+# capacity. It allows for short bursts, which a wait evens out.
+FREE_CAPACITY_FACTOR = 2.0
+
+
+class Outcome(str, enum.Enum):
+    """What happens to a request."""
+
+    SEND = "send"
+    WAIT = "wait"
+    OVER_SHARE = "over_share"
+    TOO_LATE = "too_late"
+    TOO_LARGE = "too_large"
+
+
+@attrs.frozen
+class Ask:
+    """A request that is to be admitted.
+
+    Attributes:
+        demand: Its class at its service.
+        customer: Hash of the customer's name.
+        work: Its work in tokens; see `customer_usage`.
+        goal_s: Latency goal of its route, in seconds.
+        left_s: Time until its answer is due, in seconds.
+        ahead_s: Time for which the chosen runner reads other prompts before, in
+            seconds; 0 if none is chosen.
+        has_runner: Whether a runner with room was found.
+        is_new: Whether it was not looked at before.
+        is_repeat: Whether it was sent before. It is sent as soon as it fits.
+    """
+
+    demand: ClassDemand
+    customer: int
+    work: int
+    goal_s: float
+    left_s: float
+    ahead_s: float
+    has_runner: bool
+    is_new: bool
+    is_repeat: bool = False
+
+
+@attrs.frozen
+class Verdict:
+    """The decision about a request.
+
+    Attributes:
+        outcome: What happens to it.
+        retry_after_s: Time after which room is expected, if it is refused.
+    """
+
+    outcome: Outcome
+    retry_after_s: float = 0.0
+
+
+_SEND, _WAIT = Verdict(Outcome.SEND), Verdict(Outcome.WAIT)
+
+
+class FairAdmission:
+    """Decides by the loads of the runners and the usage of the customers.
+
+    Args:
+        usage: Work of the customers.
+        rng: Chooses the requests of a customer that are refused.
+    """
+
+    def __init__(self, usage: CustomerUsage, rng: random.Random):
+        self.usage = usage
+        self._rng = rng
+        self._services: dict[str, dict[int, ClassDemand]] = {}
+        self._runners: dict[str, int] = {}
+
+    def demand(self, service: str, priority: int) -> ClassDemand:
+        """Returns the class of a priority at a service; 0 is most urgent."""
+        classes = self._services.setdefault(service, {})
+        found = classes.get(priority)
+        if found is None:
+            pool = usage_digest(service, priority)
+            found = classes[priority] = ClassDemand(pool)
+        return found
+
+    def limits(
+        self,
+        service: str,
+        priority: int,
+        slots: int,
+        tokens_s: float,
+        now: float,
+    ) -> RoomLimits:
+        """Returns what a class may use of each runner.
+
+        Args:
+            service: Name of the service.
+            priority: Priority of the class.
+            slots: Slots of a runner.
+            tokens_s: Prompt tokens that a runner reads in a second.
+            now: The time.
+        """
+        own = self.demand(service, priority)
+        urgent = [
+            demand
+            for other, demand in self._services[service].items()
+            if other < priority and demand.rate(now) > LEAST_RATE
+        ]
+        if not urgent:
+            return self._limits_of_most_urgent(own, slots, tokens_s, now)
+        goal_s = min(URGENT_GOAL_PART * demand.goal_s for demand in urgent)
+        rates = [self._total_rate(demand, now) for demand in urgent]
+        expected = sum(
+            rate * demand.hold_s(now)
+            for rate, demand in zip(rates, urgent, strict=True)
+        )
+        spare = REACTION_S * sum(rates)
+        spare += SPARE_DEVIATIONS * math.sqrt(expected)
+        return RoomLimits(
+            spare / max(1, self._runners.get(service, 1)),
+            max(demand.needed_tokens(now) for demand in urgent),
+            max(goal_s * tokens_s, own.unread_tokens(now)),
+        )
+
+    def _limits_of_most_urgent(
+        self, own: ClassDemand, slots: int, tokens_s: float, now: float
+    ) -> RoomLimits:
+        hold_s = own.hold_s(now)
+        queued = (
+            slots * min(1.0, SLOT_WAIT_PART * own.goal_s / hold_s)
+            if (hold_s)
+            else slots
+        )
+        unread_tokens = own.unread_tokens(now)
+        limit = OWN_GOAL_PART * own.goal_s * tokens_s - unread_tokens
+        return RoomLimits(-queued, 0.0, max(limit, unread_tokens))
+
+    def _total_rate(self, demand: ClassDemand, now: float) -> float:
+        """Returns the requests a second of a class at all routers."""
+        return demand.rate(now) / self._own_part(demand, now)
+
+    def _own_part(self, demand: ClassDemand, now: float) -> float:
+        return max(1e-3, self.usage.own_part(demand.pool, now))
+
+    def decide(
+        self, service: str, ask: Ask, search: RoomSearch, now: float
+    ) -> Verdict:
+        """Decides about a request.
+
+        Args:
+            service: Name of the service.
+            ask: The request.
+            search: The search for runners with room for it.
+            now: The time.
+        """
+        demand = ask.demand
+        if not search.fits:
+            return Verdict(Outcome.TOO_LARGE)
+        if ask.is_repeat:
+            return _SEND if ask.has_runner else _WAIT
+        self._runners[service] = search.runners
+        demand.fullness = search.fullness()
+        if ask.is_new:
+            demand.record_request(ask.goal_s, now)
+            self.usage.record_offered(demand.pool, ask.customer, ask.work, now)
+        is_calm = search.has_slack and not demand.waiting
+        if not search.room or demand.waiting:
+            demand.contended_at = now
+        if ask.is_new and not is_calm and self._is_surplus(ask, now):
+            return Verdict(Outcome.OVER_SHARE, self._share_wait_s(ask, now))
+        if self._may_send(ask, search, now):
+            return self._check_wait(ask, ask.ahead_s, is_calm, _SEND, now)
+        ahead = demand.waiting + 1 if ask.is_new else 1
+        wait_s = demand.wait_s(ahead, now)
+        return self._check_wait(ask, wait_s, is_calm, _WAIT, now)
+
+    def _check_wait(
+        self,
+        ask: Ask,
+        wait_s: float,
+        is_calm: bool,
+        verdict: Verdict,
+        now: float,
+    ) -> Verdict:
+        """Refuses a request that cannot be answered after its wait."""
+        if is_calm or not wait_s:
+            return verdict
+        if wait_s + ask.demand.hold_s(now) <= ask.left_s:
+            return verdict
+        return Verdict(Outcome.TOO_LATE, wait_s)
+
+    def _is_surplus(self, ask: Ask, now: float) -> bool:
+        """Returns whether a request is beyond the share of its customer."""
+        demand = ask.demand
+        if demand.level == math.inf or not demand.is_contended(now):
+            return False
+        offered = self.usage.offered(demand.pool, ask.customer, now)
+        return self._rng.random() * offered >= demand.level
+
+    def _share_wait_s(self, ask: Ask, now: float) -> float:
+        """Returns when a customer is within its share if it asks no more."""
+        demand = ask.demand
+        offered = self.usage.offered(demand.pool, ask.customer, now)
+        ratio = max(1.0, offered / max(1.0, demand.level))
+        queue_s = demand.wait_s(demand.waiting, now)
+        return max(queue_s, USAGE_HALF_LIFE_S * math.log2(ratio))
+
+    def _may_send(self, ask: Ask, search: RoomSearch, now: float) -> bool:
+        """Returns whether a request that found a runner is sent there.
+
+        All routers see the same room, some time after it came to be. So each
+        takes it with the chance that leaves room for all that wait for it.
+        """
+        demand = ask.demand
+        if not ask.has_runner or (ask.is_new and demand.waiting):
+            return False
+        own_part = self._own_part(demand, now)
+        if own_part >= 1.0:
+            return True
+        waiting = max(demand.waiting, int(not ask.is_new))
+        contenders = waiting + REACTION_S * demand.rate(now)
+        chance = search.room * own_part / max(contenders, 1e-6)
+        if not ask.is_new:
+            # It looks several times until what others have sent is known.
+            chance *= LOOK_INTERVAL_S / REACTION_S
+        return self._rng.random() < chance
+
+    def refresh(self, now: float) -> None:
+        """Computes the fair shares of the classes that find no room."""
+        for classes in self._services.values():
+            for demand in classes.values():
+                if now - demand.level_at >= LEVEL_INTERVAL_S:
+                    self._set_level(demand, now)
+
+    def _set_level(self, demand: ClassDemand, now: float) -> None:
+        demand.level_at = now
+        if not demand.is_contended(now):
+            demand.level = math.inf
+            return
+        usage, pool = self.usage, demand.pool
+        # The load at the runners is in proportion to what was sent there.
+        capacity = usage.admitted(pool, now) / min(
+            1.0, max(demand.fullness, LEAST_CAPACITY_PART)
+        )
+        wait_s = demand.wait_s(demand.waiting, now) if demand.waiting else 0.0
+        waited = wait_s / demand.goal_s if demand.goal_s else 0.0
+        capacity *= FREE_CAPACITY_FACTOR / (1.0 + waited)
+        least = LEAST_CAPACITY_PART * usage.offered_total(pool, now)
+        demand.level = usage.fair_level(pool, max(capacity, least), now)
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests that wait at this router."""
+        return sum(
+            demand.waiting
+            for classes in self._services.values()
+            for demand in classes.values()
+        )
+
+
+def create_fair_admission(seed: int) -> FairAdmission:
+    """Creates the admission of a router.
+
+    Args:
+        seed: Seed of the choice of requests; it must differ from router to
+            router.
+    """
+    return FairAdmission(CustomerUsage(), random.Random(seed))
--- a/knapweedarch/member_relay.py
+++ b/knapweedarch/member_relay.py
@@ -36,6 +36,8 @@
 )
 from knapweedarch.source_relay import FeedSource, SourceRelay
 from knapweedarch.timers import Clock, Timers
+from knapweedarch.usage_messages import UsageReport
+from knapweedarch.usage_relay import UsageRelay
 
 # Changes are batched for this long. It delays what routers know, and each batch
 # costs every router a message.
@@ -48,6 +50,9 @@
 LOADS_BYTES_S = 4_500
 # The same for requests to endpoints that name a limit.
 RATES_BYTES_S = 2_000
+# Interval of reports of usage, and the bytes a second that they may take.
+USAGE_INTERVAL_S = 0.25
+USAGE_BYTES_S = 1_500
 # Longest time between two messages of loads to a subscriber, by which routers
 # distinguish unchanged loads from missing ones.
 LOADS_HEARTBEAT_S = 0.3
@@ -99,6 +104,7 @@
         self._loads = LoadRelay()
         self._quarantine = QuarantineRelay()
         self._rates = RateRelay()
+        self._usage = UsageRelay()
         self._origins = OriginRelay()
         self._subscribers: dict[links.Link, _Subscriber] = {}
         self._upstream: dict[links.Link, str] = {}
@@ -111,6 +117,7 @@
         self._local_due_at = 0.0
         self._totals_due_at = 0.0
         self._rates_due_at = 0.0
+        self._usage_due_at = 0.0
 
     def start(self, group: anyio.abc.TaskGroup, timers: Timers) -> None:
         """Starts the periodic messages; sources are polled in the group."""
@@ -185,6 +192,8 @@
             case EndpointRates() if link in self._subscribers:
                 is_member = self._subscribers[link].is_member
                 self._rates.receive(link, message, is_member, self._clock.now())
+            case UsageReport() if link in self._subscribers:
+                self._receive_usage(link, message)
 
     def find_origins(self, message: FindOrigins) -> OriginsFound | None:
         """Answers a look-up; None if it is malformed."""
@@ -213,6 +222,14 @@
             log("relay_message_refused", peer=link.peer, reason=str(exc))
             link.close()
 
+    def _receive_usage(self, link: links.Link, report: UsageReport) -> None:
+        is_member = self._subscribers[link].is_member
+        try:
+            self._usage.receive(link, report, is_member)
+        except ValueError as exc:
+            log("relay_message_refused", peer=link.peer, reason=str(exc))
+            link.close()
+
     def _add_subscriber(self, link: links.Link, message: Subscribe) -> None:
         self._subscribers[link] = _Subscriber(
             *(message.name, message.is_member, frozenset(message.accepts))
@@ -288,6 +305,7 @@
         self._send_local_loads(now)
         self._send_totals(now)
         self._send_rates(now)
+        self._send_usage(now)
         if self._feeds is not None:
             self._metrics.gauge("feeds.followed", self._feeds.answering_count)
             self._follow()
@@ -370,6 +388,26 @@
         self._rates.clear()
         self._rates_due_at = now + longest / RATES_BYTES_S
 
+    def _send_usage(self, now: float) -> None:
+        """Passes on what customers ask for, to those that take it."""
+        if now < self._usage_due_at or not self._usage.has_news:
+            return
+        name = UsageReport.__name__
+        to_members = CONTROL.encode(self._usage.news_for_members())
+        for link, accepted in list(self._member_accepts.items()):
+            if name in accepted:
+                self._send(link, to_members)
+        longest = 0
+        for link, subscriber in list(self._subscribers.items()):
+            if name in subscriber.accepts and not subscriber.is_member:
+                message = CONTROL.encode(self._usage.news_for(link))
+                longest = max(longest, len(message))
+                self._send(link, message)
+        self._usage.clear()
+        self._usage_due_at = now + max(
+            USAGE_INTERVAL_S, longest / USAGE_BYTES_S
+        )
+
     def _send(self, link: links.Link, message: bytes) -> None:
         try:
             link.send_encoded(message)
--- a/knapweedarch/metrics.py
+++ b/knapweedarch/metrics.py
@@ -135,6 +135,25 @@
         _C,
         "Long silences of endpoints during which no other could go on.",
     ),
+    Metric("fair.waiting", _G, "Requests that wait for room at a runner."),
+    Metric("fair.waited", _C, "Requests that had to wait for such room."),
+    Metric("fair.wait", _T, "Time for which a request waited for room."),
+    Metric(
+        "fair.over_share",
+        _C,
+        "Requests refused as their customer has its fair share.",
+    ),
+    Metric(
+        "fair.too_late",
+        _C,
+        "Requests refused as room would come too late for them.",
+    ),
+    Metric(
+        "fair.too_large",
+        _C,
+        "Requests refused as they exceed the memory of a runner.",
+    ),
+    Metric("fair.shared", _G, "1 while usage of others is known, else 0."),
     Metric("cancelled", _C, "Requests whose caller disconnected early."),
     Metric(
         "crossed.dropped",
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -24,6 +24,7 @@
     UNKNOWN_PATH = "unknown_path"
     NOT_ALLOWED = "not_allowed"
     OVER_LIMIT = "over_limit"
+    OVER_SHARE = "over_share"
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
     NO_CAPACITY = "no_capacity"
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -17,6 +17,8 @@
 from knapweedarch.endpoint_identity import EndpointIdentities, IdentityPort
 from knapweedarch.endpoint_rates import create_endpoint_limits
 from knapweedarch.endpoint_statements import create_endpoint_waits
+from knapweedarch.fair_admission import LOOK_INTERVAL_S, create_fair_admission
+from knapweedarch.fair_placement import FairPlacement
 from knapweedarch.http_inbound import InboundServer, Responder
 from knapweedarch.http_messages import Answer, Request
 from knapweedarch.http_outbound import OutboundPool
@@ -39,9 +41,11 @@
 from knapweedarch.state import EndpointEntry
 from knapweedarch.stored_parts import PartsIndex
 from knapweedarch.timers import Clock, Timers
+from knapweedarch.usage_messages import UsageReport
 
 CLOSE_EXPIRED_INTERVAL_S = 0.5
 LOADS_INTERVAL_S = 0.05
+USAGE_INTERVAL_S = 0.25
 GAUGES_INTERVAL_S = 1.0
 # A router that has just started is not ready without an endpoint for this long.
 FIRST_ENDPOINT_WAIT_S = 4.0
@@ -70,6 +74,8 @@
             which no request may start on older ones.
         ready_lag_s: Time in seconds from a failed readiness check until the
             load balancer sends no more callers here.
+        fair_admission: Whether the runners are divided between customers and
+            priorities when they cannot serve everything.
     """
 
     name: str
@@ -86,6 +92,7 @@
     tunnels: Address | None = None
     weights_limit_s: float = 8.0
     ready_lag_s: float = 2.5
+    fair_admission: bool = False
 
 
 class Proxy:
@@ -159,6 +166,12 @@
         identities = EndpointIdentities(
             *(identity_port, clock, metrics, lambda: self._keeper.heard_at)
         )
+        self._fair: FairPlacement | None = None
+        if settings.fair_admission:
+            self._fair = FairPlacement(
+                *(create_fair_admission(int(incarnation, 16)), chooser),
+                *(clock, metrics),
+            )
         self._attempts = Attempts(
             clock=clock,
             metrics=metrics,
@@ -174,7 +187,9 @@
             limits=settings.repeats,
             start_refusal=self._start_refusal,
             started_at=clock.now(),
+            fair=self._fair,
         )
+        self._relay.on_usage = self._receive_usage
         self._relay.on_rates = self._receive_rates
         self._quarantine = QuarantineClient(
             settings.name, self._guard, self._relay, clock, metrics
@@ -197,6 +212,9 @@
         )
         PauseDetector(self._timers)
         self._timers.every(LOADS_INTERVAL_S, self._report_loads)
+        if self._fair is not None:
+            self._timers.every(LOOK_INTERVAL_S, self._fair.refresh)
+            self._timers.every(USAGE_INTERVAL_S, self._report_usage)
         self._quarantine.subscribe(self._timers)
         self._paths.subscribe(self._timers)
         self._timers.every(GAUGES_INTERVAL_S, self._update_gauges)
@@ -300,6 +318,15 @@
     def _receive_rates(self, rates: EndpointRates) -> None:
         self._endpoint_limits.receive(rates, self._clock.now())
 
+    def _report_usage(self, now: float) -> None:
+        report = self._fair.admission.usage.take_report()
+        if report is not None and self._relay.member_accepts(UsageReport):
+            self._relay.send_reports(report)
+
+    def _receive_usage(self, report: UsageReport) -> None:
+        if self._fair is not None:
+            self._fair.admission.usage.receive(report, self._clock.now())
+
     def _update_gauges(self, now: float) -> None:
         """Sets the gauges that show how current this proxy's state is."""
         gauge = self._metrics.gauge
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -24,6 +24,7 @@
     create_brittle_endpoints,
 )
 from knapweedarch.exceptions import ExchangeError
+from knapweedarch.fair_placement import FairPlacement
 from knapweedarch.heartbeats import incarnation_start
 from knapweedarch.http_outbound import AnswerHead, Exchange, OutboundPool
 from knapweedarch.logs import log
@@ -48,6 +49,7 @@
 from knapweedarch.quarantine_messages import runner_digest
 from knapweedarch.relay_messages import endpoint_digest
 from knapweedarch.repeat_budget import RepeatBudget, RepeatLimits
+from knapweedarch.runner_room import RoomSearch
 from knapweedarch.stored_parts import PartsIndex, SaveLimiter
 from knapweedarch.timers import Clock
 
@@ -73,12 +75,14 @@
         soonest_s: Seconds until the first of those that wait takes requests;
             infinite if none waits.
         endpoint: The endpoint, or None.
+        room: The search for runners with room; None if none is needed.
     """
 
     held_s: float
     is_version_gone: bool
     soonest_s: float = math.inf
     endpoint: Endpoint | None = None
+    room: RoomSearch | None = None
 
 
 class Attempts:
@@ -103,6 +107,8 @@
         start_refusal: Returns why no request may be sent now, or None if it
             may.
         started_at: When the router started, in seconds on its clock.
+        fair: Divides the runners between customers and priorities; None if
+            large prompts alone are refused.
 
     Attributes:
         router_count: Number of routers that share the limit of repeats.
@@ -126,8 +132,10 @@
         limits: RepeatLimits,
         start_refusal: Callable[[], RefusalReason | None],
         started_at: float,
+        fair: FairPlacement | None = None,
     ):
         self.clock = clock
+        self.fair = fair
         self.metrics = metrics
         self.dialect = dialect
         self.chooser = chooser
@@ -214,6 +222,17 @@
                     request_id, endpoint.software_version, limit_s
                 )
 
+    async def place(self, call: ProxyCall) -> Endpoint | None:
+        """Chooses the endpoint of the next attempt, once one has room.
+
+        Returns:
+            See `choose`.
+        """
+        endpoint = self.choose(call)
+        if endpoint is None and call.waits_for_room:
+            return await self.fair.wait_for_room(call, self.choose)
+        return endpoint
+
     def choose(self, call: ProxyCall) -> Endpoint | None:
         """Chooses the endpoint of the next attempt.
 
@@ -236,7 +255,10 @@
             call.is_limited = True
             call.retry_after_s = found.soonest_s
         endpoint = found.endpoint
-        if endpoint is None or self._is_overloaded(call, endpoint):
+        if found.room is not None:
+            if not self._has_room(call, found, now):
+                return None
+        elif endpoint is None or self._is_overloaded(call, endpoint):
             return None
         if call.send_count and not self._budget(call).try_acquire(
             self.router_count, now
@@ -303,6 +325,9 @@
         candidates = [e for e in capable if call.may_go_to(e)]
         engine = call.service.engine
         waits_s = self._waits_s(candidates, now)
+        room = None
+        if self.fair is not None and not needs_room:
+            room = self.fair.search(call, candidates, now)
         endpoint = self.chooser.choose(
             *(
                 candidates,
@@ -319,10 +344,12 @@
                 if self._brittle.limit(e, now) is not None
             ],
             needs_room=needs_room,
+            room=room,
         )
         return _Selection(
             *(held_s, bool(capable) and not candidates),
             *(min(waits_s.values(), default=math.inf), endpoint),
+            room if room is not None and room.runners else None,
         )
 
     def _take(self, call: ProxyCall, endpoint: Endpoint, now: float) -> None:
@@ -387,6 +414,15 @@
                 headers=list(statement.malformed),
             )
 
+    def _has_room(self, call: ProxyCall, found: _Selection, now: float) -> bool:
+        """Returns whether a runner takes a request; see `fair_admission`."""
+        endpoint, unread_tokens = found.endpoint, None
+        if endpoint is not None:
+            unread_tokens = self.unread_tokens(call, endpoint)
+        return self.fair.may_send(
+            call, endpoint, found.room, unread_tokens, now
+        )
+
     def _is_overloaded(self, call: ProxyCall, endpoint: Endpoint) -> bool:
         """Returns whether a new request is refused; see `prompt_admission`."""
         prompt = call.options.prompt
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -92,6 +92,10 @@
             ended; its repeat is counted already.
         has_left: Whether a silent endpoint was left for another one.
         rejections: Attempts since then that were not run.
+        waits_for_room: Whether it waits here until a runner has room for it.
+        work: Its work in tokens; see `customer_usage`.
+        was_admitted: Whether it was looked at by `fair_admission`.
+        is_over_share: Whether it is refused as its customer has its share.
     """
 
     req: Request
@@ -115,6 +119,10 @@
     reserved: Endpoint | None = None
     has_left: bool = False
     rejections: int = 0
+    waits_for_room: bool = False
+    work: int = 0
+    was_admitted: bool = False
+    is_over_share: bool = False
 
     @property
     def takes_up(self) -> bool:
@@ -182,6 +190,11 @@
     """
     if call.send_count > 1:
         return 0
+    return first_urgency(call)
+
+
+def first_urgency(call: ProxyCall) -> int:
+    """Returns the urgency of a request that was sent at most once before."""
     customer_priority = (call.customer and call.customer.priority) or 0
     rank = ROUTE_PRIORITY_LEVELS * customer_priority + call.route.priority
     return min(LOWEST_URGENCY, 1 + rank)
--- a/knapweedarch/proxy_refusals.py
+++ b/knapweedarch/proxy_refusals.py
@@ -45,6 +45,8 @@
         return RefusalReason.STREAM_VERSION_GONE
     if call.is_limited:
         return RefusalReason.ENDPOINTS_LIMITED
+    if call.is_over_share:
+        return RefusalReason.OVER_SHARE
     if call.send_count:
         return RefusalReason.RETRIES_EXHAUSTED
     return RefusalReason.NO_CAPACITY
--- a/knapweedarch/proxy_streams.py
+++ b/knapweedarch/proxy_streams.py
@@ -85,7 +85,7 @@
         call, attempts = self._call, self._attempts
         if call.takes_up:
             await attempts.find_origin(call)
-        while endpoint := attempts.choose(call):
+        while endpoint := await attempts.place(call):
             match await self._attempt(endpoint):
                 case None if self._status >= 500:
                     return RequestEnd.FAILED
--- a/knapweedarch/proxy_unary.py
+++ b/knapweedarch/proxy_unary.py
@@ -59,7 +59,7 @@
 
 async def _answer(attempts: Attempts, call: ProxyCall) -> Answer:
     last_error: Answer | None = None
-    while endpoint := attempts.choose(call):
+    while endpoint := await attempts.place(call):
         match await _attempt(attempts, call, endpoint):
             case Answer() as answer if not _should_retry(call, answer):
                 return answer
--- a/knapweedarch/relay_client.py
+++ b/knapweedarch/relay_client.py
@@ -25,6 +25,7 @@
 )
 from knapweedarch.relayed_parts import RelayedParts
 from knapweedarch.task_groups import TaskOwner
+from knapweedarch.usage_messages import UsageReport
 
 RETRY_DELAY_S = 0.1
 SUBSCRIBE_TIMEOUT_S = 1.0
@@ -49,6 +50,7 @@
     Attributes:
         on_notices: Called with what the member tells about parts of prompts.
         on_rates: Called with the requests of others to limited endpoints.
+        on_usage: Called with what customers ask of other routers.
         on_subscribed: Called when a member has accepted the subscription.
     """
 
@@ -70,6 +72,7 @@
         self._on_loads = on_loads
         self.on_notices: Callable[[PartNotices], None] = lambda notices: None
         self.on_rates: Callable[[EndpointRates], None] = lambda rates: None
+        self.on_usage: Callable[[UsageReport], None] = lambda report: None
         self.on_subscribed: list[Callable[[], None]] = []
         self._loads = PeerLoads()
         self._link: links.Link | None = None
@@ -116,7 +119,8 @@
             self._members = list(members)
 
     def send_reports(
-        self, reports: PartReports | EndpointRates | StreamOrigins
+        self,
+        reports: PartReports | EndpointRates | StreamOrigins | UsageReport,
     ) -> None:
         """Sends reports to the member; they are lost without subscription."""
         if self.is_subscribed:
@@ -236,6 +240,8 @@
                 self.on_notices(message)
             case EndpointRates():
                 self.on_rates(message)
+            case UsageReport():
+                self._receive_usage(link, message)
 
     def _accept(self, relay: Subscribed) -> None:
         self._relay = relay
@@ -253,6 +259,13 @@
             log("relay_message_refused", peer=link.peer, reason=str(exc))
             link.close()
 
+    def _receive_usage(self, link: links.Link, report: UsageReport) -> None:
+        try:
+            self.on_usage(report)
+        except ValueError as exc:
+            log("relay_message_refused", peer=link.peer, reason=str(exc))
+            link.close()
+
     def _receive_loads(self, link: links.Link, totals: LoadTotals) -> None:
         try:
             self._loads.receive(unpack_loads(totals.packed))
--- a/knapweedarch/relay_messages.py
+++ b/knapweedarch/relay_messages.py
@@ -13,7 +13,7 @@
 _MAX_COUNT = 0xFFFF
 # Names of the message classes that this build takes beyond those that every
 # build takes. Each part that adds relay messages adds their names here.
-ACCEPTED_MESSAGES: tuple[str, ...] = ()
+ACCEPTED_MESSAGES: tuple[str, ...] = ("UsageReport",)
 
 
 @attrs.frozen
--- /dev/null
+++ b/knapweedarch/runner_room.py
@@ -0,0 +1,117 @@
+"""Which runners have room for a request, and how full a service is.
+
+A class of requests may be kept from using all of a runner, so that requests of
+more urgent classes find room. How much is kept free is a fraction of a request
+on average; it is rounded up at some runners and down at others, at the same
+ones by all routers.
+"""
+
+import math
+
+import attrs
+
+from knapweedarch.relay_messages import EndpointLoad
+
+_DIGEST_RANGE = 2.0**32
+
+
+@attrs.frozen
+class RoomLimits:
+    """What a class may use of each runner.
+
+    Attributes:
+        kept_slots: Slots that are kept free, on average; negative if requests
+            may be queued there.
+        kept_tokens: Memory kept free for each of these slots, in tokens.
+        unread_tokens: Most prompt tokens that may be read before the request.
+    """
+
+    kept_slots: float = 0.0
+    kept_tokens: float = 0.0
+    unread_tokens: float = math.inf
+
+    def kept_at(self, endpoint: int) -> int:
+        """Returns the slots kept free at a runner, a whole number.
+
+        Args:
+            endpoint: Hash of the runner's id.
+        """
+        return math.floor(self.kept_slots + endpoint / _DIGEST_RANGE)
+
+
+@attrs.define
+class RoomSearch:
+    """Looks for runners with room, and adds up the load of all.
+
+    Attributes:
+        limits: What the request may use.
+        needed_tokens: Memory that it needs, in tokens.
+        memory_tokens: Memory of each runner, in tokens.
+        runners: Runners seen.
+        room: Requests of this size that fit, over all runners.
+        requests: Requests at the runners.
+        slots: Slots of the runners.
+        usable_slots: Slots that this class may use.
+        held_tokens: Memory in use, in tokens.
+        usable_tokens: Memory that this class may use, in tokens.
+        unread_tokens: Prompt tokens that are still to be read.
+    """
+
+    limits: RoomLimits
+    needed_tokens: int
+    memory_tokens: int
+    runners: int = 0
+    room: int = 0
+    requests: int = 0
+    slots: int = 0
+    usable_slots: int = 0
+    held_tokens: int = 0
+    usable_tokens: float = 0.0
+    unread_tokens: int = 0
+
+    def admits(self, load: EndpointLoad, slots: int) -> bool:
+        """Adds the load of a runner; returns whether it has room."""
+        limits = self.limits
+        kept = limits.kept_at(load.endpoint)
+        usable_slots = max(1, slots - kept)
+        usable_tokens = self.memory_tokens - limits.kept_tokens * max(0, kept)
+        self.runners += 1
+        self.requests += load.requests
+        self.slots += slots
+        self.usable_slots += usable_slots
+        self.held_tokens += load.held_tokens
+        self.usable_tokens += usable_tokens
+        self.unread_tokens += load.unread_tokens
+        room = usable_slots - load.requests
+        if load.requests and load.unread_tokens > limits.unread_tokens:
+            return False
+        # An empty runner takes any request that fits into its whole memory.
+        left = usable_tokens if load.requests else self.memory_tokens
+        room = min(
+            room, int((left - load.held_tokens) // max(1, self.needed_tokens))
+        )
+        self.room += max(0, room)
+        return room > 0
+
+    @property
+    def fits(self) -> bool:
+        """Whether an empty runner could hold the request."""
+        return self.needed_tokens <= self.memory_tokens
+
+    @property
+    def has_slack(self) -> bool:
+        """Whether less than half of the slots are taken."""
+        return 2 * self.requests < self.slots
+
+    def fullness(self) -> float:
+        """Returns how full the runners are for this class; 1 is full."""
+        if not self.runners:
+            return 1.0
+        found = max(
+            self.requests / max(1, self.usable_slots),
+            self.held_tokens / max(1.0, self.usable_tokens),
+        )
+        unread_limit = self.limits.unread_tokens * self.runners
+        if unread_limit > 0:
+            found = max(found, self.unread_tokens / unread_limit)
+        return found
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -31,6 +31,8 @@
     *("request_digests", "endpoint_statements", "software_versions"),
     *("origin_messages", "origin_table", "origin_relay"),
     *("tunnel_messages", "endpoint_paths", "endpoint_stats", "answer_memory"),
+    *("usage_messages", "usage_relay", "customer_usage", "runner_room"),
+    *("class_demand", "fair_admission"),
     "member_directory",
 )
 FORBIDDEN = {
