Compare few runners where many requests are sent before loads show it

Cause: routers know each other's loads 0.25 s late and all choose the runner that was emptiest. In a model of 12 routers and 10 runners it got 12 requests and 110,000 unread tokens while another one was idle.

Change: with fair_admission each router compares a random part of the near and the far runners, and of those that have the prompt cached; the part shrinks with the requests that are sent in that time.

--- a/knapweedarch/class_demand.py
+++ b/knapweedarch/class_demand.py
@@ -11,7 +11,7 @@
 from knapweedarch.customer_usage import DecayedSum
 
 # Time after which the rate of requests counts half; it follows a burst.
-RATE_HALF_LIFE_S = 2.0
+RATE_HALF_LIFE_S = 1.0
 # The same for what a request needs, which changes more slowly than the rate.
 NEED_HALF_LIFE_S = 10.0
 # Time for which a class counts as contended after a request found no room.
--- a/knapweedarch/customer_usage.py
+++ b/knapweedarch/customer_usage.py
@@ -28,7 +28,7 @@
 # runner, in which others are generated beside it.
 ANSWER_TOKEN_WORK = 10
 # Time after which work counts half.
-USAGE_HALF_LIFE_S = 2.0
+USAGE_HALF_LIFE_S = 1.0
 # Reports of the other routers count while the last one is no older than this.
 # Members send one at least each 0.5 s while any router has work to report.
 PEERS_MAX_AGE_S = 1.5
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -217,6 +217,8 @@
         if prompt is not None:
             cached_tokens = self._cached_tokens(endpoints, prompt, salt, now)
         max_cached_tokens = _max_by_weights(endpoints, cached_tokens)
+        if room is not None and prompt is not None:
+            usable = self._compared(usable, prompt, cached_tokens, room)
         return min(
             usable,
             key=lambda e: self._cost(
@@ -253,6 +255,34 @@
         most = math.ceil(len(found) * few / max(few, self._router_count))
         return self._rng.sample(found, min(len(found), max(2, most)))
 
+    def _compared(
+        self,
+        usable: Sequence[Endpoint],
+        prompt: Prompt,
+        cached_tokens: dict[str, int],
+        room: RoomSearch,
+    ) -> list[Endpoint]:
+        """Returns runners to compare: some of each kind, picked by chance.
+
+        Near ones and those that have most of the prompt cached are kinds of
+        their own, so that each is found although few are compared.
+        """
+        kinds: dict[tuple[bool, bool], list[Endpoint]] = {}
+        for endpoint in usable:
+            is_near = self._distance_s(endpoint) <= self._cfg.local_distance_s
+            is_cached = 2 * cached_tokens.get(endpoint.id, 0) >= prompt.tokens
+            kinds.setdefault((is_near, is_cached), []).append(endpoint)
+        return [
+            endpoint
+            for kind in kinds.values()
+            for endpoint in self._rng.sample(kind, room.compared(len(kind)))
+        ]
+
+    def _distance_s(self, endpoint: Endpoint) -> float:
+        """Returns the one-way delay to an endpoint's data centre."""
+        cfg = self._cfg
+        return cfg.distance_s.get(endpoint.data_centre, cfg.unlisted_distance_s)
+
     def is_usable(self, endpoint: Endpoint, now: float) -> bool:
         """Returns whether an endpoint is neither silent nor avoided."""
         return (
@@ -412,9 +442,7 @@
                 same weights, from which the parts can be fetched.
         """
         cfg, stats = self._cfg, self._stats.get(endpoint)
-        distance_s = cfg.distance_s.get(
-            endpoint.data_centre, cfg.unlisted_distance_s
-        )
+        distance_s = self._distance_s(endpoint)
         remote_penalty_s = (
             cfg.remote_penalty_s if distance_s > cfg.local_distance_s else 0.0
         )
--- a/knapweedarch/fair_admission.py
+++ b/knapweedarch/fair_admission.py
@@ -48,7 +48,7 @@
 LEAST_CAPACITY_PART = 0.1
 # Work that may be admitted while nothing waits, as a multiple of the estimated
 # capacity. It allows for short bursts, which a wait evens out.
-FREE_CAPACITY_FACTOR = 2.0
+FREE_CAPACITY_FACTOR = 1.5
 
 
 class Outcome(str, enum.Enum):
@@ -152,8 +152,12 @@
             if other < priority and demand.rate(now) > LEAST_RATE
         ]
         if not urgent:
-            return self._limits_of_most_urgent(own, slots, tokens_s, now)
+            return self._limits_of_most_urgent(
+                *(service, own, slots, tokens_s, now)
+            )
         goal_s = min(URGENT_GOAL_PART * demand.goal_s for demand in urgent)
+        # A busy runner has read as much since the loads were reported.
+        goal_s += REACTION_S
         rates = [self._total_rate(demand, now) for demand in urgent]
         expected = sum(
             rate * demand.hold_s(now)
@@ -165,10 +169,16 @@
             spare / max(1, self._runners.get(service, 1)),
             max(demand.needed_tokens(now) for demand in urgent),
             max(goal_s * tokens_s, own.unread_tokens(now)),
+            self._blind_requests(service, now),
         )
 
     def _limits_of_most_urgent(
-        self, own: ClassDemand, slots: int, tokens_s: float, now: float
+        self,
+        service: str,
+        own: ClassDemand,
+        slots: int,
+        tokens_s: float,
+        now: float,
     ) -> RoomLimits:
         hold_s = own.hold_s(now)
         queued = (
@@ -178,7 +188,23 @@
         )
         unread_tokens = own.unread_tokens(now)
         limit = OWN_GOAL_PART * own.goal_s * tokens_s - unread_tokens
-        return RoomLimits(-queued, 0.0, max(limit, unread_tokens))
+        return RoomLimits(
+            *(-queued, 0.0, max(limit, unread_tokens)),
+            self._blind_requests(service, now),
+        )
+
+    def _blind_requests(self, service: str, now: float) -> float:
+        """Returns the requests to a runner that its load does not show yet."""
+        rate = sum(
+            self._total_rate(demand, now)
+            for demand in self._services[service].values()
+            if self._own_part(demand, now) < 1.0
+        )
+        return REACTION_S * rate / max(1, self._runners.get(service, 1))
+
+    def sample(self) -> float:
+        """Returns a random number from 0 to below 1."""
+        return self._rng.random()
 
     def _total_rate(self, demand: ClassDemand, now: float) -> float:
         """Returns the requests a second of a class at all routers."""
@@ -262,12 +288,12 @@
         own_part = self._own_part(demand, now)
         if own_part >= 1.0:
             return True
-        waiting = max(demand.waiting, int(not ask.is_new))
-        contenders = waiting + REACTION_S * demand.rate(now)
-        chance = search.room * own_part / max(contenders, 1e-6)
-        if not ask.is_new:
+        own_room = search.room * own_part
+        if ask.is_new:
+            chance = own_room / max(REACTION_S * demand.rate(now), 1e-6)
+        else:
             # It looks several times until what others have sent is known.
-            chance *= LOOK_INTERVAL_S / REACTION_S
+            chance = own_room * LOOK_INTERVAL_S / REACTION_S
         return self._rng.random() < chance
 
     def refresh(self, now: float) -> None:
@@ -288,7 +314,7 @@
             1.0, max(demand.fullness, LEAST_CAPACITY_PART)
         )
         wait_s = demand.wait_s(demand.waiting, now) if demand.waiting else 0.0
-        waited = wait_s / demand.goal_s if demand.goal_s else 0.0
+        waited = 2 * wait_s / demand.goal_s if demand.goal_s else 0.0
         capacity *= FREE_CAPACITY_FACTOR / (1.0 + waited)
         least = LEAST_CAPACITY_PART * usage.offered_total(pool, now)
         demand.level = usage.fair_level(pool, max(capacity, least), now)
--- a/knapweedarch/fair_placement.py
+++ b/knapweedarch/fair_placement.py
@@ -7,6 +7,7 @@
 from knapweedarch.class_demand import ClassDemand
 from knapweedarch.customer_usage import work_of
 from knapweedarch.endpoint_choice import EndpointChooser
+from knapweedarch.exponential import decay_factor
 from knapweedarch.fair_admission import Ask, FairAdmission, Outcome, Verdict
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
@@ -21,6 +22,8 @@
 
 # Prompt tokens by which the speed of the runners is read from two times.
 _SPEED_SAMPLE_TOKENS = 1_000_000
+# Time after which a higher speed than the current estimate counts half.
+SPEED_HALF_LIFE_S = 60.0
 # A repeat may be queued at its runner: its caller waits within a stream.
 _MEMORY_ONLY = RoomLimits(kept_slots=-1_000_000.0)
 
@@ -47,6 +50,8 @@
         self._clock = clock
         self._metrics = metrics
         self._queue = RoomQueue()
+        # Speed by model, and when it was computed.
+        self._speeds: dict[str, tuple[float, float]] = {}
 
     def search(
         self, call: ProxyCall, endpoints: Sequence[Endpoint], now: float
@@ -62,14 +67,25 @@
                 *(endpoints[0].slots, self._tokens_s(prompt), now),
             )
         needed_tokens = prompt.tokens + prompt.max_tokens
-        return RoomSearch(limits, needed_tokens, engine.memory_tokens)
+        return RoomSearch(
+            *(limits, needed_tokens, engine.memory_tokens),
+            self.admission.sample,
+        )
 
     def _tokens_s(self, prompt: Prompt) -> float:
-        """Returns the prompt tokens that a runner reads in a second."""
-        chooser = self._chooser
+        """Returns the prompt tokens that a runner reads in a second.
+
+        Waits at the runners in a burst make the current estimate too low.
+        """
+        chooser, now = self._chooser, self._clock.now()
         base_s = chooser.prefill_s(prompt, 0)
         sample_s = chooser.prefill_s(prompt, _SPEED_SAMPLE_TOKENS) - base_s
-        return _SPEED_SAMPLE_TOKENS / sample_s
+        current = _SPEED_SAMPLE_TOKENS / sample_s
+        known, at = self._speeds.get(prompt.model, (current, now))
+        kept = decay_factor(now - at, SPEED_HALF_LIFE_S)
+        speed = max(current, kept * known + (1 - kept) * current)
+        self._speeds[prompt.model] = (speed, now)
+        return speed
 
     def may_send(
         self,
--- a/knapweedarch/runner_room.py
+++ b/knapweedarch/runner_room.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections.abc import Callable
 
 import attrs
 
@@ -24,11 +25,14 @@
             may be queued there.
         kept_tokens: Memory kept free for each of these slots, in tokens.
         unread_tokens: Most prompt tokens that may be read before the request.
+        blind_requests: Requests that routers have sent to a runner, on average,
+            since its load was reported.
     """
 
     kept_slots: float = 0.0
     kept_tokens: float = 0.0
     unread_tokens: float = math.inf
+    blind_requests: float = 0.0
 
     def kept_at(self, endpoint: int) -> int:
         """Returns the slots kept free at a runner, a whole number.
@@ -54,12 +58,14 @@
         usable_slots: Slots that this class may use.
         held_tokens: Memory in use, in tokens.
         usable_tokens: Memory that this class may use, in tokens.
+        sample: Returns random numbers from 0 to below 1.
         unread_tokens: Prompt tokens that are still to be read.
     """
 
     limits: RoomLimits
     needed_tokens: int
     memory_tokens: int
+    sample: Callable[[], float] = lambda: 0.0
     runners: int = 0
     room: int = 0
     requests: int = 0
@@ -91,7 +97,19 @@
             room, int((left - load.held_tokens) // max(1, self.needed_tokens))
         )
         self.room += max(0, room)
-        return room > 0
+        # The fuller a runner is, the more seldom each router considers it: all
+        # see the same room, some time after it came to be.
+        return self.sample() * (1.0 + limits.blind_requests) < room
+
+    def compared(self, count: int) -> int:
+        """Returns how many of some runners are compared; at least two.
+
+        All routers know the same old loads. The more requests they send before
+        the loads show it, the fewer runners each compares, so that they do not
+        all choose the one that was emptiest.
+        """
+        blind = self.limits.blind_requests * max(1, self.runners)
+        return min(count, max(2, math.ceil(count / (1.0 + blind))))
 
     @property
     def fits(self) -> bool:
