Let customers above their share yield; keep room by what is learnt of the loads

Cause: requests of a customer at 20 times its usual made half of the others' late in the model, and routers sent runners more than was known to fit while loads grew.

Change: a customer above its share leaves room for the others of its class and waits behind them; what may wait before any is refused follows from the time limit; loads are assumed to grow on as they did in the last 0.25 s; the room of a runner counts the prompts that it can read. Requests that have waited for long need less spare room.

--- a/features/contention_world.py
+++ b/features/contention_world.py
@@ -398,16 +398,21 @@
             self._send(sent, endpoint)
             return True
         if call.waits_for_room and call.deadline > self.clock.time:
-            queue = self._queues[sent.router].setdefault(
-                call.route.priority, []
-            )
-            if sent not in queue:
-                queue.append(sent)
-                self._demand(sent).waiting += 1
+            self._enqueue(sent)
             return False
         self._refuse(sent)
         return True
 
+    def _enqueue(self, sent: Sent) -> None:
+        queues = self._queues[sent.router]
+        if any(sent in queue for queue in queues.values()):
+            return
+        fair = self.attempts[sent.router].fair
+        is_over = fair.is_over(sent.call, self.clock.time)
+        key = (sent.call.route.priority, is_over)
+        queues.setdefault(key, []).append(sent)
+        self._demand(sent).waiting += 1
+
     def _demand(self, sent: Sent):
         fair = self.attempts[sent.router].fair
         return fair.admission.demand("models", 1 + sent.flow.kind.priority)
--- a/knapweedarch/class_demand.py
+++ b/knapweedarch/class_demand.py
@@ -33,7 +33,11 @@
         waiting: Requests that wait at this router.
         contended_at: When a request last found no room.
         fullness: How full the runners were at the last request; 1 is full.
+        limit_s: Time that the last request had for its answer, in seconds.
         level: Most recent work of a customer that is within its fair share.
+        refused_level: The same with the work that may wait. What a customer
+            asks for beyond it is refused.
+        within_part: Part of the work that customers within theirs ask for.
         level_at: When the level was computed.
     """
 
@@ -43,7 +47,10 @@
     waiting: int = 0
     contended_at: float = -math.inf
     fullness: float = 0.0
+    limit_s: float = 0.0
     level: float = math.inf
+    refused_level: float = math.inf
+    within_part: float = 1.0
     level_at: float = -math.inf
     _requests: DecayedSum = attrs.field(
         factory=lambda: DecayedSum(RATE_HALF_LIFE_S)
@@ -58,9 +65,15 @@
     _hold_s: DecayedSum = attrs.field(factory=_need)
     _ended: DecayedSum = attrs.field(factory=_need)
 
-    def record_request(self, goal_s: float, now: float) -> None:
-        """Records a new request."""
-        self.goal_s = goal_s
+    def record_request(self, goal_s: float, limit_s: float, now: float) -> None:
+        """Records a new request.
+
+        Args:
+            goal_s: Its latency goal in seconds.
+            limit_s: Time that it has for its answer, in seconds.
+            now: The time.
+        """
+        self.goal_s, self.limit_s = goal_s, limit_s
         self._requests.add(1.0, now)
 
     def record_sent(
--- a/knapweedarch/customer_usage.py
+++ b/knapweedarch/customer_usage.py
@@ -184,11 +184,11 @@
             return 1.0
         return min(1.0, own.offered_total.at(now) / total)
 
-    def fair_level(self, pool: int, capacity: float, now: float) -> float:
-        """Returns the most work of one customer in a max-min fair division.
+    def fair_level(self, pool: int, capacity: float, now: float) -> "FairLevel":
+        """Divides the capacity by max-min fairness.
 
-        It is infinite if there is enough for all. This loops over the
-        customers of the pool and is not called for each request.
+        This loops over the customers of the pool and is not called for each
+        request.
 
         Args:
             pool: The pool.
@@ -202,8 +202,11 @@
             for customer, found in shares.offered.items():
                 work[customer] = work.get(customer, 0.0) + found.at(now)
         # Customers that are not listed are light and keep what they ask for.
-        unlisted = self.offered_total(pool, now) - sum(work.values())
-        return max_min_level(work.values(), capacity - max(0.0, unlisted))
+        total = max(self.offered_total(pool, now), sum(work.values()))
+        unlisted = total - sum(work.values())
+        level = max_min_level(work.values(), capacity - unlisted)
+        over = sum(tokens for tokens in work.values() if tokens > level)
+        return FairLevel(level, 1.0 - over / total if total else 1.0)
 
     def _parts(self, pool: int, now: float) -> list[_Shares]:
         sides = [self._own]
@@ -212,6 +215,20 @@
         return [side[pool] for side in sides if pool in side]
 
 
+@attrs.frozen
+class FairLevel:
+    """A division of the capacity between customers.
+
+    Attributes:
+        level: Most work of one customer, in tokens; infinite if there is
+            enough for all.
+        within_part: Part of all work that those ask for who stay within it.
+    """
+
+    level: float = math.inf
+    within_part: float = 1.0
+
+
 def max_min_level(demands: Iterable[float], capacity: float) -> float:
     """Returns the level at which capped demands add up to the capacity.
 
--- a/knapweedarch/fair_admission.py
+++ b/knapweedarch/fair_admission.py
@@ -11,6 +11,7 @@
 All times are seconds on the router's clock.
 """
 
+import collections
 import enum
 import math
 import random
@@ -34,11 +35,18 @@
 # The other part is for its own prompt, and for prompts sent since the loads
 # were reported.
 URGENT_GOAL_PART = 0.5
+# Part of what changes at a runner until its load is known that counts. In the
+# same time prompts are read and others are sent there, slots are freed and
+# others are taken.
+BLIND_PART = 0.5
 # The same of the own goal while no class is more urgent.
 OWN_GOAL_PART = 1.0
 # Part of its goal for which the most urgent class may wait for a slot at its
 # runner, which takes it first. There it is sooner than after a wait here.
 SLOT_WAIT_PART = 0.5
+# Part of all slots that are freed which a class gets whose requests have waited
+# for long.
+AGED_PART = 0.5
 # Least requests a second at which a class counts as in use.
 LEAST_RATE = 0.01
 # Interval at which fair shares are computed.
@@ -46,6 +54,9 @@
 # Least part of what is asked for that counts as capacity. Without it a class
 # that got nothing for a while would never be sent anything again.
 LEAST_CAPACITY_PART = 0.1
+# Part of the time that requests have to wait up to which requests beyond the
+# capacity are let wait.
+WAIT_PART = 0.5
 # Work that may be admitted while nothing waits, as a multiple of the estimated
 # capacity. It allows for short bursts, which a wait evens out.
 FREE_CAPACITY_FACTOR = 1.5
@@ -105,6 +116,46 @@
 _SEND, _WAIT = Verdict(Outcome.SEND), Verdict(Outcome.WAIT)
 
 
+class LoadTrend:
+    """How the load of the runners of a service has grown lately.
+
+    Loads are known some time late. In that time they are assumed to grow on as
+    they did before.
+    """
+
+    def __init__(self) -> None:
+        self._samples: collections.deque[tuple[float, int, int, int]] = (
+            collections.deque()
+        )
+        self.runners = 1
+
+    def record(self, search: RoomSearch, now: float) -> None:
+        """Records the load that a search has found."""
+        self.runners = max(1, search.runners)
+        if self._samples and now - self._samples[-1][0] < LOOK_INTERVAL_S:
+            return
+        self._samples.append(
+            (now, search.requests, search.held_tokens, search.unread_tokens)
+        )
+        while self._samples[0][0] < now - 2 * REACTION_S:
+            self._samples.popleft()
+
+    def growth(self, now: float) -> tuple[float, float, float]:
+        """Returns the growth of requests, memory and unread tokens.
+
+        It is that of one runner, on average, and at least 0.
+        """
+        before = [s for s in self._samples if s[0] <= now - REACTION_S]
+        if not before:
+            return 0.0, 0.0, 0.0
+        first, last = before[-1], self._samples[-1]
+        requests, held, unread = (
+            max(0, new - old) / self.runners
+            for new, old in zip(last[1:], first[1:], strict=True)
+        )
+        return requests, held, unread
+
+
 class FairAdmission:
     """Decides by the loads of the runners and the usage of the customers.
 
@@ -117,7 +168,7 @@
         self.usage = usage
         self._rng = rng
         self._services: dict[str, dict[int, ClassDemand]] = {}
-        self._runners: dict[str, int] = {}
+        self._trends: dict[str, LoadTrend] = collections.defaultdict(LoadTrend)
 
     def demand(self, service: str, priority: int) -> ClassDemand:
         """Returns the class of a priority at a service; 0 is most urgent."""
@@ -134,6 +185,8 @@
         priority: int,
         slots: int,
         tokens_s: float,
+        waited: float,
+        is_over: bool,
         now: float,
     ) -> RoomLimits:
         """Returns what a class may use of each runner.
@@ -143,6 +196,10 @@
             priority: Priority of the class.
             slots: Slots of a runner.
             tokens_s: Prompt tokens that a runner reads in a second.
+            waited: Part of the time that the request can wait which has passed,
+                from 0 to 1. The more it is, the less is kept free.
+            is_over: Whether the customer asks for more than its share. Its
+                requests leave room for those of the other customers.
             now: The time.
         """
         own = self.demand(service, priority)
@@ -151,47 +208,57 @@
             for other, demand in self._services[service].items()
             if other < priority and demand.rate(now) > LEAST_RATE
         ]
+        blind = self._blind_requests(service, now)
+        growth = self._trends[service].growth(now)
+        prompt_tokens = max(1.0, own.unread_tokens(now))
+        yielded = 0.0
+        if is_over:
+            yielded = self._kept_slots(service, [own], own.within_part, now)
         if not urgent:
-            return self._limits_of_most_urgent(
-                *(service, own, slots, tokens_s, now)
+            return RoomLimits(
+                *(-_queued(own, slots, now), 0.0, yielded),
+                *(_own_unread(own, tokens_s, now), prompt_tokens, blind),
+                *(0.0, *growth[1:]),
             )
-        goal_s = min(URGENT_GOAL_PART * demand.goal_s for demand in urgent)
-        # A busy runner has read as much since the loads were reported.
-        goal_s += REACTION_S
-        rates = [self._total_rate(demand, now) for demand in urgent]
-        expected = sum(
-            rate * demand.hold_s(now)
-            for rate, demand in zip(rates, urgent, strict=True)
+        unread_tokens = max(
+            tokens_s
+            * (
+                BLIND_PART * REACTION_S
+                + min(URGENT_GOAL_PART * demand.goal_s for demand in urgent)
+            ),
+            own.unread_tokens(now),
         )
-        spare = REACTION_S * sum(rates)
-        spare += SPARE_DEVIATIONS * math.sqrt(expected)
         return RoomLimits(
-            spare / max(1, self._runners.get(service, 1)),
+            (1.0 - waited) * self._kept_slots(service, urgent, 1.0, now),
             max(demand.needed_tokens(now) for demand in urgent),
-            max(goal_s * tokens_s, own.unread_tokens(now)),
-            self._blind_requests(service, now),
+            yielded,
+            *(unread_tokens, prompt_tokens, blind),
+            *growth,
         )
 
-    def _limits_of_most_urgent(
+    def _kept_slots(
         self,
         service: str,
-        own: ClassDemand,
-        slots: int,
-        tokens_s: float,
+        urgent: list[ClassDemand],
+        part: float,
         now: float,
-    ) -> RoomLimits:
-        hold_s = own.hold_s(now)
-        queued = (
-            slots * min(1.0, SLOT_WAIT_PART * own.goal_s / hold_s)
-            if (hold_s)
-            else slots
-        )
-        unread_tokens = own.unread_tokens(now)
-        limit = OWN_GOAL_PART * own.goal_s * tokens_s - unread_tokens
-        return RoomLimits(
-            *(-queued, 0.0, max(limit, unread_tokens)),
-            self._blind_requests(service, now),
+    ) -> float:
+        """Returns the slots of a runner that are kept for other requests.
+
+        Args:
+            service: Name of the service.
+            urgent: The classes for which they are kept.
+            part: Part of the requests of these for which they are kept.
+            now: The time.
+        """
+        rates = [part * self._total_rate(demand, now) for demand in urgent]
+        expected = sum(
+            rate * demand.hold_s(now)
+            for rate, demand in zip(rates, urgent, strict=True)
         )
+        spare = BLIND_PART * REACTION_S * sum(rates)
+        spare += SPARE_DEVIATIONS * math.sqrt(expected)
+        return spare / self._trends[service].runners
 
     def _blind_requests(self, service: str, now: float) -> float:
         """Returns the requests to a runner that its load does not show yet."""
@@ -200,7 +267,7 @@
             for demand in self._services[service].values()
             if self._own_part(demand, now) < 1.0
         )
-        return REACTION_S * rate / max(1, self._runners.get(service, 1))
+        return REACTION_S * rate / self._trends[service].runners
 
     def sample(self) -> float:
         """Returns a random number from 0 to below 1."""
@@ -229,10 +296,10 @@
             return Verdict(Outcome.TOO_LARGE)
         if ask.is_repeat:
             return _SEND if ask.has_runner else _WAIT
-        self._runners[service] = search.runners
+        self._trends[service].record(search, now)
         demand.fullness = search.fullness()
         if ask.is_new:
-            demand.record_request(ask.goal_s, now)
+            demand.record_request(ask.goal_s, ask.left_s, now)
             self.usage.record_offered(demand.pool, ask.customer, ask.work, now)
         is_calm = search.has_slack and not demand.waiting
         if not search.room or demand.waiting:
@@ -241,10 +308,20 @@
             return Verdict(Outcome.OVER_SHARE, self._share_wait_s(ask, now))
         if self._may_send(ask, search, now):
             return self._check_wait(ask, ask.ahead_s, is_calm, _SEND, now)
-        ahead = demand.waiting + 1 if ask.is_new else 1
-        wait_s = demand.wait_s(ahead, now)
+        wait_s = self._wait_s(ask, search, now) if ask.is_new else 0.0
         return self._check_wait(ask, wait_s, is_calm, _WAIT, now)
 
+    def _wait_s(self, ask: Ask, search: RoomSearch, now: float) -> float:
+        """Returns the expected wait of a request behind those that wait."""
+        demand = ask.demand
+        ahead = demand.waiting + 1
+        wait_s, hold_s = demand.wait_s(ahead, now), demand.hold_s(now)
+        if not hold_s or not search.requests:
+            return wait_s
+        # Requests that have waited for long get slots of more urgent ones.
+        turnover_s = search.requests / hold_s * self._own_part(demand, now)
+        return min(wait_s, ahead / (AGED_PART * turnover_s))
+
     def _check_wait(
         self,
         ask: Ask,
@@ -254,7 +331,7 @@
         now: float,
     ) -> Verdict:
         """Refuses a request that cannot be answered after its wait."""
-        if is_calm or not wait_s:
+        if is_calm:
             return verdict
         if wait_s + ask.demand.hold_s(now) <= ask.left_s:
             return verdict
@@ -263,16 +340,17 @@
     def _is_surplus(self, ask: Ask, now: float) -> bool:
         """Returns whether a request is beyond the share of its customer."""
         demand = ask.demand
-        if demand.level == math.inf or not demand.is_contended(now):
+        level = demand.refused_level
+        if level == math.inf or not demand.is_contended(now):
             return False
         offered = self.usage.offered(demand.pool, ask.customer, now)
-        return self._rng.random() * offered >= demand.level
+        return self._rng.random() * offered >= level
 
     def _share_wait_s(self, ask: Ask, now: float) -> float:
         """Returns when a customer is within its share if it asks no more."""
         demand = ask.demand
         offered = self.usage.offered(demand.pool, ask.customer, now)
-        ratio = max(1.0, offered / max(1.0, demand.level))
+        ratio = max(1.0, offered / max(1.0, demand.refused_level))
         queue_s = demand.wait_s(demand.waiting, now)
         return max(queue_s, USAGE_HALF_LIFE_S * math.log2(ratio))
 
@@ -296,6 +374,14 @@
             chance = own_room * LOOK_INTERVAL_S / REACTION_S
         return self._rng.random() < chance
 
+    def is_over_share(
+        self, demand: ClassDemand, customer: int, now: float
+    ) -> bool:
+        """Returns whether a customer asks for more than its fair share."""
+        if demand.level == math.inf:
+            return False
+        return self.usage.offered(demand.pool, customer, now) > demand.level
+
     def refresh(self, now: float) -> None:
         """Computes the fair shares of the classes that find no room."""
         for classes in self._services.values():
@@ -306,18 +392,31 @@
     def _set_level(self, demand: ClassDemand, now: float) -> None:
         demand.level_at = now
         if not demand.is_contended(now):
-            demand.level = math.inf
+            demand.level = demand.refused_level = math.inf
             return
         usage, pool = self.usage, demand.pool
-        # The load at the runners is in proportion to what was sent there.
-        capacity = usage.admitted(pool, now) / min(
-            1.0, max(demand.fullness, LEAST_CAPACITY_PART)
-        )
-        wait_s = demand.wait_s(demand.waiting, now) if demand.waiting else 0.0
-        waited = 2 * wait_s / demand.goal_s if demand.goal_s else 0.0
-        capacity *= FREE_CAPACITY_FACTOR / (1.0 + waited)
         least = LEAST_CAPACITY_PART * usage.offered_total(pool, now)
-        demand.level = usage.fair_level(pool, max(capacity, least), now)
+        # The load at the runners is in proportion to what was sent there.
+        fullness = min(1.0, max(demand.fullness, LEAST_CAPACITY_PART))
+        capacity = max(least, usage.admitted(pool, now) / fullness)
+        found = usage.fair_level(pool, capacity, now)
+        demand.level, demand.within_part = found.level, found.within_part
+        capacity = max(least, capacity * self._waiting_factor(demand, now))
+        demand.refused_level = usage.fair_level(pool, capacity, now).level
+
+    def _waiting_factor(self, demand: ClassDemand, now: float) -> float:
+        """Returns how much work may be asked for, as a ratio of the capacity.
+
+        It is above 1 until the wait takes a part of the time that requests have
+        for it, and below 1 after that.
+        """
+        if not demand.waiting:
+            return FREE_CAPACITY_FACTOR
+        wait_s = demand.wait_s(demand.waiting, now)
+        patience_s = demand.limit_s - demand.hold_s(now)
+        if patience_s <= 0:
+            return 1.0
+        return FREE_CAPACITY_FACTOR / (1.0 + wait_s / (WAIT_PART * patience_s))
 
     @property
     def waiting_count(self) -> int:
@@ -329,6 +428,25 @@
         )
 
 
+def _queued(demand: ClassDemand, slots: int, now: float) -> float:
+    """Returns the requests that may wait for a slot at a runner."""
+    hold_s = demand.hold_s(now)
+    if not hold_s:
+        return slots
+    return slots * min(1.0, SLOT_WAIT_PART * demand.goal_s / hold_s)
+
+
+def _own_unread(demand: ClassDemand, tokens_s: float, now: float) -> float:
+    """Returns the tokens that may be read before, with none more urgent.
+
+    One prompt may always wait behind another of the same length, since the
+    runner would otherwise idle between them.
+    """
+    unread_tokens = demand.unread_tokens(now)
+    goal_tokens = OWN_GOAL_PART * demand.goal_s * tokens_s
+    return max(goal_tokens - unread_tokens, unread_tokens)
+
+
 def create_fair_admission(seed: int) -> FairAdmission:
     """Creates the admission of a router.
 
--- a/knapweedarch/fair_placement.py
+++ b/knapweedarch/fair_placement.py
@@ -64,7 +64,8 @@
         if not call.send_count:
             limits = self.admission.limits(
                 *(call.service.name, first_urgency(call)),
-                *(endpoints[0].slots, self._tokens_s(prompt), now),
+                *(endpoints[0].slots, self._tokens_s(prompt)),
+                *(self._waited(call, now), self.is_over(call, now), now),
             )
         needed_tokens = prompt.tokens + prompt.max_tokens
         return RoomSearch(
@@ -72,6 +73,20 @@
             self.admission.sample,
         )
 
+    def is_over(self, call: ProxyCall, now: float) -> bool:
+        """Returns whether the customer asks for more than its share."""
+        return self.admission.is_over_share(
+            self._demand(call), _customer_digest(call), now
+        )
+
+    def _waited(self, call: ProxyCall, now: float) -> float:
+        """Returns how much of the time for its wait has passed, up to 1."""
+        hold_s = self._demand(call).hold_s(now)
+        most_s = call.deadline - hold_s - call.started_at
+        if most_s <= 0:
+            return 1.0
+        return min(1.0, (now - call.started_at) / most_s)
+
     def _tokens_s(self, prompt: Prompt) -> float:
         """Returns the prompt tokens that a runner reads in a second.
 
@@ -187,7 +202,8 @@
             The runner; None if the request is refused.
         """
         demand, began_at = self._demand(call), self._clock.now()
-        key = (first_urgency(call), call.service.name)
+        is_over = self.is_over(call, began_at)
+        key = (first_urgency(call), is_over, call.service.name)
         self._metrics.count("fair.waited")
         demand.waiting += 1
         try:
--- a/knapweedarch/runner_room.py
+++ b/knapweedarch/runner_room.py
@@ -24,15 +24,27 @@
         kept_slots: Slots that are kept free, on average; negative if requests
             may be queued there.
         kept_tokens: Memory kept free for each of these slots, in tokens.
+        yielded_slots: Slots that are kept free beside these, on average, for
+            other requests of the class.
         unread_tokens: Most prompt tokens that may be read before the request.
+        prompt_tokens: Prompt tokens that a request of the class adds.
         blind_requests: Requests that routers have sent to a runner, on average,
             since its load was reported.
+        grown_slots: By how many requests the load of a runner has grown since
+            then, on average; at least 0.
+        grown_tokens: The same of its memory in use, in tokens.
+        grown_unread: The same of the tokens that it has to read.
     """
 
     kept_slots: float = 0.0
     kept_tokens: float = 0.0
+    yielded_slots: float = 0.0
     unread_tokens: float = math.inf
+    prompt_tokens: float = 1.0
     blind_requests: float = 0.0
+    grown_slots: float = 0.0
+    grown_tokens: float = 0.0
+    grown_unread: float = 0.0
 
     def kept_at(self, endpoint: int) -> int:
         """Returns the slots kept free at a runner, a whole number.
@@ -42,6 +54,12 @@
         """
         return math.floor(self.kept_slots + endpoint / _DIGEST_RANGE)
 
+    def yielded_at(self, endpoint: int) -> int:
+        """Returns the slots kept free for others of the class at a runner."""
+        if not self.yielded_slots:
+            return 0
+        return math.floor(self.yielded_slots + endpoint / _DIGEST_RANGE)
+
 
 @attrs.define
 class RoomSearch:
@@ -80,6 +98,9 @@
         limits = self.limits
         kept = limits.kept_at(load.endpoint)
         usable_slots = max(1, slots - kept)
+        requests = load.requests + limits.grown_slots
+        held_tokens = load.held_tokens + limits.grown_tokens
+        unread_tokens = load.unread_tokens + limits.grown_unread
         usable_tokens = self.memory_tokens - limits.kept_tokens * max(0, kept)
         self.runners += 1
         self.requests += load.requests
@@ -88,14 +109,18 @@
         self.held_tokens += load.held_tokens
         self.usable_tokens += usable_tokens
         self.unread_tokens += load.unread_tokens
-        room = usable_slots - load.requests
-        if load.requests and load.unread_tokens > limits.unread_tokens:
+        if load.requests and unread_tokens > limits.unread_tokens:
             return False
-        # An empty runner takes any request that fits into its whole memory.
-        left = usable_tokens if load.requests else self.memory_tokens
-        room = min(
-            room, int((left - load.held_tokens) // max(1, self.needed_tokens))
-        )
+        yielded = limits.yielded_at(load.endpoint)
+        room = math.ceil(usable_slots - yielded - requests)
+        left_tokens = usable_tokens - held_tokens
+        if not load.requests:
+            # An empty runner takes any request that fits into its memory.
+            left_tokens = self.memory_tokens
+        room = min(room, int(left_tokens // max(1, self.needed_tokens)))
+        if limits.unread_tokens < math.inf:
+            unread_left = limits.unread_tokens - unread_tokens
+            room = min(room, 1 + int(unread_left // limits.prompt_tokens))
         self.room += max(0, room)
         # The fuller a runner is, the more seldom each router considers it: all
         # see the same room, some time after it came to be.
