--- a/features/contention_world.py
+++ b/features/contention_world.py
@@ -279,6 +279,8 @@
             self._create_attempts(n, routers, is_fair) for n in range(routers)
         ]
         self.sent: list[Sent] = []
+        # Requests that had to wait at a router.
+        self.waited = 0
         self._numbers = itertools.count()
         self._queues: list[dict[int, list[Sent]]] = [{} for _ in self.attempts]
         self._returns: list[tuple[float, int, Sent]] = []
@@ -411,7 +413,8 @@
         is_over = fair.is_over(sent.call, self.clock.time)
         key = (sent.call.route.priority, is_over)
         queues.setdefault(key, []).append(sent)
-        self._demand(sent).waiting += 1
+        self.waited += 1
+        self._demand(sent).enter_queue(sent.call.work)
 
     def _demand(self, sent: Sent):
         fair = self.attempts[sent.router].fair
@@ -424,7 +427,8 @@
                 attempts.fair.refresh(self.clock.time)
             for _, queue in sorted(queues.items()):
                 while queue and self._try(queue[0]):
-                    self._demand(queue.pop(0)).waiting -= 1
+                    sent = queue.pop(0)
+                    self._demand(sent).leave_queue(sent.call.work)
 
     def _send(self, sent: Sent, endpoint: Endpoint) -> None:
         attempts, now = self.attempts[sent.router], self.clock.time
--- a/knapweedarch/class_demand.py
+++ b/knapweedarch/class_demand.py
@@ -31,6 +31,8 @@
         goal_s: Latency goal of the last request, in seconds.
         running: Requests of this router at the runners.
         waiting: Requests that wait at this router.
+        waiting_work: Their work in tokens.
+        waited_until: Until when their wait is recorded.
         contended_at: When a request last found no room.
         fullness: How full the runners were at the last request; 1 is full.
         limit_s: Time that the last request had for its answer, in seconds.
@@ -45,6 +47,8 @@
     goal_s: float = 0.0
     running: int = 0
     waiting: int = 0
+    waiting_work: float = 0.0
+    waited_until: float = 0.0
     contended_at: float = -math.inf
     fullness: float = 0.0
     limit_s: float = 0.0
@@ -100,6 +104,16 @@
         self._ended.add(1.0, now)
         self._hold_s.add(now - sent_at, now)
 
+    def enter_queue(self, work: float) -> None:
+        """Records that a request begins to wait here."""
+        self.waiting += 1
+        self.waiting_work += work
+
+    def leave_queue(self, work: float) -> None:
+        """Records that a request waits no more."""
+        self.waiting -= 1
+        self.waiting_work -= work
+
     def rate(self, now: float) -> float:
         """Returns the requests a second at this router."""
         return self._requests.rate(now)
--- a/knapweedarch/customer_usage.py
+++ b/knapweedarch/customer_usage.py
@@ -11,12 +11,14 @@
 
 import attrs
 
+from knapweedarch import usage_messages
 from knapweedarch.exponential import decay_factor
 from knapweedarch.usage_messages import (
     ADMITTED_TOTAL,
     MAX_USAGE_ENTRIES,
     MAX_WORK,
     OFFERED_TOTAL,
+    WAITING_TOTAL,
     UsageEntry,
     UsageReport,
     heaviest,
@@ -78,19 +80,23 @@
         offered_total: The same of all customers, those that are not listed
             included.
         admitted: Work sent to runners.
+        waiting: Work that waited at routers, multiplied by the seconds.
     """
 
     offered: dict[int, DecayedSum] = attrs.field(factory=dict)
     offered_total: DecayedSum = attrs.field(factory=DecayedSum)
     admitted: DecayedSum = attrs.field(factory=DecayedSum)
+    waiting: DecayedSum = attrs.field(factory=DecayedSum)
 
     def add(self, customer: int, work: float, now: float) -> None:
         """Adds an entry of a report."""
         match customer:
-            case 0:
+            case usage_messages.ADMITTED_TOTAL:
                 self.admitted.add(work, now)
-            case 1:
+            case usage_messages.OFFERED_TOTAL:
                 self.offered_total.add(work, now)
+            case usage_messages.WAITING_TOTAL:
+                self.waiting.add(work, now)
             case _:
                 self.offered.setdefault(customer, DecayedSum()).add(work, now)
 
@@ -129,6 +135,18 @@
         """Records that this router sends work to a runner."""
         self._record(pool, ADMITTED_TOTAL, work, now)
 
+    def record_waiting(
+        self, pool: int, work: float, seconds: float, now: float
+    ) -> None:
+        """Records that work has waited at this router for a time."""
+        self._record(pool, WAITING_TOTAL, work * seconds, now)
+
+    def wait_s(self, pool: int, now: float) -> float:
+        """Returns how long recent work has waited on average, in seconds."""
+        parts = self._parts(pool, now)
+        waited = sum(shares.waiting.at(now) for shares in parts)
+        return waited / max(1.0, self.admitted(pool, now))
+
     def _record(
         self, pool: int, customer: int, work: float, now: float
     ) -> None:
@@ -176,6 +194,10 @@
         """Returns the recent work that was sent to runners, in tokens."""
         return sum(s.admitted.at(now) for s in self._parts(pool, now))
 
+    def admitted_rate(self, pool: int, now: float) -> float:
+        """Returns the work that is sent to runners in a second, in tokens."""
+        return sum(s.admitted.rate(now) for s in self._parts(pool, now))
+
     def own_part(self, pool: int, now: float) -> float:
         """Returns this router's part of the work asked for, from 0 to 1."""
         own = self._own.get(pool)
--- a/knapweedarch/fair_admission.py
+++ b/knapweedarch/fair_admission.py
@@ -54,12 +54,14 @@
 # Least part of what is asked for that counts as capacity. Without it a class
 # that got nothing for a while would never be sent anything again.
 LEAST_CAPACITY_PART = 0.1
-# Part of the time that requests have to wait up to which requests beyond the
-# capacity are let wait.
+# Wait up to which requests beyond the capacity are let in: a part of the time
+# that they have for it, and a multiple of their latency goal, after which the
+# next ones would be late as well.
 WAIT_PART = 0.5
+WAIT_GOALS = 2.0
 # Work that may be admitted while nothing waits, as a multiple of the estimated
 # capacity. It allows for short bursts, which a wait evens out.
-FREE_CAPACITY_FACTOR = 1.5
+FREE_CAPACITY_FACTOR = 1.0
 
 
 class Outcome(str, enum.Enum):
@@ -319,8 +321,13 @@
         if not hold_s or not search.requests:
             return wait_s
         # Requests that have waited for long get slots of more urgent ones.
-        turnover_s = search.requests / hold_s * self._own_part(demand, now)
-        return min(wait_s, ahead / (AGED_PART * turnover_s))
+        own_part = self._own_part(demand, now)
+        turnover_s = search.requests / hold_s * own_part
+        wait_s = min(wait_s, ahead / (AGED_PART * turnover_s))
+        drain_s = own_part * self.usage.admitted_rate(demand.pool, now)
+        if not drain_s:
+            return wait_s
+        return min(wait_s, (demand.waiting_work + ask.work) / drain_s)
 
     def _check_wait(
         self,
@@ -386,9 +393,18 @@
         """Computes the fair shares of the classes that find no room."""
         for classes in self._services.values():
             for demand in classes.values():
+                self._record_wait(demand, now)
                 if now - demand.level_at >= LEVEL_INTERVAL_S:
                     self._set_level(demand, now)
 
+    def _record_wait(self, demand: ClassDemand, now: float) -> None:
+        seconds = min(now - demand.waited_until, LEVEL_INTERVAL_S)
+        demand.waited_until = now
+        if demand.waiting:
+            self.usage.record_waiting(
+                *(demand.pool, demand.waiting_work, seconds, now)
+            )
+
     def _set_level(self, demand: ClassDemand, now: float) -> None:
         demand.level_at = now
         if not demand.is_contended(now):
@@ -410,13 +426,12 @@
         It is above 1 until the wait takes a part of the time that requests have
         for it, and below 1 after that.
         """
-        if not demand.waiting:
-            return FREE_CAPACITY_FACTOR
-        wait_s = demand.wait_s(demand.waiting, now)
-        patience_s = demand.limit_s - demand.hold_s(now)
+        wait_s = self.usage.wait_s(demand.pool, now)
+        left_s = demand.limit_s - demand.hold_s(now)
+        patience_s = min(WAIT_PART * left_s, WAIT_GOALS * demand.goal_s)
         if patience_s <= 0:
             return 1.0
-        return FREE_CAPACITY_FACTOR / (1.0 + wait_s / (WAIT_PART * patience_s))
+        return FREE_CAPACITY_FACTOR / (1.0 + wait_s / patience_s)
 
     @property
     def waiting_count(self) -> int:
--- a/knapweedarch/fair_placement.py
+++ b/knapweedarch/fair_placement.py
@@ -205,7 +205,7 @@
         is_over = self.is_over(call, began_at)
         key = (first_urgency(call), is_over, call.service.name)
         self._metrics.count("fair.waited")
-        demand.waiting += 1
+        demand.enter_queue(call.work)
         try:
             with self._queue.place(key) as place:
                 endpoint = None
@@ -217,7 +217,7 @@
                         break
                 return endpoint
         finally:
-            demand.waiting -= 1
+            demand.leave_queue(call.work)
             self._metrics.timing("fair.wait", self._clock.now() - began_at)
 
     def start(self, call: ProxyCall, unread_tokens: int) -> None:
--- a/knapweedarch/usage_messages.py
+++ b/knapweedarch/usage_messages.py
@@ -13,6 +13,8 @@
 # Entries of a pool that are not about one customer.
 ADMITTED_TOTAL = 0
 OFFERED_TOTAL = 1
+WAITING_TOTAL = 2
+_TOTALS = (ADMITTED_TOTAL, OFFERED_TOTAL, WAITING_TOTAL)
 # A packed entry: hash of the pool, hash of the customer, work.
 _ENTRY = struct.Struct(">IIH")
 MAX_WORK = 0xFFFF * WORK_UNIT
@@ -26,7 +28,8 @@
         pool: Hash of a service and a priority; see `usage_digest`.
         customer: Hash of the customer's name; `ADMITTED_TOTAL` for the work of
             all customers that was sent to runners, `OFFERED_TOTAL` for the
-            work that all of them asked for.
+            work that all of them asked for; `WAITING_TOTAL` for the work that
+            waits at routers, multiplied by the seconds.
         work: The work in tokens, up to `MAX_WORK`.
     """
 
@@ -52,7 +55,7 @@
 def usage_digest(*names: object) -> int:
     """Returns the hash that stands for a pool or a customer in messages."""
     text = "\0".join(map(str, names))
-    return max(OFFERED_TOTAL + 1, xxhash.xxh32_intdigest(text.encode()))
+    return max(max(_TOTALS) + 1, xxhash.xxh32_intdigest(text.encode()))
 
 
 def pack_usage(entries: Iterable[UsageEntry]) -> bytes:
@@ -88,6 +91,6 @@
     """
     keys = sorted(
         (key for key, tokens in work.items() if tokens >= WORK_UNIT / 2),
-        key=lambda key: (key[1] > OFFERED_TOTAL, -work[key]),
+        key=lambda key: (key[1] not in _TOTALS, -work[key]),
     )
     return keys[:MAX_USAGE_ENTRIES]
