Correct fair shares by what each router has sent

Cause: a router with many requests at the runners learns first when one ends. Change: the part of a customer's requests that is let in is corrected by what its router has sent of its work.

--- a/features/contention.feature
+++ b/features/contention.feature
@@ -9,7 +9,7 @@
     Guards against a division by who asks most: the others' prompts wait behind
     its prompts, or are refused in their place.
     Given 8 contending routers and 6 runners
-    And 9 customers with 16 long and 12 urgent requests a second
+    And 9 customers with 24 long and 12 urgent requests a second
     And customer 0 has a quarter of them
     When customer 0 sends 6 times its usual in the burst
     Then of the others' long requests at least 0.98 are answered
--- a/features/steps/contention_steps.py
+++ b/features/steps/contention_steps.py
@@ -520,7 +520,7 @@
             zip(routers, units, strict=True)
         ):
             usage.record_offered(9, 7, count * WORK_UNIT, 1.0)
-            usage.record_admitted(9, count * WORK_UNIT, 1.0)
+            usage.record_admitted(9, 7, count * WORK_UNIT, 1.0)
             relay.receive(number, usage.take_report(), is_member=False)
         total = sum(units) * WORK_UNIT
         for number, usage in enumerate(routers):
--- a/knapweedarch/customer_usage.py
+++ b/knapweedarch/customer_usage.py
@@ -34,6 +34,8 @@
 # Reports of the other routers count while the last one is no older than this.
 # Members send one at least each 0.5 s while any router has work to report.
 PEERS_MAX_AGE_S = 1.5
+# Most by which a customer's part is raised if little of its work was sent.
+MAX_CORRECTION = 2.0
 # Customers of a pool that are remembered; beyond it the lightest are forgotten.
 MAX_CUSTOMERS = 4 * MAX_USAGE_ENTRIES
 
@@ -105,15 +107,6 @@
         found = self.offered.get(customer)
         return found.at(now) if found else 0.0
 
-    def prune(self, now: float) -> None:
-        """Forgets the lightest customers if there are too many."""
-        if len(self.offered) <= MAX_CUSTOMERS:
-            return
-        kept = sorted(
-            self.offered, key=lambda c: self.offered[c].at(now), reverse=True
-        )
-        self.offered = {c: self.offered[c] for c in kept[:MAX_CUSTOMERS]}
-
 
 class CustomerUsage:
     """Work of the customers by pool, as one router knows it."""
@@ -122,6 +115,8 @@
         self._own: dict[int, _Shares] = {}
         self._peers: dict[int, _Shares] = {}
         self._peers_at = -math.inf
+        # Work that this router has sent to runners, by pool and customer.
+        self._served: dict[int, dict[int, DecayedSum]] = {}
         self._unreported: dict[tuple[int, int], float] = {}
 
     def record_offered(
@@ -131,9 +126,40 @@
         self._record(pool, customer, work, now)
         self._record(pool, OFFERED_TOTAL, work, now)
 
-    def record_admitted(self, pool: int, work: float, now: float) -> None:
-        """Records that this router sends work to a runner."""
+    def record_admitted(
+        self, pool: int, customer: int, work: float, now: float
+    ) -> None:
+        """Records that this router sends a customer's work to a runner."""
         self._record(pool, ADMITTED_TOTAL, work, now)
+        served = self._served.setdefault(pool, {})
+        served.setdefault(customer, DecayedSum()).add(work, now)
+
+    def part_due(
+        self, pool: int, customer: int, level: float, now: float
+    ) -> float:
+        """Returns which part of a customer's work should be sent to runners.
+
+        It is what its fair share allows, corrected by what this router has sent
+        lately: a router that has many requests at the runners learns first when
+        one ends, and would otherwise serve its customers better.
+
+        Args:
+            pool: The pool.
+            customer: The customer.
+            level: Most recent work within its share, in tokens.
+            now: The time.
+        """
+        offered = self.offered(pool, customer, now)
+        if offered <= level:
+            return 1.0
+        due = level / offered
+        own = self._own.get(pool)
+        served = self._served.get(pool, {}).get(customer)
+        if own is None or served is None:
+            return due
+        due_work = due * own.offered_by(customer, now)
+        ratio = due_work / max(1.0, served.at(now))
+        return min(1.0, due * min(MAX_CORRECTION, max(ratio, 0.0)))
 
     def record_waiting(
         self, pool: int, work: float, seconds: float, now: float
@@ -218,9 +244,11 @@
             now: The time.
         """
         parts = self._parts(pool, now)
+        if pool in self._served:
+            self._served[pool] = _heaviest(self._served[pool], now)
         work: dict[int, float] = {}
         for shares in parts:
-            shares.prune(now)
+            shares.offered = _heaviest(shares.offered, now)
             for customer, found in shares.offered.items():
                 work[customer] = work.get(customer, 0.0) + found.at(now)
         # Customers that are not listed are light and keep what they ask for.
@@ -237,6 +265,14 @@
         return [side[pool] for side in sides if pool in side]
 
 
+def _heaviest(work: dict[int, DecayedSum], now: float) -> dict[int, DecayedSum]:
+    """Leaves out the lightest customers if there are too many."""
+    if len(work) <= MAX_CUSTOMERS:
+        return work
+    kept = sorted(work, key=lambda c: work[c].at(now), reverse=True)
+    return {customer: work[customer] for customer in kept[:MAX_CUSTOMERS]}
+
+
 @attrs.frozen
 class FairLevel:
     """A division of the capacity between customers.
--- a/knapweedarch/fair_admission.py
+++ b/knapweedarch/fair_admission.py
@@ -61,7 +61,7 @@
 WAIT_GOALS = 2.0
 # Work that may be admitted while nothing waits, as a multiple of the estimated
 # capacity. It allows for short bursts, which a wait evens out.
-FREE_CAPACITY_FACTOR = 1.0
+FREE_CAPACITY_FACTOR = 1.1
 
 
 class Outcome(str, enum.Enum):
@@ -350,8 +350,8 @@
         level = demand.refused_level
         if level == math.inf or not demand.is_contended(now):
             return False
-        offered = self.usage.offered(demand.pool, ask.customer, now)
-        return self._rng.random() * offered >= level
+        due = self.usage.part_due(demand.pool, ask.customer, level, now)
+        return self._rng.random() >= due
 
     def _share_wait_s(self, ask: Ask, now: float) -> float:
         """Returns when a customer is within its share if it asks no more."""
@@ -379,6 +379,9 @@
         else:
             # It looks several times until what others have sent is known.
             chance = own_room * LOOK_INTERVAL_S / REACTION_S
+        if not self.is_over_share(demand, ask.customer, now):
+            # The others leave the room to those within their share.
+            chance /= max(demand.within_part, LEAST_CAPACITY_PART)
         return self._rng.random() < chance
 
     def is_over_share(
--- a/knapweedarch/fair_placement.py
+++ b/knapweedarch/fair_placement.py
@@ -234,7 +234,9 @@
         needed_tokens = prompt.tokens + prompt.max_tokens
         demand.record_sent(needed_tokens, prompt.tokens, unread_tokens, now)
         if len(call.tried) <= 1:
-            self.admission.usage.record_admitted(demand.pool, call.work, now)
+            self.admission.usage.record_admitted(
+                *(demand.pool, _customer_digest(call), call.work, now)
+            )
 
     def end(self, call: ProxyCall, sent_at: float) -> None:
         """Records that an attempt has ended, which was sent at a time."""
