--- a/features/contention_world.py
+++ b/features/contention_world.py
@@ -414,7 +414,7 @@
         key = (sent.call.route.priority, is_over)
         queues.setdefault(key, []).append(sent)
         self.waited += 1
-        self._demand(sent).enter_queue(sent.call.work)
+        self._demand(sent).enter_queue(sent.call.work, is_over)
 
     def _demand(self, sent: Sent):
         fair = self.attempts[sent.router].fair
@@ -425,10 +425,10 @@
         for attempts, queues in zip(self.attempts, self._queues, strict=True):
             if attempts.fair is not None:
                 attempts.fair.refresh(self.clock.time)
-            for _, queue in sorted(queues.items()):
+            for (_, is_over), queue in sorted(queues.items()):
                 while queue and self._try(queue[0]):
                     sent = queue.pop(0)
-                    self._demand(sent).leave_queue(sent.call.work)
+                    self._demand(sent).leave_queue(sent.call.work, is_over)
 
     def _send(self, sent: Sent, endpoint: Endpoint) -> None:
         attempts, now = self.attempts[sent.router], self.clock.time
--- a/knapweedarch/class_demand.py
+++ b/knapweedarch/class_demand.py
@@ -31,6 +31,7 @@
         goal_s: Latency goal of the last request, in seconds.
         running: Requests of this router at the runners.
         waiting: Requests that wait at this router.
+        waiting_within: Those of them whose customers are within their share.
         waiting_work: Their work in tokens.
         waited_until: Until when their wait is recorded.
         contended_at: When a request last found no room.
@@ -47,6 +48,7 @@
     goal_s: float = 0.0
     running: int = 0
     waiting: int = 0
+    waiting_within: int = 0
     waiting_work: float = 0.0
     waited_until: float = 0.0
     contended_at: float = -math.inf
@@ -104,14 +106,21 @@
         self._ended.add(1.0, now)
         self._hold_s.add(now - sent_at, now)
 
-    def enter_queue(self, work: float) -> None:
-        """Records that a request begins to wait here."""
+    def enter_queue(self, work: float, is_over: bool) -> None:
+        """Records that a request begins to wait here.
+
+        Args:
+            work: Its work in tokens.
+            is_over: Whether its customer asks for more than its share.
+        """
         self.waiting += 1
+        self.waiting_within += not is_over
         self.waiting_work += work
 
-    def leave_queue(self, work: float) -> None:
-        """Records that a request waits no more."""
+    def leave_queue(self, work: float, is_over: bool) -> None:
+        """Records that a request waits no more, see `enter_queue`."""
         self.waiting -= 1
+        self.waiting_within -= not is_over
         self.waiting_work -= work
 
     def rate(self, now: float) -> float:
--- a/knapweedarch/fair_admission.py
+++ b/knapweedarch/fair_admission.py
@@ -368,7 +368,9 @@
         takes it with the chance that leaves room for all that wait for it.
         """
         demand = ask.demand
-        if not ask.has_runner or (ask.is_new and demand.waiting):
+        is_over = self.is_over_share(demand, ask.customer, now)
+        before = demand.waiting if is_over else demand.waiting_within
+        if not ask.has_runner or (ask.is_new and before):
             return False
         own_part = self._own_part(demand, now)
         if own_part >= 1.0:
@@ -379,7 +381,7 @@
         else:
             # It looks several times until what others have sent is known.
             chance = own_room * LOOK_INTERVAL_S / REACTION_S
-        if not self.is_over_share(demand, ask.customer, now):
+        if not is_over:
             # The others leave the room to those within their share.
             chance /= max(demand.within_part, LEAST_CAPACITY_PART)
         return self._rng.random() < chance
--- a/knapweedarch/fair_placement.py
+++ b/knapweedarch/fair_placement.py
@@ -205,7 +205,7 @@
         is_over = self.is_over(call, began_at)
         key = (first_urgency(call), is_over, call.service.name)
         self._metrics.count("fair.waited")
-        demand.enter_queue(call.work)
+        demand.enter_queue(call.work, is_over)
         try:
             with self._queue.place(key) as place:
                 endpoint = None
@@ -217,7 +217,7 @@
                         break
                 return endpoint
         finally:
-            demand.leave_queue(call.work)
+            demand.leave_queue(call.work, is_over)
             self._metrics.timing("fair.wait", self._clock.now() - began_at)
 
     def start(self, call: ProxyCall, unread_tokens: int) -> None:
--- a/knapweedarch/runner_room.py
+++ b/knapweedarch/runner_room.py
@@ -24,8 +24,8 @@
         kept_slots: Slots that are kept free, on average; negative if requests
             may be queued there.
         kept_tokens: Memory kept free for each of these slots, in tokens.
-        yielded_slots: Slots that are kept free beside these, on average, for
-            other requests of the class.
+        yielded_slots: Requests for whose slots, memory and prompts room is left
+            beside that, on average, as it is for others of the class.
         unread_tokens: Most prompt tokens that may be read before the request.
         prompt_tokens: Prompt tokens that a request of the class adds.
         blind_requests: Requests that routers have sent to a runner, on average,
@@ -55,7 +55,7 @@
         return math.floor(self.kept_slots + endpoint / _DIGEST_RANGE)
 
     def yielded_at(self, endpoint: int) -> int:
-        """Returns the slots kept free for others of the class at a runner."""
+        """Returns the requests for which room is left at a runner."""
         if not self.yielded_slots:
             return 0
         return math.floor(self.yielded_slots + endpoint / _DIGEST_RANGE)
@@ -111,21 +111,47 @@
         self.unread_tokens += load.unread_tokens
         if load.requests and unread_tokens > limits.unread_tokens:
             return False
-        yielded = limits.yielded_at(load.endpoint)
-        room = math.ceil(usable_slots - yielded - requests)
-        left_tokens = usable_tokens - held_tokens
-        if not load.requests:
-            # An empty runner takes any request that fits into its memory.
-            left_tokens = self.memory_tokens
-        room = min(room, int(left_tokens // max(1, self.needed_tokens)))
-        if limits.unread_tokens < math.inf:
-            unread_left = limits.unread_tokens - unread_tokens
-            room = min(room, 1 + int(unread_left // limits.prompt_tokens))
+        room = self._room_at(
+            *(load, usable_slots - requests, usable_tokens - held_tokens),
+            limits.unread_tokens - unread_tokens,
+        )
         self.room += max(0, room)
         # The fuller a runner is, the more seldom each router considers it: all
         # see the same room, some time after it came to be.
         return self.sample() * (1.0 + limits.blind_requests) < room
 
+    def _room_at(
+        self,
+        load: EndpointLoad,
+        slots: float,
+        held_tokens: float,
+        unread_tokens: float,
+    ) -> int:
+        """Returns how many requests of this size fit at a runner.
+
+        Args:
+            load: Its load.
+            slots: Slots that are left.
+            held_tokens: Memory that is left, in tokens.
+            unread_tokens: Prompt tokens that may still be sent.
+        """
+        limits = self.limits
+        yielded = limits.yielded_at(load.endpoint)
+        needed_tokens = max(1, self.needed_tokens)
+        if not load.requests:
+            # An empty runner takes any request that fits into its memory.
+            return max(
+                int(self.memory_tokens >= needed_tokens),
+                min(
+                    math.floor(slots) - yielded,
+                    self.memory_tokens // needed_tokens,
+                ),
+            )
+        room = min(math.ceil(slots), int(held_tokens // needed_tokens))
+        if unread_tokens < math.inf:
+            room = min(room, 1 + int(unread_tokens // limits.prompt_tokens))
+        return room - yielded
+
     def compared(self, count: int) -> int:
         """Returns how many of some runners are compared; at least two.
 
