Drop the second draw per runner

Cause: each router considered a runner with little room by chance and then drew again whether to send; in the model a third of the runners read nothing while requests waited.

--- a/knapweedarch/runner_room.py
+++ b/knapweedarch/runner_room.py
@@ -116,9 +116,7 @@
             limits.unread_tokens - unread_tokens,
         )
         self.room += max(0, room)
-        # The fuller a runner is, the more seldom each router considers it: all
-        # see the same room, some time after it came to be.
-        return self.sample() * (1.0 + limits.blind_requests) < room
+        return room > 0
 
     def _room_at(
         self,
