--- a/knapweedarch/class_demand.py
+++ b/knapweedarch/class_demand.py
@@ -9,6 +9,7 @@
 import attrs
 
 from knapweedarch.customer_usage import DecayedSum
+from knapweedarch.runner_room import RoomLimits
 
 # Time after which the rate of requests counts half; it follows a burst.
 RATE_HALF_LIFE_S = 1.0
@@ -37,6 +38,10 @@
         contended_at: When a request last found no room.
         fullness: How full the runners were at the last request; 1 is full.
         limit_s: Time that the last request had for its answer, in seconds.
+        own_part: This router's part of the requests, from 0 to 1.
+        own_part_at: When that was computed.
+        limits: What a request may use of each runner.
+        limits_at: When that was computed.
         level: Most recent work of a customer that is within its fair share.
         refused_level: The same with the work that may wait. What a customer
             asks for beyond it is refused.
@@ -54,6 +59,10 @@
     contended_at: float = -math.inf
     fullness: float = 0.0
     limit_s: float = 0.0
+    own_part: float = 1.0
+    own_part_at: float = -math.inf
+    limits: RoomLimits = attrs.field(factory=RoomLimits)
+    limits_at: float = -math.inf
     level: float = math.inf
     refused_level: float = math.inf
     within_part: float = 1.0
--- a/knapweedarch/customer_usage.py
+++ b/knapweedarch/customer_usage.py
@@ -37,7 +37,7 @@
 # Most by which a customer's part is raised if little of its work was sent.
 MAX_CORRECTION = 2.0
 # Customers of a pool that are remembered; beyond it the lightest are forgotten.
-MAX_CUSTOMERS = 4 * MAX_USAGE_ENTRIES
+MAX_CUSTOMERS = 2 * MAX_USAGE_ENTRIES
 
 
 def work_of(unread_tokens: int, answer_tokens: int) -> int:
@@ -64,8 +64,8 @@
 
     def at(self, now: float) -> float:
         """Returns the sum."""
-        if not self._sum:
-            return 0.0
+        if not self._sum or now == self._at:
+            return self._sum
         return self._sum * decay_factor(now - self._at, self.half_life_s)
 
     def rate(self, now: float) -> float:
@@ -232,31 +232,21 @@
             return 1.0
         return min(1.0, own.offered_total.at(now) / total)
 
-    def fair_level(self, pool: int, capacity: float, now: float) -> "FairLevel":
-        """Divides the capacity by max-min fairness.
+    def demands(self, pool: int, now: float) -> "Demands":
+        """Returns what the customers of a pool asked for lately.
 
-        This loops over the customers of the pool and is not called for each
-        request.
-
-        Args:
-            pool: The pool.
-            capacity: Recent work that the pool can do, in tokens.
-            now: The time.
+        This loops over the listed customers and is not called for each request.
         """
-        parts = self._parts(pool, now)
         if pool in self._served:
             self._served[pool] = _heaviest(self._served[pool], now)
         work: dict[int, float] = {}
-        for shares in parts:
+        for shares in self._parts(pool, now):
             shares.offered = _heaviest(shares.offered, now)
             for customer, found in shares.offered.items():
                 work[customer] = work.get(customer, 0.0) + found.at(now)
-        # Customers that are not listed are light and keep what they ask for.
-        total = max(self.offered_total(pool, now), sum(work.values()))
-        unlisted = total - sum(work.values())
-        level = max_min_level(work.values(), capacity - unlisted)
-        over = sum(tokens for tokens in work.values() if tokens > level)
-        return FairLevel(level, 1.0 - over / total if total else 1.0)
+        listed = sum(work.values())
+        total = max(self.offered_total(pool, now), listed)
+        return Demands(sorted(work.values()), total, total - listed)
 
     def _parts(self, pool: int, now: float) -> list[_Shares]:
         sides = [self._own]
@@ -274,17 +264,31 @@
 
 
 @attrs.frozen
-class FairLevel:
-    """A division of the capacity between customers.
+class Demands:
+    """Recent work that customers asked for, in tokens.
 
     Attributes:
-        level: Most work of one customer, in tokens; infinite if there is
-            enough for all.
-        within_part: Part of all work that those ask for who stay within it.
+        listed: That of each listed customer, in ascending order.
+        total: That of all customers.
+        unlisted: That of the others. They are light, and keep what they ask
+            for.
     """
 
-    level: float = math.inf
-    within_part: float = 1.0
+    listed: list[float]
+    total: float
+    unlisted: float
+
+    def fair_level(self, capacity: float) -> float:
+        """Returns the most work of one customer in a max-min fair division.
+
+        It is infinite if there is enough for all.
+        """
+        return max_min_level(self.listed, capacity - self.unlisted)
+
+    def within_part(self, level: float) -> float:
+        """Returns the part that customers up to a level ask for."""
+        over = sum(work for work in self.listed if work > level)
+        return 1.0 - over / self.total if self.total else 1.0
 
 
 def max_min_level(demands: Iterable[float], capacity: float) -> float:
--- a/knapweedarch/fair_admission.py
+++ b/knapweedarch/fair_admission.py
@@ -49,8 +49,12 @@
 AGED_PART = 0.5
 # Least requests a second at which a class counts as in use.
 LEAST_RATE = 0.01
+# Least part of the requests that a router is assumed to have.
+LEAST_OWN_PART = 1e-3
 # Interval at which fair shares are computed.
 LEVEL_INTERVAL_S = 0.1
+# Most by which a share grows in this time while requests find no room.
+LEVEL_GROWTH = 1.3
 # Least part of what is asked for that counts as capacity. Without it a class
 # that got nothing for a while would never be sent anything again.
 LEAST_CAPACITY_PART = 0.1
@@ -205,6 +209,36 @@
             now: The time.
         """
         own = self.demand(service, priority)
+        if now - own.limits_at >= LOOK_INTERVAL_S:
+            own.limits_at = now
+            own.limits = self._class_limits(
+                service, priority, slots, tokens_s, now
+            )
+        found = own.limits
+        if is_over and (waited <= 0 or found.kept_slots < 0):
+            return found
+        kept = found.kept_slots
+        return RoomLimits(
+            (1.0 - waited) * kept if kept > 0 else kept,
+            found.kept_tokens,
+            found.yielded_slots if is_over else 0.0,
+            *(found.unread_tokens, found.prompt_tokens, found.blind_requests),
+            *(found.grown_slots, found.grown_tokens, found.grown_unread),
+        )
+
+    def _class_limits(
+        self,
+        service: str,
+        priority: int,
+        slots: int,
+        tokens_s: float,
+        now: float,
+    ) -> RoomLimits:
+        """Returns the limits of requests that have not waited.
+
+        They are those of customers that ask for more than their share.
+        """
+        own = self.demand(service, priority)
         urgent = [
             demand
             for other, demand in self._services[service].items()
@@ -213,29 +247,21 @@
         blind = self._blind_requests(service, now)
         growth = self._trends[service].growth(now)
         prompt_tokens = max(1.0, own.unread_tokens(now))
-        yielded = 0.0
-        if is_over:
-            yielded = self._kept_slots(service, [own], own.within_part, now)
+        yielded = self._kept_slots(service, [own], own.within_part, now)
         if not urgent:
             return RoomLimits(
                 *(-_queued(own, slots, now), 0.0, yielded),
                 *(_own_unread(own, tokens_s, now), prompt_tokens, blind),
                 *(0.0, *growth[1:]),
             )
-        unread_tokens = max(
-            tokens_s
-            * (
-                BLIND_PART * REACTION_S
-                + min(URGENT_GOAL_PART * demand.goal_s for demand in urgent)
-            ),
-            own.unread_tokens(now),
-        )
+        goal_s = min(URGENT_GOAL_PART * demand.goal_s for demand in urgent)
+        unread_tokens = (goal_s + BLIND_PART * REACTION_S) * tokens_s
         return RoomLimits(
-            (1.0 - waited) * self._kept_slots(service, urgent, 1.0, now),
+            self._kept_slots(service, urgent, 1.0, now),
             max(demand.needed_tokens(now) for demand in urgent),
             yielded,
-            *(unread_tokens, prompt_tokens, blind),
-            *growth,
+            max(unread_tokens, own.unread_tokens(now)),
+            *(prompt_tokens, blind, *growth),
         )
 
     def _kept_slots(
@@ -280,7 +306,12 @@
         return demand.rate(now) / self._own_part(demand, now)
 
     def _own_part(self, demand: ClassDemand, now: float) -> float:
-        return max(1e-3, self.usage.own_part(demand.pool, now))
+        """Returns this router's part of the requests of a class."""
+        if now - demand.own_part_at >= LOOK_INTERVAL_S:
+            demand.own_part_at = now
+            part = self.usage.own_part(demand.pool, now)
+            demand.own_part = max(LEAST_OWN_PART, part)
+        return demand.own_part
 
     def decide(
         self, service: str, ask: Ask, search: RoomSearch, now: float
@@ -420,10 +451,13 @@
         # The load at the runners is in proportion to what was sent there.
         fullness = min(1.0, max(demand.fullness, LEAST_CAPACITY_PART))
         capacity = max(least, usage.admitted(pool, now) / fullness)
-        found = usage.fair_level(pool, capacity, now)
-        demand.level, demand.within_part = found.level, found.within_part
+        demands = usage.demands(pool, now)
+        found = demands.fair_level(capacity)
+        # The load changes faster than the usage of the customers.
+        demand.level = min(found, LEVEL_GROWTH * demand.level)
+        demand.within_part = demands.within_part(demand.level)
         capacity = max(least, capacity * self._waiting_factor(demand, now))
-        demand.refused_level = usage.fair_level(pool, capacity, now).level
+        demand.refused_level = demands.fair_level(capacity)
 
     def _waiting_factor(self, demand: ClassDemand, now: float) -> float:
         """Returns how much work may be asked for, as a ratio of the capacity.
--- a/knapweedarch/runner_room.py
+++ b/knapweedarch/runner_room.py
@@ -52,6 +52,8 @@
         Args:
             endpoint: Hash of the runner's id.
         """
+        if not self.kept_slots:
+            return 0
         return math.floor(self.kept_slots + endpoint / _DIGEST_RANGE)
 
     def yielded_at(self, endpoint: int) -> int:
