--- a/features/contention.feature
+++ b/features/contention.feature
@@ -4,6 +4,17 @@
   with bursts run a model of routers and runners in virtual time, in which loads
   are known 0.2 s late. A burst begins at 6 s and lasts 4 s.
 
+  Scenario: One customer at twenty times its usual is not served before others
+    Load: one customer with a quarter of the requests sends twenty times as
+    many. Guards as the next scenario, at an overload that fills every queue.
+    Given 8 contending routers and 6 runners
+    And 9 customers with 16 long and 12 urgent requests a second
+    And customer 0 has a quarter of them
+    When customer 0 sends 20 times its usual in the burst
+    Then of the others' long requests at least 0.95 are answered
+    And of the others' long requests at least 0.15 more are in time than without fairness
+    And of the others' urgent requests at least 0.9 are in time
+
   Scenario: One customer at six times its usual costs the others nothing
     Load: one customer with a quarter of the requests sends six times as many.
     Guards against a division by who asks most: the others' prompts wait behind
@@ -124,6 +135,11 @@
     Load: any demands. Guards against a level that wastes or overspends it.
     Then for any demands the capped demands add up to the capacity
 
+  Scenario: The part of customers within their share is a part
+    Load: any. Guards against a rounding below 0, of which a root was taken: an
+    error in place of a decision.
+    Then for any usage the part within any level is from 0 to 1
+
   Scenario: Reports of usage keep their values
     Load: any. Guards against entries that are lost, doubled or misread on their
     way, and a router that is told its own work.
--- a/features/steps/contention_steps.py
+++ b/features/steps/contention_steps.py
@@ -475,6 +475,24 @@
     check()
 
 
+@then("for any usage the part within any level is from 0 to 1")
+def check_within_part(context):
+    work = st.floats(0.001, 1e9, allow_nan=False)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @for_all(st.lists(work, min_size=1, max_size=9), st.floats(0, 1e9))
+    def check(amounts, capacity):
+        usage = CustomerUsage()
+        for number, amount in enumerate(amounts):
+            usage.record_offered(9, 100 + number, amount, 1.0 + number)
+        demands = usage.demands(9, 20.0)
+        level = demands.fair_level(capacity)
+        assert 0.0 <= demands.within_part(level) <= 1.0
+        assert 0.0 <= demands.within_part(0.0) <= 1.0
+
+    check()
+
+
 ENTRIES = st.builds(
     UsageEntry,
     st.integers(0, 2**32 - 1),
--- a/knapweedarch/customer_usage.py
+++ b/knapweedarch/customer_usage.py
@@ -288,7 +288,8 @@
     def within_part(self, level: float) -> float:
         """Returns the part that customers up to a level ask for."""
         over = sum(work for work in self.listed if work > level)
-        return 1.0 - over / self.total if self.total else 1.0
+        # The rounding of the sum must not make it negative.
+        return max(0.0, 1.0 - over / self.total) if self.total else 1.0
 
 
 def max_min_level(demands: Iterable[float], capacity: float) -> float:
