Take the rate of a class at all routers from the work asked for

Cause: a router's own rate was divided by its part of the requests, which is near 0 after a pause; one request then counted as 624 a second, and others waited although the runners had room.

--- a/bench/fair_admission.py
+++ b/bench/fair_admission.py
@@ -30,7 +30,7 @@
         demand = admission.demand(SERVICE, priority)
         for number, digest in enumerate(digests):
             now = number * 1e-4
-            demand.record_request(1.0, 4.0, now)
+            demand.record_request(9_000, 1.0, 4.0, now)
             demand.record_sent(9_000, 9_000, 3_000, now)
             admission.usage.record_offered(demand.pool, digest, 9_000, now)
             admission.usage.record_admitted(demand.pool, digest, 4_000, now)
--- a/knapweedarch/class_demand.py
+++ b/knapweedarch/class_demand.py
@@ -74,22 +74,29 @@
         factory=lambda: DecayedSum(RATE_HALF_LIFE_S)
     )
     _needed_tokens: DecayedSum = attrs.field(factory=_need)
+    _asked: DecayedSum = attrs.field(factory=_need)
+    _asked_work: DecayedSum = attrs.field(factory=_need)
     _prompt_tokens: DecayedSum = attrs.field(factory=_need)
     _unread_tokens: DecayedSum = attrs.field(factory=_need)
     _sent: DecayedSum = attrs.field(factory=_need)
     _hold_s: DecayedSum = attrs.field(factory=_need)
     _ended: DecayedSum = attrs.field(factory=_need)
 
-    def record_request(self, goal_s: float, limit_s: float, now: float) -> None:
+    def record_request(
+        self, work: float, goal_s: float, limit_s: float, now: float
+    ) -> None:
         """Records a new request.
 
         Args:
+            work: Its work in tokens.
             goal_s: Its latency goal in seconds.
             limit_s: Time that it has for its answer, in seconds.
             now: The time.
         """
         self.goal_s, self.limit_s = goal_s, limit_s
         self._requests.add(1.0, now)
+        self._asked.add(1.0, now)
+        self._asked_work.add(work, now)
 
     def record_sent(
         self, needed: int, prompt: int, unread: int, now: float
@@ -136,6 +143,10 @@
         """Returns the requests a second at this router."""
         return self._requests.rate(now)
 
+    def work(self, now: float) -> float:
+        """Returns the mean work of a request in tokens; 0 if unknown."""
+        return _mean(self._asked_work, self._asked, now)
+
     def hold_s(self, now: float) -> float:
         """Returns how long a request stays at a runner; 0 if unknown."""
         return _mean(self._hold_s, self._ended, now)
--- a/knapweedarch/customer_usage.py
+++ b/knapweedarch/customer_usage.py
@@ -220,6 +220,10 @@
         """Returns the recent work that was sent to runners, in tokens."""
         return sum(s.admitted.at(now) for s in self._parts(pool, now))
 
+    def offered_rate(self, pool: int, now: float) -> float:
+        """Returns the work that all customers ask for in a second."""
+        return sum(s.offered_total.rate(now) for s in self._parts(pool, now))
+
     def admitted_rate(self, pool: int, now: float) -> float:
         """Returns the work that is sent to runners in a second, in tokens."""
         return sum(s.admitted.rate(now) for s in self._parts(pool, now))
--- a/knapweedarch/fair_admission.py
+++ b/knapweedarch/fair_admission.py
@@ -303,7 +303,10 @@
 
     def _total_rate(self, demand: ClassDemand, now: float) -> float:
         """Returns the requests a second of a class at all routers."""
-        return demand.rate(now) / self._own_part(demand, now)
+        own, work = demand.rate(now), demand.work(now)
+        if not work:
+            return own
+        return max(own, self.usage.offered_rate(demand.pool, now) / work)
 
     def _own_part(self, demand: ClassDemand, now: float) -> float:
         """Returns this router's part of the requests of a class."""
@@ -332,7 +335,7 @@
         self._trends[service].record(search, now)
         demand.fullness = search.fullness()
         if ask.is_new:
-            demand.record_request(ask.goal_s, ask.left_s, now)
+            demand.record_request(ask.work, ask.goal_s, ask.left_s, now)
             self.usage.record_offered(demand.pool, ask.customer, ask.work, now)
         is_calm = search.has_slack and not demand.waiting
         if not search.room or demand.waiting:
@@ -408,7 +411,8 @@
             return True
         own_room = search.room * own_part
         if ask.is_new:
-            chance = own_room / max(REACTION_S * demand.rate(now), 1e-6)
+            expected = REACTION_S * self._total_rate(demand, now)
+            chance = search.room / max(expected, 1e-6)
         else:
             # It looks several times until what others have sent is known.
             chance = own_room * LOOK_INTERVAL_S / REACTION_S
