--- a/features/contention.feature
+++ b/features/contention.feature
@@ -192,3 +192,25 @@
     Given a member with 2 routers, of which one is of an older build
     When a router sends a malformed report of usage
     Then its link is closed
+
+  Scenario: A waiting request is sent once a runner has room
+    Load: runners whose memory is full. Guards against requests that are
+    forgotten in the queue, or go on waiting when room comes.
+    Given a router in front of a runner whose memory is full
+    When a request is placed, and later the runner has room
+    Then it has waited and is placed at the runner
+    And no request is counted as waiting
+
+  Scenario: A waiting request whose caller leaves is forgotten
+    Load: callers that give up. Guards against a count of waiting requests that
+    only grows, by which others are refused.
+    Given a router in front of a runner whose memory is full
+    When a request is placed, and its caller leaves
+    Then no request is counted as waiting
+
+  Scenario: A waiting request is refused at the end of its time
+    Load: a runner that never has room. Guards against callers held for ever.
+    Given a router in front of a runner whose memory is full
+    When a request with 0.2 s left is placed, and the runner stays full
+    Then it is refused as not run, with the time after which to return
+    And no request is counted as waiting
