--- a/knapweedarch/customer_usage.py
+++ b/knapweedarch/customer_usage.py
@@ -100,7 +100,7 @@
             case usage_messages.WAITING_TOTAL:
                 self.waiting.add(work, now)
             case _:
-                self.offered.setdefault(customer, DecayedSum()).add(work, now)
+                _sum_of(self.offered, customer).add(work, now)
 
     def offered_by(self, customer: int, now: float) -> float:
         """Returns the work that a customer asked for."""
@@ -132,7 +132,7 @@
         """Records that this router sends a customer's work to a runner."""
         self._record(pool, ADMITTED_TOTAL, work, now)
         served = self._served.setdefault(pool, {})
-        served.setdefault(customer, DecayedSum()).add(work, now)
+        _sum_of(served, customer).add(work, now)
 
     def part_due(
         self, pool: int, customer: int, level: float, now: float
@@ -176,7 +176,10 @@
     def _record(
         self, pool: int, customer: int, work: float, now: float
     ) -> None:
-        self._own.setdefault(pool, _Shares()).add(customer, work, now)
+        shares = self._own.get(pool)
+        if shares is None:
+            shares = self._own[pool] = _Shares()
+        shares.add(customer, work, now)
         key = (pool, customer)
         self._unreported[key] = self._unreported.get(key, 0.0) + work
 
@@ -253,10 +256,20 @@
         return Demands(sorted(work.values()), total, total - listed)
 
     def _parts(self, pool: int, now: float) -> list[_Shares]:
-        sides = [self._own]
+        own = self._own.get(pool)
+        parts = [] if own is None else [own]
         if self.is_shared(now):
-            sides.append(self._peers)
-        return [side[pool] for side in sides if pool in side]
+            peers = self._peers.get(pool)
+            if peers is not None:
+                parts.append(peers)
+        return parts
+
+
+def _sum_of(sums: dict[int, DecayedSum], customer: int) -> DecayedSum:
+    found = sums.get(customer)
+    if found is None:
+        found = sums[customer] = DecayedSum()
+    return found
 
 
 def _heaviest(work: dict[int, DecayedSum], now: float) -> dict[int, DecayedSum]:
