--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -29,6 +29,7 @@
     Subscribed,
 )
 from knapweedarch.state import EndpointEntry
+from knapweedarch.usage_messages import UsageReport
 
 
 @attrs.frozen
@@ -399,7 +400,7 @@
     *(Heartbeat, HeartbeatNoted, ReadDeployment, DeploymentDocument),
     *(Join, Joining, Subscribe, Subscribed, Relayed),
     *(ResendSources, LoadChanges, LoadTotals),
-    *(PartReports, PartNotices, EndpointRates),
+    *(PartReports, PartNotices, EndpointRates, UsageReport),
     *(StreamOrigins, FindOrigins, OriginsFound, FindPeers, PeersFound),
     *QUOTA_MESSAGES,
     *(ReadVersions, ServiceVersions, SpeedReport, CapacityReport),
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -25,6 +25,7 @@
 from knapweedarch.prompt_parts import Prompt
 from knapweedarch.relay_messages import EndpointLoad
 from knapweedarch.runner_roles import RunnerRoles, WorkMix, is_prompt_heavy
+from knapweedarch.runner_room import RoomSearch
 from knapweedarch.speed_samples import Observation
 from knapweedarch.stored_parts import PartsIndex, shared_digests
 from knapweedarch.target_weights import TargetWeights
@@ -183,6 +184,7 @@
         cautious: Collection[str] = (),
         needs_room: bool = False,
         kind: str = "",
+        room: RoomSearch | None = None,
     ) -> Endpoint | None:
         """Chooses the usable endpoint with the lowest cost, or None.
 
@@ -200,6 +202,8 @@
             needs_room: Whether any endpoint gets it only if it has room, as far
                 as loads are known.
             kind: Kind of a request without a prompt; see `start_observation`.
+            room: What the request may use of each endpoint, as far as loads are
+                known; None if that is not limited.
         """
         self._now = now
         untried = [
@@ -218,6 +222,10 @@
                 if not _is_full(e, self._known_load(e), prompt, memory_tokens)
                 and self._known_load(e).requests < self._stats.get(e).limit
             ]
+        if room is not None:
+            usable = [
+                e for e in usable if room.admits(self._known_load(e), e.slots)
+            ]
         if cautious:
             usable = self._with_room(
                 *(usable, cautious, prompt, memory_tokens, now)
@@ -233,6 +241,10 @@
             cached_tokens = self._cached_tokens(endpoints, prompt, salt, now)
         max_cached_tokens = _max_by_weights(endpoints, cached_tokens)
         base_s = self._base_s(prompt, kind)
+        if room is not None and prompt is not None:
+            usable = self._compared_runners(
+                *(usable, prompt, cached_tokens, room)
+            )
         return min(
             usable,
             key=lambda e: self._cost(
@@ -306,6 +318,34 @@
         weight = min(endpoint.slots, stats.limit) / stats.slowness
         return self._rng.random() ** (1.0 / weight)
 
+    def _compared_runners(
+        self,
+        usable: Sequence[Endpoint],
+        prompt: Prompt,
+        cached_tokens: dict[str, int],
+        room: RoomSearch,
+    ) -> list[Endpoint]:
+        """Returns runners to compare: some of each kind, picked by chance.
+
+        Near ones and those that have most of the prompt cached are kinds of
+        their own, so that each is found although few are compared.
+        """
+        kinds: dict[tuple[bool, bool], list[Endpoint]] = {}
+        for endpoint in usable:
+            is_near = self._distance_s(endpoint) <= self._cfg.local_distance_s
+            is_cached = 2 * cached_tokens.get(endpoint.id, 0) >= prompt.tokens
+            kinds.setdefault((is_near, is_cached), []).append(endpoint)
+        return [
+            endpoint
+            for kind in kinds.values()
+            for endpoint in self._rng.sample(kind, room.compared(len(kind)))
+        ]
+
+    def _distance_s(self, endpoint: Endpoint) -> float:
+        """Returns the one-way delay to an endpoint's data centre."""
+        cfg = self._cfg
+        return cfg.distance_s.get(endpoint.data_centre, cfg.unlisted_distance_s)
+
     def is_usable(self, endpoint: Endpoint, now: float) -> bool:
         """Returns whether an endpoint is neither silent nor avoided."""
         return (
@@ -473,9 +513,7 @@
             base_s: Usual time of the request apart from its prefill.
         """
         cfg, stats = self._cfg, self._stats.get(endpoint)
-        distance_s = cfg.distance_s.get(
-            endpoint.data_centre, cfg.unlisted_distance_s
-        )
+        distance_s = self._distance_s(endpoint)
         remote_penalty_s = (
             cfg.remote_penalty_s if distance_s > cfg.local_distance_s else 0.0
         )
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -99,6 +99,10 @@
         rejections: Attempts since then that were not run.
         check_caller: Waits until it is known whether the caller has left.
         is_refused: Whether it was answered that it has not run and never will.
+        waits_for_room: Whether it waits here until a runner has room for it.
+        work: Its work in tokens; see `customer_usage`.
+        was_admitted: Whether it was looked at by `fair_admission`.
+        is_over_share: Whether it is refused as its customer has its share.
     """
 
     req: Request
@@ -124,6 +128,10 @@
     rejections: int = 0
     check_caller: Callable[[], Awaitable[None]] = wait_for_nobody
     is_refused: bool = False
+    waits_for_room: bool = False
+    work: int = 0
+    was_admitted: bool = False
+    is_over_share: bool = False
 
     @property
     def takes_up(self) -> bool:
@@ -191,6 +199,11 @@
     """
     if call.send_count > 1:
         return 0
+    return first_urgency(call)
+
+
+def first_urgency(call: ProxyCall) -> int:
+    """Returns the urgency of a request that was sent at most once before."""
     customer_priority = (call.customer and call.customer.priority) or 0
     rank = ROUTE_PRIORITY_LEVELS * customer_priority + call.route.priority
     return min(LOWEST_URGENCY, 1 + rank)
--- a/knapweedarch/relay_client.py
+++ b/knapweedarch/relay_client.py
@@ -27,6 +27,7 @@
 )
 from knapweedarch.relayed_parts import RelayedParts
 from knapweedarch.task_groups import TaskOwner
+from knapweedarch.usage_messages import UsageReport
 
 RETRY_DELAY_S = 0.1
 SUBSCRIBE_TIMEOUT_S = 1.0
@@ -52,6 +53,7 @@
         on_notices: Called with what the member tells about parts of prompts.
         on_rates: Called with the requests of others to limited endpoints.
         on_capacities: Called with what the member learnt of endpoints.
+        on_usage: Called with what customers ask of other routers.
         on_subscribed: Called when a member has accepted the subscription.
         on_quota_grant: Called with tokens of customers' quotas.
     """
@@ -76,6 +78,7 @@
         self.on_rates: Callable[[EndpointRates], None] = lambda rates: None
         self.on_quota_grant: Callable[[QuotaGrant], None] = lambda grant: None
         self.on_capacities: Callable[[CapacityReport], None] = lambda _: None
+        self.on_usage: Callable[[UsageReport], None] = lambda report: None
         self.on_subscribed: list[Callable[[], None]] = []
         self._loads = PeerLoads()
         self._link: links.Link | None = None
@@ -132,7 +135,8 @@
         | EndpointRates
         | StreamOrigins
         | QuotaAsk
-        | SpeedReport,
+        | SpeedReport
+        | UsageReport,
     ) -> None:
         """Sends reports to the member; they are lost without subscription."""
         if self.is_subscribed:
@@ -256,6 +260,8 @@
                 self.on_quota_grant(message)
             case CapacityReport():
                 self.on_capacities(message)
+            case UsageReport():
+                self._receive_usage(link, message)
 
     def _accept(self, relay: Subscribed) -> None:
         self._relay = relay
@@ -273,6 +279,13 @@
             log("relay_message_refused", peer=link.peer, reason=str(exc))
             link.close()
 
+    def _receive_usage(self, link: links.Link, report: UsageReport) -> None:
+        try:
+            self.on_usage(report)
+        except ValueError as exc:
+            log("relay_message_refused", peer=link.peer, reason=str(exc))
+            link.close()
+
     def _receive_loads(self, link: links.Link, totals: LoadTotals) -> None:
         try:
             self._loads.receive(unpack_loads(totals.packed))
--- a/knapweedarch/relay_messages.py
+++ b/knapweedarch/relay_messages.py
@@ -15,7 +15,7 @@
 # build takes. Each part that adds relay messages adds their names here.
 ACCEPTED_MESSAGES: tuple[str, ...] = (
     *("QuotaAsk", "QuotaGrant", "QuotaBorrow", "QuotaLoan"),
-    *("SpeedReport", "CapacityReport"),
+    *("SpeedReport", "CapacityReport", "UsageReport"),
 )
 
 
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -37,6 +37,8 @@
     *("caller_memory", "caller_bounds", "chunked_body", "message_ends"),
     *("capacity_messages", "endpoint_capacity", "speed_samples"),
     *("learnt_capacities", "capacity_relay", "held_room"),
+    *("usage_messages", "usage_relay", "customer_usage", "runner_room"),
+    *("class_demand", "fair_admission"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
