--- a/features/contention.feature
+++ b/features/contention.feature
@@ -176,7 +176,7 @@
     Guards against reports that grow with the routers, and against an older
     router or member that closes its link on a message it does not know.
     Given a member with <routers> routers, of which one is of an older build
-    And another member that takes reports of usage, and an older one
+    And a further member that takes reports of usage, and an older one
     When the routers report the usage of 2300 customers for 5 s
     Then each router that takes it receives at most 1800 bytes of usage a second
     And the older router and the older member receive none
--- a/features/steps/usage_relay_steps.py
+++ b/features/steps/usage_relay_steps.py
@@ -68,7 +68,7 @@
         )
 
 
-@given("another member that takes reports of usage, and an older one")
+@given("a further member that takes reports of usage, and an older one")
 def given_members(context):
     context.new_member, context.old_member = RecordingLink(), RecordingLink()
     for name, link, accepts in (
