Close connections of the gateway whose input has ended without a request (partial)

Cause: hypercorn keeps such a connection for its idle timeout of 75 s, also one that was ended for others.

--- a/knapweedarch/gateway_connections.py
+++ b/knapweedarch/gateway_connections.py
@@ -69,6 +69,13 @@
         if not self.running and self.head_began_at is None:
             self.head_began_at = self.progressed_at
 
+    def is_over(self) -> bool:
+        """Returns whether the end of its input ends the connection.
+
+        A caller may end its side and wait for its answer.
+        """
+        return self.is_ending or not self.running
+
     def begin_request(self) -> None:
         """Records that a head was read."""
         self.running += 1
@@ -187,6 +194,7 @@
         )
         self._open[key] = connection
         conn.on_received = connection.record_received
+        conn.is_over = connection.is_over
         conn.on_closed = functools.partial(self._remove, key, connection)
 
     def _remove(self, key: tuple, connection: GatewayConnection) -> None:
--- a/knapweedarch/gateway_sockets.py
+++ b/knapweedarch/gateway_sockets.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import select
 import socket
 import struct
 from collections import deque
@@ -26,14 +25,24 @@
     Attributes:
         on_received: Called with the number of bytes of each read.
         on_closed: Called once the descriptor is closed.
+        is_over: Returns whether the end of the input ends the connection.
+            hypercorn would keep one without a request for its idle timeout.
     """
 
     on_received: Callable[[int], None] = staticmethod(lambda size: None)
     on_closed: Callable[[], None] = staticmethod(lambda: None)
+    is_over: Callable[[], bool] = staticmethod(lambda: False)
 
     def recv(self, size: int, flags: int = 0) -> bytes:
-        """Reads up to `READ_BYTES`."""
+        """Reads up to `READ_BYTES`.
+
+        Raises:
+            ConnectionResetError: The input and the connection have ended;
+                asyncio closes the descriptor.
+        """
         data = super().recv(min(size, READ_BYTES), flags)
+        if not data and self.is_over():
+            raise ConnectionResetError("the connection has ended")
         self.on_received(len(data))
         return data
 
@@ -43,10 +52,12 @@
         self.on_closed()
 
     def has_input(self) -> bool:
-        """Returns whether bytes or an end of the input wait to be read."""
-        poll = select.poll()
-        poll.register(self.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        """Returns whether bytes wait to be read."""
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        try:
+            return bool(super().recv(1, flags))
+        except OSError:
+            return False
 
     def reset(self) -> None:
         """Ends both sides, so that the event loop closes the connection."""
