Refuse by share only once requests wait for longer than two looks

Cause: requests that were asked for and not sent yet counted as too much work, so a short burst of one customer alone could be refused in part.

--- a/knapweedarch/fair_admission.py
+++ b/knapweedarch/fair_admission.py
@@ -460,8 +460,12 @@
         # The load changes faster than the usage of the customers.
         demand.level = min(found, LEVEL_GROWTH * demand.level)
         demand.within_part = demands.within_part(demand.level)
-        capacity = max(least, capacity * self._waiting_factor(demand, now))
-        demand.refused_level = demands.fair_level(capacity)
+        demand.refused_level = math.inf
+        # A shorter wait is no sign of too much work: what was asked for within
+        # it is not sent yet.
+        if usage.wait_s(pool, now) > 2 * LOOK_INTERVAL_S:
+            capacity = max(least, capacity * self._waiting_factor(demand, now))
+            demand.refused_level = demands.fair_level(capacity)
 
     def _waiting_factor(self, demand: ClassDemand, now: float) -> float:
         """Returns how much work may be asked for, as a ratio of the capacity.
