--- a/features/steps/inbound_steps.py
+++ b/features/steps/inbound_steps.py
@@ -666,7 +666,11 @@
 @given("a gateway with the settings of a router")
 def gateway_with_settings(context):
     context.settings = types.SimpleNamespace(
-        listen=Address("127.0.0.1", 0), max_streams=10, drain_s=0.1
+        listen=Address("127.0.0.1", 0),
+        max_streams=10,
+        drain_s=0.1,
+        memory_mb=None,
+        max_descriptors=None,
     )
 
 
