Mend what the read-through found; mint what the bound of a quota leaves

A newcomer's read of the change found: bytes of a write that stayed counted to the end of a stream; a fair level that could not grow again from 0; a request that waited on when no endpoint was left; a check of a caller that never ended; tables that grew; sorts of all usage for each router; sockets closed meanwhile. Change: members mint what depth and lifetime leave of the bound; each of the faults is mended where it was found. No test shows the mended faults alone.

--- a/knapweedarch/customer_usage.py
+++ b/knapweedarch/customer_usage.py
@@ -38,6 +38,8 @@
 MAX_CORRECTION = 2.0
 # Customers of a pool that are remembered; beyond it the lightest are forgotten.
 MAX_CUSTOMERS = 2 * MAX_USAGE_ENTRIES
+# Least level of a fair division, as a part of an equal share of the capacity.
+LEAST_LEVEL_PART = 0.1
 
 
 def work_of(unread_tokens: int, answer_tokens: int) -> int:
@@ -298,9 +300,14 @@
     def fair_level(self, capacity: float) -> float:
         """Returns the most work of one customer in a max-min fair division.
 
-        It is infinite if there is enough for all.
+        It is infinite if there is enough for all, and never 0: from 0 it could
+        not grow again while the work of customers that are not listed is more
+        than the capacity.
         """
-        return max_min_level(self.listed, capacity - self.unlisted)
+        level = max_min_level(self.listed, capacity - self.unlisted)
+        if not self.listed:
+            return level
+        return max(level, LEAST_LEVEL_PART * capacity / len(self.listed))
 
     def within_part(self, level: float) -> float:
         """Returns the part that customers up to a level ask for."""
--- a/knapweedarch/endpoint_capacity.py
+++ b/knapweedarch/endpoint_capacity.py
@@ -288,7 +288,8 @@
             capacity = self.capacity(endpoint)
             before = self._reported.get(endpoint) or _unknown(endpoint)
             difference = _difference(capacity, before)
-            if difference >= REPORTED_DIFFERENCE:
+            is_forgotten = endpoint not in self._estimates
+            if difference >= REPORTED_DIFFERENCE or is_forgotten:
                 found.append((difference, capacity))
         found.sort(key=lambda entry: -entry[0])
         return [capacity for _, capacity in found]
--- a/knapweedarch/gateway_connections.py
+++ b/knapweedarch/gateway_connections.py
@@ -151,7 +151,7 @@
             accepted: Takes the connections.
         """
         with contextlib.suppress(anyio.ClosedResourceError):
-            while True:
+            while listener.fileno() >= 0:
                 await anyio.wait_readable(listener)
                 await self._wait_for_room()
                 if listener.fileno() < 0:
--- a/knapweedarch/half_close.py
+++ b/knapweedarch/half_close.py
@@ -53,6 +53,9 @@
 
     Unlike a read, it shows an end that the event loop has not got to yet.
     """
+    if sock.fileno() < 0:
+        # The event loop has closed the socket after a failed write.
+        return False
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLRDHUP)
     return bool(poll.poll(0))
--- a/knapweedarch/http_inbound.py
+++ b/knapweedarch/http_inbound.py
@@ -661,6 +661,8 @@
                 self.abort(self._input_end)
                 scope.cancel()
                 return
+        # Whether the caller waits cannot be seen any more.
+        self._is_alive.set()
         await anyio.sleep_forever()
 
     async def check_caller(self) -> None:
@@ -759,6 +761,11 @@
         finally:
             self.write_began_at = None
             self._held.awaits_caller = False
+            if self._unsent_bytes:
+                # A stream that was written would else count to its end.
+                self._unsent_bytes = 0
+                if not self._held.is_evicted:
+                    self._resize()
 
     def abort(self, cause: DropCause) -> None:
         """Makes writes fail; closes the connection when the handler returns.
--- a/knapweedarch/learnt_capacities.py
+++ b/knapweedarch/learnt_capacities.py
@@ -66,15 +66,17 @@
     def end(self, observation: Observation, now: float) -> None:
         """Records the first event or byte of an answer."""
         sample = self.observer.end(observation, now)
-        if sample is not None:
+        if sample is not None and not self.is_shared:
             self._own.add(sample, now)
 
     def review(self, now: float) -> None:
         """Renews the estimates, at an interval."""
-        for sample in self.observer.overdue(now):
+        overdue = self.observer.overdue(now)
+        if self.is_shared:
+            return
+        for sample in overdue:
             self._own.add(sample, now)
-        if not self.is_shared:
-            self._own.renew(now)
+        self._own.renew(now)
 
     def take_samples(self, most: int) -> list[SpeedSample]:
         """Returns what is to be reported to the member."""
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -249,6 +249,7 @@
             call.has_left = True
             return endpoint
         now = self.clock.now()
+        call.waits_for_room = False
         found = self._select(call, now)
         call.held_s = found.held_s
         call.is_version_gone = found.is_version_gone
--- a/knapweedarch/quotas.py
+++ b/knapweedarch/quotas.py
@@ -18,6 +18,8 @@
 # A bucket also holds this many of the heaviest requests, if the bounds allow
 # it: tokens would overflow while the members gather them for one request.
 DEPTH_REQUESTS = 2.0
+# Part of the tolerance of the bound that depth may take; the rest is minted.
+DEPTH_PART = 0.5
 
 
 class QuotaUnit(str, enum.Enum):
@@ -99,10 +101,14 @@
     lifetime_s = (tolerance or quota.burst) / (2 * rate)
     lifetime_s = min(MAX_LIFETIME_S, max(MIN_LIFETIME_S, lifetime_s))
     deepest = quota.burst + tolerance - rate * lifetime_s
-    deepest = max(deepest, quota.plain_weight)
     if bounds.window_s:
+        # Refusing what the bound allows gains nothing, so what the depth
+        # leaves of it is minted.
+        deepest = min(deepest, quota.burst + DEPTH_PART * tolerance)
+        deepest = max(deepest, quota.plain_weight)
         left = max(0.0, normal + tolerance - deepest)
-        rate = min(rate, left / (bounds.window_s + lifetime_s))
+        rate = left / (bounds.window_s + lifetime_s)
+    deepest = max(deepest, quota.plain_weight)
     depth = min(deepest, max(quota.burst, quota.rate_per_s * DEPTH_S))
     share_s = max(MIN_LIFETIME_S / 2, lifetime_s * SHARE_PART)
     return QuotaPlan(rate, depth, deepest, share_s, lifetime_s - share_s)
--- a/knapweedarch/usage_messages.py
+++ b/knapweedarch/usage_messages.py
@@ -107,8 +107,14 @@
 
     Totals come first, then the customers with the most work.
     """
-    keys = sorted(
+    return by_importance(work)[:MAX_USAGE_ENTRIES]
+
+
+def by_importance(
+    work: dict[tuple[int, int], float],
+) -> list[tuple[int, int]]:
+    """Returns pools and customers: totals first, then those with most work."""
+    return sorted(
         (key for key, tokens in work.items() if tokens >= WORK_UNIT / 2),
         key=lambda key: (key[1] not in _TOTALS, -work[key]),
     )
-    return keys[:MAX_USAGE_ENTRIES]
--- a/knapweedarch/usage_relay.py
+++ b/knapweedarch/usage_relay.py
@@ -8,8 +8,10 @@
 from collections.abc import Hashable
 
 from knapweedarch.usage_messages import (
+    MAX_USAGE_ENTRIES,
     UsageEntry,
     UsageReport,
+    by_importance,
     heaviest,
     pack_usage,
     unpack_usage,
@@ -28,6 +30,7 @@
         self._all: _Work = collections.Counter()
         self._local: _Work = collections.Counter()
         self._by_sender: dict[Hashable, _Work] = {}
+        self._order: list[tuple[int, int]] | None = None
 
     def receive(
         self, sender: Hashable, report: UsageReport, is_member: bool
@@ -37,6 +40,7 @@
         Raises:
             ValueError: The report is malformed.
         """
+        self._order = None
         own = self._by_sender.setdefault(sender, collections.Counter())
         for entry in unpack_usage(report.packed):
             key = (entry.pool, entry.customer)
@@ -55,18 +59,25 @@
     def news_for(self, receiver: Hashable) -> UsageReport:
         """Returns what all but one router have reported since `clear`."""
         own = self._by_sender.get(receiver, {})
-        if not own:
-            return _report(self._all)
+        # What the receiver reported itself can remove at most so many.
+        considered = self._heaviest()[: MAX_USAGE_ENTRIES + len(own)]
         return _report(
-            {key: work - own.get(key, 0) for key, work in self._all.items()}
+            {key: self._all[key] - own.get(key, 0) for key in considered}
         )
 
+    def _heaviest(self) -> list[tuple[int, int]]:
+        """Returns all pairs in the order of their work, sorted once a flush."""
+        if self._order is None:
+            self._order = by_importance(self._all)
+        return self._order
+
     def news_for_members(self) -> UsageReport:
         """Returns what this member's routers have reported since `clear`."""
         return _report(self._local)
 
     def clear(self) -> None:
         """Starts over, once everything was passed on."""
+        self._order = None
         self._all.clear()
         self._local.clear()
         self._by_sender.clear()
