End a router's tasks before its control client is closed

Cause: at a planned stop the new listener of the gateway ends in another order, so that the lease keeper looked for a member while the control client was closing. The router then exited with code 1 ("A planned stop of a router cuts no stream" failed each time). Change: the tasks are cancelled first, also if the server ends with an error.

--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 import anyio
+import anyio.lowlevel
 import attrs
 
 from knapweedarch import (
@@ -147,10 +148,14 @@
             group.start_soon(self._relay.run)
             task_status.started(self._server.port)
             server = self._server
-            await server.run(
-                gateway.create_app(self, server.guard, server.connections)
-            )
-            group.cancel_scope.cancel()
+            try:
+                await server.run(
+                    gateway.create_app(self, server.guard, server.connections)
+                )
+            finally:
+                group.cancel_scope.cancel()
+                # Tasks that use the control client end before it is closed.
+                await anyio.lowlevel.cancel_shielded_checkpoint()
         await self.adapter.close()
 
     async def _serve_tunnels(self, group: anyio.abc.TaskGroup) -> None:
