review: an ended script ends its processes

Cause: a script that gets SIGTERM left the processes of its deployment behind. Change: it closes the site then.

--- a/review/common2/site.py
+++ b/review/common2/site.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 from collections.abc import Awaitable, Callable
 
@@ -440,6 +441,8 @@
         async with asyncio.timeout(limit_s):
             return await case(site, is_troubled)
 
+    # So that an ended script ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     site = Site(folder)
     try:
         is_broken = asyncio.run(run())
