--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -25,13 +25,11 @@
 )
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.fair_placement import FairPlacement
-from knapweedarch.heartbeats import incarnation_start
 from knapweedarch.http_outbound import AnswerHead, Exchange, OutboundPool
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import (
     Endpoint,
-    EndpointStatus,
     RefusalReason,
     RequestEnd,
     RetryReason,
@@ -50,6 +48,7 @@
 from knapweedarch.relay_messages import endpoint_digest
 from knapweedarch.repeat_budget import RepeatBudget, RepeatLimits
 from knapweedarch.runner_room import RoomSearch
+from knapweedarch.service_endpoints import ServiceEndpoints
 from knapweedarch.stored_parts import PartsIndex, SaveLimiter
 from knapweedarch.timers import Clock
 
@@ -154,16 +153,12 @@
         self._start_refusal = start_refusal
         self._started_at = started_at
         self._budgets: dict[str, RepeatBudget] = {}
-        self._by_service: dict[str, list[Endpoint]] = {}
+        self._endpoints = ServiceEndpoints()
         self.admission = PromptAdmission(chooser)
 
     def set_endpoints(self, endpoints: list[Endpoint]) -> None:
         """Replaces the known endpoints; only active ones get requests."""
-        self._by_service = {}
-        for endpoint in _newest_by_address(endpoints):
-            if endpoint.status is EndpointStatus.ACTIVE:
-                for name in endpoint.serves:
-                    self._by_service.setdefault(name, []).append(endpoint)
+        self._endpoints.set_listed(endpoints)
         self.chooser.retain(endpoints)
         self.chooser.set_listed(endpoints, self.clock.now())
         self._waits.retain(endpoints)
@@ -178,14 +173,12 @@
     @property
     def active_endpoint_count(self) -> int:
         """Number of endpoints that may get new requests."""
-        ids = {e.id for group in self._by_service.values() for e in group}
-        return len(ids)
+        return len(self._endpoints.active())
 
     @property
     def active_addresses(self) -> list[str]:
         """Addresses of the endpoints that may get new requests."""
-        groups = self._by_service.values()
-        return sorted({e.address for group in groups for e in group})
+        return sorted({e.address for e in self._endpoints.active()})
 
     def record_activity(self, address: str) -> None:
         """Records that data was received from an endpoint."""
@@ -320,7 +313,7 @@
         held_s = self._guard.held_s(call.digests, now)
         if held_s or call.is_version_unknown:
             return _Selection(held_s, call.is_version_gone)
-        endpoints = self._by_service.get(call.service.name, ())
+        endpoints = self._endpoints.of(call.service.name)
         capable = [
             e for e in endpoints if _serves_model(e, call.options.prompt)
         ]
@@ -636,7 +629,7 @@
         """
         peers = [
             e
-            for e in self._by_service.get(call.service.name, ())
+            for e in self._endpoints.of(call.service.name)
             if e.weights_version == endpoint.weights_version
             and e.id != endpoint.id
             and self.chooser.is_usable(e, self.now())
@@ -781,21 +774,5 @@
         )
 
 
-def _newest_by_address(endpoints: Iterable[Endpoint]) -> list[Endpoint]:
-    """Keeps the endpoint with the latest start time at each address.
-
-    A crashed endpoint stays listed for some seconds, while a new one may
-    already use its address.
-    """
-    newest: dict[str, Endpoint] = {}
-    for endpoint in endpoints:
-        known = newest.get(endpoint.url)
-        if known is None or incarnation_start(
-            endpoint.incarnation
-        ) > incarnation_start(known.incarnation):
-            newest[endpoint.url] = endpoint
-    return list(newest.values())
-
-
 def _serves_model(endpoint: Endpoint, prompt: object) -> bool:
     return prompt is None or prompt.model in endpoint.serves
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -38,7 +38,7 @@
     *("capacity_messages", "endpoint_capacity", "speed_samples"),
     *("learnt_capacities", "capacity_relay", "held_room"),
     *("usage_messages", "usage_relay", "customer_usage", "runner_room"),
-    *("class_demand", "fair_admission"),
+    *("class_demand", "fair_admission", "service_endpoints"),
 )
 FORBIDDEN = {
     *("anyio", "asyncio", "httpx", "hypercorn", "socket", "os", "io"),
