Let only entries that can be used hide others of their address

Cause: a heartbeat without `concurrency` counted as one with a single slot, and `coldLeftMs` was not looked at. A router kept of all endpoints ever listed at an address the latest start, and looked at its status, service and models only afterwards; the leader let such an entry take a stored endpoint out of use or its place under its id. Complete entries of an unknown service, or of a model service without models, had the same effect. Ruled out: that the members lose the endpoints. They stay active in the state; they are missing at the routers alone.

A deployment uses an endpoint if it names the endpoint's service, and a service of model runners only one with models. Only entries that are in use, that the deployment uses and whose address has not answered that it is another instance hide earlier ones. The leader neither marks others silent for an unused entry nor lets it replace a used one under its id; unused entries are no sources of cache events and get no orders. Nothing that is sent or stored changes.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -56,6 +56,27 @@
       | version     | "\ud800"  |
       | version     | 2          |
       | zone        | "\ud800"  |
+      | coldLeftMs  | "soon"     |
+      | coldLeftMs  | null       |
+
+  # One such entry at an endpoint's address, of another writer, kept the endpoint
+  # from all routers for good, as a missing number of slots counted as one.
+  Scenario Outline: A heartbeat that lacks a field is refused
+    Guards against an entry of another writer that is taken for an endpoint.
+    Given the platform's example heartbeat
+    When it has no field <field>
+    Then the heartbeat is refused
+
+    Examples:
+      | field       |
+      | service     |
+      | address     |
+      | zone        |
+      | version     |
+      | concurrency |
+      | state       |
+      | coldLeftMs  |
+      | callSeq     |
 
   Scenario Outline: A heartbeat that is nested deeply is refused
     Guards against a member that ends while it reads or shows a message.
--- a/features/endpoint_registry.feature
+++ b/features/endpoint_registry.feature
@@ -25,6 +25,29 @@
     Then runner "a" is silent
     And runner "c" is active
 
+  Scenario Outline: An entry that names no endpoint to use replaces none
+    Guards against an endpoint that is out of use, or replaced under its id, for
+    an entry of another writer.
+    Given active runner "a" with weights 1
+    And a configuration whose service "models" has runners
+    When an entry of <service> without models arrives as <id>
+    Then runner "a" is active and serves its model
+
+    Examples:
+      | service | id  |
+      | nobody  | "c" |
+      | models  | "c" |
+      | nobody  | "a" |
+      | models  | "a" |
+
+  Scenario: An endpoint that goes on is used again once a later start is silent
+    Guards against an endpoint that stays out of use although it sends heartbeats.
+    Given active runner "a" with weights 1
+    When runner "c" starts later at the address of runner "a"
+    And runner "a" sends heartbeats, and "c" none, until "c" is silent
+    Then runner "a" is active
+    And runner "c" is silent
+
   Scenario: A heartbeat at a member that is not the leader is refused
     Guards against a heartbeat that is confirmed by a member that is no longer
     the leader, and is then lost.
--- /dev/null
+++ b/features/service_endpoints.feature
@@ -0,0 +1,51 @@
+Feature: Which endpoints of an address are used
+
+  Several endpoints may be listed at one address: one that has crashed and its
+  successor, or an endpoint and an entry of another writer.
+
+  # One entry for the address of each endpoint, confirmed once, kept a router from
+  # serving anything for good, although all endpoints sent their heartbeats.
+  Scenario Outline: An entry that names no endpoint to use hides none
+    Guards against an endpoint that gets no requests, though it is there, as
+    another entry of its address started later.
+    Given a deployment with the model service "chat" and the service "desk"
+    And the endpoint "own" of "chat" with the model "m"
+    When an entry that started later at its address is <entry>
+    Then the requests for "chat" may go to "own"
+
+    Examples:
+      | entry                          |
+      | of a service that is not named |
+      | of "chat" without models       |
+      | of "chat" and silent           |
+      | of "chat" and leaving          |
+      | of "desk" and silent           |
+
+  Scenario: A later start hides the endpoint that had its address before
+    Guards against requests for an endpoint that has crashed, at whose address
+    another one has started.
+    Given a deployment with the model service "chat" and the service "desk"
+    And the endpoint "own" of "chat" with the model "m"
+    When an entry that started later at its address is of "desk" and active
+    Then the requests for "chat" may go to nobody
+    And the requests for "desk" may go to "other"
+
+  Scenario: An endpoint that is not at its address hides none
+    Guards against an endpoint that gets no requests while a complete entry of
+    another writer names its address.
+    Given a deployment with the model service "chat" and the service "desk"
+    And the endpoint "own" of "chat" with the model "m"
+    When an entry that started later at its address is of "chat" with models
+    Then the requests for "chat" may go to "other"
+    When the server at the address answers that it is not "other"
+    Then the requests for "chat" may go to "own"
+
+  Scenario: A configuration that names a service uses its endpoints at once
+    Guards against endpoints that are known before their service and get no
+    requests once it is configured.
+    Given a deployment with the model service "chat" and the service "desk"
+    And the endpoint "own" of "chat" with the model "m"
+    When an entry that started later at its address is of a service that is not named
+    And a deployment names that service as well
+    Then the requests for "chat" may go to nobody
+    And the requests for "later" may go to "other"
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -268,6 +268,11 @@
     context.heartbeat[field] = json.loads(value)
 
 
+@when("it has no field {field}")
+def remove_heartbeat_field(context, field):
+    del context.heartbeat[field]
+
+
 @when("its {field} nests {depth:d} lists")
 def nest_heartbeat_field(context, field, depth):
     value = "[" * depth + "]" * depth
--- a/features/steps/endpoint_registry_steps.py
+++ b/features/steps/endpoint_registry_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from knapweedarch import control
+from knapweedarch.deployments import Deployment, Engine, Service
 from knapweedarch.endpoint_registry import EndpointRegistry
 from knapweedarch.exceptions import NotLeaderError
 from knapweedarch.models import Endpoint, EndpointKind, EndpointStatus
@@ -14,6 +15,7 @@
     Announce,
     ControlState,
     NameWeights,
+    PutDeployment,
 )
 from knapweedarch.timers import ManualClock
 
@@ -58,8 +60,8 @@
     )
 
 
-def send_heartbeat(context, endpoint):
-    heartbeat = control.Heartbeat(endpoint, 1)
+def send_heartbeat(context, endpoint, number=1):
+    heartbeat = control.Heartbeat(endpoint, number)
     return anyio.run(context.registry.record_heartbeat, heartbeat)
 
 
@@ -67,8 +69,9 @@
 def active_runner(context, name, weights):
     context.group = SingleMemberGroup()
     context.group.store(Announce(runner(name, weights)))
+    context.clock = ManualClock()
     context.registry = EndpointRegistry(
-        context.group.state, ManualClock(), context.group.propose, SILENT_S
+        context.group.state, context.clock, context.group.propose, SILENT_S
     )
 
 
@@ -97,6 +100,44 @@
     send_heartbeat(context, runner(name, 1, incarnation="200"))
 
 
+@given('a configuration whose service "{service}" has runners')
+def configured_service(context, service):
+    engine = Engine(8, 1000, 1, 1.0, 1, (MODEL,))
+    deployment = Deployment(1, services=(Service(service, engine=engine),))
+    context.group.store(PutDeployment(deployment, b"{}"))
+
+
+@when('an entry of {service} without models arrives as "{name}"')
+def foreign_entry(context, service, name):
+    entry = attrs.evolve(
+        runner(name, 1, incarnation="200"),
+        kind=EndpointKind.SERVICE,
+        serves=(service,),
+        weights_version="",
+    )
+    send_heartbeat(context, entry)
+
+
+@then('runner "{name}" is active and serves its model')
+def still_serves(context, name):
+    found = context.group.state.endpoints[name].endpoint
+    assert found == runner(name, 1), found
+    assert send_heartbeat(context, found, 2) == control.HeartbeatNoted()
+    assert context.group.state.endpoints[name].endpoint == found
+
+
+@when(
+    'runner "{name}" sends heartbeats, and "{other}" none, until "{silent}" is '
+    "silent"
+)
+def goes_on(context, name, other, silent):
+    beats = 6
+    for number in range(2, 2 + beats):
+        context.clock.time += 1.1 * SILENT_S / beats
+        send_heartbeat(context, runner(name, 1), number)
+        anyio.run(context.registry.mark_silent)
+
+
 @when("the member is no longer the leader")
 def loses_leadership(context):
     context.group.is_leader = False
--- a/knapweedarch/deployments.py
+++ b/knapweedarch/deployments.py
@@ -11,6 +11,7 @@
 import attrs
 
 from knapweedarch.exceptions import DeploymentError
+from knapweedarch.models import Endpoint
 from knapweedarch.quotas import Quota
 
 
@@ -132,6 +133,11 @@
     max_connections: int = 0
     engine: Engine | None = None
 
+    @property
+    def runs_models(self) -> bool:
+        """Whether its endpoints are runners of models."""
+        return self.engine is not None and bool(self.engine.models)
+
 
 @attrs.frozen
 class CacheStore:
@@ -209,6 +215,34 @@
     customers: tuple[Customer, ...] = ()
     limits: CallerLimits = attrs.field(factory=CallerLimits)
 
+    def service(self, name: str) -> Service | None:
+        """Returns a service, or None if there is none of this name."""
+        return next((s for s in self.services if s.name == name), None)
+
+    def uses(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint belongs to one of the services.
+
+        One that names no model is no runner, so a service of runners does not
+        use it.
+        """
+        service = self.service(service_of(endpoint))
+        if service is None:
+            return False
+        return not service.runs_models or bool(models_of(endpoint))
+
+
+def service_of(endpoint: Endpoint) -> str:
+    """Returns the service of an endpoint in a deployment.
+
+    It is the first name that the endpoint serves.
+    """
+    return endpoint.serves[0]
+
+
+def models_of(endpoint: Endpoint) -> tuple[str, ...]:
+    """Returns the models that an endpoint in a deployment has loaded."""
+    return endpoint.serves[1:]
+
 
 def check_deployment(deployment: Deployment) -> None:
     """Checks names, keys, weights and timeouts of a configuration.
--- a/knapweedarch/endpoint_registry.py
+++ b/knapweedarch/endpoint_registry.py
@@ -72,8 +72,11 @@
         Raises:
             ReplicaError: This member is not the leader; nothing was stored.
         """
-        endpoint = self._heartbeats.record(message, self._clock.now())
         known = self._stored(message.endpoint.id)
+        if self._would_lose(known, message.endpoint):
+            log("heartbeat_ignored", endpoint=known.id, number=message.number)
+            return control.HeartbeatNoted()
+        endpoint = self._heartbeats.record(message, self._clock.now())
         if endpoint is None or (known and _is_unchanged(known, endpoint)):
             return control.HeartbeatNoted()
         if self._returns_with_old_weights(known, endpoint):
@@ -145,6 +148,16 @@
         entry = self._state.endpoints.get(endpoint_id)
         return entry.endpoint if entry is not None else None
 
+    def _would_lose(self, known: Endpoint | None, reported: Endpoint) -> bool:
+        """Returns whether a heartbeat would replace what is in use.
+
+        This is the case if the deployment uses the endpoint as it is known and
+        not as it is reported: another writer may have sent the heartbeat.
+        """
+        if known is None or self._state.uses(reported):
+            return False
+        return self._state.uses(known)
+
     def _returns_with_old_weights(
         self, known: Endpoint | None, endpoint: Endpoint
     ) -> bool:
@@ -170,6 +183,8 @@
 
     async def _mark_replaced(self, endpoint: Endpoint) -> None:
         """Marks earlier endpoints at the same address as silent."""
+        if not self._state.uses(endpoint):
+            return
         for other in self._endpoints():
             if (
                 other.url == endpoint.url
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -200,6 +200,12 @@
         _I,
         "Endpoints take longer than usual, as learnt from their answers.",
     ),
+    Event(
+        420,
+        "heartbeat_ignored",
+        _W,
+        "A heartbeat names no service or model of an endpoint that has some.",
+    ),
     Event(413, "endpoint_known", _I, "A router added or updated an endpoint."),
     Event(406, "feed_lost", _W, "The event feed of a runner or store failed."),
     Event(
--- a/knapweedarch/member.py
+++ b/knapweedarch/member.py
@@ -468,7 +468,9 @@
         sources = [
             FeedSource(e.endpoint.address, e.endpoint.data_centre)
             for e in state.endpoints.values()
-            if e.endpoint.kind is EndpointKind.RUNNER and e.endpoint.in_use
+            if e.endpoint.kind is EndpointKind.RUNNER
+            and e.endpoint.in_use
+            and state.uses(e.endpoint)
         ]
         sources += [
             FeedSource(store.address, store.data_centre)
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -132,7 +132,9 @@
             cache entries of another incarnation no longer exist.
         url: Base URL with an IP address.
         kind: Runner or plain service.
-        serves: Model names of a runner, or the service name of a service.
+        serves: Model names of a runner, or the service name of a service. In a
+            deployment, the service name and then the names of the models; see
+            `deployments.service_of` and `deployments.models_of`.
         weights_version: Version of the loaded weights; empty for services.
         data_centre: Data centre of the endpoint.
         slots: Requests that the endpoint runs concurrently without queueing.
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -343,7 +343,7 @@
         self._overload.set_deployment(deployment)
         self._quotas.set_customers(deployment.customers)
         self._server.apply_limits()
-        self._attempts.set_stores(deployment.stores)
+        self._attempts.set_deployment(deployment)
         log("deployment_applied", version=deployment.version)
 
     def _report_loads(self, now: float) -> None:
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -13,7 +13,7 @@
     SOUND_EVENTS,
     CrashGuard,
 )
-from knapweedarch.deployments import CacheStore
+from knapweedarch.deployments import Deployment
 from knapweedarch.dialects import Dialect, SendOptions
 from knapweedarch.endpoint_choice import EndpointChooser
 from knapweedarch.endpoint_identity import EndpointIdentities
@@ -184,13 +184,14 @@
         """Records that data was received from an endpoint."""
         self.chooser.record_activity(address)
 
-    def set_stores(self, stores: Iterable[CacheStore]) -> None:
-        """Replaces the KV cache stores; limiters of known stores are kept."""
+    def set_deployment(self, deployment: Deployment) -> None:
+        """Replaces services and stores; limiters of known stores are kept."""
+        self._endpoints.set_deployment(deployment)
         self._save_limiters = {
             store.address: self._save_limiters.get(
                 store.address, SaveLimiter(SAVES_PER_S)
             )
-            for store in stores
+            for store in deployment.stores
         }
 
     async def find_origin(self, call: ProxyCall) -> None:
@@ -652,7 +653,7 @@
         reason = RetryReason.ENDPOINT_REFUSED
         if self.dialect.is_wrong_instance(head, endpoint.id):
             reason = RetryReason.WRONG_INCARNATION
-            self.chooser.record_replaced(endpoint, now)
+            self._record_replaced(endpoint, now)
         else:
             self.chooser.record_overload(endpoint, now)
             self._wait_if_brittle(endpoint, now)
@@ -663,6 +664,11 @@
             f"{head.status}",
         )
 
+    def _record_replaced(self, endpoint: Endpoint, now: float) -> None:
+        """Records that another instance has taken over an address."""
+        self.chooser.record_replaced(endpoint, now)
+        self._endpoints.record_replaced(endpoint)
+
     def _wait_if_brittle(self, endpoint: Endpoint, now: float) -> None:
         """Lets a brittle endpoint rest that has turned a request away."""
         wait_s = self._brittle.wait_after_rejection_s(endpoint, now)
@@ -692,7 +698,7 @@
             self.chooser.record_failure(endpoint, now)
             self._record_crash(call, endpoint, exc, progress)
         elif exc.reason is RetryReason.WRONG_INCARNATION:
-            self.chooser.record_replaced(endpoint, now)
+            self._record_replaced(endpoint, now)
         elif exc.reason not in OWN_REASONS:
             self.chooser.record_connection_refused(endpoint, now)
         return self.record_failure(
--- a/knapweedarch/service_endpoints.py
+++ b/knapweedarch/service_endpoints.py
@@ -1,7 +1,13 @@
-"""Endpoints that a router sends requests to, by the service of a request."""
+"""Endpoints that a router sends requests to, by the service of a request.
+
+Several endpoints may be listed at one address: one that has crashed and its
+successor, or an endpoint and an entry that another writer sent. Only an entry
+that can be used may hide the others of its address.
+"""
 
 from collections.abc import Iterable, Sequence
 
+from knapweedarch.deployments import Deployment
 from knapweedarch.heartbeats import incarnation_start
 from knapweedarch.models import Endpoint, EndpointStatus
 
@@ -10,15 +16,27 @@
     """Endpoints that may get new requests."""
 
     def __init__(self) -> None:
+        self._listed: list[Endpoint] = []
+        self._deployment: Deployment | None = None
+        # Ids and incarnations that are not at their address.
+        self._replaced: set[tuple[str, str]] = set()
         self._by_service: dict[str, list[Endpoint]] = {}
 
     def set_listed(self, endpoints: Iterable[Endpoint]) -> None:
         """Replaces the known endpoints; only active ones get requests."""
-        self._by_service = {}
-        for endpoint in _newest_by_address(endpoints):
-            if endpoint.status is EndpointStatus.ACTIVE:
-                for name in endpoint.serves:
-                    self._by_service.setdefault(name, []).append(endpoint)
+        self._listed = list(endpoints)
+        self._replaced &= {(e.id, e.incarnation) for e in self._listed}
+        self._update()
+
+    def set_deployment(self, deployment: Deployment) -> None:
+        """Replaces the configuration; only its services are used."""
+        self._deployment = deployment
+        self._update()
+
+    def record_replaced(self, endpoint: Endpoint) -> None:
+        """Records that another instance answers at an endpoint's address."""
+        self._replaced.add((endpoint.id, endpoint.incarnation))
+        self._update()
 
     def of(self, service: str) -> Sequence[Endpoint]:
         """Returns the endpoints of a service."""
@@ -29,6 +47,22 @@
         groups = self._by_service.values()
         return list({e.id: e for group in groups for e in group}.values())
 
+    def _update(self) -> None:
+        self._by_service = {}
+        usable = [e for e in self._listed if self._is_usable(e)]
+        for endpoint in _newest_by_address(usable):
+            if endpoint.status is EndpointStatus.ACTIVE:
+                for name in endpoint.serves:
+                    self._by_service.setdefault(name, []).append(endpoint)
+
+    def _is_usable(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint is at its address and has a service."""
+        if not endpoint.in_use:
+            return False
+        if (endpoint.id, endpoint.incarnation) in self._replaced:
+            return False
+        return self._deployment is None or self._deployment.uses(endpoint)
+
 
 def _newest_by_address(endpoints: Iterable[Endpoint]) -> list[Endpoint]:
     """Keeps the endpoint with the latest start time at each address.
--- a/knapweedarch/state.py
+++ b/knapweedarch/state.py
@@ -333,6 +333,13 @@
         """At-most-once records by key, oldest first."""
         return self._records.records
 
+    def uses(self, endpoint: Endpoint) -> bool:
+        """Returns whether the routing configuration has a use for an endpoint.
+
+        Without a configuration, every endpoint is used.
+        """
+        return self.deployment is None or self.deployment.uses(endpoint)
+
     def changes_since(self, revision: int) -> tuple[EndpointEntry, ...]:
         """Returns the endpoints that changed after a revision."""
         if revision == self.revision:
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -255,11 +255,13 @@
         return max(1, len(self._runners()) * 2 // 3)
 
     def _runners(self) -> list[Endpoint]:
+        state = self._member.state
         return [
             entry.endpoint
-            for entry in self._member.state.endpoints.values()
+            for entry in state.endpoints.values()
             if entry.endpoint.kind is EndpointKind.RUNNER
             and entry.endpoint.in_use
+            and state.uses(entry.endpoint)
         ]
 
     def _due(self, now: float) -> list[Endpoint]:
