Ask for a key if the list of customers is there and empty

Cause: the decoder made the same of an empty list and of no list, and the gateway asked for a key only if there were customers. Ruled out: that the version does not reach the routers; they log it as applied. A list whose only customer has no keys was obeyed.

Change: a deployment says whether it lists customers, in a field at its end, and the gateway asks for a key if it does.

--- a/knapweedarch/deployments.py
+++ b/knapweedarch/deployments.py
@@ -204,8 +204,10 @@
         routes: Routes; each pair of host and path prefix is unique.
         services: Services.
         stores: KV cache stores.
-        customers: Customers; if there are none, callers need no key.
+        customers: Customers.
         limits: Limits for callers.
+        lists_customers: Whether there is a list of customers, which may be
+            empty.
     """
 
     version: int
@@ -214,6 +216,16 @@
     stores: tuple[CacheStore, ...] = ()
     customers: tuple[Customer, ...] = ()
     limits: CallerLimits = attrs.field(factory=CallerLimits)
+    lists_customers: bool = False
+
+    @property
+    def needs_key(self) -> bool:
+        """Whether callers need a key of a customer, except on public routes.
+
+        An empty list of customers lets nobody in. A configuration stored by an
+        earlier build does not tell it from a missing list.
+        """
+        return self.lists_customers or bool(self.customers)
 
     def service(self, name: str) -> Service | None:
         """Returns a service, or None if there is none of this name."""
--- a/knapweedarch/proxy_gateway.py
+++ b/knapweedarch/proxy_gateway.py
@@ -165,7 +165,7 @@
         if route is None:
             return RefusalReason.UNKNOWN_PATH
         customer: Customer | None = None
-        if self.deployment.customers and not route.public:
+        if self.deployment.needs_key and not route.public:
             customer = self._table.customer(options.key)
             if customer is None:
                 return RefusalReason.UNKNOWN_KEY
