Tell the service of an endpoint from its models

Cause: an endpoint's names are its service and then its models, and code that wanted one kind looked among both. Routers kept endpoints in one table by all of these names. Ruled out: that a router applies the configuration late. Both log it as applied and send to both services, without end.

Change: service_of and models_of read the two kinds. They are used where a router looks up the endpoints of a service and model, where weights are rolled out, where a runner returns with old weights, and where software versions are recorded, now by model alone. The fixtures of two tests of software versions gave an endpoint a model without a service; they have both now, as on the platform.

--- a/features/endpoint_registry.feature
+++ b/features/endpoint_registry.feature
@@ -17,6 +17,15 @@
       | 1      | silent  | 1        | active  |
       | 2      | active  | 1        | active  |
 
+  Scenario: A service that is called like a model has no weights of that model
+    Guards against a returning runner that is kept out of use for a model that it
+    does not have.
+    Given an active runner "a" of a service called like the model, with weights 2
+    And a runner "b" of the same service with weights 1 is silent
+    And weights 2 are the target
+    When that runner "b" sends a heartbeat
+    Then runner "b" is active
+
   Scenario: A later start at an address replaces the earlier instance
     Guards against requests to an instance whose address another instance has
     taken over.
--- a/features/service_endpoints.feature
+++ b/features/service_endpoints.feature
@@ -1,4 +1,4 @@
-Feature: Which endpoints of an address are used
+Feature: Which endpoints a router uses for a service
 
   Several endpoints may be listed at one address: one that has crashed and its
   successor, or an endpoint and an entry of another writer.
@@ -49,3 +49,25 @@
     And a deployment names that service as well
     Then the requests for "chat" may go to nobody
     And the requests for "later" may go to "other"
+
+  # One table held endpoints by the names of their services and of their models, so
+  # a route that moved to a service called like a model kept its old endpoints.
+  Scenario: A service that is called like a model has its own endpoints only
+    Guards against requests that are run by endpoints of another service.
+    Given a deployment with the model service "chat" and the service "desk"
+    And the endpoint "own" of "chat" with the model "m"
+    When an entry at another address is of "m" with models
+    And a deployment names that service as well
+    Then the requests for "chat" may go to "own"
+    And the requests for "m" may go to "other"
+
+  Scenario Outline: A service that is called like a model need not have that model
+    Guards against a request that is sent to a runner without its model.
+    Given a deployment with the model service "chat" and the service "desk"
+    And the endpoint "own" of "chat" with the model "<model>"
+    Then the requests for "chat" and model "chat" go to <found>
+
+    Examples:
+      | model | found  |
+      | m     | nobody |
+      | chat  | "own"  |
--- a/features/steps/endpoint_registry_steps.py
+++ b/features/steps/endpoint_registry_steps.py
@@ -84,6 +84,37 @@
         )
 
 
+def namesake_runner(name, weights, port):
+    """Returns a runner of another model, whose service is called `MODEL`."""
+    return attrs.evolve(
+        runner(name, weights, port=port), serves=(MODEL, "other")
+    )
+
+
+@given(
+    'an active runner "{name}" of a service called like the model, with'
+    " weights {weights:d}"
+)
+def active_namesake(context, name, weights):
+    active_runner(context, name, weights)
+    context.group.store(Announce(namesake_runner(name, weights, 80)))
+
+
+@given(
+    'a runner "{name}" of the same service with weights {weights:d} is {status}'
+)
+def namesake_is(context, name, weights, status):
+    context.namesake = namesake_runner(name, weights, 81)
+    context.group.store(
+        Announce(attrs.evolve(context.namesake, status=EndpointStatus(status)))
+    )
+
+
+@when('that runner "{name}" sends a heartbeat')
+def namesake_heartbeat(context, name):
+    send_heartbeat(context, context.namesake)
+
+
 @given("weights {version:d} are the target")
 def target_weights(context, version):
     context.group.store(NameWeights(MODEL, version))
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -110,7 +110,8 @@
         """Lets endpoints of a newer version join."""
         self.versions.append(f"v{len(self.versions)}")
         endpoint = Endpoint(
-            *("i", "1", "http://10.0.0.1:80", EndpointKind.RUNNER, (MODEL,)),
+            *("i", "1", "http://10.0.0.1:80", EndpointKind.RUNNER),
+            serves=("models", MODEL),
             software_version=self.versions[-1],
         )
         self.software.record(endpoint)
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -29,6 +29,7 @@
 # Time within which all runners must have new weights.
 WEIGHTS_LIMIT_S = 8.0
 TAKEOVER_DELAY_S = 0.6
+SERVED = ("models", "m")
 MODEL = "m"
 # Requests per runner; above the low load under which more runners may drain.
 BUSY_REQUESTS = 5
@@ -165,10 +166,10 @@
         self.member.apply(Announce(announced))
 
 
-def runner_endpoint(number: int, version: int) -> Endpoint:
+def runner_endpoint(number: int, version: int, serves=SERVED) -> Endpoint:
     return Endpoint(
         *(f"r{number}", "1", f"http://10.0.0.{number}:80"),
-        *(EndpointKind.RUNNER, ("models", MODEL), str(version)),
+        *(EndpointKind.RUNNER, serves, str(version)),
     )
 
 
@@ -182,6 +183,7 @@
     )
     context.requests = BUSY_REQUESTS
     context.named, context.loses_leadership, context.taken_out = [], False, ()
+    context.serves = SERVED
 
 
 @given(
@@ -198,6 +200,11 @@
     context.versions[number] = version
 
 
+@given("they are of a service called like the model and have another model")
+def service_called_like_model(context):
+    context.serves = (MODEL, "other")
+
+
 @given("runner {number:d} was taken out of use by the previous leader")
 def taken_out(context, number):
     context.taken_out = (number,)
@@ -240,7 +247,7 @@
         orders = FakeOrders(member, group)
         orders.error = getattr(context, "order_error", orders.error)
         for number, version in context.versions.items():
-            endpoint = runner_endpoint(number, version)
+            endpoint = runner_endpoint(number, version, context.serves)
             member.apply(Announce(endpoint))
             unanswered = int(number in context.unanswered_runners)
             queue_s = context.queue_s.get(number, 0.0)
@@ -314,6 +321,12 @@
     assert context.orders.orders == []
 
 
+@then("no runner is out of use and no order is sent within {limit:f} s")
+def nothing_happens(context, limit):
+    no_order(context, limit)
+    assert context.member.most_out == 0, context.member.most_out
+
+
 @then("each order contains the number of orders accepted before it")
 def orders_not_refused(context):
     assert context.orders.refused_orders == []
--- a/features/steps/service_endpoint_steps.py
+++ b/features/steps/service_endpoint_steps.py
@@ -8,6 +8,7 @@
 from knapweedarch.service_endpoints import ServiceEndpoints
 
 URL = "http://10.0.0.1:80"
+OTHER_URL = "http://10.0.0.2:80"
 MODEL = "m"
 
 
@@ -56,6 +57,12 @@
     context.used.set_listed([context.own, context.other])
 
 
+@when("an entry at another address is {entry}")
+def list_entry_elsewhere(context, entry):
+    context.other = attrs.evolve(later_entry(entry), url=OTHER_URL)
+    context.used.set_listed([context.own, context.other])
+
+
 @when('the server at the address answers that it is not "{name}"')
 def deny(context, name):
     assert context.other.id == name
@@ -74,3 +81,9 @@
 def check_endpoints(context, service, found):
     names = [] if found == "nobody" else [found.strip('"')]
     assert [e.id for e in context.used.of(service)] == names
+
+
+@then('the requests for "{service}" and model "{model}" go to {found}')
+def check_endpoints_of_model(context, service, model, found):
+    names = [] if found == "nobody" else [found.strip('"')]
+    assert [e.id for e in context.used.of(service, model)] == names
--- a/features/steps/stream_origin_steps.py
+++ b/features/steps/stream_origin_steps.py
@@ -259,7 +259,7 @@
     for number, version in enumerate(versions.split()):
         endpoint = Endpoint(
             *(f"i-{number}", "1", f"http://10.0.0.{number + 1}:80"),
-            *(EndpointKind.RUNNER, (service,)),
+            *(EndpointKind.RUNNER, ("models", service)),
             software_version=version,
         )
         context.state.apply(COMMANDS.encode(Announce(endpoint)))
@@ -284,6 +284,25 @@
         context.state.apply(COMMANDS.encode(Announce(endpoint)))
 
 
+@given(
+    'a state in which service "{service}" served "{model}" by {version} and the'
+    ' plain service "{plain}" was {plain_version}'
+)
+def given_plain_service(context, service, model, version, plain, plain_version):
+    context.state = ControlState()
+    for number, (kind, serves, software) in enumerate(
+        [
+            (EndpointKind.RUNNER, (service, model), version),
+            (EndpointKind.SERVICE, (plain,), plain_version),
+        ]
+    ):
+        endpoint = Endpoint(
+            *(f"i-{number}", "1", f"http://10.0.0.{number}:80", kind, serves),
+            software_version=software,
+        )
+        context.state.apply(COMMANDS.encode(Announce(endpoint)))
+
+
 @then('a stream of "" that nobody remembers began at {found}')
 def check_any_version(context, found):
     assert only_version(context.state, "") == found
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -78,6 +78,14 @@
       | m     | unknown |
       | n     | v1      |
 
+  Scenario: A service that is called like a model began no streams of that model
+    Guards against streams that are refused as two versions could have begun them,
+    although one of these is of a plain service.
+    Given a state in which service "chat" served "m" by v1 and the plain service "m" was v2
+    Then a stream of "m" that nobody remembers began at v1
+    And a stream of "" that nobody remembers began at unknown
+    And it is the same after a snapshot is restored
+
   Scenario Outline: A router asks its member, then the leader
     Guards against a version that a router or member concludes which may not have
     heard of a newer one, and against callers that wait for what nobody can say.
--- a/features/weights_rollout.feature
+++ b/features/weights_rollout.feature
@@ -8,6 +8,14 @@
     Then within 6.0 s every runner is in use with weights 2
     And at most 3 runners loaded and at most 4 were out of use at once
 
+  Scenario: A service that is called like a model loads no weights of that model
+    Guards against runners that are taken out of use again and again for weights
+    of a model that they do not have.
+    Given a leading member and 3 runners with weights 1
+    And they are of a service called like the model and have another model
+    When weights 2 are named
+    Then no runner is out of use and no order is sent within 2.0 s
+
   Scenario: Weights that are named during a load are loaded next
     Guards against a roll-out that waits for a version that was never ordered.
     Given a leading member and 3 runners with weights 1
--- a/knapweedarch/endpoint_registry.py
+++ b/knapweedarch/endpoint_registry.py
@@ -10,6 +10,7 @@
 import attrs
 
 from knapweedarch import control
+from knapweedarch.deployments import models_of
 from knapweedarch.exceptions import ReplicaError
 from knapweedarch.heartbeats import HeartbeatTable, incarnation_start
 from knapweedarch.logs import log
@@ -171,7 +172,7 @@
             return False
         target_versions = self._state.weights
         target = max(
-            (target_versions.get(m, 0) for m in endpoint.serves), default=0
+            (target_versions.get(m, 0) for m in models_of(endpoint)), default=0
         )
         peer_versions = [
             other.weights_number
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -286,11 +286,11 @@
             deployment.version if deployment else 0, self._state.document
         )
 
-    def read_versions(self, service: str) -> ServiceVersions | control.Redirect:
-        """Returns the software versions a service or model ever had."""
+    def read_versions(self, model: str) -> ServiceVersions | control.Redirect:
+        """Returns the software versions a model ever had."""
         if not self._can_serve():
             return self._redirect()
-        return ServiceVersions(self._state.software.versions(service))
+        return ServiceVersions(self._state.software.versions(model))
 
     async def heartbeat(
         self, message: control.Heartbeat
--- a/knapweedarch/origin_messages.py
+++ b/knapweedarch/origin_messages.py
@@ -71,10 +71,10 @@
 
 @attrs.frozen
 class ReadVersions:
-    """Asks the leader which software versions a service or model ever had.
+    """Asks the leader which software versions a model ever had.
 
     Attributes:
-        service: Name of the service or model; empty for all of them.
+        service: Name of the model; empty for all endpoints together.
     """
 
     service: str
@@ -82,7 +82,7 @@
 
 @attrs.frozen
 class ServiceVersions:
-    """Software versions that endpoints of a service or model have announced.
+    """Software versions that endpoints of a model have announced.
 
     Attributes:
         versions: The versions; of many only some. Empty if none is known.
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -314,10 +314,10 @@
         held_s = self._guard.held_s(call.digests, now)
         if held_s or call.is_version_unknown:
             return _Selection(held_s, call.is_version_gone)
-        endpoints = self._endpoints.of(call.service.name)
-        capable = [
-            e for e in endpoints if _serves_model(e, call.options.prompt)
-        ]
+        prompt = call.options.prompt
+        capable = self._endpoints.of(
+            call.service.name, prompt.model if prompt else None
+        )
         candidates = [e for e in capable if call.may_go_to(e)]
         engine = call.service.engine
         waits_s = self._waits_s(candidates, now)
@@ -778,7 +778,3 @@
             tried=list(call.tried),
             left_ms=remaining_ms(call, self.clock),
         )
-
-
-def _serves_model(endpoint: Endpoint, prompt: object) -> bool:
-    return prompt is None or prompt.model in endpoint.serves
--- a/knapweedarch/service_endpoints.py
+++ b/knapweedarch/service_endpoints.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from knapweedarch.deployments import Deployment
+from knapweedarch.deployments import Deployment, models_of, service_of
 from knapweedarch.heartbeats import incarnation_start
 from knapweedarch.models import Endpoint, EndpointStatus
 
@@ -38,22 +38,29 @@
         self._replaced.add((endpoint.id, endpoint.incarnation))
         self._update()
 
-    def of(self, service: str) -> Sequence[Endpoint]:
-        """Returns the endpoints of a service."""
-        return self._by_service.get(service, ())
+    def of(self, service: str, model: str | None = None) -> Sequence[Endpoint]:
+        """Returns the endpoints of a service.
+
+        Args:
+            service: Name of the service.
+            model: Model that they must have loaded; None for any or none.
+        """
+        found = self._by_service.get(service, ())
+        if model is None:
+            return found
+        return [e for e in found if model in models_of(e)]
 
     def active(self) -> list[Endpoint]:
         """Returns the endpoints of all services."""
-        groups = self._by_service.values()
-        return list({e.id: e for group in groups for e in group}.values())
+        return [e for group in self._by_service.values() for e in group]
 
     def _update(self) -> None:
         self._by_service = {}
         usable = [e for e in self._listed if self._is_usable(e)]
         for endpoint in _newest_by_address(usable):
             if endpoint.status is EndpointStatus.ACTIVE:
-                for name in endpoint.serves:
-                    self._by_service.setdefault(name, []).append(endpoint)
+                group = self._by_service.setdefault(service_of(endpoint), [])
+                group.append(endpoint)
 
     def _is_usable(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint is at its address and has a service."""
--- a/knapweedarch/state.py
+++ b/knapweedarch/state.py
@@ -134,7 +134,7 @@
         deployment: Routing configuration; None if none was accepted yet.
         document: Source text of the routing configuration.
         weights: Highest requested weights version, by model.
-        software: Software versions that each service ever had.
+        software: Software versions that each model ever had.
         orders_holder: Incarnation of the router that may send orders to
             endpoints; empty if none ever could.
         fencing_number: Fencing number of that router; 0 if none ever could.
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -14,6 +14,7 @@
 import anyio.abc
 import attrs
 
+from knapweedarch.deployments import models_of
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.links import FATAL_ERRORS
 from knapweedarch.logs import log, traceback_text
@@ -287,7 +288,7 @@
         """Returns whether a runner has older weights than the target."""
         held = endpoint.weights_number
         return any(
-            model in endpoint.serves and held < version
+            model in models_of(endpoint) and held < version
             for model, version in self._member.state.weights.items()
         )
 
@@ -296,7 +297,7 @@
     ) -> ModelWeights | None:
         """Returns the first target weights that a runner lacks, if any."""
         for model, version in self._member.state.weights.items():
-            served = model in endpoint.serves
+            served = model in models_of(endpoint)
             if served and state.weights.get(model, 0) < version:
                 return ModelWeights(model, version)
         return None
