Keep the usual times of routes apart from those of models

Cause: the usual time of a kind of requests was kept under the name of its route, or under the model and the size of the prompt joined by a slash; a route may be called "m/2". Change: the kinds of both have different forms.

--- a/features/endpoint_capacity.feature
+++ b/features/endpoint_capacity.feature
@@ -156,6 +156,13 @@
     When another member accepts the subscription
     Then the endpoint is known to be 1 times as slow
 
+  Scenario: A route that is called like requests of a model has its own usual time
+    Guards against answers of one kind of requests that are compared with the time
+    of another one.
+    Given a proxy's client of a member that accepts reports
+    When requests with 16 tokens of a model and of a route "m/2" are observed
+    Then they are of different kinds
+
   Scenario Outline: The policy of the platform switches it on
     Given a settings file with policies "<policies>"
     Then the proxy learns capacities: <learns>
--- a/features/steps/endpoint_capacity_steps.py
+++ b/features/steps/endpoint_capacity_steps.py
@@ -45,6 +45,7 @@
 from knapweedarch.member_relay import MemberRelay
 from knapweedarch.metrics import create_metrics
 from knapweedarch.models import Endpoint, EndpointKind, EndpointStatus
+from knapweedarch.prompt_parts import Prompt
 from knapweedarch.relay_client import RelayClient
 from knapweedarch.relay_messages import Subscribe, Subscribed
 from knapweedarch.stored_parts import PartsIndex
@@ -685,6 +686,23 @@
     pass_time(context)
 
 
+@when(
+    'requests with {tokens:d} tokens of a model and of a route "{name}" are '
+    "observed"
+)
+def observe_both(context, tokens, name):
+    prompt = Prompt(model="m", tokens=tokens, max_tokens=1)
+    context.kinds = [
+        context.chooser.start_observation(SERVICE, *sent, 0.0).kind
+        for sent in ((prompt, "stream", tokens), (None, name, 0))
+    ]
+
+
+@then("they are of different kinds")
+def check_kinds(context):
+    assert len(set(context.kinds)) == 2, context.kinds
+
+
 @then("a message with samples goes to the member")
 def check_message(context):
     reports = [m for m in context.link.sent if isinstance(m, SpeedReport)]
--- a/knapweedarch/endpoint_choice.py
+++ b/knapweedarch/endpoint_choice.py
@@ -260,7 +260,7 @@
         if not self._cfg.learnt_capacity:
             return 0.0
         if prompt is None:
-            return self.learnt.observer.usual_s(kind)
+            return self.learnt.observer.usual_s(_route_kind(kind))
         return self._rates.rate(prompt.model).base_s
 
     def _with_room(
@@ -601,9 +601,9 @@
             endpoint.data_centre, cfg.unlisted_distance_s
         )
         load = self._total_load(endpoint, stats)
-        expected_s = 1.0
+        expected_s, kind = 1.0, _route_kind(kind)
         if prompt is not None:
-            kind = f"{prompt.model}/{unread_tokens.bit_length() // 2}"
+            kind = _prompt_kind(prompt, unread_tokens)
             tokens = load.unread_tokens + unread_tokens
             expected_s = self.prefill_s(prompt, tokens)
         observation = Observation(
@@ -790,3 +790,16 @@
     return {
         endpoint_id: rank / len(order) for rank, endpoint_id in enumerate(order)
     }
+
+
+def _route_kind(route: str) -> str:
+    """Returns the kind of the requests of a route that have no prompt.
+
+    Routes and models may have the same names.
+    """
+    return f"route {route}"
+
+
+def _prompt_kind(prompt: Prompt, unread_tokens: int) -> str:
+    """Returns the kind of requests with like prompts."""
+    return f"model {prompt.model} {unread_tokens.bit_length() // 2}"
