Ignore at any leader a heartbeat that started before the stored endpoint

Cause: which start of an endpoint was heard last is in the memory of the leader alone, so the first heartbeat that reaches a new leader took the endpoint's place, and the replicated state then counts the endpoint's own start as superseded. A late heartbeat of an earlier start could do the same. Change: the leader compares the start with that of the stored endpoint. Nothing that is sent or stored changes, nor how commands are applied.

--- a/features/endpoint_registry.feature
+++ b/features/endpoint_registry.feature
@@ -49,6 +49,21 @@
       | nobody  | "a" |
       | models  | "a" |
 
+  # The leader's table of heartbeats is not replicated. The first heartbeat that a
+  # new leader got took the place of an endpoint that had started later.
+  Scenario Outline: A heartbeat of an earlier start replaces none at a new leader
+    Guards against a late heartbeat, or an entry without a start time, after which
+    the heartbeats of the endpoint itself are ignored.
+    Given active runner "a" with weights 1
+    And another member becomes the leader
+    When an entry of service "desk" that started at <start> arrives as "a"
+    Then runner "a" is active and serves its model
+
+    Examples:
+      | start |
+      | 0     |
+      | 99    |
+
   Scenario: An endpoint that goes on is used again once a later start is silent
     Guards against an endpoint that stays out of use although it sends heartbeats.
     Given active runner "a" with weights 1
--- a/features/steps/endpoint_registry_steps.py
+++ b/features/steps/endpoint_registry_steps.py
@@ -149,6 +149,22 @@
     send_heartbeat(context, entry)
 
 
+@given("another member becomes the leader")
+def change_leader(context):
+    context.registry = EndpointRegistry(
+        context.group.state, context.clock, context.group.propose, SILENT_S
+    )
+
+
+@when(
+    'an entry of service "{service}" that started at {start} arrives as'
+    ' "{name}"'
+)
+def earlier_entry(context, service, start, name):
+    entry = runner(name, 1, incarnation=start)
+    send_heartbeat(context, attrs.evolve(entry, serves=(service,)))
+
+
 @then('runner "{name}" is active and serves its model')
 def still_serves(context, name):
     found = context.group.state.endpoints[name].endpoint
--- a/knapweedarch/endpoint_registry.py
+++ b/knapweedarch/endpoint_registry.py
@@ -74,7 +74,7 @@
             ReplicaError: This member is not the leader; nothing was stored.
         """
         known = self._stored(message.endpoint.id)
-        if self._would_lose(known, message.endpoint):
+        if known and self._must_stay(known, message.endpoint):
             log("heartbeat_ignored", endpoint=known.id, number=message.number)
             return control.HeartbeatNoted()
         endpoint = self._heartbeats.record(message, self._clock.now())
@@ -149,15 +149,18 @@
         entry = self._state.endpoints.get(endpoint_id)
         return entry.endpoint if entry is not None else None
 
-    def _would_lose(self, known: Endpoint | None, reported: Endpoint) -> bool:
-        """Returns whether a heartbeat would replace what is in use.
+    def _must_stay(self, known: Endpoint, reported: Endpoint) -> bool:
+        """Returns whether a heartbeat must not replace a stored endpoint.
 
-        This is the case if the deployment uses the endpoint as it is known and
-        not as it is reported: another writer may have sent the heartbeat.
+        It may be late, which a leader that has just started cannot tell from
+        its table of heartbeats. Or another writer sent it: the deployment uses
+        the endpoint as it is known and not as it is reported.
         """
-        if known is None or self._state.uses(reported):
-            return False
-        return self._state.uses(known)
+        if incarnation_start(reported.incarnation) < incarnation_start(
+            known.incarnation
+        ):
+            return True
+        return self._state.uses(known) and not self._state.uses(reported)
 
     def _returns_with_old_weights(
         self, known: Endpoint | None, endpoint: Endpoint
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -204,7 +204,7 @@
         420,
         "heartbeat_ignored",
         _W,
-        "A heartbeat names no service or model of an endpoint that has some.",
+        "A heartbeat is late, or names no service or model; it is ignored.",
     ),
     Event(413, "endpoint_known", _I, "A router added or updated an endpoint."),
     Event(406, "feed_lost", _W, "The event feed of a runner or store failed."),
