Move what endpoints say of themselves out of the proxy's attempts

Change: EndpointRestraints joins limits, waits and rests; started_before compares starts. No behaviour changes.

--- a/knapweedarch/endpoint_identity.py
+++ b/knapweedarch/endpoint_identity.py
@@ -13,7 +13,7 @@
 import anyio
 
 from knapweedarch.exceptions import ExchangeError
-from knapweedarch.heartbeats import incarnation_start
+from knapweedarch.heartbeats import started_before
 from knapweedarch.leases import RENEW_INTERVAL_S
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
@@ -143,9 +143,7 @@
             known=endpoint.incarnation,
             found=found,
         )
-        is_newer = incarnation_start(found) > incarnation_start(
-            endpoint.incarnation
-        )
+        is_newer = started_before(endpoint.incarnation, found)
         return ExchangeError(
             RetryReason.WRONG_INCARNATION
             if is_newer
--- a/knapweedarch/endpoint_registry.py
+++ b/knapweedarch/endpoint_registry.py
@@ -12,7 +12,7 @@
 from knapweedarch import control
 from knapweedarch.deployments import models_of
 from knapweedarch.exceptions import ReplicaError
-from knapweedarch.heartbeats import HeartbeatTable, incarnation_start
+from knapweedarch.heartbeats import HeartbeatTable, started_before
 from knapweedarch.logs import log
 from knapweedarch.models import Endpoint, EndpointStatus
 from knapweedarch.state import (
@@ -156,9 +156,7 @@
         its table of heartbeats. Or another writer sent it: the deployment uses
         the endpoint as it is known and not as it is reported.
         """
-        if incarnation_start(reported.incarnation) < incarnation_start(
-            known.incarnation
-        ):
+        if started_before(reported.incarnation, known.incarnation):
             return True
         return self._state.uses(known) and not self._state.uses(reported)
 
@@ -194,8 +192,7 @@
                 other.url == endpoint.url
                 and other.id != endpoint.id
                 and other.in_use
-                and incarnation_start(other.incarnation)
-                < incarnation_start(endpoint.incarnation)
+                and started_before(other.incarnation, endpoint.incarnation)
             ):
                 await self.change_status(
                     other,
--- a/knapweedarch/heartbeats.py
+++ b/knapweedarch/heartbeats.py
@@ -45,9 +45,7 @@
         endpoint = heartbeat.endpoint
         known = self._last_heartbeats.get(endpoint.id)
         if known is not None:
-            if incarnation_start(known.incarnation) > incarnation_start(
-                endpoint.incarnation
-            ):
+            if started_before(endpoint.incarnation, known.incarnation):
                 return None
             same_incarnation = known.incarnation == endpoint.incarnation
             if same_incarnation and heartbeat.number <= known.number:
@@ -82,7 +80,12 @@
         return last.at
 
 
-def incarnation_start(incarnation: str) -> float:
+def started_before(incarnation: str, other: str) -> bool:
+    """Returns whether an incarnation started before another one."""
+    return _start(incarnation) < _start(other)
+
+
+def _start(incarnation: str) -> float:
     """Returns the start time that an incarnation consists of.
 
     Its unit is the sender's, so it is only compared with other start times. An
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import math
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -18,11 +18,8 @@
 from knapweedarch.endpoint_choice import EndpointChooser
 from knapweedarch.endpoint_identity import EndpointIdentities
 from knapweedarch.endpoint_rates import EndpointLimits
-from knapweedarch.endpoint_statements import (
-    EndpointStatement,
-    EndpointWaits,
-    create_brittle_endpoints,
-)
+from knapweedarch.endpoint_restraints import EndpointRestraints
+from knapweedarch.endpoint_statements import EndpointWaits
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.fair_placement import FairPlacement
 from knapweedarch.http_outbound import AnswerHead, Exchange, OutboundPool
@@ -45,7 +42,6 @@
 )
 from knapweedarch.proxy_refusals import log_refusal, remaining_ms
 from knapweedarch.quarantine_messages import runner_digest
-from knapweedarch.relay_messages import endpoint_digest
 from knapweedarch.repeat_budget import RepeatBudget, RepeatLimits
 from knapweedarch.runner_room import RoomSearch
 from knapweedarch.service_endpoints import ServiceEndpoints
@@ -55,7 +51,6 @@
 # Saves per second that one router may request from a store. Saves and fetches
 # share the store's network bandwidth.
 SAVES_PER_S = 1.2
-MALFORMED_LOG_INTERVAL_S = 60.0
 # The connection broke or was refused: the endpoint may have started again.
 BREAK_REASONS = CRASH_REASONS | {RetryReason.CONNECT_REFUSED}
 # Why nothing was written although the endpoint may be sound for other requests.
@@ -143,12 +138,11 @@
         self._save_limiters: dict[str, SaveLimiter] = {}
         self._pool = pool
         self._guard = guard
-        self._endpoint_limits = endpoint_limits
-        self._waits = endpoint_waits
-        self._brittle = create_brittle_endpoints()
+        self._restraints = EndpointRestraints(
+            endpoint_limits, endpoint_waits, metrics
+        )
         self._origins = origins
         self._identities = identities
-        self._malformed_logged_at = -math.inf
         self._limits = limits
         self._start_refusal = start_refusal
         self._started_at = started_at
@@ -161,14 +155,14 @@
         self._endpoints.set_listed(endpoints)
         self.chooser.retain(endpoints)
         self.chooser.set_listed(endpoints, self.clock.now())
-        self._waits.retain(endpoints)
+        self._restraints.retain(endpoints)
         self._identities.retain(endpoints)
 
     def set_router_count(self, count: int) -> None:
         """Sets how many routers, this one included, share the endpoints."""
         self.router_count = count
         self.chooser.set_router_count(count)
-        self._endpoint_limits.set_router_count(count)
+        self._restraints.set_router_count(count)
 
     @property
     def active_endpoint_count(self) -> int:
@@ -320,7 +314,7 @@
         )
         candidates = [e for e in capable if call.may_go_to(e)]
         engine = call.service.engine
-        waits_s = self._waits_s(candidates, now)
+        waits_s = self._restraints.waits_s(candidates, now)
         room = None
         if self.fair is not None and not needs_room:
             room = self.fair.search(call, candidates, now)
@@ -335,9 +329,7 @@
             memory_tokens=engine.memory_tokens if engine else 0,
             barred=waits_s,
             cautious=[
-                e.id
-                for e in candidates
-                if self._brittle.limit(e, now) is not None
+                e.id for e in candidates if self._restraints.is_brittle(e, now)
             ],
             needs_room=needs_room,
             kind=call.route.name,
@@ -353,63 +345,14 @@
         call.tried.append(endpoint.id)
         # Counted before the connection is open: other requests are chosen for
         # meanwhile.
-        self._endpoint_limits.record_sent(endpoint_digest(endpoint.id), now)
-
-    def _waits_s(
-        self, endpoints: Iterable[Endpoint], now: float
-    ) -> dict[str, float]:
-        """Returns after how many seconds endpoints take a request.
-
-        It follows from what they have said; those that take one now are left
-        out.
-        """
-        limits, waits = self._endpoint_limits, self._waits
-        if limits.is_empty and waits.is_empty:
-            return {}
-        waits_s = {
-            e.id: max(
-                limits.wait_s(endpoint_digest(e.id), now), waits.wait_s(e, now)
-            )
-            for e in endpoints
-        }
-        return {i: wait_s for i, wait_s in waits_s.items() if wait_s > 0}
+        self._restraints.record_sent(endpoint, now)
 
     def record_head(self, endpoint: Endpoint, head: AnswerHead) -> None:
         """Records what an answer says of its endpoint."""
         if self.dialect.is_wrong_instance(head, endpoint.id):
             return
-        now, statement = self.clock.now(), self.dialect.statement(head)
-        self._brittle.record(endpoint, statement, now)
-        if statement.malformed:
-            self._record_malformed(endpoint, statement, now)
-        if self._endpoint_limits.record_named(
-            endpoint_digest(endpoint.id), statement.limit_per_s, now
-        ):
-            log(
-                "endpoint_limit",
-                endpoint=endpoint.id,
-                limit_per_s=statement.limit_per_s,
-                shared=self._endpoint_limits.is_shared,
-            )
-        if self._waits.record(endpoint, statement, now):
-            log(
-                "endpoint_waits",
-                endpoint=endpoint.id,
-                leaving=statement.is_leaving,
-                wait_s=statement.wait_s,
-            )
-
-    def _record_malformed(
-        self, endpoint: Endpoint, statement: EndpointStatement, now: float
-    ) -> None:
-        self.metrics.count("statements.malformed")
-        if now - self._malformed_logged_at >= MALFORMED_LOG_INTERVAL_S:
-            self._malformed_logged_at = now
-            log(
-                "endpoint_statement_malformed",
-                endpoint=endpoint.id,
-                headers=list(statement.malformed),
-            )
+        statement = self.dialect.statement(head)
+        self._restraints.record(endpoint, statement, self.clock.now())
 
     def _has_room(self, call: ProxyCall, found: _Selection, now: float) -> bool:
         """Returns whether a runner takes a request; see `fair_admission`."""
@@ -634,7 +577,7 @@
             if e.weights_version == endpoint.weights_version
             and e.id != endpoint.id
             and self.chooser.is_usable(e, self.now())
-            and not self._waits.wait_s(e, self.now())
+            and not self._restraints.is_waiting(e, self.now())
         ]
         peers.sort(key=lambda e: e.data_centre != endpoint.data_centre)
         return [*(e.address for e in peers), *self._save_limiters]
@@ -656,7 +599,8 @@
             self._record_replaced(endpoint, now)
         else:
             self.chooser.record_overload(endpoint, now)
-            self._wait_if_brittle(endpoint, now)
+            if self._restraints.rest_if_brittle(endpoint, now):
+                self.chooser.claim_room(endpoint, now)
         return self.record_failure(
             call,
             endpoint,
@@ -669,15 +613,6 @@
         self.chooser.record_replaced(endpoint, now)
         self._endpoints.record_replaced(endpoint)
 
-    def _wait_if_brittle(self, endpoint: Endpoint, now: float) -> None:
-        """Lets a brittle endpoint rest that has turned a request away."""
-        wait_s = self._brittle.wait_after_rejection_s(endpoint, now)
-        if wait_s:
-            self.chooser.claim_room(endpoint, now)
-            statement = EndpointStatement(wait_s=wait_s)
-            self._waits.record(endpoint, statement, now)
-            log("endpoint_brittle", endpoint=endpoint.id, wait_s=wait_s)
-
     def record_broken_exchange(
         self,
         call: ProxyCall,
--- a/knapweedarch/service_endpoints.py
+++ b/knapweedarch/service_endpoints.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Sequence
 
 from knapweedarch.deployments import Deployment, models_of, service_of
-from knapweedarch.heartbeats import incarnation_start
+from knapweedarch.heartbeats import started_before
 from knapweedarch.models import Endpoint, EndpointStatus
 
 
@@ -80,8 +80,8 @@
     newest: dict[str, Endpoint] = {}
     for endpoint in endpoints:
         known = newest.get(endpoint.url)
-        if known is None or incarnation_start(
-            endpoint.incarnation
-        ) > incarnation_start(known.incarnation):
+        if known is None or started_before(
+            known.incarnation, endpoint.incarnation
+        ):
             newest[endpoint.url] = endpoint
     return list(newest.values())
