--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -59,10 +59,10 @@
       | coldLeftMs  | "soon"     |
       | coldLeftMs  | null       |
 
-  # One such entry at an endpoint's address, of another writer, kept the endpoint
-  # from all routers for good, as a missing number of slots counted as one.
+  # One such heartbeat for an endpoint's address, of an unknown sender, kept the
+  # endpoint from all routers for good, as a missing number of slots counted as one.
   Scenario Outline: A heartbeat that lacks a field is refused
-    Guards against an entry of another writer that is taken for an endpoint.
+    Guards against a heartbeat of an unknown sender that is taken for an endpoint.
     Given the platform's example heartbeat
     When it has no field <field>
     Then the heartbeat is refused
--- a/features/endpoint_registry.feature
+++ b/features/endpoint_registry.feature
@@ -34,12 +34,12 @@
     Then runner "a" is silent
     And runner "c" is active
 
-  Scenario Outline: An entry that names no endpoint to use replaces none
+  Scenario Outline: A heartbeat that cannot be used replaces no endpoint
     Guards against an endpoint that is out of use, or replaced under its id, for
-    an entry of another writer.
+    a heartbeat of an unknown sender.
     Given active runner "a" with weights 1
     And a configuration whose service "models" has runners
-    When an entry of <service> without models arrives as <id>
+    When a heartbeat of <service> without models arrives as <id>
     Then runner "a" is active and serves its model
 
     Examples:
@@ -52,11 +52,11 @@
   # The leader's table of heartbeats is not replicated. The first heartbeat that a
   # new leader got took the place of an endpoint that had started later.
   Scenario Outline: A heartbeat of an earlier start replaces none at a new leader
-    Guards against a late heartbeat, or an entry without a start time, after which
+    Guards against a late heartbeat, or one without a start time, after which
     the heartbeats of the endpoint itself are ignored.
     Given active runner "a" with weights 1
     And another member becomes the leader
-    When an entry of service "desk" that started at <start> arrives as "a"
+    When a heartbeat of service "desk" that started at <start> arrives as "a"
     Then runner "a" is active and serves its model
 
     Examples:
--- a/features/service_endpoints.feature
+++ b/features/service_endpoints.feature
@@ -1,20 +1,20 @@
 Feature: Which endpoints a router uses for a service
 
-  Several endpoints may be listed at one address: one that has crashed and its
-  successor, or an endpoint and an entry of another writer.
+  Several endpoints may be registered at one address: one that has crashed and
+  its successor, or one that runs and one that an unknown sender registered.
 
-  # One entry for the address of each endpoint, confirmed once, kept a router from
+  # One later registration for the address of each endpoint kept a router from
   # serving anything for good, although all endpoints sent their heartbeats.
-  Scenario Outline: An entry that names no endpoint to use hides none
+  Scenario Outline: A registration that cannot be used hides no endpoint
     Guards against an endpoint that gets no requests, though it is there, as
-    another entry of its address started later.
+    another registration for its address started later.
     Given a deployment with the model service "chat" and the service "desk"
     And the endpoint "own" of "chat" with the model "m"
-    When an entry that started later at its address is <entry>
+    When a later registration at its address is <registration>
     Then the requests for "chat" may go to "own"
 
     Examples:
-      | entry                          |
+      | registration                   |
       | of a service that is not named |
       | of "chat" without models       |
       | of "chat" and silent           |
@@ -26,16 +26,16 @@
     another one has started.
     Given a deployment with the model service "chat" and the service "desk"
     And the endpoint "own" of "chat" with the model "m"
-    When an entry that started later at its address is of "desk" and active
+    When a later registration at its address is of "desk" and active
     Then the requests for "chat" may go to nobody
     And the requests for "desk" may go to "other"
 
   Scenario: An endpoint that is not at its address hides none
-    Guards against an endpoint that gets no requests while a complete entry of
-    another writer names its address.
+    Guards against an endpoint that gets no requests while an unknown sender has
+    registered a complete endpoint at its address.
     Given a deployment with the model service "chat" and the service "desk"
     And the endpoint "own" of "chat" with the model "m"
-    When an entry that started later at its address is of "chat" with models
+    When a later registration at its address is of "chat" with models
     Then the requests for "chat" may go to "other"
     When the server at the address answers that it is not "other"
     Then the requests for "chat" may go to "own"
@@ -45,7 +45,7 @@
     requests once it is configured.
     Given a deployment with the model service "chat" and the service "desk"
     And the endpoint "own" of "chat" with the model "m"
-    When an entry that started later at its address is of a service that is not named
+    When a later registration at its address is of a service that is not named
     And a deployment names that service as well
     Then the requests for "chat" may go to nobody
     And the requests for "later" may go to "other"
@@ -56,7 +56,7 @@
     Guards against requests that are run by endpoints of another service.
     Given a deployment with the model service "chat" and the service "desk"
     And the endpoint "own" of "chat" with the model "m"
-    When an entry at another address is of "m" with models
+    When a later registration at another address is of "m" with models
     And a deployment names that service as well
     Then the requests for "chat" may go to "own"
     And the requests for "m" may go to "other"
--- a/features/steps/endpoint_registry_steps.py
+++ b/features/steps/endpoint_registry_steps.py
@@ -138,15 +138,15 @@
     context.group.store(PutDeployment(deployment, b"{}"))
 
 
-@when('an entry of {service} without models arrives as "{name}"')
-def foreign_entry(context, service, name):
-    entry = attrs.evolve(
+@when('a heartbeat of {service} without models arrives as "{name}"')
+def report_without_models(context, service, name):
+    endpoint = attrs.evolve(
         runner(name, 1, incarnation="200"),
         kind=EndpointKind.SERVICE,
         serves=(service,),
         weights_version="",
     )
-    send_heartbeat(context, entry)
+    send_heartbeat(context, endpoint)
 
 
 @given("another member becomes the leader")
@@ -157,12 +157,12 @@
 
 
 @when(
-    'an entry of service "{service}" that started at {start} arrives as'
+    'a heartbeat of service "{service}" that started at {start} arrives as'
     ' "{name}"'
 )
-def earlier_entry(context, service, start, name):
-    entry = runner(name, 1, incarnation=start)
-    send_heartbeat(context, attrs.evolve(entry, serves=(service,)))
+def report_earlier_start(context, service, start, name):
+    endpoint = runner(name, 1, incarnation=start)
+    send_heartbeat(context, attrs.evolve(endpoint, serves=(service,)))
 
 
 @then('runner "{name}" is active and serves its model')
--- a/features/steps/service_endpoint_steps.py
+++ b/features/steps/service_endpoint_steps.py
@@ -19,8 +19,8 @@
     )
 
 
-def later_entry(text: str) -> Endpoint:
-    """Returns the entry that a step describes."""
+def later_registration(text: str) -> Endpoint:
+    """Returns the endpoint that a step describes."""
     match text.replace('"', "").split():
         case ["of", "a", "service", "that", "is", "not", "named"]:
             return endpoint("other", "200", "later")
@@ -51,15 +51,15 @@
     context.used.set_listed([context.own])
 
 
-@when("an entry that started later at its address is {entry}")
-def list_later_entry(context, entry):
-    context.other = later_entry(entry)
+@when("a later registration at its address is {text}")
+def register_later(context, text):
+    context.other = later_registration(text)
     context.used.set_listed([context.own, context.other])
 
 
-@when("an entry at another address is {entry}")
-def list_entry_elsewhere(context, entry):
-    context.other = attrs.evolve(later_entry(entry), url=OTHER_URL)
+@when("a later registration at another address is {text}")
+def register_elsewhere(context, text):
+    context.other = attrs.evolve(later_registration(text), url=OTHER_URL)
     context.used.set_listed([context.own, context.other])
 
 
--- a/knapweedarch/endpoint_registry.py
+++ b/knapweedarch/endpoint_registry.py
@@ -153,8 +153,8 @@
         """Returns whether a heartbeat must not replace a stored endpoint.
 
         It may be late, which a leader that has just started cannot tell from
-        its table of heartbeats. Or another writer sent it: the deployment uses
-        the endpoint as it is known and not as it is reported.
+        its table of heartbeats. Or an unknown sender sent it: the deployment
+        uses the endpoint as it is known and not as it is reported.
         """
         if started_before(reported.incarnation, known.incarnation):
             return True
--- a/knapweedarch/service_endpoints.py
+++ b/knapweedarch/service_endpoints.py
@@ -1,8 +1,8 @@
 """Endpoints that a router sends requests to, by the service of a request.
 
-Several endpoints may be listed at one address: one that has crashed and its
-successor, or an endpoint and an entry that another writer sent. Only an entry
-that can be used may hide the others of its address.
+Several endpoints may be registered at one address: one that has crashed and its
+successor, or one that runs and one that an unknown sender registered. Only an
+endpoint that can be used may hide the others of its address.
 """
 
 from collections.abc import Iterable, Sequence
