Run the features of the checks side by side

Each feature runs in a behave process of its own. Tags on the first line of a file say which start processes (three at once) and which run first; the others run as many at once as half the cores, the model check beside them. The scenarios, bounds and known reds are the same. A feature has 15 minutes, and one that is ended fails and names its scenario. A run that ends with an error though all its scenarios pass now counts as failed; before it passed.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Decoding of the platform's messages and settings
 
   Scenario: A configuration is decoded once, into the project's types
--- a/features/answers_without_end.feature
+++ b/features/answers_without_end.feature
@@ -1,3 +1,4 @@
+@long
 Feature: Answers without end
 
   # A faulty runner may send bytes that are no answer until its caller closes. One
--- a/features/caller_bytes.feature
+++ b/features/caller_bytes.feature
@@ -1,3 +1,4 @@
+@long
 Feature: Decoders of callers' bytes
 
   The same bytes are read the same way however they arrive, as h11 reads them
--- a/features/control.feature
+++ b/features/control.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Control client, control state and member
 
   Scenario: A redirect after an unanswered send leaves the outcome unknown
--- a/features/deployment.feature
+++ b/features/deployment.feature
@@ -1,3 +1,4 @@
+@long @processes
 Feature: Guarantees of a deployment of real processes
   Three members, two routers, two runners and a desk run as separate processes
   on loopback. Scenarios inject failures of processes and links.
--- a/features/environment.py
+++ b/features/environment.py
@@ -4,10 +4,10 @@
 import pathlib
 import sys
 
-# The folder `platform` is not a package; this makes the adapter's package
-# importable.
-ADAPTER = pathlib.Path(__file__).resolve().parent.parent / "platform"
-sys.path.insert(0, str(ADAPTER))
+# The folders `platform` and `scripts` are not packages; this makes the package
+# of the adapter and the modules of the scripts importable.
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "platform"), str(ROOT / "scripts")]
 
 
 def before_all(context):
@@ -16,8 +16,15 @@
 
 
 def before_scenario(context, scenario):
-    """Gives each scenario an empty list of cleanup functions."""
+    """Gives each scenario an empty list of cleanup functions.
+
+    The scenario's name is written to the file that `current_scenario` names,
+    so that a run which is killed tells where it was.
+    """
     context.closing = []
+    path = context.config.userdata.get("current_scenario")
+    if path:
+        pathlib.Path(path).write_text(scenario.name)
 
 
 def after_scenario(context, scenario):
--- a/features/forming.feature
+++ b/features/forming.feature
@@ -1,3 +1,4 @@
+@long
 Feature: Forming of the group
 
   The seeds of a new deployment form the group by several messages. Any member may
--- a/features/member_soak.feature
+++ b/features/member_soak.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Real members are lost and replaced while a site is in use
 
   Member and proxy processes as the platform starts them, under a seeded schedule
--- a/features/platform_site.feature
+++ b/features/platform_site.feature
@@ -1,3 +1,4 @@
+@long @processes
 Feature: End-to-end requests with stand-ins for the platform
 
   Members and proxies run as separate processes on loopback; stand-ins replace
--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -1,3 +1,4 @@
+@long
 Feature: Proxied requests
 
   Scenario Outline: A call that may run once is sent once
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -1,3 +1,4 @@
+@long
 Feature: Request guarantees when endpoints and callers fail
 
   Background:
--- a/features/router_paths.feature
+++ b/features/router_paths.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Routers of the product without paths to endpoints
   Three members, two routers, two runners and a desk run as separate processes on
   loopback.
--- a/features/untrusted_callers.feature
+++ b/features/untrusted_callers.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: Untrusted callers
 
   Real processes on loopback and a small crowd of hostile callers, whose
--- a/features/untrusted_gateway_callers.feature
+++ b/features/untrusted_gateway_callers.feature
@@ -1,3 +1,4 @@
+@long @processes
 Feature: Untrusted callers of the gateway
 
   Real processes on loopback (one member, one router, one desk) and a small crowd of
--- a/scripts/run_checks.py
+++ b/scripts/run_checks.py
@@ -1,23 +1,39 @@
-"""Runs all checks of the repository and prints the totals."""
+"""Runs all checks of the repository and prints the totals.
+
+Without arguments the features run side by side. Arguments are passed to one run
+of behave.
+"""
 
-import json
-import pathlib
 import subprocess
 import sys
-import tempfile
+from collections.abc import Iterable, Sequence
+from concurrent.futures import ThreadPoolExecutor
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-KNOWN_RED = ROOT / "KNOWN-RED.txt"
+import attrs
+from behave_runs import ROOT, BehaveRun, run_behave
+from feature_lanes import find_lanes, run_lanes
+from known_reds import known_red_names
 
-REQUIRED_CHECKS = (
+CHECKS = (
     ("formatter", ["ruff", "format", "--check", "."]),
     ("linter", ["ruff", "check", "."]),
     ("core modules perform no I/O", [sys.executable, "scripts/check_core.py"]),
+    (
+        "catalogues match the registries",
+        [sys.executable, "scripts/check_catalogues.py"],
+    ),
 )
-OPTIONAL_CHECKS = (
-    ("catalogues match the registries", "scripts/check_catalogues.py"),
-    ("model checking", "spec/check.py"),
-)
+# It takes as long as some features, so it runs beside them.
+MODEL_CHECK = ("model checking", [sys.executable, "spec/check.py"])
+
+
+@attrs.define
+class Totals:
+    """Numbers of scenarios, and of runs that ended without saying which."""
+
+    passed: int = 0
+    failed: int = 0
+    known_red: int = 0
 
 
 def run_command(name: str, command: list[str]) -> bool:
@@ -27,96 +43,88 @@
     """
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
     passed_check = done.returncode == 0
-    print(f"{'ok  ' if passed_check else 'FAIL'} {name}")
+    print(f"{'ok  ' if passed_check else 'FAIL'} {name}", flush=True)
     if not passed_check:
         print(done.stdout[-8000:], done.stderr[-8000:])
     return passed_check
 
 
-def known_red_names() -> set[str]:
-    """Returns the scenario names on the 'test:' lines of KNOWN-RED.txt."""
-    if not KNOWN_RED.exists():
-        return set()
-    lines = KNOWN_RED.read_text().splitlines()
-    return {
-        line.removeprefix("test:").strip()
-        for line in lines
-        if line.startswith("test:")
-    }
+def run_features(arguments: Sequence[str]) -> list[BehaveRun]:
+    """Runs all features, or those that the arguments of behave name."""
+    if arguments:
+        return [run_behave("behave", arguments)]
+    return run_lanes(find_lanes(), print_progress)
+
 
+def print_progress(run: BehaveRun) -> None:
+    """Prints a line about a feature that has run."""
+    passed = sum(s.status == "passed" for s in run.scenarios)
+    counts = f"{passed} of {len(run.scenarios)} scenarios passed"
+    print(f"     {run.label}: {run.seconds:.1f} s, {counts}", flush=True)
 
-def scenario_report(plain: str, name: str) -> str:
-    """Returns the part of behave's plain report about one scenario.
 
-    It has the traceback of every failed step and hook, which the JSON report
-    lacks for errors. A flaky failure may not recur, so CI prints it.
+def report(
+    runs: Iterable[BehaveRun], known_reds: set[str], may_skip: bool
+) -> Totals:
+    """Prints what failed and counts the scenarios.
+
+    Args:
+        runs: The runs of behave.
+        known_reds: Names of the scenarios that may fail.
+        may_skip: Whether scenarios may be deselected by arguments.
     """
-    sections = plain.split("\n  Scenario")
-    found = [s for s in sections[1:] if name in s.splitlines()[0]]
-    return "\n".join(section[-6000:] for section in found)
-
-
-def run_scenarios(arguments: list[str]) -> tuple[int, int, int]:
-    """Runs behave; returns the numbers passed, failed and known to fail."""
-    with (
-        tempfile.NamedTemporaryFile(suffix=".json") as report,
-        tempfile.NamedTemporaryFile(suffix=".txt") as plain_report,
-    ):
-        done = subprocess.run(
-            [
-                *("behave", "--no-capture", "--format", "json"),
-                *("--outfile", report.name, "--format", "plain"),
-                *("--outfile", plain_report.name, "--format", "progress"),
-                *arguments,
-            ],
-            cwd=ROOT,
-            capture_output=True,
-            text=True,
-        )
-        text = pathlib.Path(report.name).read_text()
-        plain = pathlib.Path(plain_report.name).read_text()
-    try:
-        features = json.loads(text)
-    except json.JSONDecodeError:
-        print(done.stdout[-8000:], done.stderr[-8000:])
-        return 0, 1, 0
-    known_red_scenarios = known_red_names()
-    passed = failed = known_red = 0
-    for feature in features:
-        for element in feature.get("elements", []):
-            if element["type"] != "scenario":
-                continue
-            name = f"{feature['name']}: {element['name']}"
-            status = element.get("status")
-            if status == "passed":
-                passed += 1
-            # The name of a row of an unnamed table ends with a blank.
-            elif element["name"].strip() in known_red_scenarios:
-                known_red += 1
-                print(f"KNOWN RED {name}")
-                print(scenario_report(plain, element["name"]))
-            # Arguments may deselect scenarios, which are then skipped.
-            elif status != "skipped" or not arguments:
-                failed += 1
-                print(f"FAIL {name} ({status})")
-                print(scenario_report(plain, element["name"]))
-    if failed or (done.returncode != 0 and not (known_red or passed)):
-        print(done.stdout[-12000:], done.stderr[-4000:])
-        failed = max(failed, 1)
-    print(f"scenarios: {passed} passed, {failed} failed, {known_red} known red")
-    return passed, failed, known_red
+    totals = Totals()
+    for run in runs:
+        failed_before = totals.failed
+        _report_scenarios(run, known_reds, may_skip, totals)
+        if run.timed_out_in:
+            print(f"FAIL {run.label}: time limit, in {run.timed_out_in}")
+            totals.failed += 1
+        elif run.exit_code and not _has_unpassed(run):
+            print(f"FAIL {run.label}: exit code {run.exit_code}")
+            totals.failed += 1
+        if totals.failed > failed_before:
+            print(run.output)
+    return totals
+
+
+def _report_scenarios(
+    run: BehaveRun, known_reds: set[str], may_skip: bool, totals: Totals
+) -> None:
+    for scenario in run.scenarios:
+        name = f"{scenario.feature}: {scenario.name}"
+        if scenario.status == "passed":
+            totals.passed += 1
+        elif scenario.status == "skipped" and may_skip:
+            continue
+        elif scenario.name in known_reds:
+            totals.known_red += 1
+            print(f"KNOWN RED {name}\n{scenario.failure}")
+        else:
+            totals.failed += 1
+            print(f"FAIL {name} ({scenario.status})\n{scenario.failure}")
+
+
+def _has_unpassed(run: BehaveRun) -> bool:
+    """Returns whether a scenario tells why behave has failed."""
+    return any(s.status not in ("passed", "skipped") for s in run.scenarios)
 
 
 def main() -> int:
     """Runs all checks; returns the exit code."""
-    checks = list(REQUIRED_CHECKS)
-    for name, script in OPTIONAL_CHECKS:
-        if (ROOT / script).exists():
-            checks.append((name, [sys.executable, script]))
-    results = [run_command(name, command) for name, command in checks]
-    passed, failed, _ = run_scenarios(sys.argv[1:])
-    passed += results.count(True)
-    failed += results.count(False)
+    arguments = sys.argv[1:]
+    results = [run_command(name, command) for name, command in CHECKS]
+    with ThreadPoolExecutor(1) as pool:
+        model_check = pool.submit(run_command, *MODEL_CHECK)
+        runs = run_features(arguments)
+        results.append(model_check.result())
+    totals = report(runs, known_red_names(), may_skip=bool(arguments))
+    print(
+        f"scenarios: {totals.passed} passed, {totals.failed} failed,"
+        f" {totals.known_red} known red"
+    )
+    passed = totals.passed + results.count(True)
+    failed = totals.failed + results.count(False)
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or not passed else 0
 
