Write no body once its exchange has failed or was closed

Cause: a body of over 8,192 bytes is sent by a task of the pool, which read the exchange's connection when it first ran. A tunnel that is reset as it opens makes the read of the answer raise without giving that task its turn, and `close` has taken the connection away by then. A cancelled scope stops a task at its next wait, not before its first step. Had the close come later, the body would have been written after the exchange had said that nothing was.

Ruled out: that the stream and not the exchange is at fault; a tunnel with bytes that are no answer, not reset, does the same.

Change: the task gets its stream as an argument, and writes nothing once the exchange has failed or was closed.

--- a/features/failure_containment.feature
+++ b/features/failure_containment.feature
@@ -74,3 +74,19 @@
       | a key error in a nested group    | process_failed | 1    |
       | a journal error in a nested group | journal_failed | 3    |
       | a replica error                  | replica_failed | 3    |
+
+  Scenario Outline: A connection fails before a long body is sent on it
+    Guards against a router that ends by itself, as the task that sends a body
+    takes its first turn after its request has ended; and against a body that is
+    sent after the request was said not to have run.
+    Given a pool whose first connection to an endpoint <state>
+    When a request with a long body is sent, and closed <when>
+    Then it has failed as one of which nothing was written, and nothing was
+    And the pool sends the next request
+
+    Examples:
+      | state                             | when    |
+      | was reset as it opened            | at once |
+      | was reset as it opened            | later   |
+      | has bytes that are no answer      | at once |
+      | has bytes that are no answer      | later   |
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -185,12 +185,15 @@
             ExchangeError: No valid answer to this request was received.
         """
         data = self._encode()
+        stream = self._conn.stream
         # The endpoint may answer before it has read a long body, so the answer
         # is read while the body is sent.
         if len(self._req.body) > MAX_INLINE_BODY_BYTES:
-            self._pool.spawn(functools.partial(self._send_in_background, data))
+            self._pool.spawn(
+                functools.partial(self._send_in_background, stream, data)
+            )
         else:
-            await self._send(data)
+            await self._send(stream, data)
         for _ in range(MAX_MISMATCHED_ANSWERS):
             head = await self._read_head()
             if self._is_own_answer(head.headers):
@@ -223,15 +226,24 @@
                 RetryReason.REQUEST_UNSENDABLE, str(exc)
             ) from exc
 
-    async def _send_in_background(self, data: bytes) -> None:
+    async def _send_in_background(
+        self, stream: anyio.abc.ByteStream, data: bytes
+    ) -> None:
+        """Sends the request while its answer is read.
+
+        The exchange may have failed or been closed before this task takes its
+        first step. Nothing is written then.
+        """
         with self._send_scope:
-            await self._send(data)
+            if self._send_scope.cancel_called:
+                return
+            await self._send(stream, data)
 
-    async def _send(self, data: bytes) -> None:
+    async def _send(self, stream: anyio.abc.ByteStream, data: bytes) -> None:
         self.written = True
         # After a failed write, reading returns an early answer or the error.
         with contextlib.suppress(*STREAM_ERRORS):
-            await self._conn.stream.send(data)
+            await stream.send(data)
             self._sent = True
 
     async def _read_head(self) -> AnswerHead:
@@ -354,6 +366,8 @@
             ) from exc
 
     def _create_error(self, reason: RetryReason, message: str) -> ExchangeError:
+        # What the error says of `written` must stay true.
+        self._send_scope.cancel()
         return ExchangeError(reason, message, self.written)
 
     def mark_refused(self, head: AnswerHead, *, names_request: bool) -> None:
