Let an error in one request's task end only that task

Cause: the tasks of single requests, tunnels and connections ran in the task groups of the pool, the tunnel server, the listeners and the gateway's server.

Change: `task_groups.run_contained` logs such an error (`task_failed`) and ends the task alone. A send that fails closes its stream, so that its request fails at once. The other end of a tunnel that fails is told. A background task that nobody awaits no longer loses its error. An endpoint's host that has no form as a name counts as one that is not there.

Result: "The send of a long body raises an unexpected error", the four rows of "A task of one request or connection raises an unexpected error" and "An endpoint's address can be no host name" failed before and pass now.

--- a/features/failure_containment.feature
+++ b/features/failure_containment.feature
@@ -90,3 +90,32 @@
       | was reset as it opened            | later   |
       | has bytes that are no answer      | at once |
       | has bytes that are no answer      | later   |
+
+  Scenario: The send of a long body raises an unexpected error
+    Guards against one request that ends its router, and against a request that
+    waits for its timeout although it is known that it cannot be served.
+    Given a pool whose first connection to an endpoint raises an unexpected error
+    When a request with a long body is sent, and closed at once
+    Then it has failed within 1.0 s as one that may have run
+    And the log names the error of a task
+    And the pool sends the next request
+
+  Scenario Outline: A task of one request or connection raises an unexpected error
+    Guards against one request that ends the process, and all others with it.
+    When <task> raises an unexpected error
+    Then the process still runs
+    And the log names the error of a task
+
+    Examples:
+      | task                                  |
+      | a tunnel for another router           |
+      | the accept of a link                  |
+      | the read of what an upload has left   |
+      | a background task that nobody awaits  |
+
+  Scenario: An endpoint's address can be no host name
+    Guards against an entry in the list of endpoints that ends the router which
+    looks whether its own links are cut.
+    Given an endpoint whose host has a label of 70 letters outside ASCII
+    When a router that has lost its paths tries it
+    Then the router still runs and takes it for one that is not there
--- a/knapweedarch/background.py
+++ b/knapweedarch/background.py
@@ -13,6 +13,7 @@
 import attrs
 
 from knapweedarch.callers import Receive, Send
+from knapweedarch.task_groups import run_contained
 
 # Time to wait for running tasks at shutdown. Longer than a service call and its
 # settling usually take; a reservation that is not settled becomes `unknown`.
@@ -44,12 +45,14 @@
     ) -> None:
         """Starts a function, which must end by itself.
 
-        It must not raise, since its exception may be discarded.
+        Its error is logged: nobody waits for its result.
         """
         if self._group is None:
             with anyio.CancelScope(shield=True):
-                return await function(*arguments)
-        self._group.start_soon(self._run, _TaskResult(), function, arguments)
+                return await run_contained(function, *arguments)
+        self._group.start_soon(
+            *(self._run, _TaskResult(), run_contained, (function, *arguments))
+        )
 
     async def run_to_completion(
         self, function: Callable[..., Awaitable[Result]], *arguments: object
--- a/knapweedarch/events.py
+++ b/knapweedarch/events.py
@@ -362,6 +362,13 @@
         " stood still and another caller needs the connection.",
     ),
     Event(552, "accept_failed", _E, "No connection could be accepted."),
+    Event(
+        553,
+        "task_failed",
+        _E,
+        "An unexpected error ended a task of one request or connection; the"
+        " reason is its traceback.",
+    ),
     Event(601, "link_refused", _W, "The credential of a peer does not match."),
     Event(707, "control_call", _I, "A call to the control address finished."),
     Event(602, "link_message_refused", _W, "A message could not be decoded."),
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -26,7 +26,7 @@
 )
 from knapweedarch.logs import log
 from knapweedarch.models import RetryReason
-from knapweedarch.task_groups import TaskOwner
+from knapweedarch.task_groups import TaskOwner, spawn_contained
 from knapweedarch.timers import Clock
 from knapweedarch.tunnel_stream import TunnelStream
 from knapweedarch.unacknowledged import has_unacknowledged
@@ -237,7 +237,12 @@
         with self._send_scope:
             if self._send_scope.cancel_called:
                 return
-            await self._send(stream, data)
+            try:
+                await self._send(stream, data)
+            except Exception:
+                # Whoever reads the answer must not wait for its timeout.
+                await anyio.aclose_forcefully(stream)
+                raise
 
     async def _send(self, stream: anyio.abc.ByteStream, data: bytes) -> None:
         self.written = True
@@ -426,8 +431,11 @@
     # An odd entry in the list of endpoints must fail as one that is not there.
     if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
         raise OSError(f"{address!r} is not an address")
-    with anyio.fail_after(CONNECT_TIMEOUT_S):
-        return await anyio.connect_tcp(host.strip("[]"), int(port))
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            return await anyio.connect_tcp(host.strip("[]"), int(port))
+    except UnicodeError as exc:
+        raise OSError(f"{address!r} has no host name") from exc
 
 
 def has_no_input(stream: anyio.abc.ByteStream) -> bool:
@@ -463,8 +471,12 @@
         self._idle: dict[str, list[_Connection]] = {}
 
     def spawn(self, task: Callable[[], Awaitable[None]]) -> None:
-        """Starts a task, which is cancelled when the pool's context exits."""
-        self._group.start_soon(task)
+        """Starts a task of one request.
+
+        It is cancelled when the pool's context exits. Its error is logged and
+        ends no other task.
+        """
+        spawn_contained(self._group, task)
 
     def exchange(
         self, address: str, req: Request, is_own_answer: IsOwnAnswer
--- a/knapweedarch/http_server.py
+++ b/knapweedarch/http_server.py
@@ -22,6 +22,7 @@
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import RefusalReason
 from knapweedarch.settings import RouterSettings
+from knapweedarch.task_groups import spawn_contained
 from knapweedarch.timers import Clock, ManualClock
 from knapweedarch.unread_bodies import RequestChannel
 
@@ -135,7 +136,7 @@
         async def wrapped_app(scope, receive, send) -> None:
             if scope["type"] != "http":
                 return await app(scope, receive, send)
-            channel = RequestChannel(receive, send, self._group.start_soon)
+            channel = RequestChannel(receive, send, self._spawn)
             connection = self.connections.find(scope["client"])
             if connection is not None:
                 connection.begin_request()
@@ -161,6 +162,9 @@
 
         return wrapped_app
 
+    def _spawn(self, task: Callable[[], Awaitable[None]]) -> None:
+        spawn_contained(self._group, task)
+
     def _is_full(self, path: str) -> bool:
         """Returns whether a request exceeds the limit of active requests.
 
--- a/knapweedarch/links.py
+++ b/knapweedarch/links.py
@@ -19,14 +19,9 @@
 import attrs
 
 from knapweedarch.codec import Codec, create_codec
-from knapweedarch.exceptions import (
-    CodecError,
-    CredentialError,
-    JournalError,
-    LinkError,
-    ReplicaError,
-)
+from knapweedarch.exceptions import CodecError, CredentialError, LinkError
 from knapweedarch.logs import log, traceback_text
+from knapweedarch.task_groups import FATAL_ERRORS, run_contained
 
 KEEP_ALIVE_INTERVAL_S = 0.3
 LINK_TIMEOUT_S = 1.0
@@ -41,9 +36,6 @@
 MAX_QUEUED_FRAMES = 4096
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 NONCE_BYTES = 16
-# After these a member must not go on: it could acknowledge what it has not
-# stored.
-FATAL_ERRORS = (JournalError, ReplicaError)
 
 
 @attrs.frozen
@@ -444,14 +436,19 @@
             await link.handshake(credential, b"server")
         except CredentialError as exc:
             on_refused(exc)
-            await anyio.aclose_forcefully(stream)
             return
         except (LinkError, CodecError):
-            await anyio.aclose_forcefully(stream)
             return
         try:
             await link.run()
         finally:
             on_closed(link)
 
-    await listener.serve(accept)
+    async def accept_contained(stream: anyio.abc.SocketStream) -> None:
+        try:
+            await run_contained(accept, stream)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+    await listener.serve(accept_contained)
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -292,7 +292,7 @@
         return self._pool.memory
 
     def spawn(self, task: Callable[[], Awaitable[None]]) -> None:
-        """Starts a task of a request; it must not raise an error."""
+        """Starts a task of a request; see `OutboundPool.spawn`."""
         self._pool.spawn(task)
 
     def _select(
--- a/knapweedarch/tunnel_server.py
+++ b/knapweedarch/tunnel_server.py
@@ -10,7 +10,7 @@
 from knapweedarch.exceptions import CredentialError, LinkError
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
-from knapweedarch.task_groups import TaskOwner
+from knapweedarch.task_groups import TaskOwner, spawn_contained
 from knapweedarch.tunnel_messages import (
     TUNNELS,
     OpenTunnel,
@@ -148,7 +148,7 @@
             return TunnelRefused(repr(exc))
         tunnel = self._tunnels[link, number] = _Tunnel(stream)
         self._metrics.count("tunnels.served")
-        self._group.start_soon(self._run, link, number, tunnel)
+        spawn_contained(self._group, self._run, link, number, tunnel)
         return TunnelOpened()
 
     async def _run(
@@ -164,9 +164,9 @@
                     group.cancel_scope.cancel()
         finally:
             del self._tunnels[link, number]
+            self._try_send(link, TunnelEnd(number, is_reset))
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(tunnel.stream)
-        self._try_send(link, TunnelEnd(number, is_reset))
 
     async def _send(self, tunnel: _Tunnel) -> None:
         """Sends what the other router sends to the endpoint."""
--- a/knapweedarch/weights_rollout.py
+++ b/knapweedarch/weights_rollout.py
@@ -16,7 +16,6 @@
 
 from knapweedarch.deployments import models_of
 from knapweedarch.exceptions import ExchangeError
-from knapweedarch.links import FATAL_ERRORS
 from knapweedarch.logs import log, traceback_text
 from knapweedarch.member import Member
 from knapweedarch.models import (
@@ -25,6 +24,7 @@
     EndpointStatus,
     RetryReason,
 )
+from knapweedarch.task_groups import FATAL_ERRORS
 from knapweedarch.timers import Clock, Timers
 
 CHECK_INTERVAL_S = 0.05
