Derive the shared cache salt from the customers that share nothing

Cause: the salt was made of the weights' version and of the name of the request's own customer, if that is isolated. Nothing in it said who else had used it. A request that was read before the change also went by the customer as it was admitted.

Ruled out: that others use the salt of the isolated customer, and that routers apply the change late (the record of the case: one salt, '1.', before and 3 s after the change).

Change: the shared salt is derived from the names of the customers that share nothing. Whoever uses it is none of these, so none of these can have made a part under it. `Deployment.unshared` keeps the names over changes that isolate nobody, so that these cost no cache. Routers of the build before get a configuration in which all are isolated, once one is. Renew and Deployment get a field at their end.

--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -58,6 +58,8 @@
         tunnels: Where it connects other routers to endpoints; None if it
             does not.
         lacks_paths: Whether it reaches no endpoint itself.
+        reads_unshared: Whether it reads `Deployment.unshared`; routers of
+            earlier builds do not.
     """
 
     router: str
@@ -69,6 +71,7 @@
     members_digest: int = 0
     tunnels: MemberAddress | None = None
     lacks_paths: bool = False
+    reads_unshared: bool = False
 
 
 @attrs.frozen
--- a/knapweedarch/deployments.py
+++ b/knapweedarch/deployments.py
@@ -208,6 +208,8 @@
         limits: Limits for callers.
         lists_customers: Whether there is a list of customers, which may be
             empty.
+        unshared: Names of customers that share no cached parts although they
+            may no longer be isolated; see `cache_scopes`.
     """
 
     version: int
@@ -217,6 +219,7 @@
     customers: tuple[Customer, ...] = ()
     limits: CallerLimits = attrs.field(factory=CallerLimits)
     lists_customers: bool = False
+    unshared: tuple[str, ...] = ()
 
     @property
     def needs_key(self) -> bool:
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -9,6 +9,7 @@
 import attrs
 
 from knapweedarch import control, links, replica
+from knapweedarch.cache_scopes import for_earlier_build
 from knapweedarch.control_messages import members_digest, pack_deployment
 from knapweedarch.deployments import Deployment
 from knapweedarch.endpoint_registry import EndpointRegistry
@@ -62,6 +63,23 @@
     result: bytes | None = None
 
 
+@attrs.define
+class _PackedDeployment:
+    """A configuration as it is sent to routers, packed once for each build."""
+
+    deployment: Deployment
+    _data: dict[bool, bytes] = attrs.field(factory=dict)
+
+    def data(self, reads_unshared: bool) -> bytes:
+        """Returns the bytes for routers that do or do not read `unshared`."""
+        if reads_unshared not in self._data:
+            deployment = self.deployment
+            if not reads_unshared:
+                deployment = for_earlier_build(deployment)
+            self._data[reads_unshared] = pack_deployment(deployment)
+        return self._data[reads_unshared]
+
+
 class Leader:
     """Serves routers and operators while this member is the leader.
 
@@ -110,7 +128,7 @@
         self._awaited_changes = 0
         self._notified_at = -math.inf
         self._notify_due = False
-        self._packed: tuple[Deployment, bytes] | None = None
+        self._packed: _PackedDeployment | None = None
 
     @property
     def is_active(self) -> bool:
@@ -271,9 +289,9 @@
         deployment = self._state.deployment
         if deployment is None or deployment.version == renew.deployment_version:
             return None
-        if self._packed is None or self._packed[0] is not deployment:
-            self._packed = (deployment, pack_deployment(deployment))
-        return self._packed[1]
+        if self._packed is None or self._packed.deployment is not deployment:
+            self._packed = _PackedDeployment(deployment)
+        return self._packed.data(renew.reads_unshared)
 
     def read_deployment(
         self,
--- a/knapweedarch/lease_keeper.py
+++ b/knapweedarch/lease_keeper.py
@@ -123,6 +123,7 @@
                 self._members_digest,
                 self.tunnels,
                 self.lacks_paths(),
+                reads_unshared=True,
             ),
             RENEW_TIMEOUT_S,
         )
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -1,12 +1,14 @@
 """Attempts of proxied requests: endpoint selection, sends and repeats."""
 
 import contextlib
+import functools
 import math
 from collections.abc import Awaitable, Callable
 
 import attrs
 
 from knapweedarch.answer_memory import AnswerMemory
+from knapweedarch.cache_scopes import CacheScopes
 from knapweedarch.caller_ends import DropCause
 from knapweedarch.crash_guard import (
     CRASH_REASONS,
@@ -148,6 +150,7 @@
         self._started_at = started_at
         self._budgets: dict[str, RepeatBudget] = {}
         self._endpoints = ServiceEndpoints()
+        self._cache_scopes = CacheScopes(Deployment(0))
         self.admission = PromptAdmission(chooser)
 
     def set_endpoints(self, endpoints: list[Endpoint]) -> None:
@@ -179,8 +182,12 @@
         self.chooser.record_activity(address)
 
     def set_deployment(self, deployment: Deployment) -> None:
-        """Replaces services and stores; limiters of known stores are kept."""
+        """Replaces services, stores and the salts of cached parts.
+
+        Limiters of known stores are kept.
+        """
         self._endpoints.set_deployment(deployment)
+        self._cache_scopes = CacheScopes(deployment)
         self._save_limiters = {
             store.address: self._save_limiters.get(
                 store.address, SaveLimiter(SAVES_PER_S)
@@ -324,7 +331,7 @@
                 call.options.prompt,
                 call.tried,
                 now,
-                call.cache_salt,
+                functools.partial(self._cache_scopes.salt, call.customer),
             ),
             memory_tokens=engine.memory_tokens if engine else 0,
             barred=waits_s,
@@ -517,7 +524,7 @@
                     call, endpoint, cached_tokens, options
                 ),
                 weights_version=endpoint.weights_version,
-                cache_salt=call.cache_salt(endpoint),
+                cache_salt=self._cache_salt(call, endpoint),
                 urgency=urgency(call),
             )
         return options
@@ -532,7 +539,7 @@
         """Adds the source of cached parts and the store that saves them."""
         prompt, salt, now = (
             call.options.prompt,
-            call.cache_salt(endpoint),
+            self._cache_salt(call, endpoint),
             self.now(),
         )
         source = self.index.best_source(
@@ -557,12 +564,20 @@
             return 0
         return prompt.tokens - self._cached_tokens(call, endpoint)
 
+    def _cache_salt(self, call: ProxyCall, endpoint: Endpoint) -> str:
+        """Returns the salt of a request's cached parts at an endpoint.
+
+        It follows the configuration in force, not the one that admitted the
+        request.
+        """
+        return self._cache_scopes.salt(call.customer, endpoint)
+
     def _cached_tokens(self, call: ProxyCall, endpoint: Endpoint) -> int:
         """Returns the leading prompt tokens that a runner has cached."""
         if call.options.prompt is None:
             return 0
         return self.index.parts_at(endpoint.address).prefix_tokens(
-            call.options.prompt, call.cache_salt(endpoint), self.now()
+            call.options.prompt, self._cache_salt(call, endpoint), self.now()
         )
 
     def _fetch_sources(self, call: ProxyCall, endpoint: Endpoint) -> list[str]:
--- a/knapweedarch/proxy_calls.py
+++ b/knapweedarch/proxy_calls.py
@@ -146,17 +146,6 @@
         """Returns whether an endpoint may begin the stream or go on with it."""
         return self.software_version in (None, endpoint.software_version)
 
-    def cache_salt(self, endpoint: Endpoint) -> str:
-        """Returns the salt of the request's cache keys at an endpoint.
-
-        It contains the weights version, so that parts computed with other
-        weights never match, and the name of an isolated customer.
-        """
-        isolated_customer = ""
-        if self.customer is not None and self.customer.isolated:
-            isolated_customer = self.customer.name
-        return f"{endpoint.weights_version}.{isolated_customer}"
-
 
 def retry_after_header(
     remaining_s: float, reason: RefusalReason, expected_s: float = 0.0
--- a/knapweedarch/state.py
+++ b/knapweedarch/state.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from knapweedarch.cache_scopes import with_unshared
 from knapweedarch.codec import create_codec
 from knapweedarch.deployments import Deployment
 from knapweedarch.models import Endpoint, EndpointStatus
@@ -207,7 +208,7 @@
             self.deployment is None
             or command.deployment.version > current_version
         ):
-            self.deployment = command.deployment
+            self.deployment = with_unshared(command.deployment, self.deployment)
             self.document = command.document
         return DeploymentAccepted(self.deployment.version)
 
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -20,7 +20,7 @@
     *("scheduler", "streams", "replica_messages", "replica_log"),
     *("replica_leadership", "replica_membership", "replica_election"),
     *("replica_follower", "replica_status", "orders"),
-    *("deployments", "heartbeats", "prompt_parts"),
+    *("deployments", "cache_scopes", "heartbeats", "prompt_parts"),
     *("stored_parts", "endpoint_choice", "repeat_budget", "event_stream"),
     *("control_messages", "http_messages", "relay_messages"),
     *("source_relay", "load_relay", "peer_loads", "relayed_parts"),
