Hear the end of a tunnel that is still being opened

Cause: the server of tunnels registered a tunnel once its connection to the endpoint was open. The end of a tunnel that its router gave up before was dropped, and the connection stayed open for nobody until the endpoint ended it.

Change: tunnels that are being opened are registered with a scope that their end cancels; they count against the limit, and their numbers are in use.

--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -15,6 +15,7 @@
 from knapweedarch.metrics import create_metrics
 from knapweedarch.timers import Clock
 from knapweedarch.tunnel_client import TunnelClient
+from knapweedarch.tunnel_messages import OpenTunnel, TunnelEnd, TunnelRefused
 from knapweedarch.tunnel_server import TunnelServer
 
 CREDENTIAL = b"credential"
@@ -195,6 +196,67 @@
     assert context.connections == 0
 
 
+class OpeningLink:
+    """The link of a router that asks for tunnels."""
+
+    peer = "router-1"
+
+    def __init__(self):
+        self.closed = anyio.Event()
+
+    def send(self, message: object) -> None:
+        """Drops a message."""
+
+
+@when(
+    "a router is asked for a tunnel and the other one {does} before the"
+    " connection is open"
+)
+def ask_while_opening(context, does):
+    async def run():
+        world = World(context.mode)
+        async with world.open() as (_, address):
+            may_connect = anyio.Event()
+
+            async def connect_later(address):
+                await may_connect.wait()
+                return await connect_directly(address)
+
+            server, link = world.server, OpeningLink()
+            server._connect = connect_later
+            replies = []
+
+            async def ask():
+                request = OpenTunnel(1, address)
+                replies.append(await server._handle(link, request))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await anyio.sleep(0.02)
+                if does == "gives it up":
+                    await server._handle(link, TunnelEnd(1, is_reset=True))
+                else:
+                    group.start_soon(ask)
+                await anyio.sleep(0.02)
+                may_connect.set()
+            await anyio.sleep(0.05)
+            context.refused = [
+                reply for reply in replies if isinstance(reply, TunnelRefused)
+            ]
+            context.kept = world.connections - world.lost.is_set()
+
+    anyio.run(run)
+
+
+@then(
+    "{refused:d} of the tunnels is refused, and the endpoint has {kept:d}"
+    " connections"
+)
+def check_while_opening(context, refused, kept):
+    assert len(context.refused) == refused, context.refused
+    assert context.kept == kept, context.kept
+
+
 @given("a router with {count:d} endpoints")
 def given_paths(context, count):
     context.paths, context.count = EndpointPaths(), count
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -25,6 +25,18 @@
     When a router closes its tunnel to it
     Then the endpoint loses its connection within 0.5 s
 
+  Scenario Outline: A tunnel is given up or asked for again while it is opened
+    Guards against connections that nobody uses, of the few that an endpoint
+    accepts, and against two tunnels of one number.
+    Given an endpoint that waits
+    When a router is asked for a tunnel and the other one <does> before the connection is open
+    Then <refused> of the tunnels is refused, and the endpoint has <kept> connections
+
+    Examples:
+      | does                          | refused | kept |
+      | gives it up                   | 1       | 0    |
+      | asks again by the same number | 1       | 1    |
+
   Scenario Outline: A tunnel that is refused wrote nothing
     Guards against a router that is used to reach other addresses, and against
     tunnels through a router that reaches no endpoint itself.
--- a/knapweedarch/tunnel_server.py
+++ b/knapweedarch/tunnel_server.py
@@ -82,6 +82,8 @@
         self._refusal = refusal
         self._metrics = metrics
         self._tunnels: dict[tuple[links.Link, int], _Tunnel] = {}
+        # Tunnels whose connection to the endpoint is not open yet.
+        self._opening: dict[tuple[links.Link, int], anyio.CancelScope] = {}
         self._draining = False
 
     async def serve(
@@ -130,27 +132,57 @@
                     tunnel.unsent.append(data)
                     tunnel.wanted.set()
             case TunnelEnd(number=number):
-                if tunnel := self._tunnels.get((link, number)):
-                    tunnel.scope.cancel()
+                self._end(link, number)
         return None
 
+    def _end(self, link: links.Link, number: int) -> None:
+        """Ends a tunnel that the other router has given up."""
+        key = (link, number)
+        if scope := self._opening.get(key):
+            scope.cancel()
+        if tunnel := self._tunnels.get(key):
+            tunnel.scope.cancel()
+
     async def _open(
         self, link: links.Link, number: int, address: str
     ) -> TunnelOpened | TunnelRefused:
+        key = (link, number)
         reason = self._refusal(address)
-        if self._draining or len(self._tunnels) >= MAX_TUNNELS:
+        if self._draining or self._count() >= MAX_TUNNELS:
             reason = "this router takes no more tunnels"
+        elif key in self._opening or key in self._tunnels:
+            reason = "the number is in use"
         if reason:
             return TunnelRefused(reason)
         try:
-            stream = await self._connect(address)
+            stream = await self._connect_unless_ended(link, number, address)
         except (OSError, TimeoutError) as exc:
             return TunnelRefused(repr(exc))
-        tunnel = self._tunnels[link, number] = _Tunnel(stream)
+        tunnel = self._tunnels[key] = _Tunnel(stream)
         self._metrics.count("tunnels.served")
         spawn_contained(self._group, self._run, link, number, tunnel)
         return TunnelOpened()
 
+    def _count(self) -> int:
+        return len(self._tunnels) + len(self._opening)
+
+    async def _connect_unless_ended(
+        self, link: links.Link, number: int, address: str
+    ) -> anyio.abc.ByteStream:
+        """Connects to an endpoint, unless the tunnel is given up meanwhile.
+
+        Raises:
+            OSError: The connection failed, or the tunnel was given up.
+            TimeoutError: Connecting took too long.
+        """
+        with anyio.CancelScope() as scope:
+            self._opening[link, number] = scope
+            try:
+                return await self._connect(address)
+            finally:
+                del self._opening[link, number]
+        raise ConnectionAbortedError("the tunnel was given up")
+
     async def _run(
         self, link: links.Link, number: int, tunnel: _Tunnel
     ) -> None:
