Split the client of the proxy into exchange, pool and connections

http_outbound.py had 575 lines: one request and its answer, the idle connections by address, and how a connection is opened. They are modules of their own now (http_outbound, outbound_pool, outbound_connections); an exchange names the pool by a protocol, so that the two do not import each other. The salt of a customer is looked up before its name is quoted.

--- a/features/isolation_world.py
+++ b/features/isolation_world.py
@@ -25,9 +25,9 @@
 )
 from knapweedarch.dialects import CallerOptions
 from knapweedarch.http_messages import Request
-from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.leader import Leader
 from knapweedarch.models import Endpoint, EndpointKind
+from knapweedarch.outbound_pool import OutboundPool
 from knapweedarch.prompt_parts import Prompt, PromptPart
 from knapweedarch.proxy_calls import ProxyCall
 from knapweedarch.state import COMMANDS, ControlState, PutDeployment
--- a/features/proxy_harness.py
+++ b/features/proxy_harness.py
@@ -24,9 +24,9 @@
 from knapweedarch.endpoint_rates import create_endpoint_limits
 from knapweedarch.endpoint_statements import create_endpoint_waits
 from knapweedarch.http_inbound import InboundServer
-from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.metrics import create_metrics
 from knapweedarch.models import Endpoint, EndpointKind, RefusalReason
+from knapweedarch.outbound_pool import OutboundPool
 from knapweedarch.proxy_attempts import Attempts
 from knapweedarch.proxy_gateway import ProxyGateway
 from knapweedarch.repeat_budget import RepeatLimits
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -19,8 +19,8 @@
     AnswerMemory,
 )
 from knapweedarch.exceptions import AnswerGivenUpError, ExchangeError
-from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.models import Endpoint, EndpointKind, RetryReason
+from knapweedarch.outbound_pool import OutboundPool
 from knapweedarch.timers import Clock
 from knapweedarch.weights_rollout import LoadWeightsOrder
 
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -23,8 +23,8 @@
 from knapweedarch.deployments import Customer, Repeatability, Route
 from knapweedarch.event_stream import EventSplitter
 from knapweedarch.http_messages import Request
-from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.models import RefusalReason
+from knapweedarch.outbound_pool import OutboundPool
 from knapweedarch.timers import ManualClock
 
 ROUTE_NAMES = {
--- a/features/steps/request_task_steps.py
+++ b/features/steps/request_task_steps.py
@@ -14,9 +14,9 @@
 from knapweedarch.endpoint_connector import EndpointConnector
 from knapweedarch.exceptions import ExchangeError, LinkError
 from knapweedarch.http_messages import Request
-from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.http_server import HttpServer
 from knapweedarch.metrics import create_metrics
+from knapweedarch.outbound_pool import OutboundPool
 from knapweedarch.settings import Address, RouterSettings
 from knapweedarch.timers import Clock
 from knapweedarch.tunnel_messages import OpenTunnel, TunnelEnd
--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -10,9 +10,9 @@
 
 from knapweedarch.control_messages import MemberAddress, Renew
 from knapweedarch.endpoint_paths import EndpointPaths
-from knapweedarch.http_outbound import connect_directly
 from knapweedarch.leader import Leader
 from knapweedarch.metrics import create_metrics
+from knapweedarch.outbound_connections import connect_directly
 from knapweedarch.timers import Clock
 from knapweedarch.tunnel_client import TunnelClient
 from knapweedarch.tunnel_messages import OpenTunnel, TunnelEnd, TunnelRefused
--- a/knapweedarch/adapters.py
+++ b/knapweedarch/adapters.py
@@ -27,11 +27,6 @@
     send,
 )
 from knapweedarch.feeds import FeedItem, parse_feed_event
-from knapweedarch.http_outbound import (
-    Connect,
-    connect_directly,
-    log_given_up,
-)
 from knapweedarch.models import (
     Attempt,
     CacheEvent,
@@ -40,6 +35,8 @@
     RetryReason,
 )
 from knapweedarch.orders import ORDER_TIMEOUT_S
+from knapweedarch.outbound_connections import Connect, connect_directly
+from knapweedarch.outbound_pool import log_given_up
 from knapweedarch.streams import (
     PARSE_ERRORS,
     SseDecoder,
--- a/knapweedarch/cache_scopes.py
+++ b/knapweedarch/cache_scopes.py
@@ -16,7 +16,7 @@
 from knapweedarch.deployments import Customer, Deployment
 from knapweedarch.models import Endpoint
 
-# Begins the part of a salt that is shared; a quoted name has none.
+# First character of the shared scope; a quoted name cannot contain it.
 SHARED_MARK = "@"
 # Hexadecimal digits of the digest of names.
 DIGEST_CHARS = 16
@@ -63,7 +63,11 @@
 
 
 class CacheScopes:
-    """The salts of the customers of a configuration."""
+    """The salts of the customers of a configuration.
+
+    A salt is the weights version and a scope: the customer's own one or the
+    shared one.
+    """
 
     def __init__(self, deployment: Deployment):
         names = unshared_names(deployment)
@@ -82,12 +86,17 @@
                 a customer.
             endpoint: The endpoint.
         """
-        scope = self._shared
-        if customer is not None:
-            scope = self._own.get(customer.name, scope)
-            if customer.isolated:
-                scope = _own_scope(customer.name)
-        return f"{endpoint.weights_version}.{scope}"
+        return f"{endpoint.weights_version}.{self._scope(customer)}"
+
+    def _scope(self, customer: Customer | None) -> str:
+        if customer is None:
+            return self._shared
+        if customer.name in self._own:
+            return self._own[customer.name]
+        if customer.isolated:
+            # An earlier configuration admitted it, and this one lacks it.
+            return _own_scope(customer.name)
+        return self._shared
 
 
 def _own_scope(name: str) -> str:
--- a/knapweedarch/endpoint_connector.py
+++ b/knapweedarch/endpoint_connector.py
@@ -7,9 +7,9 @@
 import anyio.abc
 
 from knapweedarch.endpoint_paths import EndpointPaths
-from knapweedarch.http_outbound import connect_directly
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
+from knapweedarch.outbound_connections import connect_directly
 from knapweedarch.task_groups import TaskOwner
 from knapweedarch.timers import Clock, Timers
 from knapweedarch.tunnel_client import TunnelClient
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client of the proxy, on h11, with idle connections by address.
+"""HTTP/1.1 client of the proxy, on h11: one request and its answer.
 
 An endpoint may answer twice, late, early, without a length or with bytes that
 are not HTTP. Each exchange therefore checks which request an answer belongs to,
@@ -7,9 +7,8 @@
 
 import contextlib
 import functools
-import re
-import select
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import anyio
 import anyio.abc
@@ -24,25 +23,16 @@
     find_header,
     is_final_status,
 )
-from knapweedarch.logs import log
 from knapweedarch.models import RetryReason
-from knapweedarch.task_groups import TaskOwner, spawn_contained
-from knapweedarch.timers import Clock
-from knapweedarch.tunnel_stream import TunnelStream
+from knapweedarch.outbound_connections import (
+    Connection,
+    IsOwnAnswer,
+    close_connection,
+)
 from knapweedarch.unacknowledged import has_unacknowledged
 
 READ_BYTES = 65_536
-CONNECT_TIMEOUT_S = 0.35
-# Assumed idle timeout of endpoints that send no keep-alive timeout.
-DEFAULT_IDLE_S = 3.0
-# More digits are malformed; Python converts no more than some thousand.
-WHOLE_SECONDS = re.compile(rb"[0-9]{1,9}")
-# Subtracted from the endpoint's idle timeout, since the endpoint may close the
-# connection while a request is on its way.
-IDLE_MARGIN_S = 0.6
-MAX_IDLE_PER_ADDRESS = 16
 MAX_MISMATCHED_ANSWERS = 4
-MAX_PORT = 65_535
 # A connection with so many refusals is closed.
 MAX_REFUSALS = 8
 # Limits for endpoints that send without end. The head is limited by h11.
@@ -56,37 +46,6 @@
     anyio.ClosedResourceError,
 )
 
-IsOwnAnswer = Callable[[Headers], bool]
-Connect = Callable[[str], Awaitable[anyio.abc.ByteStream]]
-
-
-@attrs.define(eq=False)
-class _Connection:
-    """A connection.
-
-    Attributes:
-        stream: The byte stream.
-        protocol: State of the HTTP exchange.
-        opened_at: When it was open, in seconds on the pool's clock.
-        idle_until: Until when it may be reused, on the same clock.
-        refusals: Headers of the refusals received on it. A faulty endpoint may
-            write one again, while it runs a later request.
-    """
-
-    stream: anyio.abc.ByteStream
-    protocol: h11.Connection
-    opened_at: float
-    idle_until: float = 0.0
-    refusals: list[Headers] = attrs.field(factory=list)
-
-    def may_repeat_refusal_of(self, is_own_answer: IsOwnAnswer) -> bool:
-        """Returns whether an earlier refusal could be taken for an answer."""
-        return any(is_own_answer(headers) for headers in self.refusals)
-
-    def has_no_input(self) -> bool:
-        """Returns whether neither bytes nor an end of stream has arrived."""
-        return has_no_input(self.stream)
-
 
 @attrs.define
 class AnswerHead:
@@ -121,6 +80,34 @@
         )
 
 
+class ConnectionsPort(Protocol):
+    """The pool of connections that an exchange uses.
+
+    Attributes:
+        memory: The memory that all answers share until they are passed on.
+    """
+
+    memory: AnswerMemory
+
+    def spawn(self, task: Callable[[], Awaitable[None]]) -> None:
+        """Starts a task of one request, whose error ends no other task."""
+
+    async def acquire(
+        self, address: str, is_own_answer: IsOwnAnswer
+    ) -> Connection:
+        """Returns an idle connection that is still open, or a new one.
+
+        Raises:
+            OSError: The connection failed.
+            TimeoutError: Connecting took too long.
+        """
+
+    async def release(
+        self, address: str, conn: Connection, head: AnswerHead
+    ) -> None:
+        """Keeps a connection for reuse, or closes it at the limits."""
+
+
 class Exchange:
     """One request to an endpoint and its answer.
 
@@ -130,7 +117,7 @@
 
     def __init__(
         self,
-        pool: "OutboundPool",
+        pool: ConnectionsPort,
         address: str,
         req: Request,
         is_own_answer: IsOwnAnswer,
@@ -140,7 +127,7 @@
         self._address = address
         self._req = req
         self._is_own_answer = is_own_answer
-        self._conn: _Connection | None = None
+        self._conn: Connection | None = None
         self._sent = False
         self._send_scope = anyio.CancelScope()
         self._complete = False
@@ -412,164 +399,4 @@
             protocol.start_next_cycle()
             await self._pool.release(self._address, conn, head)
         else:
-            await _close_connection(conn)
-
-
-def log_given_up(size: int, held_bytes: int) -> None:
-    """Logs that the longest answer was given up for others."""
-    log("answer_given_up", bytes=size, held=held_bytes)
-
-
-async def connect_directly(address: str) -> anyio.abc.SocketStream:
-    """Connects to an endpoint.
-
-    Raises:
-        OSError: The connection failed.
-        TimeoutError: Connecting took longer than `CONNECT_TIMEOUT_S`.
-    """
-    host, _, port = address.rpartition(":")
-    # An odd entry in the list of endpoints must fail as one that is not there.
-    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
-        raise OSError(f"{address!r} is not an address")
-    try:
-        with anyio.fail_after(CONNECT_TIMEOUT_S):
-            return await anyio.connect_tcp(host.strip("[]"), int(port))
-    except UnicodeError as exc:
-        raise OSError(f"{address!r} has no host name") from exc
-
-
-def has_no_input(stream: anyio.abc.ByteStream) -> bool:
-    """Returns whether neither bytes nor an end of a stream has arrived."""
-    if isinstance(stream, TunnelStream):
-        return stream.has_no_input
-    sock = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return not poll.poll(0)
-
-
-async def _close_connection(conn: _Connection) -> None:
-    with anyio.CancelScope(shield=True):
-        await anyio.aclose_forcefully(conn.stream)
-
-
-class OutboundPool(TaskOwner):
-    """Idle connections to endpoints, by address.
-
-    Use it as an asynchronous context manager, which runs the tasks that send
-    long bodies.
-
-    Attributes:
-        connect: Opens connections.
-        memory: The memory that all answers share until they are passed on.
-    """
-
-    def __init__(self, clock: Clock):
-        self.connect: Connect = connect_directly
-        self.memory = AnswerMemory(on_give_up=log_given_up)
-        self._clock = clock
-        self._idle: dict[str, list[_Connection]] = {}
-
-    def spawn(self, task: Callable[[], Awaitable[None]]) -> None:
-        """Starts a task of one request.
-
-        It is cancelled when the pool's context exits. Its error is logged and
-        ends no other task.
-        """
-        spawn_contained(self._group, task)
-
-    def exchange(
-        self, address: str, req: Request, is_own_answer: IsOwnAnswer
-    ) -> Exchange:
-        """Creates an exchange.
-
-        Args:
-            address: IP address and port of the endpoint.
-            req: The request, with the headers for the endpoint.
-            is_own_answer: Returns whether an answer with these headers belongs
-                to `req`.
-        """
-        return Exchange(self, address, req, is_own_answer)
-
-    async def acquire(
-        self, address: str, is_own_answer: IsOwnAnswer
-    ) -> _Connection:
-        """Returns an idle connection that is still open, or a new one.
-
-        Args:
-            address: IP address and port of the endpoint.
-            is_own_answer: Returns whether an answer would be taken for one to
-                the request. A connection with such a refusal is not used.
-
-        Raises:
-            OSError: The connection failed.
-            TimeoutError: Connecting took too long.
-        """
-        while conn := self._take_idle(address, is_own_answer):
-            if self._clock.now() < conn.idle_until and conn.has_no_input():
-                return conn
-            await _close_connection(conn)
-        stream = await self.connect(address)
-        protocol = h11.Connection(h11.CLIENT)
-        return _Connection(stream, protocol, self._clock.now())
-
-    def _take_idle(
-        self, address: str, is_own_answer: IsOwnAnswer
-    ) -> _Connection | None:
-        """Removes and returns the idle connection that was used last."""
-        idle = self._idle.get(address, [])
-        for place in reversed(range(len(idle))):
-            if not idle[place].may_repeat_refusal_of(is_own_answer):
-                return idle.pop(place)
-        return None
-
-    async def release(
-        self, address: str, conn: _Connection, head: AnswerHead
-    ) -> None:
-        """Keeps a connection for reuse, or closes it at the limits."""
-        idle_s = _idle_limit_s(head)
-        idle = self._idle.setdefault(address, [])
-        conn.idle_until = self._clock.now() + idle_s
-        if idle_s > 0 and len(idle) < MAX_IDLE_PER_ADDRESS:
-            idle.append(conn)
-        else:
-            await _close_connection(conn)
-
-    async def close_idle(self) -> None:
-        """Closes all idle connections."""
-        idle, self._idle = self._idle, {}
-        for conns in idle.values():
-            for conn in conns:
-                await _close_connection(conn)
-
-    async def close_expired(self) -> None:
-        """Closes connections whose idle time has expired."""
-        for conn in self._take_expired():
-            await _close_connection(conn)
-
-    def _take_expired(self) -> list[_Connection]:
-        """Removes and returns the connections whose idle time has expired.
-
-        All are removed before the first one is closed: other tasks take and
-        add connections meanwhile.
-        """
-        now = self._clock.now()
-        kept: dict[str, list[_Connection]] = {}
-        expired = []
-        for address, idle in self._idle.items():
-            for conn in idle:
-                if conn.idle_until <= now:
-                    expired.append(conn)
-                else:
-                    kept.setdefault(address, []).append(conn)
-        self._idle = kept
-        return expired
-
-
-def _idle_limit_s(head: AnswerHead) -> float:
-    """Returns how long a connection may stay idle, in seconds."""
-    for part in head.header(b"keep-alive").split(b","):
-        name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and WHOLE_SECONDS.fullmatch(value):
-            return max(0.0, int(value) - IDLE_MARGIN_S)
-    return DEFAULT_IDLE_S - IDLE_MARGIN_S
+            await close_connection(conn)
--- a/knapweedarch/proxy.py
+++ b/knapweedarch/proxy.py
@@ -24,12 +24,12 @@
 from knapweedarch.fair_placement import FairPlacement
 from knapweedarch.http_inbound import CHECK_LIMITS, InboundServer, Responder
 from knapweedarch.http_messages import Answer, Request
-from knapweedarch.http_outbound import OutboundPool
 from knapweedarch.lease_keeper import LeaseKeeper
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import Endpoint, RefusalReason
 from knapweedarch.origin_client import OriginClient
+from knapweedarch.outbound_pool import OutboundPool
 from knapweedarch.overload import create_overload_control
 from knapweedarch.process_pauses import PauseDetector
 from knapweedarch.proxy_attempts import Attempts
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -24,7 +24,7 @@
 from knapweedarch.endpoint_statements import EndpointWaits
 from knapweedarch.exceptions import ExchangeError
 from knapweedarch.fair_placement import FairPlacement
-from knapweedarch.http_outbound import AnswerHead, Exchange, OutboundPool
+from knapweedarch.http_outbound import AnswerHead, Exchange
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import (
@@ -34,6 +34,7 @@
     RetryReason,
 )
 from knapweedarch.origin_client import StreamOriginsPort
+from knapweedarch.outbound_pool import OutboundPool
 from knapweedarch.prompt_admission import PromptAdmission
 from knapweedarch.proxy_calls import (
     AnswerProgress,
--- a/knapweedarch/router_paths.py
+++ b/knapweedarch/router_paths.py
@@ -10,9 +10,9 @@
 from knapweedarch.control_messages import FindPeers, MemberAddress
 from knapweedarch.endpoint_connector import EndpointConnector
 from knapweedarch.exceptions import ControlError
-from knapweedarch.http_outbound import connect_directly
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
+from knapweedarch.outbound_connections import connect_directly
 from knapweedarch.settings import Address
 from knapweedarch.timers import Clock, Timers
 from knapweedarch.tunnel_client import TunnelClient
--- a/knapweedarch/transports.py
+++ b/knapweedarch/transports.py
@@ -16,7 +16,7 @@
 import httpcore
 import httpx
 
-from knapweedarch.http_outbound import Connect, has_no_input
+from knapweedarch.outbound_connections import Connect, has_no_input
 
 CONNECT_TIMEOUT_S = 1.0
 # Shorter than the 5 s after which hypercorn and most servers close idle
