--- a/features/steps/request_task_steps.py
+++ b/features/steps/request_task_steps.py
@@ -25,6 +25,8 @@
 
 STEP_TIMEOUT_S = 5.0
 SETTLE_S = 0.05
+# Time between the end of an exchange and its close.
+PAUSES_S = {"at once": 0.0, "later": SETTLE_S}
 SECRET = b"secret"
 LONG_BODY = b"x" * 20_000
 ANSWER = b"HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 2\r\n\r\nok"
@@ -69,37 +71,45 @@
     context.first, context.second = Connection(state), Connection("is sound")
 
 
+async def send_first(context, pool: OutboundPool, pause_s: float) -> None:
+    """Sends the request on the first connection and closes the exchange."""
+    began_at = anyio.current_time()
+    exchange = pool.exchange("e:1", REQUEST, lambda headers: True)
+    await exchange.open(lambda: None)
+    try:
+        await exchange.send_request()
+    except ExchangeError as exc:
+        context.failure = exc
+    context.took_s = anyio.current_time() - began_at
+    if pause_s:
+        await anyio.sleep(pause_s)
+    await exchange.close(None)
+
+
+async def send_next(context, pool: OutboundPool) -> None:
+    """Sends the request on the second connection."""
+    exchange = pool.exchange("e:1", REQUEST, lambda headers: True)
+    await exchange.open(lambda: None)
+    context.next_status = (await exchange.send_request()).status
+    await exchange.close(None)
+
+
 @when("a request with a long body is sent, and closed {moment}")
 def send_long_body(context, moment):
     record_log(context)
-    pauses_s = {"at once": 0.0, "later": SETTLE_S}
-    context.failure = context.pool_error = context.next_status = None
+    context.failure = context.group_error = context.next_status = None
+    streams = iter((context.first.stream, context.second.stream))
+
+    async def connect(address):
+        return next(streams)
 
     async def run():
         pool = OutboundPool(Clock())
-        streams = iter((context.first.stream, context.second.stream))
-
-        async def connect(address):
-            return next(streams)
-
         pool.connect = connect
         async with pool:
-            began_at = anyio.current_time()
-            exchange = pool.exchange("e:1", REQUEST, lambda headers: True)
-            await exchange.open(lambda: None)
-            try:
-                await exchange.send_request()
-            except ExchangeError as exc:
-                context.failure = exc
-            context.took_s = anyio.current_time() - began_at
-            if pauses_s[moment]:
-                await anyio.sleep(pauses_s[moment])
-            await exchange.close(None)
+            await send_first(context, pool, PAUSES_S[moment])
             await anyio.sleep(SETTLE_S)
-            exchange = pool.exchange("e:1", REQUEST, lambda headers: True)
-            await exchange.open(lambda: None)
-            context.next_status = (await exchange.send_request()).status
-            await exchange.close(None)
+            await send_next(context, pool)
 
     with contextlib.suppress(TimeoutError):
         anyio.run(run_within_limit, context, run)
@@ -111,7 +121,7 @@
         try:
             await run()
         except BaseExceptionGroup as exc:
-            context.pool_error = exc
+            context.group_error = exc
 
 
 @then("it has failed as one of which nothing was written, and nothing was")
@@ -128,7 +138,7 @@
 
 @then("the pool sends the next request")
 def check_next_request(context):
-    assert context.pool_error is None, context.pool_error
+    assert context.group_error is None, context.group_error
     assert context.next_status == 200, context.next_status
 
 
@@ -264,13 +274,13 @@
 @when("{task} raises an unexpected error")
 def fail_in_task(context, task):
     record_log(context)
-    context.pool_error = None
+    context.group_error = None
     anyio.run(run_within_limit, context, TASKS[task])
 
 
 @then("the process still runs")
 def check_process_runs(context):
-    assert context.pool_error is None, context.pool_error
+    assert context.group_error is None, context.group_error
 
 
 @given("an endpoint whose host has a label of {count:d} letters outside ASCII")
@@ -281,7 +291,7 @@
 @when("a router that has lost its paths tries it")
 def try_odd_address(context):
     record_log(context)
-    context.pool_error = None
+    context.group_error = None
 
     async def run():
         connector = EndpointConnector(
@@ -298,6 +308,6 @@
 
 @then("the router still runs and takes it for one that is not there")
 def check_odd_address(context):
-    assert context.pool_error is None, context.pool_error
+    assert context.group_error is None, context.group_error
     lines = map(json.loads, context.log_stream.getvalue().splitlines())
     assert "path_not_found" in [line["event_name"] for line in lines]
