Close a tunnel that was given up at the moment when it opened

Found by reading the change again: a cancelled scope stops nothing that has already returned, so a tunnel whose end arrived just after its connection was open went on, and the connection stayed open for nobody.

Change: the scope is looked at after the connection is open; one that was given up is closed.

Result: the row "gives it up at the last moment" of tunnels.feature failed before (the tunnel was opened); 26 scenarios pass.

--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -220,7 +220,11 @@
 
             async def connect_later(address):
                 await may_connect.wait()
-                return await connect_directly(address)
+                stream = await connect_directly(address)
+                if does == "gives it up at the last moment":
+                    # The connection is open, and nobody has been told yet.
+                    await server._handle(link, TunnelEnd(1, is_reset=True))
+                return stream
 
             server, link = world.server, OpeningLink()
             server._connect = connect_later
@@ -235,7 +239,7 @@
                 await anyio.sleep(0.02)
                 if does == "gives it up":
                     await server._handle(link, TunnelEnd(1, is_reset=True))
-                else:
+                elif does == "asks again by the same number":
                     group.start_soon(ask)
                 await anyio.sleep(0.02)
                 may_connect.set()
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -35,6 +35,7 @@
     Examples:
       | does                          | refused | kept |
       | gives it up                   | 1       | 0    |
+      | gives it up at the last moment | 1      | 0    |
       | asks again by the same number | 1       | 1    |
 
   Scenario Outline: A tunnel that is refused wrote nothing
--- a/knapweedarch/tunnel_server.py
+++ b/knapweedarch/tunnel_server.py
@@ -178,9 +178,14 @@
         with anyio.CancelScope() as scope:
             self._opening[link, number] = scope
             try:
-                return await self._connect(address)
+                stream = await self._connect(address)
             finally:
                 del self._opening[link, number]
+            if not scope.cancel_called:
+                return stream
+            # The cancellation came too late to stop the connection attempt.
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
         raise ConnectionAbortedError("the tunnel was given up")
 
     async def _run(
