Send a salt with each request to a runner of models

Found by reading the change again. What callers could see: a request without a model header is sent to a runner without a salt, and a runner keeps parts that come without one under one text for all callers, isolated or not (WALL).

Cause: salt and weights' version were added only where the request's prompt was decoded, though the caller's own list of parts is forwarded in any case.

Change: both are added to each request of a service that runs models; plain services get neither, as before.

--- a/features/isolated_customers.feature
+++ b/features/isolated_customers.feature
@@ -33,6 +33,15 @@
     When a request of b is read, and b is isolated before it is sent
     Then the request uses no part of another customer
 
+  # Endpoints keep parts that come without a salt under one text for all callers.
+  Scenario: An isolated customer's request names no model
+    Guards against parts that a runner caches for everyone, as a request without a
+    model was sent without a salt.
+    Given two routers, and the customers a, b and c who have sent one prompt
+    When a is isolated and sends nothing
+    Then requests without a model have a salt at a runner, that of a its own
+    And they have none at a plain service
+
   Scenario Outline: What is cached is used after a change that isolates nobody
     Guards against a change of the configuration, or a restart, after which all prompts
     are read anew.
@@ -72,5 +81,6 @@
 
   Scenario: No order of changes, restarts and builds lets an isolated customer share
     Guards against an order of events that nobody thought of.
-    When 300 seeded runs of 60 random events are played
-    Then no customer used a part of another one, if one of the two was isolated
+    When 300 seeded runs of 80 random events are played
+    Then cached parts were used, by other customers too
+    And no customer used a part of another one, if one of the two was isolated
--- a/features/isolation_world.py
+++ b/features/isolation_world.py
@@ -23,7 +23,7 @@
     Service,
     SplitShare,
 )
-from knapweedarch.dialects import CallerOptions
+from knapweedarch.dialects import CallerOptions, SendOptions
 from knapweedarch.http_messages import Request
 from knapweedarch.leader import Leader
 from knapweedarch.models import Endpoint, EndpointKind
@@ -137,8 +137,13 @@
         if self.is_earlier_build:
             is_alone = call.customer.isolated
             return f"{RUNNER.weights_version}.{is_alone * call.customer.name}"
-        options = self._fixture.attempts._send_options(call, RUNNER, 0, "")
-        return options.cache_salt
+        return self.send_options(call).cache_salt
+
+    def send_options(
+        self, call: ProxyCall, endpoint: Endpoint = RUNNER
+    ) -> SendOptions:
+        """Returns what it adds to a request for an endpoint now."""
+        return self._fixture.attempts._send_options(call, endpoint, 0, "")
 
 
 class World:
@@ -149,6 +154,8 @@
         self.routers = [SimulatedRouter(), SimulatedRouter()]
         self.uses: list[Use] = []
         self.is_led_by_earlier_build = False
+        # Requests that were read and not sent yet, with their routers.
+        self.waiting: list[tuple[SimulatedRouter, ProxyCall]] = []
         self._made: dict[str, Maker] = {}
         self._submitted: dict[int, Deployment] = {}
 
@@ -208,6 +215,18 @@
         )
         return True
 
+    def send_waiting(self) -> None:
+        """Sends the requests that were read; a router may know more by now."""
+        waiting, self.waiting = self.waiting, []
+        for router, call in waiting:
+            # The build before goes by the customer as it was admitted.
+            if not router.is_earlier_build:
+                self.send_call(router, call)
+
+    def drop_waiting(self, router: SimulatedRouter) -> None:
+        """Drops the requests that a router has read, as it restarts."""
+        self.waiting = [w for w in self.waiting if w[0] is not router]
+
     def send_all(self) -> None:
         """Sends the prompt for each customer at each router."""
         for router in self.routers:
@@ -225,7 +244,7 @@
 
 
 def play(seed: int, steps: int) -> list[Use]:
-    """Plays random events; returns the uses that are not allowed."""
+    """Plays random events; returns the uses of cached parts."""
     generator = random.Random(seed)
     world = World()
     world.routers.append(SimulatedRouter(is_earlier_build=True))
@@ -233,24 +252,33 @@
     world.tell_all()
     for _ in range(steps):
         play_event(world, generator)
-    return world.foreign_uses()
+    return world.uses
 
 
 def play_event(world: World, generator: random.Random) -> None:
     """Plays one random event."""
     router = generator.choice(world.routers)
     event = generator.random()
-    if event < 0.7:
+    if event < 0.6:
         names = [c.name for c in router.deployment.customers]
         world.send(router, generator.choice(names))
+    elif event < 0.65:
+        names = [c.name for c in router.deployment.customers]
+        world.waiting.append((router, router.read(generator.choice(names))))
+    elif event < 0.7:
+        world.send_waiting()
     elif event < 0.8:
         names = tuple(n for n in NAMES if generator.random() < 0.8) or ("a",)
         isolated = frozenset(n for n in names if generator.random() < 0.3)
         world.put(isolated, names)
     elif event < 0.9:
         # The build before cannot be mended where it leads and routes alike.
-        if not (router.is_earlier_build and world.is_led_by_earlier_build):
-            world.tell(router)
+        if router.is_earlier_build and world.is_led_by_earlier_build:
+            return
+        if event < 0.83:
+            world.drop_waiting(router)
+            router.restart()
+        world.tell(router)
     elif event < 0.94:
         world.restore_snapshot()
     elif event < 0.97:
--- a/features/steps/isolated_customer_steps.py
+++ b/features/steps/isolated_customer_steps.py
@@ -4,9 +4,17 @@
 from collections.abc import Callable
 
 import anyio
+import attrs
 from behave import given, then, when
 
-from features.isolation_world import NAMES, SimulatedRouter, World, play
+from features.isolation_world import (
+    NAMES,
+    RUNNER,
+    SimulatedRouter,
+    World,
+    play,
+)
+from knapweedarch.deployments import Engine, Service
 
 CUSTOMERS = NAMES[:3]
 
@@ -171,6 +179,38 @@
     world.send_call(router, call)
 
 
+def options_without_model(context, name: str, service: Service, runner):
+    """Returns what is added to a request that names no model."""
+    router = context.world.routers[0]
+    call = router.read(name)
+    call.service = service
+    call.options = attrs.evolve(call.options, prompt=None)
+    return router.send_options(call, runner)
+
+
+@then("requests without a model have a salt at a runner, that of a its own")
+@in_event_loop
+def check_salt_without_model(context):
+    engine = Engine(8, 1, 1, 1.0, 1, ("m",))
+    service = Service("desk", engine=engine)
+    first, second, third = (
+        options_without_model(context, name, service, RUNNER)
+        for name in CUSTOMERS
+    )
+    assert first.cache_salt and second.cache_salt
+    assert first.cache_salt != second.cache_salt == third.cache_salt
+    # The salt names the weights, so a runner with others must refuse.
+    assert first.weights_version == RUNNER.weights_version
+
+
+@then("they have none at a plain service")
+@in_event_loop
+def check_no_salt(context):
+    plain = attrs.evolve(RUNNER, serves=("desk",), weights_version="")
+    options = options_without_model(context, "a", Service("desk"), plain)
+    assert not options.cache_salt and not options.weights_version
+
+
 @then("the request uses no part of another customer")
 @in_event_loop
 def check_own_parts(context):
@@ -211,14 +251,23 @@
 @when("{count:d} seeded runs of {steps:d} random events are played")
 @in_event_loop
 def play_runs(context, count, steps):
-    context.found = {}
-    for seed in range(count):
-        if uses := play(seed, steps):
-            context.found[seed] = uses
+    context.uses = {seed: play(seed, steps) for seed in range(count)}
+
+
+@then("cached parts were used, by other customers too")
+def check_used(context):
+    uses = [use for found in context.uses.values() for use in found]
+    shared = [use for use in uses if use.customer != use.maker]
+    assert len(shared) > len(context.uses), (len(uses), len(shared))
 
 
 @then("no customer used a part of another one, if one of the two was isolated")
 @in_event_loop
 def check_runs(context):
-    seed, uses = next(iter(context.found.items()), (None, ()))
-    assert not context.found, f"{len(context.found)} runs, seed {seed}: {uses}"
+    foreign = {
+        seed: [use for use in found if use.is_foreign]
+        for seed, found in context.uses.items()
+    }
+    broken = {seed: uses for seed, uses in foreign.items() if uses}
+    seed, uses = next(iter(broken.items()), (None, ()))
+    assert not broken, f"{len(broken)} runs, seed {seed}: {uses}"
--- a/knapweedarch/proxy_attempts.py
+++ b/knapweedarch/proxy_attempts.py
@@ -524,9 +524,15 @@
                 self._with_cache_transfers(
                     call, endpoint, cached_tokens, options
                 ),
+                urgency=urgency(call),
+            )
+        # A runner caches the parts of any request; without a salt it would
+        # share them among all callers.
+        if call.options.prompt is not None or call.service.runs_models:
+            options = attrs.evolve(
+                options,
                 weights_version=endpoint.weights_version,
                 cache_salt=self._cache_salt(call, endpoint),
-                urgency=urgency(call),
             )
         return options
 
