--- a/features/steps/isolated_customer_steps.py
+++ b/features/steps/isolated_customer_steps.py
@@ -107,25 +107,15 @@
     world.tell(world.routers[0])
 
 
-def change_priority(world: World) -> None:
-    isolated = [c.name for c in world.state.deployment.customers if c.isolated]
-    world.put(frozenset(isolated), CUSTOMERS, priority=1)
-    world.tell_all()
-
-
-def add_customer(world: World) -> None:
-    isolated = [c.name for c in world.state.deployment.customers if c.isolated]
-    world.put(frozenset(isolated), NAMES)
-    world.tell_all()
-
+def submit(world: World, names: tuple[str, ...], **changes) -> None:
+    """Submits a configuration and brings it to all routers.
 
-def release(world: World) -> None:
-    world.put(frozenset(), CUSTOMERS)
-    world.tell_all()
-
-
-def remove(world: World) -> None:
-    world.put(frozenset(), CUSTOMERS[1:])
+    Who is isolated stays so, unless `changes` says otherwise.
+    """
+    now = frozenset(
+        c.name for c in world.state.deployment.customers if c.isolated
+    )
+    world.put(**{"isolated": now, "names": names, **changes})
     world.tell_all()
 
 
@@ -141,10 +131,12 @@
     "the members restore a snapshot": restore_snapshot,
     "a member of the build before leads": lead_by_earlier_build,
     "one of two routers hears that b is isolated as well": tell_one_router,
-    "a priority is changed": change_priority,
-    "a customer is added": add_customer,
-    "a is isolated no more": release,
-    "a is removed": remove,
+    "a priority is changed": lambda w: submit(w, CUSTOMERS, priority=1),
+    "a customer is added": lambda w: submit(w, NAMES),
+    "a is isolated no more": lambda w: submit(
+        w, CUSTOMERS, isolated=frozenset()
+    ),
+    "a is removed": lambda w: submit(w, CUSTOMERS[1:], isolated=frozenset()),
 }
 
 for _event in EVENTS:
