Contain errors of a link, of a router's path checks and of one order

Cause: an unexpected error in a link's loop of writes ended whatever runs the link (tunnels that a router opens, clients of members, members); one in the look at a router's own paths ended the router; one in the order to a runner ended the orders to the others and the router.

Change: the link closes and says why; the checks are contained; the order is logged, counted and tried again later like one that was refused. The method of an exchange that ends it is called `_fail`, as it does more than create an error.

--- a/features/failure_containment.feature
+++ b/features/failure_containment.feature
@@ -112,6 +112,21 @@
       | the accept of a link                  |
       | the read of what an upload has left   |
       | a background task that nobody awaits  |
+      | the look at a router's own paths      |
+
+  Scenario: The write of a link raises an unexpected error
+    Guards against a link that ends whatever has opened it: the tunnels of a router,
+    a client of the members or a member.
+    Given a link whose connection raises an unexpected error for each write
+    When it runs and sends a message
+    Then it has closed, and what runs it goes on
+
+  Scenario: An order to one runner raises an unexpected error
+    Guards against one runner's answer that ends a router, or the orders to the others.
+    Given orders to two runners, of which the first raises an unexpected error
+    When a router sends them
+    Then the router still runs, and the second order was sent
+    And the first one is tried again later
 
   Scenario: An endpoint's address can be no host name
     Guards against an entry in the list of endpoints that ends the router which
--- a/features/steps/request_task_steps.py
+++ b/features/steps/request_task_steps.py
@@ -15,7 +15,10 @@
 from knapweedarch.exceptions import ExchangeError, LinkError
 from knapweedarch.http_messages import Request
 from knapweedarch.http_server import HttpServer
+from knapweedarch.leases import Lease
 from knapweedarch.metrics import create_metrics
+from knapweedarch.models import Endpoint, EndpointKind, ModelRule, Rules
+from knapweedarch.order_sender import OrderSender
 from knapweedarch.outbound_pool import OutboundPool
 from knapweedarch.settings import Address, RouterSettings
 from knapweedarch.timers import Clock
@@ -263,11 +266,28 @@
     await tasks.lifespan(receive, send)
 
 
+async def fail_at_paths() -> None:
+    connector = EndpointConnector(
+        *(None, Clock(), create_metrics(None, 0, "test")),
+        *(lambda: ["10.0.0.1:80"], lambda: None),
+    )
+
+    async def connect(address):
+        raise KeyError("unexpected")
+
+    connector._connect_directly = connect
+    connector.paths.is_cut = True
+    async with connector:
+        connector._probe(0.0)
+        await anyio.sleep(SETTLE_S)
+
+
 TASKS = {
     "a tunnel for another router": fail_in_tunnel,
     "the accept of a link": fail_in_accept,
     "the read of what an upload has left": fail_in_unread_body,
     "a background task that nobody awaits": fail_in_background,
+    "the look at a router's own paths": fail_at_paths,
 }
 
 
@@ -283,6 +303,123 @@
     assert context.group_error is None, context.group_error
 
 
+class UnwritableStream:
+    """A connection whose writes raise an unexpected error."""
+
+    async def send(self, data: bytes) -> None:
+        """Fails."""
+        raise KeyError("unexpected")
+
+    async def receive(self, max_bytes: int) -> bytes:
+        """Waits for ever."""
+        await anyio.sleep_forever()
+
+    async def aclose(self) -> None:
+        """Closes nothing."""
+
+
+@given("a link whose connection raises an unexpected error for each write")
+def given_unwritable_link(context):
+    context.stream = UnwritableStream()
+
+
+@when("it runs and sends a message")
+def run_unwritable_link(context):
+    record_log(context)
+    context.group_error = None
+
+    async def run():
+        link = links.Link(context.stream, control.CONTROL, None)
+        link.send(control.Describe())
+        async with anyio.create_task_group() as group:
+            group.start_soon(link.run)
+            await link.closed.wait()
+            await anyio.sleep(SETTLE_S)
+        context.has_closed = link.closed.is_set()
+
+    anyio.run(run_within_limit, context, run)
+
+
+@then("it has closed, and what runs it goes on")
+def check_link_closed(context):
+    assert context.group_error is None, context.group_error
+    assert context.has_closed
+    lines = map(json.loads, context.log_stream.getvalue().splitlines())
+    assert "link_handler_failed" in [line["event_name"] for line in lines]
+
+
+class HalfFailingAdapter:
+    """Takes orders; raises an unexpected error for one runner."""
+
+    def __init__(self):
+        self.ordered = []
+
+    async def order(self, endpoint, order, fencing_number) -> None:
+        """Takes an order, or fails."""
+        if endpoint.id == "r0":
+            raise KeyError("unexpected")
+        await anyio.sleep(SETTLE_S)
+        self.ordered.append(endpoint.id)
+
+
+class HeldEntitlement:
+    """An entitlement that the router holds."""
+
+    fencing_number = 1
+
+    def is_held(self, lease, now) -> bool:
+        """Returns that it is held."""
+        return True
+
+    def may_order(self, endpoint, lease, now) -> bool:
+        """Returns that orders may be sent."""
+        return True
+
+
+@given("orders to two runners, of which the first raises an unexpected error")
+def given_orders(context):
+    context.runners = [
+        Endpoint(
+            *(f"r{number}", "1", f"http://10.0.0.{number}:80"),
+            *(EndpointKind.RUNNER, ("guide",), "w1"),
+        )
+        for number in range(6)
+    ]
+    context.rules = Rules(models=(ModelRule("guide", "w2"),))
+
+
+@when("a router sends them")
+def send_orders(context):
+    record_log(context)
+    context.group_error = None
+    context.adapter = HalfFailingAdapter()
+    context.orders = OrderSender(
+        *("1", Lease(), None, context.adapter),
+        *(Clock(), create_metrics(None, 0, "test")),
+    )
+    context.orders._entitlement = HeldEntitlement()
+
+    async def run():
+        await context.orders.send_due_orders(context.rules, context.runners)
+
+    anyio.run(run_within_limit, context, run)
+
+
+@then("the router still runs, and the second order was sent")
+def check_second_order(context):
+    assert context.group_error is None, context.group_error
+    assert context.adapter.ordered == ["r1"], context.adapter.ordered
+
+
+@then("the first one is tried again later")
+def check_order_tried_again(context):
+    rollout, now = context.orders._rollout, Clock().now()
+    runners = context.runners[:1]
+    assert not rollout.next_orders(context.rules, runners, now)
+    later = rollout.next_orders(context.rules, runners, now + 60.0)
+    assert [order.endpoint.id for order in later] == ["r0"]
+
+
 @given("an endpoint whose host has a label of {count:d} letters outside ASCII")
 def given_odd_address(context, count):
     context.address = "\N{LATIN SMALL LETTER E WITH ACUTE}" * count + ":80"
--- a/knapweedarch/endpoint_connector.py
+++ b/knapweedarch/endpoint_connector.py
@@ -10,7 +10,7 @@
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.outbound_connections import connect_directly
-from knapweedarch.task_groups import TaskOwner
+from knapweedarch.task_groups import TaskOwner, spawn_contained
 from knapweedarch.timers import Clock, Timers
 from knapweedarch.tunnel_client import TunnelClient
 
@@ -87,7 +87,7 @@
         count, now = len(self._addresses()), self._clock.now()
         if not self._is_checking and self.paths.needs_check(count, now):
             self._is_checking = True
-            self._group.start_soon(self._check)
+            spawn_contained(self._group, self._check)
 
     async def _check(self) -> None:
         """Decides whether the router's own links have failed."""
@@ -98,7 +98,7 @@
         try:
             async with anyio.create_task_group() as group:
                 for address in chosen:
-                    group.start_soon(self._try, address)
+                    spawn_contained(group, self._try, address)
         finally:
             self._is_checking = False
         if self.paths.is_suspect(len(self._addresses())):
@@ -110,7 +110,8 @@
     def _probe(self, now: float) -> None:
         addresses = self._addresses()
         if self.paths.is_cut and addresses:
-            self._group.start_soon(self._try, self._random.choice(addresses))
+            address = self._random.choice(addresses)
+            spawn_contained(self._group, self._try, address)
 
     async def _try(self, address: str) -> None:
         """Connects directly, to learn whether that works."""
--- a/knapweedarch/http_outbound.py
+++ b/knapweedarch/http_outbound.py
@@ -186,7 +186,7 @@
             if self._is_own_answer(head.headers):
                 return head
             await self._skip_mismatched_answer()
-        raise self._create_error(
+        raise self._fail(
             RetryReason.CROSSED_ANSWER, "answers belong to other requests"
         )
 
@@ -209,9 +209,7 @@
                 data += protocol.send(h11.Data(self._req.body))
             return data + protocol.send(h11.EndOfMessage())
         except h11.LocalProtocolError as exc:
-            raise self._create_error(
-                RetryReason.REQUEST_UNSENDABLE, str(exc)
-            ) from exc
+            raise self._fail(RetryReason.REQUEST_UNSENDABLE, str(exc)) from exc
 
     async def _send_in_background(
         self, stream: anyio.abc.ByteStream, data: bytes
@@ -247,11 +245,11 @@
                 case h11.InformationalResponse():
                     continue
                 case event:
-                    raise self._create_error(
+                    raise self._fail(
                         RetryReason.CONNECTION_CLOSED,
                         f"expected response headers, got {event!r}",
                     )
-        raise self._create_error(
+        raise self._fail(
             RetryReason.ANSWER_TOO_LONG,
             f"{MAX_INTERIM_ANSWERS} interim answers without a final one",
         )
@@ -259,7 +257,7 @@
     def _check_status(self, status: int) -> None:
         """Checks a status; h11 itself accepts all of three digits from 200."""
         if not is_final_status(status):
-            raise self._create_error(
+            raise self._fail(
                 RetryReason.CONNECTION_CLOSED, f"invalid status {status}"
             )
 
@@ -273,13 +271,13 @@
         while (part := await self.read()) is not None:
             skipped_bytes += len(part)
             if skipped_bytes > MAX_SKIPPED_BYTES:
-                raise self._create_error(
+                raise self._fail(
                     RetryReason.ANSWER_TOO_LONG,
                     f"over {MAX_SKIPPED_BYTES} bytes for another request",
                 )
         trailing, closed = self._conn.protocol.trailing_data
         if closed or self._conn.protocol.their_state is not h11.DONE:
-            raise self._create_error(
+            raise self._fail(
                 RetryReason.CROSSED_ANSWER, "answer belongs to another request"
             )
         protocol = h11.Connection(h11.CLIENT)
@@ -312,7 +310,7 @@
                 self._complete = True
                 return None
             case event:
-                raise self._create_error(
+                raise self._fail(
                     RetryReason.CONNECTION_CLOSED,
                     f"answer ended early: {event!r}",
                 )
@@ -331,7 +329,7 @@
             return
         if self._sent and not has_unacknowledged(self._conn.stream):
             return
-        raise self._create_error(
+        raise self._fail(
             RetryReason.CONNECTION_CLOSED,
             "the connection ended before the request was received",
         )
@@ -342,7 +340,7 @@
                 self._conn.protocol.receive_data(await self._receive())
             return event
         except h11.RemoteProtocolError as exc:
-            raise self._create_error(
+            raise self._fail(
                 RetryReason.CONNECTION_CLOSED, f"invalid HTTP answer: {exc}"
             ) from exc
 
@@ -353,12 +351,14 @@
             self._input_ended = True
             return b""
         except STREAM_ERRORS as exc:
-            raise self._create_error(
-                RetryReason.CONNECTION_CLOSED, repr(exc)
-            ) from exc
+            raise self._fail(RetryReason.CONNECTION_CLOSED, repr(exc)) from exc
 
-    def _create_error(self, reason: RetryReason, message: str) -> ExchangeError:
-        # What the error says of `written` must stay true.
+    def _fail(self, reason: RetryReason, message: str) -> ExchangeError:
+        """Ends the exchange; returns the error to raise.
+
+        Nothing is written from now on, so that what the error says of it stays
+        true.
+        """
         self._send_scope.cancel()
         return ExchangeError(reason, message, self.written)
 
--- a/knapweedarch/links.py
+++ b/knapweedarch/links.py
@@ -219,9 +219,9 @@
         """Transfers messages until the link closes."""
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._write)
+                group.start_soon(self._close_on_error, self._write)
                 group.start_soon(self._read, group)
-                group.start_soon(self._monitor)
+                group.start_soon(self._close_on_error, self._monitor)
                 await self.closed.wait()
                 group.cancel_scope.cancel()
         finally:
@@ -229,6 +229,15 @@
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self._stream)
 
+    async def _close_on_error(
+        self, loop: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Runs a loop of the link; an unexpected error closes only the link."""
+        try:
+            await loop()
+        except Exception as exc:
+            self._close_after_error(exc)
+
     async def _monitor(self) -> None:
         """Sends keep-alives on an idle link and closes a timed-out one.
 
@@ -292,9 +301,9 @@
             self._close_after_error(exc)
 
     def _close_after_error(self, exc: Exception) -> None:
-        """Closes the link after an unexpected error of the handler.
+        """Closes the link after an unexpected error.
 
-        The error of one message must not end the process.
+        The error of one message or link must not end the process.
         """
         log("link_handler_failed", peer=self.peer, reason=traceback_text(exc))
         self.close()
--- a/knapweedarch/order_sender.py
+++ b/knapweedarch/order_sender.py
@@ -8,7 +8,7 @@
 from knapweedarch.control import ControlClient
 from knapweedarch.exceptions import ControlError, EndpointError
 from knapweedarch.leases import Lease
-from knapweedarch.logs import log
+from knapweedarch.logs import log, traceback_text
 from knapweedarch.metrics import Metrics
 from knapweedarch.models import Endpoint, Rules
 from knapweedarch.orders import Entitlement, LoadOrder, Rollout
@@ -103,6 +103,12 @@
                 self._entitlement.fencing_number,
             )
         except EndpointError as exc:
-            self._metrics.count("orders.failed")
-            log("order_failed", endpoint=order.endpoint.id, reason=exc.reason)
-            self._rollout.record_failure(order, self._clock.now())
+            self._record_failure(order, exc.reason)
+        except Exception as exc:
+            # A fault in one order must end neither the router nor the others.
+            self._record_failure(order, traceback_text(exc))
+
+    def _record_failure(self, order: LoadOrder, reason: str) -> None:
+        self._metrics.count("orders.failed")
+        log("order_failed", endpoint=order.endpoint.id, reason=reason)
+        self._rollout.record_failure(order, self._clock.now())
