Bound what a long document costs, and end its reading at the first fault

Cause: documents were parsed whole, wrapped in an object for each entry and read on after the first fault, with a text for each missing field, in one piece.

An endpoint serves at most 64 names; what a fault shows is short.

--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -8,17 +8,18 @@
 import anyio
 from behave import given, then, when
 
+from adapter.configuration import read_deployment
 from adapter.control_api import ControlApi
 from adapter.documents import (
     read_cache_changes,
-    read_deployment,
     read_heartbeat,
     read_incarnation,
 )
 from adapter.headers import PlatformDialect
 from adapter.settings import Node, member_settings
+from knapweedarch.caller_guard import CallerGuard
 from knapweedarch.endpoint_choice import ChoiceConfig, EndpointChooser
-from knapweedarch.exceptions import DeploymentError, SettingsError
+from knapweedarch.exceptions import DocumentError, SettingsError
 from knapweedarch.http_messages import Request
 from knapweedarch.models import Endpoint, EndpointKind, EndpointStatus
 from knapweedarch.relay_messages import pack_loads, unpack_loads
@@ -137,11 +138,11 @@
 
 
 def is_rejected(read, *arguments) -> bool:
-    """Returns whether a decoder raises `DeploymentError` with its faults."""
+    """Returns whether a decoder raises `DocumentError` with its fault."""
     try:
         read(*arguments)
-    except DeploymentError as exc:
-        return bool(exc.faults)
+    except DocumentError as exc:
+        return bool(str(exc))
     return False
 
 
@@ -308,7 +309,7 @@
 def check_report(context, incarnation):
     try:
         found = read_incarnation(context.report) or "unknown"
-    except DeploymentError:
+    except DocumentError:
         found = "refused"
     assert found == incarnation, found
 
@@ -410,7 +411,7 @@
         }
         try:
             changes = read_cache_changes(encode(body))
-        except DeploymentError:
+        except DocumentError:
             continue
         used += sum(1 for change in changes.changes if change.key.digest)
     assert used > count / 2, used
@@ -505,7 +506,9 @@
         body=b"",
     )
     context.responder = RecordingResponder()
-    anyio.run(ControlApi(context.member).handle, req, context.responder)
+    anyio.run(
+        ControlApi(context.member, CallerGuard()).handle, req, context.responder
+    )
 
 
 @then('the call is confirmed and runner "{name}" has status leaving')
--- a/features/steps/customer_key_steps.py
+++ b/features/steps/customer_key_steps.py
@@ -5,7 +5,7 @@
 import anyio
 from behave import given, then, when
 
-from adapter.documents import read_deployment
+from adapter.configuration import read_deployment
 from features.proxy_harness import HOST, KEY, open_proxy, request
 from knapweedarch.control_messages import pack_deployment, unpack_deployment
 from knapweedarch.state import COMMANDS, ControlState, PutDeployment
--- a/knapweedarch/caller_guard.py
+++ b/knapweedarch/caller_guard.py
@@ -1,14 +1,19 @@
 """What all listeners of a process share to stay within their bounds."""
 
+from typing import TypeVar
+
 import anyio
 import anyio.lowlevel
 
 from knapweedarch.caller_bounds import CallerBounds
 from knapweedarch.caller_ends import CallerRefusal
 from knapweedarch.caller_memory import CallerMemory, HeldBytes
+from knapweedarch.json_documents import Steps
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 
+_T = TypeVar("_T")
+
 
 class CallerGuard:
     """Memory, turns and counters that concern the callers of a process.
@@ -48,6 +53,19 @@
         async with self._turns:
             await anyio.lowlevel.checkpoint()
 
+    async def run_steps(self, steps: Steps[_T]) -> _T:
+        """Runs steps to their end, and takes a turn for each one.
+
+        Returns:
+            The result of the steps.
+        """
+        while True:
+            await self.take_turn()
+            try:
+                next(steps)
+            except StopIteration as exc:
+                return exc.value
+
     def _log_evicted(self, entry: HeldBytes, held_bytes: int) -> None:
         log(
             "caller_evicted",
--- a/knapweedarch/deployments.py
+++ b/knapweedarch/deployments.py
@@ -6,7 +6,7 @@
 """
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Collection, Sequence
 
 import attrs
 
@@ -14,6 +14,9 @@
 from knapweedarch.models import Endpoint
 from knapweedarch.quotas import Quota
 
+# Characters of a name in a fault.
+MAX_SHOWN_CHARS = 60
+
 
 class Repeatability(str, enum.Enum):
     """How often the requests of a route may run.
@@ -259,45 +262,59 @@
     return endpoint.serves[1:]
 
 
-def check_deployment(deployment: Deployment) -> None:
-    """Checks names, keys, weights and timeouts of a configuration.
+class RouteCheck:
+    """Checks the routes of a configuration, and their shares, one by one.
+
+    Args:
+        services: Names of the services that routes may name.
+    """
+
+    def __init__(self, services: Collection[str]):
+        self._services = services
+        self._keys: set[tuple[str, str]] = set()
+
+    def check(self, route: Route) -> None:
+        """Checks a route, but for its shares, and against those before it.
+
+        Raises:
+            DeploymentError: It is invalid.
+        """
+        key = (route.host, route.path_prefix)
+        if key in self._keys:
+            raise _route_error(
+                route.name, "host and path prefix are already used"
+            )
+        self._keys.add(key)
+        if sum(share.weight for share in route.split) <= 0:
+            raise _route_error(
+                route.name, "the sum of the weights is not positive"
+            )
+        if route.timeout_s <= 0:
+            raise _route_error(route.name, "the timeout is not positive")
+
+    def check_share(self, route_name: str, share: SplitShare) -> None:
+        """Checks a share of a route.
+
+        Raises:
+            DeploymentError: It names an unknown service.
+        """
+        if share.service not in self._services:
+            unknown = share.service[:MAX_SHOWN_CHARS]
+            raise _route_error(route_name, f"unknown service {unknown}")
+
+
+def _route_error(name: str, fault: str) -> DeploymentError:
+    return DeploymentError(f"route {name[:MAX_SHOWN_CHARS]}: {fault}")
+
+
+def check_unique(kind: str, names: Sequence[str]) -> None:
+    """Checks that no two things of a kind have one name.
 
     Raises:
-        DeploymentError: The configuration is invalid; contains all errors.
+        DeploymentError: Two have.
     """
-    errors = [
-        *_route_errors(deployment),
-        *_duplicate_errors("service", [s.name for s in deployment.services]),
-        *_duplicate_errors("customer", [c.name for c in deployment.customers]),
-        *_duplicate_errors(
-            "key", [key for c in deployment.customers for key in c.keys]
-        ),
-    ]
-    if errors:
-        raise DeploymentError(errors)
-
-
-def _duplicate_errors(kind: str, names: list[str]) -> Iterator[str]:
     if len(set(names)) < len(names):
-        yield f"a {kind} occurs more than once"
-
-
-def _route_errors(deployment: Deployment) -> Iterator[str]:
-    services = {s.name for s in deployment.services}
-    route_keys: set[tuple[str, str]] = set()
-    for route in deployment.routes:
-        route_key = (route.host, route.path_prefix)
-        if route_key in route_keys:
-            yield f"route {route.name}: host and path prefix are already used"
-        route_keys.add(route_key)
-        if unknown := {s.service for s in route.split} - services:
-            yield f"route {route.name}: unknown service {sorted(unknown)}"
-        if any(s.weight < 0 for s in route.split):
-            yield f"route {route.name}: a weight is negative"
-        if sum(s.weight for s in route.split) <= 0:
-            yield f"route {route.name}: the sum of the weights is not positive"
-        if route.timeout_s <= 0:
-            yield f"route {route.name}: the timeout is not positive"
+        raise DeploymentError(f"a {kind} occurs more than once")
 
 
 class RouteTable:
--- a/knapweedarch/exceptions.py
+++ b/knapweedarch/exceptions.py
@@ -29,16 +29,15 @@
         super().__init__("; ".join(faults))
 
 
-class DeploymentError(KnapweedarchError):
-    """A deployment configuration is invalid.
+class DocumentError(KnapweedarchError):
+    """A document of another program is malformed.
 
-    Attributes:
-        faults: One message per fault.
+    The message is short and names the first fault.
     """
 
-    def __init__(self, faults: list[str]):
-        self.faults = faults
-        super().__init__("; ".join(faults))
+
+class DeploymentError(DocumentError):
+    """A deployment configuration is inconsistent."""
 
 
 class CodecError(KnapweedarchError):
--- a/knapweedarch/gateway.py
+++ b/knapweedarch/gateway.py
@@ -33,6 +33,7 @@
     GatewayConnections,
 )
 from knapweedarch.models import (
+    MAX_SERVED_NAMES,
     Attempt,
     AttemptResult,
     CustomerRule,
@@ -51,7 +52,6 @@
 
 MAX_ANNOUNCEMENT_BYTES = 64 * 1024
 MAX_NAME_CHARS = 128
-MAX_SERVED_NAMES = 64
 # The kernel resets a connection whose peer acknowledges no data for this long.
 # Without it, hypercorn waits indefinitely for such a peer when it closes.
 TCP_USER_TIMEOUT_MS = 15_000
--- a/knapweedarch/models.py
+++ b/knapweedarch/models.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# Most names of models and services that one endpoint serves.
+MAX_SERVED_NAMES = 64
+
 
 class Outcome(str, enum.Enum):
     """Whether a refused or failed request was executed."""
--- a/knapweedarch/settings_reader.py
+++ b/knapweedarch/settings_reader.py
@@ -2,11 +2,16 @@
 
 import math
 import re
+import reprlib
 import sys
 from collections.abc import Callable
 
 _REQUIRED = object()
 _MAX_SHOWN_CHARACTERS = 60
+# Formats as much of a value as is shown, however long or deep it is.
+_short_repr = reprlib.Repr()
+_short_repr.maxlist = _short_repr.maxdict = _MAX_SHOWN_CHARACTERS
+_short_repr.maxstring = _short_repr.maxlong = 4 * _MAX_SHOWN_CHARACTERS
 
 
 def is_text(value: object) -> bool:
@@ -23,6 +28,11 @@
     return True
 
 
+def is_flag(value: object) -> bool:
+    """Returns whether a value is true or false."""
+    return isinstance(value, bool)
+
+
 class Section:
     """An object of a settings file, whose faults are added to a list.
 
@@ -160,7 +170,7 @@
 
 def shorten(value: object) -> str:
     """Formats a value for an error message, truncated to a maximum length."""
-    seen = repr(value)
+    seen = _short_repr.repr(value)
     if len(seen) <= _MAX_SHOWN_CHARACTERS:
         return seen
     return f"{seen[: _MAX_SHOWN_CHARACTERS - 3]}..."
--- a/scripts/check_core.py
+++ b/scripts/check_core.py
@@ -21,6 +21,7 @@
     *("replica_leadership", "replica_membership", "replica_election"),
     *("replica_follower", "replica_status", "orders"),
     *("deployments", "cache_scopes", "heartbeats", "prompt_parts"),
+    *("json_documents",),
     *("stored_parts", "endpoint_choice", "repeat_budget", "event_stream"),
     *("control_messages", "http_messages", "relay_messages"),
     *("source_relay", "load_relay", "peer_loads", "relayed_parts"),
