Gather what runs work in steps, and name it for a reader

The runner of steps stood in timers and again, without a loop, beside the JSON decoder. The module steps holds the type and both runners. The guard's own one, which takes turns among callers, is run_in_turns.

--- a/features/steps/long_document_steps.py
+++ b/features/steps/long_document_steps.py
@@ -21,9 +21,10 @@
 )
 from knapweedarch import json_documents
 from knapweedarch.exceptions import DocumentError
-from knapweedarch.json_documents import finish, split_array
+from knapweedarch.json_documents import split_array
 from knapweedarch.process import freeze_start_objects
 from knapweedarch.replica_leadership import LEADER_LEASE_S
+from knapweedarch.steps import finish
 from standins.platform_site import configuration
 
 HEARTBEAT_PATH = "/api/instances/i-writer"
--- a/knapweedarch/caller_guard.py
+++ b/knapweedarch/caller_guard.py
@@ -8,9 +8,9 @@
 from knapweedarch.caller_bounds import CallerBounds
 from knapweedarch.caller_ends import CallerRefusal
 from knapweedarch.caller_memory import CallerMemory, HeldBytes
-from knapweedarch.json_documents import Steps
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
+from knapweedarch.steps import Steps
 
 _T = TypeVar("_T")
 
@@ -53,7 +53,7 @@
         async with self._turns:
             await anyio.lowlevel.checkpoint()
 
-    async def run_steps(self, steps: Steps[_T]) -> _T:
+    async def run_in_turns(self, steps: Steps[_T]) -> _T:
         """Runs steps to their end, and takes a turn for each one.
 
         Returns:
--- a/knapweedarch/committed_entries.py
+++ b/knapweedarch/committed_entries.py
@@ -10,8 +10,8 @@
 
 from knapweedarch import replica
 from knapweedarch.codec import LONG_MESSAGE_BYTES
-from knapweedarch.json_documents import Steps
 from knapweedarch.state import COMMANDS
+from knapweedarch.steps import Steps
 
 # Applies an entry; gets its command if that is decoded already.
 Apply = Callable[[replica.Entry, object | None], None]
--- a/knapweedarch/control_messages.py
+++ b/knapweedarch/control_messages.py
@@ -9,7 +9,6 @@
 from knapweedarch.codec import LONG_MESSAGE_BYTES, create_codec
 from knapweedarch.deployments import Deployment
 from knapweedarch.exceptions import CodecError
-from knapweedarch.json_documents import Steps, finish
 from knapweedarch.models import Endpoint
 from knapweedarch.origin_messages import (
     FindOrigins,
@@ -30,6 +29,7 @@
     Subscribed,
 )
 from knapweedarch.state import EndpointEntry
+from knapweedarch.steps import Steps, finish
 from knapweedarch.usage_messages import UsageReport
 
 
--- a/knapweedarch/json_documents.py
+++ b/knapweedarch/json_documents.py
@@ -9,7 +9,7 @@
 import codecs
 import functools
 import re
-from collections.abc import Generator, Iterator
+from collections.abc import Iterator
 from typing import TypeVar
 
 import msgspec
@@ -39,8 +39,6 @@
 
 _T = TypeVar("_T")
 Data = bytes | msgspec.Raw
-# Work that can be interrupted at each `yield` and returns a result.
-Steps = Generator[None, None, _T]
 
 
 def decode_document(data: Data, fields: type[_T]) -> _T:
@@ -131,15 +129,6 @@
     return b"[" + bytes(entries).lstrip(_SEPARATORS) + b"]"
 
 
-def finish(steps: Steps[_T]) -> _T:
-    """Runs steps to their end without a pause, and returns the result."""
-    while True:
-        try:
-            next(steps)
-        except StopIteration as exc:
-            return exc.value
-
-
 @functools.cache
 def _decoder(fields: type[_T]) -> msgspec.json.Decoder[_T]:
     return msgspec.json.Decoder(fields)
--- a/knapweedarch/leader.py
+++ b/knapweedarch/leader.py
@@ -42,7 +42,8 @@
     TimestampSource,
     WeightsNamed,
 )
-from knapweedarch.timers import Clock, run_steps
+from knapweedarch.steps import run_steps
+from knapweedarch.timers import Clock
 
 IN_FORCE_TIMEOUT_S = 10.0
 # Routers are told of changes at most once in this time. While weights are
--- a/knapweedarch/lease_keeper.py
+++ b/knapweedarch/lease_keeper.py
@@ -14,7 +14,8 @@
 from knapweedarch.logs import log
 from knapweedarch.metrics import Metrics
 from knapweedarch.state import EndpointEntry
-from knapweedarch.timers import Clock, Timers, run_steps
+from knapweedarch.steps import run_steps
+from knapweedarch.timers import Clock, Timers
 
 RENEW_TIMEOUT_S = 1.0
 EXPIRY_CHECK_INTERVAL_S = 0.2
--- a/knapweedarch/router.py
+++ b/knapweedarch/router.py
@@ -43,8 +43,9 @@
 from knapweedarch.rules import parse_steps
 from knapweedarch.settings import RouterSettings
 from knapweedarch.state import Announce
+from knapweedarch.steps import run_steps
 from knapweedarch.stored_parts import PartsIndex
-from knapweedarch.timers import Clock, Timers, run_steps
+from knapweedarch.timers import Clock, Timers
 
 ROLLOUT_INTERVAL_S = 0.5
 REPORT_INTERVAL_S = 1.0
--- a/knapweedarch/settings_reader.py
+++ b/knapweedarch/settings_reader.py
@@ -9,9 +9,9 @@
 _REQUIRED = object()
 _MAX_SHOWN_CHARACTERS = 60
 # Formats as much of a value as is shown, however long or deep it is.
-_short_repr = reprlib.Repr()
-_short_repr.maxlist = _short_repr.maxdict = _MAX_SHOWN_CHARACTERS
-_short_repr.maxstring = _short_repr.maxlong = 4 * _MAX_SHOWN_CHARACTERS
+_SHORT_REPR = reprlib.Repr()
+_SHORT_REPR.maxlist = _SHORT_REPR.maxdict = _MAX_SHOWN_CHARACTERS
+_SHORT_REPR.maxstring = _SHORT_REPR.maxlong = 4 * _MAX_SHOWN_CHARACTERS
 
 
 def is_text(value: object) -> bool:
@@ -170,7 +170,7 @@
 
 def shorten(value: object) -> str:
     """Formats a value for an error message, truncated to a maximum length."""
-    seen = _short_repr.repr(value)
+    seen = _SHORT_REPR.repr(value)
     if len(seen) <= _MAX_SHOWN_CHARACTERS:
         return seen
     return f"{seen[: _MAX_SHOWN_CHARACTERS - 3]}..."
--- a/knapweedarch/timers.py
+++ b/knapweedarch/timers.py
@@ -3,25 +3,11 @@
 import heapq
 import itertools
 import time
-from collections.abc import Callable, Generator
-from typing import TypeVar
+from collections.abc import Callable
 
 import anyio
-import anyio.lowlevel
 import attrs
 
-_T = TypeVar("_T")
-
-
-async def run_steps(steps: Generator[None, None, _T]) -> _T:
-    """Runs a generator to its end, yielding to the event loop between steps."""
-    while True:
-        try:
-            next(steps)
-        except StopIteration as done:
-            return done.value
-        await anyio.lowlevel.checkpoint()
-
 
 class Clock:
     """Seconds since boot; unlike `monotonic`, includes suspended time."""
