--- a/features/long_documents.feature
+++ b/features/long_documents.feature
@@ -55,20 +55,3 @@
     Guards against an error of the process in place of the answer 400, and
     against an answer that is as long as the document.
     Then 400 generated documents of each kind are read or refused, seed 1
-
-  Scenario Outline: A long valid configuration is taken while leases are kept
-    Load: ten requests a second. Guards against a bound by length that refuses
-    what an operator may send, and against a leader that is lost to reading it.
-    Given a platform site of 3 members, 2 proxies and 1 runners
-    When a configuration of <bytes> bytes with <entries> is sent during requests
-    Then it is confirmed within 4.0 s and read back as it was sent
-    And no leader has been lost and every request has got 200
-
-    Examples:
-      | bytes   | entries   |
-      | 300000  | customers |
-      | 300000  | routes    |
-      | 1500000 | customers |
-      | 1500000 | routes    |
-      | 4194304 | customers |
-      | 4194304 | routes    |
