--- a/features/long_documents.feature
+++ b/features/long_documents.feature
@@ -22,7 +22,7 @@
       | 1     | a heartbeat with 70000 models                       | models    |
       | 1     | a configuration with 1000000 routes without fields  | routes[0] |
       | 1     | a configuration with 30000 routes without a service | routes[0] |
-      | 1     | a configuration with 100000 nested lists            | recursion |
+      | 1     | a configuration with 1000000 nested lists           | recursion |
       | 2     | a configuration with 100000 shares of unknown services | r      |
 
   # Of these, some took 0.9 s, in which a member did nothing else.
